--- /dev/null
+++ b/src/lavenderrun/__init__.py
@@ -0,0 +1,1 @@
+"""Router for separate prefill and decode pools."""
--- /dev/null
+++ b/src/lavenderrun/bench/__init__.py
@@ -0,0 +1,3 @@
+"""bench."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lavenderrun/daemons/__init__.py
@@ -0,0 +1,3 @@
+"""daemons."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lavenderrun/decisions/__init__.py
@@ -0,0 +1,3 @@
+"""decisions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lavenderrun/services/__init__.py
@@ -0,0 +1,3 @@
+"""services."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lavenderrun/standins/__init__.py
@@ -0,0 +1,3 @@
+"""standins."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lavenderrun/types/_ids.py
@@ -0,0 +1,22 @@
+"""Identifiers, one type each."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+AccountId = NewType("AccountId", str)
+AttemptId = NewType("AttemptId", int)
+BackendId = NewType("BackendId", str)
+BootId = NewType("BootId", str)
+DataCentre = NewType("DataCentre", str)
+DocumentVersion = NewType("DocumentVersion", int)
+ExportHandle = NewType("ExportHandle", str)
+FencingNumber = NewType("FencingNumber", int)
+Fingerprint = NewType("Fingerprint", str)
+HostId = NewType("HostId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+KeyDigest = NewType("KeyDigest", str)
+ModelName = NewType("ModelName", str)
+RequestId = NewType("RequestId", str)
+RouteName = NewType("RouteName", str)
+ServiceGroup = NewType("ServiceGroup", str)
--- /dev/null
+++ b/src/lavenderrun/types/_ports.py
@@ -0,0 +1,235 @@
+"""Interfaces between services, so that each finds another by name and by protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, Protocol, TypeVar
+
+from twisted.internet.defer import Deferred
+
+from lavenderrun.types._document import Document
+from lavenderrun.types._events import Event
+from lavenderrun.types._ids import DocumentVersion, ExportHandle, HostId, ModelName, RequestId
+from lavenderrun.types._messages import Hello, Load, Message
+from lavenderrun.types._requests import (
+    AnswerSink,
+    ModelRequest,
+    PlainRequest,
+    ReplySink,
+    Ticket,
+)
+from lavenderrun.types._states import FinishReason
+
+M = TypeVar("M", bound=Message)
+
+
+class Link(Protocol):
+    """A live connection to one peer host."""
+
+    @property
+    def peer(self) -> Hello:
+        """The peer's greeting."""
+
+    def send(self, message: Message) -> None:
+        """Queue a message; it is lost silently when the link is down."""
+
+
+class Links(Protocol):
+    """Service ``links``: messages to and from all peers."""
+
+    def subscribe(self, kind: type[M], handler: Callable[[Link, M], None]) -> None:
+        """Call *handler* for each message of *kind*."""
+
+    def watch(self, up: Callable[[Link], None], down: Callable[[Link], None]) -> None:
+        """Call *up* after a link's greeting and *down* when it is lost or silent."""
+
+    def find(self, host: HostId) -> Link | None:
+        """Return the live link to *host*."""
+
+    def live(self) -> Sequence[Link]:
+        """Return all live links."""
+
+    def load(self, host: HostId) -> Load | None:
+        """Return the load last heard from *host*."""
+
+    def is_leaving(self, host: HostId) -> bool:
+        """Tell whether *host* takes no new work."""
+
+
+class Pipe(Protocol):
+    """Ordered byte messages to one peer; what a transport gives to ``links``."""
+
+    def send(self, data: bytes) -> None:
+        """Send one encoded batch."""
+
+    def close(self) -> None:
+        """Drop the connection."""
+
+
+class PipeEvents(Protocol):
+    """What a transport tells its user of a pipe."""
+
+    def received(self, data: bytes) -> None:
+        """Take one encoded batch."""
+
+    def closed(self, reason: str) -> None:
+        """The pipe is gone."""
+
+
+class Transport(Protocol):
+    """Service ``transport``: opens pipes and accepts them."""
+
+    def listen(self, accept: Callable[[Pipe], PipeEvents]) -> Any:
+        """Accept pipes at this host's address; may return a ``Deferred``."""
+
+    def dial(self, address: str, events: Callable[[Pipe], PipeEvents]) -> Pipe:
+        """Open a pipe; failures arrive as ``closed``."""
+
+
+class Record(Protocol):
+    """Service ``record``: takes the events that logs, metrics and invariant checks read."""
+
+    def emit(self, event: Event) -> None:
+        """Take one event."""
+
+
+class Router(Protocol):
+    """Service ``router``: serves requests; knows nothing of HTTP."""
+
+    def submit_model(self, request: ModelRequest, sink: AnswerSink) -> Ticket:
+        """Serve a model request into *sink*."""
+
+    def submit_plain(self, request: PlainRequest, sink: ReplySink) -> Ticket:
+        """Serve a call for a plain service into *sink*."""
+
+
+@dataclass(frozen=True)
+class Export:
+    """KV cache that a prefill engine holds for import.
+
+    :param cached: tokens of the prompt that the prefix cache spared.
+    :param lives: how long the engine keeps it.
+    """
+
+    handle: ExportHandle
+    source: str
+    tokens: int
+    cached: int
+    lives: timedelta
+
+
+TokenSink = Callable[[int, list[str], FinishReason | None], None]
+
+
+class Running(Protocol):
+    """A decode that runs in an engine."""
+
+    @property
+    def done(self) -> Deferred[None]:
+        """Fires when the engine has freed the seat; fails with ``StepError``."""
+
+    def cancel(self) -> None:
+        """Stop it and free its memory; ``done`` still fires."""
+
+
+class Engine(Protocol):
+    """Service ``engine``: the model backend server beside this agent, in its own dialect."""
+
+    def prefill(self, request: RequestId, model: ModelName, text: str) -> Deferred[Export]:
+        """Compute and export KV cache; fails with ``StepError``."""
+
+    def release(self, handle: ExportHandle) -> Deferred[None]:
+        """Free an export; unknown handles are fine."""
+
+    def decode(
+        self,
+        request: RequestId,
+        model: ModelName,
+        handle: ExportHandle,
+        source: str,
+        *,
+        max_tokens: int,
+        sink: TokenSink,
+    ) -> Running:
+        """Import the export from the engine at *source* and generate into *sink*.
+
+        The export carries the text; *sink* takes (offset from zero, tokens, finish).
+        """
+
+
+class PlainBackend(Protocol):
+    """Service ``plain``: the plain backend server beside this agent."""
+
+    def call(
+        self,
+        request: RequestId,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        sink: ReplySink,
+    ) -> Running:
+        """Make the call into *sink*."""
+
+
+@dataclass(frozen=True)
+class StoredRow:
+    """A row of the platform's table service.
+
+    :param version: grows by one with each write; zero means absent.
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+class StoreConflictError(Exception):
+    """A conditional write met another version.
+
+    :param current: the row as it is, ``None`` when absent.
+    """
+
+    def __init__(self, current: StoredRow | None) -> None:
+        super().__init__("version differs")
+        self.current = current
+
+
+class StoreUnavailableError(Exception):
+    """The table service gave no answer; a write may have taken effect."""
+
+
+class Store(Protocol):
+    """Service ``store``: the platform's transactional table service.
+
+    Every call may fail with :class:`StoreUnavailableError`.
+    """
+
+    def get(self, table: str, key: str) -> Deferred[StoredRow | None]:
+        """Read one row."""
+
+    def scan(self, table: str) -> Deferred[list[StoredRow]]:
+        """Read all rows of a table."""
+
+    def put(self, table: str, key: str, value: bytes, *, expect: int) -> Deferred[StoredRow]:
+        """Write when the row's version is *expect*; fails with :class:`StoreConflictError`."""
+
+    def delete(self, table: str, key: str, *, expect: int) -> Deferred[None]:
+        """Delete when the row's version is *expect*; fails with :class:`StoreConflictError`."""
+
+
+class DocumentSource(Protocol):
+    """Service ``document``: the configuration in force on this host."""
+
+    @property
+    def version(self) -> DocumentVersion:
+        """The version in force; it never goes back."""
+
+    @property
+    def current(self) -> Document | None:
+        """The document in force, ``None`` before the first was read."""
+
+    def watch(self, handler: Callable[[Document], None]) -> None:
+        """Call *handler* for the document in force, if any, and for each later one."""
--- /dev/null
+++ b/src/lavenderrun/types/_refusals.py
@@ -0,0 +1,67 @@
+"""Refusals: sentinel values with a reason, and errors with step and peer."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+from lavenderrun.types._states import Outcome, Step
+
+
+class Refusal(Enum):
+    """Why a request is not served; the value is the code that callers see."""
+
+    BAD_REQUEST = "bad_request"
+    NO_KEY = "no_key"
+    UNKNOWN_KEY = "unknown_key"
+    ROUTE_NOT_ALLOWED = "route_not_allowed"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_PATH = "unknown_path"
+    TOO_LARGE = "too_large"
+    OVER_RATE = "over_rate"
+    QUARANTINED = "quarantined"
+    IDEMPOTENCY_CONFLICT = "idempotency_conflict"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    NO_ROOM = "no_room"
+    LEAVING = "leaving"
+    DEADLINE = "deadline"
+    BACKEND_LOST = "backend_lost"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CANCELLED = "cancelled"
+    NOT_READY = "not_ready"
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """A refusal with what the caller may rely on.
+
+    :param refusal: the sentinel.
+    :param outcome: ``NOT_RUN`` only when no backend server has begun the request.
+    :param step: where it arose.
+    :param peer: the host or backend server concerned, empty for this one.
+    :param retry_after: when another try may help.
+    :param detail: a short sentence without keys or bodies.
+    """
+
+    refusal: Refusal
+    outcome: Outcome
+    step: Step
+    peer: str = ""
+    retry_after: timedelta | None = None
+    detail: str = ""
+
+
+class StepError(Exception):
+    """A failure at a known step with a known peer.
+
+    :param step: where it arose.
+    :param peer: host or backend server that was spoken to.
+    :param reason: a short sentence.
+    """
+
+    def __init__(self, step: Step, peer: str, reason: str) -> None:
+        super().__init__(f"{step.value} at {peer or 'this host'}: {reason}")
+        self.step = step
+        self.peer = peer
+        self.reason = reason
