Add a timing model of a continuous-batching engine

Before: no engine to drive. After: EngineModel implements the Engine port on any clock; prefill 8 ms + 50 us a token, decode steps 12 ms + 0.4 ms a running request, 20 seats, 640 pieces of 1000 tokens, exports live 0.8 s. BackendCrashError tells an agent a crash from another failure.

--- /dev/null
+++ b/src/lavenderrun/standins/_engine_model.py
@@ -0,0 +1,301 @@
+"""Timing model of one continuous-batching engine, on a clock and without a network."""
+
+from __future__ import annotations
+
+import bisect
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from itertools import count
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from lavenderrun.kernel import Clock, Timer
+from lavenderrun.standins._engine_cache import (
+    PIECE_TOKENS,
+    CacheWatcher,
+    PrefixCache,
+    hash_blocks,
+)
+from lavenderrun.standins._engine_decode import DecodeBatch, Decoding
+from lavenderrun.standins._fabric import Cache, Fabric
+from lavenderrun.standins._text import MEAN_TOKENS, POISON_PREFILL, count_tokens
+from lavenderrun.types import (
+    BackendCrashError,
+    DataCentre,
+    Export,
+    ExportHandle,
+    ModelName,
+    RequestId,
+    Step,
+    StepError,
+    TokenSink,
+)
+
+
+@dataclass(frozen=True)
+class EngineSpeed:
+    """Costs and limits of an engine.
+
+    :param step: time of a decode step with an empty batch.
+    :param step_a_seat: what each running request adds to a step.
+    :param prefill: fixed part of a prefill.
+    :param prefill_a_token: what each token that is not cached adds.
+    :param burst: decode steps that one event of the clock stands for.
+    :param export_life: how long an export is kept.
+    :param load_lag: age of the load that the engine reports.
+    :param restart: time from a crash until calls are taken again.
+    """
+
+    seats: int = 20
+    pieces: int = 640
+    cached_pieces: int = 256
+    step: timedelta = timedelta(milliseconds=12)
+    step_a_seat: timedelta = timedelta(microseconds=400)
+    prefill: timedelta = timedelta(milliseconds=8)
+    prefill_a_token: timedelta = timedelta(microseconds=50)
+    burst: int = 4
+    mean_tokens: int = MEAN_TOKENS
+    export_life: timedelta = timedelta(milliseconds=800)
+    load_lag: timedelta = timedelta(milliseconds=300)
+    restart: timedelta = timedelta(seconds=3)
+
+    def time_step(self, running: int) -> timedelta:
+        """Return the time of a decode step with *running* requests."""
+        return self.step + running * self.step_a_seat
+
+    def time_prefill(self, tokens: int) -> timedelta:
+        """Return the time of a prefill of *tokens* that are not cached."""
+        return self.prefill + tokens * self.prefill_a_token
+
+
+@dataclass(frozen=True)
+class EngineLoad:
+    """What an engine reports of itself, late."""
+
+    running: int
+    queued: int
+    pieces_free: int
+
+
+@dataclass
+class _Prefilling:
+    request: RequestId
+    text: str
+    tokens: int
+    priority: int
+    order: int
+    done: Deferred[Export] = field(repr=False)
+    cached: int = 0
+
+
+class EngineModel:
+    """One engine; implements the ``Engine`` port.
+
+    :param address: names it to other engines.
+    :param chance: seeded source for its lost cache events.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        fabric: Fabric,
+        address: str,
+        data_centre: DataCentre,
+        *,
+        speed: EngineSpeed | None = None,
+        chance: random.Random | None = None,
+    ) -> None:
+        self.speed = speed or EngineSpeed()
+        self.address = address
+        self.data_centre = data_centre
+        self.crashes = 0
+        self.prefilled = 0
+        self.generated = 0
+        self._clock = clock
+        self._fabric = fabric
+        self._cache = PrefixCache(clock, self.speed.cached_pieces, chance or random.Random(0))
+        self._numbers = count(1)
+        self._life = 0
+        self._down_until: datetime | None = None
+        self._frozen: list[tuple[Callable[..., Any], tuple[Any, ...]]] | None = None
+        self._waiting: list[_Prefilling] = []
+        self._active: _Prefilling | None = None
+        self._exports: dict[ExportHandle, Cache] = {}
+        self._batch = DecodeBatch(self)
+        self._history: deque[tuple[datetime, EngineLoad]] = deque()
+        fabric.attach(self)
+
+    def prefill(
+        self, request: RequestId, model: ModelName, text: str, *, priority: int = 0
+    ) -> Deferred[Export]:
+        """Queue a prefill; see ``Engine``. A smaller *priority* goes first."""
+        done: Deferred[Export] = Deferred(self._cancel_prefill)
+        if self.is_down:
+            done.errback(self.crash_error(Step.PREFILL))
+            return done
+        work = _Prefilling(request, text, count_tokens(text), priority, next(self._numbers), done)
+        bisect.insort(self._waiting, work, key=lambda each: (each.priority, each.order))
+        self.note_load()
+        self._begin_prefill()
+        return done
+
+    def release(self, handle: ExportHandle) -> Deferred[None]:
+        """Free an export; see ``Engine``."""
+        self.end_export(handle)
+        done: Deferred[None] = Deferred()
+        done.callback(None)
+        return done
+
+    def decode(
+        self,
+        request: RequestId,
+        model: ModelName,
+        handle: ExportHandle,
+        source: str,
+        *,
+        max_tokens: int,
+        sink: TokenSink,
+    ) -> Decoding:
+        """Import an export and generate; see ``Engine``."""
+        decoding = Decoding(self._batch, request, max_tokens, sink)
+        if self.is_down:
+            decoding.fail(self.crash_error(Step.DECODE))
+        elif self._batch.is_full:
+            decoding.fail(StepError(Step.DECODE, self.address, "no seat is free"))
+        else:
+            self._batch.admit(decoding)
+            decoding.transfer = self._fabric.pull(
+                handle, source, self.data_centre, decoding.take_cache
+            )
+        return decoding
+
+    def read_export(self, handle: ExportHandle) -> Cache | None:
+        """Return an export's contents, ``None`` when it is freed."""
+        return self._exports.get(handle)
+
+    def end_export(self, handle: ExportHandle) -> None:
+        """Free an export."""
+        if self._exports.pop(handle, None) is not None:
+            self.note_load()
+            self._begin_prefill()
+
+    def watch_cache(self, watcher: CacheWatcher) -> None:
+        """Publish cache events to *watcher*."""
+        self._cache.watch(watcher)
+
+    def held(self) -> int:
+        """Return the pieces that requests hold now."""
+        pieces = sum(count_pieces(cache.tokens) for cache in self._exports.values())
+        if self._active is not None:
+            pieces += count_pieces(self._active.tokens)
+        return pieces + self._batch.held()
+
+    def load(self) -> EngineLoad:
+        """Return the load as it was :attr:`EngineSpeed.load_lag` ago."""
+        horizon = self._clock.now() - self.speed.load_lag
+        while len(self._history) > 1 and self._history[1][0] <= horizon:
+            self._history.popleft()
+        if self._history and self._history[0][0] <= horizon:
+            return self._history[0][1]
+        return EngineLoad(0, 0, self.speed.pieces)
+
+    def note_load(self) -> None:
+        """Keep the present load for later reports."""
+        queued = len(self._waiting) + (self._active is not None)
+        load = EngineLoad(self._batch.size, queued, self.speed.pieces - self.held())
+        self._history.append((self._clock.now(), load))
+        if len(self._history) > 4096:
+            self.load()
+
+    def crash(self) -> None:
+        """Lose all work and memory; calls are taken again after a restart."""
+        self.crashes += 1
+        self._life += 1
+        self._down_until = self._clock.now() + self.speed.restart
+        self._cache.clear()
+        self._exports.clear()
+        error = self.crash_error(Step.PREFILL)
+        lost = self._waiting + ([self._active] if self._active is not None else [])
+        self._waiting, self._active = [], None
+        self._batch.crash()
+        self.note_load()
+        for work in lost:
+            work.done.errback(error)
+
+    def freeze(self) -> None:
+        """Stop all progress until :meth:`thaw`."""
+        if self._frozen is None:
+            self._frozen = []
+
+    def thaw(self) -> None:
+        """Go on after :meth:`freeze`."""
+        backlog, self._frozen = self._frozen or [], None
+        for call, args in backlog:
+            call(*args)
+
+    @property
+    def is_down(self) -> bool:
+        """Whether a crash keeps the engine from taking calls."""
+        return self._down_until is not None and self._clock.now() < self._down_until
+
+    def crash_error(self, step: Step) -> BackendCrashError:
+        """Return the error that callers of a crashed engine get."""
+        return BackendCrashError(step, self.address, "the backend server crashed")
+
+    def call_later(self, delay: timedelta, call: Callable[..., Any], *args: Any) -> Timer:
+        """Run *call* later, unless the engine crashes first; a freeze holds it back."""
+        return self._clock.call_later(delay, self._run, self._life, call, *args)
+
+    def _run(self, life: int, call: Callable[..., Any], *args: Any) -> None:
+        if life != self._life:
+            return
+        if self._frozen is None:
+            call(*args)
+        else:
+            self._frozen.append((self._run, (life, call, *args)))
+
+    def _begin_prefill(self) -> None:
+        if self._active is not None or not self._waiting:
+            return
+        if count_pieces(self._waiting[0].tokens) > self.speed.pieces - self.held():
+            return
+        work = self._active = self._waiting.pop(0)
+        blocks = hash_blocks(work.text)
+        work.cached = min(self._cache.find_prefix(blocks) * PIECE_TOKENS, work.tokens)
+        self.call_later(
+            self.speed.time_prefill(work.tokens - work.cached), self._end_prefill, work, blocks
+        )
+
+    def _end_prefill(self, work: _Prefilling, blocks: list[str]) -> None:
+        if self._active is not work:
+            return
+        if POISON_PREFILL in work.text:
+            self.crash()
+            return
+        self._active = None
+        self.prefilled += work.tokens - work.cached
+        self._cache.store(blocks)
+        handle = ExportHandle(f"{self.address}#{self._life}.{work.order}")
+        self._exports[handle] = Cache(work.request, work.text, work.tokens)
+        self.call_later(self.speed.export_life, self.end_export, handle)
+        self.note_load()
+        self._begin_prefill()
+        work.done.callback(
+            Export(handle, self.address, work.tokens, work.cached, self.speed.export_life)
+        )
+
+    def _cancel_prefill(self, done: Deferred[Export]) -> None:
+        self._waiting = [work for work in self._waiting if work.done is not done]
+        if self._active is not None and self._active.done is done:
+            self._active = None
+        self.note_load()
+        self._begin_prefill()
+
+
+def count_pieces(tokens: int) -> int:
+    """Return the pieces of KV cache that *tokens* take."""
+    return -(-tokens // PIECE_TOKENS)
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -81,6 +81,7 @@
     Transport,
 )
 from lavenderrun.types._refusals import (
+    BackendCrashError,
     Refusal,
     Refused,
     StepError,
@@ -114,6 +115,7 @@
     "AttemptFailed",
     "AttemptId",
     "Backend",
+    "BackendCrashError",
     "BackendId",
     "BackendRole",
     "Batch",
--- a/src/lavenderrun/types/_refusals.py
+++ b/src/lavenderrun/types/_refusals.py
@@ -65,3 +65,7 @@
         self.step = step
         self.peer = peer
         self.reason = reason
+
+
+class BackendCrashError(StepError):
+    """The backend server died while it held the work, or has not come back since."""
