Make the events of the record typed structs

Cause: Event.fields was a free dict, so neither the emitters nor the invariant checks were type-checked. Before: 22 kinds by enum.

--- a/src/lavenderrun/types/_events.py
+++ b/src/lavenderrun/types/_events.py
@@ -1,51 +1,250 @@
-"""Events of the record that logs, metrics and invariant checks read."""
+"""Events of the record that logs, metrics and invariant checks read.
+
+Each kind of event is a frozen struct that ``@event`` puts into :data:`EVENTS` under the name that
+its log line carries. No event holds a key or a body.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import datetime
-from enum import Enum
-from typing import Any
+from typing import TypeVar
 
 import msgspec
 
-from lavenderrun.types._ids import HostId
-
-
-class EventKind(Enum):
-    """What happened; the comment of each member names its fields."""
-
-    REQUEST_ACCEPTED = "request_accepted"  # request, account, route, tokens, key_digest
-    REQUEST_FINISHED = "request_finished"  # request, tokens, digest
-    REQUEST_REFUSED = "request_refused"  # request, refusal, outcome
-    REQUEST_CANCELLED = "request_cancelled"  # request
-    SEAT_PROMISED = "seat_promised"  # request, attempt, backend
-    SEAT_FREED = "seat_freed"  # request, attempt, backend
-    PREFILL_STARTED = "prefill_started"  # request, attempt, backend, tokens
-    PREFILL_DONE = "prefill_done"  # request, attempt, backend, tokens, cached
-    PREFILL_USED = "prefill_used"  # request, attempt, tokens
-    PREFILL_WASTED = "prefill_wasted"  # request, attempt, tokens
-    BACKEND_RUN = "backend_run"  # request, attempt, backend, account, repeatability
-    BACKEND_ENDED = "backend_ended"  # request, attempt, backend
-    BACKEND_CRASHED = "backend_crashed"  # backend, fingerprints
-    EXPORT_HELD = "export_held"  # request, attempt, backend
-    EXPORT_FREED = "export_freed"  # request, attempt, backend
-    TOKENS_GRANTED = "tokens_granted"  # account, requests, tokens
-    TOKENS_RETURNED = "tokens_returned"  # account, requests, tokens
-    DOCUMENT_IN_FORCE = "document_in_force"  # version
-    KEY_WITHDRAWN = "key_withdrawn"  # key_digest, account
-    HOST_LEAVING = "host_leaving"  # host
-    ROUTED = "routed"  # request, chosen, rejected
-    PLACED = "placed"  # model, backend, order
+from lavenderrun.kernel import Registry
+from lavenderrun.types._ids import (
+    AccountId,
+    AttemptId,
+    BackendId,
+    DocumentVersion,
+    Fingerprint,
+    HostId,
+    KeyDigest,
+    ModelName,
+    RequestId,
+    RouteName,
+)
+from lavenderrun.types._refusals import Refused
+from lavenderrun.types._states import Repeatability
+
+EVENTS: Registry[type[Happening]] = Registry("event")
+
+H = TypeVar("H", bound="type[Happening]")
+
+
+class Happening(msgspec.Struct, frozen=True):
+    """Base of all kinds of events."""
 
 
 class Event(msgspec.Struct, frozen=True):
     """One thing that happened on one host.
 
     :param at: the emitting host's clock.
-    :param fields: plain values by name; never a key or a body.
     """
 
     at: datetime
     host: HostId
-    kind: EventKind
-    fields: dict[str, Any]
+    what: Happening
+
+
+def event(name: str) -> Callable[[H], H]:
+    """Register a kind of event under the name that its log line carries."""
+
+    def decorate(kind: H) -> H:
+        EVENTS.register(name)(kind)
+        return kind
+
+    return decorate
+
+
+@event("request_accepted")
+class RequestAccepted(Happening, tag="request_accepted", frozen=True):
+    """Admission let a request in.
+
+    :param tokens: charged to the account: prompt and allowed output.
+    """
+
+    request: RequestId
+    account: AccountId | None
+    route: RouteName
+    tokens: int = 0
+    key_digest: KeyDigest | None = None
+
+
+@event("request_finished")
+class RequestFinished(Happening, tag="request_finished", frozen=True):
+    """The whole answer was handed to the front end."""
+
+    request: RequestId
+    tokens: int = 0
+
+
+@event("request_refused")
+class RequestRefused(Happening, tag="request_refused", frozen=True):
+    """A refusal was handed to the front end."""
+
+    request: RequestId
+    refused: Refused
+
+
+@event("request_cancelled")
+class RequestCancelled(Happening, tag="request_cancelled", frozen=True):
+    """The caller is gone."""
+
+    request: RequestId
+
+
+@event("seat_taken")
+class SeatTaken(Happening, tag="seat_taken", frozen=True):
+    """An agent promised a seat."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+
+
+@event("seat_freed")
+class SeatFreed(Happening, tag="seat_freed", frozen=True):
+    """An agent took a promised seat back."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+
+
+@event("prefill_started")
+class PrefillStarted(Happening, tag="prefill_started", frozen=True):
+    """An agent gave a prefill to its engine."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+    tokens: int
+
+
+@event("prefill_done")
+class PrefillDone(Happening, tag="prefill_done", frozen=True):
+    """An engine exported KV cache."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+    tokens: int
+    cached: int
+
+
+@event("prefill_used")
+class PrefillUsed(Happening, tag="prefill_used", frozen=True):
+    """A decode engine imported an export."""
+
+    request: RequestId
+    attempt: AttemptId
+    tokens: int
+
+
+@event("prefill_wasted")
+class PrefillWasted(Happening, tag="prefill_wasted", frozen=True):
+    """The result of a prefill was not used."""
+
+    request: RequestId
+    attempt: AttemptId
+    tokens: int
+
+
+@event("backend_run")
+class BackendRun(Happening, tag="backend_run", frozen=True):
+    """An agent is about to hand work to its backend server."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+    account: AccountId | None
+    repeatability: Repeatability = Repeatability.IDEMPOTENT
+
+
+@event("backend_ended")
+class BackendEnded(Happening, tag="backend_ended", frozen=True):
+    """A backend server is done with the work."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+
+
+@event("backend_crashed")
+class BackendCrashed(Happening, tag="backend_crashed", frozen=True):
+    """A backend server died while it held the fingerprints' requests."""
+
+    backend: BackendId
+    fingerprints: list[Fingerprint]
+
+
+@event("export_held")
+class ExportHeld(Happening, tag="export_held", frozen=True):
+    """An engine holds an export for a request."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+
+
+@event("export_freed")
+class ExportFreed(Happening, tag="export_freed", frozen=True):
+    """The export is used, released or over its life."""
+
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendId
+
+
+@event("tokens_granted")
+class TokensGranted(Happening, tag="tokens_granted", frozen=True):
+    """An account was charged."""
+
+    account: AccountId
+    requests: float
+    tokens: float
+
+
+@event("tokens_returned")
+class TokensReturned(Happening, tag="tokens_returned", frozen=True):
+    """An account got back what a request did not use."""
+
+    account: AccountId
+    requests: float
+    tokens: float
+
+
+@event("document_in_force")
+class DocumentInForce(Happening, tag="document_in_force", frozen=True):
+    """A host works by this version from now on."""
+
+    version: DocumentVersion
+
+
+@event("host_leaving")
+class HostLeaving(Happening, tag="host_leaving", frozen=True):
+    """The emitting host takes no new work from now on."""
+
+
+@event("routed")
+class Routed(Happening, tag="routed", frozen=True):
+    """A host was chosen for a request.
+
+    :param chosen: the host; *rejected* are the others that were weighed.
+    """
+
+    request: RequestId
+    chosen: HostId
+    rejected: list[HostId]
+    reason: str = ""
+
+
+@event("placed")
+class Placed(Happening, tag="placed", frozen=True):
+    """A backend server was ordered to change what it serves."""
+
+    model: ModelName
+    backend: BackendId
+    order: str
--- /dev/null
+++ b/src/lavenderrun/types/_witness.py
@@ -0,0 +1,105 @@
+"""Events that callers, backend servers and the bench witness, apart from the daemons' own word.
+
+Checks of the invariants lean on these where they can.
+"""
+
+from __future__ import annotations
+
+from lavenderrun.types._document import Document
+from lavenderrun.types._events import Happening, event
+from lavenderrun.types._ids import (
+    AccountId,
+    BackendId,
+    DocumentVersion,
+    IdempotencyKey,
+    KeyDigest,
+    RequestId,
+)
+from lavenderrun.types._refusals import Refused
+from lavenderrun.types._states import Repeatability
+
+
+@event("caller_sent")
+class CallerSent(Happening, tag="caller_sent", frozen=True):
+    """A caller sent a request.
+
+    :param owner: the account whose key came with it, ``None`` without one.
+    :param expected: digest of the whole answer, empty when none is foreseen.
+    """
+
+    request: RequestId
+    owner: AccountId | None
+    expected: str = ""
+    key_digest: KeyDigest | None = None
+    idempotency_key: IdempotencyKey | None = None
+    repeatability: Repeatability = Repeatability.IDEMPOTENT
+
+
+@event("caller_finished")
+class CallerFinished(Happening, tag="caller_finished", frozen=True):
+    """A caller saw the end of an answer.
+
+    :param digest: of all that the caller received.
+    """
+
+    request: RequestId
+    digest: str = ""
+
+
+@event("caller_refused")
+class CallerRefused(Happening, tag="caller_refused", frozen=True):
+    """A caller saw a refusal."""
+
+    request: RequestId
+    refused: Refused
+
+
+@event("caller_gone")
+class CallerGone(Happening, tag="caller_gone", frozen=True):
+    """A caller hung up, or its entry host died."""
+
+    request: RequestId
+
+
+@event("backend_received")
+class BackendReceived(Happening, tag="backend_received", frozen=True):
+    """A backend server received work.
+
+    :param saw_key: a caller's key was part of what it received.
+    """
+
+    request: RequestId
+    backend: BackendId
+    repeatability: Repeatability = Repeatability.IDEMPOTENT
+    saw_key: bool = False
+
+
+@event("memory_held")
+class MemoryHeld(Happening, tag="memory_held", frozen=True):
+    """What a backend server or host still held when all was over."""
+
+    holder: str
+    amount: int
+
+
+@event("host_started")
+class HostStarted(Happening, tag="host_started", frozen=True):
+    """A host began a new life."""
+
+
+@event("host_lost")
+class HostLost(Happening, tag="host_lost", frozen=True):
+    """A host died without a stop, or can reach nobody."""
+
+
+@event("host_stopped")
+class HostStopped(Happening, tag="host_stopped", frozen=True):
+    """A planned stop is complete."""
+
+
+@event("document_accepted")
+class DocumentAccepted(Happening, tag="document_accepted", frozen=True):
+    """The store took a document."""
+
+    version: DocumentVersion
+    document: Document
