Add links between hosts over gRPC and in memory

Cause: every part that crosses hosts needs one greeted, batched stream a pair of peers, with silence found inside the stream.

Conclusion: services can be built on the links port.

--- a/src/lavenderrun/codecs/_wire.py
+++ b/src/lavenderrun/codecs/_wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import reduce
+from operator import or_
 from typing import Any
 
 import msgspec
@@ -17,10 +19,10 @@
     """Encodes and decodes batches; the union of messages is read from the registry once."""
 
     def __init__(self) -> None:
-        kinds = tuple(kind for _, kind in MESSAGES)
+        union: Any = reduce(or_, (kind for _, kind in MESSAGES))
         batch: Any = msgspec.defstruct(
             "WireBatch",
-            [("version", int), ("messages", list[kinds])],  # type: ignore[valid-type]
+            [("version", int), ("messages", list[union])],
             frozen=True,
             array_like=True,
         )
--- /dev/null
+++ b/src/lavenderrun/services/_transport_grpc.py
@@ -0,0 +1,198 @@
+"""Service ``transport`` over gRPC: one bidirectional stream of byte batches a pair of peers.
+
+``grpc.aio`` shares the asyncio loop under the twisted reactor; asyncio stays inside this module.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Any, ClassVar
+
+import grpc
+from eliot import log_message
+from twisted.internet.defer import Deferred
+
+from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.types import Pipe, PipeEvents, Step, StepError
+
+SERVICE = "lavenderrun.Peer"
+METHOD = "Exchange"
+MAX_BATCH_BYTES = 64 << 20
+MAX_QUEUED_BYTES = 64 << 20
+OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_BATCH_BYTES),
+    ("grpc.max_send_message_length", MAX_BATCH_BYTES),
+    ("grpc.so_reuseport", 0),
+    # a redial must not reuse the TCP connection that went silent
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+class GrpcPipe:
+    """A pipe over one stream; writes are queued in order up to :data:`MAX_QUEUED_BYTES`."""
+
+    def __init__(self, peer: str) -> None:
+        self.events: PipeEvents | None = None
+        self._peer = peer
+        self._out: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._queued = 0
+        self._closed = False
+
+    def send(self, data: bytes) -> None:
+        """Queue one batch; a peer that reads too slowly loses the pipe."""
+        if self._closed:
+            return
+        self._queued += len(data)
+        if self._queued > MAX_QUEUED_BYTES:
+            self.end("peer reads too slowly")
+            return
+        self._out.put_nowait(data)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if not self._closed:
+            self._closed = True
+            self._out.put_nowait(None)
+
+    def end(self, reason: str) -> None:
+        """Drop the connection and tell the user of the pipe."""
+        if not self._closed:
+            self.close()
+            if self.events is not None:
+                self.events.closed(reason)
+
+    async def outgoing(self) -> AsyncIterator[bytes]:
+        """Yield queued batches until the pipe is closed."""
+        while (data := await self._out.get()) is not None:
+            self._queued -= len(data)
+            yield data
+
+    async def read(self, incoming: Any) -> None:
+        """Hand over batches until the stream ends or the pipe is closed."""
+        reason = "closed by peer"
+        try:
+            async for data in incoming:
+                if self._closed or self.events is None:
+                    return
+                self.events.received(data)
+        except grpc.RpcError as error:
+            reason = getattr(error, "details", lambda: "")() or "stream failed"
+        self.end(reason)
+
+
+class GrpcTransport:
+    """Opens and accepts streams; see ``Transport``.
+
+    :param address: where to listen, an IP number and port.
+    :param server_credentials: TLS for accepted streams, ``None`` for plain TCP.
+    :param channel_credentials: TLS for dialled streams, ``None`` for plain TCP.
+    """
+
+    needs: ClassVar[tuple[str, ...]] = ()
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        server_credentials: Any = None,
+        channel_credentials: Any = None,
+    ) -> None:
+        self._address = address
+        self._server_credentials = server_credentials
+        self._channel_credentials = channel_credentials
+        self._server: Any = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._accept: Callable[[Pipe], PipeEvents] | None = None
+
+    def start(self) -> None:
+        """Nothing to do before ``listen``."""
+
+    def stop(self) -> Deferred[None]:
+        """Close the server and every stream."""
+        return Deferred.fromFuture(asyncio.ensure_future(self._stop()))
+
+    def listen(self, accept: Callable[[Pipe], PipeEvents]) -> Deferred[None]:
+        """Accept streams.
+
+        :raises StepError: when the address can't be bound.
+        """
+        self._accept = accept
+        return Deferred.fromFuture(asyncio.ensure_future(self._listen()))
+
+    def dial(self, address: str, events: Callable[[Pipe], PipeEvents]) -> Pipe:
+        """Open a stream to *address*; failures arrive as ``closed``."""
+        pipe = GrpcPipe(address)
+        pipe.events = events(pipe)
+        self._run(self._serve_dialled(address, pipe))
+        return pipe
+
+    async def _listen(self) -> None:
+        self._server = grpc.aio.server(options=OPTIONS)
+        handler = grpc.stream_stream_rpc_method_handler(self._serve_accepted)
+        self._server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
+        )
+        try:
+            if self._server_credentials is None:
+                self._server.add_insecure_port(self._address)
+            else:
+                self._server.add_secure_port(self._address, self._server_credentials)
+        except RuntimeError as error:
+            raise StepError(Step.LINK, self._address, f"can't listen: {error}") from None
+        await self._server.start()
+
+    async def _serve_accepted(self, incoming: Any, context: Any) -> AsyncIterator[bytes]:
+        assert self._accept is not None
+        pipe = GrpcPipe(context.peer())
+        pipe.events = self._accept(pipe)
+        reader = self._run(pipe.read(incoming))
+        try:
+            async for data in pipe.outgoing():
+                yield data
+        finally:
+            reader.cancel()
+            pipe.end("stream ended")
+
+    async def _serve_dialled(self, address: str, pipe: GrpcPipe) -> None:
+        if self._channel_credentials is None:
+            channel = grpc.aio.insecure_channel(address, options=OPTIONS)
+        else:
+            channel = grpc.aio.secure_channel(address, self._channel_credentials, options=OPTIONS)
+        async with channel:
+            call = channel.stream_stream(f"/{SERVICE}/{METHOD}")()
+            reader = self._run(pipe.read(call))
+            try:
+                async for data in pipe.outgoing():
+                    await call.write(data)
+            except (grpc.RpcError, asyncio.InvalidStateError):
+                pipe.end("stream failed")
+            finally:
+                call.cancel()
+                reader.cancel()
+
+    def _run(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log_message(
+                "transport:failed", text="transport: stream failed", error=type(error).__name__
+            )
+
+    async def _stop(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            await self._server.stop(None)
+
+
+@SERVICES.register("transport")
+def make_transport(kernel: Kernel) -> GrpcTransport:
+    """Make the transport at the settings' peer address."""
+    return GrpcTransport(kernel.settings.hello().address)
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -91,11 +91,12 @@
 class Heartbeat(Message, tag="heartbeat", frozen=True):
     """Sign of life inside the stream, both ways.
 
+    :param next_in: the sender's next heartbeat comes no later than this.
     :param leaving: the sender takes no new work.
     :param load: of the backend server, from agents only.
     """
 
-    sequence: int
+    next_in: timedelta
     leaving: bool = False
     load: Load | None = None
 
--- a/src/lavenderrun/types/_ports.py
+++ b/src/lavenderrun/types/_ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Protocol, TypeVar
@@ -32,8 +32,11 @@
     def peer(self) -> Hello:
         """The peer's greeting."""
 
-    def send(self, message: Message) -> None:
-        """Queue a message; it is lost silently when the link is down."""
+    def send(self, message: Message) -> bool:
+        """Queue a message; return whether the link was live.
+
+        A message taken may still be lost with the link.
+        """
 
 
 class Links(Protocol):
@@ -51,6 +54,22 @@
     def live(self) -> Sequence[Link]:
         """Return all live links."""
 
+    def keep(self, addresses: Collection[str]) -> None:
+        """Dial these peers and redial them when lost; drop those no longer named."""
+
+    def bind_versions(
+        self,
+        current: Callable[[], DocumentVersion],
+        seen: Callable[[DocumentVersion, Link], None],
+    ) -> None:
+        """Put *current* on every batch and call *seen* for the version on each that arrives."""
+
+    def bind_load(self, load: Callable[[], Load]) -> None:
+        """Put *load* on every heartbeat."""
+
+    def leave(self) -> None:
+        """Tell all peers at once that this host takes no new work."""
+
     def load(self, host: HostId) -> Load | None:
         """Return the load last heard from *host*."""
 
--- /dev/null
+++ b/tests/services/test_links.py
@@ -0,0 +1,123 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+from twisted.internet.task import Clock as FakeReactor
+
+from lavenderrun.kernel import ReactorClock
+from lavenderrun.services import LinksService
+from lavenderrun.standins import MemoryNetwork
+from lavenderrun.types import (
+    AttemptId,
+    BootId,
+    Cancel,
+    DataCentre,
+    Hello,
+    HostId,
+    HostRole,
+    Link,
+    RequestId,
+)
+
+CANCEL = Cancel(RequestId("r1"), AttemptId(1))
+
+
+class Pair:
+    def __init__(self) -> None:
+        self.reactor = FakeReactor()
+        self.clock = ReactorClock(self.reactor, datetime(2026, 1, 1, tzinfo=UTC), zero=0.0)
+        self.network = MemoryNetwork(self.clock, timedelta(milliseconds=1))
+        self.entry = self.make("entry-1", HostRole.ENTRY)
+        self.agent = self.make("agent-1", HostRole.AGENT)
+        self.got: list[Any] = []
+        self.downs: dict[str, float] = {}
+        self.agent.subscribe(Cancel, lambda link, message: self.got.append(message))
+        for links in (self.entry, self.agent):
+            links.watch(lambda link: None, self.note_down)
+            links.start()
+        self.entry.keep(["agent-1"])
+        self.run(0.1)
+
+    def make(self, host: str, role: HostRole, boot: str = "b1") -> LinksService:
+        hello = Hello(HostId(host), BootId(boot), role, DataCentre("talca"), address=host)
+        return LinksService(self.clock, hello, self.network.transport(host))
+
+    def note_down(self, link: Any) -> None:
+        self.downs[link.peer.host] = self.reactor.seconds()
+
+    def to_agent(self) -> Link:
+        link = self.entry.find(HostId("agent-1"))
+        assert link is not None
+        return link
+
+    def silence(self) -> None:
+        for pipe in self.network.pipes:
+            pipe.silent = True
+
+    def run(self, seconds: float, step: float = 0.01) -> None:
+        self.reactor.pump([step] * round(seconds / step))
+
+
+def test_messages_reach_subscribers_in_order() -> None:
+    pair = Pair()
+    for attempt in range(3):
+        pair.to_agent().send(Cancel(RequestId("r1"), AttemptId(attempt)))
+    pair.run(0.1)
+    assert [m.attempt for m in pair.got] == [0, 1, 2]
+
+
+def test_silent_link_is_found_within_two_seconds_and_redialled() -> None:
+    pair = Pair()
+    silenced_at = pair.reactor.seconds()
+    pair.silence()
+    pair.run(2.5)
+    assert set(pair.downs) == {"agent-1", "entry-1"}
+    assert max(pair.downs.values()) - silenced_at <= 2.0
+    pair.to_agent().send(CANCEL)
+    pair.run(0.1)
+    assert pair.got == [CANCEL]
+
+
+def test_idle_link_that_went_silent_is_found_within_two_seconds_of_use() -> None:
+    pair = Pair()
+    pair.run(60, step=0.1)
+    assert pair.downs == {}
+    pair.silence()
+    pair.to_agent().send(CANCEL)
+    used_at = pair.reactor.seconds()
+    pair.run(2.0)
+    assert pair.downs["agent-1"] - used_at <= 2.0
+
+
+def test_new_life_of_a_host_replaces_the_old_link() -> None:
+    pair = Pair()
+    pair.agent.stop()
+    pair.run(0.05)
+    pair.make("agent-1", HostRole.AGENT, boot="b2").start()
+    pair.run(1.0)
+    assert pair.to_agent().peer.boot == "b2"
+
+
+def test_leaving_is_known_to_peers_at_once() -> None:
+    pair = Pair()
+    assert not pair.entry.is_leaving(HostId("agent-1"))
+    pair.agent.leave()
+    pair.run(0.05)
+    assert pair.entry.is_leaving(HostId("agent-1"))
+
+
+def test_bad_bytes_end_the_link_only() -> None:
+    pair = Pair()
+    pair.network.pipes[0].send(b"\xff\x00nonsense")
+    pair.run(0.05)
+    assert "entry-1" in pair.downs
+    pair.run(1.0)
+    assert pair.to_agent()
+
+
+def test_host_no_longer_named_is_let_go() -> None:
+    pair = Pair()
+    pair.entry.keep([])
+    pair.run(3.0)
+    assert pair.entry.find(HostId("agent-1")) is None
