Add the admission and limits interfaces

Cause: the router, the limits and the admission are built side by side and need one contract. Conclusion: each side can be written against the interface.

--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -62,9 +62,12 @@
     message,
 )
 from lavenderrun.types._ports import (
+    Admission,
+    Charge,
     DocumentSource,
     Engine,
     Export,
+    Limits,
     Link,
     Links,
     Pipe,
@@ -87,6 +90,8 @@
 )
 from lavenderrun.types._requests import (
     Admitted,
+    AdmittedModel,
+    AdmittedPlain,
     AnswerSink,
     ModelRequest,
     PlainRequest,
@@ -109,7 +114,10 @@
     "Account",
     "AccountId",
     "Ack",
+    "Admission",
     "Admitted",
+    "AdmittedModel",
+    "AdmittedPlain",
     "AnswerSink",
     "AttemptFailed",
     "AttemptId",
@@ -121,6 +129,7 @@
     "Call",
     "CallBody",
     "Cancel",
+    "Charge",
     "DataCentre",
     "Document",
     "DocumentSource",
@@ -142,6 +151,7 @@
     "IdempotencyKey",
     "Invariant",
     "KeyDigest",
+    "Limits",
     "Link",
     "LinkRate",
     "Links",
--- a/src/lavenderrun/types/_ports.py
+++ b/src/lavenderrun/types/_ports.py
@@ -11,9 +11,20 @@
 
 from lavenderrun.types._document import Document
 from lavenderrun.types._events import Event
-from lavenderrun.types._ids import DocumentVersion, ExportHandle, HostId, ModelName, RequestId
+from lavenderrun.types._ids import (
+    AccountId,
+    DocumentVersion,
+    ExportHandle,
+    HostId,
+    ModelName,
+    RequestId,
+)
 from lavenderrun.types._messages import Hello, Load, Message
+from lavenderrun.types._refusals import Refused
 from lavenderrun.types._requests import (
+    Admitted,
+    AdmittedModel,
+    AdmittedPlain,
     AnswerSink,
     ModelRequest,
     PlainRequest,
@@ -252,3 +263,40 @@
 
     def watch(self, handler: Callable[[Document], None]) -> None:
         """Call *handler* for the document in force, if any, and for each later one."""
+
+
+@dataclass(frozen=True)
+class Charge:
+    """Requests and tokens taken from an account's rate; ``charge`` gave it."""
+
+    account: AccountId
+    requests: float
+    tokens: float
+
+
+class Limits(Protocol):
+    """Service ``limits``: rate and burst of each account, summed over all hosts."""
+
+    def charge(
+        self, account: AccountId, requests: float, tokens: float, patience: timedelta
+    ) -> Deferred[Charge | Refused]:
+        """Take from the account's rate, waiting up to *patience* for an in-rate account."""
+
+    def give_back(self, charge: Charge, tokens: float) -> None:
+        """Return *tokens* of a charge that were not used."""
+
+
+class Admission(Protocol):
+    """Service ``admission``: whose a request is and by which route it runs."""
+
+    def admit_model(self, request: ModelRequest) -> AdmittedModel | Refused:
+        """Find account and route of a model request."""
+
+    def admit_plain(self, request: PlainRequest) -> AdmittedPlain | Refused:
+        """Find account and route of a call for a plain service."""
+
+    def is_valid(self, admitted: Admitted) -> bool:
+        """Tell whether the key that admitted the request still holds."""
+
+    def watch(self, handler: Callable[[], None]) -> None:
+        """Call *handler* whenever a key may have been withdrawn."""
--- a/src/lavenderrun/types/_requests.py
+++ b/src/lavenderrun/types/_requests.py
@@ -6,7 +6,15 @@
 from datetime import datetime
 from typing import Protocol
 
-from lavenderrun.types._ids import AccountId, Fingerprint, IdempotencyKey, ModelName, RequestId
+from lavenderrun.types._document import ModelRoute, PlainRoute
+from lavenderrun.types._ids import (
+    AccountId,
+    Fingerprint,
+    IdempotencyKey,
+    KeyDigest,
+    ModelName,
+    RequestId,
+)
 from lavenderrun.types._refusals import Refused
 from lavenderrun.types._states import FinishReason
 
@@ -49,13 +57,33 @@
 
 @dataclass(frozen=True)
 class Admitted:
-    """What admission found for a request: whose it is and by which rules it runs."""
+    """What admission found for a request.
+
+    :param account: whose it is, ``None`` on a route open to all.
+    :param digest: of the key that came with it, ``None`` on a route open to all.
+    :param fingerprint: digest over account, route and content; equal for a repeated request.
+    """
 
     account: AccountId | None
+    digest: KeyDigest | None
     weight: float
     fingerprint: Fingerprint
 
 
+@dataclass(frozen=True)
+class AdmittedModel(Admitted):
+    """An admitted model request and its route."""
+
+    route: ModelRoute
+
+
+@dataclass(frozen=True)
+class AdmittedPlain(Admitted):
+    """An admitted call and its route."""
+
+    route: PlainRoute
+
+
 class AnswerSink(Protocol):
     """Where the router puts the answer to a model request; each request ends exactly once."""
 
