--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -85,9 +85,12 @@
     message,
 )
 from lavenderrun.types._ports import (
+    Admission,
+    Charge,
     DocumentSource,
     Engine,
     Export,
+    Limits,
     Link,
     Links,
     Pipe,
@@ -111,6 +114,8 @@
 )
 from lavenderrun.types._requests import (
     Admitted,
+    AdmittedModel,
+    AdmittedPlain,
     AnswerSink,
     ModelRequest,
     PlainRequest,
@@ -146,7 +151,10 @@
     "Account",
     "AccountId",
     "Ack",
+    "Admission",
     "Admitted",
+    "AdmittedModel",
+    "AdmittedPlain",
     "AnswerSink",
     "AttemptFailed",
     "AttemptId",
@@ -167,6 +175,7 @@
     "CallerRefused",
     "CallerSent",
     "Cancel",
+    "Charge",
     "DataCentre",
     "Document",
     "DocumentAccepted",
@@ -196,6 +205,7 @@
     "IdempotencyKey",
     "Invariant",
     "KeyDigest",
+    "Limits",
     "Link",
     "LinkRate",
     "Links",
