Serve a model request from seat to last token, with resume and retry

Cause: the path entry -> prefill agent -> decode agent -> answer is the core that the policies plug into. An attempt reserves a seat, prefills only against it, starts with the export's handle and assembles frames by (attempt, offset). A silent link is resumed from an offset; a lost agent or engine is replaced by an attempt that goes on from the delivered text.

Ruled out: sending the prompt again with the start (the export carries it).

Measured: 11 tests of the path on real services and a fake clock pass, among them silence, death of agent and engine, cancel at five moments; nothing is held after each.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -1,3 +1,9 @@
-"""decisions."""
+"""Pure policy: time, randomness and input come in, decisions go out."""
 
 from __future__ import annotations
+
+from lavenderrun.decisions._retries import RetryBudget
+from lavenderrun.decisions._stream import Assembly, Progress
+from lavenderrun.decisions._tokens import count_tokens
+
+__all__ = ["Assembly", "Progress", "RetryBudget", "count_tokens"]
--- a/src/lavenderrun/kernel/_kernel.py
+++ b/src/lavenderrun/kernel/_kernel.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from graphlib import CycleError, TopologicalSorter
+from random import Random
 from typing import Any, ClassVar, Protocol, TypeVar
 
 from eliot import log_message
@@ -31,6 +32,21 @@
         """End work and release all resources; a returned ``Deferred`` is awaited."""
 
 
+class _Passive:
+    """A value found by name that has no life of its own."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
+
+    def __init__(self, value: Any) -> None:
+        self.value = value
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+
 ServiceFactory = Callable[["Kernel"], Service]
 
 SERVICES: Registry[ServiceFactory] = Registry("service")
@@ -41,11 +57,13 @@
 
     :param clock: the time that every service uses.
     :param settings: the daemon's checked settings; services read their own part.
+    :param chance: source of random choices, seeded in tests and benchmarks.
     """
 
-    def __init__(self, clock: Clock, settings: Any) -> None:
+    def __init__(self, clock: Clock, settings: Any, chance: Random | None = None) -> None:
         self.clock = clock
         self.settings = settings
+        self.chance = chance or Random()
         self._services: dict[str, Service] = {}
         self._started: list[str] = []
 
@@ -59,6 +77,13 @@
             raise KernelError(msg)
         self._services[name] = service
 
+    def provide(self, name: str, value: object) -> None:
+        """Put a value that needs no start or stop under *name*.
+
+        :raises KernelError: when the name is taken.
+        """
+        self.add(name, _Passive(value))
+
     def build(self, names: Iterable[str], registry: Registry[ServiceFactory] = SERVICES) -> None:
         """Make the named services by the factories of *registry*; present ones are kept."""
         for name in names:
@@ -76,6 +101,8 @@
         except KeyError:
             msg = f"no service {name!r} in this daemon"
             raise UnknownServiceError(msg) from None
+        if isinstance(service, _Passive):
+            service = service.value
         return service  # type: ignore[no-any-return]
 
     def has(self, name: str) -> bool:
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._links import LinksService
+from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._transport_grpc import GrpcTransport
 
-__all__ = ["GrpcTransport", "LinksService"]
+__all__ = ["DecodeAgent", "GrpcTransport", "LinksService", "ModelRouter", "PrefillAgent"]
--- /dev/null
+++ b/src/lavenderrun/services/_model_request.py
@@ -0,0 +1,366 @@
+"""One model request on its way: charge, seat, prefill, decode, resume and retry."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from lavenderrun.decisions import Assembly, count_tokens
+from lavenderrun.types import (
+    Ack,
+    AdmittedModel,
+    AnswerSink,
+    AttemptFailed,
+    AttemptId,
+    BackendRole,
+    Cancel,
+    Charge,
+    FinishReason,
+    Frame,
+    HostId,
+    Link,
+    Message,
+    ModelRequest,
+    Outcome,
+    Prefill,
+    Prefilled,
+    Refusal,
+    Refused,
+    Repeatability,
+    RequestAccepted,
+    RequestCancelled,
+    RequestFinished,
+    RequestRefused,
+    Reserve,
+    Resume,
+    SeatPromised,
+    Start,
+    Step,
+)
+
+if TYPE_CHECKING:
+    from lavenderrun.services._model_router import ModelRouter
+
+MAX_ATTEMPTS = 4
+ACK_TOKENS = 64
+ANSWER_MARGIN = timedelta(seconds=1)
+BACKOFF = timedelta(milliseconds=100)
+RESUME_GRACE = timedelta(seconds=2)
+STALL_TIMEOUT = timedelta(seconds=5)
+
+
+class RunState(Enum):
+    """What a model request waits for."""
+
+    CHARGING = "charging"
+    BACKING_OFF = "backing_off"
+    SEATING = "seating"
+    PREFILLING = "prefilling"
+    DECODING = "decoding"
+    RESUMING = "resuming"
+    DONE = "done"
+
+
+WAITING = (RunState.CHARGING, RunState.BACKING_OFF, RunState.SEATING, RunState.PREFILLING)
+
+
+class ModelRun:
+    """State of one model request; ends in exactly one of answer, refusal and cancel."""
+
+    def __init__(
+        self, router: ModelRouter, request: ModelRequest, admitted: AdmittedModel, sink: AnswerSink
+    ) -> None:
+        self.request = request
+        self.admitted = admitted
+        self.state = RunState.CHARGING
+        self._router = router
+        self._sink = sink
+        self._prompt_tokens = count_tokens(request.prompt)
+        self._max_tokens = min(request.max_tokens, admitted.route.max_output_tokens)
+        self._assembly = Assembly()
+        self._delivered: list[str] = []
+        self._acked = 0
+        self._attempt = AttemptId(0)
+        self._failed_hosts: set[HostId] = set()
+        self._decoder: Link | None = None
+        self._prefiller: Link | None = None
+        self._charge: Charge | None = None
+        self._charging: Deferred[Charge | Refused] | None = None
+        self._waiting_since = request.arrived
+        self._timer = router.clock.call_later(timedelta(0), lambda: None)
+
+    def begin(self) -> None:
+        """Charge the account, then seek a seat."""
+        account, router = self.admitted.account, self._router
+        router.events.emit(
+            RequestAccepted(
+                self.request.request,
+                account,
+                self.admitted.route.name,
+                self._prompt_tokens + self._max_tokens,
+                self.admitted.digest,
+            )
+        )
+        if account is None:
+            self._seek_seat()
+            return
+        tokens = float(self._prompt_tokens + self._max_tokens)
+        charging = router.limits.charge(account, 1.0, tokens, self.admitted.route.patience)
+        self._charging = charging
+        charging.addCallbacks(self._take_charge, self._fail_charge)
+
+    def take(self, link: Link, message: Message) -> None:
+        """Take an agent's message; those of earlier attempts are dropped."""
+        if self.state is RunState.DONE or message.attempt != self._attempt:  # type: ignore[attr-defined]
+            return
+        if isinstance(message, Frame):
+            self._take_frame(message)
+        elif isinstance(message, SeatPromised) and self.state is RunState.SEATING:
+            self._take_seat(message)
+        elif isinstance(message, Prefilled) and self.state is RunState.PREFILLING:
+            self._take_prefill(message)
+        elif isinstance(message, AttemptFailed):
+            self._fail_attempt(link.peer.host, message.refused, started=message.started)
+
+    def link_up(self, link: Link) -> None:
+        """Resume on the new link, unless the agent has lost its memory with a restart."""
+        old = self._decoder
+        if self.state is not RunState.RESUMING or old is None or link.peer.host != old.peer.host:
+            return
+        if link.peer.boot != old.peer.boot:
+            self._lose(old)
+            return
+        self._decoder = link
+        self.state = RunState.DECODING
+        link.send(Resume(self.request.request, self._attempt, self._assembly.offset))
+        self._expect(STALL_TIMEOUT, self._stall)
+
+    def link_down(self, link: Link) -> None:
+        """Wait for a new link to the decode agent; give up what has not begun."""
+        if link is self._decoder and self.state is RunState.DECODING:
+            self.state = RunState.RESUMING
+            self._expect(RESUME_GRACE, self._lose, link)
+        elif self.state in (RunState.SEATING, RunState.PREFILLING) and (
+            link is self._decoder or link is self._prefiller
+        ):
+            self._fail_attempt(link.peer.host, self._refuse_with(Refusal.BACKEND_LOST, link))
+
+    def withdraw(self, refusal: Refusal) -> None:
+        """Refuse the request as not run unless its answer has begun."""
+        if self.state in WAITING and not self._assembly.offset:
+            self._drop_attempt()
+            self._refuse(Refused(refusal, Outcome.NOT_RUN, Step.ADMISSION))
+
+    def cancel(self) -> None:
+        """The caller is gone; free all that is held for it."""
+        if self.state is RunState.DONE:
+            return
+        self._drop_attempt()
+        self._router.events.emit(RequestCancelled(self.request.request))
+        self._end()
+
+    # charge
+
+    def _take_charge(self, result: Charge | Refused) -> None:
+        self._charging = None
+        if isinstance(result, Refused):
+            if self.state is not RunState.DONE:
+                self._refuse(result)
+            return
+        self._charge = result
+        if self.state is RunState.DONE:
+            self._give_back()
+        else:
+            self._seek_seat()
+
+    def _fail_charge(self, failure: Failure) -> None:
+        self._charging = None
+        if not isinstance(failure.value, CancelledError) and self.state is not RunState.DONE:
+            self._refuse(Refused(Refusal.NOT_READY, Outcome.NOT_RUN, Step.LIMIT))
+
+    # seat and prefill
+
+    def _seek_seat(self) -> None:
+        left = self._patience_left()
+        if left <= timedelta(0):
+            self._refuse(self._refuse_with(Refusal.NO_ROOM))
+            return
+        route = self.admitted.route
+        link = self._router.choose(route.model, BackendRole.DECODE, self._failed_hosts)
+        if link is None:
+            self._failed_hosts.clear()
+            self._back_off()
+            return
+        self._decoder = link
+        self._attempt = AttemptId(self._attempt + 1)
+        self.state = RunState.SEATING
+        link.send(
+            Reserve(
+                request=self.request.request,
+                attempt=self._attempt,
+                account=self.admitted.account or "",  # type: ignore[arg-type]
+                route=route.name,
+                model=route.model,
+                prompt_tokens=self._prompt_tokens + self._assembly.offset,
+                max_tokens=self._max_tokens - self._assembly.offset,
+                lead=timedelta(0),
+                patience=left,
+                urgency=route.targets.first_token,
+                weight=self.admitted.weight,
+                fingerprint=self.admitted.fingerprint,
+            )
+        )
+        self._expect(left + ANSWER_MARGIN, self._stall)
+
+    def _take_seat(self, promise: SeatPromised) -> None:
+        route = self.admitted.route
+        link = self._router.choose(route.model, BackendRole.PREFILL, self._failed_hosts)
+        if link is None:
+            self._drop_attempt()
+            self._back_off()
+            return
+        self._prefiller = link
+        self.state = RunState.PREFILLING
+        patience = max(self._patience_left(), ANSWER_MARGIN)
+        link.send(
+            Prefill(
+                request=self.request.request,
+                attempt=self._attempt,
+                account=self.admitted.account or "",  # type: ignore[arg-type]
+                model=route.model,
+                text=self.request.prompt + "".join(self._delivered),
+                tokens=self._prompt_tokens + self._assembly.offset,
+                start_in=promise.ready_in,
+                patience=patience,
+                urgency=route.targets.first_token,
+                weight=self.admitted.weight,
+                fingerprint=self.admitted.fingerprint,
+            )
+        )
+        self._expect(patience + promise.ready_in + ANSWER_MARGIN, self._stall)
+
+    def _take_prefill(self, done: Prefilled) -> None:
+        assert self._decoder is not None
+        self.state = RunState.DECODING
+        self._assembly.begin(self._attempt)
+        self._decoder.send(
+            Start(
+                request=self.request.request,
+                attempt=self._attempt,
+                handle=done.handle,
+                source=done.source,
+                tokens=done.tokens,
+                offset=self._assembly.offset,
+                max_tokens=self._max_tokens - self._assembly.offset,
+            )
+        )
+        self._expect(STALL_TIMEOUT, self._stall)
+
+    # decode
+
+    def _take_frame(self, frame: Frame) -> None:
+        progress = self._assembly.accept(frame.attempt, frame.offset, frame.tokens, frame.finish)
+        if progress.tokens:
+            self._delivered += progress.tokens
+            self._sink.put_tokens(progress.tokens)
+        if progress.finish is not None:
+            self._finish(progress.finish)
+            return
+        if self._assembly.offset - self._acked >= ACK_TOKENS:
+            self._ack()
+        if self.state is RunState.DECODING:
+            self._expect(STALL_TIMEOUT, self._stall)
+
+    def _finish(self, reason: FinishReason) -> None:
+        self._ack(end=1)
+        self._router.events.emit(RequestFinished(self.request.request, self._assembly.offset))
+        self._end()
+        self._sink.finish(reason)
+
+    def _ack(self, *, end: int = 0) -> None:
+        self._acked = self._assembly.offset + end
+        if self._decoder is not None:
+            self._decoder.send(Ack(self.request.request, self._attempt, self._acked))
+
+    # failure
+
+    def _stall(self) -> None:
+        started = self.state is RunState.DECODING
+        link = self._prefiller if self.state is RunState.PREFILLING else self._decoder
+        assert link is not None
+        refused = self._refuse_with(Refusal.DEADLINE, link)
+        self._fail_attempt(link.peer.host, refused, started=started)
+
+    def _lose(self, link: Link) -> None:
+        refused = self._refuse_with(Refusal.BACKEND_LOST, link)
+        self._fail_attempt(link.peer.host, refused, started=True)
+
+    def _fail_attempt(self, host: HostId, refused: Refused, *, started: bool = False) -> None:
+        self._drop_attempt()
+        self._failed_hosts.add(host)
+        once = self.admitted.route.repeatability is Repeatability.AT_MOST_ONCE
+        if once and (started or self._assembly.offset):
+            self._refuse(Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.DECODE, host))
+            return
+        now = self._router.clock.now()
+        if started:
+            # an answer that was cut off waits anew; its first wait is paid
+            self._waiting_since = now
+        allowed = self._attempt < MAX_ATTEMPTS and self._patience_left() > timedelta(0)
+        if allowed and self._router.retries.allow_retry(self.admitted.account, now):
+            self._back_off()
+        else:
+            self._refuse(refused)
+
+    def _back_off(self) -> None:
+        self.state = RunState.BACKING_OFF
+        self._expect(BACKOFF * self._router.chance.uniform(0.5, 1.5), self._seek_seat)
+
+    def _drop_attempt(self) -> None:
+        self._timer.cancel()
+        for link in (self._decoder, self._prefiller):
+            if link is not None:
+                link.send(Cancel(self.request.request, self._attempt))
+        self._decoder = self._prefiller = None
+        if self._charging is not None:
+            self._charging.cancel()
+
+    def _refuse_with(self, refusal: Refusal, link: Link | None = None) -> Refused:
+        outcome = Outcome.UNKNOWN if self._assembly.offset else Outcome.NOT_RUN
+        peer = "" if link is None else link.peer.host
+        return Refused(refusal, outcome, Step.SEAT, peer, retry_after=ANSWER_MARGIN)
+
+    def _refuse(self, refused: Refused) -> None:
+        self._router.events.emit(RequestRefused(self.request.request, refused))
+        self._end()
+        self._sink.refuse(refused)
+
+    # ends
+
+    def _end(self) -> None:
+        self._timer.cancel()
+        self.state = RunState.DONE
+        self._give_back()
+        self._router.forget(self)
+
+    def _give_back(self) -> None:
+        charge, self._charge = self._charge, None
+        if charge is None:
+            return
+        used = self._prompt_tokens + self._assembly.offset if self._attempt else 0
+        unused = charge.tokens - used
+        if unused > 0:
+            self._router.limits.give_back(charge, unused)
+
+    def _patience_left(self) -> timedelta:
+        waited = self._router.clock.now() - self._waiting_since
+        return self.admitted.route.patience - waited
+
+    def _expect(self, delay: timedelta, call: Callable[..., None], *args: object) -> None:
+        self._timer.cancel()
+        self._timer = self._router.clock.call_later(delay, call, *args)
--- /dev/null
+++ b/src/lavenderrun/services/_model_router.py
@@ -0,0 +1,151 @@
+"""Service ``model_router``: takes model requests on an entry and drives each to its one end."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import ClassVar
+
+from twisted.internet.defer import Deferred
+
+from lavenderrun.decisions import RetryBudget
+from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._model_request import ModelRun
+from lavenderrun.types import (
+    Admission,
+    AdmittedModel,
+    AnswerSink,
+    AttemptFailed,
+    BackendRole,
+    Document,
+    DocumentSource,
+    Frame,
+    HostId,
+    Limits,
+    Link,
+    Links,
+    Message,
+    ModelName,
+    ModelRequest,
+    Prefilled,
+    Refusal,
+    Refused,
+    RequestId,
+    RequestRefused,
+    SeatPromised,
+    ServiceGroup,
+    Ticket,
+)
+
+
+class DeadTicket:
+    """Ticket of a request that has already ended."""
+
+    def cancel(self) -> None:
+        """Nothing is left to cancel."""
+
+
+class ModelRouter:
+    """The live model requests of this entry."""
+
+    needs: ClassVar[tuple[str, ...]] = ("links", "document", "admission", "limits", "record")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.clock = kernel.clock
+        self.chance = kernel.chance
+        self.links = kernel.find("links", Links)
+        self.limits = kernel.find("limits", Limits)
+        self.events = Emitter.of(kernel)
+        self.retries = RetryBudget(Document().retry_share)
+        self._admission = kernel.find("admission", Admission)
+        self._document = kernel.find("document", DocumentSource)
+        self._runs: dict[RequestId, ModelRun] = {}
+        self._drained: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Listen to agents, to the document and to withdrawn keys."""
+        for kind in (SeatPromised, Prefilled, Frame, AttemptFailed):
+            self.links.subscribe(kind, self._take)
+        self.links.watch(self._link_up, self._link_down)
+        self._admission.watch(self._drop_withdrawn)
+        self._document.watch(self._take_document)
+
+    def stop(self) -> Deferred[None]:
+        """Wait until every accepted request has ended."""
+        drained: Deferred[None] = Deferred()
+        if self._runs:
+            self._drained = drained
+        else:
+            drained.callback(None)
+        return drained
+
+    def submit(self, request: ModelRequest, sink: AnswerSink) -> Ticket:
+        """Serve *request* into *sink*; see ``Router.submit_model``."""
+        admitted = self._admission.admit_model(request)
+        if isinstance(admitted, Refused):
+            self.events.emit(RequestRefused(request.request, admitted))
+            sink.refuse(admitted)
+            return DeadTicket()
+        return self._run(request, admitted, sink)
+
+    def choose(
+        self, model: ModelName, role: BackendRole, excluded: Collection[HostId]
+    ) -> Link | None:
+        """Return a link to an agent with *model* in *role*, ``None`` when there is none."""
+        fits = [
+            link
+            for link in self.links.live()
+            if link.peer.group == ServiceGroup(model)
+            and link.peer.backend_role is role
+            and link.peer.host not in excluded
+            and not self.links.is_leaving(link.peer.host)
+        ]
+        if not fits:
+            return None
+        pair = [self.chance.choice(fits), self.chance.choice(fits)]
+        return min(pair, key=self._busyness)
+
+    def forget(self, run: ModelRun) -> None:
+        """Drop an ended run."""
+        self._runs.pop(run.request.request, None)
+        if self._drained is not None and not self._runs:
+            drained, self._drained = self._drained, None
+            drained.callback(None)
+
+    def _run(self, request: ModelRequest, admitted: AdmittedModel, sink: AnswerSink) -> Ticket:
+        run = ModelRun(self, request, admitted, sink)
+        self._runs[request.request] = run
+        self.retries.note_try(admitted.account, self.clock.now())
+        run.begin()
+        return run
+
+    def _busyness(self, link: Link) -> float:
+        load = self.links.load(link.peer.host)
+        return 0.0 if load is None else (load.taken + load.queued) / max(1, load.seats)
+
+    def _take(self, link: Link, message: Message) -> None:
+        run = self._runs.get(message.request)  # type: ignore[attr-defined]
+        if run is not None:
+            run.take(link, message)
+
+    def _link_up(self, link: Link) -> None:
+        for run in list(self._runs.values()):
+            run.link_up(link)
+
+    def _link_down(self, link: Link) -> None:
+        for run in list(self._runs.values()):
+            run.link_down(link)
+
+    def _drop_withdrawn(self) -> None:
+        for run in list(self._runs.values()):
+            if not self._admission.is_valid(run.admitted):
+                run.withdraw(Refusal.UNKNOWN_KEY)
+
+    def _take_document(self, document: Document) -> None:
+        self.retries.share = document.retry_share
+
+
+@SERVICES.register("model_router")
+def make_model_router(kernel: Kernel) -> ModelRouter:
+    """Make the service."""
+    return ModelRouter(kernel)
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -217,7 +217,10 @@
 
 @message("ack")
 class Ack(Message, tag="ack", frozen=True):
-    """Entry holds all tokens before *offset*; the agent may drop them."""
+    """Entry holds all tokens before *offset*; the agent may drop them.
+
+    The end of an answer counts as one more token.
+    """
 
     request: RequestId
     attempt: AttemptId
--- /dev/null
+++ b/tests/services/fleet.py
@@ -0,0 +1,215 @@
+"""A small fleet of real services on a fake clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
+from random import Random
+from typing import Any, ClassVar
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock as FakeReactor
+
+from lavenderrun.kernel import Kernel, ReactorClock
+from lavenderrun.services import DecodeAgent, ModelRouter, PrefillAgent
+from lavenderrun.standins import EngineModel, Fabric, MemoryNetwork
+from lavenderrun.types import (
+    AccountId,
+    Admitted,
+    AdmittedModel,
+    AdmittedPlain,
+    BackendId,
+    BackendRole,
+    BootId,
+    Charge,
+    DataCentre,
+    Document,
+    DocumentVersion,
+    Event,
+    Fingerprint,
+    FinishReason,
+    Hello,
+    HostId,
+    HostRole,
+    ModelName,
+    ModelRequest,
+    ModelRoute,
+    PlainRequest,
+    Refused,
+    RequestId,
+    RouteName,
+    ServiceGroup,
+)
+
+TALCA = DataCentre("talca")
+MODEL = ModelName("tensile")
+
+
+class Part:
+    needs: ClassVar[tuple[str, ...]] = ()
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+class RecordList(Part):
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def emit(self, event: Event) -> None:
+        self.events.append(event)
+
+    def all(self, kind: type) -> list[Any]:
+        return [event.what for event in self.events if isinstance(event.what, kind)]
+
+
+class FixedDocument(Part):
+    version = DocumentVersion(1)
+    current = Document()
+
+    def watch(self, handler: Callable[[Document], None]) -> None:
+        handler(self.current)
+
+
+class OpenAdmission(Part):
+    def __init__(self, route: ModelRoute) -> None:
+        self.route = route
+        self.valid = True
+        self._handlers: list[Callable[[], None]] = []
+
+    def admit_model(self, request: ModelRequest) -> AdmittedModel | Refused:
+        return AdmittedModel(AccountId("gruas"), None, 1.0, Fingerprint("f"), self.route)
+
+    def admit_plain(self, request: PlainRequest) -> AdmittedPlain | Refused:
+        raise NotImplementedError
+
+    def is_valid(self, admitted: Admitted) -> bool:
+        return self.valid
+
+    def watch(self, handler: Callable[[], None]) -> None:
+        self._handlers.append(handler)
+
+    def withdraw(self) -> None:
+        self.valid = False
+        for handler in self._handlers:
+            handler()
+
+
+class CountingLimits(Part):
+    def __init__(self) -> None:
+        self.out = 0.0
+
+    def charge(
+        self, account: AccountId, requests: float, tokens: float, patience: timedelta
+    ) -> Deferred[Charge | Refused]:
+        self.out += tokens
+        return succeed(Charge(account, requests, tokens))
+
+    def give_back(self, charge: Charge, tokens: float) -> None:
+        self.out -= tokens
+
+
+@dataclass(frozen=True)
+class FakeSettings:
+    greeting: Hello
+
+    def hello(self) -> Hello:
+        return self.greeting
+
+    def seats(self) -> int:
+        return 2
+
+
+class Sink:
+    def __init__(self) -> None:
+        self.tokens: list[str] = []
+        self.ends: list[FinishReason | Refused] = []
+
+    def put_tokens(self, tokens: list[str]) -> None:
+        assert not self.ends
+        self.tokens += tokens
+
+    def finish(self, reason: FinishReason) -> None:
+        self.ends.append(reason)
+
+    def refuse(self, refused: Refused) -> None:
+        self.ends.append(refused)
+
+
+class Fleet:
+    """One entry, prefill agents ``p1``.. and decode agents ``d1``.. with their engines."""
+
+    def __init__(self, *, decoders: int = 1, route: ModelRoute | None = None) -> None:
+        self.reactor = FakeReactor()
+        self.clock = ReactorClock(self.reactor, datetime(2026, 1, 1, tzinfo=UTC), zero=0.0)
+        self.network = MemoryNetwork(self.clock, timedelta(microseconds=500))
+        self.fabric = Fabric(self.clock)
+        self.record = RecordList()
+        self.admission = OpenAdmission(route or ModelRoute(name=RouteName("sum"), model=MODEL))
+        self.limits = CountingLimits()
+        self.engines: dict[str, EngineModel] = {}
+        self.agents: dict[str, Kernel] = {}
+        self.addresses = ["p1", *(f"d{n}" for n in range(1, decoders + 1))]
+        for host in self.addresses:
+            self.engines[host] = EngineModel(self.clock, self.fabric, f"engine-{host}", TALCA)
+            self.start_agent(host)
+        self.entry = self.make_kernel("e1", HostRole.ENTRY, None)
+        for name, part in (("document", FixedDocument()), ("admission", self.admission)):
+            self.entry.add(name, part)
+        self.entry.add("limits", self.limits)
+        self.entry.build(["links", "model_router"])
+        Deferred.fromCoroutine(self.entry.start())
+        links: Any = self.entry.find("links", object)
+        links.keep(self.addresses)
+        self.router = self.entry.find("model_router", ModelRouter)
+        self.run(0.05)
+
+    def make_kernel(self, host: str, role: HostRole, backend: BackendRole | None) -> Kernel:
+        greeting = Hello(
+            HostId(host),
+            BootId(f"{host}-{self.reactor.seconds()}"),
+            role,
+            TALCA,
+            BackendId(host),
+            backend,
+            ServiceGroup(MODEL),
+            host,
+        )
+        kernel = Kernel(self.clock, FakeSettings(greeting), Random(1))
+        kernel.add("transport", self.network.transport(host))
+        kernel.add("record", self.record)
+        return kernel
+
+    def start_agent(self, host: str) -> None:
+        role = BackendRole.PREFILL if host.startswith("p") else BackendRole.DECODE
+        kernel = self.make_kernel(host, HostRole.AGENT, role)
+        kernel.provide("engine", self.engines[host])
+        kernel.build(["links", f"{role.value}_agent"])
+        Deferred.fromCoroutine(kernel.start())
+        self.agents[host] = kernel
+
+    def kill_agent(self, host: str) -> None:
+        """End the agent; its engine drops what it ran, as the agent's stop cancels it."""
+        Deferred.fromCoroutine(self.agents.pop(host).stop())
+
+    def ask(self, prompt: str = "heat record 17", max_tokens: int = 40) -> tuple[Any, Sink]:
+        sink = Sink()
+        number = len(self.record.events)
+        request = ModelRequest(
+            RequestId(f"r{number}"), None, MODEL, prompt, max_tokens, self.clock.now()
+        )
+        return self.router.submit(request, sink), sink
+
+    def run(self, seconds: float, step: float = 0.005) -> None:
+        self.reactor.pump([step] * round(seconds / step))
+
+    def held(self) -> int:
+        jobs = 0
+        for host, kernel in self.agents.items():
+            if host.startswith("p"):
+                jobs += kernel.find("prefill_agent", PrefillAgent).held()
+            else:
+                jobs += kernel.find("decode_agent", DecodeAgent).held()
+        return jobs + sum(engine.held() for engine in self.engines.values())
--- /dev/null
+++ b/tests/services/test_model_path.py
@@ -0,0 +1,161 @@
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from fleet import MODEL, Fleet, Sink
+
+from lavenderrun.standins import expected_tokens
+from lavenderrun.types import (
+    FinishReason,
+    ModelRoute,
+    Outcome,
+    Refusal,
+    Refused,
+    Repeatability,
+    RouteName,
+)
+
+PROMPT = "heat record 17"
+
+
+def find_long_prompt() -> str:
+    return next(
+        prompt
+        for prompt in (f"heat record {n}" for n in range(1000))
+        if len(expected_tokens(prompt, 400)) == 400
+    )
+
+
+LONG = find_long_prompt()
+
+
+def assert_whole(sink: Sink, prompt: str, max_tokens: int) -> None:
+    assert sink.tokens == expected_tokens(prompt, max_tokens)
+    assert len(sink.ends) == 1
+    assert isinstance(sink.ends[0], FinishReason)
+
+
+def test_answer_is_whole_and_nothing_stays_held() -> None:
+    fleet = Fleet()
+    _, sink = fleet.ask(PROMPT)
+    fleet.run(5)
+    assert_whole(sink, PROMPT, 40)
+    assert fleet.held() == 0
+    assert fleet.limits.out == pytest.approx(4 + len(sink.tokens))
+
+
+def test_requests_beyond_the_seats_wait_their_turn() -> None:
+    fleet = Fleet()
+    asked = [fleet.ask(f"{PROMPT} {n}") for n in range(6)]
+    fleet.run(12)
+    for n, (_, sink) in enumerate(asked):
+        assert_whole(sink, f"{PROMPT} {n}", 40)
+    assert fleet.held() == 0
+
+
+def test_impatient_request_is_refused_as_not_run() -> None:
+    route = ModelRoute(name=RouteName("sum"), model=MODEL, patience=timedelta(milliseconds=500))
+    fleet = Fleet(route=route)
+    for _ in range(2):
+        fleet.ask(LONG, 400)
+    _, late = fleet.ask(PROMPT)
+    fleet.run(3)
+    [refused] = late.ends
+    assert isinstance(refused, Refused)
+    assert (refused.refusal, refused.outcome) == (Refusal.NO_ROOM, Outcome.NOT_RUN)
+
+
+def test_gone_caller_frees_seat_and_memory_at_once() -> None:
+    for after in (0.0, 0.004, 0.01, 0.02, 0.5):
+        fleet = Fleet()
+        ticket, sink = fleet.ask(LONG, 400)
+        fleet.run(after)
+        ticket.cancel()
+        fleet.run(1.5)
+        assert sink.ends == []
+        assert fleet.held() == 0, after
+
+
+def test_silent_link_is_resumed_without_a_token_twice_or_missing() -> None:
+    fleet = Fleet()
+    _, sink = fleet.ask(LONG, 400)
+    fleet.run(0.5)
+    for pipe in fleet.network.pipes:
+        pipe.silent = True
+    fleet.run(12)
+    assert_whole(sink, LONG, 400)
+    assert fleet.held() == 0
+
+
+def test_answer_goes_on_elsewhere_when_its_agent_dies() -> None:
+    fleet = Fleet(decoders=2)
+    _, sink = fleet.ask(LONG, 400)
+    fleet.run(0.5)
+    assert 0 < len(sink.tokens) < 400
+    busy = next(host for host in ("d1", "d2") if fleet.engines[host].held())
+    fleet.kill_agent(busy)
+    fleet.run(15)
+    assert_whole(sink, LONG, 400)
+    assert fleet.held() == 0
+
+
+def test_answer_goes_on_after_its_agent_restarts() -> None:
+    fleet = Fleet()
+    _, sink = fleet.ask(LONG, 400)
+    fleet.run(0.5)
+    fleet.kill_agent("d1")
+    fleet.run(0.3)
+    fleet.start_agent("d1")
+    fleet.run(15)
+    assert_whole(sink, LONG, 400)
+
+
+def test_answer_goes_on_elsewhere_when_its_engine_crashes() -> None:
+    fleet = Fleet(decoders=2)
+    _, sink = fleet.ask(LONG, 400)
+    fleet.run(0.5)
+    busy = next(engine for engine in fleet.engines.values() if engine.held())
+    busy.crash()
+    fleet.run(15)
+    assert_whole(sink, LONG, 400)
+    assert fleet.held() == 0
+
+
+def test_at_most_once_route_answers_unknown_after_a_crash() -> None:
+    route = ModelRoute(
+        name=RouteName("publish"), model=MODEL, repeatability=Repeatability.AT_MOST_ONCE
+    )
+    fleet = Fleet(decoders=2, route=route)
+    _, sink = fleet.ask(LONG, 400)
+    fleet.run(0.5)
+    next(engine for engine in fleet.engines.values() if engine.held()).crash()
+    fleet.run(5)
+    [refused] = sink.ends
+    assert isinstance(refused, Refused)
+    assert (refused.refusal, refused.outcome) == (Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+
+
+def test_withdrawn_key_ends_queued_work_and_lets_begun_answers_finish() -> None:
+    fleet = Fleet()
+    begun = [fleet.ask(LONG, 400)[1] for _ in range(2)]
+    fleet.run(0.5)
+    _, queued = fleet.ask(PROMPT)
+    fleet.run(0.1)
+    fleet.admission.withdraw()
+    [refused] = queued.ends
+    assert isinstance(refused, Refused)
+    assert (refused.refusal, refused.outcome) == (Refusal.UNKNOWN_KEY, Outcome.NOT_RUN)
+    fleet.run(12)
+    assert [sink.ends for sink in begun] == [[FinishReason.LENGTH]] * 2
+
+
+def test_planned_stop_waits_for_accepted_requests() -> None:
+    fleet = Fleet()
+    _, sink = fleet.ask(PROMPT)
+    stopped: list[None] = []
+    fleet.router.stop().addCallback(stopped.append)
+    assert stopped == []
+    fleet.run(5)
+    assert_whole(sink, PROMPT, 40)
+    assert stopped == [None]
