Add the callers' HTTP front

Callers need the API they already use, with a clear answer for each fault. Router and admission are not joined yet.

--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,6 +2,34 @@
 
 from __future__ import annotations
 
+from lavenderrun.codecs._api_answers import (
+    DONE_EVENT,
+    AnswerCodec,
+    encode_error_event,
+    encode_models,
+)
+from lavenderrun.codecs._api_errors import ApiError, encode_error, list_error_headers
+from lavenderrun.codecs._api_headers import parse_idempotency_key, parse_key, strip_headers
+from lavenderrun.codecs._api_requests import ApiForm, ModelCall, parse_chat, parse_completion
+from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._wire import WireCodec, WireError
 
-__all__ = ["WireCodec", "WireError"]
+__all__ = [
+    "DONE_EVENT",
+    "AnswerCodec",
+    "ApiError",
+    "ApiForm",
+    "ModelCall",
+    "WireCodec",
+    "WireError",
+    "encode_error",
+    "encode_error_event",
+    "encode_models",
+    "find_status",
+    "list_error_headers",
+    "parse_chat",
+    "parse_completion",
+    "parse_idempotency_key",
+    "parse_key",
+    "strip_headers",
+]
--- /dev/null
+++ b/src/lavenderrun/codecs/_api_answers.py
@@ -0,0 +1,114 @@
+"""Answers to model requests: whole JSON bodies and server-sent events."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import datetime
+
+import msgspec
+
+from lavenderrun.codecs._api_errors import encode_error
+from lavenderrun.codecs._api_requests import ApiForm
+from lavenderrun.types import FinishReason, ModelName, Refused, RequestId
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class _ModelEntry(msgspec.Struct):
+    id: str
+    object: str = "model"
+    owned_by: str = "lavenderrun"
+
+
+class _ModelList(msgspec.Struct):
+    data: list[_ModelEntry]
+    object: str = "list"
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str
+
+
+class _ChatChoice(msgspec.Struct):
+    message: _Message
+    finish_reason: str
+    index: int = 0
+
+
+class _TextChoice(msgspec.Struct):
+    text: str
+    finish_reason: str
+    index: int = 0
+    logprobs: None = None
+
+
+class _Answer(msgspec.Struct):
+    id: str
+    object: str
+    created: int
+    model: str
+    choices: list[_ChatChoice | _TextChoice]
+    usage: _Usage
+
+
+def encode_models(names: Iterable[ModelName]) -> bytes:
+    """Return the body of ``GET /v1/models``."""
+    return msgspec.json.encode(_ModelList([_ModelEntry(name) for name in names]))
+
+
+def encode_error_event(refused: Refused) -> bytes:
+    """Return the event that ends a broken stream."""
+    return b"data: " + encode_error(refused) + b"\n\n"
+
+
+class AnswerCodec:
+    """Encodes the answer to one model request.
+
+    :param created: when the request arrived.
+    """
+
+    def __init__(
+        self, form: ApiForm, request: RequestId, model: ModelName, created: datetime
+    ) -> None:
+        self._chat = form is ApiForm.CHAT
+        self._id = f"{'chatcmpl' if self._chat else 'cmpl'}-{request}"
+        self._model = model
+        self._created = int(created.timestamp())
+        # all of an event but the text is the same for each; it is encoded once
+        self._before, self._after = self._split_event()
+
+    def encode_event(self, text: str, finish: FinishReason | None = None) -> bytes:
+        """Return one event with *text*."""
+        if finish is None:
+            return self._before + msgspec.json.encode(text) + self._after
+        reason = b'"finish_reason":"' + finish.value.encode() + b'"'
+        after = self._after.replace(b'"finish_reason":null', reason)
+        return self._before + msgspec.json.encode(text) + after
+
+    def encode_whole(self, text: str, tokens: int, finish: FinishReason) -> bytes:
+        """Return the whole answer as JSON."""
+        choice: _ChatChoice | _TextChoice
+        if self._chat:
+            choice = _ChatChoice(_Message("assistant", text), finish.value)
+        else:
+            choice = _TextChoice(text, finish.value)
+        kind = "chat.completion" if self._chat else "text_completion"
+        answer = _Answer(
+            self._id, kind, self._created, self._model, [choice], _Usage(completion_tokens=tokens)
+        )
+        return msgspec.json.encode(answer)
+
+    def _split_event(self) -> tuple[bytes, bytes]:
+        kind = "chat.completion.chunk" if self._chat else "text_completion"
+        head = msgspec.json.encode(
+            {"id": self._id, "object": kind, "created": self._created, "model": self._model}
+        )
+        before = b"data: " + head[:-1] + b',"choices":[{"index":0,'
+        if self._chat:
+            return before + b'"delta":{"content":', b'},"finish_reason":null}]}\n\n'
+        return before + b'"text":', b',"finish_reason":null}]}\n\n'
--- /dev/null
+++ b/src/lavenderrun/services/_front.py
@@ -0,0 +1,252 @@
+"""Service ``front``: the callers' HTTP front."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import ClassVar
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from lavenderrun.codecs import (
+    AnswerCodec,
+    ApiError,
+    ModelCall,
+    encode_models,
+    parse_chat,
+    parse_completion,
+    parse_idempotency_key,
+    parse_key,
+    strip_headers,
+)
+from lavenderrun.decisions import find_plain_route
+from lavenderrun.kernel import SERVICES, Kernel, Registry
+from lavenderrun.services._front_http import FrontFactory, FrontRequest
+from lavenderrun.services._front_sinks import PlainSink, Sink, StreamSink, WholeSink
+from lavenderrun.services._listener import Listener
+from lavenderrun.types import (
+    DocumentSource,
+    FrontSettings,
+    ModelRequest,
+    Outcome,
+    PlainRequest,
+    Refusal,
+    Refused,
+    Router,
+    Step,
+    Ticket,
+)
+
+Endpoint = Callable[["FrontService", FrontRequest], None]
+
+ENDPOINTS: Registry[Endpoint] = Registry("endpoint")
+
+
+@SERVICES.register("front")
+class FrontService:
+    """Turns HTTP into requests for the router and its answers into HTTP."""
+
+    needs: ClassVar[tuple[str, ...]] = ("router",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.settings: FrontSettings = kernel.settings.front
+        self._kernel = kernel
+        self._running = 0
+        self._drained: Deferred[None] | None = None
+        self._factory: FrontFactory | None = None
+        self._listener: Listener | None = None
+
+    @property
+    def router(self) -> Router:
+        """The service that serves what comes in."""
+        return self._kernel.find("router", Router)
+
+    @property
+    def port(self) -> int:
+        """The port that callers reach, once started."""
+        return self._listener.port if self._listener is not None else 0
+
+    def make_factory(self, reactor: IReactorTime) -> FrontFactory:
+        """Return the factory of callers' connections; their timeouts run on *reactor*."""
+        self._factory = FrontFactory(self, reactor)
+        return self._factory
+
+    def start(self) -> None:
+        """Listen for callers."""
+        self._listener = Listener(self.settings.listen, self._find_tls())
+        self._listener.open(self.make_factory)
+        address = self._listener.address
+        log_message("front:listening", text="front: listening for callers", address=address)
+
+    def stop(self) -> Deferred[None]:
+        """Take no new connection, let what runs finish, then close."""
+        drained: Deferred[None] = Deferred()
+        if self._listener is not None:
+            self._listener.close()
+        log_message("front:draining", text="front: finishing requests", running=self._running)
+        self._drained = drained
+        for channel in list(self._factory.channels) if self._factory else []:
+            channel.close_when_idle()
+        limit = self._kernel.clock.call_later(self.settings.drain, self._abort_rest)
+        drained.addBoth(lambda _: limit.cancel())
+        self._check_drained()
+        return drained
+
+    def serve(self, request: FrontRequest) -> None:
+        """Answer a request; whatever is wrong with it gets a clear answer."""
+        if self._drained is not None:
+            request.close_after()
+        try:
+            self._find_endpoint(request)(self, request)
+        except ApiError as error:
+            log_message(
+                "front:rejected",
+                text="front: request rejected",
+                request=request.id,
+                refusal=error.refusal.value,
+                field=error.field,
+            )
+            request.answer_refused(error.to_refused(), error.field)
+
+    def serve_model(self, request: FrontRequest, parse: Callable[[bytes], ModelCall]) -> None:
+        """Hand a model request to the router."""
+        key = _read_key(request)
+        idempotency_key = parse_idempotency_key(request.find_headers("Idempotency-Key"))
+        body = request.read_body()
+        _check_size(len(body), self.settings.max_body)
+        call = parse(body)
+        arrived = self._kernel.clock.now()
+        kind = StreamSink if call.stream else WholeSink
+        sink = kind(request, self.settings, self._kernel.clock, self._end)
+        sink.codec = AnswerCodec(call.form, request.id, call.model, arrived)
+        model_request = ModelRequest(
+            request.id,
+            key,
+            call.model,
+            call.prompt,
+            call.max_tokens,
+            arrived,
+            idempotency_key,
+        )
+        self._submit(sink, partial(self.router.submit_model, model_request, sink))
+
+    def serve_plain(self, request: FrontRequest) -> None:
+        """Hand a call for a plain service to the router."""
+        method, target = request.method.decode("latin-1"), request.uri.decode("latin-1")
+        key = self._read_plain_key(request, method, target)
+        idempotency_key = parse_idempotency_key(request.find_headers("Idempotency-Key"))
+        body = request.read_body()
+        _check_size(len(body), self.settings.max_plain_body)
+        sink = PlainSink(request, self.settings, self._kernel.clock, self._end)
+        plain_request = PlainRequest(
+            request.id,
+            key,
+            method,
+            target,
+            strip_headers(request.list_headers()),
+            body,
+            self._kernel.clock.now(),
+            idempotency_key,
+        )
+        self._submit(sink, partial(self.router.submit_plain, plain_request, sink))
+
+    def serve_models(self, request: FrontRequest) -> None:
+        """List the models of the document in force."""
+        _read_key(request)
+        document = self._find_document().current
+        if document is None:
+            refused = Refused(Refusal.NOT_READY, Outcome.NOT_RUN, Step.ADMISSION)
+            request.answer_refused(refused)
+            return
+        request.answer(200, encode_models(route.model for route in document.model_routes), [])
+
+    def _submit(self, sink: Sink, submit: Callable[[], Ticket]) -> None:
+        self._running += 1
+        try:
+            sink.attach(submit())
+        except Exception as error:
+            # the caller learns that the outcome is unknown, never the traceback
+            fault = f"{type(error).__name__} at {_find_place(error)}"
+            log_message("front:failed", text="front: request failed inside", error=fault)
+            sink.refuse(Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.ADMISSION))
+
+    def _find_document(self) -> DocumentSource:
+        return self._kernel.find("document", DocumentSource)
+
+    def _find_endpoint(self, request: FrontRequest) -> Endpoint:
+        name = f"{request.method.decode('latin-1')} {request.path.decode('latin-1')}"
+        if name in ENDPOINTS:
+            return ENDPOINTS.find(name)
+        return FrontService.serve_plain
+
+    def _read_plain_key(self, request: FrontRequest, method: str, target: str) -> str | None:
+        try:
+            return parse_key(request.find_headers("Authorization"))
+        except ApiError:
+            document = self._find_document().current
+            route = find_plain_route(document, method, target) if document else None
+            if route is not None and route.open:
+                return None
+            raise
+
+    def _find_tls(self) -> tuple[str | None, str | None] | None:
+        certificate, private_key = self.settings.certificate, self.settings.private_key
+        if certificate is None and private_key is None:
+            return None
+        return certificate, private_key
+
+    def _end(self) -> None:
+        self._running -= 1
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        drained = self._drained
+        if drained is not None and not drained.called and not self._running:
+            drained.callback(None)
+
+    def _abort_rest(self) -> None:
+        log_message("front:drain_over", text="front: drain took too long", running=self._running)
+        for channel in list(self._factory.channels) if self._factory else []:
+            channel.abort()
+        self._running = 0
+        self._check_drained()
+
+
+def _find_place(error: BaseException) -> str:
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    return f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace else ""
+
+
+def _read_key(request: FrontRequest) -> str:
+    key = parse_key(request.find_headers("Authorization"))
+    if key is None:
+        message = "Authorization: is missing; send 'Authorization: Bearer KEY'."
+        raise ApiError(Refusal.NO_KEY, message, "Authorization")
+    return key
+
+
+def _check_size(size: int, limit: int) -> None:
+    if size > limit:
+        raise ApiError(Refusal.TOO_LARGE, f"body: larger than {limit} bytes.", "body")
+
+
+@ENDPOINTS.register("POST /v1/completions")
+def serve_completion(front: FrontService, request: FrontRequest) -> None:
+    """Serve a completion."""
+    front.serve_model(request, parse_completion)
+
+
+@ENDPOINTS.register("POST /v1/chat/completions")
+def serve_chat(front: FrontService, request: FrontRequest) -> None:
+    """Serve a chat completion."""
+    front.serve_model(request, parse_chat)
+
+
+@ENDPOINTS.register("GET /v1/models")
+def serve_model_list(front: FrontService, request: FrontRequest) -> None:
+    """Serve the list of models."""
+    front.serve_models(request)
--- /dev/null
+++ b/src/lavenderrun/services/_front_http.py
@@ -0,0 +1,196 @@
+"""HTTP channel and request of the callers' front."""
+
+from __future__ import annotations
+
+from io import BytesIO
+from typing import Any, Protocol
+from uuid import uuid4
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.http import HTTPChannel, Request
+
+from lavenderrun.codecs import encode_error, find_status, list_error_headers
+from lavenderrun.types import FrontSettings, Outcome, Refusal, Refused, RequestId, Step
+
+# how much of a refused body is read, so that the caller sees the answer and not a reset
+MAX_DISCARDED_BODIES = 4
+REQUEST_ID_HEADER = "X-Request-Id"
+JSON = "application/json"
+
+
+class Handler(Protocol):
+    """What the channel and its requests need of the front."""
+
+    settings: FrontSettings
+
+    def serve(self, request: FrontRequest) -> None:
+        """Answer a request whose body is whole."""
+
+
+class FrontRequest(Request):
+    """A caller's request; its body stays in memory and within the bound."""
+
+    content: Any
+
+    def __init__(self, channel: Any, queued: object = False) -> None:
+        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+        self.id = RequestId(uuid4().hex)
+        self.answered = False
+        self._handler: Handler = channel.factory.handler
+        self._limit = max(self._handler.settings.max_body, self._handler.settings.max_plain_body)
+        self._received = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse a declared body over the bound before it is read."""
+        self.content = BytesIO()
+        if length is not None and length > self._limit:
+            self.requestHeaders.removeHeader(b"expect")
+            self._refuse_body()
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body within the bound."""
+        self._received += len(data)
+        if self._received > self._limit:
+            self._refuse_body()
+        if not self.answered:
+            self.content.write(data)
+        elif self._received > MAX_DISCARDED_BODIES * self._limit:
+            self.channel.forceAbortClient()
+
+    def process(self) -> None:
+        """Hand the whole request on."""
+        if self.answered:
+            self.finish()
+        else:
+            self._handler.serve(self)
+
+    def read_body(self) -> bytes:
+        """Return the whole body."""
+        body: bytes = self.content.read()
+        return body
+
+    def list_headers(self) -> list[tuple[str, str]]:
+        """Return all headers in the caller's order."""
+        return [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, values in self.requestHeaders.getAllRawHeaders()
+            for value in values
+        ]
+
+    def find_headers(self, name: str) -> list[str]:
+        """Return the values of the headers called *name*."""
+        values = self.requestHeaders.getRawHeaders(name.encode(), [])
+        return [value.decode("latin-1") for value in values]
+
+    def put_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Set the answer's status and headers; the request id is always among them."""
+        self.answered = True
+        self.setResponseCode(status)
+        for name, value in headers:
+            raw = value.encode("latin-1", "replace")
+            self.responseHeaders.addRawHeader(name.encode("latin-1", "replace"), raw)
+        self.responseHeaders.setRawHeaders(REQUEST_ID_HEADER, [self.id])
+
+    def close_after(self) -> None:
+        """Let this answer be the connection's last."""
+        self.channel.persistent = 0
+        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+
+    def answer(self, status: int, body: bytes, headers: list[tuple[str, str]]) -> None:
+        """Send a whole answer."""
+        framing = [("Content-Type", JSON), ("Content-Length", str(len(body)))]
+        self.put_head(status, framing + headers)
+        self.write(body)
+        self.finish()
+
+    def answer_refused(self, refused: Refused, field: str = "") -> None:
+        """Send a refusal."""
+        body = encode_error(refused, field)
+        self.answer(find_status(refused), body, list_error_headers(refused))
+
+    def _refuse_body(self) -> None:
+        if self.answered:
+            return
+        detail = f"body: larger than {self._limit} bytes."
+        refused = Refused(Refusal.TOO_LARGE, Outcome.NOT_RUN, Step.ADMISSION, detail=detail)
+        body = encode_error(refused, "body")
+        framing = [("Content-Type", JSON), ("Content-Length", str(len(body)))]
+        # the channel gives these only after the body
+        self.method, self.clientproto = b"POST", b"HTTP/1.1"
+        self.put_head(find_status(refused), framing + list_error_headers(refused))
+        self.close_after()
+        self.write(body)
+
+
+class FrontChannel(HTTPChannel):
+    """A caller's connection."""
+
+    requestFactory: Any = FrontRequest  # noqa: N815
+    factory: FrontFactory
+    transport: Any
+    callLater: Any  # noqa: N815
+    timeOut: Any  # noqa: N815
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the idle timeout and let the kernel find silent callers."""
+        super().connectionMade()
+        self.factory.channels.add(self)
+        if hasattr(self.transport, "setTcpKeepAlive"):
+            self.transport.setTcpKeepAlive(1)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell the connection's requests."""
+        self.factory.channels.discard(self)
+        super().connectionLost(reason)
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self.forceAbortClient()
+
+    def close_when_idle(self) -> None:
+        """Close now, or after the answer that is being given."""
+        if self.requests:
+            self.persistent = 0
+        else:
+            self.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        detail = "HTTP: the request line or a header is malformed."
+        refused = Refused(Refusal.BAD_REQUEST, Outcome.NOT_RUN, Step.ADMISSION, detail=detail)
+        body = encode_error(refused)
+        head = [
+            "HTTP/1.1 400 Bad Request",
+            f"Content-Type: {JSON}",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+            *(f"{name}: {value}" for name, value in list_error_headers(refused)),
+        ]
+        self.transport.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+        self.loseConnection()
+
+
+class FrontFactory(ServerFactory):
+    """Makes the channels of the callers' front.
+
+    :param reactor: time of the idle timeout.
+    """
+
+    noisy = False
+
+    def __init__(self, handler: Handler, reactor: IReactorTime) -> None:
+        self.handler = handler
+        self.channels: set[FrontChannel] = set()
+        self._reactor = reactor
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Return the channel of a new connection."""
+        channel = FrontChannel()
+        channel.factory = self
+        channel.callLater = self._reactor.callLater
+        channel.timeOut = self.handler.settings.idle.total_seconds()
+        return channel
+
+    def log(self, request: FrontRequest) -> None:
+        """Write no access log; the front logs each request itself."""
--- /dev/null
+++ b/src/lavenderrun/services/_listener.py
@@ -0,0 +1,101 @@
+"""TCP and TLS listening by settings."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from OpenSSL import SSL, crypto
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import ServerFactory
+from twisted.internet.ssl import DefaultOpenSSLContextFactory
+
+BACKLOG = 512
+
+
+class ListenError(Exception):
+    """A listening address or certificate that can not be used; names the setting."""
+
+
+class Listener:
+    """One listening port.
+
+    :param listen: IP number and port.
+    :param tls: paths of certificate and private key, ``None`` for plain TCP.
+    """
+
+    def __init__(self, listen: str, tls: tuple[str | None, str | None] | None) -> None:
+        host, _, port = listen.rpartition(":")
+        self._host = host.strip("[]")
+        self._wanted = int(port)
+        self._tls = tls
+        self._port: Any = None
+
+    @property
+    def port(self) -> int:
+        """The port in use."""
+        return int(self._port.getHost().port)
+
+    @property
+    def address(self) -> str:
+        """The IP number and port in use."""
+        return f"{self._host}:{self.port}"
+
+    def open(self, make: Callable[[IReactorTime], ServerFactory]) -> None:
+        """Listen.
+
+        :raises ListenError: when the address is taken or the certificate is bad.
+        """
+        from twisted.internet import reactor  # the daemon has installed its own by now
+
+        reactor_any: Any = reactor
+        context = make_tls_context(*self._tls) if self._tls is not None else None
+        factory = make(reactor_any)
+        arguments = {"backlog": BACKLOG, "interface": self._host}
+        try:
+            if context is None:
+                self._port = reactor_any.listenTCP(self._wanted, factory, **arguments)
+            else:
+                self._port = reactor_any.listenSSL(self._wanted, factory, context, **arguments)
+        except Exception as error:
+            msg = f"listen: {self._host}:{self._wanted} can not be used: {error}"
+            raise ListenError(msg) from error
+
+    def close(self) -> None:
+        """Take no new connection."""
+        if self._port is not None:
+            self._port.stopListening()
+
+
+def make_tls_context(
+    certificate: str | None, private_key: str | None
+) -> DefaultOpenSSLContextFactory:
+    """Return the TLS side of a listener.
+
+    :raises ListenError: names the setting whose file is missing, unreadable or does not fit.
+    """
+    for setting, path in (("certificate", certificate), ("private_key", private_key)):
+        if path is None:
+            msg = f"{setting}: is missing; certificate and private_key go together"
+            raise ListenError(msg)
+        _check_file(setting, path)
+    try:
+        return DefaultOpenSSLContextFactory(private_key, certificate, SSL.TLS_METHOD)
+    except (SSL.Error, crypto.Error) as error:
+        msg = f"private_key: {private_key} does not fit certificate {certificate}"
+        raise ListenError(msg) from error
+
+
+def _check_file(setting: str, path: str) -> None:
+    try:
+        with open(path, "rb") as file:
+            data = file.read()
+    except OSError as error:
+        msg = f"{setting}: {path} can not be read: {error.strerror}"
+        raise ListenError(msg) from error
+    load: Any = crypto.load_certificate if setting == "certificate" else crypto.load_privatekey
+    try:
+        load(crypto.FILETYPE_PEM, data)
+    except (crypto.Error, ValueError, TypeError) as error:
+        msg = f"{setting}: {path} holds no PEM {setting.replace('_', ' ')}"
+        raise ListenError(msg) from error
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -89,10 +89,12 @@
     Admitted,
     AnswerSink,
     ModelRequest,
+    PacedTicket,
     PlainRequest,
     ReplySink,
     Ticket,
 )
+from lavenderrun.types._settings import FrontSettings
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -134,6 +136,7 @@
     "Fingerprint",
     "FinishReason",
     "Frame",
+    "FrontSettings",
     "Heartbeat",
     "Hello",
     "HostId",
@@ -152,6 +155,7 @@
     "ModelRequest",
     "ModelRoute",
     "Outcome",
+    "PacedTicket",
     "Part",
     "Pipe",
     "PipeEvents",
--- a/src/lavenderrun/types/_requests.py
+++ b/src/lavenderrun/types/_requests.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from datetime import datetime
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 from lavenderrun.types._ids import AccountId, Fingerprint, IdempotencyKey, ModelName, RequestId
 from lavenderrun.types._refusals import Refused
@@ -90,3 +90,14 @@
 
     def cancel(self) -> None:
         """The caller is gone; nothing more reaches the sink."""
+
+
+@runtime_checkable
+class PacedTicket(Protocol):
+    """A ticket whose answer can be held back while the caller reads slowly."""
+
+    def cancel(self) -> None:
+        """The caller is gone; nothing more reaches the sink."""
+
+    def pace(self, *, slow: bool) -> None:
+        """Hold the answer back while *slow*; what is on its way may still come."""
--- /dev/null
+++ b/tests/services/test_front.py
@@ -0,0 +1,476 @@
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
+from typing import Any, ClassVar
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.error import ConnectionLost
+from twisted.internet.task import Clock as FakeReactor
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from lavenderrun.kernel import Kernel, ReactorClock
+from lavenderrun.services import FrontService
+from lavenderrun.types import (
+    Document,
+    FinishReason,
+    FrontSettings,
+    ModelRequest,
+    Outcome,
+    PlainRequest,
+    Refusal,
+    Refused,
+    Step,
+)
+
+KEY = "marker-key-5150"
+AUTH = f"Authorization: Bearer {KEY}"
+COMPLETION = json.dumps({"model": "mill", "prompt": "summarise"})
+STREAMED = json.dumps({"model": "mill", "prompt": "summarise", "stream": True})
+
+
+class FakeTicket:
+    def __init__(self) -> None:
+        self.cancelled = 0
+        self.paces: list[bool] = []
+
+    def cancel(self) -> None:
+        self.cancelled += 1
+
+    def pace(self, *, slow: bool) -> None:
+        self.paces.append(slow)
+
+
+class FakeRouter:
+    needs: ClassVar[tuple[str, ...]] = ()
+
+    def __init__(self) -> None:
+        self.requests: list[Any] = []
+        self.sinks: list[Any] = []
+        self.tickets: list[FakeTicket] = []
+        self.act: Callable[[Any], None] = lambda sink: None
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def submit_model(self, request: ModelRequest, sink: Any) -> FakeTicket:
+        return self._submit(request, sink)
+
+    def submit_plain(self, request: PlainRequest, sink: Any) -> FakeTicket:
+        return self._submit(request, sink)
+
+    def _submit(self, request: Any, sink: Any) -> FakeTicket:
+        self.requests.append(request)
+        self.sinks.append(sink)
+        self.tickets.append(FakeTicket())
+        self.act(sink)
+        return self.tickets[-1]
+
+
+class FakeDocument:
+    needs: ClassVar[tuple[str, ...]] = ()
+    version = 1
+
+    def __init__(self, document: Document | None) -> None:
+        self.current = document
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+class Caller:
+    """One caller's connection to a front over a string transport."""
+
+    def __init__(self, *, document: Document | None = None, **settings: Any) -> None:
+        self.reactor = FakeReactor()
+        self.clock = ReactorClock(self.reactor, datetime(2026, 1, 1, tzinfo=UTC), zero=0.0)
+        kernel = Kernel(self.clock, SimpleNamespace(front=FrontSettings(**settings)))
+        self.router = FakeRouter()
+        kernel.add("router", self.router)
+        kernel.add("document", FakeDocument(document))
+        self.front = FrontService(kernel)
+        self.factory = self.front.make_factory(self.reactor)  # type: ignore[arg-type]
+        self.connect()
+
+    def connect(self) -> None:
+        self.channel: Any = self.factory.buildProtocol(None)
+        transport: Any = StringTransport()
+        self.transport = transport
+        transport.abortConnection = self.abort
+        self.aborted = False
+        self.channel.makeConnection(self.transport)
+
+    def abort(self) -> None:
+        self.aborted = True
+        self.channel.connectionLost(Failure(ConnectionLost()))
+
+    def send(
+        self, method: str, path: str, body: str | bytes = b"", headers: tuple[str, ...] = ()
+    ) -> bytes:
+        raw = body.encode() if isinstance(body, str) else body
+        lines = [f"{method} {path} HTTP/1.1", "Host: front", f"Content-Length: {len(raw)}"]
+        head = "\r\n".join([*lines, *headers]) + "\r\n\r\n"
+        return self.send_raw(head.encode("latin-1") + raw)
+
+    def send_raw(self, data: bytes) -> bytes:
+        self.transport.clear()
+        self.channel.dataReceived(data)
+        value: bytes = self.transport.value()
+        return value
+
+
+def read_error(answer: bytes) -> tuple[int, dict[str, Any], bytes]:
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)["error"], head
+
+
+def refusal(kind: Refusal, outcome: Outcome = Outcome.NOT_RUN) -> Refused:
+    return Refused(kind, outcome, Step.SEAT, retry_after=timedelta(milliseconds=1500))
+
+
+def test_whole_answer_and_request_id_on_a_persistent_connection() -> None:
+    caller = Caller()
+    for _ in range(2):
+        caller.send("POST", "/v1/completions", COMPLETION, (AUTH,))
+        sink = caller.router.sinks[-1]
+        sink.put_tokens(["wire ", "sum"])
+        sink.put_tokens(["mary"])
+        sink.finish(FinishReason.STOP)
+        head, _, body = caller.transport.value().partition(b"\r\n\r\n")
+        answer = json.loads(body)
+        assert answer["choices"][0] == {
+            "text": "wire summary",
+            "finish_reason": "stop",
+            "index": 0,
+            "logprobs": None,
+        }
+        request = caller.router.requests[-1]
+        assert f"X-Request-Id: {request.request}".encode() in head
+        assert request.key == KEY
+    assert not caller.transport.disconnecting
+
+
+def test_stream_ends_with_done_and_a_broken_one_with_an_error_event() -> None:
+    caller = Caller()
+    caller.send(
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(
+            {"model": "mill", "messages": [{"role": "user", "content": "hi"}], "stream": True}
+        ),
+        (AUTH,),
+    )
+    caller.router.sinks[-1].put_tokens(['a"', "b"])
+    assert b'"delta":{"content":"a\\"b"},"finish_reason":null' in caller.transport.value()
+    caller.router.sinks[-1].finish(FinishReason.LENGTH)
+    assert b'"finish_reason":"length"' in caller.transport.value()
+    assert b"data: [DONE]\n\n" in caller.transport.value()
+    caller.send("POST", "/v1/completions", STREAMED, (AUTH,))
+    caller.router.sinks[-1].put_tokens(["a"])
+    caller.router.sinks[-1].refuse(refusal(Refusal.BACKEND_LOST, Outcome.UNKNOWN))
+    value = caller.transport.value()
+    assert b'"code":"backend_lost","outcome":"unknown"' in value
+    assert b"[DONE]" not in value
+    assert caller.transport.disconnecting
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "headers", "status", "code", "param"),
+    [
+        ("POST", "/v1/completions", COMPLETION, (), 401, "no_key", "Authorization"),
+        ("POST", "/v1/completions", COMPLETION, ("Authorization: x y z",), 401, "no_key", None),
+        ("POST", "/v1/completions", b"{", (AUTH,), 400, "bad_request", "body"),
+        ("POST", "/v1/completions", b'{"model":"\xff"}', (AUTH,), 400, "bad_request", "body"),
+        ("POST", "/v1/completions", b"[" * 9999, (AUTH,), 400, "bad_request", "body"),
+        ("POST", "/v1/completions", b'{"model":"m"}', (AUTH,), 400, "bad_request", "prompt"),
+        (
+            "POST",
+            "/v1/completions",
+            b'{"model":"m","prompt":"p","max_tokens":"9"}',
+            (AUTH,),
+            400,
+            "bad_request",
+            "max_tokens",
+        ),
+        (
+            "POST",
+            "/v1/chat/completions",
+            b'{"model":"m","messages":[{"role":"user","content":5}]}',
+            (AUTH,),
+            400,
+            "bad_request",
+            "messages[0].content",
+        ),
+        (
+            "POST",
+            "/v1/completions",
+            COMPLETION,
+            (AUTH, "Idempotency-Key: a b"),
+            400,
+            "bad_request",
+            "Idempotency-Key",
+        ),
+        ("POST", "/v1/completions", b"x" * 20000, (AUTH,), 413, "too_large", "body"),
+        ("GET", "/v1/models", b"", (AUTH,), 503, "not_ready", None),
+    ],
+)
+def test_bad_input_gets_a_clear_answer(
+    method: str,
+    path: str,
+    body: str | bytes,
+    headers: tuple[str, ...],
+    status: int,
+    code: str,
+    param: str | None,
+) -> None:
+    caller = Caller(max_body=10_000, max_plain_body=100_000)
+    answer = caller.send(method, path, body, headers)
+    found, error, head = read_error(answer)
+    assert (found, error["code"], error["outcome"]) == (status, code, "not-run")
+    assert b"Lavenderrun-Outcome: not-run" in head
+    assert b"X-Request-Id: " in head
+    if param is not None:
+        assert error["param"] == param
+        assert error["message"].startswith(param)
+    assert KEY.encode() not in answer
+    assert not caller.router.requests
+
+
+@pytest.mark.parametrize(
+    ("refused", "status"),
+    [
+        (refusal(Refusal.UNKNOWN_KEY), 401),
+        (refusal(Refusal.ROUTE_NOT_ALLOWED), 403),
+        (refusal(Refusal.UNKNOWN_MODEL), 404),
+        (refusal(Refusal.IDEMPOTENCY_CONFLICT), 409),
+        (refusal(Refusal.OVER_RATE), 429),
+        (refusal(Refusal.BACKEND_LOST, Outcome.UNKNOWN), 502),
+        (refusal(Refusal.NO_ROOM), 503),
+        (refusal(Refusal.DEADLINE), 504),
+    ],
+)
+def test_refusals_carry_status_outcome_and_retry_after(refused: Refused, status: int) -> None:
+    caller = Caller()
+    caller.router.act = lambda sink: sink.refuse(refused)
+    found, error, head = read_error(caller.send("POST", "/v1/completions", STREAMED, (AUTH,)))
+    assert (found, error["code"]) == (status, refused.refusal.value)
+    assert f"Lavenderrun-Outcome: {refused.outcome.value}".encode() in head
+    assert b"Retry-After: 2" in head
+    assert caller.front._running == 0
+
+
+def test_every_refusal_has_a_status() -> None:
+    for kind in Refusal:
+        caller = Caller()
+        caller.router.act = lambda sink, kind=kind: sink.refuse(refusal(kind))  # type: ignore[misc]
+        status, error, _ = read_error(caller.send("POST", "/v1/completions", COMPLETION, (AUTH,)))
+        assert status >= 400
+        assert error["message"]
+
+
+def test_declared_body_over_the_bound_is_refused_before_it_is_read() -> None:
+    caller = Caller(max_body=10, max_plain_body=10)
+    head = b"POST /v1/completions HTTP/1.1\r\nContent-Length: 25\r\nExpect: 100-continue\r\n\r\n"
+    status, error, raw = read_error(caller.send_raw(head))
+    assert (status, error["code"]) == (413, "too_large")
+    assert b"100 Continue" not in raw
+    caller.channel.dataReceived(b"x" * 25)
+    assert caller.transport.disconnecting
+
+
+def test_endless_chunked_body_is_refused_and_then_cut() -> None:
+    caller = Caller(max_body=10, max_plain_body=10)
+    caller.send_raw(b"POST /orders HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+    status, _, _ = read_error(caller.send_raw(b"14\r\n" + b"x" * 20 + b"\r\n"))
+    assert status == 413
+    caller.channel.dataReceived(b"14\r\n" + b"x" * 20 + b"\r\n")
+    caller.channel.dataReceived(b"14\r\n" + b"x" * 20 + b"\r\n")
+    assert caller.aborted
+
+
+def test_malformed_http_gets_a_json_answer() -> None:
+    caller = Caller()
+    status, error, _ = read_error(caller.send_raw(b"NONSENSE\r\n\r\n"))
+    assert (status, error["code"]) == (400, "bad_request")
+    assert caller.transport.disconnecting
+
+
+def test_fault_inside_answers_unknown_without_a_traceback() -> None:
+    caller = Caller()
+
+    def fail(sink: Any) -> None:
+        raise RuntimeError(KEY)
+
+    caller.router.act = fail
+    status, error, raw = read_error(caller.send("POST", "/v1/completions", COMPLETION, (AUTH,)))
+    assert (status, error["outcome"]) == (502, "unknown")
+    assert KEY.encode() not in raw
+    assert b"Traceback" not in raw
+    assert caller.front._running == 0
+
+
+def test_caller_that_leaves_cancels_its_ticket_once() -> None:
+    caller = Caller()
+    caller.send("POST", "/v1/completions", STREAMED, (AUTH,))
+    caller.router.sinks[0].put_tokens(["a"])
+    caller.channel.connectionLost(Failure(ConnectionLost()))
+    assert caller.router.tickets[0].cancelled == 1
+    caller.router.sinks[0].put_tokens(["late"])
+    caller.router.sinks[0].finish(FinishReason.STOP)
+    caller.router.sinks[0].refuse(refusal(Refusal.DEADLINE))
+    assert caller.front._running == 0
+
+
+def test_slow_reader_is_buffered_paced_and_dropped_over_the_bound() -> None:
+    caller = Caller(buffer=2000)
+    caller.send("POST", "/v1/completions", STREAMED, (AUTH,))
+    sink, ticket = caller.router.sinks[0], caller.router.tickets[0]
+    sink.put_tokens(["a"])
+    caller.transport.producer.pauseProducing()
+    size = len(caller.transport.value())
+    sink.put_tokens(["kept"])
+    assert len(caller.transport.value()) == size
+    caller.transport.producer.resumeProducing()
+    assert b"kept" in caller.transport.value()
+    caller.transport.producer.pauseProducing()
+    assert ticket.paces == [True, False, True]
+    for _ in range(20):
+        sink.put_tokens(["x" * 100])
+    assert caller.aborted
+    assert ticket.cancelled == 1
+
+
+def test_caller_that_takes_nothing_is_dropped_after_the_stall_time() -> None:
+    caller = Caller(stall=timedelta(seconds=5))
+    caller.send("POST", "/v1/completions", STREAMED, (AUTH,))
+    caller.router.sinks[0].put_tokens(["a"])
+    caller.transport.producer.pauseProducing()
+    caller.router.sinks[0].finish(FinishReason.STOP)
+    caller.reactor.advance(5)
+    assert caller.aborted
+
+
+def test_silent_connection_is_closed_after_the_idle_time_but_not_a_waiting_caller() -> None:
+    caller = Caller(idle=timedelta(seconds=5))
+    caller.send("POST", "/v1/completions", COMPLETION, (AUTH,))
+    caller.reactor.advance(60)
+    assert not caller.transport.disconnecting
+    caller.router.sinks[0].finish(FinishReason.STOP)
+    caller.reactor.advance(6)
+    assert caller.transport.disconnecting
+
+
+def test_half_a_request_is_closed_after_the_idle_time() -> None:
+    caller = Caller(idle=timedelta(seconds=5))
+    caller.send_raw(b"POST /v1/completions HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc")
+    caller.reactor.advance(6)
+    assert caller.transport.disconnecting
+
+
+def test_plain_call_passes_method_and_headers_but_neither_key_nor_hop_headers() -> None:
+    caller = Caller()
+    headers = (AUTH, "Connection: keep-alive, X-Hop", "X-Hop: 1", "X-Kept: 2", "TE: trailers")
+    caller.send("PATCH", "/orders/7?full=1", b"\x00\xff", headers)
+    request = caller.router.requests[0]
+    assert (request.method, request.path, request.body) == (
+        "PATCH",
+        "/orders/7?full=1",
+        b"\x00\xff",
+    )
+    assert {name.lower() for name, _ in request.headers} == {"host", "x-kept"}
+    assert request.key == KEY
+    assert KEY not in repr(request)
+    sink = caller.router.sinks[0]
+    sink.put_head(201, [("Content-Type", "text/plain"), ("Content-Length", "2")])
+    sink.put_body(b"ok")
+    sink.finish()
+    assert caller.transport.value().startswith(b"HTTP/1.1 201 Created\r\n")
+    assert caller.transport.value().endswith(b"\r\n\r\nok")
+
+
+def test_plain_reply_that_breaks_is_cut_and_not_ended() -> None:
+    caller = Caller()
+    caller.send("GET", "/orders/7", b"", (AUTH,))
+    sink = caller.router.sinks[0]
+    sink.put_head(200, [])
+    sink.put_body(b"half")
+    sink.refuse(refusal(Refusal.BACKEND_LOST, Outcome.UNKNOWN))
+    assert not caller.transport.value().endswith(b"0\r\n\r\n")
+    assert caller.transport.disconnecting
+
+
+def test_malformed_key_is_ignored_on_a_route_open_to_all_only() -> None:
+    route = {"name": "browse", "prefix": "/layouts", "service": "editor", "open": True}
+    document = Document.model_validate({"plain_routes": [route]})
+    caller = Caller(document=document)
+    caller.send("GET", "/layouts/3", b"", ("Authorization: Basic abc",))
+    assert caller.router.requests[0].key is None
+    caller.connect()
+    status, error, _ = read_error(caller.send("GET", "/other", b"", ("Authorization: Basic abc",)))
+    assert (status, error["code"]) == (401, "no_key")
+
+
+def test_stop_finishes_what_runs_and_closes_idle_connections() -> None:
+    caller = Caller()
+    idle = caller.transport
+    caller.connect()
+    caller.send("POST", "/v1/completions", COMPLETION, (AUTH,))
+    fired: list[Any] = []
+    caller.front.stop().addCallback(fired.append)
+    assert idle.disconnecting
+    assert not fired
+    caller.router.sinks[0].finish(FinishReason.STOP)
+    assert fired
+    assert b"text_completion" in caller.transport.value()
+    assert caller.transport.disconnecting
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=200))
+def test_any_body_is_served_or_refused_by_name(body: bytes) -> None:
+    caller = Caller()
+    for path in ("/v1/completions", "/v1/chat/completions"):
+        caller.connect()
+        answer = caller.send("POST", path, body, (AUTH,))
+        if answer:
+            assert read_error(answer)[0] == 400
+
+
+WORDS = st.text("ab", max_size=5)
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | WORDS,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(WORDS, inner),
+    max_leaves=8,
+)
+FIELDS = st.sampled_from(["model", "prompt", "messages", "max_tokens", "stream", "n", "role"])
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.dictionaries(FIELDS, JSON_VALUES))
+def test_any_json_object_is_served_or_refused_by_name(body: dict[str, Any]) -> None:
+    caller = Caller()
+    for path in ("/v1/completions", "/v1/chat/completions"):
+        caller.connect()
+        answer = caller.send("POST", path, json.dumps(body), (AUTH,))
+        if answer:
+            status, error, _ = read_error(answer)
+            assert (status, bool(error["param"])) == (400, True)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=60), st.binary(max_size=60))
+def test_any_header_value_is_served_or_answered(key: bytes, idempotency_key: bytes) -> None:
+    caller = Caller()
+    head = b"POST /v1/completions HTTP/1.1\r\nAuthorization: " + key
+    head += b"\r\nIdempotency-Key: " + idempotency_key
+    head += b"\r\nContent-Length: %d\r\n\r\n" % len(COMPLETION)
+    answer = caller.send_raw(head + COMPLETION.encode())
+    if not caller.router.requests and answer:
+        assert int(answer.split()[1]) in (400, 401)
