--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -1,8 +1,10 @@
-"""Services that join decisions to codecs on the one loop; each registers itself."""
+"""Kernel services that join decisions to codecs on the one loop."""
 
 from __future__ import annotations
 
 from lavenderrun.services._front import FrontService
+from lavenderrun.services._links import LinksService
 from lavenderrun.services._listener import Listener, ListenError
+from lavenderrun.services._transport_grpc import GrpcTransport
 
-__all__ = ["FrontService", "ListenError", "Listener"]
+__all__ = ["FrontService", "GrpcTransport", "LinksService", "ListenError", "Listener"]
