--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from lavenderrun.decisions._retries import RetryBudget
+from lavenderrun.decisions._routes import find_model_route, find_plain_route
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 
-__all__ = ["Assembly", "Progress", "RetryBudget", "count_tokens"]
+__all__ = [
+    "Assembly",
+    "Progress",
+    "RetryBudget",
+    "count_tokens",
+    "find_model_route",
+    "find_plain_route",
+]
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 from lavenderrun.services._decode_agent import DecodeAgent
+from lavenderrun.services._front import FrontService
 from lavenderrun.services._links import LinksService
+from lavenderrun.services._listener import ListenError, Listener
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._transport_grpc import GrpcTransport
 
-__all__ = ["DecodeAgent", "GrpcTransport", "LinksService", "ModelRouter", "PrefillAgent"]
+__all__ = [
+    "DecodeAgent",
+    "FrontService",
+    "GrpcTransport",
+    "LinksService",
+    "ListenError",
+    "Listener",
+    "ModelRouter",
+    "PrefillAgent",
+]
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -118,10 +118,12 @@
     AdmittedPlain,
     AnswerSink,
     ModelRequest,
+    PacedTicket,
     PlainRequest,
     ReplySink,
     Ticket,
 )
+from lavenderrun.types._settings import FrontSettings
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -192,6 +194,7 @@
     "Fingerprint",
     "FinishReason",
     "Frame",
+    "FrontSettings",
     "Happening",
     "Heartbeat",
     "Hello",
@@ -217,6 +220,7 @@
     "ModelRequest",
     "ModelRoute",
     "Outcome",
+    "PacedTicket",
     "Part",
     "Pipe",
     "PipeEvents",
