--- /dev/null
+++ b/src/lavenderrun/codecs/_document.py
@@ -0,0 +1,132 @@
+"""The document in TOML and JSON, its canonical bytes and its JSON Schema."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import re
+import tomllib
+from datetime import timedelta
+from enum import Enum
+from typing import Any, Final, NoReturn, TypeVar
+
+from pydantic import BaseModel, ValidationError
+from pydantic.json_schema import GenerateJsonSchema
+
+from lavenderrun.codecs._faults import Fault, Faults, faults_of, make_fault, refuse
+from lavenderrun.codecs._lines import Lines, locate_json, locate_toml
+from lavenderrun.codecs._references import check_references
+from lavenderrun.types import Document
+
+SIZE_MAX: Final = 4 << 20  # bytes
+T = TypeVar("T", bound=BaseModel)
+
+TOML_PLACE = re.compile(r" \(at line (\d+), column \d+\)$")
+
+
+class Form(Enum):
+    """How an operator's file is written."""
+
+    TOML = "toml"
+    JSON = "json"
+
+
+def read_document(text: str | bytes, form: Form) -> Document | Faults:
+    """Return the document in *text*, or every fault of it."""
+    parsed = parse(text, form)
+    if isinstance(parsed, Faults):
+        return parsed
+    data, lines = parsed
+    document = build(Document, data, lines)
+    faults = [make_fault(path, what, lines) for path, what in check_references(data)]
+    if isinstance(document, Faults):
+        faults.extend(document.faults)
+    if isinstance(document, Faults) or faults:
+        return refuse(faults)
+    return document
+
+
+def parse(text: str | bytes, form: Form) -> tuple[dict[str, Any], Lines] | Faults:
+    """Return the plain data and the lines of its fields, or the fault of syntax."""
+    if len(text) > SIZE_MAX:
+        return refuse([Fault("", 0, f"larger than {SIZE_MAX} bytes")])
+    try:
+        decoded = text if isinstance(text, str) else text.decode("utf-8")
+        data = _load(decoded, form)
+        lines = locate_toml(decoded) if form is Form.TOML else locate_json(decoded)
+    except RecursionError:
+        return refuse([Fault("", 0, "nested too deeply")])
+    except UnicodeDecodeError as error:
+        return refuse([Fault("", _line_at(error), "not valid UTF-8")])
+    except ValueError as error:
+        return refuse([_syntax_fault(error, text)])
+    if not isinstance(data, dict):
+        return refuse([Fault("", 1, "must be an object")])
+    if lines.repeated:
+        return refuse(make_fault(path, "field is given twice", lines) for path in lines.repeated)
+    return data, lines
+
+
+def build(kind: type[T], data: dict[str, Any], lines: Lines) -> T | Faults:
+    """Return *data* as a *kind*, or every fault of form."""
+    try:
+        return kind.model_validate(data)
+    except ValidationError as error:
+        return refuse(faults_of(error, lines))
+
+
+def encode_document(document: Document) -> bytes:
+    """Return the canonical JSON of *document*: equal documents give equal bytes."""
+    data = document.model_dump(mode="json")
+    return json.dumps(data, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode()
+
+
+def digest_document(encoded: bytes) -> str:
+    """Return the content digest of canonical bytes."""
+    return "sha256:" + hashlib.sha256(encoded).hexdigest()
+
+
+def make_schema() -> dict[str, Any]:
+    """Return the JSON Schema of the document for forms; durations are numbers of seconds."""
+    schema = Document.model_json_schema(schema_generator=_FormSchema)
+    schema["$schema"] = "https://json-schema.org/draft/2020-12/schema"
+    return schema
+
+
+class _FormSchema(GenerateJsonSchema):
+    def encode_default(self, dft: Any) -> Any:
+        if isinstance(dft, timedelta):
+            return dft.total_seconds()
+        return super().encode_default(dft)
+
+
+def _load(text: str, form: Form) -> Any:
+    if form is Form.TOML:
+        return tomllib.loads(text)
+    return json.loads(text, parse_constant=_refuse_constant)
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    msg = f"{name} is not a JSON number"
+    raise ValueError(msg)
+
+
+def _syntax_fault(error: ValueError, text: str | bytes) -> Fault:
+    if isinstance(error, json.JSONDecodeError):
+        return Fault("", error.lineno, f"not valid JSON: {error.msg}")
+    if not isinstance(error, tomllib.TOMLDecodeError):
+        return Fault("", 0, "holds a number that is out of range")
+    place = TOML_PLACE.search(str(error))
+    if place is None:
+        newline: Any = "\n" if isinstance(text, str) else b"\n"
+        return Fault("", text.count(newline) + 1, "not valid TOML: the text ends too soon")
+    return Fault("", int(place[1]), f"not valid TOML: {_hide_values(str(error)[: place.start()])}")
+
+
+def _hide_values(message: str) -> str:
+    """Drop quoted text, which may be part of a key."""
+    return re.sub(r"(['\"]).{2,}\1", "...", message)
+
+
+def _line_at(error: UnicodeDecodeError) -> int:
+    return error.object[: error.start].count(b"\n") + 1
--- a/src/lavenderrun/types/_document.py
+++ b/src/lavenderrun/types/_document.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import Annotated
+from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, WithJsonSchema
 
 from lavenderrun.types._ids import (
     AccountId,
@@ -24,13 +24,40 @@
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Positive = Annotated[float, Field(gt=0)]
-Duration = Annotated[timedelta, Field(gt=timedelta(0), le=timedelta(days=1))]
+DAY = timedelta(days=1)
+
+
+def _check_seconds(value: Any) -> Any:
+    if isinstance(value, timedelta) or (isinstance(value, int | float) and value is not True):
+        return value
+    msg = "must be a number of seconds"
+    raise ValueError(msg)
+
+
+Duration = Annotated[
+    timedelta,
+    BeforeValidator(_check_seconds),
+    Field(gt=timedelta(0), le=DAY),
+    WithJsonSchema(
+        {
+            "type": "number",
+            "exclusiveMinimum": 0,
+            "maximum": DAY.total_seconds(),
+            "unit": "seconds",
+        }
+    ),
+]
 
 
 class Part(BaseModel):
     """Base of the document's parts: frozen, unknown fields refused."""
 
-    model_config = ConfigDict(frozen=True, extra="forbid")
+    model_config = ConfigDict(
+        frozen=True,
+        extra="forbid",
+        allow_inf_nan=False,
+        ser_json_timedelta="float",
+    )
 
 
 class Rate(Part):
@@ -42,10 +69,10 @@
     :param token_burst: most tokens at once.
     """
 
-    requests_per_second: Positive
-    request_burst: Positive
-    tokens_per_second: Positive
-    token_burst: Positive
+    requests_per_second: Annotated[Positive, Field(json_schema_extra={"unit": "requests/second"})]
+    request_burst: Annotated[Positive, Field(json_schema_extra={"unit": "requests"})]
+    tokens_per_second: Annotated[Positive, Field(json_schema_extra={"unit": "tokens/second"})]
+    token_burst: Annotated[Positive, Field(json_schema_extra={"unit": "tokens"})]
 
 
 class Account(Part):
@@ -85,8 +112,8 @@
     patience: Duration = timedelta(seconds=30)
     repeatability: Repeatability = Repeatability.IDEMPOTENT
     accounts: list[AccountId] = []
-    max_prompt_tokens: Annotated[int, Field(gt=0)] = 65536
-    max_output_tokens: Annotated[int, Field(gt=0)] = 4096
+    max_prompt_tokens: Annotated[int, Field(gt=0, json_schema_extra={"unit": "tokens"})] = 65536
+    max_output_tokens: Annotated[int, Field(gt=0, json_schema_extra={"unit": "tokens"})] = 4096
 
 
 class PlainRoute(Part):
@@ -107,7 +134,7 @@
     repeatability: Repeatability = Repeatability.IDEMPOTENT
     accounts: list[AccountId] = []
     open: bool = False
-    max_body: Annotated[int, Field(gt=0)] = 1 << 20
+    max_body: Annotated[int, Field(gt=0, json_schema_extra={"unit": "bytes"})] = 1 << 20
 
 
 class Model(Part):
@@ -121,7 +148,7 @@
     name: Annotated[ModelName, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
     revision: str = "1"
     adapters: list[Name] = []
-    size: Annotated[int, Field(gt=0)] = 16 << 30
+    size: Annotated[int, Field(gt=0, json_schema_extra={"unit": "bytes"})] = 16 << 30
     prefill: Annotated[int, Field(ge=0)] = 1
     decode: Annotated[int, Field(ge=0)] = 1
 
@@ -151,7 +178,7 @@
 
     source: DataCentre
     target: DataCentre
-    bytes_per_second: Positive
+    bytes_per_second: Annotated[Positive, Field(json_schema_extra={"unit": "bytes/second"})]
 
 
 class Document(Part):
@@ -168,4 +195,4 @@
     backends: list[Backend] = []
     links: list[LinkRate] = []
     retry_share: Annotated[float, Field(ge=0, le=1)] = 0.1
-    weight_store_rate: Positive = 2e9
+    weight_store_rate: Annotated[Positive, Field(json_schema_extra={"unit": "bytes/second"})] = 2e9
