--- a/src/lavenderrun/standins/__init__.py
+++ b/src/lavenderrun/standins/__init__.py
@@ -2,6 +2,33 @@
 
 from __future__ import annotations
 
+from lavenderrun.standins._engine_cache import CacheChange, CacheEvent, hash_blocks
+from lavenderrun.standins._engine_model import EngineLoad, EngineModel, EngineSpeed
+from lavenderrun.standins._fabric import KV_BYTES_A_TOKEN, Fabric
 from lavenderrun.standins._memory_transport import MemoryNetwork, MemoryPipe, MemoryTransport
+from lavenderrun.standins._text import (
+    MEAN_TOKENS,
+    POISON_DECODE,
+    POISON_PREFILL,
+    count_tokens,
+    expected_tokens,
+)
 
-__all__ = ["MemoryNetwork", "MemoryPipe", "MemoryTransport"]
+__all__ = [
+    "KV_BYTES_A_TOKEN",
+    "MEAN_TOKENS",
+    "POISON_DECODE",
+    "POISON_PREFILL",
+    "CacheChange",
+    "CacheEvent",
+    "EngineLoad",
+    "EngineModel",
+    "EngineSpeed",
+    "Fabric",
+    "MemoryNetwork",
+    "MemoryPipe",
+    "MemoryTransport",
+    "count_tokens",
+    "expected_tokens",
+    "hash_blocks",
+]
