--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+from lavenderrun.decisions._admission import AdmissionIndex, digest_key
 from lavenderrun.decisions._retries import RetryBudget
 from lavenderrun.decisions._routes import find_model_route, find_plain_route
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 
 __all__ = [
+    "AdmissionIndex",
     "Assembly",
     "Progress",
     "RetryBudget",
     "count_tokens",
+    "digest_key",
     "find_model_route",
     "find_plain_route",
 ]
