--- /dev/null
+++ b/src/lavenderrun/codecs/_rows.py
@@ -0,0 +1,90 @@
+"""Versioned encoding of the table service's rows.
+
+A row is MessagePack of its encoding's version and its struct. Old versions stay registered with
+an upgrade, so that hosts of two releases can share a table.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+
+from lavenderrun.kernel import Registry
+
+R = TypeVar("R", bound=msgspec.Struct)
+
+
+class RowError(ValueError):
+    """A row that cannot be read.
+
+    :param field: path of the faulty field, ``$`` for the row as a whole.
+    """
+
+    def __init__(self, table: str, key: str, field: str, reason: str) -> None:
+        super().__init__(f"row {key!r} of table {table!r}, field {field}: {reason}")
+        self.table = table
+        self.key = key
+        self.field = field
+
+
+class RowKind(msgspec.Struct, frozen=True):
+    """One version of a table's encoding.
+
+    :param upgrade: turns its struct into the newest one's.
+    """
+
+    version: int
+    struct: type[msgspec.Struct]
+    upgrade: Callable[[Any], Any]
+
+
+ROWS: Registry[RowKind] = Registry("row encoding")
+
+
+def row(
+    table: str, version: int, upgrade: Callable[[Any], Any] = lambda value: value
+) -> Callable[[type[R]], type[R]]:
+    """Register a struct as the given version of a table's rows."""
+
+    def decorate(struct: type[R]) -> type[R]:
+        ROWS.register(f"{table}/{version}")(RowKind(version, struct, upgrade))
+        return struct
+
+    return decorate
+
+
+class RowCodec:
+    """Encodes the newest version of a table's rows and decodes all that are registered."""
+
+    def __init__(self, table: str) -> None:
+        self._table = table
+        kinds = [kind for name, kind in ROWS if name.rpartition("/")[0] == table]
+        self._kinds = {kind.version: kind for kind in kinds}
+        self._newest = max(self._kinds)
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def encode(self, value: msgspec.Struct) -> bytes:
+        """Return the bytes of a struct of the newest version."""
+        return self._encoder.encode((self._newest, value))
+
+    def decode(self, key: str, data: bytes) -> Any:
+        """Return the struct in *data*, upgraded to the newest version.
+
+        :raises RowError: names table, key and field.
+        """
+        try:
+            version, body = msgspec.msgpack.decode(data, type=tuple[int, msgspec.Raw])
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise RowError(self._table, key, "$", str(error)) from None
+        kind = self._kinds.get(version)
+        if kind is None:
+            known = ", ".join(map(str, sorted(self._kinds)))
+            reason = f"unknown version {version}; known: {known}"
+            raise RowError(self._table, key, "version", reason)
+        try:
+            return kind.upgrade(msgspec.msgpack.decode(body, type=kind.struct))
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            reason, _, path = str(error).partition(" - at ")
+            raise RowError(self._table, key, path.strip("`") or "$", reason) from None
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -3,6 +3,16 @@
 from __future__ import annotations
 
 from lavenderrun.services._links import LinksService
+from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
+from lavenderrun.services._store_http import HttpStore
 from lavenderrun.services._transport_grpc import GrpcTransport
 
-__all__ = ["GrpcTransport", "LinksService"]
+__all__ = [
+    "STORE_DIALECTS",
+    "GrpcTransport",
+    "HttpStore",
+    "LinksService",
+    "StoreClient",
+    "StoreCounters",
+    "StoreSettings",
+]
--- /dev/null
+++ b/src/lavenderrun/services/_store_http.py
@@ -0,0 +1,184 @@
+"""Store dialect ``http``: one HTTP call an attempt; see ``docs/design/store-protocol.md``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from lavenderrun.kernel import Kernel
+from lavenderrun.services._store import STORE_DIALECTS, StoreSettings
+from lavenderrun.types import (
+    StoreConflictError,
+    StoredRow,
+    StoreThrottledError,
+    StoreUnavailableError,
+)
+
+EXPECT_HEADER = "If-Match"
+DEFAULT_RETRY_AFTER = timedelta(seconds=1)
+THROTTLED = {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE}
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """A small request body; unlike the library's file producer it needs no global reactor."""
+
+    def __init__(self, body: bytes) -> None:
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        """Write the whole body."""
+        consumer.write(self._body)
+        done: Deferred[None] = Deferred()
+        done.callback(None)
+        return done
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Nothing is left to pause."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Nothing is left to resume."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Nothing is left to stop."""
+
+
+class BodyReader(Protocol):
+    """Collects a response's body."""
+
+    def __init__(self) -> None:
+        self.done: Deferred[bytes] = Deferred()
+        self._parts: list[bytes] = []
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take a part."""
+        self._parts.append(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Take the end; a body that was cut off fails."""
+        if self.done.called:
+            return
+        if isinstance(reason.value, ResponseDone):
+            self.done.callback(b"".join(self._parts))
+        else:
+            self.done.errback(reason)
+
+
+class HttpStore:
+    """One attempt a call over persistent connections; see ``Store``."""
+
+    def __init__(self, url: str, reactor: Any, *, connections: int, timeout: timedelta) -> None:
+        pool: Any = HTTPConnectionPool(reactor)  # type: ignore[no-untyped-call]
+        pool.maxPersistentPerHost = connections
+        # a repeat inside the pool would hide a write whose reply was lost
+        pool.retryAutomatically = False
+        seconds = timeout.total_seconds()
+        self._agent: Any = Agent(reactor, pool=pool, connectTimeout=seconds)  # type: ignore[no-untyped-call]
+        self._url = url.rstrip("/")
+
+    def get(self, table: str, key: str) -> Deferred[StoredRow | None]:
+        """Read one row; see ``Store``."""
+        return self._call("GET", _path(table, key), _decode_row)
+
+    def scan(self, table: str) -> Deferred[list[StoredRow]]:
+        """Read all rows; see ``Store``."""
+        return self._call("GET", _path(table), _decode_rows)
+
+    def put(self, table: str, key: str, value: bytes, *, expect: int) -> Deferred[StoredRow]:
+        """Write conditionally; see ``Store``."""
+        return self._call("PUT", _path(table, key), _decode_row, expect, value)
+
+    def delete(self, table: str, key: str, *, expect: int) -> Deferred[None]:
+        """Delete conditionally; see ``Store``."""
+        return self._call("DELETE", _path(table, key), lambda _: None, expect)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        decode: Callable[[bytes], Any],
+        expect: int | None = None,
+        value: bytes | None = None,
+    ) -> Deferred[Any]:
+        headers = Headers()
+        if expect is not None:
+            headers.addRawHeader(EXPECT_HEADER, str(expect))
+        body = None if value is None else BytesProducer(value)
+        url = (self._url + path).encode("ascii")
+        response: Deferred[Any] = self._agent.request(method.encode("ascii"), url, headers, body)
+        response.addCallback(_read, decode)
+        response.addErrback(_translate)
+        return response
+
+
+def _path(table: str, key: str | None = None) -> str:
+    rows = f"/tables/{quote(table, safe='')}/rows"
+    return rows if key is None else f"{rows}/{quote(key, safe='')}"
+
+
+def _read(response: Any, decode: Callable[[bytes], Any]) -> Deferred[Any]:
+    reader = BodyReader()
+    response.deliverBody(reader)
+    return reader.done.addCallback(_interpret, response, decode)
+
+
+def _interpret(body: bytes, response: Any, decode: Callable[[bytes], Any]) -> Any:
+    code: int = response.code
+    if code == HTTPStatus.OK:
+        return decode(body)
+    if code == HTTPStatus.NOT_FOUND:
+        return None
+    if code == HTTPStatus.PRECONDITION_FAILED:
+        raise StoreConflictError(_decode_row(body))
+    if code in THROTTLED:
+        raise StoreThrottledError(f"status {code}", retry_after=_retry_after(response))
+    msg = f"status {code}"
+    raise StoreUnavailableError(msg)
+
+
+def _retry_after(response: Any) -> timedelta:
+    values = response.headers.getRawHeaders("Retry-After") or [""]
+    try:
+        return timedelta(seconds=float(values[0]))
+    except ValueError:
+        return DEFAULT_RETRY_AFTER
+
+
+def _decode_row(body: bytes) -> StoredRow | None:
+    return msgspec.json.decode(body, type=StoredRow | None)
+
+
+def _decode_rows(body: bytes) -> list[StoredRow]:
+    return msgspec.json.decode(body, type=list[StoredRow])
+
+
+def _translate(failure: Failure) -> Failure:
+    if isinstance(failure.value, StoreConflictError | StoreUnavailableError):
+        return failure
+    raise StoreUnavailableError(type(failure.value).__name__)
+
+
+@STORE_DIALECTS.register("http")
+def make_http_store(_kernel: Kernel, settings: StoreSettings) -> HttpStore:
+    """Make the dialect on the running reactor."""
+    from twisted.internet import reactor
+
+    return HttpStore(
+        settings.url,
+        reactor,
+        connections=settings.in_flight,
+        timeout=settings.attempt_timeout,
+    )
