--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -19,11 +19,13 @@
     read_document,
 )
 from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
 from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._wire import WireCodec, WireError
 
 __all__ = [
     "DONE_EVENT",
+    "ROWS",
     "AnswerCodec",
     "ApiError",
     "ApiForm",
@@ -31,6 +33,8 @@
     "Faults",
     "Form",
     "ModelCall",
+    "RowCodec",
+    "RowError",
     "WireCodec",
     "WireError",
     "digest_document",
@@ -46,5 +50,6 @@
     "parse_idempotency_key",
     "parse_key",
     "read_document",
+    "row",
     "strip_headers",
 ]
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -8,15 +8,22 @@
 from lavenderrun.services._listener import ListenError, Listener
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
+from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
+from lavenderrun.services._store_http import HttpStore
 from lavenderrun.services._transport_grpc import GrpcTransport
 
 __all__ = [
+    "STORE_DIALECTS",
     "DecodeAgent",
     "FrontService",
     "GrpcTransport",
+    "HttpStore",
     "LinksService",
     "ListenError",
     "Listener",
     "ModelRouter",
     "PrefillAgent",
+    "StoreClient",
+    "StoreCounters",
+    "StoreSettings",
 ]
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -101,17 +101,13 @@
     Running,
     Store,
     StoreConflictError,
-    StoredRow,
+    StoreThrottledError,
     StoreUnavailableError,
+    StoredRow,
     TokenSink,
     Transport,
 )
-from lavenderrun.types._refusals import (
-    BackendCrashError,
-    Refusal,
-    Refused,
-    StepError,
-)
+from lavenderrun.types._refusals import BackendCrashError, Refusal, Refused, StepError
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
@@ -264,6 +260,7 @@
     "StepError",
     "Store",
     "StoreConflictError",
+    "StoreThrottledError",
     "StoreUnavailableError",
     "StoredRow",
     "Targets",
