--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -16,6 +16,7 @@
 )
 from lavenderrun.types._events import (
     EVENTS,
+    AttemptHappening,
     BackendCrashed,
     BackendEnded,
     BackendRun,
@@ -33,6 +34,7 @@
     RequestAccepted,
     RequestCancelled,
     RequestFinished,
+    RequestHappening,
     RequestRefused,
     Routed,
     SeatFreed,
@@ -157,6 +159,7 @@
     "AdmittedPlain",
     "AnswerSink",
     "AttemptFailed",
+    "AttemptHappening",
     "AttemptId",
     "Backend",
     "BackendCrashError",
@@ -241,6 +244,7 @@
     "RequestAccepted",
     "RequestCancelled",
     "RequestFinished",
+    "RequestHappening",
     "RequestId",
     "RequestRefused",
     "Reserve",
--- a/src/lavenderrun/types/_events.py
+++ b/src/lavenderrun/types/_events.py
@@ -48,6 +48,19 @@
     what: Happening
 
 
+class RequestHappening(Happening, frozen=True):
+    """Base of what happens to a request."""
+
+    request: RequestId
+
+
+class AttemptHappening(RequestHappening, frozen=True):
+    """Base of what happens to an attempt at a backend server."""
+
+    attempt: AttemptId
+    backend: BackendId
+
+
 def event(name: str) -> Callable[[H], H]:
     """Register a kind of event under the name that its log line carries."""
 
@@ -59,13 +72,12 @@
 
 
 @event("request_accepted")
-class RequestAccepted(Happening, tag="request_accepted", frozen=True):
+class RequestAccepted(RequestHappening, tag="request_accepted", frozen=True):
     """Admission let a request in.
 
     :param tokens: charged to the account: prompt and allowed output.
     """
 
-    request: RequestId
     account: AccountId | None
     route: RouteName
     tokens: int = 0
@@ -73,104 +85,77 @@
 
 
 @event("request_finished")
-class RequestFinished(Happening, tag="request_finished", frozen=True):
+class RequestFinished(RequestHappening, tag="request_finished", frozen=True):
     """The whole answer was handed to the front end."""
 
-    request: RequestId
     tokens: int = 0
 
 
 @event("request_refused")
-class RequestRefused(Happening, tag="request_refused", frozen=True):
+class RequestRefused(RequestHappening, tag="request_refused", frozen=True):
     """A refusal was handed to the front end."""
 
-    request: RequestId
     refused: Refused
 
 
 @event("request_cancelled")
-class RequestCancelled(Happening, tag="request_cancelled", frozen=True):
+class RequestCancelled(RequestHappening, tag="request_cancelled", frozen=True):
     """The caller is gone."""
 
-    request: RequestId
-
 
 @event("seat_taken")
-class SeatTaken(Happening, tag="seat_taken", frozen=True):
+class SeatTaken(AttemptHappening, tag="seat_taken", frozen=True):
     """An agent promised a seat."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
-
 
 @event("seat_freed")
-class SeatFreed(Happening, tag="seat_freed", frozen=True):
+class SeatFreed(AttemptHappening, tag="seat_freed", frozen=True):
     """An agent took a promised seat back."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
-
 
 @event("prefill_started")
-class PrefillStarted(Happening, tag="prefill_started", frozen=True):
+class PrefillStarted(AttemptHappening, tag="prefill_started", frozen=True):
     """An agent gave a prefill to its engine."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
     tokens: int
 
 
 @event("prefill_done")
-class PrefillDone(Happening, tag="prefill_done", frozen=True):
+class PrefillDone(AttemptHappening, tag="prefill_done", frozen=True):
     """An engine exported KV cache."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
     tokens: int
     cached: int
 
 
 @event("prefill_used")
-class PrefillUsed(Happening, tag="prefill_used", frozen=True):
+class PrefillUsed(RequestHappening, tag="prefill_used", frozen=True):
     """A decode engine imported an export."""
 
-    request: RequestId
     attempt: AttemptId
     tokens: int
 
 
 @event("prefill_wasted")
-class PrefillWasted(Happening, tag="prefill_wasted", frozen=True):
+class PrefillWasted(RequestHappening, tag="prefill_wasted", frozen=True):
     """The result of a prefill was not used."""
 
-    request: RequestId
     attempt: AttemptId
     tokens: int
 
 
 @event("backend_run")
-class BackendRun(Happening, tag="backend_run", frozen=True):
+class BackendRun(AttemptHappening, tag="backend_run", frozen=True):
     """An agent is about to hand work to its backend server."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
     account: AccountId | None
     repeatability: Repeatability = Repeatability.IDEMPOTENT
 
 
 @event("backend_ended")
-class BackendEnded(Happening, tag="backend_ended", frozen=True):
+class BackendEnded(AttemptHappening, tag="backend_ended", frozen=True):
     """A backend server is done with the work."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
-
 
 @event("backend_crashed")
 class BackendCrashed(Happening, tag="backend_crashed", frozen=True):
@@ -181,22 +166,14 @@
 
 
 @event("export_held")
-class ExportHeld(Happening, tag="export_held", frozen=True):
+class ExportHeld(AttemptHappening, tag="export_held", frozen=True):
     """An engine holds an export for a request."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
-
 
 @event("export_freed")
-class ExportFreed(Happening, tag="export_freed", frozen=True):
+class ExportFreed(AttemptHappening, tag="export_freed", frozen=True):
     """The export is used, released or over its life."""
 
-    request: RequestId
-    attempt: AttemptId
-    backend: BackendId
-
 
 @event("tokens_granted")
 class TokensGranted(Happening, tag="tokens_granted", frozen=True):
@@ -229,13 +206,12 @@
 
 
 @event("routed")
-class Routed(Happening, tag="routed", frozen=True):
+class Routed(RequestHappening, tag="routed", frozen=True):
     """A host was chosen for a request.
 
     :param chosen: the host; *rejected* are the others that were weighed.
     """
 
-    request: RequestId
     chosen: HostId
     rejected: list[HostId]
     reason: str = ""
--- a/src/lavenderrun/types/_witness.py
+++ b/src/lavenderrun/types/_witness.py
@@ -6,28 +6,26 @@
 from __future__ import annotations
 
 from lavenderrun.types._document import Document
-from lavenderrun.types._events import Happening, event
+from lavenderrun.types._events import Happening, RequestHappening, event
 from lavenderrun.types._ids import (
     AccountId,
     BackendId,
     DocumentVersion,
     IdempotencyKey,
     KeyDigest,
-    RequestId,
 )
 from lavenderrun.types._refusals import Refused
 from lavenderrun.types._states import Repeatability
 
 
 @event("caller_sent")
-class CallerSent(Happening, tag="caller_sent", frozen=True):
+class CallerSent(RequestHappening, tag="caller_sent", frozen=True):
     """A caller sent a request.
 
     :param owner: the account whose key came with it, ``None`` without one.
     :param expected: digest of the whole answer, empty when none is foreseen.
     """
 
-    request: RequestId
     owner: AccountId | None
     expected: str = ""
     key_digest: KeyDigest | None = None
@@ -36,39 +34,34 @@
 
 
 @event("caller_finished")
-class CallerFinished(Happening, tag="caller_finished", frozen=True):
+class CallerFinished(RequestHappening, tag="caller_finished", frozen=True):
     """A caller saw the end of an answer.
 
     :param digest: of all that the caller received.
     """
 
-    request: RequestId
     digest: str = ""
 
 
 @event("caller_refused")
-class CallerRefused(Happening, tag="caller_refused", frozen=True):
+class CallerRefused(RequestHappening, tag="caller_refused", frozen=True):
     """A caller saw a refusal."""
 
-    request: RequestId
     refused: Refused
 
 
 @event("caller_gone")
-class CallerGone(Happening, tag="caller_gone", frozen=True):
+class CallerGone(RequestHappening, tag="caller_gone", frozen=True):
     """A caller hung up, or its entry host died."""
 
-    request: RequestId
-
 
 @event("backend_received")
-class BackendReceived(Happening, tag="backend_received", frozen=True):
+class BackendReceived(RequestHappening, tag="backend_received", frozen=True):
     """A backend server received work.
 
     :param saw_key: a caller's key was part of what it received.
     """
 
-    request: RequestId
     backend: BackendId
     repeatability: Repeatability = Repeatability.IDEMPOTENT
     saw_key: bool = False
--- /dev/null
+++ b/tests/decisions/test_invariants.py
@@ -0,0 +1,235 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from lavenderrun.decisions import INVARIANT_CHECKS, check_record
+from lavenderrun.types import (
+    Account,
+    AccountId,
+    AttemptId,
+    BackendEnded,
+    BackendId,
+    BackendReceived,
+    BackendRun,
+    CallerFinished,
+    CallerGone,
+    CallerRefused,
+    CallerSent,
+    Document,
+    DocumentAccepted,
+    DocumentInForce,
+    DocumentVersion,
+    Event,
+    Happening,
+    HostId,
+    HostLeaving,
+    HostLost,
+    HostStarted,
+    HostStopped,
+    IdempotencyKey,
+    Invariant,
+    KeyDigest,
+    MemoryHeld,
+    Outcome,
+    Rate,
+    Refusal,
+    Refused,
+    Repeatability,
+    RequestAccepted,
+    RequestFinished,
+    RequestId,
+    RouteName,
+    SeatFreed,
+    SeatTaken,
+    Step,
+    TokensGranted,
+    TokensReturned,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+OWNER, OTHER = AccountId("plant"), AccountId("mine")
+R, S = RequestId("r"), RequestId("s")
+ONE, B = AttemptId(1), BackendId("b")
+KEY = KeyDigest("sha256:" + "0" * 64)
+RATE = Rate(requests_per_second=1, request_burst=2, tokens_per_second=100, token_burst=1000)
+ONCE = Repeatability.AT_MOST_ONCE
+TRUCK = IdempotencyKey("truck-7")
+
+
+def refuse(outcome: Outcome, refusal: Refusal = Refusal.BACKEND_LOST) -> Refused:
+    return Refused(refusal, outcome, Step.DECODE)
+
+
+def accept(version: int, *keys: KeyDigest, rate: Rate = RATE) -> DocumentAccepted:
+    document = Document(accounts=[Account(id=OWNER, rate=rate, keys=list(keys))])
+    return DocumentAccepted(DocumentVersion(version), document)
+
+
+def tell(*story: tuple[float, str, Happening]) -> list[Event]:
+    return [Event(START + timedelta(seconds=at), HostId(host), what) for at, host, what in story]
+
+
+WHOLE = tell(
+    (0, "store", accept(1, KEY)),
+    (0, "e", HostStarted()),
+    (0.1, "e", DocumentInForce(DocumentVersion(1))),
+    (1, "caller", CallerSent(R, OWNER, "abc", KEY)),
+    (1, "e", RequestAccepted(R, OWNER, RouteName("x"), 500, KEY)),
+    (1, "e", TokensGranted(OWNER, 1, 500)),
+    (1, "d", SeatTaken(R, ONE, B)),
+    (1, "d", BackendRun(R, ONE, B, OWNER)),
+    (1, "d", BackendReceived(R, B)),
+    (4, "d", BackendEnded(R, ONE, B)),
+    (4, "d", SeatFreed(R, ONE, B)),
+    (4, "e", RequestFinished(R)),
+    (4, "e", TokensReturned(OWNER, 0, 100)),
+    (4, "caller", CallerFinished(R, "abc")),
+    (5, "d", HostLeaving()),
+    (9, "d", HostStopped()),
+    (20, "d", MemoryHeld("b", 0)),
+)
+
+BROKEN: list[tuple[Invariant, list[Event]]] = [
+    (Invariant.NO_MEMORY_HELD, tell((0, "d", MemoryHeld("b", 3)))),
+    (
+        Invariant.NO_MEMORY_HELD,
+        tell(
+            (0, "d", SeatTaken(R, ONE, B)),
+            (1, "e", RequestFinished(R)),
+            (9, "d", SeatFreed(R, ONE, B)),
+        ),
+    ),
+    (
+        Invariant.NO_MEMORY_HELD,
+        tell(
+            (0, "e", RequestAccepted(R, OWNER, RouteName("x"))),
+            (0, "d", BackendRun(R, ONE, B, OWNER)),
+            (1, "e", HostLost()),
+            (9, "d", MemoryHeld("b", 0)),
+        ),
+    ),
+    (
+        Invariant.ANSWERED_ONCE,
+        tell((0, "c", CallerFinished(R)), (1, "c", CallerRefused(R, refuse(Outcome.UNKNOWN)))),
+    ),
+    (Invariant.ANSWERED_ONCE, tell((0, "e", RequestFinished(R)), (1, "f", RequestFinished(R)))),
+    (
+        Invariant.KEY_BOUND,
+        tell(
+            (0, "c", CallerSent(R, OWNER)),
+            (0, "d", BackendRun(R, ONE, B, OTHER)),
+            (0, "d", BackendEnded(R, ONE, B)),
+            (0, "c", CallerGone(R)),
+        ),
+    ),
+    (Invariant.KEY_BOUND, tell((0, "d", BackendReceived(R, B, saw_key=True)))),
+    (
+        Invariant.KEY_BOUND,
+        tell(
+            (0, "store", accept(1, KEY)),
+            (1, "store", accept(2)),
+            (2, "c", CallerSent(R, OWNER, key_digest=KEY)),
+            (6.5, "d", BackendReceived(R, B)),
+            (7, "c", CallerGone(R)),
+        ),
+    ),
+    (
+        Invariant.RATE_KEPT,
+        tell(
+            (0, "store", accept(1)),
+            (0, "e", TokensGranted(OWNER, 1, 600)),
+            (1, "f", TokensGranted(OWNER, 1, 600)),
+        ),
+    ),
+    (
+        Invariant.RATE_KEPT,
+        tell((0, "store", accept(1)), *((0.1, "e", TokensGranted(OWNER, 1, 1)) for _ in range(3))),
+    ),
+    (Invariant.WHOLE_ANSWER, tell((0, "c", CallerSent(R, OWNER, "abc")))),
+    (
+        Invariant.WHOLE_ANSWER,
+        tell((0, "c", CallerSent(R, OWNER, "abc")), (1, "c", CallerFinished(R, "abcabc"))),
+    ),
+    (
+        Invariant.NOT_RUN_TRUE,
+        tell(
+            (0, "c", CallerRefused(R, refuse(Outcome.NOT_RUN))),
+            (1, "d", BackendReceived(R, B)),
+        ),
+    ),
+    (
+        Invariant.AT_MOST_ONCE,
+        tell(
+            (0, "c", CallerSent(R, OWNER, repeatability=ONCE, idempotency_key=TRUCK)),
+            (0, "c", CallerSent(S, OWNER, repeatability=ONCE, idempotency_key=TRUCK)),
+            (1, "d", BackendReceived(R, B)),
+            (2, "f", BackendReceived(S, B)),
+            (3, "c", CallerGone(R)),
+            (3, "c", CallerGone(S)),
+        ),
+    ),
+    (
+        Invariant.AT_MOST_ONCE,
+        tell((1, "d", BackendReceived(R, B, ONCE)), (2, "d", BackendReceived(R, B, ONCE))),
+    ),
+    (
+        Invariant.LEAVING_NO_WORK,
+        tell((0, "d", HostLeaving()), (4, "d", BackendReceived(R, B)), (5, "d", HostStopped())),
+    ),
+    (
+        Invariant.STOP_CUTS_NONE,
+        tell(
+            (0, "e", RequestAccepted(R, OWNER, RouteName("x"))),
+            (1, "e", HostLeaving()),
+            (2, "c", CallerRefused(R, refuse(Outcome.UNKNOWN))),
+            (3, "e", HostStopped()),
+        ),
+    ),
+    (
+        Invariant.DOCUMENT_MONOTONE,
+        tell(
+            (0, "e", DocumentInForce(DocumentVersion(2))),
+            (1, "e", DocumentInForce(DocumentVersion(1))),
+        ),
+    ),
+    (
+        Invariant.DOCUMENT_MONOTONE,
+        tell((0, "e", HostStarted()), (1, "store", accept(1)), (9, "e", MemoryHeld("e", 0))),
+    ),
+]
+
+
+def test_every_invariant_has_a_check_and_a_broken_record() -> None:
+    names = sorted(invariant.value for invariant in Invariant)
+    assert INVARIANT_CHECKS.names() == names
+    assert sorted({invariant.value for invariant, _ in BROKEN}) == names
+
+
+def test_sound_record_passes() -> None:
+    assert check_record(WHOLE) == []
+
+
+@pytest.mark.parametrize(("invariant", "record"), BROKEN, ids=lambda part: str(part)[:30])
+def test_broken_record_fails_its_check_alone(invariant: Invariant, record: list[Event]) -> None:
+    assert {violation.invariant for violation in check_record(record)} == {invariant}
+
+
+def test_lost_host_frees_what_it_held() -> None:
+    record = tell(
+        (0, "d", SeatTaken(R, ONE, B)), (1, "d", HostLost()), (2, "e", RequestFinished(R))
+    )
+    assert check_record(record) == []
+
+
+def test_rate_change_leaves_time_for_the_old_rate() -> None:
+    small = RATE.model_copy(update={"token_burst": 10.0, "tokens_per_second": 1.0})
+    soon = tell(
+        (0, "s", accept(1)), (1, "s", accept(2, rate=small)), (2, "e", TokensGranted(OWNER, 1, 900))
+    )
+    late = tell(
+        (0, "s", accept(1)), (1, "s", accept(2, rate=small)), (7, "e", TokensGranted(OWNER, 1, 900))
+    )
+    assert check_record(soon) == []
+    assert [v.invariant for v in check_record(late)] == [Invariant.RATE_KEPT]
