--- a/src/lavenderrun/standins/__init__.py
+++ b/src/lavenderrun/standins/__init__.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from lavenderrun.standins._engine_cache import CacheChange, CacheEvent, hash_blocks
-from lavenderrun.standins._engine_model import EngineLoad, EngineModel, EngineSpeed
+from lavenderrun.standins._engine_model import EngineModel
+from lavenderrun.standins._engine_speed import EngineLoad, EngineSpeed
 from lavenderrun.standins._fabric import KV_BYTES_A_TOKEN, Fabric
 from lavenderrun.standins._memory_transport import MemoryNetwork, MemoryPipe, MemoryTransport
 from lavenderrun.standins._text import (
--- a/src/lavenderrun/standins/_engine_model.py
+++ b/src/lavenderrun/standins/_engine_model.py
@@ -21,8 +21,9 @@
     hash_blocks,
 )
 from lavenderrun.standins._engine_decode import DecodeBatch, Decoding
+from lavenderrun.standins._engine_speed import EngineLoad, EngineSpeed
 from lavenderrun.standins._fabric import Cache, Fabric
-from lavenderrun.standins._text import MEAN_TOKENS, POISON_PREFILL, count_tokens
+from lavenderrun.standins._text import POISON_PREFILL, count_tokens
 from lavenderrun.types import (
     BackendCrashError,
     DataCentre,
@@ -36,51 +37,6 @@
 )
 
 
-@dataclass(frozen=True)
-class EngineSpeed:
-    """Costs and limits of an engine.
-
-    :param step: time of a decode step with an empty batch.
-    :param step_a_seat: what each running request adds to a step.
-    :param prefill: fixed part of a prefill.
-    :param prefill_a_token: what each token that is not cached adds.
-    :param burst: decode steps that one event of the clock stands for.
-    :param export_life: how long an export is kept.
-    :param load_lag: age of the load that the engine reports.
-    :param restart: time from a crash until calls are taken again.
-    """
-
-    seats: int = 20
-    pieces: int = 640
-    cached_pieces: int = 256
-    step: timedelta = timedelta(milliseconds=12)
-    step_a_seat: timedelta = timedelta(microseconds=400)
-    prefill: timedelta = timedelta(milliseconds=8)
-    prefill_a_token: timedelta = timedelta(microseconds=50)
-    burst: int = 4
-    mean_tokens: int = MEAN_TOKENS
-    export_life: timedelta = timedelta(milliseconds=800)
-    load_lag: timedelta = timedelta(milliseconds=300)
-    restart: timedelta = timedelta(seconds=3)
-
-    def time_step(self, running: int) -> timedelta:
-        """Return the time of a decode step with *running* requests."""
-        return self.step + running * self.step_a_seat
-
-    def time_prefill(self, tokens: int) -> timedelta:
-        """Return the time of a prefill of *tokens* that are not cached."""
-        return self.prefill + tokens * self.prefill_a_token
-
-
-@dataclass(frozen=True)
-class EngineLoad:
-    """What an engine reports of itself, late."""
-
-    running: int
-    queued: int
-    pieces_free: int
-
-
 @dataclass
 class _Prefilling:
     request: RequestId
@@ -89,6 +45,7 @@
     priority: int
     order: int
     done: Deferred[Export] = field(repr=False)
+    began: datetime
     cached: int = 0
 
 
@@ -97,6 +54,9 @@
 
     :param address: names it to other engines.
     :param chance: seeded source for its lost cache events.
+    :ivar prefilled: tokens that prefills have computed.
+    :ivar wasted: those of them whose result no engine imported.
+    :ivar generated: tokens that decodes have generated.
     """
 
     def __init__(
@@ -114,6 +74,7 @@
         self.data_centre = data_centre
         self.crashes = 0
         self.prefilled = 0
+        self.wasted = 0
         self.generated = 0
         self._clock = clock
         self._fabric = fabric
@@ -137,7 +98,15 @@
         if self.is_down:
             done.errback(self.crash_error(Step.PREFILL))
             return done
-        work = _Prefilling(request, text, count_tokens(text), priority, next(self._numbers), done)
+        work = _Prefilling(
+            request,
+            text,
+            count_tokens(text),
+            priority,
+            next(self._numbers),
+            done,
+            self._clock.now(),
+        )
         bisect.insort(self._waiting, work, key=lambda each: (each.priority, each.order))
         self.note_load()
         self._begin_prefill()
@@ -177,9 +146,12 @@
         """Return an export's contents, ``None`` when it is freed."""
         return self._exports.get(handle)
 
-    def end_export(self, handle: ExportHandle) -> None:
+    def end_export(self, handle: ExportHandle, *, used: bool = False) -> None:
         """Free an export."""
-        if self._exports.pop(handle, None) is not None:
+        cache = self._exports.pop(handle, None)
+        if cache is not None:
+            if not used:
+                self.wasted += cache.computed
             self.note_load()
             self._begin_prefill()
 
@@ -217,10 +189,12 @@
         self._life += 1
         self._down_until = self._clock.now() + self.speed.restart
         self._cache.clear()
+        self.wasted += sum(cache.computed for cache in self._exports.values())
         self._exports.clear()
         error = self.crash_error(Step.PREFILL)
         lost = self._waiting + ([self._active] if self._active is not None else [])
-        self._waiting, self._active = [], None
+        self._waiting = []
+        self._waste_active()
         self._batch.crash()
         self.note_load()
         for work in lost:
@@ -264,6 +238,7 @@
         if count_pieces(self._waiting[0].tokens) > self.speed.pieces - self.held():
             return
         work = self._active = self._waiting.pop(0)
+        work.began = self._clock.now()
         blocks = hash_blocks(work.text)
         work.cached = min(self._cache.find_prefix(blocks) * PIECE_TOKENS, work.tokens)
         self.call_later(
@@ -280,7 +255,9 @@
         self.prefilled += work.tokens - work.cached
         self._cache.store(blocks)
         handle = ExportHandle(f"{self.address}#{self._life}.{work.order}")
-        self._exports[handle] = Cache(work.request, work.text, work.tokens)
+        self._exports[handle] = Cache(
+            work.request, work.text, work.tokens, work.tokens - work.cached
+        )
         self.call_later(self.speed.export_life, self.end_export, handle)
         self.note_load()
         self._begin_prefill()
@@ -291,10 +268,18 @@
     def _cancel_prefill(self, done: Deferred[Export]) -> None:
         self._waiting = [work for work in self._waiting if work.done is not done]
         if self._active is not None and self._active.done is done:
-            self._active = None
+            self._waste_active()
         self.note_load()
         self._begin_prefill()
 
+    def _waste_active(self) -> None:
+        work, self._active = self._active, None
+        if work is not None:
+            spent = (self._clock.now() - work.began) / self.speed.prefill_a_token
+            computed = min(int(spent), work.tokens - work.cached)
+            self.prefilled += computed
+            self.wasted += computed
+
 
 def count_pieces(tokens: int) -> int:
     """Return the pieces of KV cache that *tokens* take."""
--- a/src/lavenderrun/standins/_fabric.py
+++ b/src/lavenderrun/standins/_fabric.py
@@ -18,11 +18,15 @@
 
 @dataclass(frozen=True)
 class Cache:
-    """Contents of an export: the text whose KV cache it is."""
+    """Contents of an export: the text whose KV cache it is.
+
+    :param computed: tokens that its prefill did not find cached.
+    """
 
     request: RequestId
     text: str
     tokens: int
+    computed: int
 
 
 class ExportSource(Protocol):
@@ -34,8 +38,8 @@
     def read_export(self, handle: ExportHandle) -> Cache | None:
         """Return the export, ``None`` when it is freed."""
 
-    def end_export(self, handle: ExportHandle) -> None:
-        """Free the export after its transfer."""
+    def end_export(self, handle: ExportHandle, *, used: bool = False) -> None:
+        """Free the export, *used* after its transfer."""
 
 
 class _Lane:
@@ -134,7 +138,7 @@
             )
         else:
             self.bytes_moved += size
-            engine.end_export(handle)
+            engine.end_export(handle, used=True)
             transfer.end(cache)
 
     def _lane(self, source: DataCentre, target: DataCentre) -> _Lane:
--- a/src/lavenderrun/standins/_memory_transport.py
+++ b/src/lavenderrun/standins/_memory_transport.py
@@ -38,6 +38,11 @@
         if not self.silent and self.other is not None:
             self._network.later(self, self.other.end, "closed by peer")
 
+    def greet(self, accept: Callable[[Pipe], PipeEvents]) -> None:
+        """Let the listener accept this end."""
+        if not self._closed:
+            self.events = accept(self)
+
     def take(self, data: bytes) -> None:
         """Take a delivered batch."""
         if not self._closed and self.events is not None:
