--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -4,16 +4,18 @@
 
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
-from lavenderrun.decisions._invariants import (
-    INVARIANT_CHECKS,
-    RecordIndex,
-    Violation,
-    check_record,
-)
+from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
+from lavenderrun.decisions._retries import RetryBudget
+from lavenderrun.decisions._stream import Assembly, Progress
+from lavenderrun.decisions._tokens import count_tokens
 
 __all__ = [
     "INVARIANT_CHECKS",
+    "Assembly",
+    "Progress",
     "RecordIndex",
+    "RetryBudget",
     "Violation",
     "check_record",
+    "count_tokens",
 ]
