--- /dev/null
+++ b/src/lavenderrun/codecs/_engine.py
@@ -0,0 +1,161 @@
+"""Bodies and events of the engine protocol; see ``docs/design/engine-protocol.md``."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TypeVar
+
+import msgspec
+
+from lavenderrun.types import ExportHandle, FencingNumber, FinishReason, ModelName, RequestId
+
+EVENT_END = b"\n\n"
+EVENT_START = b"data: "
+MAX_EVENT_BYTES = 1 << 20
+
+T = TypeVar("T")
+
+
+class EngineProtocolError(ValueError):
+    """Bytes that do not fit the engine protocol."""
+
+
+class OrderKind(Enum):
+    """What an engine can be ordered to do."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    CHANGE_ROLE = "change_role"
+
+
+class PrefillCall(msgspec.Struct, frozen=True):
+    """Body of ``POST /prefill``; a smaller priority goes first."""
+
+    request: RequestId
+    model: ModelName
+    text: str
+    priority: int = 0
+
+
+class ExportReply(msgspec.Struct, frozen=True):
+    """Reply to ``POST /prefill``.
+
+    :param lives: seconds that the export is kept.
+    """
+
+    handle: ExportHandle
+    source: str
+    tokens: int
+    cached: int
+    lives: float
+
+
+class DecodeCall(msgspec.Struct, frozen=True):
+    """Body of ``POST /decode``."""
+
+    request: RequestId
+    model: ModelName
+    handle: ExportHandle
+    source: str
+    max_tokens: int
+
+
+class DecodeEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event of a decode's stream.
+
+    :param offset: position of the first token.
+    :param fault: why the decode ended without a finish, empty otherwise.
+    """
+
+    offset: int = 0
+    tokens: list[str] = []
+    finish: FinishReason | None = None
+    fault: str = ""
+
+
+class CancelCall(msgspec.Struct, frozen=True):
+    """Body of ``POST /cancel``."""
+
+    request: RequestId
+
+
+class ReleaseCall(msgspec.Struct, frozen=True):
+    """Body of ``POST /release``."""
+
+    handle: ExportHandle
+
+
+class LoadReply(msgspec.Struct, frozen=True):
+    """Reply to ``GET /load``; it lags."""
+
+    running: int
+    queued: int
+    pieces_free: int
+
+
+class OrderCall(msgspec.Struct, frozen=True):
+    """Body of ``POST /orders``.
+
+    :param fencing: engines that check it refuse a number below the highest seen.
+    """
+
+    kind: OrderKind
+    fencing: FencingNumber
+    model: ModelName
+    adapter: str = ""
+    role: str = ""
+
+
+class FaultReply(msgspec.Struct, frozen=True):
+    """Body of every reply that is no success."""
+
+    fault: str
+
+
+def encode_body(body: msgspec.Struct) -> bytes:
+    """Return a body as JSON."""
+    return msgspec.json.encode(body)
+
+
+def decode_body(data: bytes, kind: type[T]) -> T:
+    """Return the body in *data*.
+
+    :raises EngineProtocolError: when it is no *kind*.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise EngineProtocolError(str(error)) from None
+
+
+def encode_decode_event(event: DecodeEvent) -> bytes:
+    """Return a server-sent event."""
+    return EVENT_START + msgspec.json.encode(event) + EVENT_END
+
+
+class DecodeEvents:
+    """Splits a stream of bytes into events."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._decode = msgspec.json.Decoder(DecodeEvent).decode
+
+    def feed(self, data: bytes) -> list[DecodeEvent]:
+        """Return the events that *data* completes.
+
+        :raises EngineProtocolError: when the bytes are no such events or one is too large.
+        """
+        *whole, self._rest = (self._rest + data).split(EVENT_END)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            msg = f"event larger than {MAX_EVENT_BYTES} bytes"
+            raise EngineProtocolError(msg)
+        return [self._parse(event) for event in whole]
+
+    def _parse(self, event: bytes) -> DecodeEvent:
+        if not event.startswith(EVENT_START):
+            msg = "event without data"
+            raise EngineProtocolError(msg)
+        try:
+            return self._decode(event[len(EVENT_START) :])
+        except msgspec.MsgspecError as error:
+            raise EngineProtocolError(str(error)) from None
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -7,7 +7,7 @@
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._retries import RetryBudget
-from lavenderrun.decisions._routes import find_model_route, find_plain_route
+from lavenderrun.decisions._routes import find_plain_route
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 
@@ -22,6 +22,5 @@
     "check_record",
     "count_tokens",
     "digest_key",
-    "find_model_route",
     "find_plain_route",
 ]
--- a/src/lavenderrun/standins/__init__.py
+++ b/src/lavenderrun/standins/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lavenderrun.standins._engine_cache import CacheChange, CacheEvent, hash_blocks
+from lavenderrun.standins._engine_http import EngineResource
 from lavenderrun.standins._engine_model import EngineModel
 from lavenderrun.standins._engine_speed import EngineLoad, EngineSpeed
 from lavenderrun.standins._fabric import KV_BYTES_A_TOKEN, Fabric
@@ -26,6 +27,7 @@
     "CacheEvent",
     "EngineLoad",
     "EngineModel",
+    "EngineResource",
     "EngineSpeed",
     "Fabric",
     "MemoryNetwork",
--- /dev/null
+++ b/src/lavenderrun/standins/_engine_http.py
@@ -0,0 +1,217 @@
+"""The engine model behind the HTTP protocol of ``docs/design/engine-protocol.md``."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from lavenderrun.codecs import (
+    CancelCall,
+    DecodeCall,
+    DecodeEvent,
+    EngineProtocolError,
+    ExportReply,
+    FaultReply,
+    LoadReply,
+    OrderCall,
+    PrefillCall,
+    ReleaseCall,
+    decode_body,
+    encode_body,
+    encode_decode_event,
+)
+from lavenderrun.standins._engine_decode import Decoding
+from lavenderrun.standins._engine_model import EngineModel
+from lavenderrun.types import BackendCrashError, Export, FencingNumber, FinishReason, RequestId
+
+
+class EngineResource(Resource):
+    """Root of an engine.
+
+    :param checks_fencing: whether orders with an old fencing number are refused.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, model: EngineModel, *, checks_fencing: bool = True) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.model = model
+        self.orders: list[OrderCall] = []
+        self._checks_fencing = checks_fencing
+        self._highest = FencingNumber(0)
+        self._running: dict[RequestId, Any] = {}
+
+    def render(self, request: Request) -> Any:
+        """Answer one call."""
+        name = f"{request.method.decode('ascii')} {request.path.decode('ascii')}"
+        handler = {
+            "POST /prefill": self._prefill,
+            "POST /decode": self._decode,
+            "POST /cancel": self._cancel,
+            "POST /release": self._release,
+            "POST /orders": self._order,
+            "GET /load": self._load,
+        }.get(name)
+        if handler is None:
+            return _fault(request, HTTPStatus.NOT_FOUND, "no such call")
+        try:
+            return handler(request, request.content.read() if request.content else b"")
+        except EngineProtocolError as error:
+            return _fault(request, HTTPStatus.BAD_REQUEST, str(error))
+
+    def _prefill(self, request: Request, body: bytes) -> Any:
+        call = decode_body(body, PrefillCall)
+        done = self.model.prefill(call.request, call.model, call.text, priority=call.priority)
+        exporting = _Exporting(request, done)
+        self._running[call.request] = exporting
+        done.addBoth(lambda _: self._forget(call.request, exporting))
+        return NOT_DONE_YET
+
+    def _decode(self, request: Request, body: bytes) -> Any:
+        call = decode_body(body, DecodeCall)
+        stream = _Stream(request)
+        decoding = self.model.decode(
+            call.request,
+            call.model,
+            call.handle,
+            call.source,
+            max_tokens=call.max_tokens,
+            sink=stream.put,
+        )
+        stream.attach(decoding)
+        self._running[call.request] = decoding
+        decoding.done.addBoth(lambda _: self._forget(call.request, decoding))
+        return NOT_DONE_YET
+
+    def _cancel(self, request: Request, body: bytes) -> Any:
+        running = self._running.pop(decode_body(body, CancelCall).request, None)
+        if running is not None:
+            running.cancel()
+        return _empty(request)
+
+    def _release(self, request: Request, body: bytes) -> Any:
+        self.model.end_export(decode_body(body, ReleaseCall).handle)
+        return _empty(request)
+
+    def _order(self, request: Request, body: bytes) -> Any:
+        order = decode_body(body, OrderCall)
+        if self._checks_fencing and order.fencing < self._highest:
+            fault = f"fencing number {order.fencing} is older than {self._highest}"
+            return _fault(request, HTTPStatus.CONFLICT, fault)
+        self._highest = max(self._highest, order.fencing)
+        self.orders.append(order)
+        return _empty(request)
+
+    def _load(self, request: Request, _body: bytes) -> Any:
+        load = self.model.load()
+        return _reply(request, LoadReply(load.running, load.queued, load.pieces_free))
+
+    def _forget(self, request: RequestId, running: object) -> None:
+        if self._running.get(request) is running:
+            del self._running[request]
+
+
+class _Exporting:
+    """A prefill whose caller waits."""
+
+    def __init__(self, request: Request, done: Deferred[Export]) -> None:
+        self._request = request
+        self._done = done
+        self._gone = False
+        request.notifyFinish().addErrback(self._lose)
+        done.addCallbacks(self._answer, self._fail)
+
+    def cancel(self) -> None:
+        """Drop the work."""
+        self._done.cancel()
+
+    def _lose(self, _reason: Failure) -> None:
+        self._gone = True
+        self._done.cancel()
+
+    def _answer(self, export: Export) -> None:
+        reply = ExportReply(
+            export.handle,
+            export.source,
+            export.tokens,
+            export.cached,
+            export.lives.total_seconds(),
+        )
+        if not self._gone:
+            self._request.write(_reply(self._request, reply))
+            self._request.finish()
+
+    def _fail(self, failure: Failure) -> None:
+        if self._gone:
+            return
+        if isinstance(failure.value, BackendCrashError):
+            # a dead process answers nothing
+            self._request.loseConnection()
+            return
+        cancelled = isinstance(failure.value, CancelledError)
+        fault = "cancelled" if cancelled else str(failure.value)
+        self._request.write(_fault(self._request, HTTPStatus.CONFLICT, fault))
+        self._request.finish()
+
+
+class _Stream:
+    """The stream of one decode."""
+
+    def __init__(self, request: Request) -> None:
+        self._request = request
+        self._gone = False
+        request.responseHeaders.setRawHeaders("Content-Type", ["text/event-stream"])
+        request.notifyFinish().addErrback(self._lose)
+        self._decoding: Decoding | None = None
+
+    def attach(self, decoding: Decoding) -> None:
+        """Follow the decode to its end."""
+        self._decoding = decoding
+        decoding.done.addCallbacks(self._end, self._fail)
+
+    def put(self, offset: int, tokens: list[str], finish: FinishReason | None) -> None:
+        """Send the next tokens."""
+        self._send(DecodeEvent(offset, tokens, finish))
+
+    def _end(self, _: None) -> None:
+        if not self._gone:
+            self._request.finish()
+
+    def _fail(self, failure: Failure) -> None:
+        if self._gone:
+            return
+        if isinstance(failure.value, BackendCrashError):
+            self._request.loseConnection()
+            return
+        self._send(DecodeEvent(fault=str(failure.value)))
+        self._request.finish()
+
+    def _send(self, event: DecodeEvent) -> None:
+        if not self._gone:
+            self._request.write(encode_decode_event(event))
+
+    def _lose(self, _reason: Failure) -> None:
+        self._gone = True
+        if self._decoding is not None:
+            self._decoding.cancel()
+
+
+def _reply(request: Request, reply: msgspec.Struct) -> bytes:
+    request.responseHeaders.setRawHeaders("Content-Type", ["application/json"])
+    return encode_body(reply)
+
+
+def _fault(request: Request, status: HTTPStatus, fault: str) -> bytes:
+    request.setResponseCode(status.value)
+    return _reply(request, FaultReply(fault))
+
+
+def _empty(request: Request) -> bytes:
+    request.setResponseCode(HTTPStatus.NO_CONTENT.value)
+    return b""
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -103,9 +103,9 @@
     Running,
     Store,
     StoreConflictError,
+    StoredRow,
     StoreThrottledError,
     StoreUnavailableError,
-    StoredRow,
     TokenSink,
     Transport,
 )
@@ -121,7 +121,7 @@
     ReplySink,
     Ticket,
 )
-from lavenderrun.types._settings import FrontSettings
+from lavenderrun.types._settings import BackendSettings, FrontSettings
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -167,6 +167,7 @@
     "BackendReceived",
     "BackendRole",
     "BackendRun",
+    "BackendSettings",
     "Batch",
     "BootId",
     "Call",
--- a/src/lavenderrun/types/_settings.py
+++ b/src/lavenderrun/types/_settings.py
@@ -11,6 +11,9 @@
 Wait = Annotated[timedelta, Field(gt=timedelta(0), le=timedelta(days=1))]
 
 
+Address = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+
+
 class FrontSettings(BaseModel):
     """Section of the callers' HTTP front.
 
@@ -38,3 +41,18 @@
     idle: Wait = timedelta(seconds=60)
     stall: Wait = timedelta(seconds=30)
     drain: Wait = timedelta(seconds=120)
+
+
+class BackendSettings(BaseModel):
+    """Section of the backend server beside an agent.
+
+    :param address: IP number and port of the backend server.
+    :param connections: idle connections kept to it.
+    :param silence: how long a call to a plain service may bring no byte.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    address: Address
+    connections: Annotated[int, Field(gt=0)] = 32
+    silence: Wait = timedelta(seconds=30)
