Add the fair queue, the seat book and online estimators

Cause: agents need an order of service that holds each client account to its share, knows the routes' targets, and keeps no seat for a request that is gone. The fair queue bounds the difference between waiting accounts by a slack, the seat book takes messages in any order; a state machine of random orders checks that seats and pieces are conserved and that nothing is held at the end.

--- /dev/null
+++ b/src/lavenderrun/decisions/_seats.py
@@ -0,0 +1,281 @@
+"""The seat book of a decode agent: the authority on its engine's seats and KV pieces.
+
+A seat is a lease. It ends with the request, when its entry stays away longer than the grace
+period, or at its deadline; whatever order messages arrive in, an attempt that is over never takes
+a seat again. The book does no I/O: it takes what happened and returns what is to be done.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from datetime import datetime, timedelta
+
+from lavenderrun.decisions._estimates import STEP_SECONDS, Mean, OutputLengths
+from lavenderrun.decisions._leases import (
+    ZERO,
+    Drop,
+    Promise,
+    Reject,
+    Run,
+    Seat,
+    SeatAction,
+    SeatRequest,
+    SeatState,
+    Stop,
+)
+from lavenderrun.decisions._promises import PromisePolicy
+from lavenderrun.decisions._queue import JobKey, QueuePolicy
+from lavenderrun.decisions._tombstones import Tombstones
+from lavenderrun.types import HostId, Load, Refusal, RouteName
+
+PROMISE_GRACE = timedelta(seconds=2)
+READY_GRACE = timedelta(seconds=1)
+ENTRY_GRACE = timedelta(seconds=5)
+RECHECK = timedelta(milliseconds=20)
+
+
+class SeatBook:
+    """Seats and pieces of one decode engine, and the line of those who wait for one.
+
+    :param seats: requests that the engine runs at once.
+    :param pieces: pieces of KV cache.
+    :param queue: makes the line; its argument is the number of seats.
+    :param may_promise: when a seat that is not free may be promised.
+    """
+
+    def __init__(
+        self,
+        seats: int,
+        pieces: int,
+        queue: Callable[[float], QueuePolicy],
+        may_promise: PromisePolicy,
+    ) -> None:
+        self.seats = seats
+        self.pieces = pieces
+        self.pieces_free = pieces
+        self.lengths = OutputLengths()
+        self.step = Mean(STEP_SECONDS)
+        self._queue = queue(float(seats))
+        self._may_promise = may_promise
+        self._waiting: dict[JobKey, Seat] = {}
+        self._taken: dict[JobKey, Seat] = {}
+        self._ended = Tombstones()
+
+    def cost(self, route: RouteName, max_tokens: int, lead: timedelta) -> float:
+        """Return the seat seconds that a request is expected to hold."""
+        return lead.total_seconds() + self.lengths.expect(route, max_tokens) * self.step.value
+
+    def state(self, key: JobKey) -> SeatState | None:
+        """Return the state of an attempt that is not over."""
+        seat = self._find(key)
+        return None if seat is None else seat.state
+
+    def holder(self, key: JobKey) -> HostId | None:
+        """Return the entry that an attempt belongs to."""
+        seat = self._find(key)
+        return None if seat is None else seat.holder
+
+    def held(self) -> list[JobKey]:
+        """Return the attempts that hold a seat or wait for one."""
+        return [*self._waiting, *self._taken]
+
+    def load(self) -> Load:
+        """Return the load to report."""
+        backlog = timedelta(seconds=self._queue.work / self.seats)
+        return Load(self.seats, len(self._taken), len(self._waiting), backlog, self.pieces_free)
+
+    def reserve(self, request: SeatRequest, now: datetime) -> list[SeatAction]:
+        """Take a request for a seat; a repeated one is answered again."""
+        key = request.job.key
+        seat = self._find(key)
+        if seat is not None:
+            self.adopt(key, request.holder)
+            if seat.state is SeatState.PROMISED:
+                return [Promise(key, request.holder, ZERO)]
+            return []
+        if key in self._ended:
+            return [Reject(key, request.holder, Refusal.CANCELLED)]
+        wait = self._estimate_wait(request)
+        fits = request.pieces <= self.pieces
+        if not fits or wait > request.job.deadline - now:
+            self._ended.add(key, now, started=False)
+            return [Reject(key, request.holder, Refusal.NO_ROOM, wait if fits else ZERO)]
+        self._waiting[key] = Seat(request)
+        self._queue.push(request.job, now)
+        return self._assign(now)
+
+    def start(self, key: JobKey, now: datetime) -> list[SeatAction]:
+        """Take the news that the prefill's export is there; unknown attempts stay unknown."""
+        seat = self._taken.get(key)
+        if seat is None or seat.state is not SeatState.PROMISED:
+            return []
+        seat.state = SeatState.READY
+        seat.expires = now + READY_GRACE
+        return self._assign(now)
+
+    def progress(self, key: JobKey, tokens: int) -> None:
+        """Note how many tokens a running decode has made."""
+        seat = self._taken.get(key)
+        if seat is not None:
+            seat.tokens = tokens
+
+    def end(self, key: JobKey, now: datetime, *, whole: bool) -> list[SeatAction]:
+        """Free the seat of a decode that the engine has ended.
+
+        :param whole: the answer was complete, so its length is learned.
+        """
+        seat = self._taken.get(key)
+        if seat is None or seat.begun is None:
+            return []
+        if seat.tokens > 1:
+            self.step.add((now - seat.begun).total_seconds() / seat.tokens)
+        if whole:
+            self.lengths.add(seat.request.route, seat.tokens)
+        self._free(seat, now)
+        return self._assign(now)
+
+    def cancel(self, key: JobKey, now: datetime) -> list[SeatAction]:
+        """End an attempt, known or not yet known."""
+        seat = self._find(key)
+        if seat is None:
+            self._ended.add(key, now, started=False)
+            return []
+        return [*self._end_early(seat, now), *self._assign(now)]
+
+    def revoke(self, key: JobKey, now: datetime) -> tuple[bool, list[SeatAction]]:
+        """Make sure that *key* never starts; tell whether it has."""
+        seat = self._find(key)
+        if seat is not None and seat.begun is not None:
+            return True, []
+        started = self._ended.was_started(key)
+        return started, self.cancel(key, now)
+
+    def lose(self, holder: HostId, now: datetime) -> list[SeatAction]:
+        """Note that the link to an entry is lost; its seats are kept for the grace period."""
+        for seat in [s for s in self._waiting.values() if s.holder == holder]:
+            # no tombstone: the entry asks again on its next link
+            self._queue.remove(seat.request.job.key)
+            del self._waiting[seat.request.job.key]
+        for seat in self._taken.values():
+            if seat.holder == holder:
+                seat.orphaned = now + ENTRY_GRACE
+        return self._assign(now)
+
+    def adopt(self, key: JobKey, holder: HostId) -> bool:
+        """Bind an attempt to the entry that speaks of it; tell whether it is known."""
+        seat = self._find(key)
+        if seat is None:
+            return False
+        seat.holder = holder
+        seat.orphaned = None
+        return True
+
+    def tick(self, now: datetime) -> list[SeatAction]:
+        """End what has run out and assign what has become free."""
+        actions: list[SeatAction] = []
+        for job in self._queue.expire(now):
+            seat = self._waiting.pop(job.key)
+            self._ended.add(job.key, now, started=False)
+            actions.append(Reject(job.key, seat.holder, Refusal.DEADLINE))
+        for seat in list(self._taken.values()):
+            ends_at = seat.ends_at()
+            if ends_at is not None and ends_at <= now:
+                if seat.begun is None:
+                    key = seat.request.job.key
+                    actions.append(Reject(key, seat.holder, Refusal.DEADLINE))
+                actions += self._end_early(seat, now)
+        return [*actions, *self._assign(now)]
+
+    def next_tick(self, now: datetime) -> datetime | None:
+        """Return when :meth:`tick` is due next."""
+        instants = [seat.ends_at() for seat in self._taken.values()]
+        instants.append(self._queue.next_deadline())
+        if self._waiting:
+            instants.append(now + RECHECK)
+        return min((at for at in instants if at is not None), default=None)
+
+    def _find(self, key: JobKey) -> Seat | None:
+        return self._taken.get(key) or self._waiting.get(key)
+
+    def _estimate_wait(self, request: SeatRequest) -> timedelta:
+        if not self._waiting and len(self._taken) < self.seats:
+            return ZERO
+        return timedelta(seconds=self._queue.work_ahead(request.job) / self.seats)
+
+    def _end_early(self, seat: Seat, now: datetime) -> list[SeatAction]:
+        key = seat.request.job.key
+        if seat.begun is not None:
+            if seat.state is SeatState.STOPPING:
+                return []
+            seat.state = SeatState.STOPPING
+            return [Stop(key)]
+        if seat.state is SeatState.WAITING:
+            self._queue.remove(key)
+            del self._waiting[key]
+            self._ended.add(key, now, started=False)
+            return []
+        self._free(seat, now)
+        return [Drop(key)]
+
+    def _free(self, seat: Seat, now: datetime) -> None:
+        key = seat.request.job.key
+        del self._taken[key]
+        self.pieces_free += seat.request.pieces
+        self._ended.add(key, now, started=seat.begun is not None)
+
+    def _assign(self, now: datetime) -> list[SeatAction]:
+        """Give free seats to those who are ready, then promise to those who wait."""
+        actions: list[SeatAction] = []
+        free = self.seats - sum(seat.begun is not None for seat in self._taken.values())
+        ready = [seat for seat in self._taken.values() if seat.state is SeatState.READY]
+        for seat in ready[: max(0, free)]:
+            seat.state = SeatState.RUNNING
+            seat.begun, seat.expires = now, None
+            actions.append(Run(seat.request.job.key))
+        while (seat_or_none := self._next_promised(now)) is not None:
+            actions.append(self._promise(seat_or_none, now))
+        return actions
+
+    def _next_promised(self, now: datetime) -> Seat | None:
+        job = self._queue.peek(now)
+        if job is None:
+            return None
+        seat = self._waiting[job.key]
+        if seat.request.pieces > self.pieces_free or not self._may_join(seat):
+            return None
+        wanted = len(self._taken) - self.seats + 1
+        lead = seat.request.lead.total_seconds()
+        if wanted > 0 and not self._may_promise(wanted, self._chances, lead):
+            return None
+        return seat
+
+    def _promise(self, seat: Seat, now: datetime) -> SeatAction:
+        request = seat.request
+        key = request.job.key
+        self._queue.pop(now)
+        del self._waiting[key]
+        ready_in = ZERO if len(self._taken) < self.seats else request.lead
+        self._taken[key] = seat
+        self.pieces_free -= request.pieces
+        seat.state = SeatState.PROMISED
+        seat.expires = now + 2 * request.lead + PROMISE_GRACE
+        return Promise(key, seat.holder, ready_in)
+
+    def _may_join(self, seat: Seat) -> bool:
+        """Tell whether solo running, of this attempt or of another, allows it."""
+        if seat.request.solo:
+            return not self._taken
+        return not any(other.request.solo for other in self._taken.values())
+
+    def _chances(self, seconds: float) -> Sequence[float]:
+        further = seconds / self.step.value
+        return [self._ends_within(seat, further) for seat in self._running()]
+
+    def _ends_within(self, seat: Seat, further: float) -> float:
+        if seat.state is SeatState.STOPPING:
+            return 1.0
+        request = seat.request
+        return self.lengths.ends_within(request.route, request.max_tokens, seat.tokens, further)
+
+    def _running(self) -> Iterable[Seat]:
+        return (seat for seat in self._taken.values() if seat.begun is not None)
--- /dev/null
+++ b/tests/decisions/test_fairqueue.py
@@ -0,0 +1,155 @@
+from __future__ import annotations
+
+from collections import Counter
+from datetime import UTC, datetime, timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavenderrun.decisions import QUEUE_POLICIES, FairQueue, Job
+from lavenderrun.types import AccountId, AttemptId, RequestId
+
+ZERO = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+def at(seconds: float) -> datetime:
+    return ZERO + timedelta(seconds=seconds)
+
+
+def make(
+    name: str,
+    account: str = "a",
+    cost: float = 1.0,
+    *,
+    arrived: float = 0.0,
+    urgency: float = 1e4,
+    patience: float = 1e5,
+    weight: float = 1.0,
+) -> Job:
+    return Job(
+        RequestId(name),
+        AttemptId(1),
+        AccountId(account),
+        cost,
+        weight,
+        timedelta(seconds=urgency),
+        at(arrived + urgency),
+        at(arrived + patience),
+    )
+
+
+def drain(queue: FairQueue, count: int, now: float = 0.0) -> list[Job]:
+    return [job for _ in range(count) if (job := queue.pop(at(now))) is not None]
+
+
+def test_five_times_the_offer_gets_no_more_than_its_share() -> None:
+    queue = FairQueue(1.0)
+    for number in range(500):
+        queue.push(make(f"greedy{number}", "greedy"), at(0))
+    for number in range(100):
+        queue.push(make(f"b{number}", "b"), at(0))
+    served = Counter(job.account for job in drain(queue, 200))
+    assert abs(served[AccountId("b")] - 100) <= 3
+
+
+def test_weights_set_the_shares() -> None:
+    queue = FairQueue(1.0)
+    for number in range(300):
+        queue.push(make(f"x{number}", "x", weight=3.0), at(0))
+        queue.push(make(f"y{number}", "y", weight=1.0), at(0))
+    served = Counter(job.account for job in drain(queue, 200))
+    assert abs(served[AccountId("x")] - 150) <= 6
+
+
+def test_a_truck_passes_a_summary_of_another_account() -> None:
+    queue = FairQueue(1.0)
+    queue.push(make("summary", "a", urgency=30), at(0))
+    queue.push(make("truck", "b", urgency=0.5, arrived=1), at(1))
+    assert [job.request for job in drain(queue, 2, 1.0)] == ["truck", "summary"]
+
+
+def test_nothing_that_arrives_a_target_later_passes_a_summary() -> None:
+    queue = FairQueue(1.0)
+    queue.push(make("summary", urgency=10), at(0))
+    queue.push(make("early", "b", urgency=0.5, arrived=9.45), at(9.45))
+    queue.push(make("late", "c", urgency=0.5, arrived=9.9), at(9.9))
+    assert [job.request for job in drain(queue, 3, 9.9)] == ["early", "summary", "late"]
+
+
+def test_late_jobs_keep_a_turn_under_endless_urgent_work() -> None:
+    queue = FairQueue(20.0)
+    queue.push(make("summary", urgency=0.1), at(0))
+    served = []
+    for number in range(100):
+        now = 1.0 + number
+        queue.push(make(f"t{number}", urgency=10, arrived=now), at(now))
+        served += drain(queue, 1, now)
+    assert "summary" in [job.request for job in served]
+
+
+def test_hopeless_late_work_is_given_up_early() -> None:
+    queue = FairQueue(1.0)
+    for number in range(100):
+        queue.push(make(f"r{number}", urgency=1, patience=10), at(0))
+    given_up = queue.expire(at(1.5))
+    assert 80 <= len(given_up) <= 99
+    assert len(queue) == 100 - len(given_up)
+
+
+def test_the_estimate_sees_past_a_greedy_account() -> None:
+    queue = FairQueue(1.0)
+    for number in range(100):
+        queue.push(make(f"greedy{number}", "greedy"), at(0))
+    assert queue.work_ahead(make("next", "greedy")) == pytest.approx(100)
+    assert queue.work_ahead(make("other", "b")) <= 3
+
+
+@pytest.mark.parametrize("policy", QUEUE_POLICIES.names())
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["push", "push", "pop", "remove", "expire"]),
+            st.integers(0, 30),
+            st.integers(0, 3),
+            st.floats(0, 2),
+        ),
+        max_size=80,
+    )
+)
+def test_every_job_leaves_exactly_once(
+    policy: str, steps: list[tuple[str, int, int, float]]
+) -> None:
+    queue = QUEUE_POLICIES.find(policy)(2.0)
+    waiting: dict[RequestId, Job] = {}
+    now = 0.0
+    for action, number, account, wait in steps:
+        now += wait
+        left: list[Job] = []
+        if action == "push":
+            job = make(f"r{number}", f"{account}", wait, arrived=now, urgency=2, patience=5)
+            queue.push(job, at(now))
+            waiting.setdefault(job.request, job)
+        elif action == "pop":
+            seen = queue.peek(at(now))
+            job_or_none = queue.pop(at(now))
+            assert seen == job_or_none
+            assert (job_or_none is None) == (not waiting)
+            left = [job_or_none] if job_or_none else []
+        elif action == "remove":
+            key = (RequestId(f"r{number}"), AttemptId(1))
+            removed = queue.remove(key)
+            assert (removed is not None) == (key[0] in waiting)
+            left = [removed] if removed else []
+        else:
+            left = queue.expire(at(now))
+            assert all(job.deadline > at(now) for job in waiting.values() if job not in left)
+        for job in left:
+            assert waiting.pop(job.request) == job
+        assert len(queue) == len(waiting)
+        assert queue.work == pytest.approx(sum(job.cost for job in waiting.values()), abs=1e-6)
+    while queue.pop(at(now)):
+        pass
+    assert len(queue) == 0
+    if isinstance(queue, FairQueue):
+        assert queue.accounts == 0
--- /dev/null
+++ b/tests/decisions/test_seats.py
@@ -0,0 +1,268 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lavenderrun.decisions import (
+    PROMISE_POLICIES,
+    QUEUE_POLICIES,
+    Drop,
+    Job,
+    JobKey,
+    Promise,
+    Reject,
+    Run,
+    SeatAction,
+    SeatBook,
+    SeatRequest,
+    SeatState,
+    Stop,
+)
+from lavenderrun.types import AccountId, AttemptId, HostId, Refusal, RequestId, RouteName
+
+ZERO = datetime(2026, 1, 1, tzinfo=UTC)
+ROUTE = RouteName("orders")
+ENTRY = HostId("e1")
+
+
+def at(seconds: float) -> datetime:
+    return ZERO + timedelta(seconds=seconds)
+
+
+def key(name: str) -> JobKey:
+    return (RequestId(name), AttemptId(1))
+
+
+def ask(
+    name: str,
+    now: float = 0.0,
+    *,
+    account: str = "a",
+    tokens: int = 900,
+    patience: float = 30,
+    solo: bool = False,
+    holder: str = "e1",
+) -> SeatRequest:
+    job = Job(
+        RequestId(name),
+        AttemptId(1),
+        AccountId(account),
+        2.0,
+        1.0,
+        timedelta(seconds=1),
+        at(now + 0.8),
+        at(now + patience),
+    )
+    lead = timedelta(seconds=0.2)
+    return SeatRequest(job, ROUTE, tokens, 100, lead, solo, HostId(holder))
+
+
+def book(seats: int = 2, pieces: int = 8, promise: str = "free") -> SeatBook:
+    return SeatBook(seats, pieces, QUEUE_POLICIES.find("fair"), PROMISE_POLICIES.find(promise))
+
+
+def promised(actions: list[SeatAction]) -> list[str]:
+    return [action.key[0] for action in actions if isinstance(action, Promise)]
+
+
+def test_cancel_that_overtakes_its_reserve_takes_no_seat() -> None:
+    seats = book()
+    assert seats.cancel(key("r"), at(0)) == []
+    assert seats.reserve(ask("r"), at(0.1)) == [Reject(key("r"), ENTRY, Refusal.CANCELLED)]
+    assert seats.held() == []
+
+
+def test_start_after_cancel_does_not_run() -> None:
+    seats = book()
+    seats.reserve(ask("r"), at(0))
+    assert seats.cancel(key("r"), at(0.1)) == [Drop(key("r"))]
+    assert seats.start(key("r"), at(0.2)) == []
+    assert seats.pieces_free == 8
+
+
+def test_a_repeated_reserve_is_answered_again_and_holds_once() -> None:
+    seats = book()
+    assert promised(seats.reserve(ask("r"), at(0))) == ["r"]
+    assert promised(seats.reserve(ask("r"), at(0.1))) == ["r"]
+    assert seats.pieces_free == 7
+
+
+def test_a_reserve_that_comes_after_the_end_does_not_run_again() -> None:
+    seats = book()
+    seats.reserve(ask("r"), at(0))
+    assert seats.start(key("r"), at(0.2)) == [Run(key("r"))]
+    seats.end(key("r"), at(1), whole=True)
+    assert promised(seats.reserve(ask("r"), at(1.1))) == []
+    assert seats.revoke(key("r"), at(1.2)) == (True, [])
+
+
+def test_a_cancelled_decode_keeps_its_seat_until_the_engine_has_freed_it() -> None:
+    seats = book(seats=1)
+    seats.reserve(ask("r"), at(0))
+    seats.start(key("r"), at(0.2))
+    assert seats.cancel(key("r"), at(0.3)) == [Stop(key("r"))]
+    assert promised(seats.reserve(ask("next", 0.4), at(0.4))) == []
+    assert promised(seats.end(key("r"), at(0.5), whole=False)) == ["next"]
+
+
+def test_a_promise_without_start_lapses_and_is_not_run() -> None:
+    seats = book(seats=1)
+    seats.reserve(ask("r"), at(0))
+    seats.reserve(ask("next"), at(0))
+    actions = seats.tick(at(5))
+    assert Reject(key("r"), ENTRY, Refusal.DEADLINE) in actions
+    assert promised(actions) == ["next"]
+
+
+def test_a_lost_entry_gives_its_seats_back_after_the_grace_period() -> None:
+    seats = book()
+    seats.reserve(ask("r"), at(0))
+    seats.start(key("r"), at(0.2))
+    seats.reserve(ask("kept", holder="e2"), at(0.2))
+    seats.start(key("kept"), at(0.3))
+    seats.lose(ENTRY, at(1))
+    assert seats.tick(at(5)) == []
+    assert seats.tick(at(6.1)) == [Stop(key("r"))]
+    assert seats.state(key("kept")) is SeatState.RUNNING
+
+
+def test_an_entry_that_comes_back_in_time_keeps_its_seat() -> None:
+    seats = book()
+    seats.reserve(ask("r"), at(0))
+    seats.start(key("r"), at(0.2))
+    seats.lose(ENTRY, at(1))
+    assert seats.adopt(key("r"), ENTRY)
+    assert seats.tick(at(8)) == []
+
+
+def test_a_suspect_runs_alone() -> None:
+    seats = book()
+    seats.reserve(ask("r"), at(0))
+    seats.start(key("r"), at(0.1))
+    assert promised(seats.reserve(ask("suspect", solo=True), at(0.2))) == []
+    assert promised(seats.end(key("r"), at(1), whole=True)) == ["suspect"]
+    assert promised(seats.reserve(ask("after", 1), at(1))) == []
+
+
+def test_pieces_bound_what_is_promised() -> None:
+    seats = book(seats=4, pieces=5)
+    assert promised(seats.reserve(ask("big", tokens=3900), at(0))) == ["big"]
+    assert promised(seats.reserve(ask("second", tokens=1900), at(0))) == []
+    assert seats.reserve(ask("huge", tokens=9000), at(0)) == [
+        Reject(key("huge"), ENTRY, Refusal.NO_ROOM)
+    ]
+    assert promised(seats.cancel(key("big"), at(1))) == ["second"]
+
+
+def test_what_cannot_meet_its_patience_is_refused_at_once() -> None:
+    seats = book(seats=1)
+    for number in range(4):
+        seats.reserve(ask(f"r{number}"), at(0))
+    (refused,) = seats.reserve(ask("late", patience=3), at(0))
+    assert isinstance(refused, Reject)
+    assert refused.refusal is Refusal.NO_ROOM
+    assert refused.retry_after > timedelta(seconds=3)
+
+
+def test_a_seat_is_promised_before_it_is_free() -> None:
+    seats = book(seats=1, promise="ahead")
+    for _ in range(20):
+        seats.lengths.add(ROUTE, 100)
+    seats.reserve(ask("r"), at(0))
+    seats.start(key("r"), at(0.2))
+    assert promised(seats.reserve(ask("next", 0.3), at(0.3))) == []
+    seats.progress(key("r"), 99)
+    assert seats.tick(at(2.2)) == [Promise(key("next"), ENTRY, timedelta(seconds=0.2))]
+    assert seats.start(key("next"), at(2.3)) == []
+    assert seats.end(key("r"), at(2.4), whole=True) == [Run(key("next"))]
+
+
+class SeatMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.book = book(3, 12, "eager")
+        self.now = 0.0
+        self.begun: set[JobKey] = set()
+        self.running: set[JobKey] = set()
+        self.cancelled: set[JobKey] = set()
+
+    def take(self, actions: list[SeatAction]) -> None:
+        for action in actions:
+            if isinstance(action, Run):
+                assert action.key not in self.begun
+                assert action.key not in self.cancelled
+                self.begun.add(action.key)
+                self.running.add(action.key)
+            elif isinstance(action, Stop):
+                assert action.key in self.running
+            elif isinstance(action, Reject | Drop):
+                assert action.key not in self.begun or action.key not in self.running
+
+    names = st.sampled_from([f"r{number}" for number in range(8)])
+
+    @rule(name=names, tokens=st.integers(1, 14000), solo=st.booleans(), entry=st.sampled_from("xy"))
+    def reserve(self, name: str, tokens: int, solo: bool, entry: str) -> None:
+        request = ask(name, self.now, tokens=tokens, patience=4, solo=solo, holder=entry)
+        self.take(self.book.reserve(request, at(self.now)))
+
+    @rule(name=names)
+    def start(self, name: str) -> None:
+        self.take(self.book.start(key(name), at(self.now)))
+
+    @rule(name=names)
+    def cancel(self, name: str) -> None:
+        self.cancelled.add(key(name))
+        self.take(self.book.cancel(key(name), at(self.now)))
+
+    @rule(name=names)
+    def revoke(self, name: str) -> None:
+        started, actions = self.book.revoke(key(name), at(self.now))
+        assert started == (key(name) in self.begun)
+        self.take(actions)
+        if not started:
+            self.cancelled.add(key(name))
+
+    @rule(name=names, tokens=st.integers(0, 100), whole=st.booleans())
+    def end(self, name: str, tokens: int, whole: bool) -> None:
+        if key(name) in self.running:
+            self.running.discard(key(name))
+            self.book.progress(key(name), tokens)
+            self.take(self.book.end(key(name), at(self.now), whole=whole))
+
+    @rule(entry=st.sampled_from("xy"))
+    def lose(self, entry: str) -> None:
+        self.take(self.book.lose(HostId(entry), at(self.now)))
+
+    @rule(name=names, entry=st.sampled_from("xy"))
+    def adopt(self, name: str, entry: str) -> None:
+        self.book.adopt(key(name), HostId(entry))
+
+    @rule(seconds=st.floats(0, 3))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.take(self.book.tick(at(self.now)))
+
+    @invariant()
+    def seats_and_pieces_are_conserved(self) -> None:
+        load = self.book.load()
+        assert len(self.running) <= load.seats
+        assert 0 <= load.pieces_free <= self.book.pieces
+        if not self.book.held():
+            assert load.pieces_free == self.book.pieces
+        for held in self.running:
+            assert self.book.state(held) in (SeatState.RUNNING, SeatState.STOPPING)
+
+    def teardown(self) -> None:
+        for _ in range(12):
+            self.wait(2.0)
+            for held in list(self.running):
+                self.end(held[0], 5, True)
+        assert self.book.held() == []
+        assert self.book.pieces_free == self.book.pieces
+
+
+SeatMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
+TestSeatMachine = SeatMachine.TestCase
