--- /dev/null
+++ b/src/lavenderrun/decisions/_affinity.py
@@ -0,0 +1,194 @@
+"""Choice of a prefill agent by cached prefix against queue, and the index of cached prefixes.
+
+The index is a belief: events of the engines are late and have gaps. It is bounded, forgets what is
+old, and heals by what each finished prefill tells of its cached tokens; a host whose cache was
+overrated is trusted less until its answers prove better.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from hashlib import blake2b
+
+from lavenderrun.decisions._estimates import Mean
+from lavenderrun.decisions._placement import (
+    Candidate,
+    Chance,
+    Choice,
+    Reason,
+    RejectedHost,
+    sample,
+)
+from lavenderrun.kernel import Registry
+from lavenderrun.types import HostId
+
+BLOCK_TOKENS = 1000
+BLOCK_CHARACTERS = 4 * BLOCK_TOKENS
+MAX_BLOCKS = 1 << 16
+BELIEF_AGE = timedelta(minutes=10)
+TRUST_MEMORY = 0.2
+SAMPLE = 2
+MAX_HOLDERS = 4
+BUSY_LINK = timedelta(milliseconds=50)
+
+
+def hash_blocks(text: str) -> list[str]:
+    """Return the hash of each whole block of *text*, each over the prefix up to its end."""
+    digest = blake2b(digest_size=8)
+    blocks = []
+    for start in range(0, len(text) - BLOCK_CHARACTERS + 1, BLOCK_CHARACTERS):
+        digest.update(text[start : start + BLOCK_CHARACTERS].encode())
+        blocks.append(digest.hexdigest())
+    return blocks
+
+
+class PrefixIndex:
+    """Which hosts are believed to cache which blocks.
+
+    :param maximum: most blocks; the least recently used goes first.
+    """
+
+    def __init__(self, maximum: int = MAX_BLOCKS) -> None:
+        self._maximum = maximum
+        self._blocks: OrderedDict[str, dict[HostId, datetime]] = OrderedDict()
+        self._trust: dict[HostId, Mean] = {}
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def store(self, host: HostId, blocks: Sequence[str], now: datetime) -> None:
+        """Believe that *host* caches *blocks*."""
+        for block in blocks:
+            self._blocks.setdefault(block, {})[host] = now
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._maximum:
+            self._blocks.popitem(last=False)
+
+    def evict(self, host: HostId, blocks: Sequence[str]) -> None:
+        """Believe that *host* caches *blocks* no more."""
+        for block in blocks:
+            holders = self._blocks.get(block)
+            if holders is not None and holders.pop(host, None) and not holders:
+                del self._blocks[block]
+
+    def forget(self, host: HostId) -> None:
+        """Drop all beliefs about a host that was lost or restarted."""
+        self._trust.pop(host, None)
+        for block in [block for block, holders in self._blocks.items() if host in holders]:
+            self.evict(host, [block])
+
+    def match(self, blocks: Sequence[str], now: datetime) -> dict[HostId, int]:
+        """Return how many leading blocks each host is believed to cache."""
+        found: dict[HostId, int] = {}
+        for count, block in enumerate(blocks, 1):
+            holders = self._blocks.get(block, {})
+            fresh = [host for host, at in holders.items() if now - at <= BELIEF_AGE]
+            matched = [host for host in fresh if found.get(host, 0) == count - 1]
+            if not matched:
+                break
+            for host in matched:
+                found[host] = count
+        return found
+
+    def learn(self, host: HostId, blocks: Sequence[str], cached: int, now: datetime) -> None:
+        """Take the truth: *host* had *cached* tokens of *blocks* and holds them all now."""
+        believed = self.match(blocks, now).get(host, 0)
+        if believed:
+            trust = self._trust.setdefault(host, Mean(1.0, TRUST_MEMORY))
+            trust.add(min(1.0, cached / (believed * BLOCK_TOKENS)))
+        self.store(host, blocks, now)
+
+    def expect(self, blocks: Sequence[str], now: datetime) -> dict[HostId, float]:
+        """Return the tokens that each host is expected to spare, discounted by its trust."""
+        return {
+            host: count * BLOCK_TOKENS * (self._trust[host].value if host in self._trust else 1.0)
+            for host, count in self.match(blocks, now).items()
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class PrefillNeed:
+    """What a request needs of its prefill agent.
+
+    :param cached: tokens that hosts are expected to spare.
+    :param estimate: seconds of a prefill by tokens and cached tokens.
+    :param link: wait and duration of the transfer from a candidate.
+    """
+
+    tokens: int
+    cached: dict[HostId, float]
+    estimate: Callable[[int, int], float]
+    link: Callable[[Candidate], tuple[timedelta, timedelta]]
+    tried: frozenset[HostId] = frozenset()
+
+
+PrefillPlacement = Callable[[Sequence[Candidate], PrefillNeed, Chance], Choice]
+
+PREFILL_PLACEMENTS: Registry[PrefillPlacement] = Registry("prefill placement")
+
+
+def estimate_lead(candidate: Candidate, need: PrefillNeed) -> float:
+    """Return the seconds until the export has arrived at the decode agent."""
+    cached = min(need.tokens, int(need.cached.get(candidate.host, 0.0)))
+    wait, transfer = need.link(candidate)
+    backlog = candidate.load.backlog.total_seconds() if candidate.load is not None else 0.0
+    ready = backlog + candidate.work + need.estimate(need.tokens, cached)
+    return max(ready, wait.total_seconds()) + transfer.total_seconds()
+
+
+def _pick(candidates: Sequence[Candidate], need: PrefillNeed, indexes: Sequence[int]) -> Choice:
+    ranked = sorted(
+        (candidates[index].host in need.tried, estimate_lead(candidates[index], need), index)
+        for index in indexes
+    )
+    if not ranked:
+        return Choice(None, timedelta(0), ())
+    rejected = tuple(
+        RejectedHost(
+            candidates[index].host,
+            _reason(candidates[index], need, tried=tried),
+            timedelta(seconds=lead),
+        )
+        for tried, lead, index in ranked[1:]
+    )
+    _, lead, index = ranked[0]
+    return Choice(candidates[index].host, timedelta(seconds=lead), rejected)
+
+
+def _reason(candidate: Candidate, need: PrefillNeed, *, tried: bool) -> Reason:
+    if tried:
+        return Reason.TRIED
+    return Reason.LINK_BUSY if need.link(candidate)[0] > BUSY_LINK else Reason.LONGER_WAIT
+
+
+@PREFILL_PLACEMENTS.register("affinity")
+def place_by_affinity(candidates: Sequence[Candidate], need: PrefillNeed, chance: Chance) -> Choice:
+    """Choose the earliest arrival among the believed holders and a random few."""
+    indexes = set(sample(len(candidates), SAMPLE, chance))
+    if need.cached:
+        holders = sorted(need.cached, key=need.cached.__getitem__, reverse=True)[:MAX_HOLDERS]
+        wanted = set(holders)
+        indexes |= {index for index, each in enumerate(candidates) if each.host in wanted}
+    return _pick(candidates, need, sorted(indexes))
+
+
+@PREFILL_PLACEMENTS.register("shortest")
+def place_prefill_at_shortest(
+    candidates: Sequence[Candidate], need: PrefillNeed, chance: Chance
+) -> Choice:
+    """Choose the earliest arrival of all."""
+    return _pick(candidates, need, range(len(candidates)))
+
+
+@PREFILL_PLACEMENTS.register("random")
+def place_prefill_at_random(
+    candidates: Sequence[Candidate], need: PrefillNeed, chance: Chance
+) -> Choice:
+    """Choose any host, blind to cache, queue and link; the baseline."""
+    if not candidates:
+        return Choice(None, timedelta(0), ())
+    chosen = candidates[int(chance.random() * len(candidates))]
+    return Choice(chosen.host, timedelta(seconds=estimate_lead(chosen, need)), ())
