--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -7,3 +7,10 @@
 from lavenderrun.decisions._tokens import count_tokens
 
 __all__ = ["Assembly", "Progress", "RetryBudget", "count_tokens"]
+"""Pure policy: no I/O library, no wall clock."""
+
+from __future__ import annotations
+
+from lavenderrun.decisions._routes import find_model_route, find_plain_route
+
+__all__ = ["find_model_route", "find_plain_route"]
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -9,3 +9,9 @@
 from lavenderrun.services._transport_grpc import GrpcTransport
 
 __all__ = ["DecodeAgent", "GrpcTransport", "LinksService", "ModelRouter", "PrefillAgent"]
+from lavenderrun.services._front import FrontService
+from lavenderrun.services._links import LinksService
+from lavenderrun.services._listener import Listener, ListenError
+from lavenderrun.services._transport_grpc import GrpcTransport
+
+__all__ = ["FrontService", "GrpcTransport", "LinksService", "ListenError", "Listener"]
