--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -53,3 +53,7 @@
     "make_schema",
     "read_document",
 ]
+from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._wire import WireCodec, WireError
+
+__all__ = ["ROWS", "RowCodec", "RowError", "WireCodec", "WireError", "row"]
