--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -69,4 +69,18 @@
     "SeatState",
     "Stop",
     "Tombstones",
+from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
+from lavenderrun.decisions import _invariants_requests as _invariants_requests
+from lavenderrun.decisions._invariants import (
+    INVARIANT_CHECKS,
+    RecordIndex,
+    Violation,
+    check_record,
+)
+
+__all__ = [
+    "INVARIANT_CHECKS",
+    "RecordIndex",
+    "Violation",
+    "check_record",
 ]
