--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -1,3 +1,31 @@
+"""Pure policy: time, randomness and input come in, decisions go out."""
+
+from __future__ import annotations
+
+from lavenderrun.decisions._retries import RetryBudget
+from lavenderrun.decisions._stream import Assembly, Progress
+from lavenderrun.decisions._tokens import count_tokens
+
+__all__ = ["Assembly", "Progress", "RetryBudget", "count_tokens"]
+"""Pure policy: no I/O library, no wall clock."""
+
+from __future__ import annotations
+
+from lavenderrun.decisions._routes import find_model_route, find_plain_route
+
+__all__ = ["find_model_route", "find_plain_route"]
+"""Pure policy: no I/O library, no wall clock; decisions come out of plain values."""
+
+from __future__ import annotations
+
+from lavenderrun.decisions._admission import (
+    AdmissionIndex,
+    digest_key,
+)
+
+__all__ = [
+    "AdmissionIndex",
+    "digest_key",
 """Pure policy: decisions over typed values, free of I/O, clock and randomness of their own."""
 
 from __future__ import annotations
@@ -91,4 +119,18 @@
     "Stop",
     "Tombstones",
     "hash_blocks",
+from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
+from lavenderrun.decisions import _invariants_requests as _invariants_requests
+from lavenderrun.decisions._invariants import (
+    INVARIANT_CHECKS,
+    RecordIndex,
+    Violation,
+    check_record,
+)
+
+__all__ = [
+    "INVARIANT_CHECKS",
+    "RecordIndex",
+    "Violation",
+    "check_record",
 ]
