--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -103,13 +103,18 @@
     Running,
     Store,
     StoreConflictError,
+    StoredRow,
     StoreThrottledError,
     StoreUnavailableError,
-    StoredRow,
     TokenSink,
     Transport,
 )
-from lavenderrun.types._refusals import BackendCrashError, Refusal, Refused, StepError
+from lavenderrun.types._refusals import (
+    BackendCrashError,
+    Refusal,
+    Refused,
+    StepError,
+)
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
