--- a/src/lavenderrun/services/_store_http.py
+++ b/src/lavenderrun/services/_store_http.py
@@ -81,12 +81,12 @@
     """One attempt a call over persistent connections; see ``Store``."""
 
     def __init__(self, url: str, reactor: Any, *, connections: int, timeout: timedelta) -> None:
-        pool: Any = HTTPConnectionPool(reactor)  # type: ignore[no-untyped-call]
+        pool: Any = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = connections
         # a repeat inside the pool would hide a write whose reply was lost
         pool.retryAutomatically = False
         seconds = timeout.total_seconds()
-        self._agent: Any = Agent(reactor, pool=pool, connectTimeout=seconds)  # type: ignore[no-untyped-call]
+        self._agent: Any = Agent(reactor, pool=pool, connectTimeout=seconds)
         self._url = url.rstrip("/")
 
     def get(self, table: str, key: str) -> Deferred[StoredRow | None]:
--- a/src/lavenderrun/standins/_table_http.py
+++ b/src/lavenderrun/standins/_table_http.py
@@ -27,7 +27,7 @@
     isLeaf = True  # noqa: N815
 
     def __init__(self, clock: Clock, core: TableCore, faults: TableFaults) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self.core = core
         self.faults = faults
         self._clock = clock
@@ -54,7 +54,7 @@
             return
         status, body = self._apply(method, request)
         if write and self.faults.take_lost_reply():
-            request.loseConnection()  # type: ignore[no-untyped-call]
+            request.loseConnection()
             return
         self._finish(request, gone, status, body)
 
@@ -94,8 +94,8 @@
             return
         request.setResponseCode(status.value)
         request.responseHeaders.setRawHeaders("Content-Type", ["application/json"])
-        request.write(msgspec.json.encode(body))  # type: ignore[no-untyped-call]
-        request.finish()  # type: ignore[no-untyped-call]
+        request.write(msgspec.json.encode(body))
+        request.finish()
 
 
 def make_table_resource(
--- a/tests/services/test_store_http.py
+++ b/tests/services/test_store_http.py
@@ -16,7 +16,7 @@
 
 
 def make_site(resource: Any) -> Any:
-    return Site(resource)  # type: ignore[no-untyped-call]
+    return Site(resource)
 
 
 async def use_store(store: StoreClient, faults: Any) -> list[Any]:
