--- a/src/lavenderrun/services/_store_http.py
+++ b/src/lavenderrun/services/_store_http.py
@@ -15,7 +15,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer  # type: ignore[import-untyped]
+from zope.interface import implementer
 
 from lavenderrun.kernel import Kernel
 from lavenderrun.services._store import STORE_DIALECTS, StoreSettings
