--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -5,22 +5,109 @@
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
+from lavenderrun.decisions._affinity import (
+    PREFILL_PLACEMENTS,
+    PrefillNeed,
+    PrefillPlacement,
+    PrefixIndex,
+    hash_blocks,
+)
+from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
+from lavenderrun.decisions._fairqueue import FairQueue
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
+from lavenderrun.decisions._leases import (
+    Drop,
+    Promise,
+    Reject,
+    Run,
+    SeatAction,
+    SeatRequest,
+    SeatState,
+    Stop,
+)
+from lavenderrun.decisions._placement import (
+    PLACEMENTS,
+    Candidate,
+    Chance,
+    Choice,
+    Need,
+    Placement,
+    Reason,
+    RejectedHost,
+)
+from lavenderrun.decisions._prefills import (
+    Abort,
+    Compute,
+    PrefillAction,
+    PrefillBook,
+    PrefillOrder,
+    RefusePrefill,
+    Release,
+)
+from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
+from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
+from lavenderrun.decisions._seats import SeatBook
+from lavenderrun.decisions._sends import RecentSends
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
+from lavenderrun.decisions._tombstones import Tombstones
+from lavenderrun.decisions._transfers import LinkBudget
 
 __all__ = [
     "INVARIANT_CHECKS",
+    "PLACEMENTS",
+    "PREFILL_PLACEMENTS",
+    "PROMISE_POLICIES",
+    "QUEUE_POLICIES",
+    "Abort",
     "AdmissionIndex",
     "Assembly",
+    "Candidate",
+    "Chance",
+    "Choice",
+    "Compute",
+    "Drop",
+    "FairQueue",
+    "FifoQueue",
+    "Job",
+    "JobKey",
+    "LinkBudget",
+    "Mean",
+    "Need",
+    "OutputLengths",
+    "Placement",
+    "PrefillAction",
+    "PrefillBook",
+    "PrefillNeed",
+    "PrefillOrder",
+    "PrefillPlacement",
+    "PrefillSpeed",
+    "PrefixIndex",
     "Progress",
+    "Promise",
+    "PromisePolicy",
+    "QueuePolicy",
+    "Reason",
+    "RecentSends",
     "RecordIndex",
+    "RefusePrefill",
+    "Reject",
+    "RejectedHost",
+    "Release",
     "RetryBudget",
+    "Run",
+    "SeatAction",
+    "SeatBook",
+    "SeatRequest",
+    "SeatState",
+    "Stop",
+    "Tombstones",
     "Violation",
     "check_record",
     "count_tokens",
     "digest_key",
     "find_plain_route",
+    "hash_blocks",
 ]
--- a/src/lavenderrun/standins/_table_http.py
+++ b/src/lavenderrun/standins/_table_http.py
@@ -27,7 +27,7 @@
     isLeaf = True  # noqa: N815
 
     def __init__(self, clock: Clock, core: TableCore, faults: TableFaults) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self.core = core
         self.faults = faults
         self._clock = clock
