--- /dev/null
+++ b/src/lavenderrun/decisions/_changes.py
@@ -0,0 +1,39 @@
+"""Differences between two versions of the document, field by field."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from lavenderrun.types import Change
+
+NAMING_FIELDS = ("id", "name")
+
+
+def find_changes(before: dict[str, Any], after: dict[str, Any]) -> tuple[Change, ...]:
+    """Return what differs between two documents in plain data."""
+    return tuple(_compare("", before, after))
+
+
+def _compare(path: str, before: Any, after: Any) -> Iterator[Change]:
+    if before == after:
+        return
+    old, new = _named(before), _named(after)
+    if old is None or new is None:
+        yield Change(path, before, after)
+        return
+    for name in sorted({*old, *new}):
+        inner = f"{path}.{name}" if path else name
+        yield from _compare(inner, old.get(name), new.get(name))
+
+
+def _named(value: Any) -> dict[str, Any] | None:
+    """Return the parts of *value* by name, ``None`` when it is a plain value."""
+    if isinstance(value, dict):
+        return value
+    if not isinstance(value, list) or not all(isinstance(item, dict) for item in value):
+        return None
+    names = [next((item[f] for f in NAMING_FIELDS if f in item), None) for item in value]
+    if None in names or len(set(names)) < len(names):
+        return None
+    return dict(zip(map(str, names), value, strict=True))
--- a/src/lavenderrun/types/_ports.py
+++ b/src/lavenderrun/types/_ports.py
@@ -31,6 +31,7 @@
     ReplySink,
     Ticket,
 )
+from lavenderrun.types._revisions import DocumentConflict, StoredDocument, Submitted
 from lavenderrun.types._states import FinishReason
 
 M = TypeVar("M", bound=Message)
@@ -265,6 +266,27 @@
         """Call *handler* for the document in force, if any, and for each later one."""
 
 
+class DocumentKeeper(DocumentSource, Protocol):
+    """Service ``document`` as operators' services and admission use it."""
+
+    @property
+    def stored(self) -> StoredDocument | None:
+        """The document in force with its revision and history."""
+
+    @property
+    def age(self) -> timedelta | None:
+        """Time since the version in force is known to have been the newest."""
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether keyed routes may be served by the document in force."""
+
+    def submit(
+        self, document: Document, author: str, expect: DocumentVersion
+    ) -> Deferred[Submitted | DocumentConflict]:
+        """Put *document* in the place of version *expect*; may fail with ``StepError``."""
+
+
 @dataclass(frozen=True)
 class Charge:
     """Requests and tokens taken from an account's rate; ``charge`` gave it."""
