--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
+from lavenderrun.codecs._api_answers import (
+    DONE_EVENT,
+    AnswerCodec,
+    encode_error_event,
+    encode_models,
+)
+from lavenderrun.codecs._api_errors import ApiError, encode_error, list_error_headers
+from lavenderrun.codecs._api_headers import parse_idempotency_key, parse_key, strip_headers
+from lavenderrun.codecs._api_requests import ApiForm, ModelCall, parse_chat, parse_completion
 from lavenderrun.codecs._document import (
     Form,
     digest_document,
@@ -10,6 +19,8 @@
     read_document,
 )
 from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._stored import (
     StoredDocumentError,
     decode_copy,
@@ -21,9 +32,17 @@
 from lavenderrun.codecs._wire import WireCodec, WireError
 
 __all__ = [
+    "DONE_EVENT",
+    "ROWS",
+    "AnswerCodec",
+    "ApiError",
+    "ApiForm",
     "Fault",
     "Faults",
     "Form",
+    "ModelCall",
+    "RowCodec",
+    "RowError",
     "StoredDocumentError",
     "WireCodec",
     "WireError",
@@ -32,8 +51,19 @@
     "digest_document",
     "encode_copy",
     "encode_document",
+    "encode_error",
+    "encode_error_event",
+    "encode_models",
     "encode_stored",
+    "find_status",
+    "list_error_headers",
     "make_schema",
     "make_stored",
+    "parse_chat",
+    "parse_completion",
+    "parse_idempotency_key",
+    "parse_key",
     "read_document",
+    "row",
+    "strip_headers",
 ]
--- a/src/lavenderrun/standins/__init__.py
+++ b/src/lavenderrun/standins/__init__.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from lavenderrun.standins._engine_cache import CacheChange, CacheEvent, hash_blocks
-from lavenderrun.standins._engine_model import EngineLoad, EngineModel, EngineSpeed
+from lavenderrun.standins._engine_model import EngineModel
+from lavenderrun.standins._engine_speed import EngineLoad, EngineSpeed
 from lavenderrun.standins._fabric import KV_BYTES_A_TOKEN, Fabric
 from lavenderrun.standins._memory_transport import MemoryNetwork, MemoryPipe, MemoryTransport
+from lavenderrun.standins._table import MemoryStore, TableCore, TableFaults
+from lavenderrun.standins._table_http import TableResource, make_table_resource
 from lavenderrun.standins._text import (
     MEAN_TOKENS,
     POISON_DECODE,
@@ -27,8 +30,13 @@
     "Fabric",
     "MemoryNetwork",
     "MemoryPipe",
+    "MemoryStore",
     "MemoryTransport",
+    "TableCore",
+    "TableFaults",
+    "TableResource",
     "count_tokens",
     "expected_tokens",
     "hash_blocks",
+    "make_table_resource",
 ]
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -16,6 +16,7 @@
 )
 from lavenderrun.types._events import (
     EVENTS,
+    AttemptHappening,
     BackendCrashed,
     BackendEnded,
     BackendRun,
@@ -33,6 +34,7 @@
     RequestAccepted,
     RequestCancelled,
     RequestFinished,
+    RequestHappening,
     RequestRefused,
     Routed,
     SeatFreed,
@@ -102,23 +104,20 @@
     Running,
     Store,
     StoreConflictError,
-    StoredRow,
+    StoreThrottledError,
     StoreUnavailableError,
+    StoredRow,
     TokenSink,
     Transport,
 )
-from lavenderrun.types._refusals import (
-    BackendCrashError,
-    Refusal,
-    Refused,
-    StepError,
-)
+from lavenderrun.types._refusals import BackendCrashError, Refusal, Refused, StepError
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
     AdmittedPlain,
     AnswerSink,
     ModelRequest,
+    PacedTicket,
     PlainRequest,
     ReplySink,
     Ticket,
@@ -134,6 +133,7 @@
     StoredDocument,
     Submitted,
 )
+from lavenderrun.types._settings import FrontSettings
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -169,6 +169,7 @@
     "AdmittedPlain",
     "AnswerSink",
     "AttemptFailed",
+    "AttemptHappening",
     "AttemptId",
     "Backend",
     "BackendCrashError",
@@ -211,6 +212,7 @@
     "Fingerprint",
     "FinishReason",
     "Frame",
+    "FrontSettings",
     "Happening",
     "Heartbeat",
     "Hello",
@@ -236,6 +238,7 @@
     "ModelRequest",
     "ModelRoute",
     "Outcome",
+    "PacedTicket",
     "Part",
     "Pipe",
     "PipeEvents",
@@ -260,6 +263,7 @@
     "RequestAccepted",
     "RequestCancelled",
     "RequestFinished",
+    "RequestHappening",
     "RequestId",
     "RequestRefused",
     "Reserve",
@@ -280,6 +284,7 @@
     "StepError",
     "Store",
     "StoreConflictError",
+    "StoreThrottledError",
     "StoreUnavailableError",
     "StoredDocument",
     "StoredRow",
