--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -38,6 +38,14 @@
 from lavenderrun.codecs._faults import Fault, Faults
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
 from lavenderrun.codecs._statuses import find_status
+from lavenderrun.codecs._stored import (
+    StoredDocumentError,
+    decode_copy,
+    decode_stored,
+    encode_copy,
+    encode_stored,
+    make_stored,
+)
 from lavenderrun.codecs._wire import WireCodec, WireError
 
 __all__ = [
@@ -64,19 +72,25 @@
     "ReleaseCall",
     "RowCodec",
     "RowError",
+    "StoredDocumentError",
     "WireCodec",
     "WireError",
     "decode_body",
+    "decode_copy",
+    "decode_stored",
     "digest_document",
     "encode_body",
+    "encode_copy",
     "encode_decode_event",
     "encode_document",
     "encode_error",
     "encode_error_event",
     "encode_models",
+    "encode_stored",
     "find_status",
     "list_error_headers",
     "make_schema",
+    "make_stored",
     "parse_chat",
     "parse_completion",
     "parse_idempotency_key",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -12,9 +12,12 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._changes import find_changes
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
+from lavenderrun.decisions._keys import grant_key, withdraw_key
 from lavenderrun.decisions._leases import (
     Drop,
     Promise,
@@ -71,6 +74,8 @@
     "Drop",
     "FairQueue",
     "FifoQueue",
+    "Freshness",
+    "FreshnessRules",
     "Job",
     "JobKey",
     "LinkBudget",
@@ -106,8 +111,13 @@
     "Tombstones",
     "Violation",
     "check_record",
+    "choose_voters",
     "count_tokens",
     "digest_key",
+    "find_changes",
     "find_plain_route",
+    "grant_key",
+    "has_majority",
     "hash_blocks",
+    "withdraw_key",
 ]
