--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -1,35 +1,17 @@
-"""Pure policy: time, randomness and input come in, decisions go out."""
-
-from __future__ import annotations
-
-from lavenderrun.decisions._retries import RetryBudget
-from lavenderrun.decisions._stream import Assembly, Progress
-from lavenderrun.decisions._tokens import count_tokens
-
-__all__ = ["Assembly", "Progress", "RetryBudget", "count_tokens"]
-"""Pure policy: no I/O library, no wall clock."""
-
-from __future__ import annotations
-
-from lavenderrun.decisions._routes import find_model_route, find_plain_route
-
-__all__ = ["find_model_route", "find_plain_route"]
-"""Pure policy: no I/O library, no wall clock; decisions come out of plain values."""
+"""Pure policy: time, randomness and input come in as arguments, decisions go out."""
 
 from __future__ import annotations
 
+from lavenderrun.decisions import (
+    _invariants_fleet as _invariants_fleet,
+)
+from lavenderrun.decisions import (
+    _invariants_requests as _invariants_requests,
+)
 from lavenderrun.decisions._admission import (
     AdmissionIndex,
     digest_key,
 )
-
-__all__ = [
-    "AdmissionIndex",
-    "digest_key",
-"""Pure policy: decisions over typed values, free of I/O, clock and randomness of their own."""
-
-from __future__ import annotations
-
 from lavenderrun.decisions._affinity import (
     PREFILL_PLACEMENTS,
     PrefillNeed,
@@ -37,8 +19,20 @@
     PrefixIndex,
     hash_blocks,
 )
-from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
-from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._estimates import (
+    Mean,
+    OutputLengths,
+    PrefillSpeed,
+)
+from lavenderrun.decisions._fairqueue import (
+    FairQueue,
+)
+from lavenderrun.decisions._invariants import (
+    INVARIANT_CHECKS,
+    RecordIndex,
+    Violation,
+    check_record,
+)
 from lavenderrun.decisions._leases import (
     Drop,
     Promise,
@@ -68,19 +62,53 @@
     RefusePrefill,
     Release,
 )
-from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
-from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
-from lavenderrun.decisions._seats import SeatBook
-from lavenderrun.decisions._sends import RecentSends
-from lavenderrun.decisions._tombstones import Tombstones
-from lavenderrun.decisions._transfers import LinkBudget
+from lavenderrun.decisions._promises import (
+    PROMISE_POLICIES,
+    PromisePolicy,
+)
+from lavenderrun.decisions._queue import (
+    QUEUE_POLICIES,
+    FifoQueue,
+    Job,
+    JobKey,
+    QueuePolicy,
+)
+from lavenderrun.decisions._retries import (
+    RetryBudget,
+)
+from lavenderrun.decisions._routes import (
+    find_model_route,
+    find_plain_route,
+)
+from lavenderrun.decisions._seats import (
+    SeatBook,
+)
+from lavenderrun.decisions._sends import (
+    RecentSends,
+)
+from lavenderrun.decisions._stream import (
+    Assembly,
+    Progress,
+)
+from lavenderrun.decisions._tokens import (
+    count_tokens,
+)
+from lavenderrun.decisions._tombstones import (
+    Tombstones,
+)
+from lavenderrun.decisions._transfers import (
+    LinkBudget,
+)
 
 __all__ = [
+    "INVARIANT_CHECKS",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
     "QUEUE_POLICIES",
     "Abort",
+    "AdmissionIndex",
+    "Assembly",
     "Candidate",
     "Chance",
     "Choice",
@@ -102,15 +130,18 @@
     "PrefillPlacement",
     "PrefillSpeed",
     "PrefixIndex",
+    "Progress",
     "Promise",
     "PromisePolicy",
     "QueuePolicy",
     "Reason",
     "RecentSends",
+    "RecordIndex",
     "RefusePrefill",
     "Reject",
     "RejectedHost",
     "Release",
+    "RetryBudget",
     "Run",
     "SeatAction",
     "SeatBook",
@@ -118,19 +149,11 @@
     "SeatState",
     "Stop",
     "Tombstones",
-    "hash_blocks",
-from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
-from lavenderrun.decisions import _invariants_requests as _invariants_requests
-from lavenderrun.decisions._invariants import (
-    INVARIANT_CHECKS,
-    RecordIndex,
-    Violation,
-    check_record,
-)
-
-__all__ = [
-    "INVARIANT_CHECKS",
-    "RecordIndex",
     "Violation",
     "check_record",
+    "count_tokens",
+    "digest_key",
+    "find_model_route",
+    "find_plain_route",
+    "hash_blocks",
 ]
--- a/src/lavenderrun/decisions/_affinity.py
+++ b/src/lavenderrun/decisions/_affinity.py
@@ -71,7 +71,10 @@
         """Believe that *host* caches *blocks* no more."""
         for block in blocks:
             holders = self._blocks.get(block)
-            if holders is not None and holders.pop(host, None) and not holders:
+            if holders is None or host not in holders:
+                continue
+            del holders[host]
+            if not holders:
                 del self._blocks[block]
 
     def forget(self, host: HostId) -> None:
