--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,16 +2,9 @@
 
 from __future__ import annotations
 
-from lavenderrun.decisions import (
-    _invariants_fleet as _invariants_fleet,
-)
-from lavenderrun.decisions import (
-    _invariants_requests as _invariants_requests,
-)
-from lavenderrun.decisions._admission import (
-    AdmissionIndex,
-    digest_key,
-)
+from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
+from lavenderrun.decisions import _invariants_requests as _invariants_requests
+from lavenderrun.decisions._admission import AdmissionIndex, digest_key
 from lavenderrun.decisions._affinity import (
     PREFILL_PLACEMENTS,
     PrefillNeed,
@@ -19,20 +12,9 @@
     PrefixIndex,
     hash_blocks,
 )
-from lavenderrun.decisions._estimates import (
-    Mean,
-    OutputLengths,
-    PrefillSpeed,
-)
-from lavenderrun.decisions._fairqueue import (
-    FairQueue,
-)
-from lavenderrun.decisions._invariants import (
-    INVARIANT_CHECKS,
-    RecordIndex,
-    Violation,
-    check_record,
-)
+from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
+from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._leases import (
     Drop,
     Promise,
@@ -62,43 +44,16 @@
     RefusePrefill,
     Release,
 )
-from lavenderrun.decisions._promises import (
-    PROMISE_POLICIES,
-    PromisePolicy,
-)
-from lavenderrun.decisions._queue import (
-    QUEUE_POLICIES,
-    FifoQueue,
-    Job,
-    JobKey,
-    QueuePolicy,
-)
-from lavenderrun.decisions._retries import (
-    RetryBudget,
-)
-from lavenderrun.decisions._routes import (
-    find_model_route,
-    find_plain_route,
-)
-from lavenderrun.decisions._seats import (
-    SeatBook,
-)
-from lavenderrun.decisions._sends import (
-    RecentSends,
-)
-from lavenderrun.decisions._stream import (
-    Assembly,
-    Progress,
-)
-from lavenderrun.decisions._tokens import (
-    count_tokens,
-)
-from lavenderrun.decisions._tombstones import (
-    Tombstones,
-)
-from lavenderrun.decisions._transfers import (
-    LinkBudget,
-)
+from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
+from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
+from lavenderrun.decisions._retries import RetryBudget
+from lavenderrun.decisions._routes import find_model_route, find_plain_route
+from lavenderrun.decisions._seats import SeatBook
+from lavenderrun.decisions._sends import RecentSends
+from lavenderrun.decisions._stream import Assembly, Progress
+from lavenderrun.decisions._tokens import count_tokens
+from lavenderrun.decisions._tombstones import Tombstones
+from lavenderrun.decisions._transfers import LinkBudget
 
 __all__ = [
     "INVARIANT_CHECKS",
