--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -1,4 +1,4 @@
-"""Pure policy: time, randomness and input come in, decisions go out."""
+"""Pure policy: time, randomness and input come in as arguments, decisions go out."""
 
 from __future__ import annotations
 
--- a/src/lavenderrun/decisions/_affinity.py
+++ b/src/lavenderrun/decisions/_affinity.py
@@ -71,9 +71,9 @@
         """Believe that *host* caches *blocks* no more."""
         for block in blocks:
             holders = self._blocks.get(block)
-            if holders is None:
+            if holders is None or host not in holders:
                 continue
-            holders.pop(host, None)
+            del holders[host]
             if not holders:
                 del self._blocks[block]
 
