--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -11,49 +11,45 @@
 from lavenderrun.codecs._api_errors import ApiError, encode_error, list_error_headers
 from lavenderrun.codecs._api_headers import parse_idempotency_key, parse_key, strip_headers
 from lavenderrun.codecs._api_requests import ApiForm, ModelCall, parse_chat, parse_completion
+from lavenderrun.codecs._document import (
+    Form,
+    digest_document,
+    encode_document,
+    make_schema,
+    read_document,
+)
+from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
 from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._wire import WireCodec, WireError
 
 __all__ = [
     "DONE_EVENT",
+    "ROWS",
     "AnswerCodec",
     "ApiError",
     "ApiForm",
+    "Fault",
+    "Faults",
+    "Form",
     "ModelCall",
+    "RowCodec",
+    "RowError",
     "WireCodec",
     "WireError",
+    "digest_document",
+    "encode_document",
     "encode_error",
     "encode_error_event",
     "encode_models",
     "find_status",
     "list_error_headers",
+    "make_schema",
     "parse_chat",
     "parse_completion",
     "parse_idempotency_key",
     "parse_key",
-    "strip_headers",
-from lavenderrun.codecs._document import (
-    Form,
-    digest_document,
-    encode_document,
-    make_schema,
-    read_document,
-)
-from lavenderrun.codecs._faults import Fault, Faults
-from lavenderrun.codecs._wire import WireCodec, WireError
-
-__all__ = [
-    "Fault",
-    "Faults",
-    "Form",
-    "WireCodec",
-    "WireError",
-    "digest_document",
-    "encode_document",
-    "make_schema",
     "read_document",
+    "row",
+    "strip_headers",
 ]
-from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
-from lavenderrun.codecs._wire import WireCodec, WireError
-
-__all__ = ["ROWS", "RowCodec", "RowError", "WireCodec", "WireError", "row"]
