Add membership, the router's door, daemon lists and the loop

Cause: an entry must find agents and the other entries, and both daemons need one loop that twisted and gRPC share. Rows of entries are hints; a row that stood unchanged for 10 minutes on a reader's own clock is removed.

--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lavenderrun.codecs import (
+    _entry_rows as _entry_rows,
+)
 from lavenderrun.codecs._api_answers import (
     DONE_EVENT,
     AnswerCodec,
--- a/src/lavenderrun/daemons/__init__.py
+++ b/src/lavenderrun/daemons/__init__.py
@@ -1,3 +1,14 @@
-"""daemons."""
+"""Daemons: a list of service names each, and the loop that runs them."""
 
 from __future__ import annotations
+
+from lavenderrun.daemons._lists import AGENT_ROLES, ENTRY_SERVICES, list_agent_services
+from lavenderrun.daemons._loop import install_loop, run_until_signal
+
+__all__ = [
+    "AGENT_ROLES",
+    "ENTRY_SERVICES",
+    "install_loop",
+    "list_agent_services",
+    "run_until_signal",
+]
--- /dev/null
+++ b/src/lavenderrun/daemons/_lists.py
@@ -0,0 +1,33 @@
+"""The services of each daemon by name."""
+
+from __future__ import annotations
+
+from lavenderrun.types import BackendRole
+
+ENTRY_SERVICES = (
+    "transport",
+    "links",
+    "record",
+    "store",
+    "document",
+    "admission",
+    "limits",
+    "membership",
+    "model_router",
+    "plain_router",
+    "router",
+    "front",
+)
+
+AGENT_ROLES = {
+    BackendRole.PREFILL: ("engine", "prefill_agent"),
+    BackendRole.DECODE: ("engine", "decode_agent"),
+    BackendRole.PLAIN: ("plain", "plain_agent"),
+}
+
+AGENT_SERVICES = ("transport", "links", "record", "document")
+
+
+def list_agent_services(role: BackendRole) -> tuple[str, ...]:
+    """Return the services of an agent beside a backend server in *role*."""
+    return AGENT_SERVICES + AGENT_ROLES[role]
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -28,6 +28,10 @@
     SeatState,
     Stop,
 )
+from lavenderrun.decisions._membership import (
+    RowWatch,
+    choose_dials,
+)
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -102,6 +106,7 @@
     "RejectedHost",
     "Release",
     "RetryBudget",
+    "RowWatch",
     "Run",
     "SeatAction",
     "SeatBook",
@@ -111,6 +116,7 @@
     "Tombstones",
     "Violation",
     "check_record",
+    "choose_dials",
     "choose_voters",
     "count_tokens",
     "digest_key",
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -7,8 +7,14 @@
 from lavenderrun.services._front import FrontService
 from lavenderrun.services._links import LinksService
 from lavenderrun.services._listener import Listener, ListenError
+from lavenderrun.services._membership import (
+    Membership,
+)
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
+from lavenderrun.services._router import (
+    RouterService,
+)
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
 from lavenderrun.services._store_http import HttpStore
 from lavenderrun.services._transport_grpc import GrpcTransport
@@ -23,8 +29,10 @@
     "LinksService",
     "ListenError",
     "Listener",
+    "Membership",
     "ModelRouter",
     "PrefillAgent",
+    "RouterService",
     "StoreClient",
     "StoreCounters",
     "StoreSettings",
--- /dev/null
+++ b/src/lavenderrun/services/_membership.py
@@ -0,0 +1,138 @@
+"""Service ``membership``: registers this entry, and links it to all agents and entries.
+
+Agents stand in the document. Entries register a row each in the table service; the row is a hint
+where to dial, and what a greeting says goes before it.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any, ClassVar
+
+from eliot import log_message
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from lavenderrun.codecs import RowCodec, RowError
+from lavenderrun.decisions import RowWatch, choose_dials
+from lavenderrun.kernel import SERVICES, Kernel, Timer
+from lavenderrun.types import (
+    Backend,
+    Document,
+    DocumentSource,
+    EntryHost,
+    Links,
+    Store,
+    StoreConflictError,
+    StoredRow,
+    StoreThrottledError,
+    StoreUnavailableError,
+)
+
+TABLE = "entries"
+ROUND = timedelta(seconds=30)
+FIRST_ROUNDS = timedelta(seconds=2)
+EARLY = 5
+
+STORE_FAULTS = (StoreUnavailableError, StoreThrottledError, StoreConflictError)
+
+
+class Membership:
+    """Keeps the links of an entry in step with the document and the rows of entries."""
+
+    needs: ClassVar[tuple[str, ...]] = ("links", "store", "document")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._clock = kernel.clock
+        self._chance = kernel.chance
+        self._links = kernel.find("links", Links)
+        self._store = kernel.find("store", Store)
+        self._document = kernel.find("document", DocumentSource)
+        hello = kernel.settings.hello()
+        self._me = EntryHost(hello.host, hello.boot, hello.data_centre, hello.address)
+        self._codec = RowCodec(TABLE)
+        self._watch = RowWatch()
+        self._entries: dict[str, EntryHost] = {}
+        self._backends: list[Backend] = []
+        self._rounds = 0
+        self._timer: Timer | None = None
+        self._stopped = False
+
+    def start(self) -> None:
+        """Follow the document and begin the rounds."""
+        self._document.watch(self._take_document)
+        self._begin_round()
+
+    def stop(self) -> Deferred[None]:
+        """Take this entry's row away."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        return ensureDeferred(self._withdraw())
+
+    def entries(self) -> list[EntryHost]:
+        """Return the other entries last read."""
+        return [entry for entry in self._entries.values() if entry.host != self._me.host]
+
+    def _take_document(self, document: Document) -> None:
+        self._backends = document.backends
+        self._dial()
+
+    def _dial(self) -> None:
+        self._links.keep(choose_dials(self._me.host, self._backends, self._entries.values()))
+
+    def _begin_round(self) -> None:
+        ensureDeferred(self._run_round())
+
+    async def _run_round(self) -> None:
+        try:
+            await self._register()
+            await self._read_entries()
+        except STORE_FAULTS as error:
+            log_message(
+                "membership:store",
+                text="membership: round failed, old entries kept",
+                error=type(error).__name__,
+            )
+        if not self._stopped:
+            self._rounds += 1
+            pause = FIRST_ROUNDS if self._rounds < EARLY else ROUND
+            jitter = self._chance.uniform(0.75, 1.25)
+            self._timer = self._clock.call_later(pause * jitter, self._begin_round)
+
+    async def _register(self) -> None:
+        row = await self._store.get(TABLE, self._me.host)
+        version = row.version if row is not None else 0
+        # a write each round moves the version on, which tells the others that this host lives
+        await self._store.put(TABLE, self._me.host, self._codec.encode(self._me), expect=version)
+
+    async def _read_entries(self) -> None:
+        rows = await self._store.scan(TABLE)
+        found = {row.key: entry for row in rows if (entry := self._decode(row)) is not None}
+        versions = {row.key: row.version for row in rows}
+        for key in self._watch.find_stale(versions, self._clock.now()):
+            found.pop(key, None)
+            await self._store.delete(TABLE, key, expect=versions[key])
+        self._entries = found
+        self._dial()
+
+    def _decode(self, row: StoredRow) -> EntryHost | None:
+        try:
+            entry: Any = self._codec.decode(row.key, row.value)
+        except RowError as error:
+            log_message("membership:row", text="membership: bad row skipped", error=str(error))
+            return None
+        return entry  # type: ignore[no-any-return]
+
+    async def _withdraw(self) -> None:
+        try:
+            row = await self._store.get(TABLE, self._me.host)
+            if row is not None:
+                await self._store.delete(TABLE, self._me.host, expect=row.version)
+        except STORE_FAULTS:
+            log_message("membership:store", text="membership: row left for others to remove")
+
+
+@SERVICES.register("membership")
+def make_membership(kernel: Kernel) -> Membership:
+    """Make the service."""
+    return Membership(kernel)
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -133,7 +133,18 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._settings import BackendSettings, FrontSettings
+from lavenderrun.types._rows import (
+    EntryHost,
+)
+from lavenderrun.types._settings import (
+    AgentSettings,
+    BackendSettings,
+    DaemonSettings,
+    EntrySettings,
+    FrontSettings,
+    HostSettings,
+    ServedSettings,
+)
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -167,6 +178,7 @@
     "Admitted",
     "AdmittedModel",
     "AdmittedPlain",
+    "AgentSettings",
     "AnswerSink",
     "AttemptFailed",
     "AttemptHappening",
@@ -191,6 +203,7 @@
     "Cancel",
     "Change",
     "Charge",
+    "DaemonSettings",
     "DataCentre",
     "Document",
     "DocumentAccepted",
@@ -204,6 +217,8 @@
     "DocumentState",
     "DocumentVersion",
     "Engine",
+    "EntryHost",
+    "EntrySettings",
     "Event",
     "Export",
     "ExportFreed",
@@ -221,6 +236,7 @@
     "HostLeaving",
     "HostLost",
     "HostRole",
+    "HostSettings",
     "HostStarted",
     "HostState",
     "HostStopped",
@@ -279,6 +295,7 @@
     "SeatFreed",
     "SeatPromised",
     "SeatTaken",
+    "ServedSettings",
     "ServiceGroup",
     "Start",
     "Step",
--- a/src/lavenderrun/types/_settings.py
+++ b/src/lavenderrun/types/_settings.py
@@ -4,13 +4,17 @@
 
 from datetime import timedelta
 from typing import Annotated
+from uuid import uuid4
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from lavenderrun.types._ids import BackendId, BootId, DataCentre, HostId, ServiceGroup
+from lavenderrun.types._messages import Hello
+from lavenderrun.types._states import BackendRole, HostRole
+
 Size = Annotated[int, Field(gt=0)]
 Wait = Annotated[timedelta, Field(gt=timedelta(0), le=timedelta(days=1))]
-
-
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Address = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
 
 
@@ -30,9 +34,7 @@
 
     model_config = ConfigDict(frozen=True, extra="forbid")
 
-    listen: Annotated[
-        str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
-    ] = "127.0.0.1:0"
+    listen: Address = "127.0.0.1:0"
     certificate: str | None = None
     private_key: str | None = None
     max_body: Size = 1 << 20
@@ -56,3 +58,104 @@
     address: Address
     connections: Annotated[int, Field(gt=0)] = 32
     silence: Wait = timedelta(seconds=30)
+
+
+class HostSettings(BaseModel):
+    """Section of the host itself.
+
+    :param id: name of this host, unique in the fleet.
+    :param listen: IP number and port for the other daemons; they must reach it.
+    :param authority: PEM file of the certificate authority for links between daemons; plain TCP
+        without it.
+    :param certificate: PEM file with this host's certificate chain for links.
+    :param private_key: PEM file with the certificate's key.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    id: Name
+    data_centre: Name
+    listen: Address
+    authority: str | None = None
+    certificate: str | None = None
+    private_key: str | None = None
+
+
+class ServedSettings(BaseModel):
+    """Section of what the backend server beside an agent serves.
+
+    :param id: the backend server's id in the document.
+    :param group: the model or plain service.
+    :param seats: requests that it runs at once.
+    :param pieces: pieces of KV cache, about a thousand tokens each.
+    :param checks_fencing: refuses orders that carry an old fencing number.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    id: Name
+    group: Name
+    role: BackendRole
+    seats: Size = 20
+    pieces: Size = 640
+    checks_fencing: bool = False
+
+
+class DaemonSettings(BaseModel):
+    """Settings that every daemon has.
+
+    :param boot: identity of this life of the process; never read from a file.
+    :param policies: names of policies other than the defaults, by part.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    host: HostSettings
+    policies: dict[str, str] = {}
+    boot: BootId = Field(default_factory=lambda: BootId(uuid4().hex), init=False, exclude=True)
+
+
+class EntrySettings(DaemonSettings):
+    """Settings of an entry."""
+
+    front: FrontSettings = FrontSettings()
+
+    def hello(self) -> Hello:
+        """Return this host's greeting to its peers."""
+        host = self.host
+        return Hello(
+            HostId(host.id),
+            self.boot,
+            HostRole.ENTRY,
+            DataCentre(host.data_centre),
+            address=host.listen,
+        )
+
+
+class AgentSettings(DaemonSettings):
+    """Settings of an agent.
+
+    :param serves: what the backend server beside it serves.
+    :param backend: how the backend server is reached.
+    """
+
+    serves: ServedSettings
+    backend: BackendSettings
+
+    def hello(self) -> Hello:
+        """Return this host's greeting to its peers."""
+        host, serves = self.host, self.serves
+        return Hello(
+            HostId(host.id),
+            self.boot,
+            HostRole.AGENT,
+            DataCentre(host.data_centre),
+            BackendId(serves.id),
+            serves.role,
+            ServiceGroup(serves.group),
+            host.listen,
+        )
+
+    def seats(self) -> int:
+        """Return the requests that the backend server runs at once."""
+        return self.serves.seats
