--- a/src/lavenderrun/standins/_engine_http.py
+++ b/src/lavenderrun/standins/_engine_http.py
@@ -40,7 +40,7 @@
     isLeaf = True  # noqa: N815
 
     def __init__(self, model: EngineModel, *, checks_fencing: bool = True) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self.model = model
         self.orders: list[OrderCall] = []
         self._checks_fencing = checks_fencing
