--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -104,9 +104,9 @@
     Running,
     Store,
     StoreConflictError,
-    StoredRow,
     StoreThrottledError,
     StoreUnavailableError,
+    StoredRow,
     TokenSink,
     Transport,
 )
@@ -133,9 +133,7 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._rows import (
-    EntryHost,
-)
+from lavenderrun.types._rows import EntryHost
 from lavenderrun.types._settings import (
     AgentSettings,
     BackendSettings,
