--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -8,22 +8,9 @@
     encode_error_event,
     encode_models,
 )
-from lavenderrun.codecs._api_errors import (
-    ApiError,
-    encode_error,
-    list_error_headers,
-)
-from lavenderrun.codecs._api_headers import (
-    parse_idempotency_key,
-    parse_key,
-    strip_headers,
-)
-from lavenderrun.codecs._api_requests import (
-    ApiForm,
-    ModelCall,
-    parse_chat,
-    parse_completion,
-)
+from lavenderrun.codecs._api_errors import ApiError, encode_error, list_error_headers
+from lavenderrun.codecs._api_headers import parse_idempotency_key, parse_key, strip_headers
+from lavenderrun.codecs._api_requests import ApiForm, ModelCall, parse_chat, parse_completion
 from lavenderrun.codecs._document import (
     Form,
     digest_document,
@@ -31,23 +18,10 @@
     make_schema,
     read_document,
 )
-from lavenderrun.codecs._faults import (
-    Fault,
-    Faults,
-)
-from lavenderrun.codecs._rows import (
-    ROWS,
-    RowCodec,
-    RowError,
-    row,
-)
-from lavenderrun.codecs._statuses import (
-    find_status,
-)
-from lavenderrun.codecs._wire import (
-    WireCodec,
-    WireError,
-)
+from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._statuses import find_status
+from lavenderrun.codecs._wire import WireCodec, WireError
 
 __all__ = [
     "DONE_EVENT",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -35,6 +35,7 @@
     Reason,
     RejectedHost,
 )
+from lavenderrun.decisions._pool import Pool
 from lavenderrun.decisions._prefills import (
     Abort,
     Compute,
@@ -78,6 +79,7 @@
     "Need",
     "OutputLengths",
     "Placement",
+    "Pool",
     "PrefillAction",
     "PrefillBook",
     "PrefillNeed",
--- a/src/lavenderrun/decisions/_leases.py
+++ b/src/lavenderrun/decisions/_leases.py
@@ -84,7 +84,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Drop:
-    """Forget an attempt that had a promise but did not run."""
+    """Forget an attempt that did not run."""
 
     key: JobKey
 
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -121,6 +121,9 @@
     def seats(self) -> int:
         return 2
 
+    def pieces(self) -> int:
+        return 640
+
 
 class Sink:
     def __init__(self) -> None:
