--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -12,9 +12,12 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._changes import find_changes
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
+from lavenderrun.decisions._keys import grant_key, withdraw_key
 from lavenderrun.decisions._leases import (
     Drop,
     Promise,
@@ -48,7 +51,7 @@
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
-from lavenderrun.decisions._routes import find_model_route, find_plain_route
+from lavenderrun.decisions._routes import find_plain_route
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
 from lavenderrun.decisions._stream import Assembly, Progress
@@ -72,6 +75,8 @@
     "Drop",
     "FairQueue",
     "FifoQueue",
+    "Freshness",
+    "FreshnessRules",
     "Job",
     "JobKey",
     "LinkBudget",
@@ -108,9 +113,13 @@
     "Tombstones",
     "Violation",
     "check_record",
+    "choose_voters",
     "count_tokens",
     "digest_key",
-    "find_model_route",
+    "find_changes",
     "find_plain_route",
+    "grant_key",
+    "has_majority",
     "hash_blocks",
+    "withdraw_key",
 ]
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -89,6 +89,7 @@
 from lavenderrun.types._ports import (
     Admission,
     Charge,
+    DocumentKeeper,
     DocumentSource,
     Engine,
     Export,
@@ -109,12 +110,7 @@
     TokenSink,
     Transport,
 )
-from lavenderrun.types._refusals import (
-    BackendCrashError,
-    Refusal,
-    Refused,
-    StepError,
-)
+from lavenderrun.types._refusals import BackendCrashError, Refusal, Refused, StepError
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
@@ -126,7 +122,18 @@
     ReplySink,
     Ticket,
 )
-from lavenderrun.types._settings import FrontSettings
+from lavenderrun.types._revisions import (
+    Change,
+    DocumentAsk,
+    DocumentConflict,
+    DocumentCopy,
+    DocumentFetch,
+    DocumentState,
+    Revision,
+    StoredDocument,
+    Submitted,
+)
+from lavenderrun.types._settings import BackendSettings, FrontSettings
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -172,6 +179,7 @@
     "BackendReceived",
     "BackendRole",
     "BackendRun",
+    "BackendSettings",
     "Batch",
     "BootId",
     "Call",
@@ -181,12 +189,19 @@
     "CallerRefused",
     "CallerSent",
     "Cancel",
+    "Change",
     "Charge",
     "DataCentre",
     "Document",
     "DocumentAccepted",
+    "DocumentAsk",
+    "DocumentConflict",
+    "DocumentCopy",
+    "DocumentFetch",
     "DocumentInForce",
+    "DocumentKeeper",
     "DocumentSource",
+    "DocumentState",
     "DocumentVersion",
     "Engine",
     "Event",
@@ -254,6 +269,7 @@
     "RequestRefused",
     "Reserve",
     "Resume",
+    "Revision",
     "Revoke",
     "Revoked",
     "RouteName",
@@ -271,7 +287,9 @@
     "StoreConflictError",
     "StoreThrottledError",
     "StoreUnavailableError",
+    "StoredDocument",
     "StoredRow",
+    "Submitted",
     "Targets",
     "Ticket",
     "TokenSink",
