Choose agents on the entry by load, cached prefix and link budget

Cause: the entry took the better of a random pair by lagging load and sent a prefill without a lead.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -27,6 +27,7 @@
     SeatRequest,
     SeatState,
     Stop,
+    count_pieces,
 )
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
@@ -114,6 +115,7 @@
     "Violation",
     "check_record",
     "choose_voters",
+    "count_pieces",
     "count_tokens",
     "digest_key",
     "find_changes",
--- a/src/lavenderrun/decisions/_leases.py
+++ b/src/lavenderrun/decisions/_leases.py
@@ -14,6 +14,11 @@
 ZERO = timedelta(0)
 
 
+def count_pieces(tokens: int) -> int:
+    """Return the pieces of KV cache that *tokens* take."""
+    return ceil(tokens / PIECE_TOKENS)
+
+
 class SeatState(Enum):
     """Stage of an attempt at its decode agent."""
 
@@ -46,7 +51,7 @@
     @property
     def pieces(self) -> int:
         """Return the pieces of KV cache that the attempt may come to hold."""
-        return ceil((self.tokens + self.max_tokens) / PIECE_TOKENS)
+        return count_pieces(self.tokens + self.max_tokens)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lavenderrun/decisions/_transfers.py
+++ b/src/lavenderrun/decisions/_transfers.py
@@ -26,10 +26,9 @@
         self._share = share
         self._free_at: dict[Direction, datetime] = {}
 
-    def set_rates(self, rates: Mapping[Direction, float], share: float) -> None:
+    def set_rates(self, rates: Mapping[Direction, float]) -> None:
         """Take new rates; what is booked stays booked."""
         self._rates = dict(rates)
-        self._share = share
 
     def duration(self, direction: Direction, tokens: int) -> timedelta:
         """Return how long a transfer of *tokens* takes on an idle link."""
--- /dev/null
+++ b/src/lavenderrun/services/_chooser.py
@@ -0,0 +1,180 @@
+"""Choice of agents on an entry, with a log line and an event for each decision."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from datetime import timedelta
+
+from eliot import log_message
+
+from lavenderrun.decisions import (
+    PLACEMENTS,
+    PREFILL_PLACEMENTS,
+    Candidate,
+    Choice,
+    LinkBudget,
+    Need,
+    Pool,
+    PrefillNeed,
+    PrefillSpeed,
+    PrefixIndex,
+    RecentSends,
+    count_pieces,
+)
+from lavenderrun.kernel import Kernel
+from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._policies import Policies
+from lavenderrun.types import (
+    BackendRole,
+    DataCentre,
+    Document,
+    HostId,
+    Link,
+    Links,
+    ModelName,
+    Prefilled,
+    RequestId,
+    Routed,
+    ServiceGroup,
+)
+
+SEAT_SECONDS = 2.0
+"""Time that a seat is expected to be held, for the correction of lagging loads."""
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a request asks of the agents.
+
+    :param blocks: hashes of the prompt's whole blocks.
+    """
+
+    request: RequestId
+    model: ModelName
+    tokens: int
+    max_tokens: int
+    blocks: list[str]
+
+
+@dataclass(frozen=True)
+class PrefillChoice:
+    """The prefill agent chosen.
+
+    :param lead: until the export is expected at the decode agent, its queue included.
+    """
+
+    link: Link
+    lead: timedelta
+
+
+class Chooser:
+    """Chooses agents over lagging loads; see :mod:`lavenderrun.decisions`."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        policies = Policies.of(kernel)
+        self._clock = kernel.clock
+        self._chance = kernel.chance
+        self._links = kernel.find("links", Links)
+        self._events = Emitter.of(kernel)
+        self._place = PLACEMENTS.find(policies.placement)
+        self._place_prefill = PREFILL_PLACEMENTS.find(policies.prefill)
+        self._pools: dict[tuple[ServiceGroup, BackendRole], Pool] = {}
+        self._sends = RecentSends()
+        self._prefixes = PrefixIndex()
+        self._budget = LinkBudget({})
+        self._speed = PrefillSpeed()
+
+    def link_up(self, link: Link) -> None:
+        """Add an agent to its pool."""
+        peer = link.peer
+        if peer.group is not None and peer.backend_role is not None:
+            self._pool(peer.group, peer.backend_role).add(peer.host, peer.data_centre)
+
+    def link_down(self, link: Link) -> None:
+        """Take an agent out; what was believed of it is forgotten."""
+        peer = link.peer
+        if peer.group is not None and peer.backend_role is not None:
+            self._pool(peer.group, peer.backend_role).remove(peer.host)
+        self._sends.forget(peer.host)
+        if peer.backend_role is BackendRole.PREFILL:
+            self._prefixes.forget(peer.host)
+
+    def take_document(self, document: Document) -> None:
+        """Take the rates of the links."""
+        rates = {(link.source, link.target): link.bytes_per_second for link in document.links}
+        self._budget.set_rates(rates)
+
+    def choose_decode(self, demand: Demand, tried: Collection[HostId]) -> Link | None:
+        """Return the link to a decode agent, ``None`` when none fits."""
+        pool = self._pool(ServiceGroup(demand.model), BackendRole.DECODE)
+        need = Need(count_pieces(demand.tokens + demand.max_tokens), frozenset(tried))
+        choice = self._place(pool, need, self._chance)
+        self._report(demand.request, choice, "decode")
+        if choice.chosen is None:
+            return None
+        self._sends.note(choice.chosen, SEAT_SECONDS, self._clock.now())
+        return self._links.find(choice.chosen)
+
+    def choose_prefill(
+        self, demand: Demand, target: DataCentre, tried: Collection[HostId], *, ask: bool = False
+    ) -> PrefillChoice | None:
+        """Return the prefill agent for a decode in *target*.
+
+        :param ask: only the lead is wanted, nothing is sent.
+        """
+        now = self._clock.now()
+        pool = self._pool(ServiceGroup(demand.model), BackendRole.PREFILL)
+        cached = self._prefixes.expect(demand.blocks, now)
+
+        def look_at_link(candidate: Candidate) -> tuple[timedelta, timedelta]:
+            direction = (candidate.data_centre, target)
+            duration = self._budget.duration(direction, demand.tokens)
+            return self._budget.wait(direction, now), duration
+
+        need = PrefillNeed(
+            demand.tokens, cached, self._speed.estimate, look_at_link, frozenset(tried)
+        )
+        choice = self._place_prefill(pool, need, self._chance)
+        link = None if choice.chosen is None else self._links.find(choice.chosen)
+        if link is None:
+            return None
+        if not ask:
+            self._report(demand.request, choice, "prefill")
+            seconds = self._speed.estimate(demand.tokens, int(cached.get(link.peer.host, 0.0)))
+            self._sends.note(link.peer.host, seconds, now)
+            direction = (link.peer.data_centre, target)
+            transfer = self._budget.duration(direction, demand.tokens)
+            self._budget.book(direction, demand.tokens, now + choice.wait - transfer)
+        return PrefillChoice(link, choice.wait)
+
+    def learn_prefill(self, demand: Demand, done: Prefilled, host: HostId) -> None:
+        """Take what a finished prefill tells of the agent's cache and speed."""
+        self._prefixes.learn(host, demand.blocks, done.cached, self._clock.now())
+        self._speed.add(done.tokens, done.cached, done.took.total_seconds())
+
+    def _pool(self, group: ServiceGroup, role: BackendRole) -> Pool:
+        pool = self._pools.get((group, role))
+        if pool is None:
+            pool = self._pools[(group, role)] = Pool(self._look)
+        return pool
+
+    def _look(self, host: HostId, centre: DataCentre) -> Candidate:
+        load = self._links.load(host)
+        sent, work = self._sends.since(host, load, self._clock.now())
+        return Candidate(host, centre, load, self._links.is_leaving(host), sent, work)
+
+    def _report(self, request: RequestId, choice: Choice, part: str) -> None:
+        rejected = [each.host for each in choice.rejected]
+        if choice.chosen is not None:
+            self._events.emit(Routed(request, choice.chosen, rejected, part))
+        log_message(
+            "placement:chosen",
+            text=f"placement: {part} agent chosen"
+            if choice.chosen
+            else f"placement: no {part} agent",
+            request=request,
+            chosen=choice.chosen or "",
+            wait=choice.wait.total_seconds(),
+            rejected={each.host: each.reason.value for each in choice.rejected},
+        )
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -10,14 +10,14 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
-from lavenderrun.decisions import Assembly, count_tokens
+from lavenderrun.decisions import Assembly, count_tokens, hash_blocks
+from lavenderrun.services._chooser import Demand
 from lavenderrun.types import (
     Ack,
     AdmittedModel,
     AnswerSink,
     AttemptFailed,
     AttemptId,
-    BackendRole,
     Cancel,
     Charge,
     FinishReason,
@@ -52,6 +52,8 @@
 BACKOFF = timedelta(milliseconds=100)
 RESUME_GRACE = timedelta(seconds=2)
 STALL_TIMEOUT = timedelta(seconds=5)
+PREFILL_PATIENCE = timedelta(seconds=2)
+"""Longest wait of a prefill, for a promised seat is not kept longer."""
 
 
 class RunState(Enum):
@@ -87,6 +89,7 @@
         self._acked = 0
         self._attempt = AttemptId(0)
         self._failed_hosts: set[HostId] = set()
+        self._demand: Demand | None = None
         self._decoder: Link | None = None
         self._prefiller: Link | None = None
         self._charge: Charge | None = None
@@ -123,7 +126,7 @@
         elif isinstance(message, SeatPromised) and self.state is RunState.SEATING:
             self._take_seat(message)
         elif isinstance(message, Prefilled) and self.state is RunState.PREFILLING:
-            self._take_prefill(message)
+            self._take_prefill(message, link.peer.host)
         elif isinstance(message, AttemptFailed):
             self._fail_attempt(link.peer.host, message.refused, started=message.started)
 
@@ -191,11 +194,16 @@
             self._refuse(self._refuse_with(Refusal.NO_ROOM))
             return
         route = self.admitted.route
-        link = self._router.choose(route.model, BackendRole.DECODE, self._failed_hosts)
+        demand = self._demand = self._describe()
+        chooser = self._router.chooser
+        link = chooser.choose_decode(demand, self._failed_hosts)
         if link is None:
             self._failed_hosts.clear()
             self._back_off()
             return
+        expected = chooser.choose_prefill(
+            demand, link.peer.data_centre, self._failed_hosts, ask=True
+        )
         self._decoder = link
         self._attempt = AttemptId(self._attempt + 1)
         self.state = RunState.SEATING
@@ -206,9 +214,9 @@
                 account=self.admitted.account or "",  # type: ignore[arg-type]
                 route=route.name,
                 model=route.model,
-                prompt_tokens=self._prompt_tokens + self._assembly.offset,
-                max_tokens=self._max_tokens - self._assembly.offset,
-                lead=timedelta(0),
+                prompt_tokens=demand.tokens,
+                max_tokens=demand.max_tokens,
+                lead=timedelta(0) if expected is None else expected.lead,
                 patience=left,
                 urgency=route.targets.first_token,
                 weight=self.admitted.weight,
@@ -218,34 +226,54 @@
         self._expect(left + ANSWER_MARGIN, self._stall)
 
     def _take_seat(self, promise: SeatPromised) -> None:
+        assert self._decoder is not None
+        assert self._demand is not None
         route = self.admitted.route
-        link = self._router.choose(route.model, BackendRole.PREFILL, self._failed_hosts)
-        if link is None:
+        choice = self._router.chooser.choose_prefill(
+            self._demand, self._decoder.peer.data_centre, self._failed_hosts
+        )
+        if choice is None:
             self._drop_attempt()
+            self._failed_hosts.clear()
             self._back_off()
             return
-        self._prefiller = link
+        self._prefiller = choice.link
         self.state = RunState.PREFILLING
-        patience = max(self._patience_left(), ANSWER_MARGIN)
-        link.send(
+        start_in = max(timedelta(0), promise.ready_in - choice.lead)
+        patience = min(max(self._patience_left(), ANSWER_MARGIN), PREFILL_PATIENCE)
+        choice.link.send(
             Prefill(
                 request=self.request.request,
                 attempt=self._attempt,
                 account=self.admitted.account or "",  # type: ignore[arg-type]
                 model=route.model,
-                text=self.request.prompt + "".join(self._delivered),
-                tokens=self._prompt_tokens + self._assembly.offset,
-                start_in=promise.ready_in,
+                text=self._text(),
+                tokens=self._demand.tokens,
+                start_in=start_in,
                 patience=patience,
                 urgency=route.targets.first_token,
                 weight=self.admitted.weight,
                 fingerprint=self.admitted.fingerprint,
             )
         )
-        self._expect(patience + promise.ready_in + ANSWER_MARGIN, self._stall)
+        self._expect(patience + start_in + ANSWER_MARGIN, self._stall)
+
+    def _describe(self) -> Demand:
+        return Demand(
+            self.request.request,
+            self.admitted.route.model,
+            self._prompt_tokens + self._assembly.offset,
+            self._max_tokens - self._assembly.offset,
+            hash_blocks(self._text()),
+        )
+
+    def _text(self) -> str:
+        return self.request.prompt + "".join(self._delivered)
 
-    def _take_prefill(self, done: Prefilled) -> None:
+    def _take_prefill(self, done: Prefilled, host: HostId) -> None:
         assert self._decoder is not None
+        assert self._demand is not None
+        self._router.chooser.learn_prefill(self._demand, done, host)
         self.state = RunState.DECODING
         self._assembly.begin(self._attempt)
         self._decoder.send(
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from typing import ClassVar
 
 from twisted.internet.defer import Deferred
 
 from lavenderrun.decisions import RetryBudget
 from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.services._chooser import Chooser
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._model_request import ModelRun
 from lavenderrun.types import (
@@ -16,16 +16,13 @@
     AdmittedModel,
     AnswerSink,
     AttemptFailed,
-    BackendRole,
     Document,
     DocumentSource,
     Frame,
-    HostId,
     Limits,
     Link,
     Links,
     Message,
-    ModelName,
     ModelRequest,
     Prefilled,
     Refusal,
@@ -33,7 +30,6 @@
     RequestId,
     RequestRefused,
     SeatPromised,
-    ServiceGroup,
     Ticket,
 )
 
@@ -56,6 +52,7 @@
         self.links = kernel.find("links", Links)
         self.limits = kernel.find("limits", Limits)
         self.events = Emitter.of(kernel)
+        self.chooser = Chooser(kernel)
         self.retries = RetryBudget(Document().retry_share)
         self._admission = kernel.find("admission", Admission)
         self._document = kernel.find("document", DocumentSource)
@@ -88,23 +85,6 @@
             return DeadTicket()
         return self._run(request, admitted, sink)
 
-    def choose(
-        self, model: ModelName, role: BackendRole, excluded: Collection[HostId]
-    ) -> Link | None:
-        """Return a link to an agent with *model* in *role*, ``None`` when there is none."""
-        fits = [
-            link
-            for link in self.links.live()
-            if link.peer.group == ServiceGroup(model)
-            and link.peer.backend_role is role
-            and link.peer.host not in excluded
-            and not self.links.is_leaving(link.peer.host)
-        ]
-        if not fits:
-            return None
-        pair = [self.chance.choice(fits), self.chance.choice(fits)]
-        return min(pair, key=self._busyness)
-
     def forget(self, run: ModelRun) -> None:
         """Drop an ended run."""
         self._runs.pop(run.request.request, None)
@@ -119,20 +99,18 @@
         run.begin()
         return run
 
-    def _busyness(self, link: Link) -> float:
-        load = self.links.load(link.peer.host)
-        return 0.0 if load is None else (load.taken + load.queued) / max(1, load.seats)
-
     def _take(self, link: Link, message: Message) -> None:
         run = self._runs.get(message.request)  # type: ignore[attr-defined]
         if run is not None:
             run.take(link, message)
 
     def _link_up(self, link: Link) -> None:
+        self.chooser.link_up(link)
         for run in list(self._runs.values()):
             run.link_up(link)
 
     def _link_down(self, link: Link) -> None:
+        self.chooser.link_down(link)
         for run in list(self._runs.values()):
             run.link_down(link)
 
@@ -143,6 +121,7 @@
 
     def _take_document(self, document: Document) -> None:
         self.retries.share = document.retry_share
+        self.chooser.take_document(document)
 
 
 @SERVICES.register("model_router")
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from datetime import datetime
 from typing import ClassVar
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -58,6 +59,7 @@
         self.order = order
         self.running: Deferred[Export] | None = None
         self.export: Export | None = None
+        self.began: datetime | None = None
 
 
 class PrefillAgent:
@@ -150,6 +152,7 @@
     def _compute(self, key: JobKey, job: PrefillJob) -> None:
         order = job.order
         self._events.emit(PrefillStarted(*key, self._backend, order.tokens))
+        job.began = self._clock.now()
         job.running = self._engine.prefill(order.request, order.model, order.text)
         job.running.addCallbacks(
             self._finish, self._fail, callbackArgs=(key, job), errbackArgs=(key, job)
@@ -162,11 +165,18 @@
             return
         job.export = export
         self._events.emit(ExportHeld(*key, self._backend))
-        done = Prefilled(
-            *key, export.handle, export.source, export.tokens, export.cached, export.lives
-        )
-        job.link.send(done)
         now = self._clock.now()
+        job.link.send(
+            Prefilled(
+                *key,
+                export.handle,
+                export.source,
+                export.tokens,
+                export.cached,
+                export.lives,
+                now - (job.began or now),
+            )
+        )
         self._apply(self._book.finish(key, now, cached=export.cached, lives=export.lives))
 
     def _fail(self, failure: Failure, key: JobKey, job: PrefillJob) -> None:
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -172,6 +172,7 @@
     :param tokens: tokens in the export.
     :param cached: tokens that the prefix cache spared.
     :param lives: how long the export is kept.
+    :param took: time that the engine computed, without the wait before it.
     """
 
     request: RequestId
@@ -181,6 +182,7 @@
     tokens: int
     cached: int
     lives: timedelta
+    took: timedelta = timedelta(0)
 
 
 @message("start")
