--- /dev/null
+++ b/src/lavenderrun/services/_policies.py
@@ -0,0 +1,28 @@
+"""Names of the policies that a daemon uses; a benchmark swaps one for its baseline."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lavenderrun.kernel import Kernel
+
+
+@dataclass(frozen=True)
+class Policies:
+    """One name for each part whose behaviour varies.
+
+    :param queue: of :data:`~lavenderrun.decisions.QUEUE_POLICIES`.
+    :param promise: of :data:`~lavenderrun.decisions.PROMISE_POLICIES`.
+    :param placement: of :data:`~lavenderrun.decisions.PLACEMENTS`.
+    :param prefill: of :data:`~lavenderrun.decisions.PREFILL_PLACEMENTS`.
+    """
+
+    queue: str = "fair"
+    promise: str = "ahead"
+    placement: str = "power"
+    prefill: str = "affinity"
+
+    @classmethod
+    def of(cls, kernel: Kernel) -> Policies:
+        """Return those provided under ``policies``, else the defaults."""
+        return kernel.find("policies", cls) if kernel.has("policies") else cls()
