--- a/src/lavenderrun/bench/_callers.py
+++ b/src/lavenderrun/bench/_callers.py
@@ -81,6 +81,12 @@
         self._sighting = sighting
         self._digest = hashlib.blake2b(digest_size=8)
         self._open = True
+        self.closed: Callable[[], object] = lambda: None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller still waits."""
+        return self._open
 
     def put_tokens(self, tokens: list[str]) -> None:
         """Take tokens."""
@@ -108,6 +114,7 @@
         """See nothing more; the caller or the entry host is gone."""
         if self._open:
             self._open = False
+            self.closed()
             self._sighting.gone = True
             self._emit(CALLERS, CallerGone(self.request))
 
@@ -140,6 +147,7 @@
         if not self._sighting.gone:
             self._emit(CALLERS, what)
         self._open = False
+        self.closed()
 
 
 def digest_answer(text: str) -> str:
--- /dev/null
+++ b/src/lavenderrun/bench/_fleet.py
@@ -0,0 +1,255 @@
+"""All hosts of a benchmark on one fake reactor, and the callers before them."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+from typing import Any
+
+from twisted.python.failure import Failure
+
+from lavenderrun.bench._callers import CallerSink, Sighting, Sightings, digest_answer
+from lavenderrun.bench._deployments import ENTRY_PORT, Deployment, digest_of, make_key
+from lavenderrun.bench._hosts import BenchHost
+from lavenderrun.bench._network import BenchNetwork
+from lavenderrun.bench._parts import FixedDocument, OpenLimits, RecordList
+from lavenderrun.bench._time import EventClock, make_clock
+from lavenderrun.bench._workload import Offered, OfferedCall, OfferedPrompt, Workload
+from lavenderrun.kernel import Kernel
+from lavenderrun.standins import EngineModel, Fabric, TableCore, TableFaults, expected_tokens
+from lavenderrun.types import (
+    BackendId,
+    BackendRole,
+    CallerSent,
+    DocumentAccepted,
+    DocumentVersion,
+    Event,
+    Happening,
+    HostId,
+    MemoryHeld,
+    ModelRequest,
+    RequestId,
+    Targets,
+    Ticket,
+)
+
+CALLER_DELAY = timedelta(milliseconds=1)
+RETRY_DELAY = timedelta(milliseconds=100)
+WARM_UP = 1.0
+"""Seconds from the start of the hosts to the first request."""
+MOST_TRIES = 3
+PLATFORM = HostId("platform")
+
+
+class Fleet:
+    """One deployment with its entries, agents, engines and table service.
+
+    :param policies: chosen policies by part.
+    """
+
+    def __init__(
+        self, deployment: Deployment, seed: int, policies: dict[str, str] | None = None
+    ) -> None:
+        self.deployment = deployment
+        self.seed = seed
+        self.policies = policies or {}
+        self.reactor = EventClock()
+        self.clock = make_clock(self.reactor)
+        self.record = RecordList()
+        self.network = BenchNetwork(self.clock, random.Random(f"network-{seed}"))
+        self.fabric = Fabric(self.clock)
+        self.table = TableCore()
+        self.store_faults = TableFaults()
+        self.document = deployment.build_document()
+        self.engines: dict[BackendId, EngineModel] = {}
+        self.hosts: dict[HostId, BenchHost] = {}
+        self.sightings = Sightings()
+        self.failures: list[Failure] = []
+        self.chance = random.Random(f"fleet-{seed}")
+        self._open: dict[HostId, dict[RequestId, tuple[CallerSink, Ticket, Sighting, int]]] = {}
+        self._requests = 0
+        self._build_hosts()
+
+    @property
+    def seconds(self) -> float:
+        """Seconds since the first request could be sent."""
+        return self.reactor.seconds() - WARM_UP
+
+    @property
+    def entries(self) -> list[BenchHost]:
+        """The entry hosts."""
+        return [host for host in self.hosts.values() if host.is_entry]
+
+    @property
+    def agents(self) -> list[BenchHost]:
+        """The hosts beside backend servers."""
+        return [host for host in self.hosts.values() if not host.is_entry]
+
+    def begin(self) -> None:
+        """Start all hosts and let them find each other."""
+        self.emit(PLATFORM, DocumentAccepted(DocumentVersion(1), self.document))
+        for host in self.hosts.values():
+            host.start()
+        self.reactor.advance(WARM_UP)
+
+    def run(self, workload: Workload, seconds: float, drain: float) -> None:
+        """Send what *workload* offers, then wait for the answers."""
+        self._arrivals = workload.offer(seconds)
+        self._schedule_next()
+        self.reactor.advance(seconds)
+        while drain > 0 and any(self._open.values()):
+            self.reactor.advance(1.0)
+            drain -= 1.0
+
+    def finish(self, settle: float) -> None:
+        """Let leases and kept outcomes end, tell what is still held, and stop all hosts."""
+        self.reactor.advance(settle)
+        for host in self.hosts.values():
+            host.tell_held()
+        for name, engine in self.engines.items():
+            self.emit(PLATFORM, MemoryHeld(f"engine {name}", engine.held()))
+        for host in [*self.entries, *self.agents]:
+            if host.is_up:
+                host.stop()
+        self.reactor.advance(settle)
+
+    def at(self, seconds: float, call: Any, *args: Any) -> None:
+        """Run *call* so many seconds after the first request could be sent."""
+        delay = timedelta(seconds=max(0.0, seconds - self.seconds))
+        self.clock.call_later(delay, call, *args)
+
+    def emit(self, host: HostId, what: Happening) -> None:
+        """Put an event on the record."""
+        self.record.emit(Event(self.clock.now(), host, what))
+
+    def note_failure(self, failure: Failure) -> None:
+        """Keep a failure that no service took."""
+        self.failures.append(failure)
+
+    def agent_addresses(self) -> list[str]:
+        """Return where all agents listen."""
+        return [host.address for host in self.agents]
+
+    def service_names(self, host: BenchHost) -> tuple[str, ...]:
+        """Return the services that a host runs beside those that the bench gives it."""
+        if host.backend is None:
+            return ("links", "document", "admission", "limits", "model_router")
+        if host.backend.role is BackendRole.PLAIN:
+            return ("links",)
+        return ("links", f"{host.backend.role.value}_agent")
+
+    def furnish(self, host: BenchHost, kernel: Kernel) -> None:
+        """Build a host's services."""
+        if host.is_entry:
+            kernel.add("document", FixedDocument(self.document))
+            kernel.add("limits", OpenLimits())
+        kernel.build(self.service_names(host))
+
+    def hang_up(self, entry: HostId) -> None:
+        """Break the callers' connections to a dead entry; they try another where they may."""
+        for sink, _, sighting, tries in self._open.pop(entry, {}).values():
+            sink.hang_up()
+            if tries < MOST_TRIES and may_retry(sighting.offered):
+                sighting.gone = False
+                self.clock.call_later(RETRY_DELAY, self._send, sighting, tries + 1)
+
+    def find_targets(self, offered: Offered) -> Targets:
+        """Return the latency targets of the request's route."""
+        if isinstance(offered, OfferedCall):
+            return self.document.plain_routes[0].targets
+        return self.document.model_routes[0].targets
+
+    def _build_hosts(self) -> None:
+        for number, place in enumerate(self.deployment.data_centres):
+            address = f"10.0.0.{number + 1}:{ENTRY_PORT}"
+            entry = BenchHost(self, f"entry-{number}", address, place)
+            self.hosts[entry.host] = entry
+        for backend in self.document.backends:
+            host = BenchHost(
+                self, f"agent-{backend.id}", backend.agent, backend.data_centre, backend
+            )
+            self.hosts[host.host] = host
+            if backend.role is not BackendRole.PLAIN:
+                self.engines[backend.id] = EngineModel(
+                    self.clock,
+                    self.fabric,
+                    f"engine-{backend.id}",
+                    backend.data_centre,
+                    speed=self.deployment.speed,
+                    chance=random.Random(f"engine-{self.seed}-{backend.id}"),
+                )
+
+    def _schedule_next(self) -> None:
+        offered = next(self._arrivals, None)
+        if offered is not None:
+            self.at(offered.at, self._arrive, offered)
+
+    def _arrive(self, offered: Offered) -> None:
+        sighting = Sighting(offered, self.find_targets(offered), self.clock.now())
+        self.sightings.all.append(sighting)
+        self._send(sighting, 1)
+        self._schedule_next()
+
+    def _send(self, sighting: Sighting, tries: int) -> None:
+        entries = [host for host in self.entries if host.is_in_balance()]
+        if not entries:
+            self.clock.call_later(RETRY_DELAY, self._send, sighting, tries)
+            return
+        entry = self.chance.choice(entries)
+        self._requests += 1
+        request = RequestId(f"r{self._requests}")
+        emit_sent(self, request, sighting.offered)
+        sink = CallerSink(self.clock, CALLER_DELAY, self.emit, request, sighting)
+        self.clock.call_later(CALLER_DELAY, self._reach, entry, sink, sighting, tries)
+
+    def _reach(self, entry: BenchHost, sink: CallerSink, sighting: Sighting, tries: int) -> None:
+        if not entry.is_up:
+            sink.hang_up()
+            sighting.gone = False
+            self._send(sighting, tries)
+            return
+        entry.clock.run(self._submit, entry, sink, sighting, tries)
+
+    def _submit(self, entry: BenchHost, sink: CallerSink, sighting: Sighting, tries: int) -> None:
+        offered = sighting.offered
+        open_here = self._open.setdefault(entry.host, {})
+        if isinstance(offered, OfferedPrompt):
+            order = ModelRequest(
+                sink.request,
+                make_key(offered.account),
+                self.deployment.model,
+                offered.prompt,
+                offered.max_tokens,
+                self.clock.now(),
+            )
+            sink.closed = lambda: open_here.pop(sink.request, None)
+            ticket = entry.submit_to("model_router").submit(order, sink)
+            if sink.is_open:
+                open_here[sink.request] = (sink, ticket, sighting, tries)
+
+
+def may_retry(offered: Offered) -> bool:
+    """Tell whether a caller sends a request again after its connection broke."""
+    if isinstance(offered, OfferedCall):
+        return offered.method == "GET" or offered.idempotency_key is not None
+    return True
+
+
+def emit_sent(fleet: Fleet, request: RequestId, offered: Offered) -> None:
+    """Put the sending of a request on the record, with the answer that it must get."""
+    digest = digest_of(make_key(offered.account))
+    what = CallerSent(request, offered.account, "", digest)
+    if isinstance(offered, OfferedPrompt):
+        mean = fleet.deployment.speed.mean_tokens
+        answer = "".join(expected_tokens(offered.prompt, offered.max_tokens, mean))
+        what = CallerSent(request, offered.account, digest_answer(answer), digest)
+    elif isinstance(offered, OfferedCall):
+        what = CallerSent(
+            request,
+            offered.account,
+            "",
+            digest,
+            offered.idempotency_key,
+            offered.repeatability,
+        )
+    fleet.emit(HostId("callers"), what)
--- /dev/null
+++ b/src/lavenderrun/bench/_hosts.py
@@ -0,0 +1,186 @@
+"""One host of a benchmark: real services on a kernel of their own, life after life."""
+
+from __future__ import annotations
+
+import random
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+
+from lavenderrun.bench._parts import BenchSettings
+from lavenderrun.bench._time import HostClock
+from lavenderrun.bench._witness import WitnessEngine
+from lavenderrun.kernel import Kernel
+from lavenderrun.services import StoreClient, StoreSettings
+from lavenderrun.standins import MemoryStore
+from lavenderrun.types import (
+    Backend,
+    BackendRole,
+    BootId,
+    DataCentre,
+    Happening,
+    Hello,
+    HostId,
+    HostLeaving,
+    HostLost,
+    HostRole,
+    HostStarted,
+    HostStopped,
+    Links,
+    MemoryHeld,
+)
+
+if TYPE_CHECKING:
+    from lavenderrun.bench._fleet import Fleet
+
+BALANCER_LAG = timedelta(milliseconds=300)
+"""Until the platform's balancer knows that an entry leaves or does not answer."""
+
+
+class BenchHost:
+    """An entry, or an agent with its backend server."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        address: str,
+        data_centre: DataCentre,
+        backend: Backend | None = None,
+    ) -> None:
+        self.host = HostId(name)
+        self.address = address
+        self.data_centre = data_centre
+        self.backend = backend
+        self.clock = HostClock(fleet.clock)
+        self.kernel: Kernel | None = None
+        self._fleet = fleet
+        self._boots = 0
+        self._engine: WitnessEngine | None = None
+        self._unwell_since: datetime | None = None
+
+    @property
+    def is_entry(self) -> bool:
+        """Whether callers are sent here."""
+        return self.backend is None
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the host has a life."""
+        return self.kernel is not None and not self.clock.is_dead
+
+    def is_in_balance(self) -> bool:
+        """Tell whether the platform's balancer still sends callers here."""
+        if not self.is_up:
+            return False
+        since = self._unwell_since
+        return since is None or self._fleet.clock.now() - since < BALANCER_LAG
+
+    def start(self) -> None:
+        """Begin a new life."""
+        self._boots += 1
+        self._unwell_since = None
+        self.clock = HostClock(self._fleet.clock)
+        self._fleet.network.place(self.address, self.data_centre, self.clock)
+        chance = random.Random(f"{self._fleet.seed}-{self.host}-{self._boots}")
+        settings = BenchSettings(self._greet(), self._count_seats(), self._fleet.policies)
+        kernel = self.kernel = Kernel(self.clock, settings, chance)
+        kernel.add("transport", self._fleet.network.transport(self.address))
+        kernel.add("record", self._fleet.record)
+        if self.is_entry:
+            self._add_store(kernel, chance)
+        else:
+            self._add_backend(kernel)
+        self._fleet.furnish(self, kernel)
+        self.emit(HostStarted())
+        Deferred.fromCoroutine(kernel.start()).addErrback(self._fleet.note_failure)
+        self._keep_peers(kernel)
+
+    def emit(self, what: Happening) -> None:
+        """Put an event of this host on the record."""
+        self._fleet.emit(self.host, what)
+
+    def submit_to(self, name: str) -> Any:
+        """Return a service of this life."""
+        assert self.kernel is not None
+        return self.kernel.find(name, object)
+
+    def pause(self) -> None:
+        """Stop the host's work until :meth:`go_on`; its backend server runs on."""
+        self._unwell_since = self._fleet.clock.now()
+        self.clock.pause()
+
+    def go_on(self) -> None:
+        """Take up the work and all that has arrived meanwhile."""
+        self._unwell_since = None
+        self.clock.go_on()
+
+    def kill(self, *, silent: bool = False) -> None:
+        """End this life; with *silent* no peer sees its connections close."""
+        self.emit(HostLost())
+        self.clock.die()
+        self._fleet.network.drop_host(self.address, silent=silent)
+        if self._engine is not None:
+            self._engine.break_connection()
+        self._fleet.hang_up(self.host)
+
+    def stop(self) -> Deferred[None]:
+        """Stop as planned: announce, drain, end."""
+        assert self.kernel is not None
+        self._unwell_since = self._fleet.clock.now()
+        self.emit(HostLeaving())
+        self.kernel.find("links", Links).leave()
+        done = Deferred.fromCoroutine(self.kernel.stop())
+        return done.addCallbacks(self._end_stop, self._fleet.note_failure)
+
+    def tell_held(self) -> None:
+        """Put on the record what the services of this life hold."""
+        if self.kernel is None or not self.is_up:
+            return
+        for name in self._fleet.service_names(self):
+            service = self.submit_to(name)
+            held = getattr(service, "held", None)
+            if held is not None:
+                self.emit(MemoryHeld(f"{self.host} {name}", held()))
+
+    def _end_stop(self, _: None) -> None:
+        self.emit(HostStopped())
+        self.clock.die()
+        self._fleet.network.drop_host(self.address, silent=False)
+        if self._engine is not None:
+            self._engine.break_connection()
+
+    def _greet(self) -> Hello:
+        boot = BootId(f"{self.host}.{self._boots}")
+        if self.backend is None:
+            return Hello(self.host, boot, HostRole.ENTRY, self.data_centre, address=self.address)
+        return Hello(
+            self.host,
+            boot,
+            HostRole.AGENT,
+            self.data_centre,
+            self.backend.id,
+            self.backend.role,
+            self.backend.group,
+            self.address,
+        )
+
+    def _count_seats(self) -> int:
+        return self.backend.seats if self.backend is not None else 0
+
+    def _add_store(self, kernel: Kernel, chance: random.Random) -> None:
+        dialect = MemoryStore(self.clock, self._fleet.table, self._fleet.store_faults)
+        kernel.add("store", StoreClient(self.clock, dialect, StoreSettings(), chance))
+
+    def _add_backend(self, kernel: Kernel) -> None:
+        backend = self.backend
+        assert backend is not None
+        if backend.role is not BackendRole.PLAIN:
+            engine = self._fleet.engines[backend.id]
+            self._engine = WitnessEngine(engine, backend.id, self.clock, self.emit)
+            kernel.provide("engine", self._engine)
+
+    def _keep_peers(self, kernel: Kernel) -> None:
+        if self.is_entry:
+            kernel.find("links", Links).keep(self._fleet.agent_addresses())
--- a/src/lavenderrun/bench/_parts.py
+++ b/src/lavenderrun/bench/_parts.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import ClassVar
 
-from lavenderrun.types import Event, Hello
+from twisted.internet.defer import Deferred, succeed
+
+from lavenderrun.types import AccountId, Charge, Document, DocumentVersion, Event, Hello, Refused
 
 
 @dataclass(frozen=True)
@@ -45,3 +49,46 @@
     def emit(self, event: Event) -> None:
         """Keep one event."""
         self.events.append(event)
+
+
+class FixedDocument:
+    """A ``document`` service with one version that never changes."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
+    version = DocumentVersion(1)
+    is_fresh = True
+
+    def __init__(self, document: Document) -> None:
+        self.current = document
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+    def watch(self, handler: Callable[[Document], None]) -> None:
+        """Call *handler* with the only version."""
+        handler(self.current)
+
+
+class OpenLimits:
+    """A ``limits`` service that grants everything."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+    def charge(
+        self, account: AccountId, requests: float, tokens: float, patience: timedelta
+    ) -> Deferred[Charge | Refused]:
+        """Grant at once."""
+        del patience
+        return succeed(Charge(account, requests, tokens))
+
+    def give_back(self, charge: Charge, tokens: float) -> None:
+        """Take nothing back."""
