--- a/src/lavenderrun/bench/__init__.py
+++ b/src/lavenderrun/bench/__init__.py
@@ -1,3 +1,22 @@
-"""bench."""
+"""Scenarios that drive the real services of several hosts on a fake clock, and their measures."""
 
 from __future__ import annotations
+
+from lavenderrun.bench import _scenarios_faults as _scenarios_faults
+from lavenderrun.bench import _scenarios_load as _scenarios_load
+from lavenderrun.bench._deployments import DEPLOYMENTS, Deployment
+from lavenderrun.bench._measures import Measures, encode
+from lavenderrun.bench._report import write_report
+from lavenderrun.bench._scenarios import SCENARIOS, Plan, Result, run_scenario
+
+__all__ = [
+    "DEPLOYMENTS",
+    "SCENARIOS",
+    "Deployment",
+    "Measures",
+    "Plan",
+    "Result",
+    "encode",
+    "run_scenario",
+    "write_report",
+]
--- /dev/null
+++ b/src/lavenderrun/bench/_scenarios_faults.py
@@ -0,0 +1,145 @@
+"""Scenarios in which hosts, links or the store fail."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from lavenderrun.bench._deployments import Deployment, PlainMix, PromptMix
+from lavenderrun.bench._fleet import Fleet
+from lavenderrun.bench._hosts import BenchHost
+from lavenderrun.bench._scenarios import SCENARIOS, Plan, make_deployment
+from lavenderrun.standins import EngineSpeed
+from lavenderrun.types import DataCentre, HostId
+
+FAULT_AT = 10.0
+"""Seconds from the start of the load to the first fault."""
+OUTAGE = 300.0
+PAUSE = 8.0
+BOOT = timedelta(seconds=1)
+SLOW_LINK = 0.4e9
+"""Bytes a second of a slowed link."""
+
+
+def _make_light() -> Deployment:
+    """Return the wire service with short answers, so that minutes of it are cheap to run."""
+    wire = make_deployment("wire")
+    mix = PromptMix(short=200, most=2000)
+    calls = PlainMix(per_second=2, once=0.25, read=wire.plain.read, write=wire.plain.write)
+    speed = EngineSpeed(mean_tokens=8, seats=1, burst=8)
+    return make_deployment("wire", prompts=mix, speed=speed, max_tokens=16, plain=calls)
+
+
+@SCENARIOS.register("store-outage")
+def plan_store_outage() -> Plan:
+    """The table service is down for five minutes, and slow for a while after."""
+
+    def script(fleet: Fleet) -> None:
+        fleet.at(FAULT_AT, setattr, fleet.store_faults, "down", True)
+        fleet.at(FAULT_AT + OUTAGE, setattr, fleet.store_faults, "down", False)
+
+    return Plan(_make_light(), load=0.3, seconds=OUTAGE + 3 * FAULT_AT, script=script)
+
+
+@SCENARIOS.register("holder-pause")
+def plan_holder_pause() -> Plan:
+    """An entry, which holds leases, is paused and goes on as if nothing had been."""
+
+    def script(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        fleet.at(FAULT_AT, entry.pause)
+        fleet.at(FAULT_AT + PAUSE, entry.go_on)
+
+    return Plan(make_deployment("wire"), script=script)
+
+
+@SCENARIOS.register("host-lost")
+def plan_host_lost() -> Plan:
+    """A decode host of the wire service dies and is back after some seconds; its load is 60%."""
+
+    def script(fleet: Fleet) -> None:
+        host = fleet.hosts[HostId("agent-summary-1")]
+        fleet.at(FAULT_AT, host.kill)
+        fleet.at(FAULT_AT + 12, host.start)
+
+    # what is left of the engines has to carry the load
+    return Plan(make_deployment("wire"), load=0.6, script=script, fault_at=FAULT_AT)
+
+
+@SCENARIOS.register("links-slow")
+def plan_links_slow() -> Plan:
+    """The transfer links out of one data centre slow down, then one stalls for a second."""
+
+    def script(fleet: Fleet) -> None:
+        places = fleet.deployment.data_centres
+        for target in places[1:]:
+            fleet.at(FAULT_AT, fleet.fabric.slow, places[0], target, SLOW_LINK)
+        _stall(fleet, places[0], places[1])
+
+    return Plan(make_deployment("wire"), load=0.7, script=script, fault_at=FAULT_AT)
+
+
+def _stall(fleet: Fleet, source: DataCentre, target: DataCentre) -> None:
+    def turn(stalled: bool) -> None:
+        fleet.fabric.stall(source, target, stalled=stalled)
+
+    fleet.at(FAULT_AT + 8, turn, True)
+    fleet.at(FAULT_AT + 9, turn, False)
+
+
+@SCENARIOS.register("silent-links")
+def plan_silent_links() -> Plan:
+    """A third of the open connections between hosts goes silent for good; new ones work."""
+
+    def script(fleet: Fleet) -> None:
+        fleet.at(FAULT_AT, fleet.network.silence, 0.34)
+
+    return Plan(make_deployment("wire"), load=0.7, script=script, fault_at=FAULT_AT)
+
+
+@SCENARIOS.register("rolling-restart")
+def plan_rolling_restart() -> Plan:
+    """Every host is stopped as planned and started again, one after another, under load."""
+
+    def script(fleet: Fleet) -> None:
+        for number, host in enumerate(fleet.hosts.values()):
+            fleet.at(3.0 + 4.0 * number, _restart, fleet, host.host)
+
+    return Plan(make_deployment("wire"), load=0.5, seconds=50.0, script=script)
+
+
+def _restart(fleet: Fleet, name: HostId) -> None:
+    host = fleet.hosts[name]
+    host.stop().addCallback(lambda _: fleet.clock.call_later(BOOT, host.start))
+
+
+@SCENARIOS.register("data-centre-lost")
+def plan_data_centre_lost() -> Plan:
+    """All hosts of a data centre die at once, silently, and are back later."""
+
+    def script(fleet: Fleet) -> None:
+        lost = fleet.deployment.data_centres[1]
+        for host in fleet.hosts.values():
+            if host.data_centre == lost:
+                fleet.at(FAULT_AT, _kill_silently, host)
+                fleet.at(FAULT_AT + 15, host.start)
+
+    return Plan(make_deployment("wire"), load=0.4, script=script, fault_at=FAULT_AT)
+
+
+@SCENARIOS.register("two-at-once")
+def plan_two_at_once() -> Plan:
+    """A decode host dies silently while the table service is down and an entry is paused."""
+
+    def script(fleet: Fleet) -> None:
+        fleet.at(FAULT_AT, setattr, fleet.store_faults, "down", True)
+        fleet.at(FAULT_AT, _kill_silently, fleet.hosts[HostId("agent-summary-2")])
+        fleet.at(FAULT_AT, fleet.entries[1].pause)
+        fleet.at(FAULT_AT + 4, fleet.entries[1].go_on)
+        fleet.at(FAULT_AT + 8, setattr, fleet.store_faults, "down", False)
+        fleet.at(FAULT_AT + 12, fleet.hosts[HostId("agent-summary-2")].start)
+
+    return Plan(make_deployment("wire"), load=0.5, script=script, fault_at=FAULT_AT)
+
+
+def _kill_silently(host: BenchHost) -> None:
+    host.kill(silent=True)
--- /dev/null
+++ b/src/lavenderrun/bench/_scenarios_load.py
@@ -0,0 +1,64 @@
+"""Scenarios of load without faults."""
+
+from __future__ import annotations
+
+from lavenderrun.bench._deployments import PromptMix
+from lavenderrun.bench._scenarios import SCENARIOS, Plan, make_deployment
+from lavenderrun.types import AccountId
+
+SURGE = 5.0
+"""Factor on the traffic of the account that sends more than its rate."""
+SURGING = AccountId("maule")
+GENEROUS = 10.0
+"""Factor on all rates where capacity and not the rates is to be the limit."""
+
+
+@SCENARIOS.register("wire-peak")
+def plan_wire_peak() -> Plan:
+    """The wire service at its peak."""
+    return Plan(make_deployment("wire"))
+
+
+@SCENARIOS.register("qene-peak")
+def plan_qene_peak() -> Plan:
+    """Qene Keys at its peak."""
+    return Plan(make_deployment("qene"))
+
+
+@SCENARIOS.register("tenant-burst")
+def plan_tenant_burst() -> Plan:
+    """One account of the wire service sends several times its rate for most of the time."""
+
+    def surge(account: AccountId, at: float) -> float:
+        return SURGE if account == SURGING and at >= 5 else 1.0
+
+    return Plan(make_deployment("wire"), shape=surge, steepest=SURGE)
+
+
+@SCENARIOS.register("overload-1x")
+def plan_overload_1x() -> Plan:
+    """The wire service at its capacity."""
+    return _plan_overload(1.0)
+
+
+@SCENARIOS.register("overload-2x")
+def plan_overload_2x() -> Plan:
+    """The wire service at twice its capacity."""
+    return _plan_overload(2.0)
+
+
+@SCENARIOS.register("overload")
+def plan_overload() -> Plan:
+    """The wire service at three times its capacity, all accounts within their rates."""
+    return _plan_overload(3.0)
+
+
+@SCENARIOS.register("mixed-prompts")
+def plan_mixed_prompts() -> Plan:
+    """Qene Keys with prompts from some tens to tens of thousands of tokens."""
+    mix = PromptMix(short=150, shared=(500, 1000, 4000, 8000, 12000), share=0.3, most=30000)
+    return Plan(make_deployment("qene", prompts=mix))
+
+
+def _plan_overload(load: float) -> Plan:
+    return Plan(make_deployment("wire", rate_factor=GENEROUS), load=load, seconds=20.0)
--- /dev/null
+++ b/src/lavenderrun/commands/_bench.py
@@ -0,0 +1,82 @@
+"""Sub-command ``bench``: run scenarios on a fake clock and print their measures."""
+
+from __future__ import annotations
+
+import sys
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+
+from lavenderrun.bench import SCENARIOS, Measures, encode, run_scenario, write_report
+from lavenderrun.commands._base import COMMANDS
+
+FIGURES = ("goodput", "wasted_prefill", "worst_account", "in_rate_refusals", "held")
+
+
+@COMMANDS.register("bench")
+class Bench:
+    """Exit code 1 tells that an invariant was violated or something was still held."""
+
+    help = "run benchmark scenarios on a fake clock"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the arguments."""
+        parser.add_argument("scenario", nargs="*", help="all when none is named")
+        parser.add_argument("--list", action="store_true", help="list the scenarios")
+        parser.add_argument("--seed", type=int, default=1)
+        parser.add_argument("--json", action="store_true", help="print the measures as JSON")
+        parser.add_argument(
+            "--policy", action="append", default=[], metavar="PART=NAME", help="swap a policy"
+        )
+        parser.add_argument(
+            "--compare",
+            action="append",
+            default=[],
+            metavar="PART=NAME",
+            help="run with and without these policies",
+        )
+        parser.add_argument("--report", type=Path, metavar="DIR", help="write a table and a plot")
+
+    def run(self, args: Namespace) -> int:
+        """Run and print."""
+        if args.list:
+            for name, plan in SCENARIOS:
+                print(f"{name:18} {(plan.__doc__ or '').splitlines()[0]}")
+            return 0
+        chosen = _read_pairs(args.policy)
+        runs = [chosen]
+        if args.compare:
+            runs.append({**chosen, **_read_pairs(args.compare)})
+        results = [
+            run_scenario(name, args.seed, policies).measures
+            for name in args.scenario or SCENARIOS.names()
+            for policies in runs
+        ]
+        _print(results, as_json=args.json)
+        if args.report is not None:
+            write_report(args.report, results)
+        return int(any(sum(each.violations.values()) or each.held for each in results))
+
+
+def _read_pairs(pairs: list[str]) -> dict[str, str]:
+    """Return policies by part.
+
+    :raises SystemExit: on a pair without ``=``.
+    """
+    policies = {}
+    for pair in pairs:
+        part, sign, name = pair.partition("=")
+        if not sign:
+            sys.exit(f"bench: {pair!r} is not PART=NAME")
+        policies[part] = name
+    return policies
+
+
+def _print(results: list[Measures], *, as_json: bool) -> None:
+    if as_json:
+        print(encode(results[0] if len(results) == 1 else results).decode())
+        return
+    print(f"{'scenario':18}" + "".join(f"{name:>17}" for name in FIGURES) + f"{'violations':>12}")
+    for each in results:
+        figures = "".join(f"{getattr(each, name):17}" for name in FIGURES)
+        policies = " ".join(f"{part}={name}" for part, name in each.policies.items())
+        print(f"{each.scenario:18}{figures}{sum(each.violations.values()):12}  {policies}")
