--- a/src/lavenderrun/bench/_hosts.py
+++ b/src/lavenderrun/bench/_hosts.py
@@ -12,7 +12,7 @@
 from lavenderrun.bench._time import HostClock
 from lavenderrun.bench._witness import WitnessEngine
 from lavenderrun.kernel import Kernel
-from lavenderrun.services import StoreClient, StoreSettings
+from lavenderrun.services import StoreClient
 from lavenderrun.standins import MemoryStore
 from lavenderrun.types import (
     Backend,
@@ -29,6 +29,7 @@
     HostStopped,
     Links,
     MemoryHeld,
+    StoreSettings,
 )
 
 if TYPE_CHECKING:
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -11,7 +11,7 @@
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._router import RouterService
-from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
+from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
 from lavenderrun.services._store_http import HttpStore
 from lavenderrun.services._transport_grpc import GrpcTransport
 
@@ -31,5 +31,4 @@
     "RouterService",
     "StoreClient",
     "StoreCounters",
-    "StoreSettings",
 ]
--- a/src/lavenderrun/services/_store.py
+++ b/src/lavenderrun/services/_store.py
@@ -6,10 +6,9 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import Any, ClassVar, TypeVar
 
-import msgspec
 from eliot import log_message
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -19,6 +18,7 @@
     Store,
     StoreConflictError,
     StoredRow,
+    StoreSettings,
     StoreThrottledError,
     StoreUnavailableError,
 )
@@ -28,29 +28,6 @@
 TOKEN_BYTES = 12
 
 
-class StoreSettings(msgspec.Struct, frozen=True):
-    """Settings of the store client.
-
-    :param dialect: name in :data:`STORE_DIALECTS`.
-    :param url: of the table service.
-    :param attempt_timeout: longest wait for one reply.
-    :param deadline: longest time for a call with its retries.
-    :param backoff_first: bound of the first jittered pause between attempts.
-    :param backoff_most: largest bound of a pause.
-    :param in_flight: most attempts at once.
-    :param queue: most calls that wait for their turn.
-    """
-
-    dialect: str = "http"
-    url: str = ""
-    attempt_timeout: timedelta = timedelta(seconds=1)
-    deadline: timedelta = timedelta(seconds=5)
-    backoff_first: timedelta = timedelta(milliseconds=50)
-    backoff_most: timedelta = timedelta(seconds=2)
-    in_flight: int = 16
-    queue: int = 256
-
-
 STORE_DIALECTS: Registry[Callable[[Kernel, StoreSettings], Store]] = Registry("store dialect")
 
 
@@ -264,6 +241,6 @@
 @SERVICES.register("store")
 def make_store(kernel: Kernel) -> StoreClient:
     """Make the client over the dialect that the settings name."""
-    settings = getattr(kernel.settings, "store", None) or StoreSettings()
+    settings: StoreSettings = kernel.settings.store
     dialect = STORE_DIALECTS.find(settings.dialect)(kernel, settings)
-    return StoreClient(kernel.clock, dialect, settings, random.Random())
+    return StoreClient(kernel.clock, dialect, settings, kernel.chance)
--- a/src/lavenderrun/services/_store_http.py
+++ b/src/lavenderrun/services/_store_http.py
@@ -18,10 +18,11 @@
 from zope.interface import implementer
 
 from lavenderrun.kernel import Kernel
-from lavenderrun.services._store import STORE_DIALECTS, StoreSettings
+from lavenderrun.services._store import STORE_DIALECTS
 from lavenderrun.types import (
     StoreConflictError,
     StoredRow,
+    StoreSettings,
     StoreThrottledError,
     StoreUnavailableError,
 )
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -142,6 +142,7 @@
     FrontSettings,
     HostSettings,
     ServedSettings,
+    StoreSettings,
 )
 from lavenderrun.types._states import (
     BackendRole,
@@ -300,6 +301,7 @@
     "StepError",
     "Store",
     "StoreConflictError",
+    "StoreSettings",
     "StoreThrottledError",
     "StoreUnavailableError",
     "StoredDocument",
--- a/src/lavenderrun/types/_settings.py
+++ b/src/lavenderrun/types/_settings.py
@@ -60,6 +60,31 @@
     silence: Wait = timedelta(seconds=30)
 
 
+class StoreSettings(BaseModel):
+    """Section of the platform's table service.
+
+    :param dialect: name of the protocol it speaks.
+    :param url: of the table service.
+    :param attempt_timeout: longest wait for one reply.
+    :param deadline: longest time for a call with its retries.
+    :param backoff_first: bound of the first jittered pause between attempts.
+    :param backoff_most: largest bound of a pause.
+    :param in_flight: most attempts at once.
+    :param queue: most calls that wait for their turn.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    dialect: str = "http"
+    url: str = ""
+    attempt_timeout: Wait = timedelta(seconds=1)
+    deadline: Wait = timedelta(seconds=5)
+    backoff_first: Wait = timedelta(milliseconds=50)
+    backoff_most: Wait = timedelta(seconds=2)
+    in_flight: Size = 16
+    queue: Size = 256
+
+
 class HostSettings(BaseModel):
     """Section of the host itself.
 
@@ -118,6 +143,7 @@
 class EntrySettings(DaemonSettings):
     """Settings of an entry."""
 
+    store: StoreSettings
     front: FrontSettings = FrontSettings()
 
     def hello(self) -> Hello:
--- a/tests/services/test_store.py
+++ b/tests/services/test_store.py
@@ -9,9 +9,9 @@
 
 from lavenderrun.codecs import RowCodec, RowError, row
 from lavenderrun.kernel import ReactorClock
-from lavenderrun.services import StoreClient, StoreSettings
+from lavenderrun.services import StoreClient
 from lavenderrun.standins import MemoryStore, TableCore, TableFaults
-from lavenderrun.types import StoreConflictError, StoreUnavailableError
+from lavenderrun.types import StoreConflictError, StoreSettings, StoreUnavailableError
 
 
 class Bench:
--- a/tests/services/test_store_http.py
+++ b/tests/services/test_store_http.py
@@ -10,9 +10,9 @@
 from twisted.web.server import Site
 
 from lavenderrun.kernel import ReactorClock
-from lavenderrun.services import HttpStore, StoreClient, StoreSettings
+from lavenderrun.services import HttpStore, StoreClient
 from lavenderrun.standins import make_table_resource
-from lavenderrun.types import StoreConflictError, StoreUnavailableError
+from lavenderrun.types import StoreConflictError, StoreSettings, StoreUnavailableError
 
 
 def make_site(resource: Any) -> Any:
