Call the plain backend server over HTTP, with a stand-in that counts runs

Endpoints are made for IP numbers: a refused connection took 0.30 s with the name look-up; now the test sees it within its silence limit of 0.2 s.

--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -8,6 +8,7 @@
 from lavenderrun.services._links import LinksService
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._plain_http import HttpPlain
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
 from lavenderrun.services._store_http import HttpStore
@@ -19,6 +20,7 @@
     "FrontService",
     "GrpcTransport",
     "HttpEngine",
+    "HttpPlain",
     "HttpStore",
     "LinksService",
     "ListenError",
--- a/src/lavenderrun/services/_http_client.py
+++ b/src/lavenderrun/services/_http_client.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http import PotentialDataLoss
-from twisted.web.iweb import IBodyProducer
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
@@ -74,6 +75,20 @@
     return reader.done
 
 
+@implementer(IAgentEndpointFactory)
+class _Endpoints:
+    """Makes endpoints for IP numbers; without name look-up a refusal is known at once."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
+        """Return the endpoint of *uri*."""
+        host = uri.host.decode("ascii").strip("[]")
+        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        return kind(self._reactor, host, uri.port, CONNECT_TIMEOUT.total_seconds())
+
+
 def make_pooled_agent(reactor: Any, connections: int) -> Any:
     """Return an agent that keeps up to *connections* open and never repeats a call by itself."""
     pool: Any = HTTPConnectionPool(reactor)
@@ -81,11 +96,9 @@
     pool.cachedConnectionTimeout = IDLE_TIMEOUT.total_seconds()
     # a repeat inside the pool would hide a call that may have run
     pool.retryAutomatically = False
-    seconds = CONNECT_TIMEOUT.total_seconds()
-    return Agent(reactor, pool=pool, connectTimeout=seconds)
+    return Agent.usingEndpointFactory(reactor, _Endpoints(reactor), pool)
 
 
 def make_fresh_agent(reactor: Any) -> Any:
     """Return an agent that opens a connection a call."""
-    seconds = CONNECT_TIMEOUT.total_seconds()
-    return Agent(reactor, connectTimeout=seconds)
+    return Agent.usingEndpointFactory(reactor, _Endpoints(reactor))
--- a/src/lavenderrun/standins/__init__.py
+++ b/src/lavenderrun/standins/__init__.py
@@ -8,6 +8,7 @@
 from lavenderrun.standins._engine_speed import EngineLoad, EngineSpeed
 from lavenderrun.standins._fabric import KV_BYTES_A_TOKEN, Fabric
 from lavenderrun.standins._memory_transport import MemoryNetwork, MemoryPipe, MemoryTransport
+from lavenderrun.standins._plain import MemoryPlain, PlainCore, PlainFaults, PlainResource
 from lavenderrun.standins._table import MemoryStore, TableCore, TableFaults
 from lavenderrun.standins._table_http import TableResource, make_table_resource
 from lavenderrun.standins._text import (
@@ -32,8 +33,12 @@
     "Fabric",
     "MemoryNetwork",
     "MemoryPipe",
+    "MemoryPlain",
     "MemoryStore",
     "MemoryTransport",
+    "PlainCore",
+    "PlainFaults",
+    "PlainResource",
     "TableCore",
     "TableFaults",
     "TableResource",
--- /dev/null
+++ b/src/lavenderrun/standins/_plain.py
@@ -0,0 +1,281 @@
+"""Stand-in plain service: an order desk and a layout editor, in memory and over HTTP."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from lavenderrun.kernel import Clock, Timer
+from lavenderrun.types import Outcome, Refusal, Refused, ReplySink, RequestId, Step
+
+JSON_HEADERS = [("Content-Type", "application/json")]
+
+_ORDER = re.compile(r"/orders/(?P<name>[^/?]+)(?P<confirm>/confirm)?")
+_LAYOUT = re.compile(r"/layouts/(?P<name>[^/?]+)(?P<publish>/publish)?")
+
+
+@dataclass
+class PlainFaults:
+    """Faults that a test switches on; the counts are of the next calls.
+
+    :param delay: before a call runs.
+    :param late: between the run and its reply.
+    :param die_before: calls whose connection breaks before they run.
+    :param die_after: calls whose connection breaks after they ran.
+    :param die_midway: calls whose connection breaks in the middle of the body.
+    :param refuse: calls that find no one listening.
+    :param hang: calls that never run and never end.
+    """
+
+    delay: timedelta = timedelta(milliseconds=2)
+    late: timedelta = timedelta(0)
+    die_before: int = 0
+    die_after: int = 0
+    die_midway: int = 0
+    refuse: int = 0
+    hang: int = 0
+
+    def take(self, name: str) -> bool:
+        """Tell whether the call at hand meets the fault, and count it."""
+        left: int = getattr(self, name)
+        if left <= 0:
+            return False
+        setattr(self, name, left - 1)
+        return True
+
+
+@dataclass(frozen=True)
+class PlainReply:
+    """Reply of the service."""
+
+    status: int
+    body: bytes
+
+
+@dataclass
+class PlainCore:
+    """What the service keeps; shared by all its backend servers.
+
+    :ivar runs: executions by request id.
+    :ivar calls: executions by method and path.
+    :ivar seen: all header values that came in, to look for keys.
+    """
+
+    runs: Counter[RequestId] = field(default_factory=Counter)
+    calls: Counter[str] = field(default_factory=Counter)
+    seen: list[str] = field(default_factory=list)
+    confirmed: Counter[str] = field(default_factory=Counter)
+    published: Counter[str] = field(default_factory=Counter)
+    on_run: Callable[[RequestId], None] = lambda request: None
+
+    def run(
+        self,
+        request: RequestId,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> PlainReply:
+        """Execute one call."""
+        path = target.partition("?")[0]
+        self.runs[request] += 1
+        self.calls[f"{method} {path}"] += 1
+        self.seen += [value for _, value in headers]
+        self.on_run(request)
+        return self._serve(method, path, body)
+
+    def _serve(self, method: str, path: str, body: bytes) -> PlainReply:
+        order = _ORDER.fullmatch(path)
+        if order is not None:
+            name = order["name"]
+            if order["confirm"] and method == "POST":
+                self.confirmed[name] += 1
+            return _reply(200, {"order": name, "confirmed": self.confirmed[name]})
+        layout = _LAYOUT.fullmatch(path)
+        if layout is not None:
+            name = layout["name"]
+            if layout["publish"] and method == "POST":
+                self.published[name] += 1
+            return _reply(200, {"layout": name, "published": self.published[name]})
+        if path == "/layouts":
+            return _reply(200, {"layouts": sorted(self.published)})
+        if path == "/echo":
+            return PlainReply(200, body)
+        return _reply(404, {"error": "not found"})
+
+
+class MemoryPlain:
+    """One backend server of the service; a ``PlainBackend`` without a network."""
+
+    def __init__(
+        self, clock: Clock, core: PlainCore | None = None, faults: PlainFaults | None = None
+    ) -> None:
+        self.core = core or PlainCore()
+        self.faults = faults or PlainFaults()
+        self.running = 0
+        self.clock = clock
+
+    def call(
+        self,
+        request: RequestId,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        sink: ReplySink,
+    ) -> MemoryCall:
+        """Make the call into *sink*; see ``PlainBackend``."""
+
+        def run() -> PlainReply:
+            return self.core.run(request, method, target, headers, body)
+
+        return MemoryCall(self, run, sink)
+
+
+class MemoryCall:
+    """A call that runs in memory."""
+
+    def __init__(
+        self, backend: MemoryPlain, run: Callable[[], PlainReply], sink: ReplySink
+    ) -> None:
+        self._backend = backend
+        self._run = run
+        self._sink = sink
+        self._done: Deferred[None] = Deferred()
+        self._slow = False
+        self._held: Callable[[], None] | None = None
+        backend.running += 1
+        self._timer: Timer = backend.clock.call_later(backend.faults.delay, self._arrive)
+
+    @property
+    def done(self) -> Deferred[None]:
+        """Fires when the call is over."""
+        return self._done
+
+    def cancel(self) -> None:
+        """Give the call up; a run that has begun has its effect all the same."""
+        self._timer.cancel()
+        self._end()
+
+    def pace(self, *, slow: bool) -> None:
+        """Hold the reply back while *slow*."""
+        self._slow = slow
+        held, self._held = self._held, None
+        if not slow and held is not None:
+            held()
+
+    def _arrive(self) -> None:
+        faults = self._backend.faults
+        if faults.take("hang"):
+            return
+        if faults.take("refuse"):
+            self._refuse(Outcome.NOT_RUN)
+            return
+        if faults.take("die_before"):
+            self._refuse(Outcome.UNKNOWN)
+            return
+        reply = self._run()
+        if faults.take("die_after"):
+            self._refuse(Outcome.UNKNOWN)
+            return
+        self._timer = self._backend.clock.call_later(faults.late, self._reply, reply)
+
+    def _reply(self, reply: PlainReply) -> None:
+        size = len(reply.body)
+        self._sink.put_head(reply.status, [*JSON_HEADERS, ("Content-Length", str(size))])
+        midway = self._backend.faults.take("die_midway")
+        if size:
+            self._sink.put_body(reply.body[: size // 2])
+        if midway:
+            self._refuse(Outcome.UNKNOWN)
+        elif self._slow:
+            self._held = lambda: self._finish(reply)
+        else:
+            self._finish(reply)
+
+    def _finish(self, reply: PlainReply) -> None:
+        if reply.body:
+            self._sink.put_body(reply.body[len(reply.body) // 2 :])
+        self._sink.finish()
+        self._end()
+
+    def _refuse(self, outcome: Outcome) -> None:
+        self._sink.refuse(Refused(Refusal.BACKEND_LOST, outcome, Step.CALL, "plain"))
+        self._end()
+
+    def _end(self) -> None:
+        if not self._done.called:
+            self._backend.running -= 1
+            self._done.callback(None)
+
+
+class PlainResource(Resource):
+    """The service over HTTP."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self, clock: Clock, core: PlainCore | None = None, faults: PlainFaults | None = None
+    ) -> None:
+        super().__init__()
+        self.core = core or PlainCore()
+        self.faults = faults or PlainFaults()
+        self._clock = clock
+
+    def render(self, request: Request) -> Any:
+        """Answer one call, or meet a fault."""
+        gone: list[Any] = []
+        request.notifyFinish().addErrback(gone.append)
+        if not self.faults.take("hang"):
+            self._clock.call_later(self.faults.delay, self._run, request, gone)
+        return NOT_DONE_YET
+
+    def _run(self, request: Request, gone: list[Any]) -> None:
+        if gone:
+            return
+        if self.faults.take("die_before"):
+            request.loseConnection()
+            return
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, values in request.requestHeaders.getAllRawHeaders()
+            for value in values
+        ]
+        reply = self.core.run(
+            RequestId(request.getHeader("X-Request-Id") or ""),
+            request.method.decode("latin-1"),
+            request.uri.decode("latin-1"),
+            headers,
+            request.content.read() if request.content else b"",
+        )
+        if self.faults.take("die_after"):
+            request.loseConnection()
+            return
+        self._clock.call_later(self.faults.late, self._reply, request, gone, reply)
+
+    def _reply(self, request: Request, gone: list[Any], reply: PlainReply) -> None:
+        if gone:
+            return
+        request.setResponseCode(reply.status)
+        for name, value in JSON_HEADERS:
+            request.responseHeaders.setRawHeaders(name, [value])
+        request.responseHeaders.setRawHeaders("Content-Length", [str(len(reply.body))])
+        if self.faults.take("die_midway"):
+            request.write(reply.body[: len(reply.body) // 2])
+            request.loseConnection()
+            return
+        request.write(reply.body)
+        request.finish()
+
+
+def _reply(status: int, body: dict[str, Any]) -> PlainReply:
+    return PlainReply(status, msgspec.json.encode(body))
