--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -27,7 +27,9 @@
     SeatRequest,
     SeatState,
     Stop,
+    count_pieces,
 )
+from lavenderrun.decisions._membership import RowWatch, choose_dials
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -38,6 +40,7 @@
     Reason,
     RejectedHost,
 )
+from lavenderrun.decisions._pool import Pool
 from lavenderrun.decisions._prefills import (
     Abort,
     Compute,
@@ -83,6 +86,7 @@
     "Need",
     "OutputLengths",
     "Placement",
+    "Pool",
     "PrefillAction",
     "PrefillBook",
     "PrefillNeed",
@@ -102,6 +106,7 @@
     "RejectedHost",
     "Release",
     "RetryBudget",
+    "RowWatch",
     "Run",
     "SeatAction",
     "SeatBook",
@@ -111,7 +116,9 @@
     "Tombstones",
     "Violation",
     "check_record",
+    "choose_dials",
     "choose_voters",
+    "count_pieces",
     "count_tokens",
     "digest_key",
     "find_changes",
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -2,17 +2,31 @@
 
 from __future__ import annotations
 
-from enum import Enum
+from collections.abc import Sequence
+from datetime import datetime
 from typing import ClassVar
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
-from lavenderrun.kernel import SERVICES, Kernel, Timer
+from lavenderrun.decisions import (
+    QUEUE_POLICIES,
+    Abort,
+    Compute,
+    Job,
+    JobKey,
+    PrefillAction,
+    PrefillBook,
+    PrefillOrder,
+    RefusePrefill,
+    Release,
+)
+from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.services._alarm import Alarm
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._policies import Policies
 from lavenderrun.types import (
     AttemptFailed,
-    AttemptId,
     BackendCrashError,
     BackendId,
     Cancel,
@@ -22,6 +36,7 @@
     ExportHeld,
     Link,
     Links,
+    Load,
     Outcome,
     Prefill,
     PrefillDone,
@@ -29,17 +44,11 @@
     PrefillStarted,
     Refusal,
     Refused,
-    RequestId,
     Step,
 )
 
-
-class PrefillState(Enum):
-    """Where a prefill is."""
-
-    HELD_BACK = "held_back"
-    RUNNING = "running"
-    EXPORTED = "exported"
+PARALLEL = 1
+"""Prefills that an engine computes at once."""
 
 
 class PrefillJob:
@@ -48,17 +57,13 @@
     def __init__(self, link: Link, order: Prefill) -> None:
         self.link = link
         self.order = order
-        self.state = PrefillState.HELD_BACK
-        self.timer: Timer | None = None
         self.running: Deferred[Export] | None = None
         self.export: Export | None = None
-
-
-JobKey = tuple[RequestId, AttemptId]
+        self.began: datetime | None = None
 
 
 class PrefillAgent:
-    """The prefills of this agent, first come first served."""
+    """Carries out what the prefill book of one engine decides."""
 
     needs: ClassVar[tuple[str, ...]] = ("links", "engine", "record")
 
@@ -68,80 +73,132 @@
         self._engine = kernel.find("engine", Engine)
         self._events = Emitter.of(kernel)
         self._backend: BackendId = kernel.settings.hello().backend
+        queue = QUEUE_POLICIES.find(Policies.of(kernel).queue)
+        self._book = PrefillBook(PARALLEL, kernel.settings.pieces(), queue)
         self._jobs: dict[JobKey, PrefillJob] = {}
+        self._alarm = Alarm(kernel.clock, self._tick)
 
     def start(self) -> None:
-        """Listen to entries."""
+        """Listen to entries and report load."""
         self._links.subscribe(Prefill, self._take_order)
         self._links.subscribe(Cancel, self._take_cancel)
         self._links.watch(lambda link: None, self._link_down)
+        self._links.bind_load(self.load)
 
     def stop(self) -> None:
         """Drop all jobs."""
         for key in list(self._jobs):
             self._drop(key)
+        self._alarm.set(None)
 
     def held(self) -> int:
         """Return the number of jobs in hand."""
         return len(self._jobs)
 
+    def load(self) -> Load:
+        """Return the load that heartbeats carry."""
+        return self._book.load(self._clock.now())
+
     def _take_order(self, link: Link, order: Prefill) -> None:
         key = (order.request, order.attempt)
         if key in self._jobs:
             return
-        job = self._jobs[key] = PrefillJob(link, order)
-        job.timer = self._clock.call_later(order.start_in, self._begin, key)
-
-    def _begin(self, key: JobKey) -> None:
-        job = self._jobs[key]
-        job.state = PrefillState.RUNNING
+        self._jobs[key] = PrefillJob(link, order)
+        self._apply(self._book.order(self._read(link, order), self._clock.now()))
+
+    def _read(self, link: Link, order: Prefill) -> PrefillOrder:
+        now = self._clock.now()
+        cost = self._book.speed.estimate(order.tokens)
+        job = Job(
+            order.request,
+            order.attempt,
+            order.account,
+            cost,
+            order.weight,
+            order.urgency,
+            now + order.start_in + order.urgency,
+            now + order.start_in + order.patience,
+        )
+        return PrefillOrder(job, order.tokens, order.start_in, link.peer.host)
+
+    def _tick(self) -> None:
+        self._apply(self._book.tick(self._clock.now()))
+
+    def _apply(self, actions: Sequence[PrefillAction]) -> None:
+        for action in actions:
+            job = self._jobs.get(action.key)
+            if job is not None:
+                self._carry_out(action, job)
+        self._alarm.set(self._book.next_tick())
+
+    def _carry_out(self, action: PrefillAction, job: PrefillJob) -> None:
+        match action:
+            case Compute(key):
+                self._compute(key, job)
+            case Abort(key):
+                del self._jobs[key]
+                if job.running is not None:
+                    job.running.cancel()
+            case Release(key):
+                del self._jobs[key]
+                if job.export is not None:
+                    self._engine.release(job.export.handle)
+                    self._events.emit(ExportFreed(*key, self._backend))
+            case RefusePrefill(key, _, refusal, retry_after):
+                del self._jobs[key]
+                refused = Refused(refusal, Outcome.NOT_RUN, Step.PREFILL, retry_after=retry_after)
+                job.link.send(AttemptFailed(*key, refused, started=False))
+
+    def _compute(self, key: JobKey, job: PrefillJob) -> None:
         order = job.order
         self._events.emit(PrefillStarted(*key, self._backend, order.tokens))
+        job.began = self._clock.now()
         job.running = self._engine.prefill(order.request, order.model, order.text)
-        job.running.addCallbacks(self._finish, self._fail, callbackArgs=(key,), errbackArgs=(key,))
+        job.running.addCallbacks(
+            self._finish, self._fail, callbackArgs=(key, job), errbackArgs=(key, job)
+        )
 
-    def _finish(self, export: Export, key: JobKey) -> None:
-        job = self._jobs.get(key)
+    def _finish(self, export: Export, key: JobKey, job: PrefillJob) -> None:
         self._events.emit(PrefillDone(*key, self._backend, export.tokens, export.cached))
-        if job is None:
+        if self._jobs.get(key) is not job:
             self._engine.release(export.handle)
             return
-        job.state = PrefillState.EXPORTED
         job.export = export
         self._events.emit(ExportHeld(*key, self._backend))
-        done = Prefilled(
-            *key, export.handle, export.source, export.tokens, export.cached, export.lives
+        now = self._clock.now()
+        job.link.send(
+            Prefilled(
+                *key,
+                export.handle,
+                export.source,
+                export.tokens,
+                export.cached,
+                export.lives,
+                now - (job.began or now),
+            )
         )
-        job.link.send(done)
-        job.timer = self._clock.call_later(export.lives, self._drop, key)
+        self._apply(self._book.finish(key, now, cached=export.cached, lives=export.lives))
 
-    def _fail(self, failure: Failure, key: JobKey) -> None:
-        job = self._jobs.pop(key, None)
-        if job is None or isinstance(failure.value, CancelledError):
+    def _fail(self, failure: Failure, key: JobKey, job: PrefillJob) -> None:
+        if self._jobs.get(key) is not job or isinstance(failure.value, CancelledError):
             return
+        del self._jobs[key]
         crashed = isinstance(failure.value, BackendCrashError)
         refused = Refused(Refusal.BACKEND_LOST, Outcome.NOT_RUN, Step.PREFILL)
         job.link.send(AttemptFailed(*key, refused, started=False, crashed=crashed))
+        self._apply(self._book.fail(key, self._clock.now()))
 
     def _take_cancel(self, _link: Link, cancel: Cancel) -> None:
         self._drop((cancel.request, cancel.attempt))
 
     def _link_down(self, link: Link) -> None:
         for key in [key for key, job in self._jobs.items() if job.link is link]:
-            if self._jobs[key].state is not PrefillState.EXPORTED:
+            if self._jobs[key].export is None:
                 self._drop(key)
 
     def _drop(self, key: JobKey) -> None:
-        job = self._jobs.pop(key, None)
-        if job is None:
-            return
-        if job.timer is not None:
-            job.timer.cancel()
-        if job.export is not None:
-            self._engine.release(job.export.handle)
-            self._events.emit(ExportFreed(*key, self._backend))
-        elif job.running is not None:
-            job.running.cancel()
+        self._apply(self._book.cancel(key, self._clock.now()))
+        self._jobs.pop(key, None)
 
 
 @SERVICES.register("prefill_agent")
