--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -37,6 +37,7 @@
 )
 from lavenderrun.codecs._faults import Fault, Faults
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._stored import (
     StoredDocumentError,
@@ -51,6 +52,7 @@
 __all__ = [
     "DONE_EVENT",
     "ROWS",
+    "SLOT_TABLE",
     "AnswerCodec",
     "ApiError",
     "ApiForm",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -28,6 +28,8 @@
     SeatState,
     Stop,
 )
+from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
+from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -53,6 +55,8 @@
 from lavenderrun.decisions._routes import find_plain_route
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
+from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot
+from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 from lavenderrun.decisions._tombstones import Tombstones
@@ -60,6 +64,7 @@
 
 __all__ = [
     "INVARIANT_CHECKS",
+    "LIMIT_POLICIES",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
@@ -74,14 +79,17 @@
     "Drop",
     "FairQueue",
     "FifoQueue",
+    "FleetLimits",
     "Freshness",
     "FreshnessRules",
+    "HeldCharge",
     "Job",
     "JobKey",
     "LinkBudget",
     "Mean",
     "Need",
     "OutputLengths",
+    "Peer",
     "Placement",
     "PrefillAction",
     "PrefillBook",
@@ -107,7 +115,12 @@
     "SeatBook",
     "SeatRequest",
     "SeatState",
+    "Shortfall",
+    "SlotKeeper",
+    "SlotTerms",
+    "SlotWrite",
     "Stop",
+    "StoredSlot",
     "Tombstones",
     "Violation",
     "check_record",
@@ -119,5 +132,6 @@
     "grant_key",
     "has_majority",
     "hash_blocks",
+    "make_slots",
     "withdraw_key",
 ]
--- /dev/null
+++ b/src/lavenderrun/decisions/_limit_policies.py
@@ -0,0 +1,29 @@
+"""Limit policies: how an account's rate is divided over the hosts."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from lavenderrun.decisions._slot_views import SlotTerms
+from lavenderrun.kernel import Registry
+
+LIMIT_POLICIES: Registry[SlotTerms] = Registry("limit policy")
+
+SHORT_LEASE = timedelta(seconds=6)
+
+SLOTS = LIMIT_POLICIES.register("slots")(SlotTerms())
+"""Slots under a long lease with a standby each; hosts lend to one another."""
+
+LONG_LEASE = LIMIT_POLICIES.register("long_lease")(SlotTerms(standby=False))
+"""Slots under a long lease without a standby: a lost host's part is idle until it lapses."""
+
+STATIC = LIMIT_POLICIES.register("static")(SlotTerms(lending=False))
+"""Static division: each host spends its own slots only."""
+
+STORE_LEASE = LIMIT_POLICIES.register("store_lease")(
+    SlotTerms(standby=False, lease=SHORT_LEASE, renew_every=timedelta(seconds=2))
+)
+"""Short leases from the store only."""
+
+OWNER = LIMIT_POLICIES.register("owner")(SlotTerms(slots=1, groups=64))
+"""One owner an account: every other host borrows from it."""
--- /dev/null
+++ b/src/lavenderrun/decisions/_slots.py
@@ -0,0 +1,294 @@
+"""Slots: fixed parts of all accounts' rates, each spent by one host at a time.
+
+A holder spends a slot while two leases hold, both counted from before the message was sent that
+renewed them: a long one on the slot's row in the store, and a short one that its standby, named in
+the row, renews by vouching. Only the standby may take the slot over soon after the holder fell
+silent, and only by a conditional write; so a lost host costs its slots for seconds, while a store
+outage costs nothing as long as the vouching goes on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime
+from zlib import crc32
+
+import msgspec
+
+from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotView, SlotWrite, StoredSlot
+from lavenderrun.types import NO_HOST, HeldSlot, HostId, SlotId, SlotRow
+
+CLAIMS_AT_ONCE = 4
+
+
+@dataclass
+class HeldState:
+    """What makes a held slot valid.
+
+    :param version: of the row as last confirmed.
+    :param base: when the write was sent that the store confirmed last.
+    :param consents: when the message was sent that each possible standby last consented to.
+    """
+
+    version: int
+    base: datetime
+    consents: dict[Peer, datetime] = field(default_factory=dict)
+
+    def find_end(self, terms: SlotTerms) -> datetime:
+        """Return the instant from which the slot must not be spent."""
+        ends = [sent + terms.standby_lease for sent in self.consents.values()]
+        return min([self.base + terms.lease, *ends])
+
+
+class Gained(msgspec.Struct, frozen=True):
+    """A slot that is now held.
+
+    :param earned_from: nobody has spent it since; ``None`` when nobody ever has.
+    """
+
+    slot: SlotId
+    earned_from: datetime | None
+
+
+class SlotKeeper:
+    """Decides which slots this host claims, renews, takes over and frees.
+
+    :param me: this life of this host.
+    :param began: when this host started; it claims nothing while peers may still be linking.
+    """
+
+    def __init__(
+        self, me: Peer, slots: Sequence[SlotId], terms: SlotTerms, began: datetime
+    ) -> None:
+        self.terms = terms
+        self._me = me
+        self._began = began
+        self._views = {slot: SlotView(began) for slot in slots}
+        self._held: dict[SlotId, HeldState] = {}
+        self._writing: dict[SlotId, SlotWrite] = {}
+        self._order = sorted(slots, key=lambda slot: crc32(f"{me.host}/{slot}".encode()))
+        self._crowd = 0
+        self._crowd_since = began
+
+    @property
+    def held(self) -> Iterable[SlotId]:
+        """The slots that this host may spend until they lapse."""
+        return self._held.keys()
+
+    def find_holders(self, slots: Iterable[SlotId]) -> set[HostId]:
+        """Return the other hosts that hold any of *slots* as far as is known."""
+        rows = [self._views[slot].row for slot in slots]
+        return {row.holder for row in rows if row is not None} - {NO_HOST, self._me.host}
+
+    def find_end(self, slots: Iterable[SlotId]) -> datetime | None:
+        """Return when the first of the held among *slots* lapses, ``None`` when none is held."""
+        ends = [self._held[slot].find_end(self.terms) for slot in slots if slot in self._held]
+        return min(ends, default=None)
+
+    def drop_lapsed(self, now: datetime) -> list[tuple[datetime, SlotId]]:
+        """Drop the slots that lapsed and return them with the instants, earliest first."""
+        ends = [(state.find_end(self.terms), slot) for slot, state in self._held.items()]
+        lapsed = sorted((end, slot) for end, slot in ends if end <= now)
+        for _, slot in lapsed:
+            del self._held[slot]
+        return lapsed
+
+    # the store
+
+    def observe(self, rows: dict[SlotId, StoredSlot], now: datetime) -> None:
+        """Take what a read returned; slots without a row have never been held."""
+        for slot, view in self._views.items():
+            stored = rows.get(slot)
+            if stored is None:
+                view.note_absent()
+            else:
+                view.note(stored.version, stored.row, now)
+
+    def plan(self, peers: Sequence[Peer], now: datetime) -> list[SlotWrite]:
+        """Return the writes to send now; each is answered by one of the methods below.
+
+        :param peers: the other live hosts that may hold slots.
+        """
+        if len(peers) != self._crowd:
+            self._crowd, self._crowd_since = len(peers), now
+        writes = [self._plan_held(slot, peers, now) for slot in sorted(self._held)]
+        planned = [write for write in writes if write is not None]
+        planned += self._plan_claims(peers, now)
+        for write in planned:
+            self._writing[write.slot] = write
+            state = self._held.get(write.slot)
+            standby = write.standby
+            # the write may take effect unseen: its standby must consent as well from now on
+            if state is not None and standby is not None:
+                state.consents.setdefault(standby, now)
+        return planned
+
+    def plan_release(self, now: datetime, slots: Iterable[SlotId] | None = None) -> list[SlotWrite]:
+        """Give slots up at once and return the writes that free their rows."""
+        freed = list(self._held if slots is None else slots)
+        writes = []
+        for slot in freed:
+            version = self._held.pop(slot).version
+            row = SlotRow(quiet=self.terms.loan_lease)
+            writes.append(SlotWrite(slot, version, row, now))
+            self._writing[slot] = writes[-1]
+        return writes
+
+    def confirm(self, write: SlotWrite, version: int, now: datetime) -> Gained | None:
+        """Take the store's confirmation; return the slot when it was gained by it."""
+        self._writing.pop(write.slot, None)
+        self._views[write.slot].note(version, write.row, now)
+        if write.row.holder == NO_HOST:
+            return None
+        state = self._held.get(write.slot)
+        consents: dict[Peer, datetime] = {}
+        if write.standby is not None:
+            known = state.consents.get(write.standby) if state else None
+            consents[write.standby] = max(known or write.sent, write.sent)
+        fresh = HeldState(version, write.sent, consents)
+        if fresh.find_end(self.terms) <= now:
+            self._held.pop(write.slot, None)
+            return None
+        self._held[write.slot] = fresh
+        if state is not None:
+            return None
+        # a renewal that comes after the lapse tells nothing of what was spent before
+        return Gained(write.slot, write.earned_from if write.claim else now)
+
+    def refute(self, write: SlotWrite, current: StoredSlot | None, now: datetime) -> None:
+        """Take a conflict: the row is another than the write expected."""
+        self._writing.pop(write.slot, None)
+        if current is None:
+            return
+        self._views[write.slot].note(current.version, current.row, now)
+        state = self._held.get(write.slot)
+        if state is None:
+            return
+        if current.row.holder != self._me.host or current.row.boot != self._me.boot:
+            del self._held[write.slot]
+            return
+        # one of our own writes without a reply; the lease stays that of the confirmed one
+        state.version = current.version
+        standby = find_standby(current.row)
+        known = {} if standby is None else {standby: state.consents.get(standby, state.base)}
+        state.consents = known
+
+    def forget(self, write: SlotWrite) -> None:
+        """Take the store's silence: the write may have taken effect or may do so yet."""
+        self._writing.pop(write.slot, None)
+
+    # vouching
+
+    def find_vouchers(self) -> dict[Peer, list[HeldSlot]]:
+        """Return whom to ask to vouch for which held slots."""
+        asked: dict[Peer, list[HeldSlot]] = {}
+        for slot, state in sorted(self._held.items()):
+            for peer in state.consents:
+                asked.setdefault(peer, []).append(HeldSlot(slot, state.version))
+        return asked
+
+    def take_vouch(self, peer: Peer, slots: Iterable[SlotId], sent: datetime) -> None:
+        """Take a standby's consent to a message that left at *sent*."""
+        for slot in slots:
+            state = self._held.get(slot)
+            if state is not None and peer in state.consents:
+                state.consents[peer] = max(state.consents[peer], sent)
+
+    def vouch(self, slots: Iterable[HeldSlot], now: datetime) -> list[SlotId]:
+        """Promise not to take these slots over; return those promised."""
+        promised = []
+        for held in slots:
+            view = self._views.get(held.slot)
+            if view is None or held.slot in self._held or held.slot in self._writing:
+                continue
+            view.note(held.version, None, now)
+            view.vouched = now
+            promised.append(held.slot)
+        return promised
+
+    def suspects(self, now: datetime) -> bool:
+        """Tell whether a holder that this host vouches for has fallen silent."""
+        ages = [now - view.vouched for view in self._views.values() if view.vouched is not None]
+        return any(self.terms.suspicion < age < self.terms.standby_lease * 4 for age in ages)
+
+    # plans
+
+    def _plan_held(self, slot: SlotId, peers: Sequence[Peer], now: datetime) -> SlotWrite | None:
+        if slot in self._writing:
+            return None
+        state = self._held[slot]
+        current = find_standby(self._views[slot].row)
+        wanted = current if current in peers and self._is_heard(state, current, now) else None
+        if wanted is None:
+            wanted = self._choose_standby(slot, [peer for peer in peers if peer != current])
+        settled = wanted == current and set(state.consents) <= {current}
+        if settled and now - state.base < self.terms.renew_every:
+            return None
+        return SlotWrite(slot, state.version, self._make_row(wanted), now)
+
+    def _is_heard(self, state: HeldState, standby: Peer | None, now: datetime) -> bool:
+        if standby is None:
+            return False
+        consent = state.consents.get(standby)
+        return consent is None or now - consent < self.terms.suspicion
+
+    def _plan_claims(self, peers: Sequence[Peer], now: datetime) -> list[SlotWrite]:
+        if now - self._began < self.terms.gather:
+            return []
+        target = self.find_target(len(peers))
+        pending = [slot for slot in self._writing if slot not in self._held]
+        missing = min(CLAIMS_AT_ONCE, target - len(self._held) - len(pending))
+        claims: list[SlotWrite] = []
+        for slot in self._order:
+            if slot in self._held or slot in self._writing:
+                continue
+            claim = self._plan_claim(slot, peers, now, wanted=len(claims) < missing)
+            if claim is not None:
+                claims.append(claim)
+        return claims
+
+    def _plan_claim(
+        self, slot: SlotId, peers: Sequence[Peer], now: datetime, *, wanted: bool
+    ) -> SlotWrite | None:
+        view = self._views[slot]
+        free_from = view.find_free(self._me, self.terms)
+        if free_from is None or now < free_from or not view.known:
+            return None
+        # a standby takes over above its target too: nobody else may do so as soon
+        if not wanted and not view.names_standby(self._me):
+            return None
+        row = self._make_row(self._choose_standby(slot, peers))
+        earned_from = None if view.version == 0 else free_from
+        if view.is_mine(self._me):
+            earned_from = now
+        return SlotWrite(slot, view.version, row, now, claim=True, earned_from=earned_from)
+
+    def find_surplus(self, peers: int, now: datetime) -> list[SlotId]:
+        """Return a slot to free when this host holds more than its part for a while."""
+        if now - self._crowd_since < self.terms.settle or not peers:
+            return []
+        surplus = [slot for slot in self._order if slot in self._held and slot not in self._writing]
+        return surplus[-1:] if len(self._held) > self.find_target(peers) else []
+
+    def find_target(self, peers: int) -> int:
+        """Return how many slots this host should hold."""
+        return -(-len(self._views) // (peers + 1))
+
+    def _choose_standby(self, slot: SlotId, peers: Sequence[Peer]) -> Peer | None:
+        if not self.terms.standby:
+            return None
+        rank = {peer: crc32(f"{slot}/{peer.host}".encode()) for peer in peers}
+        return max(peers, key=lambda peer: (rank[peer], peer.host), default=None)
+
+    def _make_row(self, standby: Peer | None) -> SlotRow:
+        if standby is None:
+            return SlotRow(self._me.host, self._me.boot)
+        return SlotRow(self._me.host, self._me.boot, standby.host, standby.boot)
+
+
+def find_standby(row: SlotRow | None) -> Peer | None:
+    """Return the standby that a row names."""
+    if row is None or row.standby == NO_HOST:
+        return None
+    return Peer(row.standby, row.standby_boot)
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -5,8 +5,9 @@
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
+from lavenderrun.services._limits import LimitsService
 from lavenderrun.services._links import LinksService
-from lavenderrun.services._listener import ListenError, Listener
+from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
@@ -20,6 +21,7 @@
     "GrpcTransport",
     "HttpEngine",
     "HttpStore",
+    "LimitsService",
     "LinksService",
     "ListenError",
     "Listener",
--- a/src/lavenderrun/services/_store.py
+++ b/src/lavenderrun/services/_store.py
@@ -266,4 +266,4 @@
     """Make the client over the dialect that the settings name."""
     settings = getattr(kernel.settings, "store", None) or StoreSettings()
     dialect = STORE_DIALECTS.find(settings.dialect)(kernel, settings)
-    return StoreClient(kernel.clock, dialect, settings, random.Random())
+    return StoreClient(kernel.clock, dialect, settings, kernel.chance)
--- a/src/lavenderrun/services/_store_http.py
+++ b/src/lavenderrun/services/_store_http.py
@@ -10,14 +10,11 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
 from lavenderrun.kernel import Kernel
+from lavenderrun.services._http_client import BytesBody, make_pooled_agent, read_body
 from lavenderrun.services._store import STORE_DIALECTS, StoreSettings
 from lavenderrun.types import (
     StoreConflictError,
@@ -31,62 +28,11 @@
 THROTTLED = {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE}
 
 
-@implementer(IBodyProducer)
-class BytesProducer:
-    """A small request body; unlike the library's file producer it needs no global reactor."""
-
-    def __init__(self, body: bytes) -> None:
-        self.length = len(body)
-        self._body = body
-
-    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
-        """Write the whole body."""
-        consumer.write(self._body)
-        done: Deferred[None] = Deferred()
-        done.callback(None)
-        return done
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Nothing is left to pause."""
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Nothing is left to resume."""
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Nothing is left to stop."""
-
-
-class BodyReader(Protocol):
-    """Collects a response's body."""
-
-    def __init__(self) -> None:
-        self.done: Deferred[bytes] = Deferred()
-        self._parts: list[bytes] = []
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Take a part."""
-        self._parts.append(data)
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Take the end; a body that was cut off fails."""
-        if self.done.called:
-            return
-        if isinstance(reason.value, ResponseDone):
-            self.done.callback(b"".join(self._parts))
-        else:
-            self.done.errback(reason)
-
-
 class HttpStore:
     """One attempt a call over persistent connections; see ``Store``."""
 
-    def __init__(self, url: str, reactor: Any, *, connections: int, timeout: timedelta) -> None:
-        pool: Any = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = connections
-        # a repeat inside the pool would hide a write whose reply was lost
-        pool.retryAutomatically = False
-        seconds = timeout.total_seconds()
-        self._agent: Any = Agent(reactor, pool=pool, connectTimeout=seconds)
+    def __init__(self, url: str, reactor: Any, connections: int) -> None:
+        self._agent = make_pooled_agent(reactor, connections)
         self._url = url.rstrip("/")
 
     def get(self, table: str, key: str) -> Deferred[StoredRow | None]:
@@ -116,7 +62,7 @@
         headers = Headers()
         if expect is not None:
             headers.addRawHeader(EXPECT_HEADER, str(expect))
-        body = None if value is None else BytesProducer(value)
+        body = None if value is None else BytesBody(value)
         url = (self._url + path).encode("ascii")
         response: Deferred[Any] = self._agent.request(method.encode("ascii"), url, headers, body)
         response.addCallback(_read, decode)
@@ -130,9 +76,7 @@
 
 
 def _read(response: Any, decode: Callable[[bytes], Any]) -> Deferred[Any]:
-    reader = BodyReader()
-    response.deliverBody(reader)
-    return reader.done.addCallback(_interpret, response, decode)
+    return read_body(response).addCallback(_interpret, response, decode)
 
 
 def _interpret(body: bytes, response: Any, decode: Callable[[bytes], Any]) -> Any:
@@ -176,9 +120,4 @@
     """Make the dialect on the running reactor."""
     from twisted.internet import reactor
 
-    return HttpStore(
-        settings.url,
-        reactor,
-        connections=settings.in_flight,
-        timeout=settings.attempt_timeout,
-    )
+    return HttpStore(settings.url, reactor, settings.in_flight)
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -61,6 +61,14 @@
     RouteName,
     ServiceGroup,
 )
+from lavenderrun.types._limit_messages import (
+    HeldSlot,
+    Loan,
+    LoanRequest,
+    LoanReturn,
+    Vouch,
+    Vouched,
+)
 from lavenderrun.types._messages import (
     MESSAGES,
     Ack,
@@ -104,9 +112,9 @@
     Running,
     Store,
     StoreConflictError,
+    StoredRow,
     StoreThrottledError,
     StoreUnavailableError,
-    StoredRow,
     TokenSink,
     Transport,
 )
@@ -134,6 +142,7 @@
     Submitted,
 )
 from lavenderrun.types._settings import BackendSettings, FrontSettings
+from lavenderrun.types._slots import NO_BOOT, NO_HOST, SlotId, SlotRow
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -160,6 +169,8 @@
 __all__ = [
     "EVENTS",
     "MESSAGES",
+    "NO_BOOT",
+    "NO_HOST",
     "Account",
     "AccountId",
     "Ack",
@@ -216,6 +227,7 @@
     "FrontSettings",
     "Happening",
     "Heartbeat",
+    "HeldSlot",
     "Hello",
     "HostId",
     "HostLeaving",
@@ -232,6 +244,9 @@
     "LinkRate",
     "Links",
     "Load",
+    "Loan",
+    "LoanRequest",
+    "LoanReturn",
     "MemoryHeld",
     "Message",
     "Model",
@@ -280,6 +295,8 @@
     "SeatPromised",
     "SeatTaken",
     "ServiceGroup",
+    "SlotId",
+    "SlotRow",
     "Start",
     "Step",
     "StepError",
@@ -296,6 +313,8 @@
     "TokensGranted",
     "TokensReturned",
     "Transport",
+    "Vouch",
+    "Vouched",
     "event",
     "message",
 ]
--- a/tests/services/test_store_http.py
+++ b/tests/services/test_store_http.py
@@ -48,7 +48,7 @@
     port = reactor.listenTCP(0, make_site(resource), interface="127.0.0.1")
     timeout = timedelta(milliseconds=200)
     url = f"http://127.0.0.1:{port.getHost().port}"
-    dialect = HttpStore(url, reactor, connections=2, timeout=timeout)
+    dialect = HttpStore(url, reactor, 2)
     settings = StoreSettings(attempt_timeout=timeout, deadline=timedelta(seconds=1))
     store = StoreClient(clock, dialect, settings, random.Random(1))
     results: list[Any] = []
