--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -27,9 +27,11 @@
     SeatRequest,
     SeatState,
     Stop,
+    count_pieces,
 )
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
+from lavenderrun.decisions._membership import RowWatch, choose_dials
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -40,6 +42,7 @@
     Reason,
     RejectedHost,
 )
+from lavenderrun.decisions._pool import Pool
 from lavenderrun.decisions._prefills import (
     Abort,
     Compute,
@@ -91,6 +94,7 @@
     "OutputLengths",
     "Peer",
     "Placement",
+    "Pool",
     "PrefillAction",
     "PrefillBook",
     "PrefillNeed",
@@ -110,6 +114,7 @@
     "RejectedHost",
     "Release",
     "RetryBudget",
+    "RowWatch",
     "Run",
     "SeatAction",
     "SeatBook",
@@ -124,7 +129,9 @@
     "Tombstones",
     "Violation",
     "check_record",
+    "choose_dials",
     "choose_voters",
+    "count_pieces",
     "count_tokens",
     "digest_key",
     "find_changes",
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -30,7 +30,7 @@
 
 PROMISE_GRACE = timedelta(seconds=2)
 READY_GRACE = timedelta(seconds=1)
-ENTRY_GRACE = timedelta(seconds=5)
+ENTRY_GRACE = timedelta(seconds=3)
 RECHECK = timedelta(milliseconds=20)
 
 
@@ -151,15 +151,16 @@
         return started, self.cancel(key, now)
 
     def lose(self, holder: HostId, now: datetime) -> list[SeatAction]:
-        """Note that the link to an entry is lost; its seats are kept for the grace period."""
-        for seat in [s for s in self._waiting.values() if s.holder == holder]:
-            # no tombstone: the entry asks again on its next link
-            self._queue.remove(seat.request.job.key)
-            del self._waiting[seat.request.job.key]
-        for seat in self._taken.values():
-            if seat.holder == holder:
+        """Note that the link to an entry is lost; only running decodes outlast it, for a while."""
+        actions: list[SeatAction] = []
+        for seat in [*self._waiting.values(), *self._taken.values()]:
+            if seat.holder != holder:
+                continue
+            if seat.begun is None:
+                actions += self._end_early(seat, now)
+            else:
                 seat.orphaned = now + ENTRY_GRACE
-        return self._assign(now)
+        return [*actions, *self._assign(now)]
 
     def adopt(self, key: JobKey, holder: HostId) -> bool:
         """Bind an attempt to the entry that speaks of it; tell whether it is known."""
@@ -176,7 +177,7 @@
         for job in self._queue.expire(now):
             seat = self._waiting.pop(job.key)
             self._ended.add(job.key, now, started=False)
-            actions.append(Reject(job.key, seat.holder, Refusal.DEADLINE))
+            actions.append(Reject(job.key, seat.holder, Refusal.NO_ROOM))
         for seat in list(self._taken.values()):
             ends_at = seat.ends_at()
             if ends_at is not None and ends_at <= now:
@@ -213,7 +214,7 @@
             self._queue.remove(key)
             del self._waiting[key]
             self._ended.add(key, now, started=False)
-            return []
+            return [Drop(key)]
         self._free(seat, now)
         return [Drop(key)]
 
--- a/src/lavenderrun/services/_decode_job.py
+++ b/src/lavenderrun/services/_decode_job.py
@@ -4,30 +4,17 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from enum import Enum
 
 from lavenderrun.kernel import Clock, Timer
 from lavenderrun.types import (
-    AttemptId,
     FinishReason,
     Frame,
     Link,
-    RequestId,
     Reserve,
     Running,
+    Start,
 )
 
-JobKey = tuple[RequestId, AttemptId]
-
-
-class SeatState(Enum):
-    """Where a request is at the agent of a decode engine."""
-
-    QUEUED = "queued"
-    PROMISED = "promised"
-    RUNNING = "running"
-    ENDED = "ended"
-
 
 class DecodeJob:
     """State of one attempt; output is kept from the first token that is not acknowledged."""
@@ -35,10 +22,13 @@
     def __init__(self, link: Link, order: Reserve) -> None:
         self.link = link
         self.order = order
-        self.state = SeatState.QUEUED
+        self.start: Start | None = None
         self.running: Running | None = None
+        self.has_seat = False
         self.on_first: Callable[[], None] | None = None
         self._timer: Timer | None = None
+        self._begun = False
+        self._note: Callable[[int], None] = _ignore
         self._base = 0
         self._kept: list[str] = []
         self._kept_from = 0
@@ -55,9 +45,10 @@
         """Whether the entry holds the whole answer; its end counts as one more token."""
         return self.finished and self._acked > self._kept_from + len(self._kept)
 
-    def begin(self, offset: int) -> None:
-        """Enter the running state; output goes on from *offset*."""
-        self.state = SeatState.RUNNING
+    def begin(self, offset: int, note: Callable[[int], None]) -> None:
+        """Enter the running state; output goes on from *offset*, *note* takes its length."""
+        self._begun = True
+        self._note = note
         self._base = self._kept_from = offset
         self.forget()
 
@@ -68,6 +59,7 @@
             self.on_first = None
         self._kept += tokens
         self._finish = finish
+        self._note(offset + len(tokens))
         self._send(self._base + offset, tokens)
 
     def drop_before(self, offset: int) -> None:
@@ -79,7 +71,7 @@
 
     def resume(self, link: Link, offset: int) -> bool:
         """Go on over *link* from *offset*; return whether that output is still kept."""
-        if self.state not in (SeatState.RUNNING, SeatState.ENDED) or offset < self._kept_from:
+        if not self._begun or offset < self._kept_from:
             return False
         self.link = link
         self.forget()
@@ -103,3 +95,7 @@
         if tokens or self._finish is not None:
             key = (self.order.request, self.order.attempt)
             self.link.send(Frame(*key, offset, tokens, self._finish))
+
+
+def _ignore(_tokens: int) -> None:
+    """Take a length that nobody asked for."""
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -112,9 +112,9 @@
     Running,
     Store,
     StoreConflictError,
-    StoredRow,
     StoreThrottledError,
     StoreUnavailableError,
+    StoredRow,
     TokenSink,
     Transport,
 )
@@ -141,7 +141,16 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._settings import BackendSettings, FrontSettings
+from lavenderrun.types._rows import EntryHost
+from lavenderrun.types._settings import (
+    AgentSettings,
+    BackendSettings,
+    DaemonSettings,
+    EntrySettings,
+    FrontSettings,
+    HostSettings,
+    ServedSettings,
+)
 from lavenderrun.types._slots import NO_BOOT, NO_HOST, SlotId, SlotRow
 from lavenderrun.types._states import (
     BackendRole,
@@ -178,6 +187,7 @@
     "Admitted",
     "AdmittedModel",
     "AdmittedPlain",
+    "AgentSettings",
     "AnswerSink",
     "AttemptFailed",
     "AttemptHappening",
@@ -202,6 +212,7 @@
     "Cancel",
     "Change",
     "Charge",
+    "DaemonSettings",
     "DataCentre",
     "Document",
     "DocumentAccepted",
@@ -215,6 +226,8 @@
     "DocumentState",
     "DocumentVersion",
     "Engine",
+    "EntryHost",
+    "EntrySettings",
     "Event",
     "Export",
     "ExportFreed",
@@ -233,6 +246,7 @@
     "HostLeaving",
     "HostLost",
     "HostRole",
+    "HostSettings",
     "HostStarted",
     "HostState",
     "HostStopped",
@@ -294,6 +308,7 @@
     "SeatFreed",
     "SeatPromised",
     "SeatTaken",
+    "ServedSettings",
     "ServiceGroup",
     "SlotId",
     "SlotRow",
