--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from lavenderrun.codecs import (
-    _entry_rows as _entry_rows,
-)
+from lavenderrun.codecs import _entry_rows as _entry_rows
 from lavenderrun.codecs._api_answers import (
     DONE_EVENT,
     AnswerCodec,
@@ -40,6 +38,7 @@
 )
 from lavenderrun.codecs._faults import Fault, Faults
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._stored import (
     StoredDocumentError,
@@ -54,6 +53,7 @@
 __all__ = [
     "DONE_EVENT",
     "ROWS",
+    "SLOT_TABLE",
     "AnswerCodec",
     "ApiError",
     "ApiForm",
--- a/src/lavenderrun/services/_store_http.py
+++ b/src/lavenderrun/services/_store_http.py
@@ -11,11 +11,10 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from lavenderrun.kernel import Kernel
-from lavenderrun.services._http_client import BytesBody, read_body
+from lavenderrun.services._http_client import BytesBody, make_pooled_agent, read_body
 from lavenderrun.services._store import STORE_DIALECTS
 from lavenderrun.types import (
     StoreConflictError,
@@ -33,13 +32,8 @@
 class HttpStore:
     """One attempt a call over persistent connections; see ``Store``."""
 
-    def __init__(self, url: str, reactor: Any, *, connections: int, timeout: timedelta) -> None:
-        pool: Any = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = connections
-        # a repeat inside the pool would hide a write whose reply was lost
-        pool.retryAutomatically = False
-        seconds = timeout.total_seconds()
-        self._agent: Any = Agent(reactor, pool=pool, connectTimeout=seconds)
+    def __init__(self, url: str, reactor: Any, connections: int) -> None:
+        self._agent = make_pooled_agent(reactor, connections)
         self._url = url.rstrip("/")
 
     def get(self, table: str, key: str) -> Deferred[StoredRow | None]:
@@ -127,9 +121,4 @@
     """Make the dialect on the running reactor."""
     from twisted.internet import reactor
 
-    return HttpStore(
-        settings.url,
-        reactor,
-        connections=settings.in_flight,
-        timeout=settings.attempt_timeout,
-    )
+    return HttpStore(settings.url, reactor, settings.in_flight)
