Weigh client accounts by their rate at the agents' queues

Cause: with equal weights a large account within its rate waits behind a small one beyond it. The share is now the document's weight times the token rate.

--- a/src/lavenderrun/bench/_parts.py
+++ b/src/lavenderrun/bench/_parts.py
@@ -18,6 +18,7 @@
     greeting: Hello
     backend_seats: int
     policies: dict[str, str] = field(default_factory=dict)
+    backend_pieces: int = 640
 
     def hello(self) -> Hello:
         """Return this host's greeting."""
@@ -27,6 +28,10 @@
         """Return the requests that the backend server runs at once."""
         return self.backend_seats
 
+    def pieces(self) -> int:
+        """Return the pieces of KV cache of the backend server."""
+        return self.backend_pieces
+
 
 class RecordList:
     """The ``record`` service of all hosts: keeps every event in order."""
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -55,6 +55,7 @@
 from lavenderrun.decisions._routes import find_plain_route
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
+from lavenderrun.decisions._shares import find_shares
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 from lavenderrun.decisions._tombstones import Tombstones
@@ -120,6 +121,7 @@
     "digest_key",
     "find_changes",
     "find_plain_route",
+    "find_shares",
     "grant_key",
     "has_majority",
     "hash_blocks",
--- /dev/null
+++ b/src/lavenderrun/decisions/_shares.py
@@ -0,0 +1,21 @@
+"""Shares of the client accounts at the agents' queues."""
+
+from __future__ import annotations
+
+from lavenderrun.types import AccountId, Document
+
+
+def find_shares(document: Document) -> dict[AccountId, float]:
+    """Return each account's weight times its token rate, relative to the mean rate.
+
+    An account that was sold a larger rate has the larger share; else a large account within its
+    rate would wait behind a small one beyond it.
+    """
+    rates = [account.rate.tokens_per_second for account in document.accounts]
+    if not rates:
+        return {}
+    mean = sum(rates) / len(rates)
+    return {
+        account.id: account.weight * account.rate.tokens_per_second / mean
+        for account in document.accounts
+    }
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -219,7 +219,7 @@
                 lead=timedelta(0) if expected is None else expected.lead,
                 patience=left,
                 urgency=route.targets.first_token,
-                weight=self.admitted.weight,
+                weight=self._router.weigh(self.admitted),
                 fingerprint=self.admitted.fingerprint,
             )
         )
@@ -252,7 +252,7 @@
                 start_in=start_in,
                 patience=patience,
                 urgency=route.targets.first_token,
-                weight=self.admitted.weight,
+                weight=self._router.weigh(self.admitted),
                 fingerprint=self.admitted.fingerprint,
             )
         )
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -6,12 +6,13 @@
 
 from twisted.internet.defer import Deferred
 
-from lavenderrun.decisions import RetryBudget
+from lavenderrun.decisions import RetryBudget, find_shares
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.services._chooser import Chooser
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._model_request import ModelRun
 from lavenderrun.types import (
+    AccountId,
     Admission,
     AdmittedModel,
     AnswerSink,
@@ -57,6 +58,7 @@
         self._admission = kernel.find("admission", Admission)
         self._document = kernel.find("document", DocumentSource)
         self._runs: dict[RequestId, ModelRun] = {}
+        self._shares: dict[AccountId, float] = {}
         self._drained: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -85,6 +87,12 @@
             return DeadTicket()
         return self._run(request, admitted, sink)
 
+    def weigh(self, admitted: AdmittedModel) -> float:
+        """Return the share of a request's account at the agents' queues."""
+        if admitted.account is None:
+            return admitted.weight
+        return self._shares.get(admitted.account, admitted.weight)
+
     def forget(self, run: ModelRun) -> None:
         """Drop an ended run."""
         self._runs.pop(run.request.request, None)
@@ -122,6 +130,7 @@
     def _take_document(self, document: Document) -> None:
         self.retries.share = document.retry_share
         self.chooser.take_document(document)
+        self._shares = find_shares(document)
 
 
 @SERVICES.register("model_router")
--- a/src/lavenderrun/services/_policies.py
+++ b/src/lavenderrun/services/_policies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 from lavenderrun.kernel import Kernel
 
@@ -24,5 +24,6 @@
 
     @classmethod
     def of(cls, kernel: Kernel) -> Policies:
-        """Return those provided under ``policies``, else the defaults."""
-        return kernel.find("policies", cls) if kernel.has("policies") else cls()
+        """Return those that the settings name, else the defaults."""
+        named: dict[str, str] = getattr(kernel.settings, "policies", {})
+        return cls(**{each.name: named[each.name] for each in fields(cls) if each.name in named})
