--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -29,6 +29,7 @@
     Stop,
     count_pieces,
 )
+from lavenderrun.decisions._membership import RowWatch, choose_dials
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -106,6 +107,7 @@
     "RejectedHost",
     "Release",
     "RetryBudget",
+    "RowWatch",
     "Run",
     "SeatAction",
     "SeatBook",
@@ -115,6 +117,7 @@
     "Tombstones",
     "Violation",
     "check_record",
+    "choose_dials",
     "choose_voters",
     "count_pieces",
     "count_tokens",
