--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -58,6 +58,7 @@
 from lavenderrun.decisions._routes import find_plain_route
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
+from lavenderrun.decisions._shares import find_shares
 from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot
 from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.decisions._stream import Assembly, Progress
@@ -136,6 +137,7 @@
     "digest_key",
     "find_changes",
     "find_plain_route",
+    "find_shares",
     "grant_key",
     "has_majority",
     "hash_blocks",
