--- a/src/lavenderrun/bench/_deployments.py
+++ b/src/lavenderrun/bench/_deployments.py
@@ -18,6 +18,7 @@
     DataCentre,
     Document,
     KeyDigest,
+    LinkRate,
     Model,
     ModelName,
     ModelRoute,
@@ -34,6 +35,8 @@
 RATE_HEADROOM = 1.3
 """An account's rate against its mean traffic at 85% of capacity."""
 PEAK_LOAD = 0.85
+LINK_RATE = 6e9
+"""Bytes a second between and within data centres, each direction."""
 PLAIN_TARGET = timedelta(milliseconds=300)
 ENTRY_PORT = 7000
 AGENT_PORT = 7100
@@ -155,6 +158,11 @@
             ],
             plain_routes=self._plain_routes(),
             backends=[*self._engines(), *self._plain()],
+            links=[
+                LinkRate(source=source, target=target, bytes_per_second=LINK_RATE)
+                for source in self.data_centres
+                for target in self.data_centres
+            ],
         )
 
     def _plain_routes(self) -> list[PlainRoute]:
@@ -228,8 +236,8 @@
             BackendRole.PREFILL,
             BackendRole.DECODE,
             BackendRole.DECODE,
-            BackendRole.PREFILL,
             BackendRole.DECODE,
+            BackendRole.PREFILL,
         ),
         plain_group=ServiceGroup("order-desk"),
         plain_backends=3,
@@ -250,9 +258,9 @@
             BackendRole.PREFILL,
             BackendRole.DECODE,
             BackendRole.DECODE,
-            BackendRole.PREFILL,
             BackendRole.DECODE,
             BackendRole.PREFILL,
+            BackendRole.PREFILL,
         ),
         plain_group=ServiceGroup("editor"),
         plain_backends=3,
