--- a/src/lavenderrun/decisions/_affinity.py
+++ b/src/lavenderrun/decisions/_affinity.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from hashlib import blake2b
@@ -20,8 +20,10 @@
     Choice,
     Reason,
     RejectedHost,
+    find_bar,
     sample,
 )
+from lavenderrun.decisions._pool import Pool
 from lavenderrun.kernel import Registry
 from lavenderrun.types import HostId
 
@@ -32,6 +34,7 @@
 TRUST_MEMORY = 0.2
 SAMPLE = 2
 MAX_HOLDERS = 4
+# above this wait the link, not the queue, is given as the reason
 BUSY_LINK = timedelta(milliseconds=50)
 
 
@@ -128,7 +131,7 @@
     tried: frozenset[HostId] = frozenset()
 
 
-PrefillPlacement = Callable[[Sequence[Candidate], PrefillNeed, Chance], Choice]
+PrefillPlacement = Callable[[Pool, PrefillNeed, Chance], Choice]
 
 PREFILL_PLACEMENTS: Registry[PrefillPlacement] = Registry("prefill placement")
 
@@ -142,56 +145,52 @@
     return max(ready, wait.total_seconds()) + transfer.total_seconds()
 
 
-def _pick(candidates: Sequence[Candidate], need: PrefillNeed, indexes: Sequence[int]) -> Choice:
-    ranked = sorted(
-        (candidates[index].host in need.tried, estimate_lead(candidates[index], need), index)
-        for index in indexes
-    )
+def _pick(candidates: Pool, need: PrefillNeed, indexes: Collection[int]) -> Choice:
+    ranked: list[tuple[float, int]] = []
+    rejected: list[RejectedHost] = []
+    for index in indexes:
+        candidate = candidates[index]
+        bar = find_bar(candidate, need.tried)
+        if bar is None:
+            ranked.append((estimate_lead(candidate, need), index))
+        else:
+            rejected.append(RejectedHost(candidate.host, bar, timedelta(0)))
     if not ranked:
-        return Choice(None, timedelta(0), ())
-    rejected = tuple(
-        RejectedHost(
-            candidates[index].host,
-            _reason(candidates[index], need, tried=tried),
-            timedelta(seconds=lead),
-        )
-        for tried, lead, index in ranked[1:]
-    )
-    _, lead, index = ranked[0]
-    return Choice(candidates[index].host, timedelta(seconds=lead), rejected)
-
-
-def _reason(candidate: Candidate, need: PrefillNeed, *, tried: bool) -> Reason:
-    if tried:
-        return Reason.TRIED
-    return Reason.LINK_BUSY if need.link(candidate)[0] > BUSY_LINK else Reason.LONGER_WAIT
+        return Choice(None, timedelta(0), tuple(rejected))
+    ranked.sort()
+    for lead, index in ranked[1:]:
+        other = candidates[index]
+        busy = need.link(other)[0] > BUSY_LINK
+        reason = Reason.LINK_BUSY if busy else Reason.LONGER_WAIT
+        rejected.append(RejectedHost(other.host, reason, timedelta(seconds=lead)))
+    lead, index = ranked[0]
+    return Choice(candidates[index].host, timedelta(seconds=lead), tuple(rejected))
 
 
 @PREFILL_PLACEMENTS.register("affinity")
-def place_by_affinity(candidates: Sequence[Candidate], need: PrefillNeed, chance: Chance) -> Choice:
+def place_by_affinity(candidates: Pool, need: PrefillNeed, chance: Chance) -> Choice:
     """Choose the earliest arrival among the believed holders and a random few."""
     indexes = set(sample(len(candidates), SAMPLE, chance))
     if need.cached:
         holders = sorted(need.cached, key=need.cached.__getitem__, reverse=True)[:MAX_HOLDERS]
-        wanted = set(holders)
-        indexes |= {index for index, each in enumerate(candidates) if each.host in wanted}
-    return _pick(candidates, need, sorted(indexes))
+        indexes |= {at for host in holders if (at := candidates.find(host)) is not None}
+    choice = _pick(candidates, need, sorted(indexes))
+    if choice.chosen is None:
+        return place_prefill_at_shortest(candidates, need, chance)
+    return choice
 
 
 @PREFILL_PLACEMENTS.register("shortest")
-def place_prefill_at_shortest(
-    candidates: Sequence[Candidate], need: PrefillNeed, chance: Chance
-) -> Choice:
+def place_prefill_at_shortest(candidates: Pool, need: PrefillNeed, chance: Chance) -> Choice:
     """Choose the earliest arrival of all."""
     return _pick(candidates, need, range(len(candidates)))
 
 
 @PREFILL_PLACEMENTS.register("random")
-def place_prefill_at_random(
-    candidates: Sequence[Candidate], need: PrefillNeed, chance: Chance
-) -> Choice:
+def place_prefill_at_random(candidates: Pool, need: PrefillNeed, chance: Chance) -> Choice:
     """Choose any host, blind to cache, queue and link; the baseline."""
-    if not candidates:
+    fits = [each for each in candidates if find_bar(each, need.tried) is None]
+    if not fits:
         return Choice(None, timedelta(0), ())
-    chosen = candidates[int(chance.random() * len(candidates))]
+    chosen = fits[int(chance.random() * len(fits))]
     return Choice(chosen.host, timedelta(seconds=estimate_lead(chosen, need)), ())
--- a/src/lavenderrun/decisions/_placement.py
+++ b/src/lavenderrun/decisions/_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -27,7 +27,7 @@
     """Why a host was not chosen."""
 
     TRIED = "tried"
-    UNKNOWN_LOAD = "unknown_load"
+    LEAVING = "leaving"
     NO_PIECES = "no_pieces"
     LONGER_WAIT = "longer_wait"
     LINK_BUSY = "link_busy"
@@ -38,6 +38,7 @@
     """A host that could take the work.
 
     :param load: what it last said; late by up to a heartbeat.
+    :param leaving: it takes no new work.
     :param sent: requests that this entry has sent since then.
     :param work: expected work of those in seconds.
     """
@@ -45,6 +46,7 @@
     host: HostId
     data_centre: DataCentre
     load: Load | None
+    leaving: bool = False
     sent: int = 0
     work: float = 0.0
 
@@ -79,7 +81,20 @@
     rejected: tuple[RejectedHost, ...]
 
 
-Placement = Callable[[Sequence[Candidate], Need, Chance], Choice]
+class Candidates(Protocol):
+    """The hosts to choose from."""
+
+    def __len__(self) -> int:
+        """Return their number."""
+
+    def __getitem__(self, index: int) -> Candidate:
+        """Return one of them."""
+
+    def __iter__(self) -> Iterator[Candidate]:
+        """Return all."""
+
+
+Placement = Callable[[Candidates, Need, Chance], Choice]
 
 PLACEMENTS: Registry[Placement] = Registry("placement")
 
@@ -106,50 +121,54 @@
     return NO_SEAT_SECONDS * (1 - free) + backlog
 
 
-def _pick(candidates: Sequence[Candidate], need: Need, indexes: Collection[int]) -> Choice:
-    """Return the one with the shortest wait, those that cannot serve it last."""
-    ranked: list[tuple[int, float, Candidate]] = []
+def find_bar(candidate: Candidate, tried: Collection[HostId]) -> Reason | None:
+    """Return why a host may not be chosen at all."""
+    if candidate.leaving:
+        return Reason.LEAVING
+    return Reason.TRIED if candidate.host in tried else None
+
+
+def _pick(candidates: Candidates, need: Need, indexes: Collection[int]) -> Choice:
+    """Return the one with the shortest wait; a host that lacks pieces comes after the others."""
+    ranked: list[tuple[bool, float, Candidate]] = []
+    rejected: list[RejectedHost] = []
     for index in indexes:
         candidate = candidates[index]
-        ranked.append((_rank(candidate, need), estimate_wait(candidate), candidate))
-    ranked.sort(key=lambda item: item[:2])
+        bar = find_bar(candidate, need.tried)
+        if bar is not None:
+            rejected.append(RejectedHost(candidate.host, bar, timedelta(0)))
+            continue
+        load = candidate.load
+        lacks = load is not None and load.pieces_free < need.pieces
+        ranked.append((lacks, estimate_wait(candidate), candidate))
     if not ranked:
-        return Choice(None, timedelta(0), ())
-    rejected = tuple(
-        RejectedHost(other.host, _REASONS[rank], timedelta(seconds=max(0.0, wait)))
-        for rank, wait, other in ranked[1:]
-    )
+        return Choice(None, timedelta(0), tuple(rejected))
+    ranked.sort(key=lambda item: item[:2])
+    for lacks, wait, other in ranked[1:]:
+        reason = Reason.NO_PIECES if lacks else Reason.LONGER_WAIT
+        rejected.append(RejectedHost(other.host, reason, timedelta(seconds=max(0.0, wait))))
     _, wait, best = ranked[0]
-    return Choice(best.host, timedelta(seconds=max(0.0, wait)), rejected)
-
-
-_REASONS = (Reason.LONGER_WAIT, Reason.UNKNOWN_LOAD, Reason.NO_PIECES, Reason.TRIED)
-
-
-def _rank(candidate: Candidate, need: Need) -> int:
-    if candidate.host in need.tried:
-        return 3
-    if candidate.load is None:
-        return 1
-    return 2 if candidate.load.pieces_free < need.pieces else 0
+    return Choice(best.host, timedelta(seconds=max(0.0, wait)), tuple(rejected))
 
 
 @PLACEMENTS.register("power")
-def place_by_power(candidates: Sequence[Candidate], need: Need, chance: Chance) -> Choice:
+def place_by_power(candidates: Candidates, need: Need, chance: Chance) -> Choice:
     """Choose the shortest wait of a random few, by load corrected by the entry's own sends."""
-    return _pick(candidates, need, sample(len(candidates), SAMPLE, chance))
+    choice = _pick(candidates, need, sample(len(candidates), SAMPLE, chance))
+    if choice.chosen is None and len(candidates) > SAMPLE:
+        return place_at_shortest(candidates, need, chance)
+    return choice
 
 
 @PLACEMENTS.register("shortest")
-def place_at_shortest(candidates: Sequence[Candidate], need: Need, chance: Chance) -> Choice:
+def place_at_shortest(candidates: Candidates, need: Need, chance: Chance) -> Choice:
     """Choose the shortest wait of all."""
     return _pick(candidates, need, range(len(candidates)))
 
 
 @PLACEMENTS.register("random")
-def place_at_random(candidates: Sequence[Candidate], need: Need, chance: Chance) -> Choice:
+def place_at_random(candidates: Candidates, need: Need, chance: Chance) -> Choice:
     """Choose any host, blind to load; the baseline."""
-    if not candidates:
-        return Choice(None, timedelta(0), ())
-    chosen = candidates[int(chance.random() * len(candidates))]
-    return Choice(chosen.host, timedelta(0), ())
+    fits = [each.host for each in candidates if find_bar(each, need.tried) is None]
+    chosen = fits[int(chance.random() * len(fits))] if fits else None
+    return Choice(chosen, timedelta(0), ())
