--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -7,7 +7,7 @@
 from lavenderrun.services._front import FrontService
 from lavenderrun.services._limits import LimitsService
 from lavenderrun.services._links import LinksService
-from lavenderrun.services._listener import ListenError, Listener
+from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._plain_http import HttpPlain
