--- a/src/lavenderrun/bench/__init__.py
+++ b/src/lavenderrun/bench/__init__.py
@@ -4,7 +4,7 @@
 
 from lavenderrun.bench import _scenarios_faults as _scenarios_faults
 from lavenderrun.bench import _scenarios_load as _scenarios_load
-from lavenderrun.bench._deployments import DEPLOYMENTS, Deployment
+from lavenderrun.bench._deployments import DEPLOYMENTS, Deployment, digest_of
 from lavenderrun.bench._measures import Measures, encode
 from lavenderrun.bench._report import write_report
 from lavenderrun.bench._scenarios import SCENARIOS, Plan, Result, run_scenario
@@ -16,6 +16,7 @@
     "Measures",
     "Plan",
     "Result",
+    "digest_of",
     "encode",
     "run_scenario",
     "write_report",
--- /dev/null
+++ b/src/lavenderrun/commands/_demo.py
@@ -0,0 +1,40 @@
+"""The sub-command ``demo``."""
+
+from __future__ import annotations
+
+import json
+import sys
+from argparse import ArgumentParser, Namespace
+
+from lavenderrun.commands._base import COMMANDS
+from lavenderrun.daemons import install_loop, run_until_signal
+
+
+@COMMANDS.register("demo")
+class DemoCommand:
+    """examples:
+    lavenderrun demo
+    lavenderrun demo --deployment qene --port 8080 --seconds 60
+    """
+
+    help = "run a whole deployment in one process on loopback"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the sub-command's arguments."""
+        parser.add_argument("--deployment", choices=("wire", "qene"), default="wire")
+        parser.add_argument("--port", type=int, default=0, help="for callers (0: a free one)")
+        parser.add_argument("--seconds", type=float, help="stop by itself after so many seconds")
+
+    def run(self, args: Namespace) -> int:
+        """Run until a signal or the given time, then drain; return 0."""
+        reactor = install_loop()
+        from lavenderrun.demo import Demo  # needs the installed reactor
+
+        demo = Demo(reactor, args.deployment, args.port)
+
+        async def start() -> None:
+            await demo.start()
+            sys.stdout.write(f"ready {json.dumps(demo.describe())}\n")
+            sys.stdout.flush()
+
+        return run_until_signal(reactor, start, demo.stop, seconds=args.seconds)
--- a/src/lavenderrun/daemons/_loop.py
+++ b/src/lavenderrun/daemons/_loop.py
@@ -28,8 +28,13 @@
     reactor: Any,
     start: Callable[[], Coroutine[Any, Any, None]],
     stop: Callable[[], Coroutine[Any, Any, None]],
+    *,
+    seconds: float | None = None,
 ) -> int:
-    """Run *start*, then the loop until SIGINT, SIGTERM or a failed start; return the exit code."""
+    """Run *start*, then the loop until SIGINT, SIGTERM or a failed start; return the exit code.
+
+    :param seconds: end by itself after so long, as by a signal.
+    """
     failures: list[Failure] = []
     stopping: list[bool] = []
 
@@ -49,6 +54,8 @@
         # the reactor would stop at once on a signal; a planned stop drains first
         for number in (signal.SIGINT, signal.SIGTERM):
             signal.signal(number, lambda *_: reactor.callFromThread(end))
+        if seconds is not None:
+            reactor.callLater(seconds, end)
         Deferred.fromCoroutine(start()).addErrback(fail)
 
     reactor.callWhenRunning(begin)
--- /dev/null
+++ b/src/lavenderrun/demo/__init__.py
@@ -0,0 +1,7 @@
+"""A whole deployment in one process on loopback."""
+
+from __future__ import annotations
+
+from lavenderrun.demo._demo import Demo
+
+__all__ = ["Demo"]
--- /dev/null
+++ b/src/lavenderrun/demo/_demo.py
@@ -0,0 +1,176 @@
+"""A whole deployment in one process on loopback: for a first look and for end-to-end tests."""
+
+from __future__ import annotations
+
+import secrets
+import socket
+from contextlib import ExitStack
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from twisted.web.server import Site
+
+from lavenderrun.bench import DEPLOYMENTS, Deployment, digest_of
+from lavenderrun.codecs import encode_stored, make_stored
+from lavenderrun.daemons import ENTRY_SERVICES, list_agent_services
+from lavenderrun.kernel import Kernel, ReactorClock
+from lavenderrun.services import FrontService
+from lavenderrun.standins import (
+    EngineModel,
+    EngineResource,
+    Fabric,
+    PlainCore,
+    PlainResource,
+    make_table_resource,
+)
+from lavenderrun.types import (
+    AccountId,
+    AgentSettings,
+    Backend,
+    BackendRole,
+    BackendSettings,
+    DataCentre,
+    Document,
+    DocumentVersion,
+    EntrySettings,
+    FrontSettings,
+    HostSettings,
+    Revision,
+    ServedSettings,
+    StoreSettings,
+)
+
+LOOPBACK = "127.0.0.1"
+ENTRIES = 2
+DOCUMENT_TABLE = "document"
+DOCUMENT_ROW = "current"
+
+
+class Demo:
+    """Entries, agents, engines, a plain service and the table service of one deployment.
+
+    :param deployment: name of one of the adopters' deployments.
+    :param port: of the first entry for callers; zero takes a free one.
+    """
+
+    def __init__(self, reactor: Any, deployment: str, port: int) -> None:
+        self.keys: dict[AccountId, str] = {}
+        self.clock = ReactorClock.starting_now(reactor)
+        self._reactor = reactor
+        self._deployment: Deployment = DEPLOYMENTS.find(deployment)()
+        self._port = port
+        self._fabric = Fabric(self.clock)
+        self._table = make_table_resource(self.clock)
+        self._ports: list[Any] = []
+        self._agents: list[Kernel] = []
+        self._entries: list[Kernel] = []
+
+    async def start(self) -> None:
+        """Start the outside systems, the agents and then the entries."""
+        document = self._make_document()
+        self._store_document(document)
+        table = self._serve(self._table)
+        for backend in document.backends:
+            kernel = self._make_agent(backend)
+            self._agents.append(kernel)
+            await kernel.start()
+        for number in range(ENTRIES):
+            kernel = self._make_entry(number, table)
+            self._entries.append(kernel)
+            await kernel.start()
+
+    async def stop(self) -> None:
+        """Stop entries first, so that accepted requests finish."""
+        for kernel in self._entries + self._agents:
+            await kernel.stop()
+        for port in self._ports:
+            await port.stopListening()
+
+    def describe(self) -> dict[str, Any]:
+        """Return what a caller and an operator need."""
+        front = self._entries[0].find("front", FrontService)
+        return {
+            "url": f"http://{LOOPBACK}:{front.port}",
+            "keys": self.keys,
+            "model": self._deployment.model,
+        }
+
+    def _make_document(self) -> Document:
+        document = self._deployment.build_document()
+        ports = iter(find_free_ports(len(document.backends)))
+        backends = [
+            backend.model_copy(update={"agent": f"{LOOPBACK}:{next(ports)}"})
+            for backend in document.backends
+        ]
+        accounts = []
+        for account in document.accounts:
+            self.keys[account.id] = key = f"lr-{secrets.token_urlsafe(24)}"
+            accounts.append(account.model_copy(update={"keys": [digest_of(key)]}))
+        return document.model_copy(update={"accounts": accounts, "backends": backends})
+
+    def _store_document(self, document: Document) -> None:
+        revision = Revision(DocumentVersion(1), "demo", self.clock.now(), secrets.token_hex(8))
+        stored = make_stored(document, revision, None)
+        self._table.core.put(DOCUMENT_TABLE, DOCUMENT_ROW, encode_stored(stored), expect=0)
+
+    def _make_agent(self, backend: Backend) -> Kernel:
+        settings = AgentSettings(
+            host=self._make_host(f"host-{backend.id}", backend.data_centre, backend.agent),
+            serves=ServedSettings(
+                id=backend.id,
+                group=backend.group,
+                role=backend.role,
+                seats=backend.seats,
+                pieces=backend.pieces,
+            ),
+            backend=BackendSettings(address=self._serve_backend(backend)),
+        )
+        kernel = Kernel(self.clock, settings)
+        kernel.build(list_agent_services(backend.role))
+        return kernel
+
+    def _make_entry(self, number: int, table: str) -> Kernel:
+        centres = self._deployment.data_centres
+        [port] = find_free_ports(1)
+        listen = f"{LOOPBACK}:{self._port if number == 0 else 0}"
+        settings = EntrySettings(
+            host=self._make_host(
+                f"entry-{number}", centres[number % len(centres)], f"{LOOPBACK}:{port}"
+            ),
+            store=StoreSettings(url=f"http://{table}"),
+            front=FrontSettings(listen=listen, drain=timedelta(seconds=30)),
+        )
+        kernel = Kernel(self.clock, settings)
+        kernel.build(ENTRY_SERVICES)
+        return kernel
+
+    def _make_host(self, name: str, data_centre: DataCentre, address: str) -> HostSettings:
+        return HostSettings(id=name, data_centre=data_centre, listen=address)
+
+    def _serve_backend(self, backend: Backend) -> str:
+        if backend.role is BackendRole.PLAIN:
+            return self._serve(PlainResource(self.clock, PlainCore()))
+        model = EngineModel(
+            self.clock,
+            self._fabric,
+            backend.id,
+            backend.data_centre,
+            speed=self._deployment.speed,
+            chance=Random(backend.id),
+        )
+        return self._serve(EngineResource(model))
+
+    def _serve(self, resource: Any) -> str:
+        port = self._reactor.listenTCP(0, Site(resource), interface=LOOPBACK)
+        self._ports.append(port)
+        return f"{LOOPBACK}:{port.getHost().port}"
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind((LOOPBACK, 0))
+        return [each.getsockname()[1] for each in sockets]
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -12,6 +12,7 @@
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._plain_http import HttpPlain
 from lavenderrun.services._prefill_agent import PrefillAgent
+from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
 from lavenderrun.services._store_http import HttpStore
@@ -32,6 +33,7 @@
     "Membership",
     "ModelRouter",
     "PrefillAgent",
+    "RecordService",
     "RouterService",
     "StoreClient",
     "StoreCounters",
