Run the demo end to end

Cause: the demo put its document past the store client, whose rows carry a writer's token, so that no entry could read it; agents lacked the number of cache pieces. The demo now writes through the client.

--- a/src/lavenderrun/commands/_demo.py
+++ b/src/lavenderrun/commands/_demo.py
@@ -4,10 +4,10 @@
 
 import json
 import sys
-from argparse import ArgumentParser, Namespace
+from argparse import ArgumentParser, FileType, Namespace
 
 from lavenderrun.commands._base import COMMANDS
-from lavenderrun.daemons import install_loop, run_until_signal
+from lavenderrun.daemons import install_loop, open_log, run_until_signal
 
 
 @COMMANDS.register("demo")
@@ -23,10 +23,12 @@
         """Add the sub-command's arguments."""
         parser.add_argument("--deployment", choices=("wire", "qene"), default="wire")
         parser.add_argument("--port", type=int, default=0, help="for callers (0: a free one)")
+        parser.add_argument("--log", type=FileType("a"), help="file for JSON log lines")
         parser.add_argument("--seconds", type=float, help="stop by itself after so many seconds")
 
     def run(self, args: Namespace) -> int:
         """Run until a signal or the given time, then drain; return 0."""
+        open_log(args.log)
         reactor = install_loop()
         from lavenderrun.demo import Demo  # needs the installed reactor
 
--- a/src/lavenderrun/daemons/_loop.py
+++ b/src/lavenderrun/daemons/_loop.py
@@ -6,8 +6,9 @@
 import signal
 import sys
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TextIO
 
+from eliot import FileDestination, add_destinations
 from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -24,6 +25,15 @@
     return reactor
 
 
+def open_log(file: TextIO | None) -> None:
+    """Write log lines as JSON to *file*, or nowhere."""
+    add_destinations(_drop if file is None else FileDestination(file=file))
+
+
+def _drop(_message: dict[str, Any]) -> None:
+    """Take a log line that nobody reads."""
+
+
 def run_until_signal(
     reactor: Any,
     start: Callable[[], Coroutine[Any, Any, None]],
--- a/src/lavenderrun/demo/_demo.py
+++ b/src/lavenderrun/demo/_demo.py
@@ -38,6 +38,7 @@
     HostSettings,
     Revision,
     ServedSettings,
+    Store,
     StoreSettings,
 )
 
@@ -61,7 +62,6 @@
         self._deployment: Deployment = DEPLOYMENTS.find(deployment)()
         self._port = port
         self._fabric = Fabric(self.clock)
-        self._table = make_table_resource(self.clock)
         self._ports: list[Any] = []
         self._agents: list[Kernel] = []
         self._entries: list[Kernel] = []
@@ -69,8 +69,8 @@
     async def start(self) -> None:
         """Start the outside systems, the agents and then the entries."""
         document = self._make_document()
-        self._store_document(document)
-        table = self._serve(self._table)
+        table = self._serve(make_table_resource(self.clock))
+        await self._store_document(document, table)
         for backend in document.backends:
             kernel = self._make_agent(backend)
             self._agents.append(kernel)
@@ -109,10 +109,15 @@
             accounts.append(account.model_copy(update={"keys": [digest_of(key)]}))
         return document.model_copy(update={"accounts": accounts, "backends": backends})
 
-    def _store_document(self, document: Document) -> None:
+    async def _store_document(self, document: Document, table: str) -> None:
         revision = Revision(DocumentVersion(1), "demo", self.clock.now(), secrets.token_hex(8))
         stored = make_stored(document, revision, None)
-        self._table.core.put(DOCUMENT_TABLE, DOCUMENT_ROW, encode_stored(stored), expect=0)
+        kernel = Kernel(self.clock, self._make_entry_settings("seed", table))
+        kernel.build(["store"])
+        await kernel.start()
+        store = kernel.find("store", Store)
+        await store.put(DOCUMENT_TABLE, DOCUMENT_ROW, encode_stored(stored), expect=0)
+        await kernel.stop()
 
     def _make_agent(self, backend: Backend) -> Kernel:
         settings = AgentSettings(
@@ -131,19 +136,19 @@
         return kernel
 
     def _make_entry(self, number: int, table: str) -> Kernel:
+        kernel = Kernel(self.clock, self._make_entry_settings(f"entry-{number}", table, number))
+        kernel.build(ENTRY_SERVICES)
+        return kernel
+
+    def _make_entry_settings(self, name: str, table: str, number: int = 0) -> EntrySettings:
         centres = self._deployment.data_centres
         [port] = find_free_ports(1)
         listen = f"{LOOPBACK}:{self._port if number == 0 else 0}"
-        settings = EntrySettings(
-            host=self._make_host(
-                f"entry-{number}", centres[number % len(centres)], f"{LOOPBACK}:{port}"
-            ),
+        return EntrySettings(
+            host=self._make_host(name, centres[number % len(centres)], f"{LOOPBACK}:{port}"),
             store=StoreSettings(url=f"http://{table}"),
             front=FrontSettings(listen=listen, drain=timedelta(seconds=30)),
         )
-        kernel = Kernel(self.clock, settings)
-        kernel.build(ENTRY_SERVICES)
-        return kernel
 
     def _make_host(self, name: str, data_centre: DataCentre, address: str) -> HostSettings:
         return HostSettings(id=name, data_centre=data_centre, listen=address)
--- a/src/lavenderrun/types/_settings.py
+++ b/src/lavenderrun/types/_settings.py
@@ -185,3 +185,7 @@
     def seats(self) -> int:
         """Return the requests that the backend server runs at once."""
         return self.serves.seats
+
+    def pieces(self) -> int:
+        """Return the pieces of KV cache that the backend server has."""
+        return self.serves.pieces
