--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lavenderrun.codecs import (
+    _claim_rows as _claim_rows,
+)
 from lavenderrun.codecs import (
     _entry_rows as _entry_rows,
 )
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -12,7 +12,14 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
+from lavenderrun.decisions._claims import (
+    ClaimVerdict,
+    judge_claim,
+    may_dispatch,
+    trusts_not_started,
+)
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
@@ -70,9 +77,11 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "CallLedger",
     "Candidate",
     "Chance",
     "Choice",
+    "ClaimVerdict",
     "Compute",
     "Drop",
     "FairQueue",
@@ -126,5 +135,8 @@
     "grant_key",
     "has_majority",
     "hash_blocks",
+    "judge_claim",
+    "may_dispatch",
+    "trusts_not_started",
     "withdraw_key",
 ]
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -9,7 +9,9 @@
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
+from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._router import RouterService
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
@@ -29,6 +31,8 @@
     "Listener",
     "Membership",
     "ModelRouter",
+    "PlainAgent",
+    "PlainRouter",
     "PrefillAgent",
     "RouterService",
     "StoreClient",
--- a/src/lavenderrun/services/_chooser.py
+++ b/src/lavenderrun/services/_chooser.py
@@ -42,6 +42,9 @@
 SEAT_SECONDS = 2.0
 """Time that a seat is expected to be held, for the correction of lagging loads."""
 
+CALL_SECONDS = 0.02
+"""The same for a call to a plain service."""
+
 
 @dataclass(frozen=True)
 class Demand:
@@ -116,6 +119,18 @@
         self._sends.note(choice.chosen, SEAT_SECONDS, self._clock.now())
         return self._links.find(choice.chosen)
 
+    def choose_plain(
+        self, request: RequestId, group: ServiceGroup, tried: Collection[HostId]
+    ) -> Link | None:
+        """Return the link to an agent of a plain service, ``None`` when none fits."""
+        pool = self._pool(group, BackendRole.PLAIN)
+        choice = self._place(pool, Need(0, frozenset(tried)), self._chance)
+        self._report(request, choice, "plain")
+        if choice.chosen is None:
+            return None
+        self._sends.note(choice.chosen, CALL_SECONDS, self._clock.now())
+        return self._links.find(choice.chosen)
+
     def choose_prefill(
         self, demand: Demand, target: DataCentre, tried: Collection[HostId], *, ask: bool = False
     ) -> PrefillChoice | None:
--- /dev/null
+++ b/src/lavenderrun/services/_plain_agent.py
@@ -0,0 +1,355 @@
+"""Service ``plain_agent``: seats and queue of the plain backend server beside this agent."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import ClassVar
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+
+from lavenderrun.decisions import QUEUE_POLICIES, CallLedger, Job, JobKey, Mean
+from lavenderrun.kernel import SERVICES, Kernel, Timer
+from lavenderrun.services._alarm import Alarm
+from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._plain_job import JobState, PlainJob
+from lavenderrun.services._policies import Policies
+from lavenderrun.types import (
+    AccountId,
+    Ack,
+    AttemptFailed,
+    BackendCrashed,
+    BackendEnded,
+    BackendId,
+    BackendRun,
+    Call,
+    CallBody,
+    Cancel,
+    Link,
+    Links,
+    Load,
+    Outcome,
+    PlainBackend,
+    Refusal,
+    Refused,
+    Resume,
+    Revoke,
+    Revoked,
+    Step,
+)
+
+FIRST_COST = 0.02
+MAX_HELD_BYTES = 64 << 20
+MAX_KEPT_BYTES = 16 << 20
+MAX_KEPT = 4096
+KEEP_REPLY = timedelta(seconds=10)
+KEEP_OUTCOME = timedelta(seconds=120)
+ENTRY_GRACE = timedelta(seconds=5)
+DRAIN = timedelta(seconds=60)
+RETRY_AFTER = timedelta(seconds=1)
+
+
+class PlainAgent:
+    """The calls of one plain backend server.
+
+    Each attempt starts at most once. Replies of calls that may not be repeated are kept for
+    :data:`KEEP_OUTCOME`, within :data:`MAX_KEPT` and :data:`MAX_KEPT_BYTES`, for the caller's
+    next try.
+    """
+
+    needs: ClassVar[tuple[str, ...]] = ("links", "plain", "record")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._clock = kernel.clock
+        self._links = kernel.find("links", Links)
+        self._plain = kernel.find("plain", PlainBackend)
+        self._events = Emitter.of(kernel)
+        self._backend: BackendId = kernel.settings.hello().backend
+        self._seats: int = kernel.settings.seats()
+        self._queue = QUEUE_POLICIES.find(Policies.of(kernel).queue)(float(self._seats))
+        self._cost = Mean(FIRST_COST)
+        self._ledger = CallLedger()
+        self._jobs: dict[JobKey, PlainJob] = {}
+        self._ended: dict[JobKey, PlainJob] = {}
+        self._timers: dict[JobKey, Timer] = {}
+        self._running = 0
+        self._alarm = Alarm(kernel.clock, self._serve)
+        self._drained: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Listen to entries and report load."""
+        self._links.subscribe(Call, self._take_call)
+        self._links.subscribe(CallBody, self._take_body)
+        self._links.subscribe(Ack, self._take_ack)
+        self._links.subscribe(Resume, self._take_resume)
+        self._links.subscribe(Revoke, self._take_revoke)
+        self._links.subscribe(Cancel, self._take_cancel)
+        self._links.watch(lambda link: None, self._link_down)
+        self._links.bind_load(self.load)
+
+    def stop(self) -> Deferred[None]:
+        """Take no new call and wait for those in hand."""
+        self._drained = Deferred()
+        drained = self._drained
+        limit = self._clock.call_later(DRAIN, self._end_drain)
+        drained.addBoth(lambda _: self._close(limit))
+        self._check_drained()
+        return drained
+
+    def held(self) -> int:
+        """Return the calls that wait or run."""
+        return len(self._jobs)
+
+    def load(self) -> Load:
+        """Return the load that heartbeats carry."""
+        backlog = timedelta(seconds=self._queue.work / self._seats)
+        return Load(self._seats, self._running, len(self._queue), backlog, 0)
+
+    # calls come in
+
+    def _take_call(self, link: Link, call: Call) -> None:
+        key = (call.request, call.attempt)
+        if self._find(key) is not None:
+            return
+        refusal = self._find_bar(key)
+        if refusal is not None:
+            self._fail(link, key, refusal, started=self._ledger.may_have_begun(key))
+            return
+        job = self._jobs[key] = PlainJob(link, call, self._take_end)
+        if job.state is JobState.QUEUED:
+            self._enqueue(job)
+        else:
+            self._expect(key, call.patience, self._give_up)
+
+    def _find_bar(self, key: JobKey) -> Refusal | None:
+        if self._ledger.knows(key):
+            return Refusal.CANCELLED
+        if self._drained is not None:
+            return Refusal.LEAVING
+        held = sum(job.held() for job in self._jobs.values())
+        return Refusal.NO_ROOM if held > MAX_HELD_BYTES else None
+
+    def _take_body(self, _link: Link, part: CallBody) -> None:
+        job = self._jobs.get((part.request, part.attempt))
+        if job is not None and job.take_body(part):
+            self._forget_timer(job.key)
+            self._enqueue(job)
+
+    def _enqueue(self, job: PlainJob) -> None:
+        call, now = job.call, self._clock.now()
+        self._queue.push(
+            Job(
+                request=call.request,
+                attempt=call.attempt,
+                account=call.account or AccountId(""),
+                cost=self._cost.value,
+                weight=call.weight,
+                urgency=call.urgency,
+                due=now + call.urgency,
+                deadline=now + call.patience,
+            ),
+            now,
+        )
+        self._serve()
+
+    def _serve(self) -> None:
+        now = self._clock.now()
+        for late in self._queue.expire(now):
+            self._give_up(late.key)
+        while self._running < self._seats:
+            waiting = self._queue.pop(now)
+            if waiting is None:
+                break
+            self._begin(self._jobs[waiting.key])
+        self._alarm.set(self._queue.next_deadline())
+
+    def _give_up(self, key: JobKey) -> None:
+        job = self._jobs.pop(key)
+        self._forget_timer(key)
+        self._ledger.revoke(key, self._clock.now())
+        if job.link is not None:
+            self._fail(job.link, key, Refusal.DEADLINE, started=False)
+
+    # calls run
+
+    def _begin(self, job: PlainJob) -> None:
+        call, now = job.call, self._clock.now()
+        if not self._ledger.begin(job.key, now):
+            self._drop(job)
+            return
+        job.state = JobState.RUNNING
+        self._running += 1
+        self._events.emit(BackendRun(*job.key, self._backend, call.account, call.repeatability))
+        log_message(
+            "plain_agent:started",
+            text="plain agent: call started",
+            request=call.request,
+            attempt=call.attempt,
+            running=self._running,
+            queued=len(self._queue),
+        )
+        running = self._plain.call(
+            call.request, call.method, call.target, call.headers, job.join_body(), job
+        )
+        job.running = running
+        running.done.addBoth(lambda _: self._free_seat(job, now))
+
+    def _free_seat(self, job: PlainJob, began: object) -> None:
+        self._running -= 1
+        self._cost.add((self._clock.now() - began).total_seconds())  # type: ignore[operator]
+        self._events.emit(BackendEnded(*job.key, self._backend))
+        job.running = None
+        self._serve()
+        self._check_drained()
+
+    def _take_end(self, job: PlainJob) -> None:
+        now, refused = self._clock.now(), job.refused
+        started = refused is None or refused.outcome is Outcome.UNKNOWN
+        if refused is not None:
+            if started:
+                self._events.emit(BackendCrashed(self._backend, [job.call.fingerprint]))
+            else:
+                self._ledger.take_back(job.key, now)
+            if job.link is not None:
+                failed = AttemptFailed(*job.key, refused, started=started, crashed=started)
+                job.link.send(failed)
+        self._ledger.keep(job.key, now)
+        if refused is not None and not (job.is_once and started):
+            self._drop(job)
+            return
+        self._keep(job)
+
+    def _keep(self, job: PlainJob) -> None:
+        job.state = JobState.ENDED
+        self._ended[job.key] = self._jobs.pop(job.key)
+        self._expect(job.key, KEEP_OUTCOME if job.is_once else KEEP_REPLY, self._drop_key)
+        size = sum(job.held() for job in self._ended.values())
+        while size > MAX_KEPT_BYTES or len(self._ended) > MAX_KEPT:
+            oldest = next(iter(self._ended.values()))
+            size -= oldest.held()
+            self._drop(oldest)
+
+    # entries ask
+
+    def _take_ack(self, _link: Link, ack: Ack) -> None:
+        job = self._find((ack.request, ack.attempt))
+        if job is None:
+            return
+        job.take_ack(ack.offset)
+        if job.is_acked and not job.is_once:
+            self._drop(job)
+        self._check_drained()
+
+    def _take_resume(self, link: Link, resume: Resume) -> None:
+        key = (resume.request, resume.attempt)
+        job = self._find(key)
+        if job is None:
+            self._fail(link, key, Refusal.OUTCOME_UNKNOWN, started=True)
+            return
+        older = job.link
+        if job.refused is not None:
+            link.send(AttemptFailed(*key, job.refused, started=self._ledger.may_have_begun(key)))
+        elif not job.resume(link, resume.offset):
+            self._fail(link, key, Refusal.OUTCOME_UNKNOWN, started=True)
+        elif older is not None and older.peer.host != link.peer.host:
+            self._fail(older, key, Refusal.OUTCOME_UNKNOWN, started=True)
+        if job.state is JobState.RUNNING:
+            self._forget_timer(key)
+
+    def _take_revoke(self, link: Link, revoke: Revoke) -> None:
+        key = (revoke.request, revoke.attempt)
+        job = self._jobs.get(key)
+        if job is not None and job.state in (JobState.RECEIVING, JobState.QUEUED):
+            if job.link is not None and job.link is not link:
+                self._fail(job.link, key, Refusal.CANCELLED, started=False)
+            self._drop(job)
+        started = self._ledger.revoke(key, self._clock.now())
+        link.send(Revoked(*key, started))
+        log_message(
+            "plain_agent:revoked",
+            text="plain agent: asked whether a call has started",
+            request=revoke.request,
+            attempt=revoke.attempt,
+            started=started,
+            peer=link.peer.host,
+        )
+
+    def _take_cancel(self, _link: Link, cancel: Cancel) -> None:
+        job = self._find((cancel.request, cancel.attempt))
+        if job is None:
+            return
+        if job.is_once and job.state is JobState.RUNNING:
+            job.detach()
+        else:
+            self._drop(job)
+
+    def _link_down(self, link: Link) -> None:
+        jobs = [*self._jobs.values(), *self._ended.values()]
+        for job in [job for job in jobs if job.link is link]:
+            job.detach()
+            if job.state in (JobState.RECEIVING, JobState.QUEUED):
+                self._drop(job)
+            elif job.state is JobState.RUNNING and not job.is_once:
+                self._expect(job.key, ENTRY_GRACE, self._drop_key)
+
+    # ends
+
+    def _fail(self, link: Link, key: JobKey, refusal: Refusal, *, started: bool) -> None:
+        outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
+        refused = Refused(refusal, outcome, Step.CALL, self._backend, RETRY_AFTER)
+        link.send(AttemptFailed(*key, refused, started=started))
+
+    def _find(self, key: JobKey) -> PlainJob | None:
+        return self._jobs.get(key) or self._ended.get(key)
+
+    def _drop_key(self, key: JobKey) -> None:
+        job = self._find(key)
+        if job is not None:
+            self._drop(job)
+
+    def _drop(self, job: PlainJob) -> None:
+        self._jobs.pop(job.key, None)
+        self._ended.pop(job.key, None)
+        self._forget_timer(job.key)
+        if job.state in (JobState.RECEIVING, JobState.QUEUED):
+            self._queue.remove(job.key)
+            self._ledger.revoke(job.key, self._clock.now())
+        if job.running is not None:
+            job.running.cancel()
+        self._check_drained()
+
+    def _expect(self, key: JobKey, delay: timedelta, call: object) -> None:
+        self._forget_timer(key)
+        self._timers[key] = self._clock.call_later(delay, call, key)  # type: ignore[arg-type]
+
+    def _forget_timer(self, key: JobKey) -> None:
+        timer = self._timers.pop(key, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _check_drained(self) -> None:
+        if self._drained is not None and not self._drained.called and not self._is_busy():
+            self._drained.callback(None)
+
+    def _is_busy(self) -> bool:
+        unread = any(
+            job.refused is None and job.link is not None and not job.is_acked
+            for job in self._ended.values()
+        )
+        return unread or bool(self._jobs)
+
+    def _end_drain(self) -> None:
+        if self._drained is not None and not self._drained.called:
+            self._drained.callback(None)
+
+    def _close(self, limit: Timer) -> None:
+        limit.cancel()
+        for job in [*self._jobs.values(), *self._ended.values()]:
+            self._drop(job)
+        self._alarm.set(None)
+
+
+@SERVICES.register("plain_agent")
+def make_plain_agent(kernel: Kernel) -> PlainAgent:
+    """Make the service."""
+    return PlainAgent(kernel)
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -133,7 +133,7 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._rows import EntryHost
+from lavenderrun.types._rows import Claim, EntryHost, KeptReply
 from lavenderrun.types._settings import (
     AgentSettings,
     BackendSettings,
@@ -201,6 +201,7 @@
     "Cancel",
     "Change",
     "Charge",
+    "Claim",
     "DaemonSettings",
     "DataCentre",
     "Document",
@@ -240,6 +241,7 @@
     "HostStopped",
     "IdempotencyKey",
     "Invariant",
+    "KeptReply",
     "KeyDigest",
     "Limits",
     "Link",
--- a/src/lavenderrun/types/_rows.py
+++ b/src/lavenderrun/types/_rows.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from datetime import datetime
+
 import msgspec
 
-from lavenderrun.types._ids import BootId, DataCentre, HostId
+from lavenderrun.types._ids import (
+    AttemptId,
+    BootId,
+    DataCentre,
+    Fingerprint,
+    HostId,
+    RequestId,
+)
 
 
 class EntryHost(msgspec.Struct, frozen=True):
@@ -14,3 +23,32 @@
     boot: BootId
     data_centre: DataCentre
     address: str
+
+
+class KeptReply(msgspec.Struct, frozen=True):
+    """Reply that is kept for the caller's next try.
+
+    :param whole: ``False`` when the body was too large to keep.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    whole: bool
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """A client account's idempotency key, taken by one try.
+
+    :param host: the agent that the call was to be sent to, and its life *boot*.
+    :param at: when the claim was written, by the clock of its entry.
+    :param outcome: set once the reply is whole at the entry.
+    """
+
+    request: RequestId
+    attempt: AttemptId
+    host: HostId
+    boot: BootId
+    fingerprint: Fingerprint
+    at: datetime
+    outcome: KeptReply | None = None
