--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from lavenderrun.decisions._calls import CallLedger
+from lavenderrun.decisions._claims import (
+    ClaimVerdict,
+    judge_claim,
+    may_dispatch,
+    trusts_not_started,
+)
+
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -12,14 +20,7 @@
     PrefixIndex,
     hash_blocks,
 )
-from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
-from lavenderrun.decisions._claims import (
-    ClaimVerdict,
-    judge_claim,
-    may_dispatch,
-    trusts_not_started,
-)
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
@@ -36,6 +37,8 @@
     Stop,
     count_pieces,
 )
+from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
+from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
@@ -63,6 +66,9 @@
 from lavenderrun.decisions._routes import find_plain_route
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
+from lavenderrun.decisions._shares import find_shares
+from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot
+from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 from lavenderrun.decisions._tombstones import Tombstones
@@ -70,6 +76,7 @@
 
 __all__ = [
     "INVARIANT_CHECKS",
+    "LIMIT_POLICIES",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
@@ -86,14 +93,17 @@
     "Drop",
     "FairQueue",
     "FifoQueue",
+    "FleetLimits",
     "Freshness",
     "FreshnessRules",
+    "HeldCharge",
     "Job",
     "JobKey",
     "LinkBudget",
     "Mean",
     "Need",
     "OutputLengths",
+    "Peer",
     "Placement",
     "Pool",
     "PrefillAction",
@@ -121,7 +131,12 @@
     "SeatBook",
     "SeatRequest",
     "SeatState",
+    "Shortfall",
+    "SlotKeeper",
+    "SlotTerms",
+    "SlotWrite",
     "Stop",
+    "StoredSlot",
     "Tombstones",
     "Violation",
     "check_record",
@@ -132,10 +147,12 @@
     "digest_key",
     "find_changes",
     "find_plain_route",
+    "find_shares",
     "grant_key",
     "has_majority",
     "hash_blocks",
     "judge_claim",
+    "make_slots",
     "may_dispatch",
     "trusts_not_started",
     "withdraw_key",
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._plain_agent import PlainAgent
+from lavenderrun.services._plain_router import PlainRouter
+
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
+from lavenderrun.services._limits import LimitsService
 from lavenderrun.services._links import LinksService
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
-from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
-from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
+from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
-from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
+from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
 from lavenderrun.services._store_http import HttpStore
 from lavenderrun.services._transport_grpc import GrpcTransport
 
@@ -26,6 +29,7 @@
     "HttpEngine",
     "HttpPlain",
     "HttpStore",
+    "LimitsService",
     "LinksService",
     "ListenError",
     "Listener",
@@ -34,8 +38,8 @@
     "PlainAgent",
     "PlainRouter",
     "PrefillAgent",
+    "RecordService",
     "RouterService",
     "StoreClient",
     "StoreCounters",
-    "StoreSettings",
 ]
