--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from lavenderrun.decisions._calls import CallLedger
+from lavenderrun.decisions._claims import (
+    ClaimVerdict,
+    judge_claim,
+    may_dispatch,
+    trusts_not_started,
+)
+
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -76,9 +84,11 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "CallLedger",
     "Candidate",
     "Chance",
     "Choice",
+    "ClaimVerdict",
     "Compute",
     "Drop",
     "FairQueue",
@@ -141,6 +151,9 @@
     "grant_key",
     "has_majority",
     "hash_blocks",
+    "judge_claim",
     "make_slots",
+    "may_dispatch",
+    "trusts_not_started",
     "withdraw_key",
 ]
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._plain_agent import PlainAgent
+from lavenderrun.services._plain_router import PlainRouter
+
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
@@ -32,6 +35,8 @@
     "Listener",
     "Membership",
     "ModelRouter",
+    "PlainAgent",
+    "PlainRouter",
     "PrefillAgent",
     "RecordService",
     "RouterService",
