--- a/src/lavenderrun/services/_limits.py
+++ b/src/lavenderrun/services/_limits.py
@@ -22,6 +22,7 @@
 from lavenderrun.kernel import SERVICES, Clock, Kernel, Timer
 from lavenderrun.services._charge_queue import ChargeQueue, Waiting
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._policies import Policies
 from lavenderrun.services._slot_store import SlotStore, find_peers
 from lavenderrun.types import (
     AccountId,
@@ -321,7 +322,6 @@
 @SERVICES.register("limits")
 def make_limits(kernel: Kernel) -> LimitsService:
     """Make the service with the policy that the settings name."""
-    policies: dict[str, str] = getattr(kernel.settings, "policies", {})
-    terms = LIMIT_POLICIES.find(policies.get("limits", "slots"))
+    terms = LIMIT_POLICIES.find(Policies.of(kernel).limits)
     log_message("limits:policy", text="limits: policy is set", slots=terms.slots)
     return LimitsService(kernel, terms)
--- a/src/lavenderrun/services/_policies.py
+++ b/src/lavenderrun/services/_policies.py
@@ -15,12 +15,14 @@
     :param promise: of :data:`~lavenderrun.decisions.PROMISE_POLICIES`.
     :param placement: of :data:`~lavenderrun.decisions.PLACEMENTS`.
     :param prefill: of :data:`~lavenderrun.decisions.PREFILL_PLACEMENTS`.
+    :param limits: of :data:`~lavenderrun.decisions.LIMIT_POLICIES`.
     """
 
     queue: str = "fair"
     promise: str = "ahead"
     placement: str = "power"
     prefill: str = "affinity"
+    limits: str = "slots"
 
     @classmethod
     def of(cls, kernel: Kernel) -> Policies:
