--- a/src/lavenderrun/bench/_fleet.py
+++ b/src/lavenderrun/bench/_fleet.py
@@ -12,10 +12,13 @@
 from lavenderrun.bench._deployments import ENTRY_PORT, Deployment, digest_of, make_key
 from lavenderrun.bench._hosts import BenchHost
 from lavenderrun.bench._network import BenchNetwork
-from lavenderrun.bench._parts import FixedDocument, OpenLimits, RecordList
+from lavenderrun.bench._parts import PARTS, RecordList
 from lavenderrun.bench._time import EventClock, make_clock
 from lavenderrun.bench._workload import Offered, OfferedCall, OfferedPrompt, Workload
-from lavenderrun.kernel import Kernel
+from lavenderrun.codecs import encode_stored, make_stored
+from lavenderrun.daemons import ENTRY_SERVICES, list_agent_services
+from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.services import Policies
 from lavenderrun.standins import EngineModel, Fabric, TableCore, TableFaults, expected_tokens
 from lavenderrun.types import (
     BackendId,
@@ -29,13 +32,16 @@
     MemoryHeld,
     ModelRequest,
     RequestId,
+    Revision,
     Targets,
     Ticket,
 )
 
 CALLER_DELAY = timedelta(milliseconds=1)
 RETRY_DELAY = timedelta(milliseconds=100)
-WARM_UP = 1.0
+TOKEN_BYTES = 12
+"""Length of the writer's token that the store client puts before a value."""
+WARM_UP = 6.0
 """Seconds from the start of the hosts to the first request."""
 MOST_TRIES = 3
 PLATFORM = HostId("platform")
@@ -52,7 +58,8 @@
     ) -> None:
         self.deployment = deployment
         self.seed = seed
-        self.policies = policies or {}
+        self.chosen = policies or {}
+        self.policies = Policies(**self.chosen)
         self.reactor = EventClock()
         self.clock = make_clock(self.reactor)
         self.record = RecordList()
@@ -88,7 +95,7 @@
 
     def begin(self) -> None:
         """Start all hosts and let them find each other."""
-        self.emit(PLATFORM, DocumentAccepted(DocumentVersion(1), self.document))
+        self._put_first_document()
         for host in self.hosts.values():
             host.start()
         self.reactor.advance(WARM_UP)
@@ -127,24 +134,18 @@
         """Keep a failure that no service took."""
         self.failures.append(failure)
 
-    def agent_addresses(self) -> list[str]:
-        """Return where all agents listen."""
-        return [host.address for host in self.agents]
-
     def service_names(self, host: BenchHost) -> tuple[str, ...]:
-        """Return the services that a host runs beside those that the bench gives it."""
+        """Return the services that a host runs; callers come without HTTP here."""
         if host.backend is None:
-            return ("links", "document", "admission", "limits", "model_router")
-        if host.backend.role is BackendRole.PLAIN:
-            return ("links",)
-        return ("links", f"{host.backend.role.value}_agent")
+            return tuple(name for name in ENTRY_SERVICES if name != "front")
+        return list_agent_services(host.backend.role)
 
     def furnish(self, host: BenchHost, kernel: Kernel) -> None:
-        """Build a host's services."""
-        if host.is_entry:
-            kernel.add("document", FixedDocument(self.document))
-            kernel.add("limits", OpenLimits())
-        kernel.build(self.service_names(host))
+        """Build a host's services, simple ones where none is registered."""
+        for name in self.service_names(host):
+            if not kernel.has(name) and name not in SERVICES:
+                kernel.add(name, PARTS[name](kernel))
+            kernel.build([name])
 
     def hang_up(self, entry: HostId) -> None:
         """Break the callers' connections to a dead entry; they try another where they may."""
@@ -160,6 +161,13 @@
             return self.document.plain_routes[0].targets
         return self.document.model_routes[0].targets
 
+    def _put_first_document(self) -> None:
+        version = DocumentVersion(1)
+        revision = Revision(version, "bench", self.clock.now(), "first")
+        row = encode_stored(make_stored(self.document, revision, None))
+        self.table.put("document", "current", bytes(TOKEN_BYTES) + row, expect=0)
+        self.emit(PLATFORM, DocumentAccepted(version, self.document))
+
     def _build_hosts(self) -> None:
         for number, place in enumerate(self.deployment.data_centres):
             address = f"10.0.0.{number + 1}:{ENTRY_PORT}"
@@ -224,7 +232,7 @@
                 self.clock.now(),
             )
             sink.closed = lambda: open_here.pop(sink.request, None)
-            ticket = entry.submit_to("model_router").submit(order, sink)
+            ticket = entry.find("router").submit_model(order, sink)
             if sink.is_open:
                 open_here[sink.request] = (sink, ticket, sighting, tries)
 
--- a/src/lavenderrun/bench/_hosts.py
+++ b/src/lavenderrun/bench/_hosts.py
@@ -8,27 +8,30 @@
 
 from twisted.internet.defer import Deferred
 
-from lavenderrun.bench._parts import BenchSettings
 from lavenderrun.bench._time import HostClock
 from lavenderrun.bench._witness import WitnessEngine
 from lavenderrun.kernel import Kernel
 from lavenderrun.services import StoreClient, StoreSettings
 from lavenderrun.standins import MemoryStore
 from lavenderrun.types import (
+    AgentSettings,
     Backend,
     BackendRole,
+    BackendSettings,
     BootId,
+    DaemonSettings,
     DataCentre,
+    EntrySettings,
     Happening,
-    Hello,
     HostId,
     HostLeaving,
     HostLost,
-    HostRole,
+    HostSettings,
     HostStarted,
     HostStopped,
     Links,
     MemoryHeld,
+    ServedSettings,
 )
 
 if TYPE_CHECKING:
@@ -84,8 +87,8 @@
         self.clock = HostClock(self._fleet.clock)
         self._fleet.network.place(self.address, self.data_centre, self.clock)
         chance = random.Random(f"{self._fleet.seed}-{self.host}-{self._boots}")
-        settings = BenchSettings(self._greet(), self._count_seats(), self._fleet.policies)
-        kernel = self.kernel = Kernel(self.clock, settings, chance)
+        kernel = self.kernel = Kernel(self.clock, self._make_settings(), chance)
+        kernel.provide("policies", self._fleet.policies)
         kernel.add("transport", self._fleet.network.transport(self.address))
         kernel.add("record", self._fleet.record)
         if self.is_entry:
@@ -95,13 +98,12 @@
         self._fleet.furnish(self, kernel)
         self.emit(HostStarted())
         Deferred.fromCoroutine(kernel.start()).addErrback(self._fleet.note_failure)
-        self._keep_peers(kernel)
 
     def emit(self, what: Happening) -> None:
         """Put an event of this host on the record."""
         self._fleet.emit(self.host, what)
 
-    def submit_to(self, name: str) -> Any:
+    def find(self, name: str) -> Any:
         """Return a service of this life."""
         assert self.kernel is not None
         return self.kernel.find(name, object)
@@ -139,7 +141,7 @@
         if self.kernel is None or not self.is_up:
             return
         for name in self._fleet.service_names(self):
-            service = self.submit_to(name)
+            service = self.find(name)
             held = getattr(service, "held", None)
             if held is not None:
                 self.emit(MemoryHeld(f"{self.host} {name}", held()))
@@ -151,23 +153,24 @@
         if self._engine is not None:
             self._engine.break_connection()
 
-    def _greet(self) -> Hello:
-        boot = BootId(f"{self.host}.{self._boots}")
-        if self.backend is None:
-            return Hello(self.host, boot, HostRole.ENTRY, self.data_centre, address=self.address)
-        return Hello(
-            self.host,
-            boot,
-            HostRole.AGENT,
-            self.data_centre,
-            self.backend.id,
-            self.backend.role,
-            self.backend.group,
-            self.address,
+    def _make_settings(self) -> DaemonSettings:
+        boot = {"boot": BootId(f"{self.host}.{self._boots}")}
+        host = HostSettings(id=self.host, data_centre=self.data_centre, listen=self.address)
+        backend = self.backend
+        if backend is None:
+            return EntrySettings(host=host).model_copy(update=boot)
+        serves = ServedSettings(
+            id=backend.id,
+            group=backend.group,
+            role=backend.role,
+            seats=backend.seats,
+            pieces=backend.pieces,
+            checks_fencing=backend.checks_fencing,
         )
-
-    def _count_seats(self) -> int:
-        return self.backend.seats if self.backend is not None else 0
+        settings = AgentSettings(
+            host=host, serves=serves, backend=BackendSettings(address=backend.agent)
+        )
+        return settings.model_copy(update=boot)
 
     def _add_store(self, kernel: Kernel, chance: random.Random) -> None:
         dialect = MemoryStore(self.clock, self._fleet.table, self._fleet.store_faults)
@@ -180,7 +183,3 @@
             engine = self._fleet.engines[backend.id]
             self._engine = WitnessEngine(engine, backend.id, self.clock, self.emit)
             kernel.provide("engine", self._engine)
-
-    def _keep_peers(self, kernel: Kernel) -> None:
-        if self.is_entry:
-            kernel.find("links", Links).keep(self._fleet.agent_addresses())
--- a/src/lavenderrun/bench/_measures.py
+++ b/src/lavenderrun/bench/_measures.py
@@ -66,7 +66,7 @@
     figures = Measures(
         scenario=scenario,
         seed=fleet.seed,
-        policies=fleet.policies,
+        policies=fleet.chosen,
         goodput=_share(sum(each.is_good() for each in sightings), len(sightings)),
         wasted_prefill=_share(sum(engine.wasted for engine in engines), computed),
         worst_account=min(accounts.values(), default=1.0),
--- a/src/lavenderrun/bench/_parts.py
+++ b/src/lavenderrun/bench/_parts.py
@@ -2,34 +2,28 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import ClassVar
 
 from twisted.internet.defer import Deferred, succeed
 
-from lavenderrun.types import AccountId, Charge, Document, DocumentVersion, Event, Hello, Refused
-
-
-@dataclass(frozen=True)
-class BenchSettings:
-    """Settings of one host.
-
-    :param policies: chosen policies by part; the rest are the defaults.
-    """
-
-    greeting: Hello
-    backend_seats: int
-    policies: dict[str, str] = field(default_factory=dict)
-
-    def hello(self) -> Hello:
-        """Return this host's greeting."""
-        return self.greeting
-
-    def seats(self) -> int:
-        """Return the requests that the backend server runs at once."""
-        return self.backend_seats
+from lavenderrun.kernel import Kernel, ServiceFactory
+from lavenderrun.types import (
+    AccountId,
+    Admitted,
+    AdmittedModel,
+    Charge,
+    DocumentSource,
+    Event,
+    Fingerprint,
+    ModelRequest,
+    Outcome,
+    Refusal,
+    Refused,
+    Step,
+)
 
 
 class RecordList:
@@ -51,15 +45,13 @@
         self.events.append(event)
 
 
-class FixedDocument:
-    """A ``document`` service with one version that never changes."""
+class OpenAdmission:
+    """An ``admission`` service that takes every marker key for its account."""
 
-    needs: ClassVar[tuple[str, ...]] = ()
-    version = DocumentVersion(1)
-    is_fresh = True
+    needs: ClassVar[tuple[str, ...]] = ("document",)
 
-    def __init__(self, document: Document) -> None:
-        self.current = document
+    def __init__(self, kernel: Kernel) -> None:
+        self._document = kernel.find("document", DocumentSource)
 
     def start(self) -> None:
         """Nothing to begin."""
@@ -67,9 +59,22 @@
     def stop(self) -> None:
         """Nothing to end."""
 
-    def watch(self, handler: Callable[[Document], None]) -> None:
-        """Call *handler* with the only version."""
-        handler(self.current)
+    def admit_model(self, request: ModelRequest) -> AdmittedModel | Refused:
+        """Admit to the only route."""
+        document = self._document.current
+        if document is None:
+            return Refused(Refusal.NOT_READY, Outcome.NOT_RUN, Step.ADMISSION)
+        account = AccountId((request.key or "").removeprefix("marker-key-of-"))
+        digest = Fingerprint(hashlib.sha256(request.prompt.encode()).hexdigest())
+        return AdmittedModel(account, None, 1.0, digest, document.model_routes[0])
+
+    def is_valid(self, admitted: Admitted) -> bool:
+        """Hold every key valid."""
+        del admitted
+        return True
+
+    def watch(self, handler: Callable[[], None]) -> None:
+        """Never call *handler*."""
 
 
 class OpenLimits:
@@ -77,6 +82,9 @@
 
     needs: ClassVar[tuple[str, ...]] = ()
 
+    def __init__(self, kernel: Kernel) -> None:
+        del kernel
+
     def start(self) -> None:
         """Nothing to begin."""
 
@@ -92,3 +100,34 @@
 
     def give_back(self, charge: Charge, tokens: float) -> None:
         """Take nothing back."""
+
+
+class NoPlain:
+    """Stands for the services of plain calls; takes none."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
+
+    def __init__(self, kernel: Kernel) -> None:
+        del kernel
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+
+PARTS: dict[str, ServiceFactory] = {
+    "admission": OpenAdmission,
+    "limits": OpenLimits,
+    "plain": NoPlain,
+    "plain_agent": NoPlain,
+    "plain_router": NoPlain,
+}
+    "admission": OpenAdmission,
+    "limits": OpenLimits,
+    "plain": NoPlain,
+    "plain_agent": NoPlain,
+    "plain_router": NoPlain,
+}
+"""Simple parts for services that no module registers."""
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -9,6 +9,7 @@
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._router import RouterService
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters, StoreSettings
@@ -27,6 +28,7 @@
     "Listener",
     "Membership",
     "ModelRouter",
+    "Policies",
     "PrefillAgent",
     "RouterService",
     "StoreClient",
