--- a/src/lavenderrun/bench/_hosts.py
+++ b/src/lavenderrun/bench/_hosts.py
@@ -11,7 +11,7 @@
 from lavenderrun.bench._time import HostClock
 from lavenderrun.bench._witness import WitnessEngine
 from lavenderrun.kernel import Kernel
-from lavenderrun.services import StoreClient, StoreSettings
+from lavenderrun.services import StoreClient
 from lavenderrun.standins import MemoryStore
 from lavenderrun.types import (
     AgentSettings,
@@ -32,11 +32,13 @@
     Links,
     MemoryHeld,
     ServedSettings,
+    StoreSettings,
 )
 
 if TYPE_CHECKING:
     from lavenderrun.bench._fleet import Fleet
 
+STORE = StoreSettings(url="http://127.0.0.1:1")
 BALANCER_LAG = timedelta(milliseconds=300)
 """Until the platform's balancer knows that an entry leaves or does not answer."""
 
@@ -158,7 +160,7 @@
         host = HostSettings(id=self.host, data_centre=self.data_centre, listen=self.address)
         backend = self.backend
         if backend is None:
-            return EntrySettings(host=host).model_copy(update=boot)
+            return EntrySettings(host=host, store=STORE).model_copy(update=boot)
         serves = ServedSettings(
             id=backend.id,
             group=backend.group,
@@ -174,7 +176,7 @@
 
     def _add_store(self, kernel: Kernel, chance: random.Random) -> None:
         dialect = MemoryStore(self.clock, self._fleet.table, self._fleet.store_faults)
-        kernel.add("store", StoreClient(self.clock, dialect, StoreSettings(), chance))
+        kernel.add("store", StoreClient(self.clock, dialect, STORE, chance))
 
     def _add_backend(self, kernel: Kernel) -> None:
         backend = self.backend
--- a/src/lavenderrun/bench/_parts.py
+++ b/src/lavenderrun/bench/_parts.py
@@ -123,11 +123,5 @@
     "plain": NoPlain,
     "plain_agent": NoPlain,
     "plain_router": NoPlain,
-}
-    "admission": OpenAdmission,
-    "limits": OpenLimits,
-    "plain": NoPlain,
-    "plain_agent": NoPlain,
-    "plain_router": NoPlain,
 }
 """Simple parts for services that no module registers."""
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -61,6 +61,14 @@
     RouteName,
     ServiceGroup,
 )
+from lavenderrun.types._limit_messages import (
+    HeldSlot,
+    Loan,
+    LoanRequest,
+    LoanReturn,
+    Vouch,
+    Vouched,
+)
 from lavenderrun.types._messages import (
     MESSAGES,
     Ack,
@@ -142,7 +150,9 @@
     FrontSettings,
     HostSettings,
     ServedSettings,
+    StoreSettings,
 )
+from lavenderrun.types._slots import NO_BOOT, NO_HOST, SlotId, SlotRow
 from lavenderrun.types._states import (
     BackendRole,
     FinishReason,
@@ -169,6 +179,8 @@
 __all__ = [
     "EVENTS",
     "MESSAGES",
+    "NO_BOOT",
+    "NO_HOST",
     "Account",
     "AccountId",
     "Ack",
@@ -229,6 +241,7 @@
     "FrontSettings",
     "Happening",
     "Heartbeat",
+    "HeldSlot",
     "Hello",
     "HostId",
     "HostLeaving",
@@ -246,6 +259,9 @@
     "LinkRate",
     "Links",
     "Load",
+    "Loan",
+    "LoanRequest",
+    "LoanReturn",
     "MemoryHeld",
     "Message",
     "Model",
@@ -295,11 +311,14 @@
     "SeatTaken",
     "ServedSettings",
     "ServiceGroup",
+    "SlotId",
+    "SlotRow",
     "Start",
     "Step",
     "StepError",
     "Store",
     "StoreConflictError",
+    "StoreSettings",
     "StoreThrottledError",
     "StoreUnavailableError",
     "StoredDocument",
@@ -311,6 +330,8 @@
     "TokensGranted",
     "TokensReturned",
     "Transport",
+    "Vouch",
+    "Vouched",
     "event",
     "message",
 ]
