--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
@@ -24,6 +25,7 @@
 
 __all__ = [
     "STORE_DIALECTS",
+    "AdmissionService",
     "DecodeAgent",
     "DocumentService",
     "FrontService",
