Quarantine requests that crash backend servers

Cause: a request that crashes each engine that runs it was retried up to four times and again at each entry. The engine model also called a refused call of a dead engine a crash, so that innocents took strikes: seen as 1 to 3 innocents without an answer in the first run of the test.

Now strikes by fingerprint spread between entries, suspects run alone with leave of a home entry, and three strikes refuse. A call that a dead engine did not take is BackendDownError: no strike, no try, patience only; an agent refuses new work for 0.5 s after it.

Ruled out: strikes in the store only (forgotten in an outage).

--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -4,6 +4,9 @@
 
 from lavenderrun.codecs import _claim_rows as _claim_rows
 from lavenderrun.codecs import _entry_rows as _entry_rows
+from lavenderrun.codecs import (
+    _quarantine_rows as _quarantine_rows,
+)
 from lavenderrun.codecs._api_answers import (
     DONE_EVENT,
     AnswerCodec,
--- /dev/null
+++ b/src/lavenderrun/codecs/_quarantine_rows.py
@@ -0,0 +1,8 @@
+"""Rows of the table ``quarantine``."""
+
+from __future__ import annotations
+
+from lavenderrun.codecs._rows import row
+from lavenderrun.types import StruckRow
+
+row("quarantine", 1)(StruckRow)
--- a/src/lavenderrun/daemons/_lists.py
+++ b/src/lavenderrun/daemons/_lists.py
@@ -12,6 +12,7 @@
     "document",
     "admission",
     "limits",
+    "quarantine",
     "membership",
     "model_router",
     "plain_router",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -60,6 +60,12 @@
     Release,
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
+from lavenderrun.decisions._quarantine import (
+    MAX_CRASHES,
+    Probes,
+    Quarantine,
+    find_home,
+)
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
@@ -76,6 +82,7 @@
 __all__ = [
     "INVARIANT_CHECKS",
     "LIMIT_POLICIES",
+    "MAX_CRASHES",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
@@ -112,9 +119,11 @@
     "PrefillPlacement",
     "PrefillSpeed",
     "PrefixIndex",
+    "Probes",
     "Progress",
     "Promise",
     "PromisePolicy",
+    "Quarantine",
     "QueuePolicy",
     "Reason",
     "RecentSends",
@@ -145,6 +154,7 @@
     "count_tokens",
     "digest_key",
     "find_changes",
+    "find_home",
     "find_plain_route",
     "find_shares",
     "grant_key",
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -17,6 +17,9 @@
 from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
+from lavenderrun.services._quarantine import (
+    QuarantineService,
+)
 from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
@@ -43,6 +46,7 @@
     "PlainRouter",
     "Policies",
     "PrefillAgent",
+    "QuarantineService",
     "RecordService",
     "RouterService",
     "StoreClient",
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -28,12 +28,14 @@
 from lavenderrun.services._alarm import Alarm
 from lavenderrun.services._decode_job import DecodeJob
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._outage import Outage
 from lavenderrun.services._policies import Policies
 from lavenderrun.types import (
     Ack,
     AttemptFailed,
     BackendCrashed,
     BackendCrashError,
+    BackendDownError,
     BackendEnded,
     BackendId,
     BackendRun,
@@ -73,6 +75,7 @@
         self._links = kernel.find("links", Links)
         self._engine = kernel.find("engine", Engine)
         self._events = Emitter.of(kernel)
+        self._outage = Outage(kernel.clock)
         self._backend: BackendId = kernel.settings.hello().backend
         self._book = SeatBook(
             kernel.settings.seats(),
@@ -109,6 +112,9 @@
     def _take_reserve(self, link: Link, order: Reserve) -> None:
         key = (order.request, order.attempt)
         job = self._jobs.get(key)
+        if job is None and self._outage.is_on:
+            link.send(AttemptFailed(*key, self._outage.refuse(Step.SEAT), started=False))
+            return
         if job is None:
             job = self._jobs[key] = DecodeJob(link, order)
         job.link = link
@@ -222,11 +228,12 @@
             if crashed:
                 self._events.emit(BackendCrashed(self._backend, [job.order.fingerprint]))
             error = failure.value
-            moved = isinstance(error, StepError) and error.step is Step.TRANSFER
-            outcome = Outcome.NOT_RUN if moved else Outcome.UNKNOWN
-            step = Step.TRANSFER if moved else Step.DECODE
+            self._outage.note(error)
+            step = error.step if isinstance(error, StepError) else Step.DECODE
+            started = step is not Step.TRANSFER and not isinstance(error, BackendDownError)
+            outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
             refused = Refused(Refusal.BACKEND_LOST, outcome, step)
-            job.link.send(AttemptFailed(*key, refused, started=not moved, crashed=crashed))
+            job.link.send(AttemptFailed(*key, refused, started=started, crashed=crashed))
         self._free_seat(key, job, whole=False)
 
     def _free_seat(self, key: JobKey, job: DecodeJob, *, whole: bool) -> None:
--- a/src/lavenderrun/services/_engine_http.py
+++ b/src/lavenderrun/services/_engine_http.py
@@ -9,6 +9,7 @@
 import msgspec
 from eliot import log_message
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectError
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http_headers import Headers
@@ -32,6 +33,7 @@
 from lavenderrun.services._http_client import BytesBody, make_pooled_agent, read_body
 from lavenderrun.types import (
     BackendCrashError,
+    BackendDownError,
     BackendSettings,
     Export,
     ExportHandle,
@@ -44,6 +46,12 @@
 
 T = TypeVar("T")
 
+FAULTS: dict[int, type[StepError]] = {
+    HTTPStatus.BAD_GATEWAY: BackendCrashError,
+    HTTPStatus.SERVICE_UNAVAILABLE: BackendDownError,
+}
+"""What an engine's status says of the work."""
+
 
 class HttpEngine:
     """Speaks to one engine; see ``Engine``.
@@ -114,9 +122,11 @@
         return read_body(response).addCallback(self._check_body, response.code, step)
 
     def translate(self, failure: Failure, step: Step) -> Failure:
-        """Turn a broken connection into a crash of the engine."""
+        """Turn a broken connection into a crash of the engine, a refused one into its absence."""
         if isinstance(failure.value, StepError | CancelledError):
             return failure
+        if isinstance(failure.value, ConnectError):
+            raise BackendDownError(step, self.address, type(failure.value).__name__)
         raise BackendCrashError(step, self.address, type(failure.value).__name__)
 
     def _post(self, path: str, call: msgspec.Struct, step: Step) -> Deferred[bytes]:
@@ -135,8 +145,7 @@
     def _check_body(self, body: bytes, code: int, step: Step) -> bytes:
         if code in (HTTPStatus.OK, HTTPStatus.NO_CONTENT):
             return body
-        kind = BackendCrashError if code == HTTPStatus.BAD_GATEWAY else StepError
-        raise kind(step, self.address, _read_fault(body, code))
+        raise FAULTS.get(code, StepError)(step, self.address, _read_fault(body, code))
 
     def _decode(self, body: bytes, kind: type[T], step: Step) -> T:
         try:
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -24,6 +24,7 @@
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.services._alarm import Alarm
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._outage import Outage
 from lavenderrun.services._policies import Policies
 from lavenderrun.types import (
     AttemptFailed,
@@ -72,6 +73,7 @@
         self._links = kernel.find("links", Links)
         self._engine = kernel.find("engine", Engine)
         self._events = Emitter.of(kernel)
+        self._outage = Outage(kernel.clock)
         self._backend: BackendId = kernel.settings.hello().backend
         queue = QUEUE_POLICIES.find(Policies.of(kernel).queue)
         self._book = PrefillBook(PARALLEL, kernel.settings.pieces(), queue)
@@ -103,6 +105,9 @@
         key = (order.request, order.attempt)
         if key in self._jobs:
             return
+        if self._outage.is_on:
+            link.send(AttemptFailed(*key, self._outage.refuse(Step.PREFILL), started=False))
+            return
         self._jobs[key] = PrefillJob(link, order)
         self._apply(self._book.order(self._read(link, order), self._clock.now()))
 
@@ -184,6 +189,7 @@
             return
         del self._jobs[key]
         crashed = isinstance(failure.value, BackendCrashError)
+        self._outage.note(failure.value)
         refused = Refused(Refusal.BACKEND_LOST, Outcome.NOT_RUN, Step.PREFILL)
         job.link.send(AttemptFailed(*key, refused, started=False, crashed=crashed))
         self._apply(self._book.fail(key, self._clock.now()))
--- a/src/lavenderrun/standins/_engine_http.py
+++ b/src/lavenderrun/standins/_engine_http.py
@@ -28,7 +28,14 @@
 )
 from lavenderrun.standins._engine_decode import Decoding
 from lavenderrun.standins._engine_model import EngineModel
-from lavenderrun.types import BackendCrashError, Export, FencingNumber, FinishReason, RequestId
+from lavenderrun.types import (
+    BackendCrashError,
+    BackendDownError,
+    Export,
+    FencingNumber,
+    FinishReason,
+    RequestId,
+)
 
 
 class EngineResource(Resource):
@@ -156,7 +163,9 @@
             return
         cancelled = isinstance(failure.value, CancelledError)
         fault = "cancelled" if cancelled else str(failure.value)
-        self._request.write(_fault(self._request, HTTPStatus.CONFLICT, fault))
+        down = isinstance(failure.value, BackendDownError)
+        status = HTTPStatus.SERVICE_UNAVAILABLE if down else HTTPStatus.CONFLICT
+        self._request.write(_fault(self._request, status, fault))
         self._request.finish()
 
 
@@ -189,6 +198,12 @@
         if isinstance(failure.value, BackendCrashError):
             self._request.loseConnection()
             return
+        if isinstance(failure.value, BackendDownError):
+            self._request.write(
+                _fault(self._request, HTTPStatus.SERVICE_UNAVAILABLE, str(failure.value))
+            )
+            self._request.finish()
+            return
         self._send(DecodeEvent(fault=str(failure.value)))
         self._request.finish()
 
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -118,7 +118,23 @@
     TokenSink,
     Transport,
 )
-from lavenderrun.types._refusals import BackendCrashError, Refusal, Refused, StepError
+from lavenderrun.types._quarantine import (
+    Acquitted,
+    ProbeAnswer,
+    ProbeAsk,
+    ProbeEnd,
+    QuarantineKeeper,
+    Strike,
+    Suspect,
+    Verdict,
+)
+from lavenderrun.types._refusals import (
+    BackendCrashError,
+    BackendDownError,
+    Refusal,
+    Refused,
+    StepError,
+)
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
@@ -141,7 +157,7 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._rows import Claim, EntryHost, KeptReply
+from lavenderrun.types._rows import Claim, EntryHost, KeptReply, StruckRow
 from lavenderrun.types._settings import (
     AgentSettings,
     BackendSettings,
@@ -184,6 +200,7 @@
     "Account",
     "AccountId",
     "Ack",
+    "Acquitted",
     "Admission",
     "Admitted",
     "AdmittedModel",
@@ -196,6 +213,7 @@
     "Backend",
     "BackendCrashError",
     "BackendCrashed",
+    "BackendDownError",
     "BackendEnded",
     "BackendId",
     "BackendReceived",
@@ -285,6 +303,10 @@
     "PrefillUsed",
     "PrefillWasted",
     "Prefilled",
+    "ProbeAnswer",
+    "ProbeAsk",
+    "ProbeEnd",
+    "QuarantineKeeper",
     "Rate",
     "Record",
     "Refusal",
@@ -325,13 +347,17 @@
     "StoreUnavailableError",
     "StoredDocument",
     "StoredRow",
+    "Strike",
+    "StruckRow",
     "Submitted",
+    "Suspect",
     "Targets",
     "Ticket",
     "TokenSink",
     "TokensGranted",
     "TokensReturned",
     "Transport",
+    "Verdict",
     "Vouch",
     "Vouched",
     "event",
--- a/src/lavenderrun/types/_refusals.py
+++ b/src/lavenderrun/types/_refusals.py
@@ -68,4 +68,8 @@
 
 
 class BackendCrashError(StepError):
-    """The backend server died while it held the work, or has not come back since."""
+    """The backend server died while it held the work."""
+
+
+class BackendDownError(StepError):
+    """The backend server can't be reached and has not seen the work."""
--- a/src/lavenderrun/types/_rows.py
+++ b/src/lavenderrun/types/_rows.py
@@ -14,6 +14,7 @@
     HostId,
     RequestId,
 )
+from lavenderrun.types._quarantine import Strike
 
 
 class EntryHost(msgspec.Struct, frozen=True):
@@ -52,3 +53,9 @@
     fingerprint: Fingerprint
     at: datetime
     outcome: KeptReply | None = None
+
+
+class StruckRow(msgspec.Struct, frozen=True):
+    """The strikes of a guilty fingerprint."""
+
+    strikes: list[Strike]
--- /dev/null
+++ b/tests/services/test_quarantine.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+import pytest
+from fleet import Fleet, Sink
+
+from lavenderrun.decisions import MAX_CRASHES
+from lavenderrun.services import QuarantineService
+from lavenderrun.standins import POISON_DECODE, POISON_PREFILL, expected_tokens
+from lavenderrun.types import FinishReason, Outcome, Refusal, Refused, Verdict
+
+
+def count_crashes(fleet: Fleet) -> int:
+    return sum(engine.crashes for engine in fleet.engines.values())
+
+
+def assert_quarantined(sink: Sink) -> Refused:
+    [refused] = sink.ends
+    assert isinstance(refused, Refused)
+    assert refused.refusal is Refusal.QUARANTINED
+    return refused
+
+
+def find_quarantine(fleet: Fleet, entry: str) -> QuarantineService:
+    return fleet.entries[entry].find("quarantine", QuarantineService)
+
+
+@pytest.mark.parametrize("poison", [POISON_DECODE, POISON_PREFILL])
+def test_guilty_request_crashes_few_servers_over_the_whole_fleet(poison: str) -> None:
+    fleet = Fleet(decoders=2, entries=2)
+    _, first = fleet.ask(f"certificate {poison}")
+    fleet.run(40)
+    assert assert_quarantined(first).outcome is Outcome.UNKNOWN
+    crashes = count_crashes(fleet)
+    assert crashes <= MAX_CRASHES
+    _, again = fleet.ask(f"certificate {poison}", entry="e2")
+    fleet.run(1)
+    assert assert_quarantined(again).outcome is Outcome.NOT_RUN
+    assert count_crashes(fleet) == crashes
+    assert fleet.held() == 0
+
+
+def test_copies_sent_at_once_to_two_entries_stay_within_the_bound() -> None:
+    fleet = Fleet(decoders=2, entries=2)
+    sinks = [fleet.ask(f"coil {POISON_DECODE}", entry=entry)[1] for entry in ("e1", "e2")]
+    fleet.run(60)
+    for sink in sinks:
+        assert_quarantined(sink)
+    assert count_crashes(fleet) <= MAX_CRASHES
+
+
+def test_innocent_requests_beside_a_guilty_one_are_finished() -> None:
+    fleet = Fleet(decoders=2, entries=2)
+    prompts = [f"heat record {n}" for n in range(3)]
+    innocent = [fleet.ask(prompt, 60)[1] for prompt in prompts]
+    _, guilty = fleet.ask(f"coil {POISON_DECODE}", entry="e2")
+    fleet.run(60)
+    assert_quarantined(guilty)
+    for prompt, sink in zip(prompts, innocent, strict=True):
+        assert sink.tokens == expected_tokens(prompt, 60)
+        assert isinstance(sink.ends[0], FinishReason)
+    for entry in fleet.entries:
+        assert {each.verdict for each in find_quarantine(fleet, entry).suspects()} == {
+            Verdict.GUILTY
+        }
+
+
+def test_entry_that_starts_later_knows_the_guilty_from_the_store() -> None:
+    fleet = Fleet(decoders=2)
+    fleet.ask(f"coil {POISON_DECODE}")
+    fleet.run(40)
+    crashes = count_crashes(fleet)
+    fleet.start_entry("f1")
+    fleet.entries["f1"].find("quarantine", QuarantineService)
+    fleet.run(1)
+    _, again = fleet.ask(f"coil {POISON_DECODE}", entry="f1")
+    fleet.run(1)
+    assert_quarantined(again)
+    assert count_crashes(fleet) == crashes
+
+
+def test_verdict_holds_while_the_store_is_down() -> None:
+    fleet = Fleet(decoders=2, entries=2)
+    fleet.table_faults.down = True
+    fleet.ask(f"coil {POISON_DECODE}")
+    fleet.run(40)
+    _, again = fleet.ask(f"coil {POISON_DECODE}", entry="e2")
+    fleet.run(1)
+    assert_quarantined(again)
+    assert count_crashes(fleet) <= MAX_CRASHES
+
+
+def test_operator_releases_a_fingerprint() -> None:
+    fleet = Fleet(decoders=2, entries=2)
+    fleet.ask(f"coil {POISON_DECODE}")
+    fleet.run(40)
+    [suspect] = find_quarantine(fleet, "e2").suspects()
+    assert (suspect.verdict, suspect.account, suspect.route) == (Verdict.GUILTY, "gruas", "sum")
+    find_quarantine(fleet, "e2").release(suspect.fingerprint)
+    fleet.run(1)
+    for entry in fleet.entries:
+        assert find_quarantine(fleet, entry).suspects() == []
+    assert fleet.table.get("quarantine", suspect.fingerprint) is None
