--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,14 +2,6 @@
 
 from __future__ import annotations
 
-from lavenderrun.decisions._calls import CallLedger
-from lavenderrun.decisions._claims import (
-    ClaimVerdict,
-    judge_claim,
-    may_dispatch,
-    trusts_not_started,
-)
-
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -20,7 +12,14 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
+from lavenderrun.decisions._claims import (
+    ClaimVerdict,
+    judge_claim,
+    may_dispatch,
+    trusts_not_started,
+)
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from lavenderrun.services._plain_agent import PlainAgent
-from lavenderrun.services._plain_router import PlainRouter
-
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
@@ -13,7 +10,9 @@
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
+from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
