--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lavenderrun.services._decode_agent import DecodeAgent
+from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
 from lavenderrun.services._limits import LimitsService
@@ -13,6 +14,7 @@
 from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
 from lavenderrun.services._plain_router import PlainRouter
+from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
@@ -23,6 +25,7 @@
 __all__ = [
     "STORE_DIALECTS",
     "DecodeAgent",
+    "DocumentService",
     "FrontService",
     "GrpcTransport",
     "HttpEngine",
@@ -36,6 +39,7 @@
     "ModelRouter",
     "PlainAgent",
     "PlainRouter",
+    "Policies",
     "PrefillAgent",
     "RecordService",
     "RouterService",
