--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -60,12 +60,7 @@
     Release,
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
-from lavenderrun.decisions._quarantine import (
-    MAX_CRASHES,
-    Probes,
-    Quarantine,
-    find_home,
-)
+from lavenderrun.decisions._quarantine import MAX_CRASHES, Probes, Quarantine, find_home
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
