--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -29,7 +29,6 @@
     FaultReply,
     LoadReply,
     OrderCall,
-    OrderKind,
     PrefillCall,
     ReleaseCall,
     decode_body,
@@ -37,6 +36,7 @@
     encode_decode_event,
 )
 from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._lease_rows import LEASE_TABLE
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
 from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
@@ -52,6 +52,7 @@
 
 __all__ = [
     "DONE_EVENT",
+    "LEASE_TABLE",
     "ROWS",
     "SLOT_TABLE",
     "AnswerCodec",
@@ -70,7 +71,6 @@
     "LoadReply",
     "ModelCall",
     "OrderCall",
-    "OrderKind",
     "PrefillCall",
     "ReleaseCall",
     "RowCodec",
--- a/src/lavenderrun/codecs/_engine.py
+++ b/src/lavenderrun/codecs/_engine.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TypeVar
 
 import msgspec
 
-from lavenderrun.types import ExportHandle, FencingNumber, FinishReason, ModelName, RequestId
+from lavenderrun.types import (
+    ExportHandle,
+    FencingNumber,
+    FinishReason,
+    ModelName,
+    OrderKind,
+    RequestId,
+)
 
 EVENT_END = b"\n\n"
 EVENT_START = b"data: "
@@ -20,14 +26,6 @@
     """Bytes that do not fit the engine protocol."""
 
 
-class OrderKind(Enum):
-    """What an engine can be ordered to do."""
-
-    LOAD_MODEL = "load_model"
-    LOAD_ADAPTER = "load_adapter"
-    CHANGE_ROLE = "change_role"
-
-
 class PrefillCall(msgspec.Struct, frozen=True):
     """Body of ``POST /prefill``; a smaller priority goes first."""
 
@@ -104,6 +102,7 @@
     model: ModelName
     adapter: str = ""
     role: str = ""
+    revision: str = ""
 
 
 class FaultReply(msgspec.Struct, frozen=True):
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -12,9 +12,17 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._assignment import Assignment, Place, assign
 from lavenderrun.decisions._changes import find_changes
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._fencing import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    StoredLease,
+)
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._keys import grant_key, withdraw_key
@@ -32,6 +40,7 @@
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
+from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -76,12 +85,15 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "Assignment",
+    "Blocked",
     "Candidate",
     "Chance",
     "Choice",
     "Compute",
     "Drop",
     "FairQueue",
+    "FenceGate",
     "FifoQueue",
     "FleetLimits",
     "Freshness",
@@ -89,12 +101,18 @@
     "HeldCharge",
     "Job",
     "JobKey",
+    "LeaseKeeper",
+    "LeaseTerms",
+    "LeaseWrite",
     "LinkBudget",
     "Mean",
     "Need",
+    "Orderer",
     "OutputLengths",
     "Peer",
+    "Place",
     "Placement",
+    "PlannedOrder",
     "Pool",
     "PrefillAction",
     "PrefillBook",
@@ -126,9 +144,11 @@
     "SlotTerms",
     "SlotWrite",
     "Stop",
+    "StoredLease",
     "StoredSlot",
     "Tombstones",
     "Violation",
+    "assign",
     "check_record",
     "choose_dials",
     "choose_voters",
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -61,6 +61,7 @@
     RouteName,
     ServiceGroup,
 )
+from lavenderrun.types._lease_rows import LeaseName, LeaseRow
 from lavenderrun.types._limit_messages import (
     HeldSlot,
     Loan,
@@ -94,6 +95,16 @@
     Start,
     message,
 )
+from lavenderrun.types._order_messages import (
+    Fence,
+    Loaded,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    OrderOutcome,
+    Serving,
+    ServingState,
+)
 from lavenderrun.types._ports import (
     Admission,
     Charge,
@@ -234,6 +245,7 @@
     "ExportFreed",
     "ExportHandle",
     "ExportHeld",
+    "Fence",
     "FencingNumber",
     "Fingerprint",
     "FinishReason",
@@ -254,11 +266,14 @@
     "IdempotencyKey",
     "Invariant",
     "KeyDigest",
+    "LeaseName",
+    "LeaseRow",
     "Limits",
     "Link",
     "LinkRate",
     "Links",
     "Load",
+    "Loaded",
     "Loan",
     "LoanRequest",
     "LoanReturn",
@@ -268,6 +283,10 @@
     "ModelName",
     "ModelRequest",
     "ModelRoute",
+    "Order",
+    "OrderAnswer",
+    "OrderKind",
+    "OrderOutcome",
     "Outcome",
     "PacedTicket",
     "Part",
@@ -311,6 +330,8 @@
     "SeatTaken",
     "ServedSettings",
     "ServiceGroup",
+    "Serving",
+    "ServingState",
     "SlotId",
     "SlotRow",
     "Start",
--- /dev/null
+++ b/tests/decisions/test_fencing.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavenderrun.decisions import FenceGate, LeaseKeeper, LeaseTerms, LeaseWrite, Peer, StoredLease
+from lavenderrun.types import BootId, FencingNumber, HostId
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+TERMS = LeaseTerms()
+PEERS = [Peer(HostId(name), BootId(f"{name}1")) for name in "abc"]
+
+
+def at(seconds: float) -> datetime:
+    return START + timedelta(seconds=seconds)
+
+
+class Row:
+    """The lease's row with conditional writes."""
+
+    def __init__(self) -> None:
+        self.stored = StoredLease(0, None)
+
+    def put(self, write: LeaseWrite) -> bool:
+        if write.expect != self.stored.version:
+            return False
+        self.stored = StoredLease(self.stored.version + 1, write.row)
+        return True
+
+
+def turn(keeper: LeaseKeeper, row: Row, now: datetime, *, reply: bool = True) -> None:
+    keeper.observe(row.stored, now)
+    write = keeper.plan(now)
+    if write is None:
+        return
+    done = row.put(write)
+    if not reply:
+        keeper.forget()
+    elif done:
+        keeper.confirm(write, row.stored.version, now)
+    else:
+        keeper.refute(row.stored, now)
+
+
+def test_paused_holder_finds_its_lease_over_and_the_next_has_a_higher_number() -> None:
+    row = Row()
+    first, second = LeaseKeeper(PEERS[0], TERMS), LeaseKeeper(PEERS[1], TERMS)
+    turn(first, row, START)
+    assert first.find_fencing(at(14.9)) == 1
+    turn(second, row, at(1))
+    turn(second, row, at(17.9))
+    assert second.find_fencing(at(17.9)) is None
+    turn(second, row, at(18.1))
+    assert second.find_fencing(at(18.1)) == 2
+    assert first.find_fencing(at(18.1)) is None
+    turn(first, row, at(18.2))
+    assert first.find_fencing(at(18.2)) is None
+
+
+def test_lease_counts_from_before_the_write_and_a_lost_reply_renews_nothing() -> None:
+    row = Row()
+    keeper = LeaseKeeper(PEERS[0], TERMS)
+    turn(keeper, row, START)
+    turn(keeper, row, at(6), reply=False)
+    assert keeper.find_fencing(at(14.9)) == 1
+    assert keeper.find_fencing(at(15.1)) is None
+    turn(keeper, row, at(15.2))
+    assert keeper.find_fencing(at(15.2)) == 1
+
+
+def test_planned_release_lets_another_claim_at_once() -> None:
+    row = Row()
+    first, second = LeaseKeeper(PEERS[0], TERMS), LeaseKeeper(PEERS[1], TERMS)
+    turn(first, row, START)
+    write = first.plan_release(at(1))
+    assert write is not None
+    assert row.put(write)
+    assert first.find_fencing(at(1)) is None
+    turn(second, row, at(1))
+    assert second.find_fencing(at(1)) == 2
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 2), st.sampled_from([0.0, 0.5, 3.0, 9.0, 16.0, 18.0]), st.booleans()
+        ),
+        max_size=40,
+    )
+)
+def test_never_two_holders_and_numbers_never_go_back(turns: list[tuple[int, float, bool]]) -> None:
+    row = Row()
+    keepers = [LeaseKeeper(peer, TERMS) for peer in PEERS]
+    now, highest = 0.0, FencingNumber(0)
+    for who, pause, reply in turns:
+        now += pause
+        turn(keepers[who], row, at(now), reply=reply)
+        held = [k.find_fencing(at(now)) for k in keepers if k.find_fencing(at(now)) is not None]
+        assert len(held) <= 1
+        for number in held:
+            assert number is not None
+            assert number >= highest
+            highest = number
+
+
+def test_gate_refuses_older_numbers_for_engines_that_do_not() -> None:
+    gate = FenceGate()
+    assert gate.accept(FencingNumber(2))
+    assert not gate.accept(FencingNumber(1))
+    assert gate.accept(FencingNumber(2))
--- a/tests/services/limit_fleet.py
+++ b/tests/services/limit_fleet.py
@@ -131,7 +131,7 @@
         self.name = name
         self.clock = HostClock(net.base)
         self.paused_at: float | None = None
-        self.faults = net.faults
+        self.faults = TableFaults()
         boot = BootId(f"{name}{net.reactor.seconds()}")
         self.hello = Hello(HostId(name), boot, HostRole.ENTRY, DataCentre("talca"))
         settings = Settings(self.hello, {"limits": policy})
@@ -139,7 +139,7 @@
         self.links = FakeLinks(net, self)
         self.document = Document1()
         self.document.put(make_document(rates))
-        store = PausedStore(MemoryStore(net.base, net.core, net.faults), self.clock)
+        store = PausedStore(MemoryStore(net.base, net.core, self.faults), self.clock)
         client = StoreClient(
             self.clock, store, StoreSettings(url="http://127.0.0.1:1"), self.kernel.chance
         )
@@ -186,7 +186,6 @@
         self.seed = seed
         self.chance = Random(seed)
         self.core = TableCore()
-        self.faults = TableFaults()
         self.policy = policy
         self.drop = self.duplicate = 0.0
         self.sent: dict[str, list[Message]] = {}
@@ -203,6 +202,10 @@
         for number in range(hosts):
             self.start(f"e{number}")
 
+    def set_store(self, *, down: bool) -> None:
+        for host in self.hosts.values():
+            host.faults.down = down
+
     def start(self, name: str) -> None:
         self.hosts[name] = Host(self, name, self.policy, self.rates)
 
--- a/tests/services/test_engine_http.py
+++ b/tests/services/test_engine_http.py
@@ -17,7 +17,6 @@
     DecodeEvents,
     EngineProtocolError,
     OrderCall,
-    OrderKind,
     encode_decode_event,
 )
 from lavenderrun.kernel import ReactorClock
@@ -36,6 +35,7 @@
     FencingNumber,
     FinishReason,
     ModelName,
+    OrderKind,
     RequestId,
     StepError,
 )
