--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+from lavenderrun.types._lease_rows import LeaseName, LeaseRow
+from lavenderrun.types._order_messages import (
+    Fence,
+    Loaded,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    OrderOutcome,
+    Serving,
+    ServingState,
+)
+
 from lavenderrun.types._document import (
     Account,
     Backend,
@@ -61,7 +73,6 @@
     RouteName,
     ServiceGroup,
 )
-from lavenderrun.types._lease_rows import LeaseName, LeaseRow
 from lavenderrun.types._limit_messages import (
     HeldSlot,
     Loan,
@@ -95,16 +106,6 @@
     Start,
     message,
 )
-from lavenderrun.types._order_messages import (
-    Fence,
-    Loaded,
-    Order,
-    OrderAnswer,
-    OrderKind,
-    OrderOutcome,
-    Serving,
-    ServingState,
-)
 from lavenderrun.types._ports import (
     Admission,
     Charge,
@@ -152,7 +153,7 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._rows import EntryHost
+from lavenderrun.types._rows import Claim, EntryHost, KeptReply
 from lavenderrun.types._settings import (
     AgentSettings,
     BackendSettings,
@@ -224,6 +225,7 @@
     "Cancel",
     "Change",
     "Charge",
+    "Claim",
     "DaemonSettings",
     "DataCentre",
     "Document",
@@ -265,6 +267,7 @@
     "HostStopped",
     "IdempotencyKey",
     "Invariant",
+    "KeptReply",
     "KeyDigest",
     "LeaseName",
     "LeaseRow",
