--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from lavenderrun.codecs._lease_rows import LEASE_TABLE
+
 from lavenderrun.codecs import _claim_rows as _claim_rows
 from lavenderrun.codecs import _entry_rows as _entry_rows
-from lavenderrun.codecs import (
-    _quarantine_rows as _quarantine_rows,
-)
+from lavenderrun.codecs import _quarantine_rows as _quarantine_rows
 from lavenderrun.codecs._api_answers import (
     DONE_EVENT,
     AnswerCodec,
@@ -33,7 +33,6 @@
     FaultReply,
     LoadReply,
     OrderCall,
-    OrderKind,
     PrefillCall,
     ReleaseCall,
     decode_body,
@@ -56,6 +55,7 @@
 
 __all__ = [
     "DONE_EVENT",
+    "LEASE_TABLE",
     "ROWS",
     "SLOT_TABLE",
     "AnswerCodec",
@@ -74,7 +74,6 @@
     "LoadReply",
     "ModelCall",
     "OrderCall",
-    "OrderKind",
     "PrefillCall",
     "ReleaseCall",
     "RowCodec",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
+from lavenderrun.decisions._assignment import Assignment, Place, assign
+from lavenderrun.decisions._fencing import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    StoredLease,
+)
+from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
+
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -85,6 +95,8 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "Assignment",
+    "Blocked",
     "CallLedger",
     "Candidate",
     "Chance",
@@ -93,6 +105,7 @@
     "Compute",
     "Drop",
     "FairQueue",
+    "FenceGate",
     "FifoQueue",
     "FleetLimits",
     "Freshness",
@@ -100,12 +113,18 @@
     "HeldCharge",
     "Job",
     "JobKey",
+    "LeaseKeeper",
+    "LeaseTerms",
+    "LeaseWrite",
     "LinkBudget",
     "Mean",
     "Need",
+    "Orderer",
     "OutputLengths",
     "Peer",
+    "Place",
     "Placement",
+    "PlannedOrder",
     "Pool",
     "PrefillAction",
     "PrefillBook",
@@ -139,9 +158,11 @@
     "SlotTerms",
     "SlotWrite",
     "Stop",
+    "StoredLease",
     "StoredSlot",
     "Tombstones",
     "Violation",
+    "assign",
     "check_record",
     "choose_dials",
     "choose_voters",
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._leases import LeasesService
+
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
@@ -17,9 +19,7 @@
 from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
-from lavenderrun.services._quarantine import (
-    QuarantineService,
-)
+from lavenderrun.services._quarantine import QuarantineService
 from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
@@ -36,6 +36,7 @@
     "HttpEngine",
     "HttpPlain",
     "HttpStore",
+    "LeasesService",
     "LimitsService",
     "LinksService",
     "ListenError",
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+from lavenderrun.types._lease_rows import LeaseName, LeaseRow
+from lavenderrun.types._order_messages import (
+    Fence,
+    Loaded,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    OrderOutcome,
+    Serving,
+    ServingState,
+)
+
 from lavenderrun.types._document import (
     Account,
     Backend,
@@ -253,6 +265,7 @@
     "ExportFreed",
     "ExportHandle",
     "ExportHeld",
+    "Fence",
     "FencingNumber",
     "Fingerprint",
     "FinishReason",
@@ -274,11 +287,14 @@
     "Invariant",
     "KeptReply",
     "KeyDigest",
+    "LeaseName",
+    "LeaseRow",
     "Limits",
     "Link",
     "LinkRate",
     "Links",
     "Load",
+    "Loaded",
     "Loan",
     "LoanRequest",
     "LoanReturn",
@@ -288,6 +304,10 @@
     "ModelName",
     "ModelRequest",
     "ModelRoute",
+    "Order",
+    "OrderAnswer",
+    "OrderKind",
+    "OrderOutcome",
     "Outcome",
     "PacedTicket",
     "Part",
@@ -335,6 +355,8 @@
     "SeatTaken",
     "ServedSettings",
     "ServiceGroup",
+    "Serving",
+    "ServingState",
     "SlotId",
     "SlotRow",
     "Start",
