--- a/src/lavenderrun/types/_settings.py
+++ b/src/lavenderrun/types/_settings.py
@@ -159,3 +159,7 @@
     def seats(self) -> int:
         """Return the requests that the backend server runs at once."""
         return self.serves.seats
+
+    def pieces(self) -> int:
+        """Return the pieces of KV cache of the backend server."""
+        return self.serves.pieces
