Let late jobs hold no other account back in the fair queue

Cause: an account with only late jobs kept the smallest tag, so the others ran into the slack and its late jobs were served before theirs that could still meet the target. Each lane now has its own floor. A peek and a pop could also disagree when an account came back with an overdue job; test added.

--- a/src/lavenderrun/decisions/_accountline.py
+++ b/src/lavenderrun/decisions/_accountline.py
@@ -39,14 +39,14 @@
 class Account:
     """The line of one client account and its virtual start tag."""
 
-    __slots__ = ("count", "lanes", "late_work", "name", "parked", "start", "weight", "work")
+    __slots__ = ("counts", "lanes", "late_work", "name", "parked", "start", "weight", "work")
 
     def __init__(self, name: AccountId, start: float) -> None:
         self.name = name
         self.start = start
         self.weight = 1.0
-        self.count = 0
-        self.parked = False
+        self.counts = {Lane.ON_TIME: 0, Lane.LATE: 0}
+        self.parked = {Lane.ON_TIME: False, Lane.LATE: False}
         self.lanes: dict[Lane, Heap] = {Lane.ON_TIME: [], Lane.LATE: []}
         self.work: dict[timedelta, float] = {}
         self.late_work = 0.0
@@ -54,6 +54,11 @@
     def __lt__(self, other: Account) -> bool:
         return self.name < other.name
 
+    @property
+    def count(self) -> int:
+        """Return the number of waiting jobs."""
+        return self.counts[Lane.ON_TIME] + self.counts[Lane.LATE]
+
     def head(self, lane: Lane) -> tuple[datetime, Entry] | None:
         """Return the first live entry of a lane with its instant."""
         heap = self.lanes[lane]
@@ -64,6 +69,7 @@
     def count_in(self, entry: Entry, sign: int) -> None:
         """Add the entry's cost to the work of its lane, or take it away."""
         job = entry.job
+        self.counts[entry.lane] += sign
         if entry.lane is Lane.LATE:
             self.late_work = max(0.0, self.late_work + sign * job.cost)
             return
--- a/src/lavenderrun/decisions/_fairqueue.py
+++ b/src/lavenderrun/decisions/_fairqueue.py
@@ -1,12 +1,13 @@
 """Weighted fair queue over client accounts that knows the targets of the routes.
 
 Each account has a virtual start tag that grows by cost over weight with every job it gets. Only
-accounts within a slack of the smallest tag are eligible, so two waiting accounts never differ by
-more than the slack and one job. Among the eligible the job with the earliest due instant goes
-first: an urgent job passes a patient one, but only while it is due earlier, so that nothing which
-arrives more than its own target later can pass a waiting job. Jobs that have missed their due
-instant step back behind those that can still meet theirs; one turn in :data:`LATE_TURN` is theirs
-in any case, and they are given up as soon as their patience cannot be met.
+accounts within a slack of the smallest tag are eligible, so two accounts with jobs that can meet
+their target never differ by more than the slack and one job. Among the eligible the job with the
+earliest due instant goes first: an urgent job passes a patient one, but only while it is due
+earlier, so that nothing which arrives more than its own target later can pass a waiting job. Jobs
+that have missed their due instant step back behind those that can still meet theirs; one turn in
+:data:`LATE_TURN` is theirs in any case, and they are given up as soon as their patience cannot be
+met. An account that gets less than its share, because its jobs are late, keeps a bounded credit.
 """
 
 from __future__ import annotations
@@ -16,10 +17,12 @@
 from itertools import count
 
 from lavenderrun.decisions._accountline import Account, Entry, Heap, Lane
+from lavenderrun.decisions._laneindex import LaneIndex
 from lavenderrun.decisions._queue import QUEUE_POLICIES, Job, JobKey
 from lavenderrun.types import AccountId
 
 SLACK_JOBS = 2.0
+CREDIT_JOBS = 8.0
 LATE_TURN = 24
 COST_MEMORY = 0.05
 LATE_MEMORY = 0.02
@@ -37,9 +40,7 @@
         self._order = count()
         self._entries: dict[JobKey, Entry] = {}
         self._accounts: dict[AccountId, Account] = {}
-        self._ready: dict[Lane, Heap] = {Lane.ON_TIME: [], Lane.LATE: []}
-        self._parked: list[tuple[float, Account]] = []
-        self._starts: list[tuple[float, Account]] = []
+        self._lanes = {lane: LaneIndex(lane) for lane in Lane}
         self._idle: list[tuple[float, Account]] = []
         self._deadlines: Heap = []
         self._hopeless: list[Entry] = []
@@ -70,18 +71,18 @@
         if account is None:
             account = self._accounts[job.account] = Account(job.account, self._virtual)
         account.weight = job.weight
-        if not account.count:
-            account.start = max(account.start, self._virtual)
-            heapq.heappush(self._starts, (account.start, account))
+        credit = CREDIT_JOBS * self._mean_cost if account.count else 0.0
+        account.start = max(account.start, self._virtual - credit)
         entry = Entry(job, account, next(self._order))
         self._entries[job.key] = entry
-        account.count += 1
         account.count_in(entry, 1)
         self._work += job.cost
         share = job.cost / job.weight
         self._mean_cost += (share - self._mean_cost) * (COST_MEMORY if self._mean_cost else 1.0)
         heapq.heappush(self._deadlines, (job.deadline, entry))
         self._line_up(entry, job.due)
+        for lane in self._lanes.values():
+            lane.enroll(account)
         self._advance()
 
     def peek(self, now: datetime) -> Job | None:
@@ -98,10 +99,10 @@
         self._turn = 0 if is_late else self._turn + 1
         self._late_share += (is_late - self._late_share) * LATE_MEMORY
         account = entry.account
-        account.start = max(account.start, self._virtual) + entry.job.cost / entry.job.weight
+        account.start += entry.job.cost / entry.job.weight
         self._forget(entry)
-        if account.count:
-            heapq.heappush(self._starts, (account.start, account))
+        for lane in self._lanes.values():
+            lane.enroll(account)
         self._advance()
         return entry.job
 
@@ -152,28 +153,23 @@
         return self._deadlines[0][0] if self._deadlines else None
 
     def _choose(self, now: datetime) -> Entry | None:
-        self._demote(now)
-        on_time = self._head(Lane.ON_TIME)
-        late = self._head(Lane.LATE)
+        slack = SLACK_JOBS * self._mean_cost
+        on_time: Entry | None = None
+        while True:
+            self._demote(now)
+            on_time = self._lanes[Lane.ON_TIME].first(slack)
+            # an account that has just become eligible again may bring an overdue job
+            if on_time is None or on_time.job.due >= now:
+                break
+        late = self._lanes[Lane.LATE].first(slack)
         if on_time is None or (late is not None and self._turn >= LATE_TURN):
             return late
         return on_time
 
-    def _head(self, lane: Lane) -> Entry | None:
-        """Return the earliest entry of an eligible account."""
-        ready = self._ready[lane]
-        while ready:
-            entry = ready[0][1]
-            if entry.live and entry.lane is lane:
-                if self._is_eligible(entry.account):
-                    return entry
-                self._park(entry.account)
-            heapq.heappop(ready)
-        return None
-
     def _demote(self, now: datetime) -> None:
         """Move entries that have missed their due instant to the late lane."""
-        ready = self._ready[Lane.ON_TIME]
+        on_time = self._lanes[Lane.ON_TIME]
+        ready = on_time.ready
         while ready and (ready[0][0] < now or not ready[0][1].live):
             _, entry = heapq.heappop(ready)
             if not entry.live or entry.lane is Lane.LATE:
@@ -183,7 +179,8 @@
             entry.lane = Lane.LATE
             account.count_in(entry, 1)
             self._line_up(entry, entry.job.deadline)
-            self._show(account, Lane.ON_TIME)
+            self._lanes[Lane.LATE].enroll(account)
+            on_time.show(account)
             if self._late_wait(entry) > entry.job.deadline - now:
                 self._hopeless.append(entry)
 
@@ -194,52 +191,32 @@
         rate = share * max(1 / LATE_TURN, self._late_share)
         return timedelta(seconds=(entry.account.late_work - entry.job.cost) / rate)
 
-    def _is_eligible(self, account: Account) -> bool:
-        return account.start <= self._virtual + SLACK_JOBS * self._mean_cost
-
     def _line_up(self, entry: Entry, instant: datetime) -> None:
         heapq.heappush(entry.account.lanes[entry.lane], (instant, entry))
-        self._show(entry.account, entry.lane)
-
-    def _show(self, account: Account, lane: Lane) -> None:
-        """Put the account's head of a lane among the ready, unless the account is parked."""
-        head = account.head(lane)
-        if head is not None and not account.parked:
-            heapq.heappush(self._ready[lane], head)
-
-    def _park(self, account: Account) -> None:
-        if not account.parked:
-            account.parked = True
-            heapq.heappush(self._parked, (account.start, account))
+        self._lanes[entry.lane].show(entry.account)
 
     def _advance(self) -> None:
-        """Move virtual time to the smallest tag of a waiting account."""
+        """Move virtual time to the smallest tag of an account that can meet a target."""
         if not self._entries:
             self._reset()
             return
-        starts = self._starts
-        while not (starts[0][1].count and starts[0][0] == starts[0][1].start):
-            heapq.heappop(starts)
-        self._virtual = max(self._virtual, starts[0][0])
+        floor = self._lanes[Lane.ON_TIME].floor()
+        if floor is None:
+            floor = self._lanes[Lane.LATE].floor() or 0.0
+        self._virtual = max(self._virtual, floor)
         while self._idle and self._idle[0][0] <= self._virtual:
             _, account = heapq.heappop(self._idle)
             if not account.count:
                 self._accounts.pop(account.name, None)
-        while self._parked and self._is_eligible(self._parked[0][1]):
-            _, account = heapq.heappop(self._parked)
-            account.parked = False
-            self._show(account, Lane.ON_TIME)
-            self._show(account, Lane.LATE)
 
     def _forget(self, entry: Entry) -> None:
         entry.live = False
         del self._entries[entry.job.key]
         account = entry.account
-        account.count -= 1
         account.count_in(entry, -1)
         self._work -= entry.job.cost
         if account.count:
-            self._show(account, entry.lane)
+            self._lanes[entry.lane].show(account)
             return
         for heap in account.lanes.values():
             heap.clear()
@@ -248,11 +225,9 @@
     def _reset(self) -> None:
         """Drop all state: with no one waiting there is no share to defend."""
         self._accounts.clear()
-        self._parked.clear()
-        self._starts.clear()
         self._idle.clear()
         self._hopeless.clear()
         self._deadlines.clear()
-        for heap in self._ready.values():
-            heap.clear()
+        for lane in self._lanes.values():
+            lane.clear()
         self._work = 0.0
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -31,6 +31,8 @@
 PROMISE_GRACE = timedelta(seconds=2)
 READY_GRACE = timedelta(seconds=1)
 ENTRY_GRACE = timedelta(seconds=3)
+MAX_AHEAD = timedelta(milliseconds=250)
+"""Longest lead that a promise looks ahead; more only lengthens the queues at prefill agents."""
 RECHECK = timedelta(milliseconds=20)
 
 
@@ -245,7 +247,7 @@
         if seat.request.pieces > self.pieces_free or not self._may_join(seat):
             return None
         wanted = len(self._taken) - self.seats + 1
-        lead = seat.request.lead.total_seconds()
+        lead = min(seat.request.lead, MAX_AHEAD).total_seconds()
         if wanted > 0 and not self._may_promise(wanted, self._chances, lead):
             return None
         return seat
@@ -255,7 +257,7 @@
         key = request.job.key
         self._queue.pop(now)
         del self._waiting[key]
-        ready_in = ZERO if len(self._taken) < self.seats else request.lead
+        ready_in = ZERO if len(self._taken) < self.seats else min(request.lead, MAX_AHEAD)
         self._taken[key] = seat
         self.pieces_free -= request.pieces
         seat.state = SeatState.PROMISED
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -58,7 +58,7 @@
 )
 
 KEEP_OUTPUT = timedelta(seconds=10)
-FIRST_STEP = timedelta(milliseconds=80)
+FIRST_STEP = timedelta(milliseconds=200)
 """Time from the start of a decode to the first token at the caller, with a margin."""
 
 
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -218,7 +218,7 @@
                 max_tokens=demand.max_tokens,
                 lead=timedelta(0) if expected is None else expected.lead,
                 patience=left,
-                urgency=route.targets.first_token,
+                urgency=self._urgency_left(),
                 weight=self._router.weigh(self.admitted),
                 fingerprint=self.admitted.fingerprint,
             )
@@ -251,7 +251,7 @@
                 tokens=self._demand.tokens,
                 start_in=start_in,
                 patience=patience,
-                urgency=route.targets.first_token,
+                urgency=self._urgency_left(),
                 weight=self._router.weigh(self.admitted),
                 fingerprint=self.admitted.fingerprint,
             )
@@ -385,6 +385,10 @@
         if unused > 0:
             self._router.limits.give_back(charge, unused)
 
+    def _urgency_left(self) -> timedelta:
+        waited = self._router.clock.now() - self._waiting_since
+        return max(timedelta(0), self.admitted.route.targets.first_token - waited)
+
     def _patience_left(self) -> timedelta:
         waited = self._router.clock.now() - self._waiting_since
         return self.admitted.route.patience - waited
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import ClassVar
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -47,6 +47,8 @@
     Step,
 )
 
+AFTER_PREFILL = timedelta(milliseconds=150)
+"""Time from the end of a prefill's wait to the first token at the caller."""
 PARALLEL = 1
 """Prefills that an engine computes at once."""
 
@@ -116,7 +118,7 @@
             cost,
             order.weight,
             order.urgency,
-            now + order.start_in + order.urgency,
+            now + order.urgency - AFTER_PREFILL,
             now + order.start_in + order.patience,
         )
         return PrefillOrder(job, order.tokens, order.start_in, link.peer.host)
--- a/tests/decisions/test_fairqueue.py
+++ b/tests/decisions/test_fairqueue.py
@@ -105,6 +105,18 @@
     assert queue.work_ahead(make("other", "b")) <= 3
 
 
+def test_peek_and_pop_agree_when_an_account_comes_back_with_overdue_jobs() -> None:
+    queue = FairQueue(1.0)
+    for number in range(9):
+        queue.push(make(f"greedy{number}", "greedy", urgency=5), at(0))
+    queue.push(make("b0", "b", urgency=9), at(0))
+    queue.push(make("b1", "b", urgency=9), at(0))
+    served = drain(queue, 4, 1.0)
+    assert {job.account for job in served} == {"greedy", "b"}
+    while (seen := queue.peek(at(7))) is not None:
+        assert queue.pop(at(7)) == seen
+
+
 @pytest.mark.parametrize("policy", QUEUE_POLICIES.names())
 @given(
     steps=st.lists(
