--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
@@ -11,7 +12,9 @@
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
+from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._record import RecordService
@@ -22,6 +25,7 @@
 
 __all__ = [
     "STORE_DIALECTS",
+    "AdmissionService",
     "DecodeAgent",
     "DocumentService",
     "FrontService",
@@ -35,6 +39,8 @@
     "Listener",
     "Membership",
     "ModelRouter",
+    "PlainAgent",
+    "PlainRouter",
     "Policies",
     "PrefillAgent",
     "RecordService",
--- a/src/lavenderrun/types/_settings.py
+++ b/src/lavenderrun/types/_settings.py
@@ -187,5 +187,5 @@
         return self.serves.seats
 
     def pieces(self) -> int:
-        """Return the pieces of KV cache of the backend server."""
+        """Return the pieces of KV cache that the backend server has."""
         return self.serves.pieces
