--- a/src/lavenderrun/bench/_hosts.py
+++ b/src/lavenderrun/bench/_hosts.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderrun.bench._time import HostClock
-from lavenderrun.bench._witness import WitnessEngine
+from lavenderrun.bench._witness import WitnessEngine, WitnessPlain
 from lavenderrun.kernel import Kernel
 from lavenderrun.services import StoreClient
 from lavenderrun.standins import MemoryStore
@@ -62,7 +62,7 @@
         self.kernel: Kernel | None = None
         self._fleet = fleet
         self._boots = 0
-        self._engine: WitnessEngine | None = None
+        self._connection: WitnessEngine | WitnessPlain | None = None
         self._unwell_since: datetime | None = None
 
     @property
@@ -125,8 +125,8 @@
         self.emit(HostLost())
         self.clock.die()
         self._fleet.network.drop_host(self.address, silent=silent)
-        if self._engine is not None:
-            self._engine.break_connection()
+        if self._connection is not None:
+            self._connection.break_connection()
         self._fleet.hang_up(self.host)
 
     def stop(self) -> Deferred[None]:
@@ -152,8 +152,8 @@
         self.emit(HostStopped())
         self.clock.die()
         self._fleet.network.drop_host(self.address, silent=False)
-        if self._engine is not None:
-            self._engine.break_connection()
+        if self._connection is not None:
+            self._connection.break_connection()
 
     def _make_settings(self) -> DaemonSettings:
         boot = {"boot": BootId(f"{self.host}.{self._boots}")}
@@ -181,7 +181,11 @@
     def _add_backend(self, kernel: Kernel) -> None:
         backend = self.backend
         assert backend is not None
-        if backend.role is not BackendRole.PLAIN:
+        if backend.role is BackendRole.PLAIN:
+            desk = self._fleet.desks[backend.id]
+            self._connection = WitnessPlain(desk, backend.id, self.clock, self.emit)
+            kernel.provide("plain", self._connection)
+        else:
             engine = self._fleet.engines[backend.id]
-            self._engine = WitnessEngine(engine, backend.id, self.clock, self.emit)
-            kernel.provide("engine", self._engine)
+            self._connection = WitnessEngine(engine, backend.id, self.clock, self.emit)
+            kernel.provide("engine", self._connection)
--- a/src/lavenderrun/bench/_scenarios_faults.py
+++ b/src/lavenderrun/bench/_scenarios_faults.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
-from lavenderrun.bench._deployments import Deployment, PlainMix, PromptMix
+from lavenderrun.bench._deployments import Deployment, PromptMix
 from lavenderrun.bench._fleet import Fleet
 from lavenderrun.bench._hosts import BenchHost
 from lavenderrun.bench._scenarios import SCENARIOS, Plan, make_deployment
@@ -24,7 +25,8 @@
     """Return a small wire service with short answers, so that minutes of it are cheap to run."""
     wire = make_deployment("wire")
     mix = PromptMix(short=200, most=2000)
-    calls = PlainMix(per_second=1, once=0.25, read=wire.plain.read, write=wire.plain.write)
+    # a call with an idempotency key can't be claimed in an outage and is refused by design
+    calls = replace(wire.plain, per_second=1, keyed=0.0)
     speed = EngineSpeed(mean_tokens=8, seats=1, burst=8)
     return make_deployment(
         "wire",
--- a/src/lavenderrun/bench/_witness.py
+++ b/src/lavenderrun/bench/_witness.py
@@ -10,7 +10,7 @@
 from twisted.python.failure import Failure
 
 from lavenderrun.bench._time import HostClock
-from lavenderrun.standins import EngineModel
+from lavenderrun.standins import EngineModel, MemoryPlain
 from lavenderrun.types import (
     BackendId,
     BackendReceived,
@@ -19,6 +19,8 @@
     FinishReason,
     Happening,
     ModelName,
+    Refused,
+    ReplySink,
     RequestId,
     Running,
     TokenSink,
@@ -132,3 +134,58 @@
         done.errback(result)
     else:
         done.callback(result)
+
+
+class _GatedSink:
+    """A reply on its way to the agent through its host's clock."""
+
+    def __init__(self, host: HostClock, sink: ReplySink) -> None:
+        self._host = host
+        self._sink = sink
+
+    def put_head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self._host.run(self._sink.put_head, status, headers)
+
+    def put_body(self, data: bytes) -> None:
+        self._host.run(self._sink.put_body, data)
+
+    def finish(self) -> None:
+        self._host.run(self._sink.finish)
+
+    def refuse(self, refused: Refused) -> None:
+        self._host.run(self._sink.refuse, refused)
+
+
+class WitnessPlain:
+    """One life of an agent's connection to its plain backend server."""
+
+    def __init__(
+        self,
+        backend: MemoryPlain,
+        name: BackendId,
+        host: HostClock,
+        emit: Callable[[Happening], None],
+    ) -> None:
+        self._backend = backend
+        self._name = name
+        self._host = host
+        self._emit = emit
+
+    def call(
+        self,
+        request: RequestId,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        sink: ReplySink,
+    ) -> Running:
+        """See ``PlainBackend``."""
+        sight = f"{target} {headers} {body!r}"
+        self._emit(BackendReceived(request, self._name, saw_key=MARKER in sight))
+        gated = _GatedSink(self._host, sink)
+        running = self._backend.call(request, method, target, headers, body, gated)
+        return _GatedRunning(self._host, running)
+
+    def break_connection(self) -> None:
+        """Leave the calls that run to run on; their replies find nobody."""
