--- a/src/lavenderrun/bench/__init__.py
+++ b/src/lavenderrun/bench/__init__.py
@@ -4,6 +4,7 @@
 
 from lavenderrun.bench import _scenarios_faults as _scenarios_faults
 from lavenderrun.bench import _scenarios_load as _scenarios_load
+from lavenderrun.bench import _scenarios_operators as _scenarios_operators
 from lavenderrun.bench._deployments import DEPLOYMENTS, Deployment, digest_of
 from lavenderrun.bench._measures import Measures, encode
 from lavenderrun.bench._report import write_report
--- /dev/null
+++ b/src/lavenderrun/bench/_scenarios_operators.py
@@ -0,0 +1,107 @@
+"""Scenarios in which operators change the document, and of a request that crashes engines."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from lavenderrun.bench._callers import Sighting
+from lavenderrun.bench._deployments import PromptMix
+from lavenderrun.bench._fleet import Fleet
+from lavenderrun.bench._hosts import BenchHost
+from lavenderrun.bench._scenarios import SCENARIOS, Plan, make_deployment
+from lavenderrun.bench._workload import OfferedPrompt
+from lavenderrun.standins import POISON_DECODE
+from lavenderrun.types import AccountId, Document, DocumentConflict, Submitted
+
+CHANGE_AT = 8.0
+"""Seconds from the start of the load to the first change."""
+WITHDRAWN = AccountId("itata")
+RACES = 4
+RACE_EVERY = 4.0
+POISON_TRIES = 8
+POISON_EVERY = 2.5
+POISON_AT = 5.0
+
+
+@SCENARIOS.register("key-withdrawal")
+def plan_key_withdrawal() -> Plan:
+    """An account's key is withdrawn while it sends; it goes on sending."""
+
+    def script(fleet: Fleet) -> None:
+        fleet.at(CHANGE_AT, _submit, fleet, fleet.entries[0], _withdraw(fleet.document))
+
+    def is_barred(account: AccountId, at: float) -> bool:
+        return account == WITHDRAWN and at >= CHANGE_AT
+
+    return Plan(make_deployment("wire"), load=0.7, seconds=20.0, script=script, barred=is_barred)
+
+
+@SCENARIOS.register("document-race")
+def plan_document_race() -> Plan:
+    """Two operators submit different documents at once, again and again; some replies are lost."""
+
+    def script(fleet: Fleet) -> None:
+        for race in range(RACES):
+            fleet.at(CHANGE_AT + race * RACE_EVERY, _race, fleet, race)
+
+    seconds = CHANGE_AT + RACES * RACE_EVERY
+    return Plan(make_deployment("wire"), load=0.7, seconds=seconds, script=script)
+
+
+@SCENARIOS.register("crashing-request")
+def plan_crashing_request() -> Plan:
+    """One request crashes each engine that decodes it, and its caller sends it again and again."""
+
+    def script(fleet: Fleet) -> None:
+        for number in range(POISON_TRIES):
+            fleet.at(POISON_AT + number * POISON_EVERY, _send_poison, fleet, number)
+
+    mix = PromptMix(short=700, most=8000)
+    return Plan(make_deployment("wire", prompts=mix), load=0.4, seconds=30.0, script=script)
+
+
+def _withdraw(document: Document) -> Document:
+    accounts = [
+        account.model_copy(update={"keys": []}) if account.id == WITHDRAWN else account
+        for account in document.accounts
+    ]
+    return document.model_copy(update={"accounts": accounts})
+
+
+def _race(fleet: Fleet, race: int) -> None:
+    fleet.store_faults.lost_replies = race % 2
+    for number, entry in enumerate(fleet.entries[:2]):
+        share = 0.05 + 0.01 * race + 0.001 * number
+        changed = fleet.document.model_copy(update={"retry_share": share})
+        _submit(fleet, entry, changed)
+
+
+def _submit(fleet: Fleet, entry: BenchHost, document: Document) -> None:
+    keeper = entry.find("document")
+    fleet.extra["submitted"] += 1
+    done = keeper.submit(document, f"operator at {entry.host}", keeper.version)
+    done.addCallbacks(
+        _note_outcome, _note_unknown, callbackArgs=(fleet.extra,), errbackArgs=(fleet.extra,)
+    )
+
+
+def _note_outcome(outcome: Submitted | DocumentConflict, extra: Counter[str]) -> None:
+    extra["accepted" if isinstance(outcome, Submitted) else "conflicts"] += 1
+
+
+def _note_unknown(_: Any, extra: Counter[str]) -> None:
+    extra["unknown"] += 1
+
+
+def _send_poison(fleet: Fleet, number: int) -> None:
+    offered = OfferedPrompt(
+        number=-number,
+        at=fleet.seconds,
+        account=AccountId("maule"),
+        in_rate=False,
+        barred=True,
+        prompt="certificate of heat 4711 " + POISON_DECODE,
+        max_tokens=50,
+    )
+    fleet.send(Sighting(offered, fleet.find_targets(offered), fleet.clock.now()))
--- /dev/null
+++ b/src/lavenderrun/bench/_table.py
@@ -0,0 +1,29 @@
+"""The platform's table in a benchmark: it tells the record of each document that it takes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lavenderrun.codecs import decode_stored
+from lavenderrun.standins import TableCore
+from lavenderrun.types import DocumentAccepted, Happening, StoredRow
+
+DOCUMENT_TABLE = "document"
+TOKEN_BYTES = 12
+"""Length of the writer's token that the store client puts before a value."""
+
+
+class WitnessTable(TableCore):
+    """A table core that emits :class:`DocumentAccepted` when a document's row is written."""
+
+    def __init__(self, emit: Callable[[Happening], None]) -> None:
+        super().__init__()
+        self._emit = emit
+
+    def put(self, table: str, key: str, value: bytes, *, expect: int) -> StoredRow:
+        """Write; see ``TableCore``."""
+        row = super().put(table, key, value, expect=expect)
+        if table == DOCUMENT_TABLE:
+            stored = decode_stored(StoredRow(row.key, row.version, row.value[TOKEN_BYTES:]))
+            self._emit(DocumentAccepted(stored.revision.version, stored.document))
+        return row
--- a/src/lavenderrun/bench/_workload.py
+++ b/src/lavenderrun/bench/_workload.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import partial
 
 from lavenderrun.bench._deployments import Deployment, PlainMix
 from lavenderrun.standins import count_tokens
@@ -23,12 +24,14 @@
 
     :param at: seconds from the start.
     :param in_rate: the account has sent no more than rate and burst allow, with this one.
+    :param barred: it has to be refused, so goodput does not count it.
     """
 
     number: int
     at: float
     account: AccountId
     in_rate: bool
+    barred: bool
 
 
 @dataclass(frozen=True)
@@ -80,6 +83,7 @@
 
     :param load: model traffic as a share of capacity.
     :param shape: changes an account's traffic in time; *steepest* bounds it.
+    :param barred: tells which requests have to be refused.
     """
 
     def __init__(
@@ -90,12 +94,14 @@
         load: float,
         shape: Shape | None = None,
         steepest: float = 1.0,
+        barred: Callable[[AccountId, float], bool] | None = None,
     ) -> None:
         self._deployment = deployment
         self._chance = random.Random(f"workload-{seed}")
         self._model_rate = deployment.find_capacity() * load
         self._shape = shape
         self._steepest = steepest
+        self._barred = barred or (lambda account, at: False)
         self._meters = {name: _Meter(deployment.find_rate(name)) for name in deployment.accounts}
         self._texts = {name: self._write_texts(name) for name in deployment.accounts}
         self._numbers = 0
@@ -127,22 +133,26 @@
         prompt = text + _fill(f"{account} {self._numbers} ", own)
         tokens = count_tokens(prompt) + self._deployment.max_tokens
         in_rate = self._meters[account].take(at, tokens)
+        barred = self._barred(account, at)
         return OfferedPrompt(
-            self._numbers, at, account, in_rate, prompt, self._deployment.max_tokens
+            self._numbers, at, account, in_rate, barred, prompt, self._deployment.max_tokens
         )
 
     def _make_call(self, at: float, account: AccountId) -> OfferedCall:
         mix = self._deployment.plain
         self._numbers += 1
         number, in_rate = self._numbers, self._meters[account].take(at, 0)
+        barred = self._barred(account, at)
         path = f"{mix.prefix}/{number}"
         if self._chance.random() >= mix.once:
             again, answer = Repeatability.IDEMPOTENT, _expect_reply(mix, number, 0)
-            return OfferedCall(number, at, account, in_rate, "GET", path, b"", again, None, answer)
+            call = partial(OfferedCall, method="GET", path=path, body=b"", repeatability=again)
+            return call(number, at, account, in_rate, barred, idempotency_key=None, answer=answer)
         key = IdempotencyKey(f"order-{number}") if self._chance.random() < mix.keyed else None
         once, answer = Repeatability.AT_MOST_ONCE, _expect_reply(mix, number, 1)
         path, body = f"{path}/{mix.verb}", f"{mix.verb} {number}".encode()
-        return OfferedCall(number, at, account, in_rate, "POST", path, body, once, key, answer)
+        call = partial(OfferedCall, method="POST", path=path, body=body, repeatability=once)
+        return call(number, at, account, in_rate, barred, idempotency_key=key, answer=answer)
 
     def _write_texts(self, account: AccountId) -> list[str]:
         return [
