--- a/src/lavenderrun/bench/_fleet.py
+++ b/src/lavenderrun/bench/_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from datetime import timedelta
 from typing import Any
 
@@ -12,25 +13,34 @@
 from lavenderrun.bench._deployments import ENTRY_PORT, Deployment, digest_of, make_key
 from lavenderrun.bench._hosts import BenchHost
 from lavenderrun.bench._network import BenchNetwork
-from lavenderrun.bench._parts import PARTS, RecordList
-from lavenderrun.bench._time import EventClock, make_clock
+from lavenderrun.bench._recordlist import RecordList
+from lavenderrun.bench._table import DOCUMENT_TABLE, TOKEN_BYTES, WitnessTable
+from lavenderrun.bench._time import EventClock
 from lavenderrun.bench._workload import Offered, OfferedCall, OfferedPrompt, Workload
 from lavenderrun.codecs import encode_stored, make_stored
 from lavenderrun.daemons import ENTRY_SERVICES, list_agent_services
-from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.kernel import Kernel
 from lavenderrun.services import Policies
-from lavenderrun.standins import EngineModel, Fabric, TableCore, TableFaults, expected_tokens
+from lavenderrun.standins import (
+    EngineModel,
+    Fabric,
+    MemoryPlain,
+    PlainCore,
+    TableFaults,
+    expected_tokens,
+)
 from lavenderrun.types import (
+    Backend,
     BackendId,
     BackendRole,
     CallerSent,
-    DocumentAccepted,
     DocumentVersion,
     Event,
     Happening,
     HostId,
     MemoryHeld,
     ModelRequest,
+    PlainRequest,
     RequestId,
     Revision,
     Targets,
@@ -39,8 +49,6 @@
 
 CALLER_DELAY = timedelta(milliseconds=1)
 RETRY_DELAY = timedelta(milliseconds=100)
-TOKEN_BYTES = 12
-"""Length of the writer's token that the store client puts before a value."""
 WARM_UP = 6.0
 """Seconds from the start of the hosts to the first request."""
 MOST_TRIES = 3
@@ -60,16 +68,18 @@
         self.seed = seed
         self.chosen = policies or {}
         self.policies = Policies(**self.chosen)
-        self.reactor = EventClock()
-        self.clock = make_clock(self.reactor)
+        self.reactor = self.clock = EventClock()
         self.record = RecordList()
         self.network = BenchNetwork(self.clock, random.Random(f"network-{seed}"))
-        self.table = TableCore()
+        self.table = WitnessTable(lambda what: self.emit(PLATFORM, what))
+        self.extra: Counter[str] = Counter()
         self.store_faults = TableFaults()
         self.document = deployment.build_document()
         rates = {(link.source, link.target): link.bytes_per_second for link in self.document.links}
         self.fabric = Fabric(self.clock, rates)
         self.engines: dict[BackendId, EngineModel] = {}
+        self.desks: dict[BackendId, MemoryPlain] = {}
+        self.desk = PlainCore()
         self.hosts: dict[HostId, BenchHost] = {}
         self.sightings = Sightings()
         self.failures: list[Failure] = []
@@ -121,6 +131,11 @@
                 host.stop()
         self.reactor.advance(settle)
 
+    def send(self, sighting: Sighting) -> None:
+        """Let a caller send a request and note what becomes of it."""
+        self.sightings.all.append(sighting)
+        self._send(sighting, 1)
+
     def at(self, seconds: float, call: Any, *args: Any) -> None:
         """Run *call* so many seconds after the first request could be sent."""
         delay = timedelta(seconds=max(0.0, seconds - self.seconds))
@@ -141,11 +156,8 @@
         return list_agent_services(host.backend.role)
 
     def furnish(self, host: BenchHost, kernel: Kernel) -> None:
-        """Build a host's services, simple ones where none is registered."""
-        for name in self.service_names(host):
-            if not kernel.has(name) and name not in SERVICES:
-                kernel.add(name, PARTS[name](kernel))
-            kernel.build([name])
+        """Build a host's services."""
+        kernel.build(self.service_names(host))
 
     def hang_up(self, entry: HostId) -> None:
         """Break the callers' connections to a dead entry; they try another where they may."""
@@ -165,8 +177,7 @@
         version = DocumentVersion(1)
         revision = Revision(version, "bench", self.clock.now(), "first")
         row = encode_stored(make_stored(self.document, revision, None))
-        self.table.put("document", "current", bytes(TOKEN_BYTES) + row, expect=0)
-        self.emit(PLATFORM, DocumentAccepted(version, self.document))
+        self.table.put(DOCUMENT_TABLE, "current", bytes(TOKEN_BYTES) + row, expect=0)
 
     def _build_hosts(self) -> None:
         for number, place in enumerate(self.deployment.data_centres):
@@ -178,15 +189,20 @@
                 self, f"agent-{backend.id}", backend.agent, backend.data_centre, backend
             )
             self.hosts[host.host] = host
-            if backend.role is not BackendRole.PLAIN:
-                self.engines[backend.id] = EngineModel(
-                    self.clock,
-                    self.fabric,
-                    f"engine-{backend.id}",
-                    backend.data_centre,
-                    speed=self.deployment.speed,
-                    chance=random.Random(f"engine-{self.seed}-{backend.id}"),
-                )
+            if backend.role is BackendRole.PLAIN:
+                self.desks[backend.id] = MemoryPlain(self.clock, self.desk)
+            else:
+                self.engines[backend.id] = self._make_engine(backend)
+
+    def _make_engine(self, backend: Backend) -> EngineModel:
+        return EngineModel(
+            self.clock,
+            self.fabric,
+            f"engine-{backend.id}",
+            backend.data_centre,
+            speed=self.deployment.speed,
+            chance=random.Random(f"engine-{self.seed}-{backend.id}"),
+        )
 
     def _schedule_next(self) -> None:
         offered = next(self._arrivals, None)
@@ -194,9 +210,7 @@
             self.at(offered.at, self._arrive, offered)
 
     def _arrive(self, offered: Offered) -> None:
-        sighting = Sighting(offered, self.find_targets(offered), self.clock.now())
-        self.sightings.all.append(sighting)
-        self._send(sighting, 1)
+        self.send(Sighting(offered, self.find_targets(offered), self.clock.now()))
         self._schedule_next()
 
     def _send(self, sighting: Sighting, tries: int) -> None:
@@ -220,21 +234,31 @@
         entry.clock.run(self._submit, entry, sink, sighting, tries)
 
     def _submit(self, entry: BenchHost, sink: CallerSink, sighting: Sighting, tries: int) -> None:
-        offered = sighting.offered
         open_here = self._open.setdefault(entry.host, {})
+        sink.closed = lambda: open_here.pop(sink.request, None)
+        ticket = self._hand_over(entry, sink, sighting.offered)
+        if sink.is_open:
+            open_here[sink.request] = (sink, ticket, sighting, tries)
+
+    def _hand_over(self, entry: BenchHost, sink: CallerSink, offered: Offered) -> Ticket:
+        router, now, key = entry.find("router"), self.clock.now(), make_key(offered.account)
         if isinstance(offered, OfferedPrompt):
             order = ModelRequest(
-                sink.request,
-                make_key(offered.account),
-                self.deployment.model,
-                offered.prompt,
-                offered.max_tokens,
-                self.clock.now(),
+                sink.request, key, self.deployment.model, offered.prompt, offered.max_tokens, now
             )
-            sink.closed = lambda: open_here.pop(sink.request, None)
-            ticket = entry.find("router").submit_model(order, sink)
-            if sink.is_open:
-                open_here[sink.request] = (sink, ticket, sighting, tries)
+            return router.submit_model(order, sink)  # type: ignore[no-any-return]
+        assert isinstance(offered, OfferedCall)
+        call = PlainRequest(
+            sink.request,
+            key,
+            offered.method,
+            offered.path,
+            [("Accept", "application/json")],
+            offered.body,
+            now,
+            offered.idempotency_key,
+        )
+        return router.submit_plain(call, sink)  # type: ignore[no-any-return]
 
 
 def may_retry(offered: Offered) -> bool:
@@ -256,7 +280,7 @@
         what = CallerSent(
             request,
             offered.account,
-            "",
+            digest_answer(offered.answer),
             digest,
             offered.idempotency_key,
             offered.repeatability,
