--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -23,12 +23,14 @@
 )
 from lavenderrun.decisions import find_plain_route
 from lavenderrun.kernel import SERVICES, Kernel, Registry
-from lavenderrun.services._front_http import FrontFactory, FrontRequest
+from lavenderrun.services._front_http import FrontChannel, FrontFactory, FrontRequest
 from lavenderrun.services._front_sinks import PlainSink, Sink, StreamSink, WholeSink
 from lavenderrun.services._listener import Listener
 from lavenderrun.types import (
+    Admission,
     DocumentSource,
     FrontSettings,
+    ModelName,
     ModelRequest,
     Outcome,
     PlainRequest,
@@ -53,7 +55,6 @@
     def __init__(self, kernel: Kernel) -> None:
         self.settings: FrontSettings = kernel.settings.front
         self._kernel = kernel
-        self._running = 0
         self._drained: Deferred[None] | None = None
         self._factory: FrontFactory | None = None
         self._listener: Listener | None = None
@@ -71,6 +72,7 @@
     def make_factory(self, reactor: IReactorTime) -> FrontFactory:
         """Return the factory of callers' connections; their timeouts run on *reactor*."""
         self._factory = FrontFactory(self, reactor)
+        self._factory.emptied = self._check_drained
         return self._factory
 
     def start(self) -> None:
@@ -82,15 +84,15 @@
 
     def stop(self) -> Deferred[None]:
         """Take no new connection, let what runs finish, then close."""
-        drained: Deferred[None] = Deferred()
+        drained = self._drained = Deferred()
         if self._listener is not None:
             self._listener.close()
-        log_message("front:draining", text="front: finishing requests", running=self._running)
-        self._drained = drained
-        for channel in list(self._factory.channels) if self._factory else []:
-            channel.close_when_idle()
+        channels = self._list_channels()
+        log_message("front:draining", text="front: closing connections", open=len(channels))
         limit = self._kernel.clock.call_later(self.settings.drain, self._abort_rest)
         drained.addBoth(lambda _: limit.cancel())
+        for channel in channels:
+            channel.close_when_idle()
         self._check_drained()
         return drained
 
@@ -119,7 +121,7 @@
         call = parse(body)
         arrived = self._kernel.clock.now()
         kind = StreamSink if call.stream else WholeSink
-        sink = kind(request, self.settings, self._kernel.clock, self._end)
+        sink = kind(request, self.settings, self._kernel.clock)
         sink.codec = AnswerCodec(call.form, request.id, call.model, arrived)
         model_request = ModelRequest(
             request.id,
@@ -139,7 +141,7 @@
         idempotency_key = parse_idempotency_key(request.find_headers("Idempotency-Key"))
         body = request.read_body()
         _check_size(len(body), self.settings.max_plain_body)
-        sink = PlainSink(request, self.settings, self._kernel.clock, self._end)
+        sink = PlainSink(request, self.settings, self._kernel.clock)
         plain_request = PlainRequest(
             request.id,
             key,
@@ -153,17 +155,30 @@
         self._submit(sink, partial(self.router.submit_plain, plain_request, sink))
 
     def serve_models(self, request: FrontRequest) -> None:
-        """List the models of the document in force."""
-        _read_key(request)
+        """List the models that the key may use."""
+        key = _read_key(request)
         document = self._find_document().current
         if document is None:
             refused = Refused(Refusal.NOT_READY, Outcome.NOT_RUN, Step.ADMISSION)
             request.answer_refused(refused)
             return
-        request.answer(200, encode_models(route.model for route in document.model_routes), [])
+        names = []
+        for route in document.model_routes:
+            refused_or_not = self._try_model(request, key, route.model)
+            if refused_or_not is None:
+                names.append(route.model)
+            elif refused_or_not.refusal is not Refusal.ROUTE_NOT_ALLOWED:
+                request.answer_refused(refused_or_not)
+                return
+        request.answer(200, encode_models(names), [])
+
+    def _try_model(self, request: FrontRequest, key: str, model: ModelName) -> Refused | None:
+        admission = self._kernel.find("admission", Admission)
+        probe = ModelRequest(request.id, key, model, "", 1, self._kernel.clock.now())
+        admitted = admission.admit_model(probe)
+        return admitted if isinstance(admitted, Refused) else None
 
     def _submit(self, sink: Sink, submit: Callable[[], Ticket]) -> None:
-        self._running += 1
         try:
             sink.attach(submit())
         except Exception as error:
@@ -197,21 +212,18 @@
             return None
         return certificate, private_key
 
-    def _end(self) -> None:
-        self._running -= 1
-        self._check_drained()
-
     def _check_drained(self) -> None:
         drained = self._drained
-        if drained is not None and not drained.called and not self._running:
+        if drained is not None and not drained.called and not self._list_channels():
             drained.callback(None)
 
     def _abort_rest(self) -> None:
-        log_message("front:drain_over", text="front: drain took too long", running=self._running)
-        for channel in list(self._factory.channels) if self._factory else []:
+        log_message("front:drain_over", text="front: drain took too long, connections cut")
+        for channel in self._list_channels():
             channel.abort()
-        self._running = 0
-        self._check_drained()
+
+    def _list_channels(self) -> list[FrontChannel]:
+        return list(self._factory.channels) if self._factory is not None else []
 
 
 def _find_place(error: BaseException) -> str:
--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from io import BytesIO
 from typing import Any, Protocol
 from uuid import uuid4
@@ -142,8 +143,8 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Tell the connection's requests."""
-        self.factory.channels.discard(self)
         super().connectionLost(reason)
+        self.factory.forget(self)
 
     def abort(self) -> None:
         """Drop the connection at once."""
@@ -175,6 +176,7 @@
     """Makes the channels of the callers' front.
 
     :param reactor: time of the idle timeout.
+    :ivar emptied: called when the last connection has closed.
     """
 
     noisy = False
@@ -182,6 +184,7 @@
     def __init__(self, handler: Handler, reactor: IReactorTime) -> None:
         self.handler = handler
         self.channels: set[FrontChannel] = set()
+        self.emptied: Callable[[], None] = lambda: None
         self._reactor = reactor
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
@@ -192,5 +195,11 @@
         channel.timeOut = self.handler.settings.idle.total_seconds()
         return channel
 
+    def forget(self, channel: FrontChannel) -> None:
+        """Drop a closed channel and tell when it was the last."""
+        self.channels.discard(channel)
+        if not self.channels:
+            self.emptied()
+
     def log(self, request: FrontRequest) -> None:
         """Write no access log; the front logs each request itself."""
--- a/src/lavenderrun/services/_front_output.py
+++ b/src/lavenderrun/services/_front_output.py
@@ -44,6 +44,17 @@
         self._stall: Timer | None = None
         request.notifyFinish().addErrback(self._drop)
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the caller is slow."""
+        return self._paused
+
+    def hold(self, size: int) -> None:
+        """Count *size* bytes that the user keeps itself; drop the caller over the bound."""
+        self._size += size
+        if self._size > self._settings.buffer:
+            self._abort("front: caller reads too slowly, buffer full")
+
     def write(self, data: bytes) -> None:
         """Send *data*, or keep it while the caller is slow; drop the caller over the bound."""
         if self._closed:
@@ -55,9 +66,7 @@
             self._request.write(data)
             return
         self._kept.append(data)
-        self._size += len(data)
-        if self._size > self._settings.buffer:
-            self._abort("front: caller reads too slowly, buffer full")
+        self.hold(len(data))
 
     def finish(self) -> None:
         """End the answer after what is kept."""
--- a/src/lavenderrun/services/_front_sinks.py
+++ b/src/lavenderrun/services/_front_sinks.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from eliot import log_message
 
 from lavenderrun.codecs import DONE_EVENT, AnswerCodec, encode_error_event
@@ -16,22 +14,12 @@
 
 
 class Sink:
-    """Common part of the sinks: one request, its output and its ticket.
-
-    :param done: called once when the request has ended, by whichever way.
-    """
+    """Common part of the sinks: one request, its output and its ticket."""
 
-    def __init__(
-        self,
-        request: FrontRequest,
-        settings: FrontSettings,
-        clock: Clock,
-        done: Callable[[], None],
-    ) -> None:
+    def __init__(self, request: FrontRequest, settings: FrontSettings, clock: Clock) -> None:
         self._request = request
         self._ticket: Ticket | None = None
         self._ended = False
-        self._done = done
         self._output = Output(request, settings, clock, lost=self._lose, pace=self._pace)
 
     def attach(self, ticket: Ticket) -> None:
@@ -51,7 +39,7 @@
             step=refused.step.value,
             peer=refused.peer,
         )
-        self._end()
+        self._ended = True
         if self._request.answered:
             self._break(refused)
         else:
@@ -60,14 +48,10 @@
     def _break(self, refused: Refused) -> None:
         self._output.cut()
 
-    def _end(self) -> None:
-        self._ended = True
-        self._done()
-
     def _lose(self) -> None:
         if self._ended:
             return
-        self._end()
+        self._ended = True
         log_message("front:caller_gone", text="front: caller is gone", request=self._request.id)
         if self._ticket is not None:
             self._ticket.cancel()
@@ -78,17 +62,28 @@
 
 
 class StreamSink(Sink):
-    """Sends tokens as server-sent events."""
+    """Sends tokens as server-sent events.
+
+    What comes while the caller is slow goes out as one event when it reads again.
+    """
 
     codec: AnswerCodec
 
+    def __init__(self, request: FrontRequest, settings: FrontSettings, clock: Clock) -> None:
+        super().__init__(request, settings, clock)
+        self._held: list[str] = []
+
     def put_tokens(self, tokens: list[str]) -> None:
         """Send the next tokens."""
         if self._ended:
             return
         if not self._request.answered:
             self._request.put_head(200, EVENT_STREAM)
-        self._output.write(self.codec.encode_event("".join(tokens)))
+        if self._output.is_paused:
+            self._held += tokens
+            self._output.hold(sum(map(len, tokens)))
+        else:
+            self._output.write(self.codec.encode_event("".join(tokens)))
 
     def finish(self, reason: FinishReason) -> None:
         """Send the last event and the end mark."""
@@ -96,10 +91,17 @@
             return
         if not self._request.answered:
             self._request.put_head(200, EVENT_STREAM)
-        self._output.write(self.codec.encode_event("", reason) + DONE_EVENT)
-        self._end()
+        text = "".join(self._held)
+        self._output.write(self.codec.encode_event(text, reason) + DONE_EVENT)
+        self._ended = True
         self._output.finish()
 
+    def _pace(self, slow: bool) -> None:
+        held, self._held = self._held, []
+        if held:
+            self._output.write(self.codec.encode_event("".join(held)))
+        super()._pace(slow)
+
     def _break(self, refused: Refused) -> None:
         self._request.channel.persistent = 0
         self._output.write(encode_error_event(refused))
@@ -111,14 +113,8 @@
 
     codec: AnswerCodec
 
-    def __init__(
-        self,
-        request: FrontRequest,
-        settings: FrontSettings,
-        clock: Clock,
-        done: Callable[[], None],
-    ) -> None:
-        super().__init__(request, settings, clock, done)
+    def __init__(self, request: FrontRequest, settings: FrontSettings, clock: Clock) -> None:
+        super().__init__(request, settings, clock)
         self._tokens: list[str] = []
 
     def put_tokens(self, tokens: list[str]) -> None:
@@ -129,7 +125,7 @@
         """Send the answer."""
         if self._ended:
             return
-        self._end()
+        self._ended = True
         text = "".join(self._tokens)
         self._request.answer(200, self.codec.encode_whole(text, len(self._tokens), reason), [])
 
@@ -150,5 +146,5 @@
     def finish(self) -> None:
         """End the reply."""
         if not self._ended:
-            self._end()
+            self._ended = True
             self._output.finish()
--- a/src/lavenderrun/services/_plain_agent.py
+++ b/src/lavenderrun/services/_plain_agent.py
@@ -13,6 +13,7 @@
 from lavenderrun.services._alarm import Alarm
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._plain_job import JobState, PlainJob
+from lavenderrun.services._plain_kept import KeptReplies
 from lavenderrun.services._policies import Policies
 from lavenderrun.types import (
     AccountId,
@@ -40,10 +41,6 @@
 
 FIRST_COST = 0.02
 MAX_HELD_BYTES = 64 << 20
-MAX_KEPT_BYTES = 16 << 20
-MAX_KEPT = 4096
-KEEP_REPLY = timedelta(seconds=10)
-KEEP_OUTCOME = timedelta(seconds=120)
 ENTRY_GRACE = timedelta(seconds=5)
 DRAIN = timedelta(seconds=60)
 RETRY_AFTER = timedelta(seconds=1)
@@ -52,9 +49,8 @@
 class PlainAgent:
     """The calls of one plain backend server.
 
-    Each attempt starts at most once. Replies of calls that may not be repeated are kept for
-    :data:`KEEP_OUTCOME`, within :data:`MAX_KEPT` and :data:`MAX_KEPT_BYTES`, for the caller's
-    next try.
+    Each attempt starts at most once. Replies are kept until the entry has them; those of calls
+    that may not be repeated for longer, for the caller's next try.
     """
 
     needs: ClassVar[tuple[str, ...]] = ("links", "plain", "record")
@@ -70,7 +66,7 @@
         self._cost = Mean(FIRST_COST)
         self._ledger = CallLedger()
         self._jobs: dict[JobKey, PlainJob] = {}
-        self._ended: dict[JobKey, PlainJob] = {}
+        self._kept = KeptReplies(kernel.clock)
         self._timers: dict[JobKey, Timer] = {}
         self._running = 0
         self._alarm = Alarm(kernel.clock, self._serve)
@@ -126,7 +122,7 @@
             return Refusal.CANCELLED
         if self._drained is not None:
             return Refusal.LEAVING
-        held = sum(job.held() for job in self._jobs.values())
+        held = sum(job.held_bytes for job in self._jobs.values())
         return Refusal.NO_ROOM if held > MAX_HELD_BYTES else None
 
     def _take_body(self, _link: Link, part: CallBody) -> None:
@@ -217,17 +213,9 @@
         if refused is not None and not (job.is_once and started):
             self._drop(job)
             return
-        self._keep(job)
-
-    def _keep(self, job: PlainJob) -> None:
         job.state = JobState.ENDED
-        self._ended[job.key] = self._jobs.pop(job.key)
-        self._expect(job.key, KEEP_OUTCOME if job.is_once else KEEP_REPLY, self._drop_key)
-        size = sum(job.held() for job in self._ended.values())
-        while size > MAX_KEPT_BYTES or len(self._ended) > MAX_KEPT:
-            oldest = next(iter(self._ended.values()))
-            size -= oldest.held()
-            self._drop(oldest)
+        self._forget_timer(job.key)
+        self._kept.add(self._jobs.pop(job.key))
 
     # entries ask
 
@@ -284,7 +272,7 @@
             self._drop(job)
 
     def _link_down(self, link: Link) -> None:
-        jobs = [*self._jobs.values(), *self._ended.values()]
+        jobs = [*self._jobs.values(), *self._kept.all()]
         for job in [job for job in jobs if job.link is link]:
             job.detach()
             if job.state in (JobState.RECEIVING, JobState.QUEUED):
@@ -300,7 +288,7 @@
         link.send(AttemptFailed(*key, refused, started=started))
 
     def _find(self, key: JobKey) -> PlainJob | None:
-        return self._jobs.get(key) or self._ended.get(key)
+        return self._jobs.get(key) or self._kept.find(key)
 
     def _drop_key(self, key: JobKey) -> None:
         job = self._find(key)
@@ -309,7 +297,7 @@
 
     def _drop(self, job: PlainJob) -> None:
         self._jobs.pop(job.key, None)
-        self._ended.pop(job.key, None)
+        self._kept.drop(job.key)
         self._forget_timer(job.key)
         if job.state in (JobState.RECEIVING, JobState.QUEUED):
             self._queue.remove(job.key)
@@ -332,11 +320,7 @@
             self._drained.callback(None)
 
     def _is_busy(self) -> bool:
-        unread = any(
-            job.refused is None and job.link is not None and not job.is_acked
-            for job in self._ended.values()
-        )
-        return unread or bool(self._jobs)
+        return bool(self._jobs) or self._kept.has_unread()
 
     def _end_drain(self) -> None:
         if self._drained is not None and not self._drained.called:
@@ -344,7 +328,7 @@
 
     def _close(self, limit: Timer) -> None:
         limit.cancel()
-        for job in [*self._jobs.values(), *self._ended.values()]:
+        for job in [*self._jobs.values(), *self._kept.all()]:
             self._drop(job)
         self._alarm.set(None)
 
--- a/src/lavenderrun/services/_plain_job.py
+++ b/src/lavenderrun/services/_plain_job.py
@@ -38,6 +38,7 @@
 class PlainJob:
     """A call; takes the reply from the backend server as its ``ReplySink``.
 
+    :ivar kept_bytes: size of the reply when the call ended.
     :param ended: called once at the reply's end or its refusal.
     """
 
@@ -49,6 +50,7 @@
         self.running: Running | None = None
         self.refused: Refused | None = None
         self.is_whole = False
+        self.kept_bytes = 0
         self._ended = ended
         self._body = [call.body]
         self._size = len(call.body)
@@ -85,9 +87,10 @@
         self._body.clear()
         return body
 
-    def held(self) -> int:
-        """Return the bytes held for the call."""
-        return self._size + len(self._reply)
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the call and of its reply that the agent holds."""
+        return sum(map(len, self._body)) + len(self._reply)
 
     # the reply, from the backend server
 
@@ -108,6 +111,7 @@
     def finish(self) -> None:
         """Send the end on."""
         self.is_whole = True
+        self.kept_bytes = len(self._reply)
         self._send(ReplyBody(*self.key, self._sent, b"", last=True))
         self._ended(self)
 
--- a/src/lavenderrun/services/_plain_router.py
+++ b/src/lavenderrun/services/_plain_router.py
@@ -13,6 +13,7 @@
 from lavenderrun.services._chooser import Chooser
 from lavenderrun.services._claims import ClaimDesk, name_claim
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._plain_attempt import CallMessage
 from lavenderrun.services._plain_call import PlainCall
 from lavenderrun.services._plain_claim import PlainClaim
 from lavenderrun.types import (
@@ -40,8 +41,6 @@
     Ticket,
 )
 
-CallMessage = ReplyHead | ReplyBody | AttemptFailed | Revoked
-
 
 class EndedTicket:
     """Ticket of a call that was refused at once."""
