--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
+from lavenderrun.decisions._assignment import Assignment, Place, assign
+from lavenderrun.decisions._fencing import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    StoredLease,
+)
+from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
+
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -60,6 +70,7 @@
     Release,
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
+from lavenderrun.decisions._quarantine import MAX_CRASHES, Probes, Quarantine, find_home
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
@@ -76,6 +87,7 @@
 __all__ = [
     "INVARIANT_CHECKS",
     "LIMIT_POLICIES",
+    "MAX_CRASHES",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
@@ -83,6 +95,8 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "Assignment",
+    "Blocked",
     "CallLedger",
     "Candidate",
     "Chance",
@@ -91,6 +105,7 @@
     "Compute",
     "Drop",
     "FairQueue",
+    "FenceGate",
     "FifoQueue",
     "FleetLimits",
     "Freshness",
@@ -98,12 +113,18 @@
     "HeldCharge",
     "Job",
     "JobKey",
+    "LeaseKeeper",
+    "LeaseTerms",
+    "LeaseWrite",
     "LinkBudget",
     "Mean",
     "Need",
+    "Orderer",
     "OutputLengths",
     "Peer",
+    "Place",
     "Placement",
+    "PlannedOrder",
     "Pool",
     "PrefillAction",
     "PrefillBook",
@@ -112,9 +133,11 @@
     "PrefillPlacement",
     "PrefillSpeed",
     "PrefixIndex",
+    "Probes",
     "Progress",
     "Promise",
     "PromisePolicy",
+    "Quarantine",
     "QueuePolicy",
     "Reason",
     "RecentSends",
@@ -135,9 +158,11 @@
     "SlotTerms",
     "SlotWrite",
     "Stop",
+    "StoredLease",
     "StoredSlot",
     "Tombstones",
     "Violation",
+    "assign",
     "check_record",
     "choose_dials",
     "choose_voters",
@@ -145,6 +170,7 @@
     "count_tokens",
     "digest_key",
     "find_changes",
+    "find_home",
     "find_plain_route",
     "find_shares",
     "grant_key",
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+from lavenderrun.types._lease_rows import LeaseName, LeaseRow
+from lavenderrun.types._order_messages import (
+    Fence,
+    Loaded,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    OrderOutcome,
+    Serving,
+    ServingState,
+)
+
 from lavenderrun.types._document import (
     Account,
     Backend,
@@ -118,7 +130,23 @@
     TokenSink,
     Transport,
 )
-from lavenderrun.types._refusals import BackendCrashError, Refusal, Refused, StepError
+from lavenderrun.types._quarantine import (
+    Acquitted,
+    ProbeAnswer,
+    ProbeAsk,
+    ProbeEnd,
+    QuarantineKeeper,
+    Strike,
+    Suspect,
+    Verdict,
+)
+from lavenderrun.types._refusals import (
+    BackendCrashError,
+    BackendDownError,
+    Refusal,
+    Refused,
+    StepError,
+)
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
@@ -141,7 +169,7 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._rows import Claim, EntryHost, KeptReply
+from lavenderrun.types._rows import Claim, EntryHost, KeptReply, StruckRow
 from lavenderrun.types._settings import (
     AgentSettings,
     BackendSettings,
@@ -184,6 +212,7 @@
     "Account",
     "AccountId",
     "Ack",
+    "Acquitted",
     "Admission",
     "Admitted",
     "AdmittedModel",
@@ -196,6 +225,7 @@
     "Backend",
     "BackendCrashError",
     "BackendCrashed",
+    "BackendDownError",
     "BackendEnded",
     "BackendId",
     "BackendReceived",
@@ -235,6 +265,7 @@
     "ExportFreed",
     "ExportHandle",
     "ExportHeld",
+    "Fence",
     "FencingNumber",
     "Fingerprint",
     "FinishReason",
@@ -256,11 +287,14 @@
     "Invariant",
     "KeptReply",
     "KeyDigest",
+    "LeaseName",
+    "LeaseRow",
     "Limits",
     "Link",
     "LinkRate",
     "Links",
     "Load",
+    "Loaded",
     "Loan",
     "LoanRequest",
     "LoanReturn",
@@ -270,6 +304,10 @@
     "ModelName",
     "ModelRequest",
     "ModelRoute",
+    "Order",
+    "OrderAnswer",
+    "OrderKind",
+    "OrderOutcome",
     "Outcome",
     "PacedTicket",
     "Part",
@@ -285,6 +323,10 @@
     "PrefillUsed",
     "PrefillWasted",
     "Prefilled",
+    "ProbeAnswer",
+    "ProbeAsk",
+    "ProbeEnd",
+    "QuarantineKeeper",
     "Rate",
     "Record",
     "Refusal",
@@ -313,6 +355,8 @@
     "SeatTaken",
     "ServedSettings",
     "ServiceGroup",
+    "Serving",
+    "ServingState",
     "SlotId",
     "SlotRow",
     "Start",
@@ -325,13 +369,17 @@
     "StoreUnavailableError",
     "StoredDocument",
     "StoredRow",
+    "Strike",
+    "StruckRow",
     "Submitted",
+    "Suspect",
     "Targets",
     "Ticket",
     "TokenSink",
     "TokensGranted",
     "TokensReturned",
     "Transport",
+    "Verdict",
     "Vouch",
     "Vouched",
     "event",
