--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from lavenderrun.codecs._lease_rows import LEASE_TABLE
-
 from lavenderrun.codecs import _claim_rows as _claim_rows
 from lavenderrun.codecs import _entry_rows as _entry_rows
 from lavenderrun.codecs import _quarantine_rows as _quarantine_rows
@@ -40,6 +38,7 @@
     encode_decode_event,
 )
 from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._lease_rows import LEASE_TABLE
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
 from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,16 +2,6 @@
 
 from __future__ import annotations
 
-from lavenderrun.decisions._assignment import Assignment, Place, assign
-from lavenderrun.decisions._fencing import (
-    FenceGate,
-    LeaseKeeper,
-    LeaseTerms,
-    LeaseWrite,
-    StoredLease,
-)
-from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
-
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -22,6 +12,7 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._assignment import Assignment, Place, assign
 from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
 from lavenderrun.decisions._claims import (
@@ -32,6 +23,13 @@
 )
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._fencing import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    StoredLease,
+)
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._keys import grant_key, withdraw_key
@@ -49,6 +47,7 @@
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
+from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from lavenderrun.services._leases import LeasesService
-
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
+from lavenderrun.services._leases import LeasesService
 from lavenderrun.services._limits import LimitsService
 from lavenderrun.services._links import LinksService
 from lavenderrun.services._listener import Listener, ListenError
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -2,18 +2,6 @@
 
 from __future__ import annotations
 
-from lavenderrun.types._lease_rows import LeaseName, LeaseRow
-from lavenderrun.types._order_messages import (
-    Fence,
-    Loaded,
-    Order,
-    OrderAnswer,
-    OrderKind,
-    OrderOutcome,
-    Serving,
-    ServingState,
-)
-
 from lavenderrun.types._document import (
     Account,
     Backend,
@@ -73,6 +61,7 @@
     RouteName,
     ServiceGroup,
 )
+from lavenderrun.types._lease_rows import LeaseName, LeaseRow
 from lavenderrun.types._limit_messages import (
     HeldSlot,
     Loan,
@@ -106,6 +95,16 @@
     Start,
     message,
 )
+from lavenderrun.types._order_messages import (
+    Fence,
+    Loaded,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    OrderOutcome,
+    Serving,
+    ServingState,
+)
 from lavenderrun.types._ports import (
     Admission,
     Charge,
