Order models, revisions, adapters and roles from the document

Cause: backend servers take orders from anybody who holds an old number, holders pause, and replies are lost. The planner gives one order a server, repeats it under its number, keeps the last server of a wanted role, loads a new model before the last old one goes, and paces loads by the weight store's rate. Agents refuse old fencing numbers, drain first, and check the number again when the work is done. Found on the way: the last server of an old model was taken while the first new load still ran; the planner now counts what is under way.

--- a/src/lavenderrun/codecs/_engine.py
+++ b/src/lavenderrun/codecs/_engine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lavenderrun.types import (
+    BackendRole,
     ExportHandle,
     FencingNumber,
     FinishReason,
@@ -91,6 +92,15 @@
     pieces_free: int
 
 
+class LoadedReply(msgspec.Struct, frozen=True):
+    """Reply to ``GET /loaded``; engines that cannot tell answer 404."""
+
+    model: ModelName
+    revision: str
+    adapters: list[str]
+    role: BackendRole
+
+
 class OrderCall(msgspec.Struct, frozen=True):
     """Body of ``POST /orders``.
 
--- a/src/lavenderrun/decisions/_orders.py
+++ b/src/lavenderrun/decisions/_orders.py
@@ -7,8 +7,10 @@
 from datetime import datetime, timedelta
 
 import msgspec
+from msgspec.structs import replace
 
 from lavenderrun.decisions._assignment import Assignment, Place, assign
+from lavenderrun.decisions._standing import Standing
 from lavenderrun.types import (
     BackendId,
     BackendRole,
@@ -58,6 +60,7 @@
     or the answer is lost, the same order is sent again under its number.
 
     :param rate: bytes a second that all loads may read together.
+    :param now: loads of an earlier term are awaited, for their end shows in the reports.
     """
 
     def __init__(self, rate: float, now: datetime) -> None:
@@ -71,10 +74,6 @@
         """Set the weight store's rate."""
         self._rate = rate
 
-    def note_running(self, model: Model, now: datetime) -> None:
-        """Count a load that an earlier lease holder began."""
-        self._reserve(model, now)
-
     def fail(self, backend: BackendId, number: int) -> None:
         """Take an agent's answer that an order came to nothing."""
         pending = self._pending.get(backend)
@@ -90,28 +89,60 @@
         """
         self._settle(reports)
         orders = self._find_repeats(reports, now)
-        by_name = {model.name: model for model in models}
-        wanted = assign(models, reports)
-        standing = _Standing(models, reports, set(self._pending))
         self.blocked = []
+        if self._has_foreign_work(reports):
+            return orders
+        by_name = {model.name: model for model in models}
+        wanted = assign(models, {b: self._expect(b, report) for b, report in reports.items()})
+        standing = Standing(models, reports, set(self._pending))
         for backend, target in sorted(wanted.items()):
             report = reports[backend]
             if backend in self._pending or report.state is not ServingState.READY:
                 continue
             order = self._find_step(backend, target, report.loaded, by_name)
-            if order is None:
-                continue
-            if order.kind is not OrderKind.LOAD_ADAPTER and not standing.may_take(backend):
-                self.blocked.append(Blocked(backend, target.place))
+            if order is None or not self._may_begin(order, standing, by_name, now):
                 continue
-            if order.kind is OrderKind.LOAD_MODEL and not self._reserve(by_name[order.model], now):
-                continue
-            if order.kind is not OrderKind.LOAD_ADAPTER:
-                standing.take(backend)
             self._pending[backend] = _Pending(order, now)
             orders.append(order)
         return orders
 
+    def _may_begin(
+        self,
+        order: PlannedOrder,
+        standing: Standing,
+        models: Mapping[ModelName, Model],
+        now: datetime,
+    ) -> bool:
+        """Check an order against what must go on being served and the weight store's rate."""
+        if order.kind is OrderKind.LOAD_ADAPTER:
+            return True
+        if not standing.may_take(order.backend):
+            self.blocked.append(Blocked(order.backend, Place(order.model, order.role)))
+            return False
+        if order.kind is OrderKind.LOAD_MODEL and not self._reserve(models[order.model], now):
+            return False
+        standing.take(order.backend)
+        return True
+
+    def _has_foreign_work(self, reports: Mapping[BackendId, Serving]) -> bool:
+        """Tell whether an order of an earlier lease holder is still carried out."""
+        return any(
+            report.state is not ServingState.READY and backend not in self._pending
+            for backend, report in reports.items()
+        )
+
+    def _expect(self, backend: BackendId, report: Serving) -> Serving:
+        """Return the report as it will be once the pending order is done."""
+        pending = self._pending.get(backend)
+        if pending is None:
+            return report
+        order, loaded = pending.order, report.loaded
+        if order.kind is OrderKind.LOAD_MODEL:
+            loaded = Loaded(order.model, order.revision, [], loaded.role)
+        elif order.kind is OrderKind.CHANGE_ROLE:
+            loaded = replace(loaded, role=order.role)
+        return replace(report, loaded=loaded)
+
     def _settle(self, reports: Mapping[BackendId, Serving]) -> None:
         for backend, pending in list(self._pending.items()):
             report = reports.get(backend)
@@ -141,7 +172,8 @@
     ) -> PlannedOrder | None:
         """Return the next order that brings one backend server nearer to its target."""
         model = models[target.place.model]
-        if (loaded.model, loaded.revision) != (model.name, model.revision):
+        # an engine that does not tell its revision is taken to have the right one
+        if loaded.model != model.name or loaded.revision not in ("", model.revision):
             kind, adapter = OrderKind.LOAD_MODEL, ""
         elif loaded.role is not target.place.role:
             kind, adapter = OrderKind.CHANGE_ROLE, ""
@@ -162,58 +194,6 @@
         return True
 
 
-class _Standing:
-    """How many ready servers each model's role has, less those that orders take away."""
-
-    def __init__(
-        self,
-        models: Sequence[Model],
-        reports: Mapping[BackendId, Serving],
-        pending: set[BackendId],
-    ) -> None:
-        self._ready = {
-            backend: Place(report.loaded.model, report.loaded.role)
-            for backend, report in reports.items()
-            if report.state is ServingState.READY and backend not in pending
-        }
-        self._places = [
-            Place(model.name, role)
-            for model in models
-            for role, count in (
-                (BackendRole.PREFILL, model.prefill),
-                (BackendRole.DECODE, model.decode),
-            )
-            if count > 0
-        ]
-
-    def may_take(self, backend: BackendId) -> bool:
-        """Tell whether a server may stop serving what it serves now."""
-        place = self._ready[backend]
-        if not place.model:
-            return True
-        others = [other for other in self._ready.values() if other == place]
-        if len(others) > 1:
-            return True
-        if place in self._places:
-            return False
-        # the last of a model that is no longer wanted goes once all wanted ones are served
-        served = set(self._ready.values())
-        missing = [wanted for wanted in self._places if wanted not in served]
-        return not missing or not self._has_spare(backend)
-
-    def take(self, backend: BackendId) -> None:
-        """Count a server as taken away."""
-        del self._ready[backend]
-
-    def _has_spare(self, backend: BackendId) -> bool:
-        """Tell whether a server other than the last ones of their roles could be used."""
-        places = list(self._ready.values())
-        return any(
-            other != backend and (not place.model or places.count(place) > 1)
-            for other, place in self._ready.items()
-        )
-
-
 def _is_done(order: PlannedOrder, loaded: Loaded) -> bool:
     if order.kind is OrderKind.LOAD_MODEL:
         return (loaded.model, loaded.revision) == (order.model, order.revision)
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -13,6 +13,8 @@
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._order_agent import OrderAgent
+from lavenderrun.services._orders import OrdersService
 from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
 from lavenderrun.services._plain_router import PlainRouter
@@ -41,6 +43,8 @@
     "Listener",
     "Membership",
     "ModelRouter",
+    "OrderAgent",
+    "OrdersService",
     "PlainAgent",
     "PlainRouter",
     "Policies",
--- a/src/lavenderrun/services/_engine_http.py
+++ b/src/lavenderrun/services/_engine_http.py
@@ -21,6 +21,7 @@
     EngineProtocolError,
     ExportReply,
     FaultReply,
+    LoadedReply,
     LoadReply,
     OrderCall,
     PrefillCall,
@@ -35,7 +36,10 @@
     BackendSettings,
     Export,
     ExportHandle,
+    Loaded,
     ModelName,
+    Order,
+    OrderKind,
     RequestId,
     Step,
     StepError,
@@ -106,6 +110,30 @@
         """Give an order; fails with ``StepError`` when its fencing number is old."""
         return self._post("orders", order, Step.ORDER).addCallback(_drop)
 
+    def obey(self, order: Order) -> Deferred[None]:
+        """Carry an order out; see ``OrderedEngine``."""
+        role = order.role.value if order.kind is OrderKind.CHANGE_ROLE else ""
+        call = OrderCall(
+            order.kind, order.fencing, order.model, order.adapter, role, order.revision
+        )
+        return self.order(call)
+
+    def find_loaded(self) -> Deferred[Loaded | None]:
+        """Read what the engine serves; see ``OrderedEngine``."""
+        url = f"http://{self.address}/loaded".encode()
+        done: Deferred[Any] = self._agent.request(b"GET", url, Headers(), None)
+        done.addCallback(self._read_loaded).addErrback(self.translate, Step.ORDER)
+        return done
+
+    def _read_loaded(self, response: Any) -> Deferred[Any] | None:
+        if response.code == HTTPStatus.NOT_FOUND:
+            return None
+        return (
+            self.check(response, Step.ORDER)
+            .addCallback(self._decode, LoadedReply, Step.ORDER)
+            .addCallback(_to_loaded)
+        )
+
     def check(self, response: Any, step: Step) -> Deferred[bytes]:
         """Return the body of a success.
 
@@ -261,6 +289,10 @@
     return Export(reply.handle, reply.source, reply.tokens, reply.cached, lives)
 
 
+def _to_loaded(reply: LoadedReply) -> Loaded:
+    return Loaded(reply.model, reply.revision, reply.adapters, reply.role)
+
+
 def _read_fault(body: bytes, code: int) -> str:
     try:
         return decode_body(body, FaultReply).fault
--- a/src/lavenderrun/services/_links.py
+++ b/src/lavenderrun/services/_links.py
@@ -51,6 +51,7 @@
         self._seen: Callable[[DocumentVersion, Link], None] | None = None
         self._load: Callable[[], Load] | None = None
         self._leaving = False
+        self._drained = False
         self._stopped = False
 
     def start(self) -> Any:
@@ -119,6 +120,18 @@
         for link in self._links.values():
             link.announce()
 
+    def drain(self, *, drained: bool) -> None:
+        """Tell all peers whether this host takes no new work for a while."""
+        self._drained = drained
+        for link in self._links.values():
+            link.announce()
+
+    def greet_as(self, hello: Hello) -> None:
+        """Greet all peers anew; they dial again and learn what this host serves now."""
+        self._hello = hello
+        for link in list(self._all):
+            link.close("greeting changed")
+
     # what links ask of their owner
 
     def greet(self) -> Hello:
@@ -135,7 +148,7 @@
 
     def is_stopping(self) -> bool:
         """Tell whether this host takes no new work."""
-        return self._leaving
+        return self._leaving or self._drained
 
     def up(self, link: PeerLink) -> None:
         """Take a greeted link; it replaces an older one to the same host."""
--- a/src/lavenderrun/types/_ports.py
+++ b/src/lavenderrun/types/_ports.py
@@ -15,11 +15,14 @@
     AccountId,
     DocumentVersion,
     ExportHandle,
+    FencingNumber,
     HostId,
     ModelName,
     RequestId,
 )
+from lavenderrun.types._lease_rows import LeaseName
 from lavenderrun.types._messages import Hello, Load, Message
+from lavenderrun.types._order_messages import Loaded, Order
 from lavenderrun.types._refusals import Refused
 from lavenderrun.types._requests import (
     Admitted,
@@ -82,6 +85,12 @@
     def leave(self) -> None:
         """Tell all peers at once that this host takes no new work."""
 
+    def drain(self, *, drained: bool) -> None:
+        """Tell all peers whether this host takes no new work for a while."""
+
+    def greet_as(self, hello: Hello) -> None:
+        """Greet all peers anew, for what this host serves has changed."""
+
     def load(self, host: HostId) -> Load | None:
         """Return the load last heard from *host*."""
 
@@ -319,6 +328,26 @@
         """Return *tokens* of a charge that were not used."""
 
 
+class Leases(Protocol):
+    """Service ``leases``: leases that one host of the fleet holds at a time."""
+
+    def compete(self, name: LeaseName) -> None:
+        """Try to get and keep a lease from now on."""
+
+    def find_fencing(self, name: LeaseName) -> FencingNumber | None:
+        """Return the lease's fencing number if this host holds it at this instant."""
+
+
+class OrderedEngine(Protocol):
+    """Service ``engine`` as far as it takes orders."""
+
+    def find_loaded(self) -> Deferred[Loaded | None]:
+        """Read what the engine serves, ``None`` when it cannot tell; fails with ``StepError``."""
+
+    def obey(self, order: Order) -> Deferred[None]:
+        """Carry an order out; fails with ``StepError``."""
+
+
 class Admission(Protocol):
     """Service ``admission``: whose a request is and by which route it runs."""
 
--- a/tests/services/test_limits_safety.py
+++ b/tests/services/test_limits_safety.py
@@ -85,6 +85,8 @@
 def change_rate(net: Net, rate: Rate) -> None:
     net.rates = {ACCOUNT: rate}
     for each in list(net.hosts.values()):
+        # grants of the same instant would else be held against the new rate
+        net.run(0.01)
         net.note_ceiling()
         each.document.put(make_document(net.rates))
         net.note_ceiling()
