--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._order_agent import OrderAgent
+from lavenderrun.services._orders import OrdersService
+
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
@@ -13,13 +16,12 @@
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
-from lavenderrun.services._order_agent import OrderAgent
-from lavenderrun.services._orders import OrdersService
 from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
 from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
+from lavenderrun.services._quarantine import QuarantineService
 from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
@@ -49,6 +51,7 @@
     "PlainRouter",
     "Policies",
     "PrefillAgent",
+    "QuarantineService",
     "RecordService",
     "RouterService",
     "StoreClient",
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import ClassVar
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -24,6 +24,7 @@
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.services._alarm import Alarm
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._outage import Outage
 from lavenderrun.services._policies import Policies
 from lavenderrun.types import (
     AttemptFailed,
@@ -47,6 +48,8 @@
     Step,
 )
 
+AFTER_PREFILL = timedelta(milliseconds=150)
+"""Time from the end of a prefill's wait to the first token at the caller."""
 PARALLEL = 1
 """Prefills that an engine computes at once."""
 
@@ -72,6 +75,7 @@
         self._links = kernel.find("links", Links)
         self._engine = kernel.find("engine", Engine)
         self._events = Emitter.of(kernel)
+        self._outage = Outage(kernel.clock)
         self._backend: BackendId = kernel.settings.hello().backend
         queue = QUEUE_POLICIES.find(Policies.of(kernel).queue)
         self._book = PrefillBook(PARALLEL, kernel.settings.pieces(), queue)
@@ -103,6 +107,9 @@
         key = (order.request, order.attempt)
         if key in self._jobs:
             return
+        if self._outage.is_on:
+            link.send(AttemptFailed(*key, self._outage.refuse(Step.PREFILL), started=False))
+            return
         self._jobs[key] = PrefillJob(link, order)
         self._apply(self._book.order(self._read(link, order), self._clock.now()))
 
@@ -116,7 +123,7 @@
             cost,
             order.weight,
             order.urgency,
-            now + order.start_in + order.urgency,
+            now + order.urgency - AFTER_PREFILL,
             now + order.start_in + order.patience,
         )
         return PrefillOrder(job, order.tokens, order.start_in, link.peer.host)
@@ -184,6 +191,7 @@
             return
         del self._jobs[key]
         crashed = isinstance(failure.value, BackendCrashError)
+        self._outage.note(failure.value)
         refused = Refused(Refusal.BACKEND_LOST, Outcome.NOT_RUN, Step.PREFILL)
         job.link.send(AttemptFailed(*key, refused, started=False, crashed=crashed))
         self._apply(self._book.fail(key, self._clock.now()))
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -131,7 +131,23 @@
     TokenSink,
     Transport,
 )
-from lavenderrun.types._refusals import BackendCrashError, Refusal, Refused, StepError
+from lavenderrun.types._quarantine import (
+    Acquitted,
+    ProbeAnswer,
+    ProbeAsk,
+    ProbeEnd,
+    QuarantineKeeper,
+    Strike,
+    Suspect,
+    Verdict,
+)
+from lavenderrun.types._refusals import (
+    BackendCrashError,
+    BackendDownError,
+    Refusal,
+    Refused,
+    StepError,
+)
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
@@ -154,7 +170,7 @@
     StoredDocument,
     Submitted,
 )
-from lavenderrun.types._rows import Claim, EntryHost, KeptReply
+from lavenderrun.types._rows import Claim, EntryHost, KeptReply, StruckRow
 from lavenderrun.types._settings import (
     AgentSettings,
     BackendSettings,
@@ -197,6 +213,7 @@
     "Account",
     "AccountId",
     "Ack",
+    "Acquitted",
     "Admission",
     "Admitted",
     "AdmittedModel",
@@ -209,6 +226,7 @@
     "Backend",
     "BackendCrashError",
     "BackendCrashed",
+    "BackendDownError",
     "BackendEnded",
     "BackendId",
     "BackendReceived",
@@ -308,6 +326,10 @@
     "PrefillUsed",
     "PrefillWasted",
     "Prefilled",
+    "ProbeAnswer",
+    "ProbeAsk",
+    "ProbeEnd",
+    "QuarantineKeeper",
     "Rate",
     "Record",
     "Refusal",
@@ -350,13 +372,17 @@
     "StoreUnavailableError",
     "StoredDocument",
     "StoredRow",
+    "Strike",
+    "StruckRow",
     "Submitted",
+    "Suspect",
     "Targets",
     "Ticket",
     "TokenSink",
     "TokensGranted",
     "TokensReturned",
     "Transport",
+    "Verdict",
     "Vouch",
     "Vouched",
     "event",
