--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._order_agent import OrderAgent
+from lavenderrun.services._orders import OrdersService
+
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
@@ -42,6 +45,8 @@
     "Listener",
     "Membership",
     "ModelRouter",
+    "OrderAgent",
+    "OrdersService",
     "PlainAgent",
     "PlainRouter",
     "Policies",
