--- a/src/lavenderrun/daemons/_loop.py
+++ b/src/lavenderrun/daemons/_loop.py
@@ -6,8 +6,9 @@
 import signal
 import sys
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TextIO
 
+from eliot import FileDestination, add_destinations
 from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -24,12 +25,26 @@
     return reactor
 
 
+def open_log(file: TextIO | None) -> None:
+    """Write log lines as JSON to *file*, or nowhere."""
+    add_destinations(_drop if file is None else FileDestination(file=file))
+
+
+def _drop(_message: dict[str, Any]) -> None:
+    """Take a log line that nobody reads."""
+
+
 def run_until_signal(
     reactor: Any,
     start: Callable[[], Coroutine[Any, Any, None]],
     stop: Callable[[], Coroutine[Any, Any, None]],
+    *,
+    seconds: float | None = None,
 ) -> int:
-    """Run *start*, then the loop until SIGINT, SIGTERM or a failed start; return the exit code."""
+    """Run *start*, then the loop until SIGINT, SIGTERM or a failed start; return the exit code.
+
+    :param seconds: end by itself after so long, as by a signal.
+    """
     failures: list[Failure] = []
     stopping: list[bool] = []
 
@@ -49,6 +64,8 @@
         # the reactor would stop at once on a signal; a planned stop drains first
         for number in (signal.SIGINT, signal.SIGTERM):
             signal.signal(number, lambda *_: reactor.callFromThread(end))
+        if seconds is not None:
+            reactor.callLater(seconds, end)
         Deferred.fromCoroutine(start()).addErrback(fail)
 
     reactor.callWhenRunning(begin)
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -12,7 +12,14 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
+from lavenderrun.decisions._claims import (
+    ClaimVerdict,
+    judge_claim,
+    may_dispatch,
+    trusts_not_started,
+)
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
@@ -29,6 +36,8 @@
     Stop,
     count_pieces,
 )
+from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
+from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
@@ -57,6 +66,8 @@
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
 from lavenderrun.decisions._shares import find_shares
+from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot
+from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 from lavenderrun.decisions._tombstones import Tombstones
@@ -64,6 +75,7 @@
 
 __all__ = [
     "INVARIANT_CHECKS",
+    "LIMIT_POLICIES",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
@@ -71,21 +83,26 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "CallLedger",
     "Candidate",
     "Chance",
     "Choice",
+    "ClaimVerdict",
     "Compute",
     "Drop",
     "FairQueue",
     "FifoQueue",
+    "FleetLimits",
     "Freshness",
     "FreshnessRules",
+    "HeldCharge",
     "Job",
     "JobKey",
     "LinkBudget",
     "Mean",
     "Need",
     "OutputLengths",
+    "Peer",
     "Placement",
     "Pool",
     "PrefillAction",
@@ -113,7 +130,12 @@
     "SeatBook",
     "SeatRequest",
     "SeatState",
+    "Shortfall",
+    "SlotKeeper",
+    "SlotTerms",
+    "SlotWrite",
     "Stop",
+    "StoredSlot",
     "Tombstones",
     "Violation",
     "check_record",
@@ -128,5 +150,9 @@
     "grant_key",
     "has_majority",
     "hash_blocks",
+    "judge_claim",
+    "make_slots",
+    "may_dispatch",
+    "trusts_not_started",
     "withdraw_key",
 ]
--- a/src/lavenderrun/services/_chooser.py
+++ b/src/lavenderrun/services/_chooser.py
@@ -32,6 +32,7 @@
     HostId,
     Link,
     Links,
+    Load,
     ModelName,
     Prefilled,
     RequestId,
@@ -42,6 +43,9 @@
 SEAT_SECONDS = 2.0
 """Time that a seat is expected to be held, for the correction of lagging loads."""
 
+CALL_SECONDS = 0.02
+"""The same for a call to a plain service."""
+
 
 @dataclass(frozen=True)
 class Demand:
@@ -81,6 +85,7 @@
         self._place_prefill = PREFILL_PLACEMENTS.find(policies.prefill)
         self._pools: dict[tuple[ServiceGroup, BackendRole], Pool] = {}
         self._sends = RecentSends()
+        self._told: dict[HostId, tuple[Load, Load | None]] = {}
         self._prefixes = PrefixIndex()
         self._budget = LinkBudget({})
         self._speed = PrefillSpeed()
@@ -97,6 +102,7 @@
         if peer.group is not None and peer.backend_role is not None:
             self._pool(peer.group, peer.backend_role).remove(peer.host)
         self._sends.forget(peer.host)
+        self._told.pop(peer.host, None)
         if peer.backend_role is BackendRole.PREFILL:
             self._prefixes.forget(peer.host)
 
@@ -116,6 +122,18 @@
         self._sends.note(choice.chosen, SEAT_SECONDS, self._clock.now())
         return self._links.find(choice.chosen)
 
+    def choose_plain(
+        self, request: RequestId, group: ServiceGroup, tried: Collection[HostId]
+    ) -> Link | None:
+        """Return the link to an agent of a plain service, ``None`` when none fits."""
+        pool = self._pool(group, BackendRole.PLAIN)
+        choice = self._place(pool, Need(0, frozenset(tried)), self._chance)
+        self._report(request, choice, "plain")
+        if choice.chosen is None:
+            return None
+        self._sends.note(choice.chosen, CALL_SECONDS, self._clock.now())
+        return self._links.find(choice.chosen)
+
     def choose_prefill(
         self, demand: Demand, target: DataCentre, tried: Collection[HostId], *, ask: bool = False
     ) -> PrefillChoice | None:
@@ -153,6 +171,11 @@
         self._prefixes.learn(host, demand.blocks, done.cached, self._clock.now())
         self._speed.add(done.tokens, done.cached, done.took.total_seconds())
 
+    def note_load(self, host: HostId, load: Load | None) -> None:
+        """Take a load that came with an answer; it counts until the next heartbeat."""
+        if load is not None:
+            self._told[host] = (load, self._links.load(host))
+
     def _pool(self, group: ServiceGroup, role: BackendRole) -> Pool:
         pool = self._pools.get((group, role))
         if pool is None:
@@ -161,6 +184,9 @@
 
     def _look(self, host: HostId, centre: DataCentre) -> Candidate:
         load = self._links.load(host)
+        told = self._told.get(host)
+        if told is not None and told[1] is load:
+            load = told[0]
         sent, work = self._sends.since(host, load, self._clock.now())
         return Candidate(host, centre, load, self._links.is_leaving(host), sent, work)
 
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -168,6 +168,7 @@
         job.export = export
         self._events.emit(ExportHeld(*key, self._backend))
         now = self._clock.now()
+        actions = self._book.finish(key, now, cached=export.cached, lives=export.lives)
         job.link.send(
             Prefilled(
                 *key,
@@ -177,9 +178,10 @@
                 export.cached,
                 export.lives,
                 now - (job.began or now),
+                self.load(),
             )
         )
-        self._apply(self._book.finish(key, now, cached=export.cached, lives=export.lives))
+        self._apply(actions)
 
     def _fail(self, failure: Failure, key: JobKey, job: PrefillJob) -> None:
         if self._jobs.get(key) is not job or isinstance(failure.value, CancelledError):
