--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -233,6 +233,8 @@
         actions: list[SeatAction] = []
         free = self.seats - sum(seat.begun is not None for seat in self._taken.values())
         ready = [seat for seat in self._taken.values() if seat.state is SeatState.READY]
+        # the oldest export is the first to end
+        ready.sort(key=lambda seat: seat.expires or now)
         for seat in ready[: max(0, free)]:
             seat.state = SeatState.RUNNING
             seat.begun, seat.expires = now, None
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -49,6 +49,7 @@
 
 AFTER_PREFILL = timedelta(milliseconds=150)
 """Time from the end of a prefill's wait to the first token at the caller."""
+LATE_SLACK = timedelta(milliseconds=400)
 PARALLEL = 1
 """Prefills that an engine computes at once."""
 
@@ -118,7 +119,7 @@
             cost,
             order.weight,
             order.urgency,
-            now + order.urgency - AFTER_PREFILL,
+            now + _find_slack(order.urgency),
             now + order.start_in + order.patience,
         )
         return PrefillOrder(job, order.tokens, order.start_in, link.peer.host)
@@ -205,6 +206,12 @@
         self._jobs.pop(key, None)
 
 
+def _find_slack(urgency: timedelta) -> timedelta:
+    """Return how long a prefill may wait; one that is late all the same holds a seat already."""
+    slack = urgency - AFTER_PREFILL
+    return slack if slack > timedelta(0) else LATE_SLACK
+
+
 @SERVICES.register("prefill_agent")
 def make_prefill_agent(kernel: Kernel) -> PrefillAgent:
     """Make the service."""
