--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -50,6 +50,7 @@
 
 AFTER_PREFILL = timedelta(milliseconds=150)
 """Time from the end of a prefill's wait to the first token at the caller."""
+LATE_SLACK = timedelta(milliseconds=400)
 PARALLEL = 1
 """Prefills that an engine computes at once."""
 
@@ -123,7 +124,7 @@
             cost,
             order.weight,
             order.urgency,
-            now + order.urgency - AFTER_PREFILL,
+            now + _find_slack(order.urgency),
             now + order.start_in + order.patience,
         )
         return PrefillOrder(job, order.tokens, order.start_in, link.peer.host)
@@ -173,6 +174,7 @@
         job.export = export
         self._events.emit(ExportHeld(*key, self._backend))
         now = self._clock.now()
+        actions = self._book.finish(key, now, cached=export.cached, lives=export.lives)
         job.link.send(
             Prefilled(
                 *key,
@@ -182,9 +184,10 @@
                 export.cached,
                 export.lives,
                 now - (job.began or now),
+                self.load(),
             )
         )
-        self._apply(self._book.finish(key, now, cached=export.cached, lives=export.lives))
+        self._apply(actions)
 
     def _fail(self, failure: Failure, key: JobKey, job: PrefillJob) -> None:
         if self._jobs.get(key) is not job or isinstance(failure.value, CancelledError):
@@ -209,6 +212,12 @@
         self._jobs.pop(key, None)
 
 
+def _find_slack(urgency: timedelta) -> timedelta:
+    """Return how long a prefill may wait; one that is late all the same holds a seat already."""
+    slack = urgency - AFTER_PREFILL
+    return slack if slack > timedelta(0) else LATE_SLACK
+
+
 @SERVICES.register("prefill_agent")
 def make_prefill_agent(kernel: Kernel) -> PrefillAgent:
     """Make the service."""
