--- a/src/lavenderrun/services/_links.py
+++ b/src/lavenderrun/services/_links.py
@@ -43,7 +43,7 @@
         self._handlers: dict[type[Message], list[Callable[[Any, Any], None]]] = {}
         self._watchers: list[tuple[Callable[[Link], None], Callable[[Link], None]]] = []
         self._links: dict[HostId, PeerLink] = {}
-        self._all: set[PeerLink] = set()
+        self._all: dict[PeerLink, None] = {}
         self._kept: dict[str, PeerLink | None] = {}
         self._delays: dict[str, timedelta] = {}
         self._redials: dict[str, Timer] = {}
@@ -93,9 +93,9 @@
 
     def keep(self, addresses: Collection[str]) -> None:
         """Dial these peers and redial them when lost; drop those no longer named."""
-        for address in set(self._kept) - set(addresses):
+        for address in sorted(set(self._kept) - set(addresses)):
             self._drop(address)
-        for address in addresses:
+        for address in sorted(addresses):
             if address not in self._kept:
                 self._kept[address] = None
                 self._dial(address)
@@ -151,7 +151,7 @@
 
     def down(self, link: PeerLink, reason: str) -> None:
         """Take the end of a link and plan the redial."""
-        self._all.discard(link)
+        self._all.pop(link, None)
         if link.address and link.address in self._kept:
             self._kept[link.address] = None
             self._plan_redial(link.address)
@@ -177,7 +177,7 @@
 
     def _open(self, pipe: Pipe, address: str) -> PeerLink:
         link = PeerLink(pipe, self, self._clock, self._codec, address)
-        self._all.add(link)
+        self._all[link] = None
         return link
 
     def _dial(self, address: str) -> None:
--- a/tests/bench/test_bench.py
+++ b/tests/bench/test_bench.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 from datetime import timedelta
 from pathlib import Path
 
@@ -27,6 +30,15 @@
     assert first.fleet.record.events == again.fleet.record.events
 
 
+def test_bytes_do_not_depend_on_the_hash_seed() -> None:
+    command = [sys.executable, "-m", "lavenderrun", "bench", "two-at-once", "--json"]
+    outs = [
+        subprocess.run(command, env={**os.environ, "PYTHONHASHSEED": seed}, capture_output=True)
+        for seed in ("1", "2")
+    ]
+    assert outs[0].stdout == outs[1].stdout != b""
+
+
 def test_command_prints_the_measures_as_json(capsys: pytest.CaptureFixture[str]) -> None:
     main(["bench", "data-centre-lost", "--json", "--policy", "queue=fifo"])
     figures = json.loads(capsys.readouterr().out)
