--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -12,6 +12,7 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._assignment import Assignment, Place, assign
 from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
 from lavenderrun.decisions._claims import (
@@ -22,6 +23,13 @@
 )
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._fencing import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    StoredLease,
+)
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._keys import grant_key, withdraw_key
@@ -39,6 +47,7 @@
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
+from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -60,12 +69,7 @@
     Release,
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
-from lavenderrun.decisions._quarantine import (
-    MAX_CRASHES,
-    Probes,
-    Quarantine,
-    find_home,
-)
+from lavenderrun.decisions._quarantine import MAX_CRASHES, Probes, Quarantine, find_home
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
@@ -90,6 +94,8 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "Assignment",
+    "Blocked",
     "CallLedger",
     "Candidate",
     "Chance",
@@ -98,6 +104,7 @@
     "Compute",
     "Drop",
     "FairQueue",
+    "FenceGate",
     "FifoQueue",
     "FleetLimits",
     "Freshness",
@@ -105,12 +112,18 @@
     "HeldCharge",
     "Job",
     "JobKey",
+    "LeaseKeeper",
+    "LeaseTerms",
+    "LeaseWrite",
     "LinkBudget",
     "Mean",
     "Need",
+    "Orderer",
     "OutputLengths",
     "Peer",
+    "Place",
     "Placement",
+    "PlannedOrder",
     "Pool",
     "PrefillAction",
     "PrefillBook",
@@ -144,9 +157,11 @@
     "SlotTerms",
     "SlotWrite",
     "Stop",
+    "StoredLease",
     "StoredSlot",
     "Tombstones",
     "Violation",
+    "assign",
     "check_record",
     "choose_dials",
     "choose_voters",
