Tell a withdrawn key from a host that can't know

Admission now gives the reason; queued model work waits while the host can't tell, and is checked again before each seat and decode.

Conclusion: refused for a true reason only.

--- a/src/lavenderrun/services/_admission.py
+++ b/src/lavenderrun/services/_admission.py
@@ -65,11 +65,13 @@
         """Find account and route of a call for a plain service."""
         return self._gate(self._index.admit_plain(request))
 
-    def is_valid(self, admitted: Admitted) -> bool:
-        """Tell whether the key that admitted the request still holds; check before each start."""
+    def find_fault(self, admitted: Admitted) -> Refusal | None:
+        """Return why an admitted request may not start now; check before each start."""
         if admitted.account is None or admitted.digest is None:
-            return True
-        return self._document.is_fresh and self._index.owns(admitted.account, admitted.digest)
+            return None
+        if not self._index.owns(admitted.account, admitted.digest):
+            return Refusal.UNKNOWN_KEY
+        return None if self._document.is_fresh else Refusal.NOT_READY
 
     def watch(self, handler: Callable[[], None]) -> None:
         """Call *handler* whenever a key may have been withdrawn."""
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -210,6 +210,8 @@
         if left <= timedelta(0):
             self._refuse(self._refuse_with(Refusal.NO_ROOM))
             return
+        if not self._may_start():
+            return
         verdict = self._router.quarantine.verdict(self.admitted.fingerprint)
         if verdict is Verdict.GUILTY:
             self._refuse(self._refuse_with(Refusal.QUARANTINED))
@@ -250,6 +252,19 @@
         )
         self._expect(left + ANSWER_MARGIN, self._stall)
 
+    def _may_start(self) -> bool:
+        """Return whether the key holds; without it the request waits or is refused."""
+        fault = self._router.find_fault(self)
+        if fault is None:
+            return True
+        self._drop_attempt()
+        if fault is Refusal.NOT_READY and self._patience_left() > timedelta(0):
+            # the host may soon know again whether keys are still valid
+            self._back_off()
+        else:
+            self._refuse(Refused(fault, Outcome.NOT_RUN, Step.ADMISSION))
+        return False
+
     def _seek_probe(self, left: timedelta) -> None:
         self.state = RunState.PROBING
         self._expect(left, self._seek_seat)
@@ -308,6 +323,8 @@
         assert self._demand is not None
         self._router.chooser.note_load(host, done.load)
         self._router.chooser.learn_prefill(self._demand, done, host)
+        if not self._assembly.offset and not self._may_start():
+            return
         self.state = RunState.DECODING
         self._assembly.begin(self._attempt)
         self._decoder.send(
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -102,6 +102,10 @@
             return admitted.weight
         return self._shares.get(admitted.account, admitted.weight)
 
+    def find_fault(self, run: ModelRun) -> Refusal | None:
+        """Return why a run may not start now; see ``Admission``."""
+        return self._admission.find_fault(run.admitted)
+
     def forget(self, run: ModelRun) -> None:
         """Drop an ended run."""
         self._runs.pop(run.request.request, None)
@@ -133,7 +137,7 @@
 
     def _drop_withdrawn(self) -> None:
         for run in list(self._runs.values()):
-            if not self._admission.is_valid(run.admitted):
+            if self.find_fault(run) is Refusal.UNKNOWN_KEY:
                 run.withdraw(Refusal.UNKNOWN_KEY)
 
     def _take_document(self, document: Document) -> None:
--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -173,8 +173,9 @@
             self._refuse(self._make_refused(Refusal.NOT_READY, Outcome.NOT_RUN, Step.LIMIT))
 
     def _seek(self) -> None:
-        if not self._router.is_valid(self.admitted):
-            self._refuse(self._make_refused(Refusal.UNKNOWN_KEY, Outcome.NOT_RUN))
+        fault = self._router.find_fault(self.admitted)
+        if fault is not None:
+            self._refuse(self._make_refused(fault, Outcome.NOT_RUN))
             return
         if self._patience_left() <= ZERO:
             self._refuse(self._make_refused(Refusal.NO_ROOM, Outcome.NOT_RUN))
--- a/src/lavenderrun/services/_plain_router.py
+++ b/src/lavenderrun/services/_plain_router.py
@@ -118,9 +118,9 @@
         """Return a link to an agent of *group*, ``None`` when there is none."""
         return self._chooser.choose_plain(request, group, tried)
 
-    def is_valid(self, admitted: AdmittedPlain) -> bool:
-        """Tell whether the key that came with a call still holds."""
-        return self._admission.is_valid(admitted)
+    def find_fault(self, admitted: AdmittedPlain) -> Refusal | None:
+        """Return why a call may not start now; see ``Admission``."""
+        return self._admission.find_fault(admitted)
 
     def follow(self, request: RequestId, call: PlainCall) -> None:
         """Hand messages about *request* to *call* from now on."""
@@ -180,8 +180,9 @@
 
     def _drop_withdrawn(self) -> None:
         for call in list(self._calls):
-            if not self._admission.is_valid(call.admitted):
-                call.withdraw(Refusal.UNKNOWN_KEY)
+            fault = self._admission.find_fault(call.admitted)
+            if fault is not None:
+                call.withdraw(fault)
 
     def _take_document(self, document: Document) -> None:
         self.retries.share = document.retry_share
--- a/src/lavenderrun/types/_ports.py
+++ b/src/lavenderrun/types/_ports.py
@@ -23,7 +23,7 @@
 from lavenderrun.types._lease_rows import LeaseName
 from lavenderrun.types._messages import Hello, Load, Message
 from lavenderrun.types._order_messages import Loaded, Order
-from lavenderrun.types._refusals import Refused
+from lavenderrun.types._refusals import Refusal, Refused
 from lavenderrun.types._requests import (
     Admitted,
     AdmittedModel,
@@ -357,8 +357,11 @@
     def admit_plain(self, request: PlainRequest) -> AdmittedPlain | Refused:
         """Find account and route of a call for a plain service."""
 
-    def is_valid(self, admitted: Admitted) -> bool:
-        """Tell whether the key that admitted the request still holds."""
+    def find_fault(self, admitted: Admitted) -> Refusal | None:
+        """Return why an admitted request may not start now.
+
+        ``UNKNOWN_KEY`` when its key was withdrawn, ``NOT_READY`` while this host can't tell.
+        """
 
     def watch(self, handler: Callable[[], None]) -> None:
         """Call *handler* whenever a key may have been withdrawn."""
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -43,6 +43,7 @@
     ModelRequest,
     ModelRoute,
     PlainRequest,
+    Refusal,
     Refused,
     RequestId,
     RouteName,
@@ -84,6 +85,7 @@
     def __init__(self, route: ModelRoute) -> None:
         self.route = route
         self.valid = True
+        self.fault = Refusal.UNKNOWN_KEY
         self._handlers: list[Callable[[], None]] = []
 
     def admit_model(self, request: ModelRequest) -> AdmittedModel | Refused:
@@ -93,8 +95,8 @@
     def admit_plain(self, request: PlainRequest) -> AdmittedPlain | Refused:
         raise NotImplementedError
 
-    def is_valid(self, admitted: Admitted) -> bool:
-        return self.valid
+    def find_fault(self, admitted: Admitted) -> Refusal | None:
+        return None if self.valid else self.fault
 
     def watch(self, handler: Callable[[], None]) -> None:
         self._handlers.append(handler)
--- a/tests/services/plain_fleet.py
+++ b/tests/services/plain_fleet.py
@@ -37,6 +37,7 @@
     IdempotencyKey,
     PlainRequest,
     PlainRoute,
+    Refusal,
     Refused,
     Repeatability,
     RequestId,
@@ -54,6 +55,7 @@
     def __init__(self, patience: timedelta) -> None:
         self.patience = patience
         self.valid = True
+        self.fault = Refusal.UNKNOWN_KEY
         self._handlers: list[Any] = []
 
     def admit_plain(self, request: PlainRequest) -> AdmittedPlain:
@@ -69,8 +71,8 @@
         fingerprint = Fingerprint(hashlib.sha256(content).hexdigest())
         return AdmittedPlain(AccountId("gruas"), None, 1.0, fingerprint, route)
 
-    def is_valid(self, admitted: Admitted) -> bool:
-        return self.valid
+    def find_fault(self, admitted: Admitted) -> Refusal | None:
+        return None if self.valid else self.fault
 
     def watch(self, handler: Any) -> None:
         self._handlers.append(handler)
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -7,9 +7,11 @@
 
 from lavenderrun.standins import expected_tokens
 from lavenderrun.types import (
+    BackendRun,
     FinishReason,
     ModelRoute,
     Outcome,
+    PrefillStarted,
     Refusal,
     Refused,
     Repeatability,
@@ -159,3 +161,29 @@
     fleet.run(5)
     assert_whole(sink, PROMPT, 40)
     assert stopped == [None]
+
+
+def test_queued_work_waits_while_the_host_cannot_tell_whether_keys_hold() -> None:
+    fleet = Fleet()
+    fleet.admission.fault = Refusal.NOT_READY
+    fleet.admission.withdraw()
+    _, sink = fleet.ask(PROMPT)
+    fleet.run(2)
+    assert sink.ends == []
+    fleet.admission.valid = True
+    fleet.run(5)
+    assert_whole(sink, PROMPT, 40)
+
+
+def test_key_withdrawn_during_prefill_starts_no_decode() -> None:
+    fleet = Fleet()
+    _, sink = fleet.ask(PROMPT)
+    while not fleet.record.all(PrefillStarted):
+        fleet.run(0.001, step=0.001)
+    fleet.admission.valid = False
+    fleet.run(5)
+    [refused] = sink.ends
+    assert isinstance(refused, Refused)
+    assert (refused.refusal, refused.outcome) == (Refusal.UNKNOWN_KEY, Outcome.NOT_RUN)
+    assert fleet.record.all(BackendRun) == []
+    assert fleet.held() == 0
