Drain agents on a planned stop

Cause: an agent's stop dropped its jobs; each decode was resumed elsewhere at the cost of a new prefill, and peers learned of the stop from the cut. The service departure starts last and stops first, and tells all peers; agents send away what has not begun and finish the rest.

--- a/src/lavenderrun/daemons/_lists.py
+++ b/src/lavenderrun/daemons/_lists.py
@@ -18,6 +18,7 @@
     "plain_router",
     "router",
     "front",
+    "departure",
 )
 
 AGENT_ROLES = {
@@ -31,4 +32,4 @@
 
 def list_agent_services(role: BackendRole) -> tuple[str, ...]:
     """Return the services of an agent beside a backend server in *role*."""
-    return AGENT_SERVICES + AGENT_ROLES[role]
+    return (*AGENT_SERVICES, *AGENT_ROLES[role], "departure")
--- a/src/lavenderrun/kernel/_kernel.py
+++ b/src/lavenderrun/kernel/_kernel.py
@@ -18,12 +18,11 @@
 
 
 class Service(Protocol):
-    """A part of a daemon that others find by name.
+    """A part of a daemon that others find by name."""
 
-    ``needs`` names the services that start before it and stop after it.
-    """
-
-    needs: ClassVar[tuple[str, ...]]
+    @property
+    def needs(self) -> tuple[str, ...]:
+        """Names of the services that start before this one and stop after it."""
 
     def start(self) -> Any:
         """Begin work; a returned ``Deferred`` is awaited."""
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -4,6 +4,7 @@
 
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
+from lavenderrun.services._departure import Departure
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
@@ -31,6 +32,7 @@
     "STORE_DIALECTS",
     "AdmissionService",
     "DecodeAgent",
+    "Departure",
     "DocumentService",
     "FrontService",
     "GrpcTransport",
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import ClassVar
 
+from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from lavenderrun.decisions import (
@@ -27,6 +28,7 @@
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.services._alarm import Alarm
 from lavenderrun.services._decode_job import DecodeJob
+from lavenderrun.services._drain import Drain
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._outage import Outage
 from lavenderrun.services._policies import Policies
@@ -60,6 +62,7 @@
 )
 
 KEEP_OUTPUT = timedelta(seconds=10)
+LEAVING = Refused(Refusal.LEAVING, Outcome.NOT_RUN, Step.SEAT)
 FIRST_STEP = timedelta(milliseconds=200)
 """Time from the start of a decode to the first token at the caller, with a margin."""
 
@@ -76,6 +79,7 @@
         self._engine = kernel.find("engine", Engine)
         self._events = Emitter.of(kernel)
         self._outage = Outage(kernel.clock)
+        self._drain = Drain(kernel.clock, self._is_busy)
         self._backend: BackendId = kernel.settings.hello().backend
         self._book = SeatBook(
             kernel.settings.seats(),
@@ -97,12 +101,25 @@
         self._links.watch(lambda link: None, self._link_down)
         self._links.bind_load(self._book.load)
 
-    def stop(self) -> None:
-        """Drop all jobs."""
+    def stop(self) -> Deferred[None]:
+        """Take no new work, send away what has no seat, and wait for the rest."""
+        for key in [key for key in self._jobs if self._book.state(key) is SeatState.WAITING]:
+            self._send_away(self._jobs[key].link, key)
+            self._drop(key)
+        return self._drain.begin().addBoth(lambda _: self.close())
+
+    def close(self) -> None:
+        """Drop all jobs at once."""
         for key in list(self._jobs):
             self._drop(key)
         self._alarm.set(None)
 
+    def _send_away(self, link: Link, key: JobKey) -> None:
+        link.send(AttemptFailed(*key, LEAVING, started=False))
+
+    def _is_busy(self) -> bool:
+        return bool(self._jobs) or bool(self._book.load().taken)
+
     def held(self) -> int:
         """Return the number of jobs in hand."""
         return len(self._jobs)
@@ -112,6 +129,9 @@
     def _take_reserve(self, link: Link, order: Reserve) -> None:
         key = (order.request, order.attempt)
         job = self._jobs.get(key)
+        if job is None and self._drain.is_on:
+            self._send_away(link, key)
+            return
         if job is None and self._outage.is_on:
             link.send(AttemptFailed(*key, self._outage.refuse(Step.SEAT), started=False))
             return
@@ -153,6 +173,7 @@
             if job is not None:
                 self._carry_out(action, job)
         self._alarm.set(self._book.next_tick(self._clock.now()))
+        self._drain.check()
 
     def _carry_out(self, action: SeatAction, job: DecodeJob) -> None:
         match action:
@@ -255,6 +276,7 @@
         if job.finished and job.is_acked:
             job.forget()
             self._jobs.pop(key, None)
+            self._drain.check()
 
     def _take_resume(self, link: Link, resume: Resume) -> None:
         key = (resume.request, resume.attempt)
@@ -287,6 +309,7 @@
         if job is not None:
             job.forget()
             self._jobs.pop(key, None)
+            self._drain.check()
 
 
 @SERVICES.register("decode_agent")
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -50,7 +50,8 @@
     from lavenderrun.services._model_router import ModelRouter
 
 MAX_TRIES = 4
-"""Attempts that an agent refused or that began; one that met a lost agent costs only patience."""
+HARMLESS = (Refusal.BACKEND_LOST, Refusal.LEAVING)
+"""Refusals of an attempt that did not begin, which cost patience but no try."""
 ACK_TOKENS = 64
 ANSWER_MARGIN = timedelta(seconds=1)
 BACKOFF = timedelta(milliseconds=50)
@@ -406,7 +407,7 @@
             self._begun = True
             # an answer that was cut off waits anew; its first wait is paid
             self._waiting_since = self._router.clock.now()
-        if started or refused.refusal is not Refusal.BACKEND_LOST:
+        if started or refused.refusal not in HARMLESS:
             self._tries += 1
         if self._tries < MAX_TRIES:
             self._await_retry(refused)
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -23,6 +23,7 @@
 )
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.services._alarm import Alarm
+from lavenderrun.services._drain import Drain
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._outage import Outage
 from lavenderrun.services._policies import Policies
@@ -52,6 +53,7 @@
 """Time from the end of a prefill's wait to the first token at the caller."""
 LATE_SLACK = timedelta(milliseconds=400)
 PARALLEL = 1
+LEAVING = Refused(Refusal.LEAVING, Outcome.NOT_RUN, Step.PREFILL)
 """Prefills that an engine computes at once."""
 
 
@@ -77,6 +79,7 @@
         self._engine = kernel.find("engine", Engine)
         self._events = Emitter.of(kernel)
         self._outage = Outage(kernel.clock)
+        self._drain = Drain(kernel.clock, self._is_busy)
         self._backend: BackendId = kernel.settings.hello().backend
         queue = QUEUE_POLICIES.find(Policies.of(kernel).queue)
         self._book = PrefillBook(PARALLEL, kernel.settings.pieces(), queue)
@@ -90,12 +93,25 @@
         self._links.watch(lambda link: None, self._link_down)
         self._links.bind_load(self.load)
 
-    def stop(self) -> None:
-        """Drop all jobs."""
+    def stop(self) -> Deferred[None]:
+        """Take no new work, send away what has not begun, and wait for the rest."""
+        for key in [key for key, job in self._jobs.items() if job.began is None]:
+            self._send_away(self._jobs[key].link, key)
+            self._drop(key)
+        return self._drain.begin().addBoth(lambda _: self.close())
+
+    def close(self) -> None:
+        """Drop all jobs at once."""
         for key in list(self._jobs):
             self._drop(key)
         self._alarm.set(None)
 
+    def _send_away(self, link: Link, key: JobKey) -> None:
+        link.send(AttemptFailed(*key, LEAVING, started=False))
+
+    def _is_busy(self) -> bool:
+        return bool(self._jobs)
+
     def held(self) -> int:
         """Return the number of jobs in hand."""
         return len(self._jobs)
@@ -108,6 +124,9 @@
         key = (order.request, order.attempt)
         if key in self._jobs:
             return
+        if self._drain.is_on:
+            self._send_away(link, key)
+            return
         if self._outage.is_on:
             link.send(AttemptFailed(*key, self._outage.refuse(Step.PREFILL), started=False))
             return
@@ -138,6 +157,7 @@
             if job is not None:
                 self._carry_out(action, job)
         self._alarm.set(self._book.next_tick())
+        self._drain.check()
 
     def _carry_out(self, action: PrefillAction, job: PrefillJob) -> None:
         match action:
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -213,13 +213,22 @@
         role = BackendRole.PREFILL if host.startswith("p") else BackendRole.DECODE
         kernel = self.make_kernel(host, HostRole.AGENT, role)
         kernel.provide("engine", self.engines[host])
-        kernel.build(["links", f"{role.value}_agent"])
+        kernel.build(["links", f"{role.value}_agent", "departure"])
         Deferred.fromCoroutine(kernel.start())
         self.agents[host] = kernel
 
+    def stop_agent(self, host: str) -> Deferred[None]:
+        """Stop as planned: announce, drain, end."""
+        return Deferred.fromCoroutine(self.agents[host].stop())
+
     def kill_agent(self, host: str) -> None:
-        """End the agent; its engine drops what it ran, as the agent's stop cancels it."""
-        Deferred.fromCoroutine(self.agents.pop(host).stop())
+        """End the agent at once; its engine drops what it ran, as its connection is lost."""
+        kernel = self.agents.pop(host)
+        kernel.find("links", LinksService).stop()
+        name = "prefill_agent" if host.startswith("p") else "decode_agent"
+        agent: Any = kernel.find(name, object)
+        agent.close()
+        self.network.unlisten(host)
 
     def ask(
         self, prompt: str = "heat record 17", max_tokens: int = 40, entry: str = "e1"
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -187,3 +187,31 @@
     assert (refused.refusal, refused.outcome) == (Refusal.UNKNOWN_KEY, Outcome.NOT_RUN)
     assert fleet.record.all(BackendRun) == []
     assert fleet.held() == 0
+
+
+def test_planned_stop_of_an_agent_sends_waiting_work_away_and_finishes_the_rest() -> None:
+    fleet = Fleet(decoders=2)
+    sinks = {}
+    for n in range(6):
+        prompt = f"{LONG} {n}"
+        sinks[prompt] = fleet.ask(prompt, 120)[1]
+        fleet.run(0.1)
+    stopped: list[None] = []
+    fleet.stop_agent("d1").addCallback(stopped.append)
+    fleet.run(15)
+    assert stopped == [None]
+    for prompt, sink in sinks.items():
+        assert_whole(sink, prompt, 120)
+    assert fleet.held() == 0
+
+
+def test_agent_that_leaves_gets_no_new_work() -> None:
+    fleet = Fleet(decoders=2)
+    fleet.stop_agent("d1")
+    left_at = len(fleet.record.events)
+    fleet.run(0.1)
+    for n in range(4):
+        fleet.ask(f"{PROMPT} {n}")
+    fleet.run(10)
+    runs = [e for e in fleet.record.events[left_at:] if isinstance(e.what, BackendRun)]
+    assert {event.host for event in runs} == {"d2"}
