--- a/src/lavenderrun/services/_document.py
+++ b/src/lavenderrun/services/_document.py
@@ -351,4 +351,11 @@
     store = kernel.find("store", Store) if kernel.has("store") else None
     record = kernel.find("record", Record) if kernel.has("record") else None
     links = kernel.find("links", Links)
-    return DocumentService(kernel.clock, kernel.settings.hello(), links, store, record=record)
+    return DocumentService(
+        kernel.clock,
+        kernel.settings.hello(),
+        links,
+        store,
+        record=record,
+        chance=kernel.chance,
+    )
--- a/src/lavenderrun/services/_plain_router.py
+++ b/src/lavenderrun/services/_plain_router.py
@@ -72,7 +72,8 @@
         self._admission = kernel.find("admission", Admission)
         self._document = kernel.find("document", DocumentSource)
         self._desk = ClaimDesk(kernel.find("store", Store), kernel.clock)
-        self._calls: set[PlainCall] = set()
+        # in order of arrival, so that a seeded run repeats itself
+        self._calls: dict[PlainCall, None] = {}
         self._followers: dict[RequestId, list[PlainCall]] = {}
         self._writes = 0
         self._drained: Deferred[None] | None = None
@@ -106,7 +107,7 @@
             sink.refuse(admitted)
             return EndedTicket()
         call = PlainCall(self, request, admitted, sink, self._make_claim(request, admitted))
-        self._calls.add(call)
+        self._calls[call] = None
         self.follow(request.request, call)
         self.retries.note_try(admitted.account, self.clock.now())
         call.begin()
@@ -128,7 +129,7 @@
 
     def forget(self, call: PlainCall) -> None:
         """Drop an ended call."""
-        self._calls.discard(call)
+        self._calls.pop(call, None)
         for request in call.followed:
             left = [other for other in self._followers.get(request, []) if other is not call]
             if left:
