--- a/src/lavenderrun/services/_chooser.py
+++ b/src/lavenderrun/services/_chooser.py
@@ -32,6 +32,7 @@
     HostId,
     Link,
     Links,
+    Load,
     ModelName,
     Prefilled,
     RequestId,
@@ -84,6 +85,7 @@
         self._place_prefill = PREFILL_PLACEMENTS.find(policies.prefill)
         self._pools: dict[tuple[ServiceGroup, BackendRole], Pool] = {}
         self._sends = RecentSends()
+        self._told: dict[HostId, tuple[Load, Load | None]] = {}
         self._prefixes = PrefixIndex()
         self._budget = LinkBudget({})
         self._speed = PrefillSpeed()
@@ -100,6 +102,7 @@
         if peer.group is not None and peer.backend_role is not None:
             self._pool(peer.group, peer.backend_role).remove(peer.host)
         self._sends.forget(peer.host)
+        self._told.pop(peer.host, None)
         if peer.backend_role is BackendRole.PREFILL:
             self._prefixes.forget(peer.host)
 
@@ -168,6 +171,11 @@
         self._prefixes.learn(host, demand.blocks, done.cached, self._clock.now())
         self._speed.add(done.tokens, done.cached, done.took.total_seconds())
 
+    def note_load(self, host: HostId, load: Load | None) -> None:
+        """Take a load that came with an answer; it counts until the next heartbeat."""
+        if load is not None:
+            self._told[host] = (load, self._links.load(host))
+
     def _pool(self, group: ServiceGroup, role: BackendRole) -> Pool:
         pool = self._pools.get((group, role))
         if pool is None:
@@ -176,6 +184,9 @@
 
     def _look(self, host: HostId, centre: DataCentre) -> Candidate:
         load = self._links.load(host)
+        told = self._told.get(host)
+        if told is not None and told[1] is load:
+            load = told[0]
         sent, work = self._sends.since(host, load, self._clock.now())
         return Candidate(host, centre, load, self._links.is_leaving(host), sent, work)
 
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -140,6 +140,7 @@
         if isinstance(message, Frame):
             self._take_frame(message)
         elif isinstance(message, SeatPromised) and self.state is RunState.SEATING:
+            self._router.chooser.note_load(link.peer.host, message.load)
             self._take_seat(message)
         elif isinstance(message, Prefilled) and self.state is RunState.PREFILLING:
             self._take_prefill(message, link.peer.host)
@@ -305,6 +306,7 @@
     def _take_prefill(self, done: Prefilled, host: HostId) -> None:
         assert self._decoder is not None
         assert self._demand is not None
+        self._router.chooser.note_load(host, done.load)
         self._router.chooser.learn_prefill(self._demand, done, host)
         self.state = RunState.DECODING
         self._assembly.begin(self._attempt)
--- a/src/lavenderrun/services/_plain_router.py
+++ b/src/lavenderrun/services/_plain_router.py
@@ -72,7 +72,6 @@
         self._admission = kernel.find("admission", Admission)
         self._document = kernel.find("document", DocumentSource)
         self._desk = ClaimDesk(kernel.find("store", Store), kernel.clock)
-        # in order of arrival, so that a seeded run repeats itself
         self._calls: dict[PlainCall, None] = {}
         self._followers: dict[RequestId, list[PlainCall]] = {}
         self._writes = 0
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -134,11 +134,13 @@
     """Agent promises a seat.
 
     :param ready_in: until the seat is expected to be free; zero when it is free now.
+    :param load: of the agent now, fresher than its last heartbeat.
     """
 
     request: RequestId
     attempt: AttemptId
     ready_in: timedelta
+    load: Load | None = None
 
 
 @message("prefill")
@@ -173,6 +175,7 @@
     :param cached: tokens that the prefix cache spared.
     :param lives: how long the export is kept.
     :param took: time that the engine computed, without the wait before it.
+    :param load: of the prefill agent now, fresher than its last heartbeat.
     """
 
     request: RequestId
@@ -183,6 +186,7 @@
     cached: int
     lives: timedelta
     took: timedelta = timedelta(0)
+    load: Load | None = None
 
 
 @message("start")
