Measure what an entry adds, with real processes on loopback

The entry runs in a process of its own, so that its CPU can be told apart, and calls through it take turns with calls to the engines directly.

--- a/src/lavenderrun/bench/__init__.py
+++ b/src/lavenderrun/bench/__init__.py
@@ -6,6 +6,8 @@
 from lavenderrun.bench import _scenarios_load as _scenarios_load
 from lavenderrun.bench import _scenarios_operators as _scenarios_operators
 from lavenderrun.bench._deployments import DEPLOYMENTS, Deployment, digest_of
+from lavenderrun.bench._loopback import Figures, run_loopback
+from lavenderrun.bench._loopback_hosts import EntryProcess, OutsideProcess
 from lavenderrun.bench._measures import Measures, encode
 from lavenderrun.bench._report import write_report
 from lavenderrun.bench._scenarios import SCENARIOS, Plan, Result, run_scenario
@@ -14,11 +16,15 @@
     "DEPLOYMENTS",
     "SCENARIOS",
     "Deployment",
+    "EntryProcess",
+    "Figures",
     "Measures",
+    "OutsideProcess",
     "Plan",
     "Result",
     "digest_of",
     "encode",
+    "run_loopback",
     "run_scenario",
     "write_report",
 ]
