--- a/src/lavenderrun/decisions/_freshness.py
+++ b/src/lavenderrun/decisions/_freshness.py
@@ -9,6 +9,7 @@
 
 from lavenderrun.types import BackendId, DataCentre, Document
 
+READ_SKEW: Final = 1 / 8
 VOTERS_MOST: Final = 9
 
 
@@ -18,21 +19,32 @@
 
     :param limit: longest age at which keyed routes are served.
     :param ask_after: age from which peers are asked.
-    :param read_first: earliest age at which the store is read.
-    :param read_last: latest age at which the store is read; hosts draw between the two.
+    :param read_first: earliest age of the last known read at which the store is read again.
+    :param read_last: latest such age; hosts draw between the two.
     :param vote_first: earliest age at which the voters are asked.
     :param vote_last: latest age at which the voters are asked.
     :param window: how long a submission waits for its voters; a host votes this long after boot.
     """
 
     limit: timedelta = timedelta(seconds=4)
-    ask_after: timedelta = timedelta(seconds=1)
-    read_first: timedelta = timedelta(seconds=1.5)
+    ask_after: timedelta = timedelta(seconds=0.5)
+    read_first: timedelta = timedelta(seconds=1)
     read_last: timedelta = timedelta(seconds=3)
-    vote_first: timedelta = timedelta(seconds=2)
-    vote_last: timedelta = timedelta(seconds=3)
+    vote_first: timedelta = timedelta(seconds=2.4)
+    vote_last: timedelta = timedelta(seconds=3.2)
     window: timedelta = timedelta(seconds=3)
 
+    def draw_read_age(self, uniform: float) -> timedelta:
+        """Return the age at which one host reads the store, from a number in [0, 1).
+
+        Few hosts draw an early one, so that the others hear of their read before their own.
+        """
+        return self.read_first + (self.read_last - self.read_first) * uniform**READ_SKEW
+
+    def draw_vote_age(self, uniform: float) -> timedelta:
+        """Return the age at which one host asks the voters, from a number in [0, 1)."""
+        return self.vote_first + (self.vote_last - self.vote_first) * uniform
+
 
 class Freshness:
     """The latest instant at which this host is known to have held the newest document.
@@ -46,6 +58,7 @@
         self._boot = boot
         self._rules = rules
         self._proved: datetime | None = None
+        self._read: datetime | None = None
 
     @property
     def is_proved(self) -> bool:
@@ -59,6 +72,16 @@
         self._proved = at
         return True
 
+    def note_read(self, at: datetime) -> bool:
+        """Take a read of the store, here or at a peer, dated *at*; it is a proof as well."""
+        if at >= self._boot and (self._read is None or at > self._read):
+            self._read = at
+        return self.prove(at)
+
+    def read_age(self, now: datetime) -> timedelta | None:
+        """Return the time since the latest known read of the store."""
+        return None if self._read is None else now - self._read
+
     def age(self, now: datetime) -> timedelta | None:
         """Return the time since the latest proof."""
         return None if self._proved is None else now - self._proved
--- a/src/lavenderrun/services/_document.py
+++ b/src/lavenderrun/services/_document.py
@@ -20,7 +20,7 @@
 from lavenderrun.decisions import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.kernel import SERVICES, Clock, Kernel, Timer
 from lavenderrun.services._document_confirm import Confirmations
-from lavenderrun.services._document_submit import Submission
+from lavenderrun.services._document_submit import ROW, TABLE, Submission
 from lavenderrun.types import (
     BackendId,
     Document,
@@ -42,10 +42,8 @@
     Submitted,
 )
 
-TABLE: Final = "document"
-ROW: Final = "current"
 TICK: Final = timedelta(seconds=0.5)
-PEERS_ASKED: Final = 2
+PEERS_ASKED: Final = 3
 ROUNDS_KEPT: Final = 8
 FETCH_TIMEOUT: Final = timedelta(seconds=1)
 FETCH_SPREAD: Final = timedelta(seconds=0.2)
@@ -165,7 +163,7 @@
     def accept(self, stored: StoredDocument, read_at: datetime) -> None:
         """Take a version that the store showed to a call made at *read_at*."""
         self._consider(stored)
-        self._prove(read_at)
+        self._note_read(read_at)
 
     def start(self) -> None:
         """Listen to peers and read the store."""
@@ -202,7 +200,8 @@
         age = self.age
         if age is None or age >= self._rules.ask_after:
             self._ask(self._choose_peers())
-        if age is None or age >= self._read_at_age:
+        read_age = self._freshness.read_age(self.clock.now())
+        if read_age is None or read_age >= self._read_at_age:
             self._read()
         if age is None or age >= self._vote_at_age:
             self._ask([link for link in self._links.live() if link.peer.backend in self._voters])
@@ -221,8 +220,11 @@
             link.send(DocumentAsk(self._asks))
 
     def _answer(self, link: Link, ask: DocumentAsk) -> None:
-        votes = self._freshness.may_vote(self.clock.now())
-        link.send(DocumentState(ask.ask, self.version, self.age, votes))
+        now, lease = self.clock.now(), self._freshness
+        state = DocumentState(
+            ask.ask, self.version, lease.age(now), lease.read_age(now), lease.may_vote(now)
+        )
+        link.send(state)
 
     def _take_state(self, link: Link, state: DocumentState) -> None:
         if state.version > self._known():
@@ -231,6 +233,8 @@
         asked = self._rounds.get(state.ask)
         if asked is None:
             return
+        if state.read_age is not None:
+            self._note_read(asked.at - state.read_age)
         if state.age is not None:
             self._prove(asked.at - state.age)
         if state.votes and link.peer.backend is not None:
@@ -238,13 +242,18 @@
             if has_majority(self._voters, asked.votes):
                 self._prove(asked.at)
 
+    def _note_read(self, at: datetime) -> None:
+        if self._freshness.note_read(at):
+            self._renew()
+
     def _prove(self, at: datetime) -> None:
-        if not self._freshness.prove(at):
-            return
-        rules = self._rules
+        if self._freshness.prove(at):
+            self._renew()
+
+    def _renew(self) -> None:
         draw = self._random.random()
-        self._read_at_age = rules.read_first + (rules.read_last - rules.read_first) * draw
-        self._vote_at_age = rules.vote_first + (rules.vote_last - rules.vote_first) * draw
+        self._read_at_age = self._rules.draw_read_age(draw)
+        self._vote_at_age = self._rules.draw_vote_age(draw)
         if self._candidate is not None:
             self._put_in_force(self._candidate)
 
@@ -265,7 +274,7 @@
         if not self._running:
             return
         if row is None or row.version <= self._known():
-            self._prove(asked_at)
+            self._note_read(asked_at)
         else:
             self.accept(decode_stored(row), asked_at)
 
@@ -337,7 +346,7 @@
             self._record.emit(event)
         self._confirmations.saw(self._hello.backend, version)
         for link in self._links.live():
-            link.send(DocumentState(0, version, None, False))
+            link.send(DocumentState(0, version, None, None, False))
         for handler in list(self._watchers):
             handler(stored.document)
 
@@ -351,4 +360,11 @@
     store = kernel.find("store", Store) if kernel.has("store") else None
     record = kernel.find("record", Record) if kernel.has("record") else None
     links = kernel.find("links", Links)
-    return DocumentService(kernel.clock, kernel.settings.hello(), links, store, record=record)
+    return DocumentService(
+        kernel.clock,
+        kernel.settings.hello(),
+        links,
+        store,
+        record=record,
+        chance=kernel.chance,
+    )
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -104,9 +104,9 @@
     Running,
     Store,
     StoreConflictError,
+    StoredRow,
     StoreThrottledError,
     StoreUnavailableError,
-    StoredRow,
     TokenSink,
     Transport,
 )
--- a/src/lavenderrun/types/_revisions.py
+++ b/src/lavenderrun/types/_revisions.py
@@ -92,12 +92,14 @@
 
     :param ask: number of the question, zero when unasked.
     :param age: since the version is known to have been the newest, ``None`` when it is not known.
+    :param read_age: since a read of the store showed it, ``None`` when it is not known.
     :param votes: the sender counts among the voters.
     """
 
     ask: int
     version: DocumentVersion
     age: timedelta | None
+    read_age: timedelta | None
     votes: bool
 
 
--- /dev/null
+++ b/tests/services/test_document_service.py
@@ -0,0 +1,231 @@
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+from hosts import Hosts, answer_of, make_document
+
+from lavenderrun.types import (
+    DocumentConflict,
+    DocumentInForce,
+    DocumentVersion,
+    StepError,
+    Submitted,
+)
+
+FIRST = make_document("k1", "k2")
+SECOND = make_document("k1")
+
+
+def test_an_accepted_version_is_in_force_everywhere_and_a_withdrawn_key_stops() -> None:
+    hosts = Hosts(document=FIRST)
+    assert hosts.versions() == {1}
+    assert {hosts[e].admits("k2") for e in hosts.entries} == {"admitted"}
+    accepted = hosts.submit("e1", SECOND, 1, seconds=1)
+    assert isinstance(accepted, Submitted)
+    assert accepted.confirmed
+    assert hosts.versions() == {2}
+    assert {hosts[e].admits("k2") for e in hosts.entries} == {"UNKNOWN_KEY"}
+    assert {hosts[e].admits("k1") for e in hosts.entries} == {"admitted"}
+
+
+def test_of_two_racing_operators_one_sees_who_changed_what() -> None:
+    hosts = Hosts(document=FIRST)
+    one = hosts["e0"].document.submit(SECOND, "ana", DocumentVersion(1))
+    other = hosts["e1"].document.submit(
+        FIRST.model_copy(update={"retry_share": 0.3}), "eva", DocumentVersion(1)
+    )
+    hosts.run(1)
+    results = [answer_of(one), answer_of(other)]
+    conflict = next(r for r in results if isinstance(r, DocumentConflict))
+    assert sum(isinstance(r, Submitted) for r in results) == 1
+    assert [(r.version, r.author) for r in conflict.since] == [(2, "ana")]
+    assert conflict.theirs is not None
+    assert [change.path for change in conflict.theirs] == ["accounts.a.keys"]
+    assert [change.path for change in conflict.yours] == ["accounts.a.keys", "retry_share"]
+    assert hosts.versions() == {2}
+
+
+def test_a_lost_reply_is_settled_as_accepted_once() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts["e0"].faults.lost_replies = 1
+    accepted = hosts.submit("e0", SECOND, 1, seconds=6)
+    assert isinstance(accepted, Submitted)
+    assert accepted.version == 2
+    hosts.run(5)
+    assert hosts.versions() == {2}
+
+
+def test_a_lost_reply_is_settled_after_another_operator_wrote() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts["e0"].faults.lost_replies = 1
+    first = hosts["e0"].document.submit(SECOND, "ana", DocumentVersion(1))
+    hosts.run(0.5)
+    assert isinstance(hosts.submit("e1", FIRST, 2, seconds=0.2), Submitted | None)
+    hosts.run(6)
+    accepted = answer_of(first)
+    assert isinstance(accepted, Submitted)
+    assert accepted.version == 2
+    assert hosts.versions() == {3}
+
+
+def test_a_store_that_is_down_leaves_the_outcome_unknown_and_nothing_in_force() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts.store_down()
+    failure = hosts.submit("e0", SECOND, 1, seconds=20)
+    assert isinstance(failure.value, StepError)
+    assert hosts.versions() == {1}
+
+
+def test_a_write_that_takes_effect_after_its_operator_gave_up_comes_into_force() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts["e0"].faults.lost_replies = 1
+    pending = hosts["e0"].document.submit(SECOND, "ana", DocumentVersion(1))
+    hosts.run(0.1)
+    hosts.cut_off("e0")
+    hosts.run(5)
+    assert answer_of(pending) is None
+    assert {hosts[name].document.version for name in ("e1", "e2", "d0")} == {2}
+
+
+def test_keyed_routes_go_on_for_long_while_the_store_is_down() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts.store_down()
+    hosts.run(60)
+    for _ in range(200):
+        hosts.run(0.1)
+        assert {hosts[e].admits("k1") for e in hosts.entries} == {"admitted"}
+
+
+def test_a_host_that_reaches_only_peers_learns_of_a_withdrawn_key() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts["e2"].faults.down = True
+    hosts.run(30)
+    assert hosts["e2"].admits("k2") == "admitted"
+    hosts.submit("e0", SECOND, 1, seconds=1)
+    assert hosts["e2"].admits("k2") == "UNKNOWN_KEY"
+
+
+def test_a_host_that_reaches_neither_refuses_keyed_routes_within_5_s() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts.cut_off("e2")
+    hosts.submit("e0", SECOND, 1, seconds=0.5)
+    assert hosts["e2"].document.version == 1
+    hosts.run(4.5)
+    assert hosts["e2"].admits("k2") == "NOT_READY"
+    assert hosts["e2"].admits("k1") == "NOT_READY"
+    assert {hosts[e].admits("k1") for e in ("e0", "e1")} == {"admitted"}
+    hosts["e2"].faults.down = False
+    hosts.run(10)
+    assert hosts["e2"].admits("k2") == "UNKNOWN_KEY"
+    assert hosts["e2"].admits("k1") == "admitted"
+
+
+def test_two_hosts_cut_off_together_do_not_renew_each_other() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts["e2"].faults.down = True
+    for agent in ("d1", "d2"):
+        hosts.network.cut("e2", agent)
+    for entry in ("e0", "e1"):
+        hosts.network.cut(entry, "d0")
+    hosts.run(5)
+    assert hosts["e2"].document.age is not None
+    assert hosts["e2"].admits("k1") == "NOT_READY"
+    assert hosts["e0"].admits("k1") == "admitted"
+
+
+def test_a_restarted_host_waits_while_it_finds_only_an_old_copy() -> None:
+    hosts = Hosts(document=FIRST)
+    # the agent d0 keeps version 1 while the others go on
+    for entry in hosts.entries:
+        hosts.network.cut(entry, "d0")
+    hosts.run(3)
+    hosts.submit("e0", SECOND, 1, seconds=1)
+    assert hosts["e2"].document.version == 2
+    hosts.run(5)
+    hosts.stop("e2")
+    host = hosts.start("e2")
+    host.faults.down = True
+    for agent in ("d1", "d2"):
+        hosts.network.cut("e2", agent)
+    hosts.network.mend("e2", "d0")
+    hosts.run(8)
+    assert host.links.live()
+    assert host.document.version == 0
+    assert host.admits("k2") == "NOT_READY"
+    host.faults.down = False
+    hosts.run(10)
+    assert host.document.version == 2
+    assert host.versions == [2]
+
+
+def test_a_restarted_host_takes_a_fresh_peers_version_without_the_store() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts.run(5)
+    hosts.stop("e2")
+    host = hosts.start("e2")
+    host.faults.down = True
+    hosts.run(6)
+    assert host.document.version == 1
+    assert host.admits("k1") == "admitted"
+
+
+def test_when_all_restart_while_the_store_is_down_nothing_keyed_is_served() -> None:
+    hosts = Hosts(document=FIRST)
+    for name in [*hosts.agents, *hosts.entries]:
+        hosts.stop(name)
+    for name in [*hosts.agents, *hosts.entries]:
+        hosts.start(name).faults.down = True
+    hosts.run(20)
+    assert hosts["e0"].admits("k1") == "NOT_READY"
+    hosts.store_down(False)
+    hosts.run(10)
+    assert hosts["e0"].admits("k1") == "admitted"
+
+
+def test_a_late_reply_of_the_store_does_not_take_the_version_back() -> None:
+    hosts = Hosts(document=FIRST)
+    hosts["e2"].faults.latency = timedelta(seconds=3)
+    hosts.run(3)
+    hosts.submit("e0", SECOND, 1, seconds=20)
+    for host in hosts.hosts.values():
+        assert host.versions == sorted(host.versions)
+    assert hosts.versions() == {2}
+
+
+def test_versions_never_go_back_through_random_faults() -> None:
+    hosts = Hosts(entries=3, agents=5, document=make_document("k0", agents=5))
+    chance = random.Random(7)
+    expect = 1
+    for step in range(40):
+        name = chance.choice(hosts.entries)
+        hosts[name].faults.down = chance.random() < 0.3
+        hosts[name].faults.lost_replies = chance.choice([0, 0, 1])
+        if chance.random() < 0.2:
+            hosts.stop(name)
+            hosts.start(name)
+        writer = chance.choice(hosts.entries)
+        result = hosts.submit(writer, make_document(f"k{step}", agents=5), expect, seconds=2)
+        if isinstance(result, Submitted):
+            expect = result.version
+        elif isinstance(result, DocumentConflict):
+            expect = result.current
+        for host in hosts.hosts.values():
+            assert host.versions == sorted(host.versions)
+    hosts.store_down(False)
+    hosts.run(15)
+    assert len(hosts.versions()) == 1
+    seen: dict[str, int] = {}
+    for event in hosts.record.events:
+        assert isinstance(event.what, DocumentInForce)
+        assert event.what.version >= seen.get(event.host, 0), "reverted, also over a restart"
+        seen[event.host] = event.what.version
+
+
+def test_reads_of_the_store_are_shared_by_the_hosts() -> None:
+    hosts = Hosts(entries=10, agents=3, document=FIRST)
+    before = hosts.core.reads
+    hosts.run(20)
+    # each host on its own would read every 1.5 s to 3 s, which makes 4 a second or more
+    assert (hosts.core.reads - before) / 20 < 3
+    assert {hosts[e].admits("k1") for e in hosts.entries} == {"admitted"}
