Let a holder go on when its standby vouches again

Cause: an entry paused for 20 s in a store outage lost its slots, and those it vouched for, until the store was back. A lapsed slot is now suspended: its standby vouches again only for a row that it never tried to take over, and tries only when the store has just shown the row.

--- a/src/lavenderrun/decisions/_limits.py
+++ b/src/lavenderrun/decisions/_limits.py
@@ -11,8 +11,9 @@
 import msgspec
 
 from lavenderrun.decisions._lending import AccountLimit
+from lavenderrun.decisions._slot_states import Gained
 from lavenderrun.decisions._slot_views import SlotTerms
-from lavenderrun.decisions._slots import Gained, SlotKeeper
+from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.types import (
     AccountId,
     Charge,
--- a/src/lavenderrun/decisions/_slot_views.py
+++ b/src/lavenderrun/decisions/_slot_views.py
@@ -87,6 +87,7 @@
     :ivar seen: when this version was first heard of.
     :ivar vouched: when this host last promised not to take the slot over.
     :ivar known: whether the row at this version has been read.
+    :ivar read: when the store last showed this version.
     """
 
     def __init__(self, now: datetime) -> None:
@@ -95,10 +96,12 @@
         self.seen = now
         self.vouched: datetime | None = None
         self.known = False
+        self.read: datetime | None = None
 
-    def note_absent(self) -> None:
+    def note_absent(self, now: datetime) -> None:
         """Take the news that there is no row."""
         self.known = self.version == 0
+        self.read = now
 
     def note(self, version: int, row: SlotRow | None, now: datetime) -> None:
         """Take a version heard at *now*; an older one is stale and tells nothing."""
@@ -107,12 +110,20 @@
         if version > self.version:
             self.version, self.seen, self.known = version, now, False
         if row is not None:
-            self.row, self.known = row, True
+            self.row, self.known, self.read = row, True, now
 
     def is_mine(self, me: Peer) -> bool:
         """Tell whether the row names this life of *me* as the holder."""
         return self.row is not None and self.row.holder == me.host and self.row.boot == me.boot
 
+    def is_other(self, me: Peer) -> bool:
+        """Tell whether the row names a holder other than *me*."""
+        return self.row is not None and self.row.holder != NO_HOST and not self.is_mine(me)
+
+    def is_fresh(self, now: datetime, terms: SlotTerms) -> bool:
+        """Tell whether the store has shown this version just now."""
+        return self.read is not None and now - self.read <= terms.suspicion
+
     def names_standby(self, me: Peer) -> bool:
         """Tell whether the row lets *me* take over early."""
         row = self.row
--- a/src/lavenderrun/decisions/_slots.py
+++ b/src/lavenderrun/decisions/_slots.py
@@ -4,53 +4,23 @@
 renewed them: a long one on the slot's row in the store, and a short one that its standby, named in
 the row, renews by vouching. Only the standby may take the slot over soon after the holder fell
 silent, and only by a conditional write; so a lost host costs its slots for seconds, while a store
-outage costs nothing as long as the vouching goes on.
+outage costs nothing as long as the vouching goes on. When the vouching stops and goes on later, so
+does the holder: the standby vouches only for a row that it has not tried to take over.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
 from datetime import datetime
 from zlib import crc32
 
-import msgspec
-
+from lavenderrun.decisions._slot_states import Gained, HeldState, find_standby
 from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotView, SlotWrite, StoredSlot
 from lavenderrun.types import NO_HOST, HeldSlot, HostId, SlotId, SlotRow
 
 CLAIMS_AT_ONCE = 4
 
 
-@dataclass
-class HeldState:
-    """What makes a held slot valid.
-
-    :param version: of the row as last confirmed.
-    :param base: when the write was sent that the store confirmed last.
-    :param consents: when the message was sent that each possible standby last consented to.
-    """
-
-    version: int
-    base: datetime
-    consents: dict[Peer, datetime] = field(default_factory=dict)
-
-    def find_end(self, terms: SlotTerms) -> datetime:
-        """Return the instant from which the slot must not be spent."""
-        ends = [sent + terms.standby_lease for sent in self.consents.values()]
-        return min([self.base + terms.lease, *ends])
-
-
-class Gained(msgspec.Struct, frozen=True):
-    """A slot that is now held.
-
-    :param earned_from: nobody has spent it since; ``None`` when nobody ever has.
-    """
-
-    slot: SlotId
-    earned_from: datetime | None
-
-
 class SlotKeeper:
     """Decides which slots this host claims, renews, takes over and frees.
 
@@ -66,6 +36,8 @@
         self._began = began
         self._views = {slot: SlotView(began) for slot in slots}
         self._held: dict[SlotId, HeldState] = {}
+        self._suspended: dict[SlotId, HeldState] = {}
+        self._attempted: dict[SlotId, int] = {}
         self._writing: dict[SlotId, SlotWrite] = {}
         self._order = sorted(slots, key=lambda slot: crc32(f"{me.host}/{slot}".encode()))
         self._crowd = 0
@@ -87,11 +59,17 @@
         return min(ends, default=None)
 
     def drop_lapsed(self, now: datetime) -> list[tuple[datetime, SlotId]]:
-        """Drop the slots that lapsed and return them with the instants, earliest first."""
+        """Stop holding the slots that lapsed and return them with the instants, earliest first.
+
+        A slot whose row's lease goes on is held again once its standby vouches again.
+        """
         ends = [(state.find_end(self.terms), slot) for slot, state in self._held.items()]
         lapsed = sorted((end, slot) for end, slot in ends if end <= now)
         for _, slot in lapsed:
-            del self._held[slot]
+            self._suspended[slot] = self._held.pop(slot)
+        for slot, state in list(self._suspended.items()):
+            if state.base + self.terms.lease <= now:
+                del self._suspended[slot]
         return lapsed
 
     # the store
@@ -101,9 +79,10 @@
         for slot, view in self._views.items():
             stored = rows.get(slot)
             if stored is None:
-                view.note_absent()
+                view.note_absent(now)
             else:
                 view.note(stored.version, stored.row, now)
+                self._drop_if_lost(slot)
 
     def plan(self, peers: Sequence[Peer], now: datetime) -> list[SlotWrite]:
         """Return the writes to send now; each is answered by one of the methods below.
@@ -112,13 +91,16 @@
         """
         if len(peers) != self._crowd:
             self._crowd, self._crowd_since = len(peers), now
-        writes = [self._plan_held(slot, peers, now) for slot in sorted(self._held)]
+        states = {**self._held, **self._suspended}
+        writes = [self._plan_held(slot, peers, now) for slot in sorted(states)]
         planned = [write for write in writes if write is not None]
         planned += self._plan_claims(peers, now)
         for write in planned:
             self._writing[write.slot] = write
-            state = self._held.get(write.slot)
+            state = states.get(write.slot)
             standby = write.standby
+            if state is None:
+                self._attempted[write.slot] = write.expect
             # the write may take effect unseen: its standby must consent as well from now on
             if state is not None and standby is not None:
                 state.consents.setdefault(standby, now)
@@ -126,10 +108,11 @@
 
     def plan_release(self, now: datetime, slots: Iterable[SlotId] | None = None) -> list[SlotWrite]:
         """Give slots up at once and return the writes that free their rows."""
-        freed = list(self._held if slots is None else slots)
+        states = {**self._held, **self._suspended}
         writes = []
-        for slot in freed:
-            version = self._held.pop(slot).version
+        for slot in list(states if slots is None else slots):
+            version = states[slot].version
+            self._forget_state(slot)
             row = SlotRow(quiet=self.terms.loan_lease)
             writes.append(SlotWrite(slot, version, row, now))
             self._writing[slot] = writes[-1]
@@ -142,9 +125,10 @@
         if write.row.holder == NO_HOST:
             return None
         state = self._held.get(write.slot)
+        known_state = state or self._suspended.pop(write.slot, None)
         consents: dict[Peer, datetime] = {}
         if write.standby is not None:
-            known = state.consents.get(write.standby) if state else None
+            known = known_state.consents.get(write.standby) if known_state else None
             consents[write.standby] = max(known or write.sent, write.sent)
         fresh = HeldState(version, write.sent, consents)
         if fresh.find_end(self.terms) <= now:
@@ -162,11 +146,8 @@
         if current is None:
             return
         self._views[write.slot].note(current.version, current.row, now)
-        state = self._held.get(write.slot)
-        if state is None:
-            return
-        if current.row.holder != self._me.host or current.row.boot != self._me.boot:
-            del self._held[write.slot]
+        state = self._held.get(write.slot) or self._suspended.get(write.slot)
+        if state is None or self._drop_if_lost(write.slot):
             return
         # one of our own writes without a reply; the lease stays that of the confirmed one
         state.version = current.version
@@ -183,7 +164,7 @@
     def find_vouchers(self) -> dict[Peer, list[HeldSlot]]:
         """Return whom to ask to vouch for which held slots."""
         asked: dict[Peer, list[HeldSlot]] = {}
-        for slot, state in sorted(self._held.items()):
+        for slot, state in sorted({**self._held, **self._suspended}.items()):
             for peer in state.consents:
                 asked.setdefault(peer, []).append(HeldSlot(slot, state.version))
         return asked
@@ -191,16 +172,25 @@
     def take_vouch(self, peer: Peer, slots: Iterable[SlotId], sent: datetime) -> None:
         """Take a standby's consent to a message that left at *sent*."""
         for slot in slots:
-            state = self._held.get(slot)
+            state = self._held.get(slot) or self._suspended.get(slot)
             if state is not None and peer in state.consents:
                 state.consents[peer] = max(state.consents[peer], sent)
 
+    def resume(self, now: datetime) -> None:
+        """Hold the suspended slots again whose standbys vouch again."""
+        for slot, state in list(self._suspended.items()):
+            if state.find_end(self.terms) > now:
+                self._held[slot] = self._suspended.pop(slot)
+
     def vouch(self, slots: Iterable[HeldSlot], now: datetime) -> list[SlotId]:
         """Promise not to take these slots over; return those promised."""
         promised = []
         for held in slots:
             view = self._views.get(held.slot)
-            if view is None or held.slot in self._held or held.slot in self._writing:
+            if view is None or self._is_busy(held.slot):
+                continue
+            # an own attempt, or a later row, may already have ended the asker's right
+            if max(view.version, self._attempted.get(held.slot, -1) + 1) > held.version:
                 continue
             view.note(held.version, None, now)
             view.vouched = now
@@ -214,10 +204,25 @@
 
     # plans
 
+    def _is_busy(self, slot: SlotId) -> bool:
+        return slot in self._held or slot in self._suspended or slot in self._writing
+
+    def _forget_state(self, slot: SlotId) -> None:
+        self._held.pop(slot, None)
+        self._suspended.pop(slot, None)
+
+    def _drop_if_lost(self, slot: SlotId) -> bool:
+        """Forget a slot whose row names another holder; tell whether it was so."""
+        view = self._views[slot]
+        lost = view.row is not None and view.known and not view.is_mine(self._me)
+        if lost:
+            self._forget_state(slot)
+        return lost
+
     def _plan_held(self, slot: SlotId, peers: Sequence[Peer], now: datetime) -> SlotWrite | None:
         if slot in self._writing:
             return None
-        state = self._held[slot]
+        state = self._held.get(slot) or self._suspended[slot]
         current = find_standby(self._views[slot].row)
         wanted = current if current in peers and self._is_heard(state, current, now) else None
         if wanted is None:
@@ -237,11 +242,11 @@
         if now - self._began < self.terms.gather:
             return []
         target = self.find_target(len(peers))
-        pending = [slot for slot in self._writing if slot not in self._held]
-        missing = min(CLAIMS_AT_ONCE, target - len(self._held) - len(pending))
+        mine = {*self._held, *self._suspended, *self._writing}
+        missing = min(CLAIMS_AT_ONCE, target - len(mine))
         claims: list[SlotWrite] = []
         for slot in self._order:
-            if slot in self._held or slot in self._writing:
+            if self._is_busy(slot):
                 continue
             claim = self._plan_claim(slot, peers, now, wanted=len(claims) < missing)
             if claim is not None:
@@ -255,6 +260,9 @@
         free_from = view.find_free(self._me, self.terms)
         if free_from is None or now < free_from or not view.known:
             return None
+        # an attempt that the store does not answer would end the vouching for the holder
+        if view.is_other(self._me) and not view.is_fresh(now, self.terms):
+            return None
         # a standby takes over above its target too: nobody else may do so as soon
         if not wanted and not view.names_standby(self._me):
             return None
@@ -285,10 +293,3 @@
         if standby is None:
             return SlotRow(self._me.host, self._me.boot)
         return SlotRow(self._me.host, self._me.boot, standby.host, standby.boot)
-
-
-def find_standby(row: SlotRow | None) -> Peer | None:
-    """Return the standby that a row names."""
-    if row is None or row.standby == NO_HOST:
-        return None
-    return Peer(row.standby, row.standby_boot)
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from lavenderrun.services._order_agent import OrderAgent
-from lavenderrun.services._orders import OrdersService
-
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
@@ -16,6 +13,8 @@
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._order_agent import OrderAgent
+from lavenderrun.services._orders import OrdersService
 from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
 from lavenderrun.services._plain_router import PlainRouter
--- a/src/lavenderrun/services/_limits.py
+++ b/src/lavenderrun/services/_limits.py
@@ -297,8 +297,11 @@
         peer = Peer(link.peer.host, link.peer.boot)
         if sent is None or sent.peer != peer:
             return
-        self.fleet.sync(self._clock.now())
+        now = self._clock.now()
+        self.fleet.sync(now)
         self.fleet.keeper.take_vouch(peer, message.slots, sent.sent)
+        self.fleet.keeper.resume(now)
+        self.fleet.sync(now)
 
     def _take_request(self, link: Link, message: LoanRequest) -> None:
         now = self._clock.now()
