--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -33,6 +33,8 @@
 ENTRY_GRACE = timedelta(seconds=3)
 MAX_AHEAD = timedelta(milliseconds=250)
 """Longest lead that a promise looks ahead; more only lengthens the queues at prefill agents."""
+MAX_PROMISED = 5
+"""Most promises without a start; more would wait at prefill, where none can pass another."""
 RECHECK = timedelta(milliseconds=20)
 
 
@@ -231,6 +233,8 @@
         actions: list[SeatAction] = []
         free = self.seats - sum(seat.begun is not None for seat in self._taken.values())
         ready = [seat for seat in self._taken.values() if seat.state is SeatState.READY]
+        # the oldest export is the first to end
+        ready.sort(key=lambda seat: seat.expires or now)
         for seat in ready[: max(0, free)]:
             seat.state = SeatState.RUNNING
             seat.begun, seat.expires = now, None
@@ -247,6 +251,9 @@
         if seat.request.pieces > self.pieces_free or not self._may_join(seat):
             return None
         wanted = len(self._taken) - self.seats + 1
+        promised = sum(other.state is SeatState.PROMISED for other in self._taken.values())
+        if promised >= MAX_PROMISED:
+            return None
         lead = min(seat.request.lead, MAX_AHEAD).total_seconds()
         if wanted > 0 and not self._may_promise(wanted, self._chances, lead):
             return None
@@ -257,13 +264,22 @@
         key = request.job.key
         self._queue.pop(now)
         del self._waiting[key]
-        ready_in = ZERO if len(self._taken) < self.seats else min(request.lead, MAX_AHEAD)
+        ready_in = self._expect_free(len(self._taken) - self.seats + 1)
         self._taken[key] = seat
         self.pieces_free -= request.pieces
         seat.state = SeatState.PROMISED
         seat.expires = now + 2 * request.lead + PROMISE_GRACE
         return Promise(key, seat.holder, ready_in)
 
+    def _expect_free(self, wanted: int) -> timedelta:
+        """Return when the *wanted*-th seat is expected to come free."""
+        seconds = 0.0
+        while wanted > 0 and seconds < READY_GRACE.total_seconds():
+            if sum(self._chances(seconds)) >= wanted:
+                break
+            seconds += RECHECK.total_seconds()
+        return timedelta(seconds=seconds)
+
     def _may_join(self, seat: Seat) -> bool:
         """Tell whether solo running, of this attempt or of another, allows it."""
         if seat.request.solo:
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -174,7 +174,7 @@
         if not job.has_seat:
             job.has_seat = True
             self._events.emit(SeatTaken(*key, self._backend))
-        job.link.send(SeatPromised(*key, ready_in=ready_in))
+        job.link.send(SeatPromised(*key, ready_in=ready_in, load=self._book.load()))
 
     def _forget(self, key: JobKey, job: DecodeJob) -> None:
         """Drop a job that was not run."""
