--- a/tests/services/test_order_path.py
+++ b/tests/services/test_order_path.py
@@ -84,7 +84,8 @@
     """Entries ``e0`` and ``e1`` and agents ``d0``.. that serve a model ``old``."""
 
     def __init__(self, document: Document, *, agents: int = 3) -> None:
-        self.reactor = self.base = EventClock()
+        self.reactor = EventClock()
+        self.base = self.reactor
         self.network = BenchNetwork(self.base, Random(1))
         self.core = TableCore()
         self.faults = TableFaults()
