Learn output lengths from running answers too

Cause: short answers end first, so a mean over finished answers alone started far too low and seats were promised that did not come free: up to seven at once, and their exports died. Ends are now counted over the tokens passed.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -20,7 +20,7 @@
     may_dispatch,
     trusts_not_started,
 )
-from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
+from lavenderrun.decisions._estimates import Mean, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
@@ -36,6 +36,7 @@
     Stop,
     count_pieces,
 )
+from lavenderrun.decisions._lengths import OutputLengths
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from datetime import datetime, timedelta
 
-from lavenderrun.decisions._estimates import STEP_SECONDS, Mean, OutputLengths
+from lavenderrun.decisions._estimates import STEP_SECONDS, Mean
 from lavenderrun.decisions._leases import (
     ZERO,
     Drop,
@@ -23,6 +23,7 @@
     SeatState,
     Stop,
 )
+from lavenderrun.decisions._lengths import OutputLengths
 from lavenderrun.decisions._promises import PromisePolicy
 from lavenderrun.decisions._queue import JobKey, QueuePolicy
 from lavenderrun.decisions._tombstones import Tombstones
@@ -120,7 +121,8 @@
     def progress(self, key: JobKey, tokens: int) -> None:
         """Note how many tokens a running decode has made."""
         seat = self._taken.get(key)
-        if seat is not None:
+        if seat is not None and tokens > seat.tokens:
+            self.lengths.pass_tokens(seat.request.route, seat.tokens, tokens)
             seat.tokens = tokens
 
     def end(self, key: JobKey, now: datetime, *, whole: bool) -> list[SeatAction]:
@@ -134,7 +136,7 @@
         if seat.tokens > 1:
             self.step.add((now - seat.begun).total_seconds() / seat.tokens)
         if whole:
-            self.lengths.add(seat.request.route, seat.tokens)
+            self.lengths.end(seat.request.route, seat.tokens)
         self._free(seat, now)
         return self._assign(now)
 
--- a/tests/decisions/test_estimates.py
+++ b/tests/decisions/test_estimates.py
@@ -18,20 +18,40 @@
     assert speed.estimate(4000, cached=4000) == pytest.approx(0.01)
 
 
+def grow(lengths: OutputLengths, route: RouteName, until: int) -> None:
+    for before in range(0, until, 4):
+        lengths.pass_tokens(route, before, min(until, before + 4))
+
+
 def test_lengths_predict_the_end_of_an_answer() -> None:
     lengths = OutputLengths()
     random = Random(4)
     for _ in range(500):
-        lengths.add(ROUTE, int(random.expovariate(1 / 200)) + 1)
-    assert lengths.expect(ROUTE, 4096) == pytest.approx(200, rel=0.25)
-    assert lengths.ends_within(ROUTE, 4096, 100, 50) == pytest.approx(0.22, abs=0.1)
+        length = int(random.expovariate(1 / 200)) + 1
+        grow(lengths, ROUTE, length)
+        lengths.end(ROUTE, length)
+    assert lengths.expect(ROUTE, 4096) == pytest.approx(200, rel=0.15)
+    assert lengths.ends_within(ROUTE, 4096, 100, 50) == pytest.approx(0.22, abs=0.08)
     assert lengths.ends_within(ROUTE, 110, 100, 50) == 1.0
 
 
+def test_short_answers_that_end_first_do_not_bias_the_lengths() -> None:
+    lengths = OutputLengths()
+    random = Random(4)
+    for _ in range(200):
+        length = int(random.expovariate(1 / 120)) + 1
+        # only the first forty tokens of each answer were seen so far
+        grow(lengths, ROUTE, min(40, length))
+        if length <= 40:
+            lengths.end(ROUTE, length)
+    assert lengths.expect(ROUTE, 4096) == pytest.approx(120, rel=0.35)
+
+
 def test_probability_grows_with_the_time_given() -> None:
     lengths = OutputLengths()
     for length in (10, 40, 90, 300):
-        lengths.add(ROUTE, length)
+        grow(lengths, ROUTE, length)
+        lengths.end(ROUTE, length)
     chances = [lengths.ends_within(ROUTE, 4096, 20, further) for further in range(0, 400, 20)]
     assert chances == sorted(chances)
     assert 0 <= chances[0] < chances[-1] <= 1
@@ -40,6 +60,8 @@
 def test_routes_are_bounded() -> None:
     lengths = OutputLengths(maximum=2)
     for name in ("a", "b", "c"):
-        lengths.add(RouteName(name), 8)
-    assert lengths.expect(RouteName("a"), 100) == 50
-    assert lengths.expect(RouteName("c"), 100) == 8
+        for _ in range(100):
+            grow(lengths, RouteName(name), 8)
+            lengths.end(RouteName(name), 8)
+    assert lengths.expect(RouteName("c"), 4096) < 20
+    assert lengths.expect(RouteName("a"), 4096) == pytest.approx(200, rel=0.01)
--- a/tests/decisions/test_seats.py
+++ b/tests/decisions/test_seats.py
@@ -179,8 +179,9 @@
 
 def test_a_seat_is_promised_before_it_is_free() -> None:
     seats = book(seats=1, promise="ahead")
-    for _ in range(20):
-        seats.lengths.add(ROUTE, 100)
+    for _ in range(50):
+        seats.lengths.pass_tokens(ROUTE, 64, 95)
+        seats.lengths.end(ROUTE, 100)
     seats.reserve(ask("r"), at(0))
     seats.start(key("r"), at(0.2))
     assert promised(seats.reserve(ask("next", 0.3), at(0.3))) == []
