--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -4,6 +4,7 @@
 
 from lavenderrun.codecs import _claim_rows as _claim_rows
 from lavenderrun.codecs import _entry_rows as _entry_rows
+from lavenderrun.codecs import _quarantine_rows as _quarantine_rows
 from lavenderrun.codecs._api_answers import (
     DONE_EVENT,
     AnswerCodec,
@@ -28,9 +29,9 @@
     EngineProtocolError,
     ExportReply,
     FaultReply,
+    LoadedReply,
     LoadReply,
     OrderCall,
-    OrderKind,
     PrefillCall,
     ReleaseCall,
     decode_body,
@@ -38,6 +39,7 @@
     encode_decode_event,
 )
 from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._lease_rows import LEASE_TABLE
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
 from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
@@ -53,6 +55,7 @@
 
 __all__ = [
     "DONE_EVENT",
+    "LEASE_TABLE",
     "ROWS",
     "SLOT_TABLE",
     "AnswerCodec",
@@ -69,9 +72,9 @@
     "Faults",
     "Form",
     "LoadReply",
+    "LoadedReply",
     "ModelCall",
     "OrderCall",
-    "OrderKind",
     "PrefillCall",
     "ReleaseCall",
     "RowCodec",
--- a/src/lavenderrun/codecs/_engine.py
+++ b/src/lavenderrun/codecs/_engine.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TypeVar
 
 import msgspec
 
-from lavenderrun.types import ExportHandle, FencingNumber, FinishReason, ModelName, RequestId
+from lavenderrun.types import (
+    BackendRole,
+    ExportHandle,
+    FencingNumber,
+    FinishReason,
+    ModelName,
+    OrderKind,
+    RequestId,
+)
 
 EVENT_END = b"\n\n"
 EVENT_START = b"data: "
@@ -20,14 +27,6 @@
     """Bytes that do not fit the engine protocol."""
 
 
-class OrderKind(Enum):
-    """What an engine can be ordered to do."""
-
-    LOAD_MODEL = "load_model"
-    LOAD_ADAPTER = "load_adapter"
-    CHANGE_ROLE = "change_role"
-
-
 class PrefillCall(msgspec.Struct, frozen=True):
     """Body of ``POST /prefill``; a smaller priority goes first."""
 
@@ -93,6 +92,15 @@
     pieces_free: int
 
 
+class LoadedReply(msgspec.Struct, frozen=True):
+    """Reply to ``GET /loaded``; engines that cannot tell answer 404."""
+
+    model: ModelName
+    revision: str
+    adapters: list[str]
+    role: BackendRole
+
+
 class OrderCall(msgspec.Struct, frozen=True):
     """Body of ``POST /orders``.
 
@@ -104,6 +112,7 @@
     model: ModelName
     adapter: str = ""
     role: str = ""
+    revision: str = ""
 
 
 class FaultReply(msgspec.Struct, frozen=True):
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from lavenderrun.decisions._lengths import OutputLengths
+
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -12,6 +14,7 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._assignment import Assignment, Place, assign
 from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
 from lavenderrun.decisions._claims import (
@@ -22,6 +25,13 @@
 )
 from lavenderrun.decisions._estimates import Mean, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._fencing import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    StoredLease,
+)
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._keys import grant_key, withdraw_key
@@ -36,10 +46,10 @@
     Stop,
     count_pieces,
 )
-from lavenderrun.decisions._lengths import OutputLengths
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
+from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -61,6 +71,7 @@
     Release,
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
+from lavenderrun.decisions._quarantine import MAX_CRASHES, Probes, Quarantine, find_home
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
@@ -77,6 +88,7 @@
 __all__ = [
     "INVARIANT_CHECKS",
     "LIMIT_POLICIES",
+    "MAX_CRASHES",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
@@ -84,6 +96,8 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "Assignment",
+    "Blocked",
     "CallLedger",
     "Candidate",
     "Chance",
@@ -92,6 +106,7 @@
     "Compute",
     "Drop",
     "FairQueue",
+    "FenceGate",
     "FifoQueue",
     "FleetLimits",
     "Freshness",
@@ -99,12 +114,18 @@
     "HeldCharge",
     "Job",
     "JobKey",
+    "LeaseKeeper",
+    "LeaseTerms",
+    "LeaseWrite",
     "LinkBudget",
     "Mean",
     "Need",
+    "Orderer",
     "OutputLengths",
     "Peer",
+    "Place",
     "Placement",
+    "PlannedOrder",
     "Pool",
     "PrefillAction",
     "PrefillBook",
@@ -113,9 +134,11 @@
     "PrefillPlacement",
     "PrefillSpeed",
     "PrefixIndex",
+    "Probes",
     "Progress",
     "Promise",
     "PromisePolicy",
+    "Quarantine",
     "QueuePolicy",
     "Reason",
     "RecentSends",
@@ -136,9 +159,11 @@
     "SlotTerms",
     "SlotWrite",
     "Stop",
+    "StoredLease",
     "StoredSlot",
     "Tombstones",
     "Violation",
+    "assign",
     "check_record",
     "choose_dials",
     "choose_voters",
@@ -146,6 +171,7 @@
     "count_tokens",
     "digest_key",
     "find_changes",
+    "find_home",
     "find_plain_route",
     "find_shares",
     "grant_key",
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -7,16 +7,20 @@
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
+from lavenderrun.services._leases import LeasesService
 from lavenderrun.services._limits import LimitsService
 from lavenderrun.services._links import LinksService
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._model_router import ModelRouter
+from lavenderrun.services._order_agent import OrderAgent
+from lavenderrun.services._orders import OrdersService
 from lavenderrun.services._plain_agent import PlainAgent
 from lavenderrun.services._plain_http import HttpPlain
 from lavenderrun.services._plain_router import PlainRouter
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
+from lavenderrun.services._quarantine import QuarantineService
 from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
@@ -33,16 +37,20 @@
     "HttpEngine",
     "HttpPlain",
     "HttpStore",
+    "LeasesService",
     "LimitsService",
     "LinksService",
     "ListenError",
     "Listener",
     "Membership",
     "ModelRouter",
+    "OrderAgent",
+    "OrdersService",
     "PlainAgent",
     "PlainRouter",
     "Policies",
     "PrefillAgent",
+    "QuarantineService",
     "RecordService",
     "RouterService",
     "StoreClient",
--- a/src/lavenderrun/services/_engine_http.py
+++ b/src/lavenderrun/services/_engine_http.py
@@ -9,6 +9,7 @@
 import msgspec
 from eliot import log_message
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectError
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http_headers import Headers
@@ -21,6 +22,7 @@
     EngineProtocolError,
     ExportReply,
     FaultReply,
+    LoadedReply,
     LoadReply,
     OrderCall,
     PrefillCall,
@@ -32,10 +34,14 @@
 from lavenderrun.services._http_client import BytesBody, make_pooled_agent, read_body
 from lavenderrun.types import (
     BackendCrashError,
+    BackendDownError,
     BackendSettings,
     Export,
     ExportHandle,
+    Loaded,
     ModelName,
+    Order,
+    OrderKind,
     RequestId,
     Step,
     StepError,
@@ -44,6 +50,12 @@
 
 T = TypeVar("T")
 
+FAULTS: dict[int, type[StepError]] = {
+    HTTPStatus.BAD_GATEWAY: BackendCrashError,
+    HTTPStatus.SERVICE_UNAVAILABLE: BackendDownError,
+}
+"""What an engine's status says of the work."""
+
 
 class HttpEngine:
     """Speaks to one engine; see ``Engine``.
@@ -106,6 +118,30 @@
         """Give an order; fails with ``StepError`` when its fencing number is old."""
         return self._post("orders", order, Step.ORDER).addCallback(_drop)
 
+    def obey(self, order: Order) -> Deferred[None]:
+        """Carry an order out; see ``OrderedEngine``."""
+        role = order.role.value if order.kind is OrderKind.CHANGE_ROLE else ""
+        call = OrderCall(
+            order.kind, order.fencing, order.model, order.adapter, role, order.revision
+        )
+        return self.order(call)
+
+    def find_loaded(self) -> Deferred[Loaded | None]:
+        """Read what the engine serves; see ``OrderedEngine``."""
+        url = f"http://{self.address}/loaded".encode()
+        done: Deferred[Any] = self._agent.request(b"GET", url, Headers(), None)
+        done.addCallback(self._read_loaded).addErrback(self.translate, Step.ORDER)
+        return done
+
+    def _read_loaded(self, response: Any) -> Deferred[Any] | None:
+        if response.code == HTTPStatus.NOT_FOUND:
+            return None
+        return (
+            self.check(response, Step.ORDER)
+            .addCallback(self._decode, LoadedReply, Step.ORDER)
+            .addCallback(_to_loaded)
+        )
+
     def check(self, response: Any, step: Step) -> Deferred[bytes]:
         """Return the body of a success.
 
@@ -114,9 +150,11 @@
         return read_body(response).addCallback(self._check_body, response.code, step)
 
     def translate(self, failure: Failure, step: Step) -> Failure:
-        """Turn a broken connection into a crash of the engine."""
+        """Turn a broken connection into a crash of the engine, a refused one into its absence."""
         if isinstance(failure.value, StepError | CancelledError):
             return failure
+        if isinstance(failure.value, ConnectError):
+            raise BackendDownError(step, self.address, type(failure.value).__name__)
         raise BackendCrashError(step, self.address, type(failure.value).__name__)
 
     def _post(self, path: str, call: msgspec.Struct, step: Step) -> Deferred[bytes]:
@@ -135,8 +173,7 @@
     def _check_body(self, body: bytes, code: int, step: Step) -> bytes:
         if code in (HTTPStatus.OK, HTTPStatus.NO_CONTENT):
             return body
-        kind = BackendCrashError if code == HTTPStatus.BAD_GATEWAY else StepError
-        raise kind(step, self.address, _read_fault(body, code))
+        raise FAULTS.get(code, StepError)(step, self.address, _read_fault(body, code))
 
     def _decode(self, body: bytes, kind: type[T], step: Step) -> T:
         try:
@@ -261,6 +298,10 @@
     return Export(reply.handle, reply.source, reply.tokens, reply.cached, lives)
 
 
+def _to_loaded(reply: LoadedReply) -> Loaded:
+    return Loaded(reply.model, reply.revision, reply.adapters, reply.role)
+
+
 def _read_fault(body: bytes, code: int) -> str:
     try:
         return decode_body(body, FaultReply).fault
