Keep the last seats of an engine from accounts over their share

Cause: an account that sends several times its rate fills every seat that the others leave free, so each of theirs waits for one to end. An account that holds clearly more than its share may not have the last two seats.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from lavenderrun.decisions._lengths import OutputLengths
-
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, digest_key
@@ -46,6 +44,7 @@
     Stop,
     count_pieces,
 )
+from lavenderrun.decisions._lengths import OutputLengths
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
 from lavenderrun.decisions._membership import RowWatch, choose_dials
--- a/src/lavenderrun/decisions/_fairqueue.py
+++ b/src/lavenderrun/decisions/_fairqueue.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Collection
 from datetime import datetime, timedelta
 from itertools import count
 
@@ -85,14 +86,14 @@
             lane.enroll(account)
         self._advance()
 
-    def peek(self, now: datetime) -> Job | None:
+    def peek(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
         """Return the next job."""
-        entry = self._choose(now)
+        entry = self._choose(now, barred)
         return None if entry is None else entry.job
 
-    def pop(self, now: datetime) -> Job | None:
+    def pop(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
         """Take the next job and charge its account."""
-        entry = self._choose(now)
+        entry = self._choose(now, barred)
         if entry is None:
             return None
         is_late = entry.lane is Lane.LATE
@@ -152,16 +153,16 @@
             heapq.heappop(self._deadlines)
         return self._deadlines[0][0] if self._deadlines else None
 
-    def _choose(self, now: datetime) -> Entry | None:
+    def _choose(self, now: datetime, barred: Collection[AccountId]) -> Entry | None:
         slack = SLACK_JOBS * self._mean_cost
         on_time: Entry | None = None
         while True:
             self._demote(now)
-            on_time = self._lanes[Lane.ON_TIME].first(slack)
+            on_time = self._lanes[Lane.ON_TIME].first(slack, barred)
             # an account that has just become eligible again may bring an overdue job
             if on_time is None or on_time.job.due >= now:
                 break
-        late = self._lanes[Lane.LATE].first(slack)
+        late = self._lanes[Lane.LATE].first(slack, barred)
         if on_time is None or (late is not None and self._turn >= LATE_TURN):
             return late
         return on_time
--- a/src/lavenderrun/decisions/_laneindex.py
+++ b/src/lavenderrun/decisions/_laneindex.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Collection
 
 from lavenderrun.decisions._accountline import Account, Entry, Heap, Lane
+from lavenderrun.types import AccountId
 
 
 class LaneIndex:
@@ -45,8 +47,21 @@
         if head is not None and not account.parked[self._lane]:
             heapq.heappush(self._ready, head)
 
-    def first(self, slack: float) -> Entry | None:
-        """Return the earliest job of an account within *slack* of the smallest tag."""
+    def first(self, slack: float, barred: Collection[AccountId]) -> Entry | None:
+        """Return the earliest job of an account within *slack* of the smallest tag.
+
+        :param barred: accounts that are passed over.
+        """
+        if not barred:
+            return self._first(slack)
+        passed: Heap = []
+        while (entry := self._first(slack)) is not None and entry.account.name in barred:
+            passed.append(heapq.heappop(self._ready))
+        for item in passed:
+            heapq.heappush(self._ready, item)
+        return entry
+
+    def _first(self, slack: float) -> Entry | None:
         floor = self.floor()
         if floor is None:
             return None
--- a/src/lavenderrun/decisions/_queue.py
+++ b/src/lavenderrun/decisions/_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Protocol
@@ -54,10 +54,13 @@
     def push(self, job: Job, now: datetime) -> None:
         """Add a job; a key that waits already is ignored."""
 
-    def peek(self, now: datetime) -> Job | None:
-        """Return the job that the next :meth:`pop` at *now* takes."""
+    def peek(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
+        """Return the job that the next :meth:`pop` at *now* takes.
 
-    def pop(self, now: datetime) -> Job | None:
+        :param barred: accounts that may not have a turn now.
+        """
+
+    def pop(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
         """Take the next job."""
 
     def remove(self, key: JobKey) -> Job | None:
@@ -106,12 +109,12 @@
         self._work += job.cost
         heapq.heappush(self._deadlines, (job.deadline, job.key))
 
-    def peek(self, now: datetime) -> Job | None:
-        """Return the oldest job."""
+    def peek(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
+        """Return the oldest job, whosoever it is."""
         return next(iter(self._jobs.values()), None)
 
-    def pop(self, now: datetime) -> Job | None:
-        """Take the oldest job."""
+    def pop(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
+        """Take the oldest job, whosoever it is."""
         job = self.peek(now)
         return None if job is None else self.remove(job.key)
 
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -24,10 +24,11 @@
     Stop,
 )
 from lavenderrun.decisions._lengths import OutputLengths
+from lavenderrun.decisions._occupancy import Occupancy
 from lavenderrun.decisions._promises import PromisePolicy
 from lavenderrun.decisions._queue import JobKey, QueuePolicy
 from lavenderrun.decisions._tombstones import Tombstones
-from lavenderrun.types import HostId, Load, Refusal, RouteName
+from lavenderrun.types import AccountId, HostId, Load, Refusal, RouteName
 
 PROMISE_GRACE = timedelta(seconds=2)
 READY_GRACE = timedelta(seconds=1)
@@ -36,6 +37,8 @@
 """Longest lead that a promise looks ahead; more only lengthens the queues at prefill agents."""
 MAX_PROMISED = 5
 """Most promises without a start; more would wait at prefill, where none can pass another."""
+KEPT_SEATS = 2
+"""Seats that an account over its share leaves to the others."""
 RECHECK = timedelta(milliseconds=20)
 
 
@@ -65,6 +68,7 @@
         self._waiting: dict[JobKey, Seat] = {}
         self._taken: dict[JobKey, Seat] = {}
         self._ended = Tombstones()
+        self._occupancy = Occupancy(seats)
 
     def cost(self, route: RouteName, max_tokens: int, lead: timedelta) -> float:
         """Return the seat seconds that a request is expected to hold."""
@@ -106,6 +110,7 @@
             self._ended.add(key, now, started=False)
             return [Reject(key, request.holder, Refusal.NO_ROOM, wait if fits else ZERO)]
         self._waiting[key] = Seat(request)
+        self._occupancy.note(request.job.account, request.job.weight, now)
         self._queue.push(request.job, now)
         return self._assign(now)
 
@@ -228,6 +233,7 @@
         key = seat.request.job.key
         del self._taken[key]
         self.pieces_free += seat.request.pieces
+        self._occupancy.free(seat.request.job.account)
         self._ended.add(key, now, started=seat.begun is not None)
 
     def _assign(self, now: datetime) -> list[SeatAction]:
@@ -246,8 +252,9 @@
         return actions
 
     def _next_promised(self, now: datetime) -> Seat | None:
-        job = self._queue.peek(now)
-        if job is None:
+        barred = self._find_barred(now)
+        job = self._queue.peek(now, barred)
+        if job is None or job.account in barred:
             return None
         seat = self._waiting[job.key]
         if seat.request.pieces > self.pieces_free or not self._may_join(seat):
@@ -261,14 +268,21 @@
             return None
         return seat
 
+    def _find_barred(self, now: datetime) -> frozenset[AccountId]:
+        """Return the accounts that may not have one of the last seats."""
+        if len(self._taken) < self.seats - KEPT_SEATS:
+            return frozenset()
+        return self._occupancy.find_over_share(now)
+
     def _promise(self, seat: Seat, now: datetime) -> SeatAction:
         request = seat.request
         key = request.job.key
-        self._queue.pop(now)
+        self._queue.pop(now, self._find_barred(now))
         del self._waiting[key]
         ready_in = self._expect_free(len(self._taken) - self.seats + 1)
         self._taken[key] = seat
         self.pieces_free -= request.pieces
+        self._occupancy.take(request.job.account)
         seat.state = SeatState.PROMISED
         seat.expires = now + 2 * request.lead + PROMISE_GRACE
         return Promise(key, seat.holder, ready_in)
