Read settings files, and let links use mutual TLS

Cause: the daemons had no reader for their settings, and links ran over plain TCP only. Before: no check of a settings file. Conclusion: a bad or missing certificate is named by its setting before the daemon starts.

--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -41,6 +41,7 @@
 from lavenderrun.codecs._faults import Fault, Faults
 from lavenderrun.codecs._lease_rows import LEASE_TABLE
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._settings import read_settings
 from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._stored import (
@@ -103,6 +104,7 @@
     "parse_idempotency_key",
     "parse_key",
     "read_document",
+    "read_settings",
     "row",
     "strip_headers",
 ]
--- /dev/null
+++ b/src/lavenderrun/codecs/_settings.py
@@ -0,0 +1,90 @@
+"""Settings files of the daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from ipaddress import ip_address
+from typing import Any, Final, TypeVar
+
+from lavenderrun.codecs._document import Form, build, parse
+from lavenderrun.codecs._faults import Faults, make_fault, refuse
+from lavenderrun.codecs._lines import Path
+from lavenderrun.kernel import Registry
+from lavenderrun.types import DaemonSettings
+
+S = TypeVar("S", bound=DaemonSettings)
+
+Found = Iterator[tuple[Path, str]]
+Check = Callable[[Mapping[str, Any]], Found]
+
+PORT_MOST: Final = 65535
+TLS_SECTIONS: Final = ("host", "front", "admin")
+
+SETTINGS_CHECKS: Registry[Check] = Registry("settings check")
+
+
+def read_settings(text: str | bytes, kind: type[S]) -> S | Faults:
+    """Return the settings in a TOML text, or every fault of it."""
+    parsed = parse(text, Form.TOML)
+    if isinstance(parsed, Faults):
+        return parsed
+    data, lines = parsed
+    settings = build(kind, data, lines)
+    faults = [
+        make_fault(path, what, lines) for _, check in SETTINGS_CHECKS for path, what in check(data)
+    ]
+    if isinstance(settings, Faults):
+        faults.extend(settings.faults)
+    if isinstance(settings, Faults) or faults:
+        return refuse(faults)
+    return settings
+
+
+def _sections(data: Mapping[str, Any]) -> Iterator[tuple[str, Mapping[str, Any]]]:
+    return ((name, section) for name, section in data.items() if isinstance(section, dict))
+
+
+@SETTINGS_CHECKS.register("boot")
+def check_boot(data: Mapping[str, Any]) -> Found:
+    """The identity of a life is never written down."""
+    if "boot" in data:
+        yield ("boot",), "extra inputs are not permitted"
+
+
+@SETTINGS_CHECKS.register("addresses")
+def check_addresses(data: Mapping[str, Any]) -> Found:
+    """Addresses are IP numbers with a port."""
+    for name, section in _sections(data):
+        for field in ("listen", "address"):
+            value = section.get(field)
+            if isinstance(value, str) and not _is_address(value):
+                yield (name, field), "must be an IP number and a port"
+    host = data.get("host")
+    listen = host.get("listen") if isinstance(host, dict) else None
+    if isinstance(listen, str) and listen.endswith(":0"):
+        yield ("host", "listen"), "needs a port, since the other daemons dial it"
+
+
+@SETTINGS_CHECKS.register("certificates")
+def check_certificates(data: Mapping[str, Any]) -> Found:
+    """Certificate, private key and, for links, the authority go together."""
+    for name, section in _sections(data):
+        if name not in TLS_SECTIONS:
+            continue
+        fields = ["certificate", "private_key"] + ["authority"] * (name == "host")
+        missing = [field for field in fields if section.get(field) is None]
+        if len(missing) < len(fields):
+            yield from (((name, field), f"is missing; {_join(fields)}") for field in missing)
+
+
+def _join(fields: list[str]) -> str:
+    return f"{', '.join(fields[:-1])} and {fields[-1]} go together"
+
+
+def _is_address(value: str) -> bool:
+    host, _, port = value.rpartition(":")
+    try:
+        ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdecimal() and int(port) <= PORT_MOST
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lavenderrun.services._admission import AdmissionService
+from lavenderrun.services._certificates import CertificateError
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
@@ -30,6 +31,7 @@
 __all__ = [
     "STORE_DIALECTS",
     "AdmissionService",
+    "CertificateError",
     "DecodeAgent",
     "DocumentService",
     "FrontService",
--- a/src/lavenderrun/services/_listener.py
+++ b/src/lavenderrun/services/_listener.py
@@ -10,6 +10,8 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.ssl import DefaultOpenSSLContextFactory
 
+from lavenderrun.services._certificates import CertificateError, read_pem
+
 BACKLOG = 512
 
 
@@ -74,28 +76,13 @@
 
     :raises ListenError: names the setting whose file is missing, unreadable or does not fit.
     """
-    for setting, path in (("certificate", certificate), ("private_key", private_key)):
-        if path is None:
-            msg = f"{setting}: is missing; certificate and private_key go together"
-            raise ListenError(msg)
-        _check_file(setting, path)
+    try:
+        for setting, path in (("certificate", certificate), ("private_key", private_key)):
+            read_pem(setting, path)
+    except CertificateError as error:
+        raise ListenError(str(error)) from error
     try:
         return DefaultOpenSSLContextFactory(private_key, certificate, SSL.TLS_METHOD)
     except (SSL.Error, crypto.Error) as error:
         msg = f"private_key: {private_key} does not fit certificate {certificate}"
         raise ListenError(msg) from error
-
-
-def _check_file(setting: str, path: str) -> None:
-    try:
-        with open(path, "rb") as file:
-            data = file.read()
-    except OSError as error:
-        msg = f"{setting}: {path} can not be read: {error.strerror}"
-        raise ListenError(msg) from error
-    load: Any = crypto.load_certificate if setting == "certificate" else crypto.load_privatekey
-    try:
-        load(crypto.FILETYPE_PEM, data)
-    except (crypto.Error, ValueError, TypeError) as error:
-        msg = f"{setting}: {path} holds no PEM {setting.replace('_', ' ')}"
-        raise ListenError(msg) from error
--- a/src/lavenderrun/services/_transport_grpc.py
+++ b/src/lavenderrun/services/_transport_grpc.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.services._certificates import make_link_credentials
 from lavenderrun.types import Pipe, PipeEvents, Step, StepError
 
 SERVICE = "lavenderrun.Peer"
@@ -194,5 +195,16 @@
 
 @SERVICES.register("transport")
 def make_transport(kernel: Kernel) -> GrpcTransport:
-    """Make the transport at the settings' peer address."""
-    return GrpcTransport(kernel.settings.hello().address)
+    """Make the transport at the settings' peer address, by TLS when they name certificates.
+
+    :raises CertificateError: names the setting whose file is missing or does not fit.
+    """
+    address = kernel.settings.hello().address
+    credentials = make_link_credentials(kernel.settings.host)
+    if credentials is None:
+        return GrpcTransport(address)
+    return GrpcTransport(
+        address,
+        server_credentials=credentials.server,
+        channel_credentials=credentials.channel,
+    )
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -16,6 +16,7 @@
 )
 from lavenderrun.types._events import (
     EVENTS,
+    AnswerBegun,
     AttemptHappening,
     BackendCrashed,
     BackendEnded,
@@ -172,12 +173,14 @@
 )
 from lavenderrun.types._rows import Claim, EntryHost, KeptReply, StruckRow
 from lavenderrun.types._settings import (
+    AdminSettings,
     AgentSettings,
     BackendSettings,
     DaemonSettings,
     EntrySettings,
     FrontSettings,
     HostSettings,
+    MetricsSettings,
     ServedSettings,
     StoreSettings,
 )
@@ -214,11 +217,13 @@
     "AccountId",
     "Ack",
     "Acquitted",
+    "AdminSettings",
     "Admission",
     "Admitted",
     "AdmittedModel",
     "AdmittedPlain",
     "AgentSettings",
+    "AnswerBegun",
     "AnswerSink",
     "AttemptFailed",
     "AttemptHappening",
@@ -302,6 +307,7 @@
     "LoanReturn",
     "MemoryHeld",
     "Message",
+    "MetricsSettings",
     "Model",
     "ModelName",
     "ModelRequest",
--- a/src/lavenderrun/types/_events.py
+++ b/src/lavenderrun/types/_events.py
@@ -84,6 +84,11 @@
     key_digest: KeyDigest | None = None
 
 
+@event("answer_begun")
+class AnswerBegun(RequestHappening, tag="answer_begun", frozen=True):
+    """The first token, or a reply's head, was handed to the front end."""
+
+
 @event("request_finished")
 class RequestFinished(RequestHappening, tag="request_finished", frozen=True):
     """The whole answer was handed to the front end."""
--- a/src/lavenderrun/types/_settings.py
+++ b/src/lavenderrun/types/_settings.py
@@ -8,7 +8,14 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from lavenderrun.types._ids import BackendId, BootId, DataCentre, HostId, ServiceGroup
+from lavenderrun.types._ids import (
+    BackendId,
+    BootId,
+    DataCentre,
+    HostId,
+    KeyDigest,
+    ServiceGroup,
+)
 from lavenderrun.types._messages import Hello
 from lavenderrun.types._states import BackendRole, HostRole
 
@@ -45,6 +52,39 @@
     drain: Wait = timedelta(seconds=120)
 
 
+class AdminSettings(BaseModel):
+    """Section of the operators' HTTP front.
+
+    :param listen: IP number and port; port zero takes a free one.
+    :param certificate: PEM file with the certificate chain; plain HTTP without it.
+    :param private_key: PEM file with the certificate's key.
+    :param operators: SHA-256 digests of operators' keys by the name that their changes carry;
+        without any, only the pages that need no key are served.
+    :param max_body: largest body in bytes.
+    :param idle: how long a connection without a request stays open.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    listen: Address = "127.0.0.1:0"
+    certificate: str | None = None
+    private_key: str | None = None
+    operators: dict[Name, Annotated[KeyDigest, Field(pattern=r"^sha256:[0-9a-f]{64}$")]] = {}
+    max_body: Size = 4 << 20
+    idle: Wait = timedelta(seconds=60)
+
+
+class MetricsSettings(BaseModel):
+    """Section of an agent's page of metrics.
+
+    :param listen: IP number and port; no page without it.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    listen: Address | None = None
+
+
 class BackendSettings(BaseModel):
     """Section of the backend server beside an agent.
 
@@ -145,6 +185,7 @@
 
     store: StoreSettings
     front: FrontSettings = FrontSettings()
+    admin: AdminSettings = AdminSettings()
 
     def hello(self) -> Hello:
         """Return this host's greeting to its peers."""
@@ -163,10 +204,12 @@
 
     :param serves: what the backend server beside it serves.
     :param backend: how the backend server is reached.
+    :param metrics: where its metrics are read.
     """
 
     serves: ServedSettings
     backend: BackendSettings
+    metrics: MetricsSettings = MetricsSettings()
 
     def hello(self) -> Hello:
         """Return this host's greeting to its peers."""
