--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._certificates import CertificateError
+
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._departure import Departure
@@ -31,6 +33,7 @@
 __all__ = [
     "STORE_DIALECTS",
     "AdmissionService",
+    "CertificateError",
     "DecodeAgent",
     "Departure",
     "DocumentService",
