--- a/src/lavenderrun/services/_listener.py
+++ b/src/lavenderrun/services/_listener.py
@@ -9,8 +9,10 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.ssl import DefaultOpenSSLContextFactory
+from twisted.protocols.tls import TLSMemoryBIOFactory
 
 from lavenderrun.services._certificates import CertificateError, read_pem
+from lavenderrun.services._eager_tcp import EagerPort
 
 BACKLOG = 512
 
@@ -43,22 +45,20 @@
         """The IP number and port in use."""
         return f"{self._host}:{self.port}"
 
-    def open(self, make: Callable[[IReactorTime], ServerFactory]) -> None:
-        """Listen.
+    def open(self, make: Callable[[IReactorTime], ServerFactory], reactor: Any = None) -> None:
+        """Listen, on the running reactor unless another is given.
 
         :raises ListenError: when the address is taken or the certificate is bad.
         """
-        from twisted.internet import reactor  # the daemon has installed its own by now
+        if reactor is None:
+            from twisted.internet import reactor  # the daemon has installed its own by now
 
-        reactor_any: Any = reactor
-        context = make_tls_context(*self._tls) if self._tls is not None else None
-        factory = make(reactor_any)
-        arguments = {"backlog": BACKLOG, "interface": self._host}
+        context: Any = make_tls_context(*self._tls) if self._tls is not None else None
+        factory: Any = make(reactor)
+        served: Any = factory if context is None else TLSMemoryBIOFactory(context, False, factory)
         try:
-            if context is None:
-                self._port = reactor_any.listenTCP(self._wanted, factory, **arguments)
-            else:
-                self._port = reactor_any.listenSSL(self._wanted, factory, context, **arguments)
+            self._port = EagerPort(self._wanted, served, BACKLOG, self._host, reactor)
+            self._port.startListening()
         except Exception as error:
             msg = f"listen: {self._host}:{self._wanted} can not be used: {error}"
             raise ListenError(msg) from error
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -108,7 +108,7 @@
         self._prefiller: Link | None = None
         self._charge: Charge | None = None
         self._charging: Deferred[Charge | Refused] | None = None
-        self._waiting_since = request.arrived
+        self._waiting_since = self._heard_at = request.arrived
         self._probe: Deferred[None] | None = None
         self._begun = False
         self._tries = 0
@@ -353,8 +353,8 @@
             return
         if self._assembly.offset - self._acked >= ACK_TOKENS:
             self._ack()
-        if self.state is RunState.DECODING:
-            self._expect(STALL_TIMEOUT, self._stall)
+        # the timer stands; it looks at this when it fires
+        self._heard_at = self._router.clock.now()
 
     def _finish(self, reason: FinishReason) -> None:
         self._ack(end=1)
@@ -386,6 +386,11 @@
         self._fail_attempt(host, failed.refused, started=failed.started or failed.crashed)
 
     def _stall(self) -> None:
+        if self.state is RunState.DECODING:
+            left = self._heard_at + STALL_TIMEOUT - self._router.clock.now()
+            if left > timedelta(0):
+                self._expect(left, self._stall)
+                return
         started = self.state is RunState.DECODING
         link = self._prefiller if self.state is RunState.PREFILLING else self._decoder
         assert link is not None
--- a/tests/services/test_listener.py
+++ b/tests/services/test_listener.py
@@ -1,15 +1,23 @@
 from __future__ import annotations
 
+import asyncio
+import socket
+import ssl
+import threading
+from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
+from typing import Any
 
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
+from twisted.internet.asyncioreactor import AsyncioSelectorReactor
+from twisted.internet.protocol import Protocol, ServerFactory
 
-from lavenderrun.services import ListenError
+from lavenderrun.services import Listener, ListenError
 from lavenderrun.services._listener import make_tls_context
 
 
@@ -57,3 +65,79 @@
         make_tls_context(certificate, str(noise))
     with pytest.raises(ListenError, match=r"private_key: .*other.key does not fit"):
         make_tls_context(certificate, other)
+
+
+BULK = bytes(range(256)) * 20_000
+
+
+class Bulk(Protocol):
+    """Sends a little, then much in many small parts, then closes."""
+
+    transport: Any
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.write(b"hello")
+        for start in range(0, len(BULK), 4000):
+            self.transport.write(BULK[start : start + 4000])
+        self.transport.loseConnection()
+
+
+def read_all(connection: socket.socket) -> bytes:
+    parts = []
+    while part := connection.recv(65536):
+        parts.append(part)
+    return b"".join(parts)
+
+
+def serve_bulk(tls: tuple[str, str] | None, read: Callable[[int], bytes]) -> bytes:
+    reactor: Any = AsyncioSelectorReactor(asyncio.new_event_loop())
+    listener = Listener("127.0.0.1:0", tls)
+    factory: Any = ServerFactory()
+    factory.protocol = Bulk
+    listener.open(lambda _: factory, reactor)
+    seen: list[bytes] = []
+
+    def call() -> None:
+        try:
+            seen.append(read(listener.port))
+        finally:
+            reactor.callFromThread(reactor.stop)
+
+    caller = threading.Thread(target=call)
+    reactor.callWhenRunning(caller.start)
+    reactor.run()
+    caller.join()
+    return seen[0]
+
+
+def test_slow_reader_gets_every_byte_in_order_and_then_the_end() -> None:
+    def read(port: int) -> bytes:
+        with socket.create_connection(("127.0.0.1", port)) as connection:
+            threading.Event().wait(0.2)
+            return read_all(connection)
+
+    assert serve_bulk(None, read) == b"hello" + BULK
+
+
+def test_callers_reach_the_port_by_tls(tmp_path: Path) -> None:
+    key = make_key()
+    certificate = write_certificate(tmp_path / "front.pem", key)
+    private_key = write_key(tmp_path / "front.key", key)
+    trust = ssl.create_default_context(cafile=certificate)
+    trust.check_hostname = False
+
+    def read(port: int) -> bytes:
+        with socket.create_connection(("127.0.0.1", port)) as connection:
+            return read_all(trust.wrap_socket(connection))
+
+    assert serve_bulk((certificate, private_key), read) == b"hello" + BULK
+
+
+def test_taken_address_is_named() -> None:
+    reactor: Any = AsyncioSelectorReactor(asyncio.new_event_loop())
+    factory: Any = ServerFactory()
+    first = Listener("127.0.0.1:0", None)
+    first.open(lambda _: factory, reactor)
+    with pytest.raises(ListenError, match=rf"listen: 127.0.0.1:{first.port} can not be used"):
+        Listener(first.address, None).open(lambda _: factory, reactor)
+    first.close()
