--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from lavenderrun.codecs import _claim_rows as _claim_rows
+from lavenderrun.codecs import _entry_rows as _entry_rows
+from lavenderrun.codecs import _quarantine_rows as _quarantine_rows
 from lavenderrun.codecs._api_answers import (
     DONE_EVENT,
     AnswerCodec,
@@ -18,8 +21,27 @@
     make_schema,
     read_document,
 )
+from lavenderrun.codecs._engine import (
+    CancelCall,
+    DecodeCall,
+    DecodeEvent,
+    DecodeEvents,
+    EngineProtocolError,
+    ExportReply,
+    FaultReply,
+    LoadedReply,
+    LoadReply,
+    OrderCall,
+    PrefillCall,
+    ReleaseCall,
+    decode_body,
+    encode_body,
+    encode_decode_event,
+)
 from lavenderrun.codecs._faults import Fault, Faults
+from lavenderrun.codecs._lease_rows import LEASE_TABLE
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._stored import (
     StoredDocumentError,
@@ -33,23 +55,40 @@
 
 __all__ = [
     "DONE_EVENT",
+    "LEASE_TABLE",
     "ROWS",
+    "SLOT_TABLE",
     "AnswerCodec",
     "ApiError",
     "ApiForm",
+    "CancelCall",
+    "DecodeCall",
+    "DecodeEvent",
+    "DecodeEvents",
+    "EngineProtocolError",
+    "ExportReply",
     "Fault",
+    "FaultReply",
     "Faults",
     "Form",
+    "LoadReply",
+    "LoadedReply",
     "ModelCall",
+    "OrderCall",
+    "PrefillCall",
+    "ReleaseCall",
     "RowCodec",
     "RowError",
     "StoredDocumentError",
     "WireCodec",
     "WireError",
+    "decode_body",
     "decode_copy",
     "decode_stored",
     "digest_document",
+    "encode_body",
     "encode_copy",
+    "encode_decode_event",
     "encode_document",
     "encode_error",
     "encode_error_event",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -1,4 +1,4 @@
-"""Pure policy: time, randomness and input come in, decisions go out."""
+"""Pure policy: time, randomness and input come in as arguments, decisions go out."""
 
 from __future__ import annotations
 
@@ -12,9 +12,24 @@
     PrefixIndex,
     hash_blocks,
 )
+from lavenderrun.decisions._assignment import Assignment, Place, assign
+from lavenderrun.decisions._calls import CallLedger
 from lavenderrun.decisions._changes import find_changes
+from lavenderrun.decisions._claims import (
+    ClaimVerdict,
+    judge_claim,
+    may_dispatch,
+    trusts_not_started,
+)
 from lavenderrun.decisions._estimates import Mean, OutputLengths, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
+from lavenderrun.decisions._fencing import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    StoredLease,
+)
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._keys import grant_key, withdraw_key
@@ -27,7 +42,12 @@
     SeatRequest,
     SeatState,
     Stop,
+    count_pieces,
 )
+from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
+from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
+from lavenderrun.decisions._membership import RowWatch, choose_dials
+from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
 from lavenderrun.decisions._placement import (
     PLACEMENTS,
     Candidate,
@@ -38,6 +58,7 @@
     Reason,
     RejectedHost,
 )
+from lavenderrun.decisions._pool import Pool
 from lavenderrun.decisions._prefills import (
     Abort,
     Compute,
@@ -48,11 +69,15 @@
     Release,
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
+from lavenderrun.decisions._quarantine import MAX_CRASHES, Probes, Quarantine, find_home
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._retries import RetryBudget
-from lavenderrun.decisions._routes import find_model_route, find_plain_route
+from lavenderrun.decisions._routes import find_plain_route
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
+from lavenderrun.decisions._shares import find_shares
+from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot
+from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 from lavenderrun.decisions._tombstones import Tombstones
@@ -60,6 +85,8 @@
 
 __all__ = [
     "INVARIANT_CHECKS",
+    "LIMIT_POLICIES",
+    "MAX_CRASHES",
     "PLACEMENTS",
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
@@ -67,22 +94,37 @@
     "Abort",
     "AdmissionIndex",
     "Assembly",
+    "Assignment",
+    "Blocked",
+    "CallLedger",
     "Candidate",
     "Chance",
     "Choice",
+    "ClaimVerdict",
     "Compute",
     "Drop",
     "FairQueue",
+    "FenceGate",
     "FifoQueue",
+    "FleetLimits",
     "Freshness",
     "FreshnessRules",
+    "HeldCharge",
     "Job",
     "JobKey",
+    "LeaseKeeper",
+    "LeaseTerms",
+    "LeaseWrite",
     "LinkBudget",
     "Mean",
     "Need",
+    "Orderer",
     "OutputLengths",
+    "Peer",
+    "Place",
     "Placement",
+    "PlannedOrder",
+    "Pool",
     "PrefillAction",
     "PrefillBook",
     "PrefillNeed",
@@ -90,9 +132,11 @@
     "PrefillPlacement",
     "PrefillSpeed",
     "PrefixIndex",
+    "Probes",
     "Progress",
     "Promise",
     "PromisePolicy",
+    "Quarantine",
     "QueuePolicy",
     "Reason",
     "RecentSends",
@@ -102,23 +146,38 @@
     "RejectedHost",
     "Release",
     "RetryBudget",
+    "RowWatch",
     "Run",
     "SeatAction",
     "SeatBook",
     "SeatRequest",
     "SeatState",
+    "Shortfall",
+    "SlotKeeper",
+    "SlotTerms",
+    "SlotWrite",
     "Stop",
+    "StoredLease",
+    "StoredSlot",
     "Tombstones",
     "Violation",
+    "assign",
     "check_record",
+    "choose_dials",
     "choose_voters",
+    "count_pieces",
     "count_tokens",
     "digest_key",
     "find_changes",
-    "find_model_route",
+    "find_home",
     "find_plain_route",
+    "find_shares",
     "grant_key",
     "has_majority",
     "hash_blocks",
+    "judge_claim",
+    "make_slots",
+    "may_dispatch",
+    "trusts_not_started",
     "withdraw_key",
 ]
--- a/src/lavenderrun/decisions/_prefills.py
+++ b/src/lavenderrun/decisions/_prefills.py
@@ -144,13 +144,6 @@
         self._ended.add(key, now, started=started)
         return [*actions, *self._assign(now)]
 
-    def lose(self, holder: HostId, now: datetime) -> list[PrefillAction]:
-        """Drop the waiting work of an entry whose link is lost; it cannot hear of the result."""
-        actions: list[PrefillAction] = []
-        for key in [k for k, order in self._orders.items() if order.holder == holder]:
-            actions += self.cancel(key, now)
-        return actions
-
     def tick(self, now: datetime) -> list[PrefillAction]:
         """End what has run out and begin what has come to its time."""
         actions: list[PrefillAction] = []
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -30,7 +30,11 @@
 
 PROMISE_GRACE = timedelta(seconds=2)
 READY_GRACE = timedelta(seconds=1)
-ENTRY_GRACE = timedelta(seconds=5)
+ENTRY_GRACE = timedelta(seconds=3)
+MAX_AHEAD = timedelta(milliseconds=250)
+"""Longest lead that a promise looks ahead; more only lengthens the queues at prefill agents."""
+MAX_PROMISED = 5
+"""Most promises without a start; more would wait at prefill, where none can pass another."""
 RECHECK = timedelta(milliseconds=20)
 
 
@@ -151,15 +155,16 @@
         return started, self.cancel(key, now)
 
     def lose(self, holder: HostId, now: datetime) -> list[SeatAction]:
-        """Note that the link to an entry is lost; its seats are kept for the grace period."""
-        for seat in [s for s in self._waiting.values() if s.holder == holder]:
-            # no tombstone: the entry asks again on its next link
-            self._queue.remove(seat.request.job.key)
-            del self._waiting[seat.request.job.key]
-        for seat in self._taken.values():
-            if seat.holder == holder:
+        """Note that the link to an entry is lost; only running decodes outlast it, for a while."""
+        actions: list[SeatAction] = []
+        for seat in [*self._waiting.values(), *self._taken.values()]:
+            if seat.holder != holder:
+                continue
+            if seat.begun is None:
+                actions += self._end_early(seat, now)
+            else:
                 seat.orphaned = now + ENTRY_GRACE
-        return self._assign(now)
+        return [*actions, *self._assign(now)]
 
     def adopt(self, key: JobKey, holder: HostId) -> bool:
         """Bind an attempt to the entry that speaks of it; tell whether it is known."""
@@ -176,7 +181,7 @@
         for job in self._queue.expire(now):
             seat = self._waiting.pop(job.key)
             self._ended.add(job.key, now, started=False)
-            actions.append(Reject(job.key, seat.holder, Refusal.DEADLINE))
+            actions.append(Reject(job.key, seat.holder, Refusal.NO_ROOM))
         for seat in list(self._taken.values()):
             ends_at = seat.ends_at()
             if ends_at is not None and ends_at <= now:
@@ -213,7 +218,7 @@
             self._queue.remove(key)
             del self._waiting[key]
             self._ended.add(key, now, started=False)
-            return []
+            return [Drop(key)]
         self._free(seat, now)
         return [Drop(key)]
 
@@ -228,6 +233,8 @@
         actions: list[SeatAction] = []
         free = self.seats - sum(seat.begun is not None for seat in self._taken.values())
         ready = [seat for seat in self._taken.values() if seat.state is SeatState.READY]
+        # the oldest export is the first to end
+        ready.sort(key=lambda seat: seat.expires or now)
         for seat in ready[: max(0, free)]:
             seat.state = SeatState.RUNNING
             seat.begun, seat.expires = now, None
@@ -244,7 +251,10 @@
         if seat.request.pieces > self.pieces_free or not self._may_join(seat):
             return None
         wanted = len(self._taken) - self.seats + 1
-        lead = seat.request.lead.total_seconds()
+        promised = sum(other.state is SeatState.PROMISED for other in self._taken.values())
+        if promised >= MAX_PROMISED:
+            return None
+        lead = min(seat.request.lead, MAX_AHEAD).total_seconds()
         if wanted > 0 and not self._may_promise(wanted, self._chances, lead):
             return None
         return seat
@@ -254,13 +264,22 @@
         key = request.job.key
         self._queue.pop(now)
         del self._waiting[key]
-        ready_in = ZERO if len(self._taken) < self.seats else request.lead
+        ready_in = self._expect_free(len(self._taken) - self.seats + 1)
         self._taken[key] = seat
         self.pieces_free -= request.pieces
         seat.state = SeatState.PROMISED
         seat.expires = now + 2 * request.lead + PROMISE_GRACE
         return Promise(key, seat.holder, ready_in)
 
+    def _expect_free(self, wanted: int) -> timedelta:
+        """Return when the *wanted*-th seat is expected to come free."""
+        seconds = 0.0
+        while wanted > 0 and seconds < READY_GRACE.total_seconds():
+            if sum(self._chances(seconds)) >= wanted:
+                break
+            seconds += RECHECK.total_seconds()
+        return timedelta(seconds=seconds)
+
     def _may_join(self, seat: Seat) -> bool:
         """Tell whether solo running, of this attempt or of another, allows it."""
         if seat.request.solo:
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -2,21 +2,40 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections.abc import Sequence
 from datetime import timedelta
 from functools import partial
 from typing import ClassVar
 
 from twisted.python.failure import Failure
 
+from lavenderrun.decisions import (
+    PROMISE_POLICIES,
+    QUEUE_POLICIES,
+    Drop,
+    Job,
+    JobKey,
+    Promise,
+    Reject,
+    Run,
+    SeatAction,
+    SeatBook,
+    SeatRequest,
+    SeatState,
+    Stop,
+)
 from lavenderrun.kernel import SERVICES, Kernel
-from lavenderrun.services._decode_job import DecodeJob, JobKey, SeatState
+from lavenderrun.services._alarm import Alarm
+from lavenderrun.services._decode_job import DecodeJob
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._outage import Outage
+from lavenderrun.services._policies import Policies
 from lavenderrun.types import (
     Ack,
     AttemptFailed,
     BackendCrashed,
     BackendCrashError,
+    BackendDownError,
     BackendEnded,
     BackendId,
     BackendRun,
@@ -24,103 +43,161 @@
     Engine,
     Link,
     Links,
-    Load,
     Outcome,
     PrefillUsed,
     Refusal,
     Refused,
     Reserve,
     Resume,
+    Revoke,
+    Revoked,
     SeatFreed,
     SeatPromised,
     SeatTaken,
     Start,
     Step,
+    StepError,
 )
 
-RESUME_GRACE = timedelta(seconds=3)
-START_GRACE = timedelta(seconds=8)
 KEEP_OUTPUT = timedelta(seconds=10)
+FIRST_STEP = timedelta(milliseconds=200)
+"""Time from the start of a decode to the first token at the caller, with a margin."""
 
 
 class DecodeAgent:
-    """The seats of one decode engine, given first come first served."""
+    """Carries out what the seat book of one decode engine decides."""
 
     needs: ClassVar[tuple[str, ...]] = ("links", "engine", "record")
 
     def __init__(self, kernel: Kernel) -> None:
+        policies = Policies.of(kernel)
         self._clock = kernel.clock
         self._links = kernel.find("links", Links)
         self._engine = kernel.find("engine", Engine)
         self._events = Emitter.of(kernel)
+        self._outage = Outage(kernel.clock)
         self._backend: BackendId = kernel.settings.hello().backend
-        self._seats: int = kernel.settings.seats()
+        self._book = SeatBook(
+            kernel.settings.seats(),
+            kernel.settings.pieces(),
+            QUEUE_POLICIES.find(policies.queue),
+            PROMISE_POLICIES.find(policies.promise),
+        )
         self._jobs: dict[JobKey, DecodeJob] = {}
-        self._queue: deque[JobKey] = deque()
-        self._taken = 0
+        self._alarm = Alarm(kernel.clock, self._tick)
 
     def start(self) -> None:
         """Listen to entries and report load."""
         self._links.subscribe(Reserve, self._take_reserve)
         self._links.subscribe(Start, self._take_start)
         self._links.subscribe(Cancel, self._take_cancel)
+        self._links.subscribe(Revoke, self._take_revoke)
         self._links.subscribe(Ack, self._take_ack)
         self._links.subscribe(Resume, self._take_resume)
         self._links.watch(lambda link: None, self._link_down)
-        self._links.bind_load(self.load)
+        self._links.bind_load(self._book.load)
 
     def stop(self) -> None:
         """Drop all jobs."""
         for key in list(self._jobs):
             self._drop(key)
+        self._alarm.set(None)
 
     def held(self) -> int:
         """Return the number of jobs in hand."""
         return len(self._jobs)
 
-    def load(self) -> Load:
-        """Return the load that heartbeats carry."""
-        return Load(self._seats, self._taken, len(self._queue), timedelta(0), 0)
-
     # seats
 
     def _take_reserve(self, link: Link, order: Reserve) -> None:
         key = (order.request, order.attempt)
-        if key in self._jobs:
+        job = self._jobs.get(key)
+        if job is None and self._outage.is_on:
+            link.send(AttemptFailed(*key, self._outage.refuse(Step.SEAT), started=False))
             return
-        job = self._jobs[key] = DecodeJob(link, order)
-        job.expect(self._clock, order.patience, self._refuse, key, Refusal.NO_ROOM)
-        self._queue.append(key)
-        self._give_seats()
-
-    def _give_seats(self) -> None:
-        while self._queue and self._taken < self._seats:
-            key = self._queue.popleft()
-            job = self._jobs.get(key)
-            if job is None:
-                continue
-            self._taken += 1
-            job.state = SeatState.PROMISED
+        if job is None:
+            job = self._jobs[key] = DecodeJob(link, order)
+        job.link = link
+        self._apply(self._book.reserve(self._read(link, order), self._clock.now()))
+
+    def _read(self, link: Link, order: Reserve) -> SeatRequest:
+        now = self._clock.now()
+        cost = self._book.cost(order.route, order.max_tokens, order.lead)
+        due = now + order.urgency - order.lead - FIRST_STEP
+        job = Job(
+            order.request,
+            order.attempt,
+            order.account,
+            cost,
+            order.weight,
+            order.urgency,
+            due,
+            now + order.patience,
+        )
+        return SeatRequest(
+            job,
+            order.route,
+            order.prompt_tokens,
+            order.max_tokens,
+            order.lead,
+            order.solo,
+            link.peer.host,
+        )
+
+    def _tick(self) -> None:
+        self._apply(self._book.tick(self._clock.now()))
+
+    def _apply(self, actions: Sequence[SeatAction]) -> None:
+        for action in actions:
+            job = self._jobs.get(action.key)
+            if job is not None:
+                self._carry_out(action, job)
+        self._alarm.set(self._book.next_tick(self._clock.now()))
+
+    def _carry_out(self, action: SeatAction, job: DecodeJob) -> None:
+        match action:
+            case Promise(key, _, ready_in):
+                self._promise(key, job, ready_in)
+            case Reject(key, _, refusal, retry_after):
+                refused = Refused(refusal, Outcome.NOT_RUN, Step.SEAT, retry_after=retry_after)
+                job.link.send(AttemptFailed(*key, refused, started=False))
+                self._forget(key, job)
+            case Run(key):
+                self._run(key, job)
+            case Stop():
+                if job.running is not None:
+                    job.running.cancel()
+            case Drop(key):
+                self._forget(key, job)
+
+    def _promise(self, key: JobKey, job: DecodeJob, ready_in: timedelta) -> None:
+        if not job.has_seat:
+            job.has_seat = True
             self._events.emit(SeatTaken(*key, self._backend))
-            job.link.send(SeatPromised(*key, ready_in=timedelta(0)))
-            job.expect(self._clock, START_GRACE, self._refuse, key, Refusal.DEADLINE)
+        job.link.send(SeatPromised(*key, ready_in=ready_in, load=self._book.load()))
 
-    def _refuse(self, key: JobKey, refusal: Refusal) -> None:
-        job = self._jobs[key]
-        refused = Refused(refusal, Outcome.NOT_RUN, Step.SEAT, retry_after=timedelta(seconds=1))
-        job.link.send(AttemptFailed(*key, refused, started=False))
-        self._drop(key)
+    def _forget(self, key: JobKey, job: DecodeJob) -> None:
+        """Drop a job that was not run."""
+        del self._jobs[key]
+        if job.has_seat:
+            self._events.emit(SeatFreed(*key, self._backend))
 
     # decode
 
     def _take_start(self, link: Link, order: Start) -> None:
         key = (order.request, order.attempt)
         job = self._jobs.get(key)
-        if job is None or job.state is not SeatState.PROMISED:
+        if job is None or self._book.state(key) is SeatState.WAITING:
             refused = Refused(Refusal.NO_ROOM, Outcome.NOT_RUN, Step.SEAT)
             link.send(AttemptFailed(*key, refused, started=False))
-            return
-        job.begin(order.offset)
+        elif job.start is None:
+            job.start = order
+            self._apply(self._book.start(key, self._clock.now()))
+
+    def _run(self, key: JobKey, job: DecodeJob) -> None:
+        order = job.start
+        assert order is not None
+        job.begin(order.offset, partial(self._book.progress, key))
         job.on_first = partial(self._events.emit, PrefillUsed(*key, order.tokens))
         self._events.emit(BackendRun(*key, self._backend, job.order.account))
         job.running = self._engine.decode(
@@ -136,29 +213,34 @@
         )
 
     def _finish(self, _: None, key: JobKey, job: DecodeJob) -> None:
-        self._free_seat(key, job)
-        if self._jobs.get(key) is job and job.finished:
-            job.state = SeatState.ENDED
-            job.expect(self._clock, KEEP_OUTPUT, self._drop, key)
-            self._drop_if_acked(key, job)
+        whole = job.finished
+        if self._jobs.get(key) is job:
+            if whole:
+                job.expect(self._clock, KEEP_OUTPUT, self._drop, key)
+                self._drop_if_acked(key, job)
+            else:
+                del self._jobs[key]
+        self._free_seat(key, job, whole=whole)
 
     def _fail(self, failure: Failure, key: JobKey, job: DecodeJob) -> None:
-        self._free_seat(key, job)
-        if self._jobs.get(key) is not job:
-            return
-        crashed = isinstance(failure.value, BackendCrashError)
-        if crashed:
-            self._events.emit(BackendCrashed(self._backend, [job.order.fingerprint]))
-        refused = Refused(Refusal.BACKEND_LOST, Outcome.UNKNOWN, Step.DECODE)
-        job.link.send(AttemptFailed(*key, refused, started=True, crashed=crashed))
-        self._drop(key)
-
-    def _free_seat(self, key: JobKey, job: DecodeJob) -> None:
+        if self._jobs.pop(key, None) is job:
+            crashed = isinstance(failure.value, BackendCrashError)
+            if crashed:
+                self._events.emit(BackendCrashed(self._backend, [job.order.fingerprint]))
+            error = failure.value
+            self._outage.note(error)
+            step = error.step if isinstance(error, StepError) else Step.DECODE
+            started = step is not Step.TRANSFER and not isinstance(error, BackendDownError)
+            outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
+            refused = Refused(Refusal.BACKEND_LOST, outcome, step)
+            job.link.send(AttemptFailed(*key, refused, started=started, crashed=crashed))
+        self._free_seat(key, job, whole=False)
+
+    def _free_seat(self, key: JobKey, job: DecodeJob, *, whole: bool) -> None:
         job.running = None
-        self._taken -= 1
         self._events.emit(BackendEnded(*key, self._backend))
         self._events.emit(SeatFreed(*key, self._backend))
-        self._give_seats()
+        self._apply(self._book.end(key, self._clock.now(), whole=whole))
 
     # output
 
@@ -170,8 +252,9 @@
             self._drop_if_acked(key, job)
 
     def _drop_if_acked(self, key: JobKey, job: DecodeJob) -> None:
-        if job.state is SeatState.ENDED and job.is_acked:
-            self._drop(key)
+        if job.finished and job.is_acked:
+            job.forget()
+            self._jobs.pop(key, None)
 
     def _take_resume(self, link: Link, resume: Resume) -> None:
         key = (resume.request, resume.attempt)
@@ -179,31 +262,31 @@
         if job is None or not job.resume(link, resume.offset):
             refused = Refused(Refusal.BACKEND_LOST, Outcome.UNKNOWN, Step.DECODE)
             link.send(AttemptFailed(*key, refused, started=True))
+            return
+        self._book.adopt(key, link.peer.host)
+        if job.finished:
+            job.expect(self._clock, KEEP_OUTPUT, self._drop, key)
 
     # ends
 
     def _take_cancel(self, _link: Link, cancel: Cancel) -> None:
         self._drop((cancel.request, cancel.attempt))
 
+    def _take_revoke(self, link: Link, revoke: Revoke) -> None:
+        key = (revoke.request, revoke.attempt)
+        started, actions = self._book.revoke(key, self._clock.now())
+        self._apply(actions)
+        link.send(Revoked(*key, started=started))
+
     def _link_down(self, link: Link) -> None:
-        for key in [key for key, job in self._jobs.items() if job.link is link]:
-            job = self._jobs[key]
-            if job.state in (SeatState.RUNNING, SeatState.ENDED):
-                job.expect(self._clock, RESUME_GRACE, self._drop, key)
-            else:
-                self._drop(key)
+        self._apply(self._book.lose(link.peer.host, self._clock.now()))
 
     def _drop(self, key: JobKey) -> None:
-        job = self._jobs.pop(key, None)
-        if job is None:
-            return
-        job.forget()
-        if job.running is not None:
-            job.running.cancel()
-        elif job.state is SeatState.PROMISED:
-            self._taken -= 1
-            self._events.emit(SeatFreed(*key, self._backend))
-            self._give_seats()
+        job = self._jobs.get(key)
+        self._apply(self._book.cancel(key, self._clock.now()))
+        if job is not None:
+            job.forget()
+            self._jobs.pop(key, None)
 
 
 @SERVICES.register("decode_agent")
--- a/src/lavenderrun/services/_document.py
+++ b/src/lavenderrun/services/_document.py
@@ -44,6 +44,7 @@
 
 TICK: Final = timedelta(seconds=0.5)
 PEERS_ASKED: Final = 3
+PEERS_KEPT: Final = timedelta(seconds=10)
 ROUNDS_KEPT: Final = 8
 FETCH_TIMEOUT: Final = timedelta(seconds=1)
 FETCH_SPREAD: Final = timedelta(seconds=0.2)
@@ -95,8 +96,11 @@
         self._kept: dict[DocumentVersion, StoredDocument] = {}
         self._watchers: list[Callable[[Document], None]] = []
         self._voters: frozenset[BackendId] = frozenset()
+        self._peers: list[Link] = []
+        self._peers_until = clock.now()
         self._rounds: dict[int, _Round] = {}
         self._asks = 0
+        self._copy: tuple[DocumentVersion, bytes] = (DocumentVersion(0), b"")
         self._fetching: tuple[DocumentVersion, datetime] | None = None
         self._reading = False
         self._read_failures = 0
@@ -207,8 +211,13 @@
             self._ask([link for link in self._links.live() if link.peer.backend in self._voters])
 
     def _choose_peers(self) -> list[Link]:
-        links = list(self._links.live())
-        return self._random.sample(links, min(PEERS_ASKED, len(links)))
+        # the same few for a while: a link in use costs more heartbeats than an idle one
+        live = list(self._links.live())
+        now = self.clock.now()
+        if now >= self._peers_until or not all(link in live for link in self._peers):
+            self._peers = self._random.sample(live, min(PEERS_ASKED, len(live)))
+            self._peers_until = now + (PEERS_KEPT if len(live) > PEERS_ASKED else timedelta(0))
+        return self._peers
 
     def _ask(self, links: list[Link]) -> None:
         if not links:
@@ -222,7 +231,7 @@
     def _answer(self, link: Link, ask: DocumentAsk) -> None:
         now, lease = self.clock.now(), self._freshness
         state = DocumentState(
-            ask.ask, self.version, lease.age(now), lease.read_age(now), lease.may_vote(now)
+            ask.ask, self.version, lease.age(now), lease.read_age(now), lease.may_vote
         )
         link.send(state)
 
@@ -308,8 +317,12 @@
 
     def _send_copy(self, link: Link, fetch: DocumentFetch) -> None:
         stored = self._in_force
-        if stored is not None and stored.revision.version >= fetch.version:
-            link.send(DocumentCopy(stored.revision.version, encode_copy(stored)))
+        if stored is None or stored.revision.version < fetch.version:
+            return
+        version = stored.revision.version
+        if self._copy[0] != version:
+            self._copy = (version, encode_copy(stored))
+        link.send(DocumentCopy(*self._copy))
 
     def _take_copy(self, link: Link, copy: DocumentCopy) -> None:
         if copy.version <= self._known():
@@ -348,7 +361,14 @@
         for link in self._links.live():
             link.send(DocumentState(0, version, None, None, False))
         for handler in list(self._watchers):
-            handler(stored.document)
+            self._tell(handler, stored.document)
+
+    def _tell(self, handler: Callable[[Document], None], document: Document) -> None:
+        try:
+            handler(document)
+        except Exception as error:
+            # one part that fails must not keep the others on the old version
+            self._log("watcher_failed", "a part did not take it", error=type(error).__name__)
 
     def _log(self, kind: str, text: str, **fields: Any) -> None:
         log_message(f"document:{kind}", text=f"document: {text}", host=self._hello.host, **fields)
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -2,38 +2,36 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from typing import ClassVar
 
 from twisted.internet.defer import Deferred
 
-from lavenderrun.decisions import RetryBudget
+from lavenderrun.decisions import RetryBudget, find_shares
 from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.services._chooser import Chooser
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._model_request import ModelRun
 from lavenderrun.types import (
+    AccountId,
     Admission,
     AdmittedModel,
     AnswerSink,
     AttemptFailed,
-    BackendRole,
     Document,
     DocumentSource,
     Frame,
-    HostId,
     Limits,
     Link,
     Links,
     Message,
-    ModelName,
     ModelRequest,
     Prefilled,
+    QuarantineKeeper,
     Refusal,
     Refused,
     RequestId,
     RequestRefused,
     SeatPromised,
-    ServiceGroup,
     Ticket,
 )
 
@@ -48,18 +46,28 @@
 class ModelRouter:
     """The live model requests of this entry."""
 
-    needs: ClassVar[tuple[str, ...]] = ("links", "document", "admission", "limits", "record")
+    needs: ClassVar[tuple[str, ...]] = (
+        "links",
+        "document",
+        "admission",
+        "limits",
+        "quarantine",
+        "record",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self.clock = kernel.clock
         self.chance = kernel.chance
         self.links = kernel.find("links", Links)
         self.limits = kernel.find("limits", Limits)
+        self.quarantine = kernel.find("quarantine", QuarantineKeeper)
         self.events = Emitter.of(kernel)
+        self.chooser = Chooser(kernel)
         self.retries = RetryBudget(Document().retry_share)
         self._admission = kernel.find("admission", Admission)
         self._document = kernel.find("document", DocumentSource)
         self._runs: dict[RequestId, ModelRun] = {}
+        self._shares: dict[AccountId, float] = {}
         self._drained: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -88,22 +96,11 @@
             return DeadTicket()
         return self._run(request, admitted, sink)
 
-    def choose(
-        self, model: ModelName, role: BackendRole, excluded: Collection[HostId]
-    ) -> Link | None:
-        """Return a link to an agent with *model* in *role*, ``None`` when there is none."""
-        fits = [
-            link
-            for link in self.links.live()
-            if link.peer.group == ServiceGroup(model)
-            and link.peer.backend_role is role
-            and link.peer.host not in excluded
-            and not self.links.is_leaving(link.peer.host)
-        ]
-        if not fits:
-            return None
-        pair = [self.chance.choice(fits), self.chance.choice(fits)]
-        return min(pair, key=self._busyness)
+    def weigh(self, admitted: AdmittedModel) -> float:
+        """Return the share of a request's account at the agents' queues."""
+        if admitted.account is None:
+            return admitted.weight
+        return self._shares.get(admitted.account, admitted.weight)
 
     def forget(self, run: ModelRun) -> None:
         """Drop an ended run."""
@@ -119,20 +116,18 @@
         run.begin()
         return run
 
-    def _busyness(self, link: Link) -> float:
-        load = self.links.load(link.peer.host)
-        return 0.0 if load is None else (load.taken + load.queued) / max(1, load.seats)
-
     def _take(self, link: Link, message: Message) -> None:
         run = self._runs.get(message.request)  # type: ignore[attr-defined]
         if run is not None:
             run.take(link, message)
 
     def _link_up(self, link: Link) -> None:
+        self.chooser.link_up(link)
         for run in list(self._runs.values()):
             run.link_up(link)
 
     def _link_down(self, link: Link) -> None:
+        self.chooser.link_down(link)
         for run in list(self._runs.values()):
             run.link_down(link)
 
@@ -143,6 +138,8 @@
 
     def _take_document(self, document: Document) -> None:
         self.retries.share = document.retry_share
+        self.chooser.take_document(document)
+        self._shares = find_shares(document)
 
 
 @SERVICES.register("model_router")
--- /dev/null
+++ b/src/lavenderrun/services/_policies.py
@@ -0,0 +1,31 @@
+"""Names of the policies that a daemon uses; a benchmark swaps one for its baseline."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+
+from lavenderrun.kernel import Kernel
+
+
+@dataclass(frozen=True)
+class Policies:
+    """One name for each part whose behaviour varies.
+
+    :param queue: of :data:`~lavenderrun.decisions.QUEUE_POLICIES`.
+    :param promise: of :data:`~lavenderrun.decisions.PROMISE_POLICIES`.
+    :param placement: of :data:`~lavenderrun.decisions.PLACEMENTS`.
+    :param prefill: of :data:`~lavenderrun.decisions.PREFILL_PLACEMENTS`.
+    :param limits: of :data:`~lavenderrun.decisions.LIMIT_POLICIES`.
+    """
+
+    queue: str = "fair"
+    promise: str = "ahead"
+    placement: str = "power"
+    prefill: str = "affinity"
+    limits: str = "slots"
+
+    @classmethod
+    def of(cls, kernel: Kernel) -> Policies:
+        """Return those that the settings name, else the defaults."""
+        named: dict[str, str] = getattr(kernel.settings, "policies", {})
+        return cls(**{each.name: named[each.name] for each in fields(cls) if each.name in named})
--- a/src/lavenderrun/standins/__init__.py
+++ b/src/lavenderrun/standins/__init__.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from lavenderrun.standins._engine_cache import CacheChange, CacheEvent, hash_blocks
+from lavenderrun.standins._engine_http import EngineResource
 from lavenderrun.standins._engine_model import EngineModel
 from lavenderrun.standins._engine_speed import EngineLoad, EngineSpeed
 from lavenderrun.standins._fabric import KV_BYTES_A_TOKEN, Fabric
 from lavenderrun.standins._memory_transport import MemoryNetwork, MemoryPipe, MemoryTransport
+from lavenderrun.standins._plain import MemoryPlain, PlainCore, PlainFaults, PlainResource
 from lavenderrun.standins._table import MemoryStore, TableCore, TableFaults
 from lavenderrun.standins._table_http import TableResource, make_table_resource
 from lavenderrun.standins._text import (
@@ -26,12 +28,17 @@
     "CacheEvent",
     "EngineLoad",
     "EngineModel",
+    "EngineResource",
     "EngineSpeed",
     "Fabric",
     "MemoryNetwork",
     "MemoryPipe",
+    "MemoryPlain",
     "MemoryStore",
     "MemoryTransport",
+    "PlainCore",
+    "PlainFaults",
+    "PlainResource",
     "TableCore",
     "TableFaults",
     "TableResource",
--- /dev/null
+++ b/src/lavenderrun/types/_rows.py
@@ -0,0 +1,61 @@
+"""Values that rows of the table service hold."""
+
+from __future__ import annotations
+
+from datetime import datetime
+
+import msgspec
+
+from lavenderrun.types._ids import (
+    AttemptId,
+    BootId,
+    DataCentre,
+    Fingerprint,
+    HostId,
+    RequestId,
+)
+from lavenderrun.types._quarantine import Strike
+
+
+class EntryHost(msgspec.Struct, frozen=True):
+    """An entry that other entries may link to."""
+
+    host: HostId
+    boot: BootId
+    data_centre: DataCentre
+    address: str
+
+
+class KeptReply(msgspec.Struct, frozen=True):
+    """Reply that is kept for the caller's next try.
+
+    :param whole: ``False`` when the body was too large to keep.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    whole: bool
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """A client account's idempotency key, taken by one try.
+
+    :param host: the agent that the call was to be sent to, and its life *boot*.
+    :param at: when the claim was written, by the clock of its entry.
+    :param outcome: set once the reply is whole at the entry.
+    """
+
+    request: RequestId
+    attempt: AttemptId
+    host: HostId
+    boot: BootId
+    fingerprint: Fingerprint
+    at: datetime
+    outcome: KeptReply | None = None
+
+
+class StruckRow(msgspec.Struct, frozen=True):
+    """The strikes of a guilty fingerprint."""
+
+    strikes: list[Strike]
