--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from lavenderrun.services._certificates import CertificateError
+
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._decode_agent import DecodeAgent
+from lavenderrun.services._departure import Departure
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
@@ -30,7 +33,9 @@
 __all__ = [
     "STORE_DIALECTS",
     "AdmissionService",
+    "CertificateError",
     "DecodeAgent",
+    "Departure",
     "DocumentService",
     "FrontService",
     "GrpcTransport",
--- a/src/lavenderrun/services/_document.py
+++ b/src/lavenderrun/services/_document.py
@@ -381,10 +381,5 @@
     record = kernel.find("record", Record) if kernel.has("record") else None
     links = kernel.find("links", Links)
     return DocumentService(
-        kernel.clock,
-        kernel.settings.hello(),
-        links,
-        store,
-        record=record,
-        chance=kernel.chance,
+        kernel.clock, kernel.settings.hello(), links, store, record=record, chance=kernel.chance
     )
