--- a/src/lavenderrun/services/_document.py
+++ b/src/lavenderrun/services/_document.py
@@ -50,6 +50,7 @@
 FETCH_SPREAD: Final = timedelta(seconds=0.2)
 READ_BACKOFF_MOST: Final = timedelta(seconds=8)
 KEPT_VERSIONS: Final = 8
+SEED_BITS: Final = 64
 
 
 class _Round:
@@ -380,6 +381,8 @@
     store = kernel.find("store", Store) if kernel.has("store") else None
     record = kernel.find("record", Record) if kernel.has("record") else None
     links = kernel.find("links", Links)
+    # a source of its own, so that its many draws leave those of other services alone
+    chance = random.Random(kernel.chance.getrandbits(SEED_BITS))
     return DocumentService(
-        kernel.clock, kernel.settings.hello(), links, store, record=record, chance=kernel.chance
+        kernel.clock, kernel.settings.hello(), links, store, record=record, chance=chance
     )
