--- a/src/lavenderrun/codecs/_document.py
+++ b/src/lavenderrun/codecs/_document.py
@@ -52,7 +52,7 @@
         return refuse([Fault("", 0, f"larger than {SIZE_MAX} bytes")])
     try:
         decoded = text if isinstance(text, str) else text.decode("utf-8")
-        data = _load(decoded, form)
+        data, repeated = _load(decoded, form)
         lines = locate_toml(decoded) if form is Form.TOML else locate_json(decoded)
     except RecursionError:
         return refuse([Fault("", 0, "nested too deeply")])
@@ -62,7 +62,7 @@
         return refuse([_syntax_fault(error, text)])
     if not isinstance(data, dict):
         return refuse([Fault("", 1, "must be an object")])
-    if lines.repeated:
+    if repeated:
         return refuse(make_fault(path, "field is given twice", lines) for path in lines.repeated)
     return data, lines
 
@@ -100,10 +100,20 @@
         return super().encode_default(dft)
 
 
-def _load(text: str, form: Form) -> Any:
+def _load(text: str, form: Form) -> tuple[Any, bool]:
+    """Return the plain data and whether an object names a field twice."""
     if form is Form.TOML:
-        return tomllib.loads(text)
-    return json.loads(text, parse_constant=_refuse_constant)
+        return tomllib.loads(text), False
+    repeated = False
+
+    def collect(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        nonlocal repeated
+        item = dict(pairs)
+        repeated = repeated or len(item) < len(pairs)
+        return item
+
+    data = json.loads(text, parse_constant=_refuse_constant, object_pairs_hook=collect)
+    return data, repeated
 
 
 def _refuse_constant(name: str) -> NoReturn:
