Bar from the last seats only accounts whose own work is late

Cause: random peaks of accounts within their rate were barred too. Four seats are now kept, from accounts that are over their share and have late jobs.

--- a/src/lavenderrun/decisions/_fairqueue.py
+++ b/src/lavenderrun/decisions/_fairqueue.py
@@ -24,6 +24,8 @@
 
 SLACK_JOBS = 2.0
 CREDIT_JOBS = 8.0
+LATE_SLACK_JOBS = 12.0
+"""Lead over an account with late jobs from which another's jobs on time go after them."""
 LATE_TURN = 24
 COST_MEMORY = 0.05
 LATE_MEMORY = 0.02
@@ -147,6 +149,11 @@
             ahead += min(account.work_within(job.urgency), share)
         return ahead
 
+    def is_late(self, account: AccountId) -> bool:
+        """Tell whether *account* has waiting jobs that have missed their due instant."""
+        line = self._accounts.get(account)
+        return line is not None and line.counts[Lane.LATE] > 0
+
     def next_deadline(self) -> datetime | None:
         """Return the earliest end of patience among the waiting jobs."""
         while self._deadlines and not self._deadlines[0][1].live:
@@ -163,7 +170,10 @@
             if on_time is None or on_time.job.due >= now:
                 break
         late = self._lanes[Lane.LATE].first(slack, barred)
-        if on_time is None or (late is not None and self._turn >= LATE_TURN):
+        if on_time is None or late is None:
+            return on_time or late
+        behind = on_time.account.start - late.account.start
+        if self._turn >= LATE_TURN or behind > LATE_SLACK_JOBS * self._mean_cost:
             return late
         return on_time
 
--- a/src/lavenderrun/decisions/_queue.py
+++ b/src/lavenderrun/decisions/_queue.py
@@ -72,6 +72,9 @@
     def work_ahead(self, job: Job) -> float:
         """Return the work in seconds that goes before *job* if it came now."""
 
+    def is_late(self, account: AccountId) -> bool:
+        """Tell whether *account* has waiting jobs that have missed their due instant."""
+
     def next_deadline(self) -> datetime | None:
         """Return when :meth:`expire` has to be called next."""
 
@@ -140,6 +143,10 @@
         """Return the cost of all waiting jobs."""
         return self.work
 
+    def is_late(self, account: AccountId) -> bool:
+        """Return ``False``: due instants are not looked at."""
+        return False
+
     def next_deadline(self) -> datetime | None:
         """Return the earliest end of patience among the waiting jobs."""
         while self._deadlines and self._deadlines[0][1] not in self._jobs:
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -37,7 +37,7 @@
 """Longest lead that a promise looks ahead; more only lengthens the queues at prefill agents."""
 MAX_PROMISED = 5
 """Most promises without a start; more would wait at prefill, where none can pass another."""
-KEPT_SEATS = 2
+KEPT_SEATS = 4
 """Seats that an account over its share leaves to the others."""
 RECHECK = timedelta(milliseconds=20)
 
@@ -247,12 +247,15 @@
             seat.state = SeatState.RUNNING
             seat.begun, seat.expires = now, None
             actions.append(Run(seat.request.job.key))
-        while (seat_or_none := self._next_promised(now)) is not None:
-            actions.append(self._promise(seat_or_none, now))
-        return actions
-
-    def _next_promised(self, now: datetime) -> Seat | None:
-        barred = self._find_barred(now)
+        while True:
+            barred = self._find_barred(now)
+            waiting = self._next_promised(now, barred)
+            if waiting is None:
+                return actions
+            self._queue.pop(now, barred)
+            actions.append(self._promise(waiting, now))
+
+    def _next_promised(self, now: datetime, barred: frozenset[AccountId]) -> Seat | None:
         job = self._queue.peek(now, barred)
         if job is None or job.account in barred:
             return None
@@ -272,12 +275,12 @@
         """Return the accounts that may not have one of the last seats."""
         if len(self._taken) < self.seats - KEPT_SEATS:
             return frozenset()
-        return self._occupancy.find_over_share(now)
+        over = self._occupancy.find_over_share(now)
+        return frozenset(account for account in over if self._queue.is_late(account))
 
     def _promise(self, seat: Seat, now: datetime) -> SeatAction:
         request = seat.request
         key = request.job.key
-        self._queue.pop(now, self._find_barred(now))
         del self._waiting[key]
         ready_in = self._expect_free(len(self._taken) - self.seats + 1)
         self._taken[key] = seat
