--- a/src/lavenderrun/bench/_network.py
+++ b/src/lavenderrun/bench/_network.py
@@ -14,17 +14,19 @@
 WITHIN_DATA_CENTRE = timedelta(microseconds=100)
 BETWEEN_DATA_CENTRES = timedelta(microseconds=500)
 JITTER = 0.4
-"""Largest share of a delay that is added by chance; batches of different pipes overtake."""
+"""Largest share of a delay that chance adds; batches of different pipes overtake one another."""
 
 
 class BenchNetwork(MemoryNetwork):
     """Connects hosts through their clocks, so that a paused or dead host takes nothing in.
 
     :param chance: seeded source of the jitter.
+    :param jitter: largest share of a delay that is added by chance.
     """
 
-    def __init__(self, clock: Clock, chance: random.Random) -> None:
+    def __init__(self, clock: Clock, chance: random.Random, jitter: float = JITTER) -> None:
         super().__init__(clock)
+        self.jitter = jitter
         self._chance = chance
         self._places: dict[str, DataCentre] = {}
         self._hosts: dict[str, HostClock] = {}
@@ -95,4 +97,4 @@
     def _draw_delay(self, source: str, target: str) -> timedelta:
         here = self._places.get(source) == self._places.get(target)
         delay = WITHIN_DATA_CENTRE if here else BETWEEN_DATA_CENTRES
-        return delay * (1 + JITTER * self._chance.random())
+        return delay * (1 + self.jitter * self._chance.random())
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from lavenderrun.services._certificates import CertificateError
-
 from lavenderrun.services._admission import AdmissionService
+from lavenderrun.services._certificates import CertificateError
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._departure import Departure
 from lavenderrun.services._document import DocumentService
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -111,6 +111,7 @@
         self._waiting_since = request.arrived
         self._probe: Deferred[None] | None = None
         self._begun = False
+        self._prefill_ordered = False
         self._tries = 0
         self._timer = router.clock.call_later(timedelta(0), lambda: None)
 
@@ -290,6 +291,7 @@
         self.state = RunState.PREFILLING
         start_in = max(timedelta(0), promise.ready_in - choice.lead)
         patience = min(max(self._patience_left(), ANSWER_MARGIN), PREFILL_PATIENCE)
+        self._prefill_ordered = True
         choice.link.send(
             Prefill(
                 request=self.request.request,
@@ -373,6 +375,9 @@
     # failure
 
     def _take_failure(self, host: HostId, failed: AttemptFailed) -> None:
+        refused = failed.refused
+        if self._is_prefiller(host) and refused.outcome is Outcome.NOT_RUN:
+            self._prefill_ordered = False
         if failed.crashed:
             self._router.quarantine.strike(
                 Strike(
@@ -383,7 +388,10 @@
                     self.admitted.route.name,
                 )
             )
-        self._fail_attempt(host, failed.refused, started=failed.started or failed.crashed)
+        self._fail_attempt(host, refused, started=failed.started or failed.crashed)
+
+    def _is_prefiller(self, host: HostId) -> bool:
+        return self._prefiller is not None and self._prefiller.peer.host == host
 
     def _stall(self) -> None:
         started = self.state is RunState.DECODING
@@ -432,6 +440,9 @@
         self._expect(pause * self._router.chance.uniform(0.5, 1.5), self._seek_seat)
 
     def _drop_attempt(self) -> None:
+        # a prefill that was ordered may have run, whatever became of the attempt
+        self._begun = self._begun or self._prefill_ordered
+        self._prefill_ordered = False
         self._timer.cancel()
         for link in (self._decoder, self._prefiller):
             if link is not None:
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -215,7 +215,7 @@
         del self._jobs[key]
         crashed = isinstance(failure.value, BackendCrashError)
         self._outage.note(failure.value)
-        refused = Refused(Refusal.BACKEND_LOST, Outcome.NOT_RUN, Step.PREFILL)
+        refused = Refused(Refusal.BACKEND_LOST, Outcome.UNKNOWN, Step.PREFILL)
         job.link.send(AttemptFailed(*key, refused, started=False, crashed=crashed))
         self._apply(self._book.fail(key, self._clock.now()))
 
