Add the operators' API, metrics and readiness

Cause: operators could neither see nor change a running fleet, and the demonstration said that it was ready before it could serve. Before: demo printed its line before limits were held.

--- a/src/lavenderrun/commands/_demo.py
+++ b/src/lavenderrun/commands/_demo.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import sys
 from argparse import ArgumentParser, FileType, Namespace
 
 from lavenderrun.commands._base import COMMANDS
@@ -36,7 +35,7 @@
 
         async def start() -> None:
             await demo.start()
-            sys.stdout.write(f"ready {json.dumps(demo.describe())}\n")
-            sys.stdout.flush()
+            if demo.is_running:
+                print("ready", json.dumps(demo.describe()), flush=True)
 
         return run_until_signal(reactor, start, demo.stop, seconds=args.seconds)
--- /dev/null
+++ b/src/lavenderrun/daemons/_daemon.py
@@ -0,0 +1,117 @@
+"""One daemon: its kernel from the lists, its planned stop and its readiness."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Final, Protocol, runtime_checkable
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+
+from lavenderrun.daemons._lists import (
+    AGENT_PAGES,
+    ENTRY_PAGES,
+    ENTRY_SERVICES,
+    list_agent_services,
+)
+from lavenderrun.kernel import Clock, Kernel
+from lavenderrun.services import AdminService, FrontService, MetricsPage, check_readiness
+from lavenderrun.types import (
+    AgentSettings,
+    EntrySettings,
+    Event,
+    Hello,
+    HostLeaving,
+    Links,
+    Record,
+)
+
+CHECK_EVERY: Final = timedelta(milliseconds=20)
+DRAIN_MOST: Final = timedelta(seconds=120)
+
+
+@runtime_checkable
+class Holder(Protocol):
+    """A service that has work in hand."""
+
+    def held(self) -> int:
+        """Return how much."""
+
+
+class Daemon:
+    """An entry or an agent, as its settings say."""
+
+    def __init__(self, clock: Clock, settings: EntrySettings | AgentSettings) -> None:
+        self.kernel = Kernel(clock, settings)
+        self._clock = clock
+        self._settings = settings
+        self._started = False
+        if isinstance(settings, EntrySettings):
+            self._names: tuple[str, ...] = ENTRY_SERVICES + ENTRY_PAGES
+        else:
+            self._names = list_agent_services(settings.serves.role) + AGENT_PAGES
+        self.kernel.build(self._names)
+
+    async def start(self) -> None:
+        """Start all services."""
+        await self.kernel.start()
+        self._started = True
+        self._log("started", "daemon: started", **self.describe())
+
+    async def wait_ready(self) -> None:
+        """Wait until an entry can serve callers."""
+        while self._started and not check_readiness(self.kernel).ready:
+            await self._pause()
+
+    async def stop(self) -> None:
+        """Stop as planned: take no new work, let what runs end, then stop all services."""
+        if self._started:
+            self._started = False
+            self._announce()
+            if isinstance(self._settings, AgentSettings):
+                await self._drain()
+        await self.kernel.stop()
+        self._log("stopped", "daemon: stopped")
+
+    def describe(self) -> dict[str, str]:
+        """Return where the daemon is reached."""
+        hello = self._settings.hello()
+        if isinstance(self._settings, AgentSettings):
+            page = self.kernel.find("metrics_page", MetricsPage).address
+            return {"host": hello.host, "peers": hello.address, "metrics": page}
+        front = self.kernel.find("front", FrontService)
+        admin = self.kernel.find("admin", AdminService)
+        return {
+            "host": hello.host,
+            "peers": hello.address,
+            "url": f"{_scheme(front.settings.certificate)}://{front.address}",
+            "admin": f"{_scheme(admin.settings.certificate)}://{admin.address}",
+        }
+
+    def _announce(self) -> None:
+        hello: Hello = self._settings.hello()
+        event = Event(self._clock.now(), hello.host, HostLeaving())
+        self.kernel.find("record", Record).emit(event)
+        self.kernel.find("links", Links).leave()
+
+    async def _drain(self) -> None:
+        """Wait for what an agent has in hand, so that a planned stop cuts off no request."""
+        limit = self._clock.now() + DRAIN_MOST
+        while self._count_held() and self._clock.now() < limit:
+            await self._pause()
+
+    def _count_held(self) -> int:
+        services = [self.kernel.find(name, object) for name in self._names]
+        return sum(service.held() for service in services if isinstance(service, Holder))
+
+    def _pause(self) -> Deferred[None]:
+        pause: Deferred[None] = Deferred()
+        self._clock.call_later(CHECK_EVERY, pause.callback, None)
+        return pause
+
+    def _log(self, kind: str, text: str, **fields: str) -> None:
+        log_message(f"daemon:{kind}", text=text, **{"host": self._settings.host.id, **fields})
+
+
+def _scheme(certificate: str | None) -> str:
+    return "http" if certificate is None else "https"
--- a/src/lavenderrun/daemons/_lists.py
+++ b/src/lavenderrun/daemons/_lists.py
@@ -20,6 +20,11 @@
     "front",
 )
 
+ENTRY_PAGES = ("metrics", "admin")
+"""Services for operators, which a benchmark leaves out."""
+
+AGENT_PAGES = ("metrics", "metrics_page")
+
 AGENT_ROLES = {
     BackendRole.PREFILL: ("engine", "prefill_agent"),
     BackendRole.DECODE: ("engine", "decode_agent"),
--- a/src/lavenderrun/daemons/_loop.py
+++ b/src/lavenderrun/daemons/_loop.py
@@ -43,7 +43,7 @@
 ) -> int:
     """Run *start*, then the loop until SIGINT, SIGTERM or a failed start; return the exit code.
 
-    :param seconds: end by itself after so long, as by a signal.
+    :param seconds: end by itself so long after the start, as by a signal.
     """
     failures: list[Failure] = []
     stopping: list[bool] = []
@@ -60,13 +60,15 @@
         failures.append(failure)
         end()
 
+    def plan_end(_: None) -> None:
+        if seconds is not None:
+            reactor.callLater(seconds, end)
+
     def begin() -> None:
         # the reactor would stop at once on a signal; a planned stop drains first
         for number in (signal.SIGINT, signal.SIGTERM):
             signal.signal(number, lambda *_: reactor.callFromThread(end))
-        if seconds is not None:
-            reactor.callLater(seconds, end)
-        Deferred.fromCoroutine(start()).addErrback(fail)
+        Deferred.fromCoroutine(start()).addCallbacks(plan_end, fail)
 
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
--- a/src/lavenderrun/decisions/_limit_policies.py
+++ b/src/lavenderrun/decisions/_limit_policies.py
@@ -27,3 +27,6 @@
 
 OWNER = LIMIT_POLICIES.register("owner")(SlotTerms(slots=1, groups=64))
 """One owner an account: every other host borrows from it."""
+
+TOGETHER = LIMIT_POLICIES.register("together")(SlotTerms(gather=timedelta(milliseconds=400)))
+"""The same as ``slots`` for a few hosts that start at the same moment, as a demonstration's do."""
--- a/src/lavenderrun/decisions/_limits.py
+++ b/src/lavenderrun/decisions/_limits.py
@@ -99,6 +99,10 @@
         slots = [slot for slot in self._all_slots if _find_group(slot) == group]
         return self.keeper.find_holders(slots)
 
+    def is_held(self, account: AccountId) -> bool:
+        """Tell whether any host is known to hold slots of the account's group."""
+        return bool(self._slots_of[self._group_of(account)] or self.find_lenders(account))
+
     def charge(
         self, account: AccountId, requests: float, tokens: float, now: datetime
     ) -> HeldCharge | Shortfall:
--- a/src/lavenderrun/demo/_demo.py
+++ b/src/lavenderrun/demo/_demo.py
@@ -13,9 +13,8 @@
 
 from lavenderrun.bench import DEPLOYMENTS, Deployment, digest_of
 from lavenderrun.codecs import encode_stored, make_stored
-from lavenderrun.daemons import ENTRY_SERVICES, list_agent_services
+from lavenderrun.daemons import Daemon
 from lavenderrun.kernel import Kernel, ReactorClock
-from lavenderrun.services import FrontService
 from lavenderrun.standins import (
     EngineModel,
     EngineResource,
@@ -26,6 +25,7 @@
 )
 from lavenderrun.types import (
     AccountId,
+    AdminSettings,
     AgentSettings,
     Backend,
     BackendRole,
@@ -62,36 +62,47 @@
         self._deployment: Deployment = DEPLOYMENTS.find(deployment)()
         self._port = port
         self._fabric = Fabric(self.clock)
+        self._running = True
         self._ports: list[Any] = []
-        self._agents: list[Kernel] = []
-        self._entries: list[Kernel] = []
+        self._agents: list[Daemon] = []
+        self._entries: list[Daemon] = []
+        self._admin_key = f"op-{secrets.token_urlsafe(24)}"
 
     async def start(self) -> None:
-        """Start the outside systems, the agents and then the entries."""
+        """Start the outside systems, the agents and then the entries; end when all are ready."""
         document = self._make_document()
         table = self._serve(make_table_resource(self.clock))
         await self._store_document(document, table)
         for backend in document.backends:
-            kernel = self._make_agent(backend)
-            self._agents.append(kernel)
-            await kernel.start()
+            agent = Daemon(self.clock, self._make_agent_settings(backend))
+            self._agents.append(agent)
+            await agent.start()
         for number in range(ENTRIES):
-            kernel = self._make_entry(number, table)
-            self._entries.append(kernel)
-            await kernel.start()
+            name = f"entry-{number}"
+            entry = Daemon(self.clock, self._make_entry_settings(name, table, number))
+            self._entries.append(entry)
+            await entry.start()
+        for entry in self._entries:
+            await entry.wait_ready()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether no stop has begun."""
+        return self._running
 
     async def stop(self) -> None:
         """Stop entries first, so that accepted requests finish."""
-        for kernel in self._entries + self._agents:
-            await kernel.stop()
+        self._running = False
+        for daemon in self._entries + self._agents:
+            await daemon.stop()
         for port in self._ports:
             await port.stopListening()
 
     def describe(self) -> dict[str, Any]:
         """Return what a caller and an operator need."""
-        front = self._entries[0].find("front", FrontService)
         return {
-            "url": f"http://{LOOPBACK}:{front.port}",
+            **self._entries[0].describe(),
+            "admin_key": self._admin_key,
             "keys": self.keys,
             "model": self._deployment.model,
         }
@@ -119,8 +130,8 @@
         await store.put(DOCUMENT_TABLE, DOCUMENT_ROW, encode_stored(stored), expect=0)
         await kernel.stop()
 
-    def _make_agent(self, backend: Backend) -> Kernel:
-        settings = AgentSettings(
+    def _make_agent_settings(self, backend: Backend) -> AgentSettings:
+        return AgentSettings(
             host=self._make_host(f"host-{backend.id}", backend.data_centre, backend.agent),
             serves=ServedSettings(
                 id=backend.id,
@@ -131,14 +142,6 @@
             ),
             backend=BackendSettings(address=self._serve_backend(backend)),
         )
-        kernel = Kernel(self.clock, settings)
-        kernel.build(list_agent_services(backend.role))
-        return kernel
-
-    def _make_entry(self, number: int, table: str) -> Kernel:
-        kernel = Kernel(self.clock, self._make_entry_settings(f"entry-{number}", table, number))
-        kernel.build(ENTRY_SERVICES)
-        return kernel
 
     def _make_entry_settings(self, name: str, table: str, number: int = 0) -> EntrySettings:
         centres = self._deployment.data_centres
@@ -148,6 +151,8 @@
             host=self._make_host(name, centres[number % len(centres)], f"{LOOPBACK}:{port}"),
             store=StoreSettings(url=f"http://{table}"),
             front=FrontSettings(listen=listen, drain=timedelta(seconds=30)),
+            policies={"limits": "together"},
+            admin=AdminSettings(operators={"demo": digest_of(self._admin_key)}),
         )
 
     def _make_host(self, name: str, data_centre: DataCentre, address: str) -> HostSettings:
--- /dev/null
+++ b/src/lavenderrun/services/_admin_document.py
@@ -0,0 +1,168 @@
+"""Operators' endpoints for the document and the keys in it."""
+
+from __future__ import annotations
+
+import re
+import secrets
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from lavenderrun.codecs import (
+    Accepted,
+    Faults,
+    Form,
+    GrantedKey,
+    Validation,
+    WithdrawnKey,
+    encode_admin,
+    encode_document,
+    make_conflict,
+    make_faults,
+    read_document,
+)
+from lavenderrun.decisions import digest_key, grant_key, withdraw_key
+from lavenderrun.kernel import Kernel
+from lavenderrun.services._admin_endpoints import AdminCall, AdminCallError, Reply, serve
+from lavenderrun.types import (
+    AccountId,
+    Document,
+    DocumentConflict,
+    DocumentKeeper,
+    DocumentVersion,
+    KeyDigest,
+    StoredDocument,
+    Submitted,
+)
+
+KEY_BYTES: Final = 24
+KEY_PREFIX: Final = "lr-"
+TRIES: Final = 5
+"""Submissions of one change of keys while other operators change the document."""
+
+VERSION = re.compile(r'"?(\d{1,18})"?')
+TOML_TYPE: Final = "application/toml"
+
+
+@serve("GET /admin/document")
+def get_document(kernel: Kernel, _call: AdminCall) -> Reply:
+    """Return the document in force; its version is the ``ETag``."""
+    stored = _find_stored(kernel)
+    version = stored.revision.version
+    return Reply(200, encode_document(stored.document), [_tag(version)])
+
+
+@serve("PUT /admin/document")
+def put_document(kernel: Kernel, call: AdminCall) -> Deferred[Reply]:
+    """Put a document in the place of the version that ``If-Match`` names."""
+    expect = _read_version(call)
+    return ensureDeferred(_put(kernel, call, expect, _read(call)))
+
+
+@serve("POST /admin/document/validate")
+def validate_document(_kernel: Kernel, call: AdminCall) -> Reply:
+    """Return every fault of a document without submitting it."""
+    found = read_document(call.body, _find_form(call))
+    faults = make_faults(found.faults) if isinstance(found, Faults) else []
+    return Reply(422 if faults else 200, encode_admin(Validation(not faults, faults)))
+
+
+@serve("POST /admin/accounts/ID/keys")
+def post_key(kernel: Kernel, call: AdminCall) -> Deferred[Reply]:
+    """Grant a new key; the answer is the only place where it is ever shown."""
+    return ensureDeferred(_grant(kernel, call, AccountId(call.parts[0])))
+
+
+@serve("DELETE /admin/accounts/ID/keys/DIGEST")
+def delete_key(kernel: Kernel, call: AdminCall) -> Deferred[Reply]:
+    """Withdraw the key of a digest."""
+    account, digest = AccountId(call.parts[0]), KeyDigest(call.parts[1])
+    return ensureDeferred(_withdraw(kernel, call, account, digest))
+
+
+async def _put(
+    kernel: Kernel, call: AdminCall, expect: DocumentVersion, document: Document
+) -> Reply:
+    keeper = kernel.find("document", DocumentKeeper)
+    result = await keeper.submit(document, call.operator, expect)
+    if isinstance(result, DocumentConflict):
+        message = f"Version {expect} was replaced; version {result.current} stands."
+        body = make_conflict("document_changed", message, result)
+        return Reply(412, encode_admin(body), [_tag(result.current)])
+    accepted = Accepted(result.version, result.digest, result.confirmed)
+    return Reply(200, encode_admin(accepted), [_tag(result.version)])
+
+
+async def _grant(kernel: Kernel, call: AdminCall, account: AccountId) -> Reply:
+    key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+    digest = digest_key(key)
+    result = await _change(kernel, call, lambda document: grant_key(document, account, digest))
+    if isinstance(result, Reply):
+        return result
+    body = GrantedKey(account, key, digest, result.version, result.confirmed)
+    no_store = ("Cache-Control", "no-store")
+    return Reply(201, encode_admin(body), [_tag(result.version), no_store])
+
+
+async def _withdraw(
+    kernel: Kernel, call: AdminCall, account: AccountId, digest: KeyDigest
+) -> Reply:
+    result = await _change(kernel, call, lambda document: withdraw_key(document, account, digest))
+    if isinstance(result, Reply):
+        return result
+    body = WithdrawnKey(account, digest, result.version, result.confirmed)
+    return Reply(200, encode_admin(body), [_tag(result.version)])
+
+
+async def _change(kernel: Kernel, call: AdminCall, change: Any) -> Submitted | Reply:
+    """Submit a change of the newest version, again when another operator was faster."""
+    keeper = kernel.find("document", DocumentKeeper)
+    conflicts: list[DocumentConflict] = []
+    while len(conflicts) < TRIES:
+        stored = _find_stored(kernel)
+        changed = change(stored.document)
+        if changed is None:
+            raise AdminCallError(404, "unknown_key", "There is no such client account or key.")
+        result = await keeper.submit(changed, call.operator, stored.revision.version)
+        if isinstance(result, Submitted):
+            return result
+        conflicts.append(result)
+    message = "Other operators change the document at the same time; try again."
+    return Reply(409, encode_admin(make_conflict("document_busy", message, conflicts[-1])))
+
+
+def _find_stored(kernel: Kernel) -> StoredDocument:
+    stored = kernel.find("document", DocumentKeeper).stored
+    if stored is None:
+        message = "No document is in force on this host; submit the first one as version 0."
+        raise AdminCallError(404, "no_document", message)
+    return stored
+
+
+def _read(call: AdminCall) -> Document:
+    found = read_document(call.body, _find_form(call))
+    if isinstance(found, Faults):
+        faults = make_faults(found.faults)
+        message = f"The document has {len(faults)} faults; nothing was written."
+        raise AdminCallError(422, "bad_document", message, faults)
+    return found
+
+
+def _find_form(call: AdminCall) -> Form:
+    kinds = [value.partition(";")[0].strip().lower() for value in call.find_headers("Content-Type")]
+    return Form.TOML if TOML_TYPE in kinds else Form.JSON
+
+
+def _read_version(call: AdminCall) -> DocumentVersion:
+    values = call.find_headers("If-Match")
+    if not values:
+        message = "If-Match: is missing; send the version that the document is based on."
+        raise AdminCallError(428, "no_version", message)
+    match = VERSION.fullmatch(values[0].strip())
+    if match is None or len(values) > 1:
+        raise AdminCallError(400, "bad_version", "If-Match: must be one version.")
+    return DocumentVersion(int(match[1]))
+
+
+def _tag(version: DocumentVersion) -> tuple[str, str]:
+    return "ETag", f'"{version}"'
--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -69,6 +69,11 @@
         """The port that callers reach, once started."""
         return self._listener.port if self._listener is not None else 0
 
+    @property
+    def address(self) -> str:
+        """The IP number and port that callers reach, once started."""
+        return self._listener.address if self._listener is not None else ""
+
     def make_factory(self, reactor: IReactorTime) -> FrontFactory:
         """Return the factory of callers' connections; their timeouts run on *reactor*."""
         self._factory = FrontFactory(self, reactor)
--- a/src/lavenderrun/services/_limits.py
+++ b/src/lavenderrun/services/_limits.py
@@ -142,6 +142,14 @@
             self._events.emit(TokensReturned(charge.account, 0.0, counted))
             self._serve(charge.account)
 
+    def can_charge(self, account: AccountId) -> bool:
+        """Tell whether this host holds, or knows who holds, a part of the account's rate."""
+        return self.fleet.is_held(account)
+
+    def count_waiting(self) -> dict[AccountId, int]:
+        """Return how many requests wait for their account's rate."""
+        return {account: int(queue.requests) for account, queue in self._queues.items()}
+
     # charging
 
     def _try(
--- /dev/null
+++ b/src/lavenderrun/services/_metrics.py
@@ -0,0 +1,99 @@
+"""Service ``metrics``: counts what the record shows and reads what services hold."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime
+from typing import Any, ClassVar, Final
+
+from lavenderrun.kernel import SERVICES, Kernel, Registry
+from lavenderrun.services._meters import Meter, MeterKind, Meters
+from lavenderrun.services._record import RecordService
+from lavenderrun.types import EVENTS, Event, Happening, RequestId
+
+RUNNING_MOST: Final = 100_000
+"""Requests whose begin is kept, should ends ever be missed."""
+
+Readings = dict[tuple[str, ...], float]
+Observer = Callable[["MetricsService", Event, Any], None]
+Reader = Callable[[Kernel], Readings]
+
+METRICS: Registry[Meter] = Registry("metric")
+OBSERVERS: Registry[Observer] = Registry("observer")
+READERS: Registry[Reader] = Registry("reader")
+
+
+def define(
+    name: str,
+    kind: MeterKind,
+    text: str,
+    labels: tuple[str, ...] = (),
+    bounds: tuple[float, ...] = (),
+) -> Meter:
+    """Return a new metric that is part of :data:`METRICS`."""
+    return METRICS.register(name)(Meter(name, kind, text, labels, bounds))
+
+
+def observe(kind: type[Happening]) -> Callable[[Observer], Observer]:
+    """Return a decorator that lets its function see each event of *kind*."""
+    return OBSERVERS.register(str(kind.__struct_config__.tag))
+
+
+def read(
+    name: str, text: str, labels: tuple[str, ...] = (), kind: MeterKind = MeterKind.GAUGE
+) -> Callable[[Reader], Reader]:
+    """Return a decorator that reads the metric *name* by its function at each scrape."""
+    define(name, kind, text, labels)
+    return READERS.register(name)
+
+
+@dataclass
+class Running:
+    """A request between its acceptance and its end."""
+
+    began: datetime
+    route: str
+    answered: bool = False
+
+
+class MetricsService:
+    """Holds the metrics of one daemon; observers and readers fill it."""
+
+    needs: ClassVar[tuple[str, ...]] = ("record",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.meters = Meters()
+        self.running: dict[RequestId, Running] = {}
+        self._kernel = kernel
+        self._observers = {EVENTS.find(name): observer for name, observer in OBSERVERS}
+
+    def start(self) -> None:
+        """Watch the record."""
+        self._kernel.find("record", RecordService).watch(self._take)
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+    def begin(self, request: RequestId, at: datetime, route: str) -> None:
+        """Keep when a request was accepted."""
+        if len(self.running) >= RUNNING_MOST:
+            del self.running[next(iter(self.running))]
+        self.running[request] = Running(at, route)
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the page of metrics and its headers."""
+        for name, reader in READERS:
+            self.meters.replace(METRICS.find(name), reader(self._kernel))
+        return self.meters.render(accept)
+
+    def _take(self, event: Event) -> None:
+        observer = self._observers.get(type(event.what))
+        if observer is not None:
+            observer(self, event, event.what)
+
+
+@SERVICES.register("metrics")
+def make_metrics(kernel: Kernel) -> MetricsService:
+    """Make the service."""
+    return MetricsService(kernel)
--- /dev/null
+++ b/src/lavenderrun/services/_metrics_states.py
@@ -0,0 +1,122 @@
+"""Metrics that are read from services when the page is asked for."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import asdict
+
+from lavenderrun.kernel import Kernel
+from lavenderrun.services._links import LinksService
+from lavenderrun.services._meters import MeterKind
+from lavenderrun.services._metrics import MetricsService, Readings, read
+from lavenderrun.services._store import StoreClient
+from lavenderrun.types import (
+    DocumentKeeper,
+    Hello,
+    Links,
+    Load,
+    QuarantineKeeper,
+    Verdict,
+)
+
+NO_GROUP = "none"
+
+
+@read("lavenderrun_document_version", "Version of the document in force on this host.")
+def read_version(kernel: Kernel) -> Readings:
+    """Return the version, zero before the first."""
+    return {(): kernel.find("document", DocumentKeeper).version}
+
+
+@read(
+    "lavenderrun_document_age_seconds",
+    "Time since the document in force is known to have been the newest.",
+)
+def read_age(kernel: Kernel) -> Readings:
+    """Return the age; nothing before the first proof."""
+    age = kernel.find("document", DocumentKeeper).age
+    return {} if age is None else {(): age.total_seconds()}
+
+
+@read("lavenderrun_requests_running", "Requests accepted by this host that have not ended.")
+def read_running(kernel: Kernel) -> Readings:
+    """Return the number of running requests."""
+    return {(): len(kernel.find("metrics", MetricsService).running)}
+
+
+@read("lavenderrun_links", "Live links to other daemons, by their role.", ("role",))
+def read_links(kernel: Kernel) -> Readings:
+    """Return the number of links by role."""
+    links = kernel.find("links", Links)
+    roles = Counter(link.peer.role.value for link in links.live())
+    return {(role,): number for role, number in roles.items()}
+
+
+@read(
+    "lavenderrun_seats",
+    "Seats of backend servers, own or as last heard: all, taken, and requests queued.",
+    ("group", "role", "state"),
+)
+def read_seats(kernel: Kernel) -> Readings:
+    """Return the seats by group and role."""
+    found: Counter[tuple[str, ...]] = Counter()
+    for place, load in _loads(kernel):
+        found[(*place, "all")] += load.seats
+        found[(*place, "taken")] += load.taken
+        found[(*place, "queued")] += load.queued
+    return dict(found)
+
+
+@read(
+    "lavenderrun_cache_pieces_free",
+    "Free pieces of KV cache of the linked backend servers as last heard.",
+    ("group", "role"),
+)
+def read_pieces(kernel: Kernel) -> Readings:
+    """Return the free pieces by group and role."""
+    found: Counter[tuple[str, ...]] = Counter()
+    for place, load in _loads(kernel):
+        found[place] += load.pieces_free
+    return dict(found)
+
+
+@read(
+    "lavenderrun_store_attempts_total",
+    "Attempts at the table service by what they were or how they ended.",
+    ("kind",),
+    MeterKind.COUNTER,
+)
+def read_store(kernel: Kernel) -> Readings:
+    """Return the store client's counters; agents have none."""
+    if not kernel.has("store"):
+        return {}
+    counters = kernel.find("store", StoreClient).counters
+    return {(name,): value for name, value in asdict(counters).items()}
+
+
+@read("lavenderrun_quarantine_fingerprints", "Fingerprints under suspicion.", ("verdict",))
+def read_quarantine(kernel: Kernel) -> Readings:
+    """Return the number of fingerprints by verdict; agents keep none."""
+    if not kernel.has("quarantine"):
+        return {}
+    suspects = kernel.find("quarantine", QuarantineKeeper).suspects()
+    found = Counter(suspect.verdict for suspect in suspects)
+    return {(each.value,): found[each] for each in (Verdict.SUSPECT, Verdict.GUILTY)}
+
+
+def _loads(kernel: Kernel) -> Iterator[tuple[tuple[str, str], Load]]:
+    """Yield group, role and load of the backend server beside this host and of the linked ones."""
+    links = kernel.find("links", LinksService)
+    own = links.load_now()
+    if own is not None:
+        yield _place(kernel.settings.hello()), own
+    for link in links.live():
+        load = links.load(link.peer.host)
+        if load is not None:
+            yield _place(link.peer), load
+
+
+def _place(peer: Hello) -> tuple[str, str]:
+    role = peer.backend_role.value if peer.backend_role is not None else NO_GROUP
+    return peer.group or NO_GROUP, role
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -16,6 +16,7 @@
 from lavenderrun.types import (
     Ack,
     AdmittedModel,
+    AnswerBegun,
     AnswerSink,
     AttemptFailed,
     AttemptId,
@@ -328,6 +329,8 @@
     def _take_frame(self, frame: Frame) -> None:
         progress = self._assembly.accept(frame.attempt, frame.offset, frame.tokens, frame.finish)
         if progress.tokens:
+            if not self._delivered:
+                self._router.events.emit(AnswerBegun(self.request.request))
             self._delivered += progress.tokens
             self._sink.put_tokens(progress.tokens)
         if progress.finish is not None:
--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,6 +19,7 @@
 from lavenderrun.services._plain_send import send_call
 from lavenderrun.types import (
     AdmittedPlain,
+    AnswerBegun,
     AttemptFailed,
     AttemptId,
     BootId,
@@ -81,6 +83,7 @@
         self._router = router
         self._claim = claim
         self._reply = PlainReply(sink, keep=claim is not None)
+        self._reply.on_head = partial(router.events.emit, AnswerBegun(request.request))
         self._once = admitted.route.repeatability is Repeatability.AT_MOST_ONCE
         self._attempt: Attempt | None = None
         self._attempts = 0
--- a/src/lavenderrun/services/_plain_reply.py
+++ b/src/lavenderrun/services/_plain_reply.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from lavenderrun.types import KeptReply, Refused, ReplyBody, ReplySink
 
 KEPT_BYTES = 16 << 10
@@ -34,6 +36,7 @@
         self.sink = sink
         self.received = 0
         self.has_head = False
+        self.on_head: Callable[[], None] = lambda: None
         self.is_whole = False
         self._keep = keep
         self._status = 0
@@ -45,6 +48,7 @@
         if self.has_head:
             return
         self.has_head = True
+        self.on_head()
         self._status, self._headers = status, headers
         self.sink.put_head(status, headers)
 
--- a/src/lavenderrun/services/_record.py
+++ b/src/lavenderrun/services/_record.py
@@ -10,6 +10,7 @@
 
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.types import (
+    AnswerBegun,
     BackendCrashed,
     BackendEnded,
     BackendRun,
@@ -37,6 +38,7 @@
 
 SENTENCES: dict[type[Happening], str] = {
     RequestAccepted: "router: request accepted",
+    AnswerBegun: "router: answer begun",
     RequestFinished: "router: request finished",
     RequestRefused: "router: request refused",
     RequestCancelled: "router: caller is gone",
--- a/src/lavenderrun/types/_ports.py
+++ b/src/lavenderrun/types/_ports.py
@@ -91,6 +91,9 @@
     def greet_as(self, hello: Hello) -> None:
         """Greet all peers anew, for what this host serves has changed."""
 
+    def is_stopping(self) -> bool:
+        """Tell whether this host takes no new work."""
+
     def load(self, host: HostId) -> Load | None:
         """Return the load last heard from *host*."""
 
