--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -43,6 +43,7 @@
     ModelRequest,
     ModelRoute,
     PlainRequest,
+    Refusal,
     Refused,
     RequestId,
     RouteName,
@@ -84,6 +85,7 @@
     def __init__(self, route: ModelRoute) -> None:
         self.route = route
         self.valid = True
+        self.fault = Refusal.UNKNOWN_KEY
         self._handlers: list[Callable[[], None]] = []
 
     def admit_model(self, request: ModelRequest) -> AdmittedModel | Refused:
@@ -93,8 +95,8 @@
     def admit_plain(self, request: PlainRequest) -> AdmittedPlain | Refused:
         raise NotImplementedError
 
-    def is_valid(self, admitted: Admitted) -> bool:
-        return self.valid
+    def find_fault(self, admitted: Admitted) -> Refusal | None:
+        return None if self.valid else self.fault
 
     def watch(self, handler: Callable[[], None]) -> None:
         self._handlers.append(handler)
@@ -211,13 +213,22 @@
         role = BackendRole.PREFILL if host.startswith("p") else BackendRole.DECODE
         kernel = self.make_kernel(host, HostRole.AGENT, role)
         kernel.provide("engine", self.engines[host])
-        kernel.build(["links", f"{role.value}_agent"])
+        kernel.build(["links", f"{role.value}_agent", "departure"])
         Deferred.fromCoroutine(kernel.start())
         self.agents[host] = kernel
 
+    def stop_agent(self, host: str) -> Deferred[None]:
+        """Stop as planned: announce, drain, end."""
+        return Deferred.fromCoroutine(self.agents[host].stop())
+
     def kill_agent(self, host: str) -> None:
-        """End the agent; its engine drops what it ran, as the agent's stop cancels it."""
-        Deferred.fromCoroutine(self.agents.pop(host).stop())
+        """End the agent at once; its engine drops what it ran, as its connection is lost."""
+        kernel = self.agents.pop(host)
+        kernel.find("links", LinksService).stop()
+        name = "prefill_agent" if host.startswith("p") else "decode_agent"
+        agent: Any = kernel.find(name, object)
+        agent.close()
+        self.network.unlisten(host)
 
     def ask(
         self, prompt: str = "heat record 17", max_tokens: int = 40, entry: str = "e1"
