Add the daemons' and operators' commands, and a test over real processes

Cause: entries and agents could be started by the demonstration only. One entry, three agents and the stand-ins run as five processes from TOML files, take their first document, serve a streamed request, meet a race and a withdrawn key, and end with exit code 0 on SIGTERM without cutting off a running answer. Conclusion: the keys of caller and operator are in none of the processes' logs, pages or rows.

--- a/src/lavenderrun/commands/_base.py
+++ b/src/lavenderrun/commands/_base.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import sys
 from argparse import ArgumentParser, Namespace
+from pathlib import Path
 from typing import Protocol
 
+from lavenderrun.codecs import Faults
 from lavenderrun.kernel import Registry
 
 
@@ -21,3 +24,9 @@
 
 
 COMMANDS: Registry[type[Command]] = Registry("command")
+
+
+def print_faults(path: Path, found: Faults) -> None:
+    """Print every fault of a file to standard error."""
+    for fault in found.faults:
+        sys.stderr.write(f"{path}: {fault}\n")
--- a/src/lavenderrun/commands/_bench.py
+++ b/src/lavenderrun/commands/_bench.py
@@ -5,10 +5,13 @@
 import sys
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-from lavenderrun.bench import SCENARIOS, Measures, encode, run_scenario, write_report
 from lavenderrun.commands._base import COMMANDS
 
+if TYPE_CHECKING:
+    from lavenderrun.bench import Measures
+
 FIGURES = ("goodput", "wasted_prefill", "worst_account", "in_rate_refusals", "held")
 
 
@@ -38,6 +41,9 @@
 
     def run(self, args: Namespace) -> int:
         """Run and print."""
+        # other commands start sooner without the scenarios
+        from lavenderrun.bench import SCENARIOS, run_scenario, write_report
+
         if args.list:
             for name, plan in SCENARIOS:
                 print(f"{name:18} {(plan.__doc__ or '').splitlines()[0]}")
@@ -73,6 +79,8 @@
 
 def _print(results: list[Measures], *, as_json: bool) -> None:
     if as_json:
+        from lavenderrun.bench import encode
+
         print(encode(results[0] if len(results) == 1 else results).decode())
         return
     print(f"{'scenario':18}" + "".join(f"{name:>17}" for name in FIGURES) + f"{'violations':>12}")
--- /dev/null
+++ b/src/lavenderrun/commands/_document.py
@@ -0,0 +1,62 @@
+"""The sub-commands ``check`` and ``schema``: the document without a running fleet."""
+
+from __future__ import annotations
+
+import json
+import sys
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+
+from lavenderrun.codecs import Faults, Form, make_schema, read_document
+from lavenderrun.commands._base import COMMANDS, print_faults
+
+
+def find_form(path: Path) -> Form:
+    """Return how a file is written, by its suffix."""
+    return Form.JSON if path.suffix == ".json" else Form.TOML
+
+
+@COMMANDS.register("check")
+class CheckCommand:
+    """examples:
+    lavenderrun check fleet.toml
+    lavenderrun check fleet.json
+
+    Exit code 2 tells that the document has faults; each is printed with its line and field.
+    """
+
+    help = "check a document and print every fault"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the sub-command's arguments."""
+        parser.add_argument("file", type=Path, help="TOML, or JSON when it ends in .json")
+
+    def run(self, args: Namespace) -> int:
+        """Print every fault; return 0 for none, else 2."""
+        try:
+            text = args.file.read_bytes()
+        except OSError as error:
+            sys.stderr.write(f"{args.file}: can not be read: {error.strerror}\n")
+            return 2
+        found = read_document(text, find_form(args.file))
+        if isinstance(found, Faults):
+            print_faults(args.file, found)
+            return 2
+        return 0
+
+
+@COMMANDS.register("schema")
+class SchemaCommand:
+    """examples:
+    lavenderrun schema > document.schema.json
+    """
+
+    help = "print the JSON Schema of the document, for forms"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add no argument."""
+
+    def run(self, _args: Namespace) -> int:
+        """Print the schema; return 0."""
+        print(json.dumps(make_schema(), indent=2))
+        return 0
--- a/src/lavenderrun/commands/_main.py
+++ b/src/lavenderrun/commands/_main.py
@@ -22,7 +22,11 @@
     """Return the parser with every registered sub-command."""
     for module in pkgutil.iter_modules(package.__path__):
         importlib.import_module(f"{package.__name__}.{module.name}")
-    parser = ArgumentParser(prog="lavenderrun", description="Router for prefill and decode pools.")
+    parser = ArgumentParser(
+        prog="lavenderrun",
+        description="Router for prefill and decode pools.",
+        allow_abbrev=False,
+    )
     parser.add_argument("--version", action="version", version=version("lavenderrun"))
     commands = parser.add_subparsers(metavar="COMMAND", required=True)
     for name, kind in COMMANDS:
@@ -33,6 +37,7 @@
             description=command.help,
             epilog=command.__doc__,
             formatter_class=RawDescriptionHelpFormatter,
+            allow_abbrev=False,
         )
         command.configure(sub)
         sub.set_defaults(command=command)
--- /dev/null
+++ b/src/lavenderrun/commands/_operate.py
@@ -0,0 +1,115 @@
+"""The sub-commands ``submit`` and ``status``: the operators' API from the command line."""
+
+from __future__ import annotations
+
+import json
+import sys
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+from typing import Any
+
+from lavenderrun.codecs import Form
+from lavenderrun.commands._base import COMMANDS
+from lavenderrun.commands._client import Answer, add_client_arguments, call_admin
+from lavenderrun.commands._document import find_form
+
+CONTENT_TYPES = {Form.TOML: "application/toml", Form.JSON: "application/json"}
+
+
+@COMMANDS.register("submit")
+class SubmitCommand:
+    """examples:
+    export LAVENDERRUN_OPERATOR_KEY=...
+    lavenderrun submit fleet.toml --url http://127.0.0.1:9000 --version 7
+
+    Exit code 1 tells that nothing is known to be written (a conflict, or no answer), 2 that the
+    document has faults.
+    """
+
+    help = "put a document in the place of the version that it is based on"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the sub-command's arguments."""
+        parser.add_argument("file", type=Path, help="TOML, or JSON when it ends in .json")
+        parser.add_argument(
+            "--version",
+            type=int,
+            required=True,
+            metavar="N",
+            dest="base",
+            help="version that the document is based on, 0 for the first",
+        )
+        add_client_arguments(parser)
+
+    def run(self, args: Namespace) -> int:
+        """Submit; return 0 when it was accepted."""
+        try:
+            text = args.file.read_bytes()
+        except OSError as error:
+            sys.stderr.write(f"{args.file}: can not be read: {error.strerror}\n")
+            return 2
+        headers = {
+            "If-Match": f'"{args.base}"',
+            "Content-Type": CONTENT_TYPES[find_form(args.file)],
+        }
+        answer = call_admin(args, "PUT", "/admin/document", text, headers)
+        if answer is None:
+            return 1
+        body = _decode(answer)
+        if answer.status == 200:
+            spread = "" if body["confirmed"] else ", not yet known to be in force everywhere"
+            print(f"version {body['version']} is accepted{spread}")
+            return 0
+        return _explain(args, answer, body)
+
+
+@COMMANDS.register("status")
+class StatusCommand:
+    """examples:
+    lavenderrun status --url http://127.0.0.1:9000 --key-file operator.key
+    lavenderrun status --url http://127.0.0.1:9000 --section backends
+    """
+
+    help = "print the state of the fleet as one entry sees it"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the sub-command's arguments."""
+        add_client_arguments(parser)
+        parser.add_argument("--section", help="print only this section")
+
+    def run(self, args: Namespace) -> int:
+        """Print JSON; return 0, or 1 when there is no answer."""
+        answer = call_admin(args, "GET", "/admin/status")
+        if answer is None:
+            return 1
+        body = _decode(answer)
+        if answer.status != 200:
+            return _explain(args, answer, body)
+        if args.section is not None and args.section not in body:
+            sys.stderr.write(f"lavenderrun: no such section: one of {', '.join(body)}\n")
+            return 2
+        print(json.dumps(body if args.section is None else body[args.section], indent=2))
+        return 0
+
+
+def _decode(answer: Answer) -> Any:
+    try:
+        return json.loads(answer.body)
+    except ValueError:
+        return {}
+
+
+def _explain(args: Namespace, answer: Answer, body: Any) -> int:
+    error = body.get("error", {}) if isinstance(body, dict) else {}
+    message = error.get("message", "no answer of the operators' API")
+    sys.stderr.write(f"lavenderrun: {answer.status}: {message}\n")
+    for fault in error.get("faults", []):
+        place = f"line {fault['line']}: " if fault["line"] else ""
+        sys.stderr.write(f"{args.file}: {place}{fault['path']}: {fault['text']}\n")
+    for revision in body.get("since", []):
+        sys.stderr.write(
+            f"version {revision['version']} by {revision['author']} at {revision['at']}\n"
+        )
+    for change in body.get("theirs") or []:
+        sys.stderr.write(f"  {change['path']}: {change['before']} -> {change['after']}\n")
+    return 2 if answer.status in {400, 422} else 1
--- a/src/lavenderrun/daemons/_daemon.py
+++ b/src/lavenderrun/daemons/_daemon.py
@@ -1,9 +1,9 @@
-"""One daemon: its kernel from the lists, its planned stop and its readiness."""
+"""One daemon: its kernel from the lists, its stop and its readiness."""
 
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import Final, Protocol, runtime_checkable
+from typing import Final
 
 from eliot import log_message
 from twisted.internet.defer import Deferred
@@ -16,26 +16,9 @@
 )
 from lavenderrun.kernel import Clock, Kernel
 from lavenderrun.services import AdminService, FrontService, MetricsPage, check_readiness
-from lavenderrun.types import (
-    AgentSettings,
-    EntrySettings,
-    Event,
-    Hello,
-    HostLeaving,
-    Links,
-    Record,
-)
+from lavenderrun.types import AgentSettings, EntrySettings
 
 CHECK_EVERY: Final = timedelta(milliseconds=20)
-DRAIN_MOST: Final = timedelta(seconds=120)
-
-
-@runtime_checkable
-class Holder(Protocol):
-    """A service that has work in hand."""
-
-    def held(self) -> int:
-        """Return how much."""
 
 
 class Daemon:
@@ -45,31 +28,27 @@
         self.kernel = Kernel(clock, settings)
         self._clock = clock
         self._settings = settings
-        self._started = False
+        self._running = False
+        # the pages go first, for the departure must be last
         if isinstance(settings, EntrySettings):
-            self._names: tuple[str, ...] = ENTRY_SERVICES + ENTRY_PAGES
+            self.kernel.build(ENTRY_PAGES + ENTRY_SERVICES)
         else:
-            self._names = list_agent_services(settings.serves.role) + AGENT_PAGES
-        self.kernel.build(self._names)
+            self.kernel.build(AGENT_PAGES + list_agent_services(settings.serves.role))
 
     async def start(self) -> None:
         """Start all services."""
         await self.kernel.start()
-        self._started = True
+        self._running = True
         self._log("started", "daemon: started", **self.describe())
 
     async def wait_ready(self) -> None:
         """Wait until an entry can serve callers."""
-        while self._started and not check_readiness(self.kernel).ready:
+        while self._running and not check_readiness(self.kernel).ready:
             await self._pause()
 
     async def stop(self) -> None:
         """Stop as planned: take no new work, let what runs end, then stop all services."""
-        if self._started:
-            self._started = False
-            self._announce()
-            if isinstance(self._settings, AgentSettings):
-                await self._drain()
+        self._running = False
         await self.kernel.stop()
         self._log("stopped", "daemon: stopped")
 
@@ -88,22 +67,6 @@
             "admin": f"{_scheme(admin.settings.certificate)}://{admin.address}",
         }
 
-    def _announce(self) -> None:
-        hello: Hello = self._settings.hello()
-        event = Event(self._clock.now(), hello.host, HostLeaving())
-        self.kernel.find("record", Record).emit(event)
-        self.kernel.find("links", Links).leave()
-
-    async def _drain(self) -> None:
-        """Wait for what an agent has in hand, so that a planned stop cuts off no request."""
-        limit = self._clock.now() + DRAIN_MOST
-        while self._count_held() and self._clock.now() < limit:
-            await self._pause()
-
-    def _count_held(self) -> int:
-        services = [self.kernel.find(name, object) for name in self._names]
-        return sum(service.held() for service in services if isinstance(service, Holder))
-
     def _pause(self) -> Deferred[None]:
         pause: Deferred[None] = Deferred()
         self._clock.call_later(CHECK_EVERY, pause.callback, None)
--- a/src/lavenderrun/demo/__init__.py
+++ b/src/lavenderrun/demo/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from lavenderrun.demo._demo import Demo
+from lavenderrun.demo._standins import Standins
 
-__all__ = ["Demo"]
+__all__ = ["Demo", "Standins"]
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -15,6 +15,7 @@
 from lavenderrun.services._document import DocumentService
 from lavenderrun.services._engine_http import HttpEngine
 from lavenderrun.services._front import FrontService
+from lavenderrun.services._http_client import BytesBody
 from lavenderrun.services._leases import LeasesService
 from lavenderrun.services._limits import LimitsService
 from lavenderrun.services._links import LinksService
@@ -47,6 +48,7 @@
     "STORE_DIALECTS",
     "AdminService",
     "AdmissionService",
+    "BytesBody",
     "CertificateError",
     "DecodeAgent",
     "Departure",
--- /dev/null
+++ b/tests/commands/processes.py
@@ -0,0 +1,192 @@
+"""A small fleet of real processes on loopback, started from TOML files."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
+
+CALLER_KEY = "lr-marker-caller-key"
+OPERATOR_KEY = "op-marker-operator-key"
+WAIT = 15.0
+
+
+def digest(key: str) -> str:
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+
+
+def find_ports(count: int) -> list[int]:
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+class Process:
+    def __init__(self, folder: Path, name: str, *arguments: str) -> None:
+        self.name = name
+        self.log = folder / f"{name}.log"
+        with self.log.open("wb") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "lavenderrun", *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                cwd=folder,
+                env={**os.environ, "LAVENDERRUN_OPERATOR_KEY": OPERATOR_KEY},
+            )
+
+    def read_line(self) -> dict[str, Any]:
+        """Return the JSON of the line that says that the process serves."""
+        assert self.popen.stdout is not None
+        readable, _, _ = select.select([self.popen.stdout], [], [], WAIT)
+        line = self.popen.stdout.readline().decode() if readable else ""
+        assert line, f"{self.name}: {self.log.read_text()[-2000:]}"
+        found: dict[str, Any] = json.loads(line.partition(" ")[2])
+        return found
+
+    def terminate(self) -> int:
+        self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(WAIT)
+
+    def kill(self) -> None:
+        if self.popen.poll() is None:
+            self.popen.kill()
+            self.popen.wait(WAIT)
+        if self.popen.stdout is not None:
+            self.popen.stdout.close()
+
+
+DOCUMENT = """\
+[[accounts]]
+id = "talleres"
+keys = ["{digest}"]
+  [accounts.rate]
+  requests_per_second = 500
+  request_burst = 500
+  tokens_per_second = 1e6
+  token_burst = 1e6
+
+[[models]]
+name = "acta"
+
+[[model_routes]]
+name = "summaries"
+model = "acta"
+
+[[plain_routes]]
+name = "orders"
+prefix = "/orders"
+service = "order-desk"
+"""
+BACKEND = """
+[[backends]]
+id = "{id}"
+group = "{group}"
+role = "{role}"
+data_centre = "talca"
+agent = "127.0.0.1:{port}"
+"""
+HOST = """\
+[host]
+id = "{id}"
+data_centre = "talca"
+listen = "127.0.0.1:{port}"
+"""
+ENTRY = """
+[store]
+url = "http://{table}"
+
+[admin]
+operators = {{ ana = "{digest}" }}
+"""
+AGENT = """
+[serves]
+id = "{id}"
+group = "{group}"
+role = "{role}"
+
+[backend]
+address = "{address}"
+
+[metrics]
+listen = "127.0.0.1:0"
+"""
+PLACES = (("p1", "acta", "prefill"), ("d1", "acta", "decode"), ("o1", "order-desk", "plain"))
+
+
+class SmallFleet:
+    """One entry, three agents and one process of stand-ins."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: list[Process] = []
+        self.entry: dict[str, Any] = {}
+        self.agents: list[dict[str, Any]] = []
+
+    def start(self) -> None:
+        ports = find_ports(4)
+        wanted = ("table", "engine", "engine", "plain")
+        standins = self._run("standins", "standin", *wanted).read_line()
+        addresses = [*standins["engine"], *standins["plain"]]
+        document = DOCUMENT.format(digest=digest(CALLER_KEY))
+        agents = []
+        for (name, group, role), address, port in zip(PLACES, addresses, ports[1:], strict=True):
+            values = {"id": name, "group": group, "role": role, "address": address, "port": port}
+            document += BACKEND.format(**values)
+            text = HOST.format(id=f"host-{name}", port=port) + AGENT.format(**values)
+            agents.append(self._run_daemon("agent", name, text))
+        (self.folder / "fleet.toml").write_text(document)
+        text = HOST.format(id="entry-1", port=ports[0])
+        text += ENTRY.format(table=standins["table"][0], digest=digest(OPERATOR_KEY))
+        entry = self._run_daemon("entry", "entry", text)
+        self.agents = [agent.read_line() for agent in agents]
+        self.entry = entry.read_line()
+
+    def stop(self) -> None:
+        for process in self.processes:
+            process.kill()
+
+    def run(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run a command to its end."""
+        return subprocess.run(
+            [sys.executable, "-m", "lavenderrun", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=WAIT,
+            check=False,
+            cwd=self.folder,
+            env={**os.environ, "LAVENDERRUN_OPERATOR_KEY": OPERATOR_KEY},
+        )
+
+    def _run_daemon(self, command: str, name: str, text: str) -> Process:
+        file = self.folder / f"{name}.toml"
+        file.write_text(text)
+        return self._run(name, command, "--settings", str(file))
+
+    def _run(self, name: str, *arguments: str) -> Process:
+        process = Process(self.folder, name, *arguments)
+        self.processes.append(process)
+        return process
+
+
+def fetch(url: str, key: str = "", body: bytes | None = None, **more: Any) -> tuple[int, str, str]:
+    """Return status, body and the text of all headers."""
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    request = Request(url, body, {**headers, **more.pop("headers", {})}, **more)
+    try:
+        with urlopen(request, timeout=WAIT) as answer:
+            return answer.status, answer.read().decode(), str(answer.headers)
+    except HTTPError as error:
+        with error:
+            return error.code, error.read().decode(), str(error.headers)
--- /dev/null
+++ b/tests/commands/test_fleet.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Iterator
+from threading import Thread
+
+import pytest
+from processes import CALLER_KEY, OPERATOR_KEY, SmallFleet, digest, fetch
+
+READY_WITHIN = 10.0
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[SmallFleet]:
+    fleet = SmallFleet(tmp_path_factory.mktemp("fleet"))
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def wait_ready(fleet: SmallFleet) -> None:
+    end = time.monotonic() + READY_WITHIN
+    while (answer := fetch(f"{fleet.entry['admin']}/readyz"))[0] != 200:
+        assert time.monotonic() < end, answer
+        time.sleep(0.05)
+
+
+def complete(fleet: SmallFleet, key: str, *, tokens: int = 20, stream: bool = True) -> str:
+    body = {"model": "acta", "prompt": "a b c", "max_tokens": tokens, "stream": stream}
+    answer = fetch(f"{fleet.entry['url']}/v1/completions", key, json.dumps(body).encode())
+    return f"{answer[0]} {answer[1]}"
+
+
+def test_whole_life_of_a_small_fleet(fleet: SmallFleet) -> None:
+    admin = fleet.entry["admin"]
+    status, body, _ = fetch(f"{admin}/readyz")
+    assert status == 503
+    assert "document" in json.loads(body)["missing"]
+
+    submitted = fleet.run("submit", "fleet.toml", "--url", admin, "--version", "0")
+    assert submitted.returncode == 0, submitted.stderr
+    wait_ready(fleet)
+    answer = complete(fleet, CALLER_KEY)
+    assert answer.startswith("200 data: ")
+    assert answer.endswith("data: [DONE]\n\n")
+    assert fetch(f"{fleet.entry['url']}/orders/7", CALLER_KEY)[0] in {200, 404}
+
+    shown = fleet.run("status", "--url", admin, "--section", "backends")
+    assert {each["state"] for each in json.loads(shown.stdout)} == {"live"}
+    assert 'outcome="finished"' in fetch(f"{admin}/metrics")[1]
+    pages = [fetch(f"http://{agent['metrics']}/metrics")[1] for agent in fleet.agents]
+    assert "lavenderrun_backend_runs_total" in pages[1]
+
+    _check_races(fleet)
+    _check_keys(fleet)
+    _check_no_secret(fleet, pages)
+    _check_planned_stop(fleet)
+
+
+def _check_races(fleet: SmallFleet) -> None:
+    admin = fleet.entry["admin"]
+    file = fleet.folder / "fleet.toml"
+    (fleet.folder / "other.toml").write_text("retry_share = 0.2\n" + file.read_text())
+    late = fleet.run("submit", "other.toml", "--url", admin, "--version", "0")
+    assert late.returncode == 1
+    assert "version 1 by ana" in late.stderr
+    (fleet.folder / "bad.toml").write_text("retry_share = 7\n")
+    bad = fleet.run("submit", "bad.toml", "--url", admin, "--version", "1")
+    assert bad.returncode == 2
+    assert "bad.toml: line 1: retry_share: " in bad.stderr
+
+
+def _check_keys(fleet: SmallFleet) -> None:
+    keys = f"{fleet.entry['admin']}/admin/accounts/talleres/keys"
+    assert fetch(keys, "other-key", b"")[0] == 401
+    status, body, _ = fetch(keys, OPERATOR_KEY, b"")
+    granted = json.loads(body)
+    assert status == 201
+    assert complete(fleet, granted["key"]).startswith("200")
+    withdrawn = fetch(f"{keys}/{granted['digest']}", OPERATOR_KEY, method="DELETE")
+    assert withdrawn[0] == 200
+    assert complete(fleet, granted["key"]).startswith("401")
+    again = fetch(f"{keys}/{granted['digest']}", OPERATOR_KEY, method="DELETE")
+    assert again[0] == 404
+
+
+def _check_no_secret(fleet: SmallFleet, pages: list[str]) -> None:
+    admin = fleet.entry["admin"]
+    for path in ("/admin/document", "/admin/status", "/admin/quarantine", "/metrics", "/nope"):
+        pages += fetch(f"{admin}{path}", OPERATOR_KEY)[1:]
+    pages += [each.log.read_text() for each in fleet.processes]
+    text = "\n".join(pages)
+    assert "router: request finished" in text
+    assert "marker" not in text
+    assert digest(CALLER_KEY) not in fetch(f"{admin}/metrics")[1]
+
+
+def _check_planned_stop(fleet: SmallFleet) -> None:
+    answers: list[str] = []
+    caller = Thread(target=lambda: answers.append(complete(fleet, CALLER_KEY, tokens=120)))
+    caller.start()
+    time.sleep(0.5)
+    standins, *agents, entry = fleet.processes
+    assert entry.terminate() == 0
+    caller.join(10)
+    assert answers[0].endswith("data: [DONE]\n\n"), answers
+    assert [agent.terminate() for agent in agents] == [0, 0, 0]
+    assert standins.terminate() == 0
