--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -2,17 +2,12 @@
 
 from __future__ import annotations
 
-from lavenderrun.services._admin import AdminService
-from lavenderrun.services._admin_endpoints import ADMIN_ENDPOINTS
-from lavenderrun.services._metrics import METRICS, MetricsService
-from lavenderrun.services._metrics_page import MetricsPage
-from lavenderrun.services._readiness import READINESS_CHECKS, check_readiness
-from lavenderrun.services._status import STATUS_SECTIONS
-
 from lavenderrun.services import _admin_document as _admin_document
 from lavenderrun.services import _admin_pages as _admin_pages
 from lavenderrun.services import _metrics_events as _metrics_events
 from lavenderrun.services import _metrics_states as _metrics_states
+from lavenderrun.services._admin import AdminService
+from lavenderrun.services._admin_endpoints import ADMIN_ENDPOINTS
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._certificates import CertificateError
 from lavenderrun.services._decode_agent import DecodeAgent
@@ -26,6 +21,8 @@
 from lavenderrun.services._links import LinksService
 from lavenderrun.services._listener import Listener, ListenError
 from lavenderrun.services._membership import Membership
+from lavenderrun.services._metrics import METRICS, MetricsService
+from lavenderrun.services._metrics_page import MetricsPage
 from lavenderrun.services._model_router import ModelRouter
 from lavenderrun.services._order_agent import OrderAgent
 from lavenderrun.services._orders import OrdersService
@@ -35,8 +32,10 @@
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._prefill_agent import PrefillAgent
 from lavenderrun.services._quarantine import QuarantineService
+from lavenderrun.services._readiness import READINESS_CHECKS, check_readiness
 from lavenderrun.services._record import RecordService
 from lavenderrun.services._router import RouterService
+from lavenderrun.services._status import STATUS_SECTIONS
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
 from lavenderrun.services._store_http import HttpStore
 from lavenderrun.services._transport_grpc import GrpcTransport
