--- a/src/lavenderrun/services/_admin.py
+++ b/src/lavenderrun/services/_admin.py
@@ -61,11 +61,16 @@
         """The IP number and port that operators reach, once started."""
         return self._listener.address if self._listener is not None else ""
 
+    def make_factory(self, reactor: IReactorTime) -> FrontFactory:
+        """Return the factory of operators' connections; their timeouts run on *reactor*."""
+        self._factory = FrontFactory(self, reactor)
+        return self._factory
+
     def start(self) -> None:
         """Listen for operators."""
         tls = (self.settings.certificate, self.settings.private_key)
         self._listener = Listener(self.settings.listen, tls if any(tls) else None)
-        self._listener.open(self._make_factory)
+        self._listener.open(self.make_factory)
         log_message(
             "admin:listening",
             text="admin: listening for operators",
@@ -138,10 +143,6 @@
         request.write(reply.body)
         request.finish()
 
-    def _make_factory(self, reactor: IReactorTime) -> FrontFactory:
-        self._factory = FrontFactory(self, reactor)
-        return self._factory
-
 
 def _to_reply(failure: Failure) -> Reply:
     error = failure.value
--- a/tests/commands/processes.py
+++ b/tests/commands/processes.py
@@ -11,11 +11,14 @@
 import subprocess
 import sys
 from contextlib import ExitStack
+from dataclasses import asdict
 from pathlib import Path
+from ssl import create_default_context
 from typing import Any
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
+from authority import Authority
 from tap import Tap
 
 CALLER_KEY = "lr-marker-caller-key"
@@ -104,12 +107,17 @@
 id = "{id}"
 data_centre = "talca"
 listen = "127.0.0.1:{port}"
+authority = "{authority}"
+certificate = "{certificate}"
+private_key = "{private_key}"
 """
 ENTRY = """
 [store]
 url = "http://{table}"
 
 [admin]
+certificate = "{certificate}"
+private_key = "{private_key}"
 operators = {{ ana = "{digest}" }}
 """
 AGENT = """
@@ -132,6 +140,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self.authority = Authority(folder, "authority")
         self.processes: list[Process] = []
         self.entry: dict[str, Any] = {}
         self.agents: list[dict[str, Any]] = []
@@ -149,11 +158,13 @@
         for (name, group, role), address, port in zip(PLACES, addresses, ports[1:], strict=True):
             values = {"id": name, "group": group, "role": role, "address": address, "port": port}
             document += BACKEND.format(**values)
-            text = HOST.format(id=f"host-{name}", port=port) + AGENT.format(**values)
+            text = self._make_host(f"host-{name}", port) + AGENT.format(**values)
             agents.append(self._run_daemon("agent", name, text))
         (self.folder / "fleet.toml").write_text(document)
-        text = HOST.format(id="entry-1", port=ports[0])
-        text += ENTRY.format(table=table, digest=digest(OPERATOR_KEY))
+        text = self._make_host("entry-1", ports[0])
+        text += ENTRY.format(
+            table=table, digest=digest(OPERATOR_KEY), **asdict(self.authority.sign("admin"))
+        )
         entry = self._run_daemon("entry", "entry", text)
         self.agents = [agent.read_line() for agent in agents]
         self.entry = entry.read_line()
@@ -176,6 +187,29 @@
             env={**os.environ, "LAVENDERRUN_OPERATOR_KEY": OPERATOR_KEY},
         )
 
+    def fetch(
+        self, url: str, key: str = "", body: bytes | None = None, method: str | None = None
+    ) -> tuple[int, str, str]:
+        """Return status, body and the text of all headers."""
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        request = Request(url, body, headers, method=method)
+        secure = create_default_context(cafile=self.authority.path)
+        try:
+            with urlopen(request, timeout=WAIT, context=secure) as answer:
+                return answer.status, answer.read().decode(), str(answer.headers)
+        except HTTPError as error:
+            with error:
+                return error.code, error.read().decode(), str(error.headers)
+
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run a command that calls the operators' API."""
+        url = ("--url", self.entry["admin"], "--authority", self.authority.path)
+        return self.run(*arguments, *url)
+
+    def _make_host(self, name: str, port: int) -> str:
+        signed = asdict(self.authority.sign(name))
+        return HOST.format(id=name, port=port, authority=self.authority.path, **signed)
+
     def _run_daemon(self, command: str, name: str, text: str) -> Process:
         file = self.folder / f"{name}.toml"
         file.write_text(text)
@@ -185,15 +219,3 @@
         process = Process(self.folder, name, *arguments)
         self.processes.append(process)
         return process
-
-
-def fetch(url: str, key: str = "", body: bytes | None = None, **more: Any) -> tuple[int, str, str]:
-    """Return status, body and the text of all headers."""
-    headers = {"Authorization": f"Bearer {key}"} if key else {}
-    request = Request(url, body, {**headers, **more.pop("headers", {})}, **more)
-    try:
-        with urlopen(request, timeout=WAIT) as answer:
-            return answer.status, answer.read().decode(), str(answer.headers)
-    except HTTPError as error:
-        with error:
-            return error.code, error.read().decode(), str(error.headers)
--- a/tests/commands/test_fleet.py
+++ b/tests/commands/test_fleet.py
@@ -7,7 +7,7 @@
 from threading import Thread
 
 import pytest
-from processes import CALLER_KEY, OPERATOR_KEY, SmallFleet, digest, fetch
+from processes import CALLER_KEY, OPERATOR_KEY, SmallFleet, digest
 
 READY_WITHIN = 10.0
 
@@ -24,33 +24,33 @@
 
 def wait_ready(fleet: SmallFleet) -> None:
     end = time.monotonic() + READY_WITHIN
-    while (answer := fetch(f"{fleet.entry['admin']}/readyz"))[0] != 200:
+    while (answer := fleet.fetch(f"{fleet.entry['admin']}/readyz"))[0] != 200:
         assert time.monotonic() < end, answer
         time.sleep(0.05)
 
 
 def complete(fleet: SmallFleet, key: str, *, tokens: int = 20, stream: bool = True) -> str:
     body = {"model": "acta", "prompt": "a b c", "max_tokens": tokens, "stream": stream}
-    answer = fetch(f"{fleet.entry['url']}/v1/completions", key, json.dumps(body).encode())
+    answer = fleet.fetch(f"{fleet.entry['url']}/v1/completions", key, json.dumps(body).encode())
     return f"{answer[0]} {answer[1]}"
 
 
 def test_whole_life_of_a_small_fleet(fleet: SmallFleet) -> None:
     admin = fleet.entry["admin"]
-    status, body, _ = fetch(f"{admin}/readyz")
+    status, body, _ = fleet.fetch(f"{admin}/readyz")
     assert status == 503
     assert "document" in json.loads(body)["missing"]
 
-    submitted = fleet.run("submit", "fleet.toml", "--url", admin, "--version", "0")
+    submitted = fleet.operate("submit", "fleet.toml", "--version", "0")
     assert submitted.returncode == 0, submitted.stderr
     wait_ready(fleet)
     answer = complete(fleet, CALLER_KEY)
     assert answer.startswith("200 data: ")
     assert answer.endswith("data: [DONE]\n\n")
-    assert fetch(f"{fleet.entry['url']}/orders/7", CALLER_KEY)[0] in {200, 404}
+    assert fleet.fetch(f"{fleet.entry['url']}/orders/7", CALLER_KEY)[0] in {200, 404}
 
-    assert 'outcome="finished"' in fetch(f"{admin}/metrics")[1]
-    pages = [fetch(f"http://{agent['metrics']}/metrics")[1] for agent in fleet.agents]
+    assert 'outcome="finished"' in fleet.fetch(f"{admin}/metrics")[1]
+    pages = [fleet.fetch(f"http://{agent['metrics']}/metrics")[1] for agent in fleet.agents]
     assert "lavenderrun_backend_runs_total" in pages[1]
 
     _check_commands(fleet)
@@ -60,13 +60,12 @@
 
 
 def _check_commands(fleet: SmallFleet) -> None:
-    admin = fleet.entry["admin"]
     text = (fleet.folder / "fleet.toml").read_text()
     (fleet.folder / "other.toml").write_text(f"retry_share = 0.2\n{text}")
     (fleet.folder / "bad.toml").write_text("retry_share = 7\n")
     with ThreadPoolExecutor() as pool:
         late, bad, shown = pool.map(
-            lambda arguments: fleet.run(*arguments, "--url", admin),
+            lambda arguments: fleet.operate(*arguments),
             [
                 ("submit", "other.toml", "--version", "0"),
                 ("submit", "bad.toml", "--version", "1"),
@@ -82,22 +81,22 @@
 
 def _check_keys(fleet: SmallFleet) -> None:
     keys = f"{fleet.entry['admin']}/admin/accounts/talleres/keys"
-    assert fetch(keys, "other-key", b"")[0] == 401
-    status, body, _ = fetch(keys, OPERATOR_KEY, b"")
+    assert fleet.fetch(keys, "other-key", b"")[0] == 401
+    status, body, _ = fleet.fetch(keys, OPERATOR_KEY, b"")
     granted = json.loads(body)
     assert status == 201
     assert complete(fleet, granted["key"]).startswith("200")
-    withdrawn = fetch(f"{keys}/{granted['digest']}", OPERATOR_KEY, method="DELETE")
+    withdrawn = fleet.fetch(f"{keys}/{granted['digest']}", OPERATOR_KEY, method="DELETE")
     assert withdrawn[0] == 200
     assert complete(fleet, granted["key"]).startswith("401")
-    again = fetch(f"{keys}/{granted['digest']}", OPERATOR_KEY, method="DELETE")
+    again = fleet.fetch(f"{keys}/{granted['digest']}", OPERATOR_KEY, method="DELETE")
     assert again[0] == 404
 
 
 def _check_no_secret(fleet: SmallFleet, pages: list[str]) -> None:
     admin = fleet.entry["admin"]
     for path in ("/admin/document", "/admin/status", "/admin/quarantine", "/metrics", "/nope"):
-        pages += fetch(f"{admin}{path}", OPERATOR_KEY)[1:]
+        pages += fleet.fetch(f"{admin}{path}", OPERATOR_KEY)[1:]
     pages += [each.log.read_text() for each in fleet.processes]
     text = "\n".join(pages)
     assert "router: request finished" in text
@@ -105,7 +104,7 @@
     for tap in fleet.taps:
         assert tap.seen
         assert b"marker" not in b"".join(tap.seen)
-    assert digest(CALLER_KEY) not in fetch(f"{admin}/metrics")[1]
+    assert digest(CALLER_KEY) not in fleet.fetch(f"{admin}/metrics")[1]
 
 
 def _check_planned_stop(fleet: SmallFleet) -> None:
