Run suspects in cohorts, and charge the retry budget for costly retries only

Now suspects with one strike share an engine four at a time, with two they run alone; an attempt that spent nothing backs off without the budget; the reserve is one full engine's requests.

--- a/src/lavenderrun/decisions/_leases.py
+++ b/src/lavenderrun/decisions/_leases.py
@@ -36,7 +36,7 @@
     :param job: its place in the queue; the cost is in seat seconds.
     :param tokens: length of the prompt.
     :param lead: time that prefill and transfer are expected to take.
-    :param solo: runs only when nothing else does.
+    :param cohort: runs only among so many suspects; zero for a request that is no suspect.
     :param holder: the entry.
     """
 
@@ -45,7 +45,7 @@
     tokens: int
     max_tokens: int
     lead: timedelta
-    solo: bool
+    cohort: int
     holder: HostId
 
     @property
--- a/src/lavenderrun/decisions/_quarantine.py
+++ b/src/lavenderrun/decisions/_quarantine.py
@@ -14,6 +14,9 @@
 from lavenderrun.types import Fingerprint, HostId, RequestId, Strike, Suspect, Verdict
 
 MAX_CRASHES = 3
+COHORTS = {1: 4, 2: 1}
+"""Suspects that share a backend server, by strikes: about the root of a full engine's seats first,
+so that the second crash leaves few suspects, then one alone."""
 SUSPICION_LIFE = timedelta(minutes=10)
 GUILT_LIFE = timedelta(hours=24)
 MAX_SUSPECTS = 10_000
@@ -31,7 +34,8 @@
 class Quarantine:
     """Strikes by fingerprint; the same set of strikes gives the same verdict on every host.
 
-    One crash makes a suspect, which runs alone from then on; :data:`MAX_CRASHES` make it guilty.
+    One crash makes a suspect, which runs among few suspects and then alone; :data:`MAX_CRASHES`
+    make it guilty.
     """
 
     def __init__(self) -> None:
@@ -65,6 +69,12 @@
             return Verdict.CLEAR
         return Verdict.GUILTY if guilty else Verdict.SUSPECT
 
+    def find_cohort(self, fingerprint: Fingerprint, now: datetime) -> int:
+        """Return how many suspects may share a backend server with it, zero for no suspect."""
+        if self.verdict(fingerprint, now) is not Verdict.SUSPECT:
+            return 0
+        return COHORTS.get(len(self.strikes(fingerprint)), 1)
+
     def strikes(self, fingerprint: Fingerprint) -> list[Strike]:
         """Return the strikes of *fingerprint*."""
         file = self._files.get(fingerprint)
--- a/src/lavenderrun/decisions/_retries.py
+++ b/src/lavenderrun/decisions/_retries.py
@@ -6,7 +6,8 @@
 
 from lavenderrun.types import AccountId
 
-RETRY_RESERVE = 3.0
+RETRY_RESERVE = 20.0
+"""Retries that are always allowed at once: the requests of one full decode engine."""
 WINDOW = timedelta(seconds=10)
 ACCOUNT_SHARE_FACTOR = 2.0
 
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -300,10 +300,12 @@
         return timedelta(seconds=seconds)
 
     def _may_join(self, seat: Seat) -> bool:
-        """Tell whether solo running, of this attempt or of another, allows it."""
-        if seat.request.solo:
-            return not self._taken
-        return not any(other.request.solo for other in self._taken.values())
+        """Tell whether suspects, this one or those that run, allow it to join them."""
+        own = seat.request.cohort
+        others = [other.request.cohort for other in self._taken.values()]
+        if not own:
+            return not any(others)
+        return all(others) and len(others) < min([own, *others])
 
     def _chances(self, seconds: float) -> Sequence[float]:
         further = seconds / self.step.value
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -160,7 +160,7 @@
             order.prompt_tokens,
             order.max_tokens,
             order.lead,
-            order.solo,
+            order.cohort,
             link.peer.host,
         )
 
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -249,7 +249,7 @@
                 patience=left,
                 urgency=self._urgency_left(),
                 weight=self._router.weigh(self.admitted),
-                solo=verdict is Verdict.SUSPECT,
+                cohort=self._router.quarantine.find_cohort(self.admitted.fingerprint),
                 fingerprint=self.admitted.fingerprint,
             )
         )
@@ -413,6 +413,7 @@
         self._fail_attempt(link.peer.host, refused, started=True)
 
     def _fail_attempt(self, host: HostId, refused: Refused, *, started: bool = False) -> None:
+        costly = started or self.state in (RunState.DECODING, RunState.RESUMING)
         self._drop_attempt()
         self._failed_hosts.add(host)
         once = self.admitted.route.repeatability is Repeatability.AT_MOST_ONCE
@@ -425,10 +426,13 @@
             self._waiting_since = self._router.clock.now()
         if started or refused.refusal not in HARMLESS:
             self._tries += 1
-        if self._tries < MAX_TRIES:
+        if self._tries >= MAX_TRIES:
+            self._refuse(refused)
+        elif costly:
             self._await_retry(refused)
         else:
-            self._refuse(refused)
+            # nothing was spent, so the budget for retries is not touched either
+            self._back_off()
 
     def _await_retry(self, refused: Refused) -> None:
         """Retry once the budget allows it; an outage is not amplified and no request is lost."""
--- a/src/lavenderrun/services/_quarantine.py
+++ b/src/lavenderrun/services/_quarantine.py
@@ -90,6 +90,10 @@
         """Return what is held of *fingerprint*."""
         return self._book.verdict(fingerprint, self._clock.now())
 
+    def find_cohort(self, fingerprint: Fingerprint) -> int:
+        """Return how many suspects may share a backend server with it, zero for no suspect."""
+        return self._book.find_cohort(fingerprint, self._clock.now())
+
     def strike(self, strike: Strike) -> None:
         """Note a crash and tell the other entries."""
         if self._take(strike):
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -111,7 +111,8 @@
     :param lead: time that prefill and transfer are expected to take.
     :param patience: how long the request may wait for a seat.
     :param urgency: target for the first token; the smaller the sooner it is served.
-    :param solo: run only when nothing else runs on the backend server.
+    :param cohort: for a suspect, most suspects that may share the backend server with nothing
+        else on it; zero for a request that is none.
     """
 
     request: RequestId
@@ -125,7 +126,7 @@
     patience: timedelta
     urgency: timedelta
     weight: float = 1.0
-    solo: bool = False
+    cohort: int = 0
     fingerprint: Fingerprint = Fingerprint("")
 
 
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -54,7 +54,7 @@
 
 @message("probe_ask")
 class ProbeAsk(Message, tag="probe_ask", frozen=True):
-    """An entry asks the home of a suspect for leave to run it alone."""
+    """An entry asks the home of a suspect for leave to run it."""
 
     fingerprint: Fingerprint
     request: RequestId
@@ -71,7 +71,7 @@
 
 @message("probe_end")
 class ProbeEnd(Message, tag="probe_end", frozen=True):
-    """The run alone is over."""
+    """The run is over."""
 
     fingerprint: Fingerprint
     request: RequestId
@@ -83,6 +83,9 @@
     def verdict(self, fingerprint: Fingerprint) -> Verdict:
         """Return what is held of *fingerprint*."""
 
+    def find_cohort(self, fingerprint: Fingerprint) -> int:
+        """Return how many suspects may share a backend server with it, zero for no suspect."""
+
     def strike(self, strike: Strike) -> None:
         """Note a crash and tell the other entries."""
 
--- a/tests/decisions/test_seats.py
+++ b/tests/decisions/test_seats.py
@@ -43,7 +43,7 @@
     account: str = "a",
     tokens: int = 900,
     patience: float = 30,
-    solo: bool = False,
+    cohort: int = 0,
     holder: str = "e1",
 ) -> SeatRequest:
     job = Job(
@@ -57,7 +57,7 @@
         at(now + patience),
     )
     lead = timedelta(seconds=0.2)
-    return SeatRequest(job, ROUTE, tokens, 100, lead, solo, HostId(holder))
+    return SeatRequest(job, ROUTE, tokens, 100, lead, cohort, HostId(holder))
 
 
 def book(seats: int = 2, pieces: int = 8, promise: str = "free") -> SeatBook:
@@ -152,11 +152,20 @@
     seats = book()
     seats.reserve(ask("r"), at(0))
     seats.start(key("r"), at(0.1))
-    assert promised(seats.reserve(ask("suspect", solo=True), at(0.2))) == []
+    assert promised(seats.reserve(ask("suspect", cohort=1), at(0.2))) == []
     assert promised(seats.end(key("r"), at(1), whole=True)) == ["suspect"]
     assert promised(seats.reserve(ask("after", 1), at(1))) == []
 
 
+def test_a_cohort_of_suspects_shares_a_backend_server_with_nobody_else() -> None:
+    seats = book()
+    first = [promised(seats.reserve(ask(f"s{n}", cohort=2), at(0))) for n in range(3)]
+    assert first == [["s0"], ["s1"], []]
+    assert promised(seats.reserve(ask("innocent"), at(0))) == []
+    seats.start(key("s0"), at(0.1))
+    assert promised(seats.end(key("s0"), at(1), whole=True)) == ["s2"]
+
+
 def test_pieces_bound_what_is_promised() -> None:
     seats = book(seats=4, pieces=5)
     assert promised(seats.reserve(ask("big", tokens=3900), at(0))) == ["big"]
@@ -214,9 +223,14 @@
 
     names = st.sampled_from([f"r{number}" for number in range(8)])
 
-    @rule(name=names, tokens=st.integers(1, 14000), solo=st.booleans(), entry=st.sampled_from("xy"))
-    def reserve(self, name: str, tokens: int, solo: bool, entry: str) -> None:
-        request = ask(name, self.now, tokens=tokens, patience=4, solo=solo, holder=entry)
+    @rule(
+        name=names,
+        tokens=st.integers(1, 14000),
+        cohort=st.integers(0, 3),
+        entry=st.sampled_from("xy"),
+    )
+    def reserve(self, name: str, tokens: int, cohort: int, entry: str) -> None:
+        request = ask(name, self.now, tokens=tokens, patience=4, cohort=cohort, holder=entry)
         self.take(self.book.reserve(request, at(self.now)))
 
     @rule(name=names)
