Share the drain of agents with the plain one

The plain agent had a drain of its own and kept queued calls through a stop; now it sends them away as not run, so that they go on elsewhere at once.

--- a/src/lavenderrun/services/_plain_agent.py
+++ b/src/lavenderrun/services/_plain_agent.py
@@ -11,6 +11,7 @@
 from lavenderrun.decisions import QUEUE_POLICIES, CallLedger, Job, JobKey, Mean
 from lavenderrun.kernel import SERVICES, Kernel, Timer
 from lavenderrun.services._alarm import Alarm
+from lavenderrun.services._drain import Drain
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._plain_job import JobState, PlainJob
 from lavenderrun.services._plain_kept import KeptReplies
@@ -42,7 +43,6 @@
 FIRST_COST = 0.02
 MAX_HELD_BYTES = 64 << 20
 ENTRY_GRACE = timedelta(seconds=5)
-DRAIN = timedelta(seconds=60)
 RETRY_AFTER = timedelta(seconds=1)
 
 
@@ -70,7 +70,7 @@
         self._timers: dict[JobKey, Timer] = {}
         self._running = 0
         self._alarm = Alarm(kernel.clock, self._serve)
-        self._drained: Deferred[None] | None = None
+        self._drain = Drain(kernel.clock, self._is_busy)
 
     def start(self) -> None:
         """Listen to entries and report load."""
@@ -84,13 +84,13 @@
         self._links.bind_load(self.load)
 
     def stop(self) -> Deferred[None]:
-        """Take no new call and wait for those in hand."""
-        self._drained = Deferred()
-        drained = self._drained
-        limit = self._clock.call_later(DRAIN, self._end_drain)
-        drained.addBoth(lambda _: self._close(limit))
-        self._check_drained()
-        return drained
+        """Take no new call, send away what has not begun, and wait for the rest."""
+        for job in list(self._jobs.values()):
+            if job.state is not JobState.RUNNING:
+                if job.link is not None:
+                    self._fail(job.link, job.key, Refusal.LEAVING, started=False)
+                self._drop(job)
+        return self._drain.begin().addBoth(lambda _: self._close())
 
     def held(self) -> int:
         """Return the calls that wait or run."""
@@ -120,7 +120,7 @@
     def _find_bar(self, key: JobKey) -> Refusal | None:
         if self._ledger.knows(key):
             return Refusal.CANCELLED
-        if self._drained is not None:
+        if self._drain.is_on:
             return Refusal.LEAVING
         held = sum(job.held_bytes for job in self._jobs.values())
         return Refusal.NO_ROOM if held > MAX_HELD_BYTES else None
@@ -196,7 +196,7 @@
         self._events.emit(BackendEnded(*job.key, self._backend))
         job.running = None
         self._serve()
-        self._check_drained()
+        self._drain.check()
 
     def _take_end(self, job: PlainJob) -> None:
         now, refused = self._clock.now(), job.refused
@@ -226,7 +226,7 @@
         job.take_ack(ack.offset)
         if job.is_acked and not job.is_once:
             self._drop(job)
-        self._check_drained()
+        self._drain.check()
 
     def _take_resume(self, link: Link, resume: Resume) -> None:
         key = (resume.request, resume.attempt)
@@ -304,7 +304,7 @@
             self._ledger.revoke(job.key, self._clock.now())
         if job.running is not None:
             job.running.cancel()
-        self._check_drained()
+        self._drain.check()
 
     def _expect(self, key: JobKey, delay: timedelta, call: object) -> None:
         self._forget_timer(key)
@@ -315,19 +315,10 @@
         if timer is not None:
             timer.cancel()
 
-    def _check_drained(self) -> None:
-        if self._drained is not None and not self._drained.called and not self._is_busy():
-            self._drained.callback(None)
-
     def _is_busy(self) -> bool:
         return bool(self._jobs) or self._kept.has_unread()
 
-    def _end_drain(self) -> None:
-        if self._drained is not None and not self._drained.called:
-            self._drained.callback(None)
-
-    def _close(self, limit: Timer) -> None:
-        limit.cancel()
+    def _close(self) -> None:
         for job in [*self._jobs.values(), *self._kept.all()]:
             self._drop(job)
         self._alarm.set(None)
