--- /dev/null
+++ b/src/lavenderrun/daemons/_daemon.py
@@ -0,0 +1,80 @@
+"""One daemon: its kernel from the lists, its stop and its readiness."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Final
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+
+from lavenderrun.daemons._lists import (
+    AGENT_PAGES,
+    ENTRY_PAGES,
+    ENTRY_SERVICES,
+    list_agent_services,
+)
+from lavenderrun.kernel import Clock, Kernel
+from lavenderrun.services import AdminService, FrontService, MetricsPage, check_readiness
+from lavenderrun.types import AgentSettings, EntrySettings
+
+CHECK_EVERY: Final = timedelta(milliseconds=20)
+
+
+class Daemon:
+    """An entry or an agent, as its settings say."""
+
+    def __init__(self, clock: Clock, settings: EntrySettings | AgentSettings) -> None:
+        self.kernel = Kernel(clock, settings)
+        self._clock = clock
+        self._settings = settings
+        self._running = False
+        # the pages go first, for the departure must be last
+        if isinstance(settings, EntrySettings):
+            self.kernel.build(ENTRY_PAGES + ENTRY_SERVICES)
+        else:
+            self.kernel.build(AGENT_PAGES + list_agent_services(settings.serves.role))
+
+    async def start(self) -> None:
+        """Start all services."""
+        await self.kernel.start()
+        self._running = True
+        self._log("started", "daemon: started", **self.describe())
+
+    async def wait_ready(self) -> None:
+        """Wait until an entry can serve callers."""
+        while self._running and not check_readiness(self.kernel).ready:
+            await self._pause()
+
+    async def stop(self) -> None:
+        """Stop as planned: take no new work, let what runs end, then stop all services."""
+        self._running = False
+        await self.kernel.stop()
+        self._log("stopped", "daemon: stopped")
+
+    def describe(self) -> dict[str, str]:
+        """Return where the daemon is reached."""
+        hello = self._settings.hello()
+        if isinstance(self._settings, AgentSettings):
+            page = self.kernel.find("metrics_page", MetricsPage).address
+            return {"host": hello.host, "peers": hello.address, "metrics": page}
+        front = self.kernel.find("front", FrontService)
+        admin = self.kernel.find("admin", AdminService)
+        return {
+            "host": hello.host,
+            "peers": hello.address,
+            "url": f"{_scheme(front.settings.certificate)}://{front.address}",
+            "admin": f"{_scheme(admin.settings.certificate)}://{admin.address}",
+        }
+
+    def _pause(self) -> Deferred[None]:
+        pause: Deferred[None] = Deferred()
+        self._clock.call_later(CHECK_EVERY, pause.callback, None)
+        return pause
+
+    def _log(self, kind: str, text: str, **fields: str) -> None:
+        log_message(f"daemon:{kind}", text=text, **{"host": self._settings.host.id, **fields})
+
+
+def _scheme(certificate: str | None) -> str:
+    return "http" if certificate is None else "https"
--- a/src/lavenderrun/daemons/_lists.py
+++ b/src/lavenderrun/daemons/_lists.py
@@ -21,6 +21,11 @@
     "departure",
 )
 
+ENTRY_PAGES = ("metrics", "admin")
+"""Services for operators, which a benchmark leaves out."""
+
+AGENT_PAGES = ("metrics", "metrics_page")
+
 AGENT_ROLES = {
     BackendRole.PREFILL: ("engine", "prefill_agent"),
     BackendRole.DECODE: ("engine", "decode_agent"),
--- a/src/lavenderrun/decisions/_freshness.py
+++ b/src/lavenderrun/decisions/_freshness.py
@@ -39,8 +39,8 @@
 
         Few hosts draw an early one, so that the others hear of their read before their own.
         """
-        share: float = uniform**READ_SKEW
-        return self.read_first + (self.read_last - self.read_first) * share
+        spread = self.read_last - self.read_first
+        return self.read_first + spread * float(uniform**READ_SKEW)
 
     def draw_vote_age(self, uniform: float) -> timedelta:
         """Return the age at which one host asks the voters, from a number in [0, 1)."""
@@ -91,15 +91,14 @@
         """Tell whether keyed routes may be served."""
         return self._proved is not None and now - self._proved <= self._rules.limit
 
-    def may_vote(self, now: datetime) -> bool:
-        """Tell whether this host counts among the voters.
+    @property
+    def may_vote(self) -> bool:
+        """Whether this host counts among the voters.
 
-        A host that restarted has forgotten what it confirmed; it votes again once its proof is
-        younger than any submission that may have counted its earlier life.
+        A host that restarted has forgotten what it confirmed; it votes again once it holds a
+        proof that is younger than any submission that may have counted its earlier life.
         """
-        if self._proved is None or not self.is_fresh(now):
-            return False
-        return self._proved - self._boot >= self._rules.window
+        return self._proved is not None and self._proved - self._boot >= self._rules.window
 
 
 def choose_voters(document: Document) -> frozenset[BackendId]:
