--- a/src/lavenderrun/codecs/_api_answers.py
+++ b/src/lavenderrun/codecs/_api_answers.py
@@ -26,7 +26,9 @@
 
 
 class _Usage(msgspec.Struct):
+    prompt_tokens: int
     completion_tokens: int
+    total_tokens: int
 
 
 class _Message(msgspec.Struct):
@@ -90,7 +92,9 @@
         after = self._after.replace(b'"finish_reason":null', reason)
         return self._before + msgspec.json.encode(text) + after
 
-    def encode_whole(self, text: str, tokens: int, finish: FinishReason) -> bytes:
+    def encode_whole(
+        self, text: str, finish: FinishReason, *, prompt_tokens: int, tokens: int
+    ) -> bytes:
         """Return the whole answer as JSON."""
         choice: _ChatChoice | _TextChoice
         if self._chat:
@@ -98,9 +102,8 @@
         else:
             choice = _TextChoice(text, finish.value)
         kind = "chat.completion" if self._chat else "text_completion"
-        answer = _Answer(
-            self._id, kind, self._created, self._model, [choice], _Usage(completion_tokens=tokens)
-        )
+        usage = _Usage(prompt_tokens, tokens, prompt_tokens + tokens)
+        answer = _Answer(self._id, kind, self._created, self._model, [choice], usage)
         return msgspec.json.encode(answer)
 
     def _split_event(self) -> tuple[bytes, bytes]:
--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -21,7 +21,7 @@
     parse_key,
     strip_headers,
 )
-from lavenderrun.decisions import find_plain_route
+from lavenderrun.decisions import count_tokens, find_plain_route
 from lavenderrun.kernel import SERVICES, Kernel, Registry
 from lavenderrun.services._front_http import FrontChannel, FrontFactory, FrontRequest
 from lavenderrun.services._front_sinks import PlainSink, Sink, StreamSink, WholeSink
@@ -125,8 +125,7 @@
         _check_size(len(body), self.settings.max_body)
         call = parse(body)
         arrived = self._kernel.clock.now()
-        kind = StreamSink if call.stream else WholeSink
-        sink = kind(request, self.settings, self._kernel.clock)
+        sink = self._make_sink(request, call)
         sink.codec = AnswerCodec(call.form, request.id, call.model, arrived)
         model_request = ModelRequest(
             request.id,
@@ -183,6 +182,13 @@
         admitted = admission.admit_model(probe)
         return admitted if isinstance(admitted, Refused) else None
 
+    def _make_sink(self, request: FrontRequest, call: ModelCall) -> StreamSink | WholeSink:
+        if call.stream:
+            return StreamSink(request, self.settings, self._kernel.clock)
+        sink = WholeSink(request, self.settings, self._kernel.clock)
+        sink.prompt_tokens = count_tokens(call.prompt)
+        return sink
+
     def _submit(self, sink: Sink, submit: Callable[[], Ticket]) -> None:
         try:
             sink.attach(submit())
--- a/src/lavenderrun/services/_front_sinks.py
+++ b/src/lavenderrun/services/_front_sinks.py
@@ -109,9 +109,13 @@
 
 
 class WholeSink(Sink):
-    """Collects the tokens and sends one answer."""
+    """Collects the tokens and sends one answer.
+
+    :ivar prompt_tokens: for the answer's account of its use.
+    """
 
     codec: AnswerCodec
+    prompt_tokens = 0
 
     def __init__(self, request: FrontRequest, settings: FrontSettings, clock: Clock) -> None:
         super().__init__(request, settings, clock)
@@ -127,7 +131,10 @@
             return
         self._ended = True
         text = "".join(self._tokens)
-        self._request.answer(200, self.codec.encode_whole(text, len(self._tokens), reason), [])
+        body = self.codec.encode_whole(
+            text, reason, prompt_tokens=self.prompt_tokens, tokens=len(self._tokens)
+        )
+        self._request.answer(200, body, [])
 
 
 class PlainSink(Sink):
--- a/tests/services/test_front.py
+++ b/tests/services/test_front.py
@@ -165,6 +165,7 @@
             "index": 0,
             "logprobs": None,
         }
+        assert answer["usage"] == {"prompt_tokens": 3, "completion_tokens": 3, "total_tokens": 6}
         request = caller.router.requests[-1]
         assert f"X-Request-Id: {request.request}".encode() in head
         assert request.key == KEY
