Tell peers which slots are held, and let shares grow with each loan

Cause: hosts learned of lenders from the store's rows, whose reads grow with the square of the fleet, and the first borrower of many took 90% of a share. Holdings go to peers on change; a loan is at most twice the need at first and grows with each request; claims need a fresh read. The test of a freed slot reads again before it claims, as the code does.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -31,6 +31,7 @@
     StoredLease,
 )
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
+from lavenderrun.decisions._holders import Holders
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
 from lavenderrun.decisions._keys import grant_key, withdraw_key
 from lavenderrun.decisions._leases import (
@@ -45,7 +46,7 @@
     count_pieces,
 )
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
-from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall, make_slots
+from lavenderrun.decisions._limits import FleetLimits, HeldCharge, Shortfall
 from lavenderrun.decisions._membership import RowWatch, choose_dials
 from lavenderrun.decisions._orders import Blocked, Orderer, PlannedOrder
 from lavenderrun.decisions._placement import (
@@ -76,7 +77,7 @@
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
 from lavenderrun.decisions._shares import find_shares
-from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot
+from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot, make_slots
 from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
@@ -110,6 +111,7 @@
     "Freshness",
     "FreshnessRules",
     "HeldCharge",
+    "Holders",
     "Job",
     "JobKey",
     "LeaseKeeper",
--- a/src/lavenderrun/decisions/_lending.py
+++ b/src/lavenderrun/decisions/_lending.py
@@ -18,6 +18,7 @@
 SHORTEST_LOAN = timedelta(milliseconds=200)
 EXTEND_WITHIN = timedelta(milliseconds=700)
 MOST_LENT = 0.9
+RAMP = 2.0
 LITTLE = 1e-9
 
 
@@ -171,7 +172,8 @@
             min(asked.tokens, self.tokens.level) / self.tokens.burst,
         )
         even = (free + had) * weight - had if spare else 0.0
-        return min(free, max(0.0, even, least))
+        # a share grows with each request, so that one of many borrowers does not get all at once
+        return min(free, max(least, min(even, had + RAMP * least), 0.0))
 
     def _choose_amount(self, bucket: Bucket, asked: float, fraction: float) -> float:
         if fraction <= 0 or bucket.share <= 0:
--- a/src/lavenderrun/decisions/_limits.py
+++ b/src/lavenderrun/decisions/_limits.py
@@ -6,13 +6,12 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import Enum
-from zlib import crc32
 
 import msgspec
 
 from lavenderrun.decisions._lending import AccountLimit
 from lavenderrun.decisions._slot_states import Gained
-from lavenderrun.decisions._slot_views import SlotTerms
+from lavenderrun.decisions._slot_views import SlotTerms, find_group, find_group_of
 from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.types import (
     AccountId,
@@ -55,12 +54,6 @@
     sent: datetime
 
 
-def make_slots(terms: SlotTerms) -> list[SlotId]:
-    """Return the ids of all slots."""
-    groups, slots = range(terms.groups), range(terms.slots)
-    return [SlotId(f"{group}.{slot}") for group in groups for slot in slots]
-
-
 class FleetLimits:
     """Charges accounts from this host's slots and loans.
 
@@ -75,7 +68,6 @@
         self._terms = terms
         self._limits: dict[AccountId, AccountLimit] = {}
         self._known: set[AccountId] = set()
-        self._all_slots = make_slots(terms)
         self._slots_of: dict[int, set[SlotId]] = {group: set() for group in range(terms.groups)}
         self._earned_from: dict[SlotId, datetime | None] = {}
         self._end: datetime | None = None
@@ -94,12 +86,6 @@
                 limit.settle(now)
                 limit.change_rate(rate)
 
-    def find_lenders(self, account: AccountId) -> set[HostId]:
-        """Return the other hosts that hold slots of the account's group."""
-        group = self._group_of(account)
-        slots = [slot for slot in self._all_slots if _find_group(slot) == group]
-        return self.keeper.find_holders(slots)
-
     def charge(
         self, account: AccountId, requests: float, tokens: float, now: datetime
     ) -> HeldCharge | Shortfall:
@@ -246,7 +232,7 @@
         for slot in set().union(*self._slots_of.values()) - held:
             self._drop(slot, now)
         for slot in held:
-            group = _find_group(slot)
+            group = find_group(slot)
             if slot not in self._slots_of[group]:
                 self._slots_of[group].add(slot)
                 earned_from = gained.earned_from if gained and gained.slot == slot else now
@@ -270,7 +256,7 @@
                 limit.credit(1 / self._terms.slots, idle)
 
     def _drop(self, slot: SlotId, at: datetime) -> None:
-        group = _find_group(slot)
+        group = find_group(slot)
         self._slots_of[group].discard(slot)
         for account, limit in self._limits.items():
             if self._group_of(account) == group:
@@ -278,7 +264,7 @@
                 limit.change_own(self._find_own(account))
 
     def _group_of(self, account: AccountId) -> int:
-        return crc32(account.encode()) % self._terms.groups
+        return find_group_of(account, self._terms)
 
     def _settle(self, account: AccountId, now: datetime) -> AccountLimit:
         if self._end is not None and self._end <= now:
@@ -300,7 +286,3 @@
 
 def _find_idle(earned_from: datetime | None, now: datetime) -> timedelta | None:
     return None if earned_from is None else now - earned_from
-
-
-def _find_group(slot: SlotId) -> int:
-    return int(slot.partition(".")[0])
--- a/src/lavenderrun/decisions/_slot_views.py
+++ b/src/lavenderrun/decisions/_slot_views.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
+from zlib import crc32
 
 import msgspec
 
-from lavenderrun.types import NO_HOST, BootId, HostId, SlotId, SlotRow
+from lavenderrun.types import NO_HOST, AccountId, BootId, HostId, SlotId, SlotRow
 
 
 class Peer(msgspec.Struct, frozen=True):
@@ -45,10 +46,26 @@
     suspicion: timedelta = timedelta(seconds=2)
     loan_lease: timedelta = timedelta(milliseconds=2500)
     lending: bool = True
-    gather: timedelta = timedelta(seconds=2)
+    gather: timedelta = timedelta(milliseconds=1500)
     settle: timedelta = timedelta(seconds=10)
 
 
+def make_slots(terms: SlotTerms) -> list[SlotId]:
+    """Return the ids of all slots."""
+    groups, slots = range(terms.groups), range(terms.slots)
+    return [SlotId(f"{group}.{slot}") for group in groups for slot in slots]
+
+
+def find_group(slot: SlotId) -> int:
+    """Return the group of accounts that a slot is a part of."""
+    return int(slot.partition(".")[0])
+
+
+def find_group_of(account: AccountId, terms: SlotTerms) -> int:
+    """Return the group of an account; the same on all hosts."""
+    return crc32(account.encode()) % terms.groups
+
+
 class StoredSlot(msgspec.Struct, frozen=True):
     """A slot's row with its version."""
 
@@ -116,10 +133,6 @@
         """Tell whether the row names this life of *me* as the holder."""
         return self.row is not None and self.row.holder == me.host and self.row.boot == me.boot
 
-    def is_other(self, me: Peer) -> bool:
-        """Tell whether the row names a holder other than *me*."""
-        return self.row is not None and self.row.holder != NO_HOST and not self.is_mine(me)
-
     def is_fresh(self, now: datetime, terms: SlotTerms) -> bool:
         """Tell whether the store has shown this version just now."""
         return self.read is not None and now - self.read <= terms.suspicion
--- a/src/lavenderrun/decisions/_slots.py
+++ b/src/lavenderrun/decisions/_slots.py
@@ -16,7 +16,7 @@
 
 from lavenderrun.decisions._slot_states import Gained, HeldState, find_standby
 from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotView, SlotWrite, StoredSlot
-from lavenderrun.types import NO_HOST, HeldSlot, HostId, SlotId, SlotRow
+from lavenderrun.types import NO_HOST, HeldSlot, SlotId, SlotRow
 
 CLAIMS_AT_ONCE = 4
 
@@ -48,11 +48,6 @@
         """The slots that this host may spend until they lapse."""
         return self._held.keys()
 
-    def find_holders(self, slots: Iterable[SlotId]) -> set[HostId]:
-        """Return the other hosts that hold any of *slots* as far as is known."""
-        rows = [self._views[slot].row for slot in slots]
-        return {row.holder for row in rows if row is not None} - {NO_HOST, self._me.host}
-
     def find_end(self, slots: Iterable[SlotId]) -> datetime | None:
         """Return when the first of the held among *slots* lapses, ``None`` when none is held."""
         ends = [self._held[slot].find_end(self.terms) for slot in slots if slot in self._held]
@@ -260,8 +255,8 @@
         free_from = view.find_free(self._me, self.terms)
         if free_from is None or now < free_from or not view.known:
             return None
-        # an attempt that the store does not answer would end the vouching for the holder
-        if view.is_other(self._me) and not view.is_fresh(now, self.terms):
+        # an attempt on a stale row is mostly in vain, and ends the vouching for its holder
+        if not view.is_mine(self._me) and not view.is_fresh(now, self.terms):
             return None
         # a standby takes over above its target too: nobody else may do so as soon
         if not wanted and not view.names_standby(self._me):
--- a/src/lavenderrun/services/_charge_queue.py
+++ b/src/lavenderrun/services/_charge_queue.py
@@ -50,11 +50,13 @@
     """What waits for one account, and when to ask other hosts again.
 
     :ivar fruitful: whether a loan has come since the last asking.
+    :ivar rounds: askings since a loan came.
     """
 
     def __init__(self) -> None:
         self.ask_at: datetime | None = None
         self.fruitful = True
+        self.rounds = 0
         self._waiting: list[Waiting] = []
         self._pause = timedelta(0)
         self._timer: Timer | None = None
@@ -97,6 +99,7 @@
 
     def back_off(self, now: datetime, first: timedelta, most: timedelta) -> None:
         """Set the next asking: soon after a fruitful one, later after each other."""
+        self.rounds = 1 if self.fruitful else self.rounds + 1
         self._pause = first if self.fruitful else min(most, max(first, self._pause * 2))
         self.ask_at = now + self._pause
         self.fruitful = False
--- a/src/lavenderrun/services/_limits.py
+++ b/src/lavenderrun/services/_limits.py
@@ -5,7 +5,6 @@
 from datetime import datetime, timedelta
 from typing import ClassVar
 
-import msgspec
 from eliot import log_message
 from twisted.internet.defer import Deferred, succeed
 
@@ -13,6 +12,7 @@
     LIMIT_POLICIES,
     FleetLimits,
     HeldCharge,
+    Holders,
     Peer,
     Shortfall,
     SlotKeeper,
@@ -24,13 +24,16 @@
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._slot_store import SlotStore, find_peers
+from lavenderrun.services._vouching import Vouching
 from lavenderrun.types import (
     AccountId,
     Charge,
     Document,
     DocumentSource,
     Hello,
+    Holdings,
     HostId,
+    HostRole,
     Link,
     Links,
     Loan,
@@ -39,29 +42,21 @@
     Outcome,
     Refusal,
     Refused,
+    SlotId,
     Step,
     Store,
     TokensGranted,
     TokensReturned,
-    Vouch,
-    Vouched,
 )
 
 TICK = timedelta(milliseconds=250)
 ASK_FIRST = timedelta(milliseconds=40)
 ASK_MOST = timedelta(milliseconds=500)
-LENDERS_AT_ONCE = 3
-VOUCHES_KEPT = 8
+FEW_LENDERS = 2
+MOST_LENDERS = 3
 NUMBER_BITS = 40
 
 
-class SentVouch(msgspec.Struct, frozen=True):
-    """A vouch that a standby has not answered."""
-
-    peer: Peer
-    sent: datetime
-
-
 class LimitsService:
     """Charges accounts; see ``Limits``."""
 
@@ -81,16 +76,17 @@
         store = kernel.find("store", Store)
         self._slots = SlotStore(self._clock, store, self.fleet, terms, self._serve_all)
         self._queues: dict[AccountId, ChargeQueue] = {}
-        self._vouches: dict[int, SentVouch] = {}
-        self._vouch_number = 0
-        self._vouch_at = self._clock.now()
+        self._holders = Holders(terms)
+        self._vouching = Vouching(self._clock, self._links, self.fleet, terms)
+        self._told: set[SlotId] = set()
         self._timer: Timer | None = None
 
     def start(self) -> None:
         """Begin to claim slots and to take charges."""
         links = self._links
-        links.subscribe(Vouch, self._take_vouch)
-        links.subscribe(Vouched, self._take_vouched)
+        self._vouching.start()
+        links.subscribe(Holdings, self._take_holdings)
+        links.watch(self._tell_holdings, self._forget_holdings)
         links.subscribe(LoanRequest, self._take_request)
         links.subscribe(Loan, self._take_loan)
         links.subscribe(LoanReturn, self._take_return)
@@ -197,7 +193,7 @@
         queue.plan(self._clock, min(pause, local) if local else pause, self._pursue)
 
     def _ask(self, account: AccountId, head: Waiting, queue: ChargeQueue, now: datetime) -> None:
-        for link in self._find_lenders(account):
+        for link in self._find_lenders(account, queue.rounds):
             # the whole queue's need, so that a burst takes few messages
             request = self.fleet.ask(
                 link.peer.host, account, queue.requests, queue.tokens, now, now - head.since
@@ -205,14 +201,14 @@
             if request is not None:
                 link.send(request)
 
-    def _find_lenders(self, account: AccountId) -> list[Link]:
+    def _find_lenders(self, account: AccountId, rounds: int) -> list[Link]:
+        """Return whom to ask: both of two others, else more with each round."""
         if not self._terms.lending:
             return []
-        hosts = sorted(self.fleet.find_lenders(account))
+        hosts = self._holders.find(account)
         links = [link for link in map(self._links.find, hosts) if link is not None]
-        if len(links) <= LENDERS_AT_ONCE:
-            return links
-        return self._kernel.chance.sample(links, LENDERS_AT_ONCE)
+        count = FEW_LENDERS if len(links) <= FEW_LENDERS else min(rounds, MOST_LENDERS)
+        return links if len(links) <= count else self._kernel.chance.sample(links, count)
 
     def _expire(self, waiting: Waiting) -> None:
         queue = self._queues.get(waiting.account)
@@ -246,21 +242,13 @@
         self.fleet.sync(now)
         if writes:
             self._slots.write(writes)
-        if now >= self._vouch_at:
-            self._vouch_at = now + self._terms.vouch_every
-            self._ask_to_vouch(now)
+        self._vouching.ask(now)
         self._tend_loans(now)
-
-    def _ask_to_vouch(self, now: datetime) -> None:
-        for peer, slots in self.fleet.keeper.find_vouchers().items():
-            link = self._links.find(peer.host)
-            if link is None or link.peer.boot != peer.boot:
-                continue
-            self._vouch_number += 1
-            self._vouches[self._vouch_number] = SentVouch(peer, now)
-            link.send(Vouch(self._vouch_number, slots))
-        while len(self._vouches) > VOUCHES_KEPT + 2 * self._terms.slots:
-            del self._vouches[next(iter(self._vouches))]
+        held = set(keeper.held)
+        if held != self._told:
+            self._told = held
+            for link in self._links.live():
+                self._tell_holdings(link)
 
     def _tend_loans(self, now: datetime) -> None:
         extended, ended = self.fleet.plan_loans(now)
@@ -286,22 +274,15 @@
             self._drop_if_empty(account)
         self._serve_all()
 
-    def _take_vouch(self, link: Link, message: Vouch) -> None:
-        now = self._clock.now()
-        self.fleet.sync(now)
-        promised = self.fleet.keeper.vouch(message.slots, now)
-        link.send(Vouched(message.number, promised))
+    def _tell_holdings(self, link: Link) -> None:
+        if link.peer.role is HostRole.ENTRY:
+            link.send(Holdings(sorted(self.fleet.keeper.held)))
 
-    def _take_vouched(self, link: Link, message: Vouched) -> None:
-        sent = self._vouches.pop(message.number, None)
-        peer = Peer(link.peer.host, link.peer.boot)
-        if sent is None or sent.peer != peer:
-            return
-        now = self._clock.now()
-        self.fleet.sync(now)
-        self.fleet.keeper.take_vouch(peer, message.slots, sent.sent)
-        self.fleet.keeper.resume(now)
-        self.fleet.sync(now)
+    def _forget_holdings(self, link: Link) -> None:
+        self._holders.note(link.peer.host, ())
+
+    def _take_holdings(self, link: Link, message: Holdings) -> None:
+        self._holders.note(link.peer.host, message.slots)
 
     def _take_request(self, link: Link, message: LoanRequest) -> None:
         now = self._clock.now()
--- a/src/lavenderrun/services/_slot_store.py
+++ b/src/lavenderrun/services/_slot_store.py
@@ -19,6 +19,7 @@
 SCAN_SUSPECT = timedelta(seconds=2)
 ROWS_A_SECOND = 200.0
 """Rows that the scans of all hosts may read together."""
+START_FACTOR = 8
 
 
 class SlotStore:
@@ -48,7 +49,11 @@
 
     def refresh(self, hosts: int) -> None:
         """Read all rows when it is time to."""
-        pause = max(SCAN_FIRST, timedelta(seconds=hosts * self._rows / ROWS_A_SECOND))
+        pause = timedelta(seconds=hosts * self._rows / ROWS_A_SECOND)
+        # a fleet that starts looks more often, until each host has its part
+        if len(list(self._limits.keeper.held)) < self._limits.keeper.find_target(hosts - 1) // 2:
+            pause /= START_FACTOR
+        pause = max(SCAN_FIRST, pause)
         if self._limits.keeper.suspects(self._clock.now()):
             pause = SCAN_SUSPECT
         if self._scanning or self._clock.now() - self._scanned < pause:
--- a/src/lavenderrun/types/__init__.py
+++ b/src/lavenderrun/types/__init__.py
@@ -64,6 +64,7 @@
 from lavenderrun.types._lease_rows import LeaseName, LeaseRow
 from lavenderrun.types._limit_messages import (
     HeldSlot,
+    Holdings,
     Loan,
     LoanRequest,
     LoanReturn,
@@ -276,6 +277,7 @@
     "Heartbeat",
     "HeldSlot",
     "Hello",
+    "Holdings",
     "HostId",
     "HostLeaving",
     "HostLost",
--- a/src/lavenderrun/types/_limit_messages.py
+++ b/src/lavenderrun/types/_limit_messages.py
@@ -34,6 +34,13 @@
     slots: list[SlotId]
 
 
+@message("holdings")
+class Holdings(Message, tag="holdings", frozen=True):
+    """A host tells which slots it holds, so that others know whom to ask for loans."""
+
+    slots: list[SlotId]
+
+
 @message("loan_request")
 class LoanRequest(Message, tag="loan_request", frozen=True):
     """A host asks another for a part of an account's rate.
--- a/tests/decisions/test_slots.py
+++ b/tests/decisions/test_slots.py
@@ -112,6 +112,7 @@
     write = keeper.plan_release(at(1))[0]
     other = make_keeper(C)
     other.observe({SLOT: StoredSlot(2, write.row)}, at(1))
+    other.observe({SLOT: StoredSlot(2, write.row)}, at(4.4))
     assert other.plan([], at(4.4)) == []
     assert other.plan([], at(4.5))[0].earned_from == at(4.5)
 
--- a/tests/services/limit_fleet.py
+++ b/tests/services/limit_fleet.py
@@ -108,12 +108,25 @@
 class FakeLinks(Part):
     def __init__(self, net: Net, host: Host) -> None:
         self.handlers: dict[type, Callable[[Any, Any], None]] = {}
+        self.watchers: Any = (lambda _: None, lambda _: None)
+        self._known: dict[BootId, Host] = {}
         self._net, self._host = net, host
 
     def subscribe(self, kind: type, handler: Callable[[Any, Any], None]) -> None:
         self.handlers[kind] = handler
 
-    def watch(self, up: Any, down: Any) -> None: ...
+    def watch(self, up: Callable[[Any], None], down: Callable[[Any], None]) -> None:
+        self.watchers = (up, down)
+
+    def notice(self) -> None:
+        """Tell the watcher which links came and went."""
+        seen = {other.hello.boot: other for other in self._net.seen(self._host)}
+        for boot in [boot for boot in self._known if boot not in seen]:
+            self.watchers[1](FakeLink(self._net, self._host, self._known.pop(boot)))
+        for boot, other in seen.items():
+            if boot not in self._known:
+                self._known[boot] = other
+                self.watchers[0](FakeLink(self._net, self._host, other))
 
     def live(self) -> list[FakeLink]:
         return [FakeLink(self._net, self._host, other) for other in self._net.seen(self._host)]
@@ -200,6 +213,7 @@
         self.ceilings: list[tuple[datetime, Rate]] = []
         for number in range(hosts):
             self.start(f"e{number}")
+        self._notice()
 
     def set_store(self, *, down: bool) -> None:
         for host in self.hosts.values():
@@ -218,6 +232,11 @@
         self.run(0.1)
         self.kill(name)
 
+    def _notice(self) -> None:
+        self.reactor.callLater(0.1, self._notice)
+        for host in list(self.hosts.values()):
+            host.clock.run(host.links.notice)
+
     def run(self, seconds: float) -> None:
         self.reactor.advance(seconds)
 
