--- a/src/lavenderrun/codecs/__init__.py
+++ b/src/lavenderrun/codecs/__init__.py
@@ -5,6 +5,20 @@
 from lavenderrun.codecs import _claim_rows as _claim_rows
 from lavenderrun.codecs import _entry_rows as _entry_rows
 from lavenderrun.codecs import _quarantine_rows as _quarantine_rows
+from lavenderrun.codecs._admin import (
+    Accepted,
+    AdminError,
+    AdminErrorBody,
+    AdminFault,
+    ConflictBody,
+    GrantedKey,
+    Readiness,
+    Validation,
+    WithdrawnKey,
+    encode_admin,
+    make_conflict,
+    make_faults,
+)
 from lavenderrun.codecs._api_answers import (
     DONE_EVENT,
     AnswerCodec,
@@ -41,6 +55,7 @@
 from lavenderrun.codecs._faults import Fault, Faults
 from lavenderrun.codecs._lease_rows import LEASE_TABLE
 from lavenderrun.codecs._rows import ROWS, RowCodec, RowError, row
+from lavenderrun.codecs._settings import read_settings
 from lavenderrun.codecs._slot_rows import SLOT_TABLE
 from lavenderrun.codecs._statuses import find_status
 from lavenderrun.codecs._stored import (
@@ -58,10 +73,15 @@
     "LEASE_TABLE",
     "ROWS",
     "SLOT_TABLE",
+    "Accepted",
+    "AdminError",
+    "AdminErrorBody",
+    "AdminFault",
     "AnswerCodec",
     "ApiError",
     "ApiForm",
     "CancelCall",
+    "ConflictBody",
     "DecodeCall",
     "DecodeEvent",
     "DecodeEvents",
@@ -71,21 +91,26 @@
     "FaultReply",
     "Faults",
     "Form",
+    "GrantedKey",
     "LoadReply",
     "LoadedReply",
     "ModelCall",
     "OrderCall",
     "PrefillCall",
+    "Readiness",
     "ReleaseCall",
     "RowCodec",
     "RowError",
     "StoredDocumentError",
+    "Validation",
     "WireCodec",
     "WireError",
+    "WithdrawnKey",
     "decode_body",
     "decode_copy",
     "decode_stored",
     "digest_document",
+    "encode_admin",
     "encode_body",
     "encode_copy",
     "encode_decode_event",
@@ -96,6 +121,8 @@
     "encode_stored",
     "find_status",
     "list_error_headers",
+    "make_conflict",
+    "make_faults",
     "make_schema",
     "make_stored",
     "parse_chat",
@@ -103,6 +130,7 @@
     "parse_idempotency_key",
     "parse_key",
     "read_document",
+    "read_settings",
     "row",
     "strip_headers",
 ]
--- a/src/lavenderrun/daemons/_lists.py
+++ b/src/lavenderrun/daemons/_lists.py
@@ -18,8 +18,14 @@
     "plain_router",
     "router",
     "front",
+    "departure",
 )
 
+ENTRY_PAGES = ("metrics", "admin")
+"""Services for operators, which a benchmark leaves out."""
+
+AGENT_PAGES = ("metrics", "metrics_page")
+
 AGENT_ROLES = {
     BackendRole.PREFILL: ("engine", "prefill_agent"),
     BackendRole.DECODE: ("engine", "decode_agent"),
@@ -31,4 +37,4 @@
 
 def list_agent_services(role: BackendRole) -> tuple[str, ...]:
     """Return the services of an agent beside a backend server in *role*."""
-    return AGENT_SERVICES + AGENT_ROLES[role]
+    return (*AGENT_SERVICES, *AGENT_ROLES[role], "departure")
--- a/src/lavenderrun/decisions/_fairqueue.py
+++ b/src/lavenderrun/decisions/_fairqueue.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Collection
 from datetime import datetime, timedelta
 from itertools import count
 
@@ -23,6 +24,8 @@
 
 SLACK_JOBS = 2.0
 CREDIT_JOBS = 8.0
+LATE_SLACK_JOBS = 12.0
+"""Lead over an account with late jobs from which another's jobs on time go after them."""
 LATE_TURN = 24
 COST_MEMORY = 0.05
 LATE_MEMORY = 0.02
@@ -85,14 +88,14 @@
             lane.enroll(account)
         self._advance()
 
-    def peek(self, now: datetime) -> Job | None:
+    def peek(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
         """Return the next job."""
-        entry = self._choose(now)
+        entry = self._choose(now, barred)
         return None if entry is None else entry.job
 
-    def pop(self, now: datetime) -> Job | None:
+    def pop(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
         """Take the next job and charge its account."""
-        entry = self._choose(now)
+        entry = self._choose(now, barred)
         if entry is None:
             return None
         is_late = entry.lane is Lane.LATE
@@ -146,23 +149,31 @@
             ahead += min(account.work_within(job.urgency), share)
         return ahead
 
+    def is_late(self, account: AccountId) -> bool:
+        """Tell whether *account* has waiting jobs that have missed their due instant."""
+        line = self._accounts.get(account)
+        return line is not None and line.counts[Lane.LATE] > 0
+
     def next_deadline(self) -> datetime | None:
         """Return the earliest end of patience among the waiting jobs."""
         while self._deadlines and not self._deadlines[0][1].live:
             heapq.heappop(self._deadlines)
         return self._deadlines[0][0] if self._deadlines else None
 
-    def _choose(self, now: datetime) -> Entry | None:
+    def _choose(self, now: datetime, barred: Collection[AccountId]) -> Entry | None:
         slack = SLACK_JOBS * self._mean_cost
         on_time: Entry | None = None
         while True:
             self._demote(now)
-            on_time = self._lanes[Lane.ON_TIME].first(slack)
+            on_time = self._lanes[Lane.ON_TIME].first(slack, barred)
             # an account that has just become eligible again may bring an overdue job
             if on_time is None or on_time.job.due >= now:
                 break
-        late = self._lanes[Lane.LATE].first(slack)
-        if on_time is None or (late is not None and self._turn >= LATE_TURN):
+        late = self._lanes[Lane.LATE].first(slack, barred)
+        if on_time is None or late is None:
+            return on_time or late
+        behind = on_time.account.start - late.account.start
+        if self._turn >= LATE_TURN or behind > LATE_SLACK_JOBS * self._mean_cost:
             return late
         return on_time
 
--- a/src/lavenderrun/decisions/_limits.py
+++ b/src/lavenderrun/decisions/_limits.py
@@ -86,6 +86,10 @@
                 limit.settle(now)
                 limit.change_rate(rate)
 
+    def holds(self, account: AccountId) -> bool:
+        """Tell whether this host holds slots of the account's group."""
+        return bool(self._slots_of[self._group_of(account)])
+
     def charge(
         self, account: AccountId, requests: float, tokens: float, now: datetime
     ) -> HeldCharge | Shortfall:
--- a/src/lavenderrun/decisions/_queue.py
+++ b/src/lavenderrun/decisions/_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Protocol
@@ -54,10 +54,13 @@
     def push(self, job: Job, now: datetime) -> None:
         """Add a job; a key that waits already is ignored."""
 
-    def peek(self, now: datetime) -> Job | None:
-        """Return the job that the next :meth:`pop` at *now* takes."""
+    def peek(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
+        """Return the job that the next :meth:`pop` at *now* takes.
 
-    def pop(self, now: datetime) -> Job | None:
+        :param barred: accounts that may not have a turn now.
+        """
+
+    def pop(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
         """Take the next job."""
 
     def remove(self, key: JobKey) -> Job | None:
@@ -69,6 +72,9 @@
     def work_ahead(self, job: Job) -> float:
         """Return the work in seconds that goes before *job* if it came now."""
 
+    def is_late(self, account: AccountId) -> bool:
+        """Tell whether *account* has waiting jobs that have missed their due instant."""
+
     def next_deadline(self) -> datetime | None:
         """Return when :meth:`expire` has to be called next."""
 
@@ -106,12 +112,12 @@
         self._work += job.cost
         heapq.heappush(self._deadlines, (job.deadline, job.key))
 
-    def peek(self, now: datetime) -> Job | None:
-        """Return the oldest job."""
+    def peek(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
+        """Return the oldest job, whosoever it is."""
         return next(iter(self._jobs.values()), None)
 
-    def pop(self, now: datetime) -> Job | None:
-        """Take the oldest job."""
+    def pop(self, now: datetime, barred: Collection[AccountId] = ()) -> Job | None:
+        """Take the oldest job, whosoever it is."""
         job = self.peek(now)
         return None if job is None else self.remove(job.key)
 
@@ -137,6 +143,10 @@
         """Return the cost of all waiting jobs."""
         return self.work
 
+    def is_late(self, account: AccountId) -> bool:
+        """Return ``False``: due instants are not looked at."""
+        return False
+
     def next_deadline(self) -> datetime | None:
         """Return the earliest end of patience among the waiting jobs."""
         while self._deadlines and self._deadlines[0][1] not in self._jobs:
--- a/src/lavenderrun/services/_limits.py
+++ b/src/lavenderrun/services/_limits.py
@@ -12,7 +12,6 @@
     LIMIT_POLICIES,
     FleetLimits,
     HeldCharge,
-    Holders,
     Peer,
     Shortfall,
     SlotKeeper,
@@ -22,6 +21,7 @@
 from lavenderrun.kernel import SERVICES, Clock, Kernel, Timer
 from lavenderrun.services._charge_queue import ChargeQueue, Waiting
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._loan_desk import LoanDesk
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._slot_store import SlotStore, find_peers
 from lavenderrun.services._vouching import Vouching
@@ -31,18 +31,10 @@
     Document,
     DocumentSource,
     Hello,
-    Holdings,
-    HostId,
-    HostRole,
-    Link,
     Links,
-    Loan,
-    LoanRequest,
-    LoanReturn,
     Outcome,
     Refusal,
     Refused,
-    SlotId,
     Step,
     Store,
     TokensGranted,
@@ -52,8 +44,6 @@
 TICK = timedelta(milliseconds=250)
 ASK_FIRST = timedelta(milliseconds=40)
 ASK_MOST = timedelta(milliseconds=500)
-FEW_LENDERS = 2
-MOST_LENDERS = 3
 NUMBER_BITS = 40
 
 
@@ -76,20 +66,22 @@
         store = kernel.find("store", Store)
         self._slots = SlotStore(self._clock, store, self.fleet, terms, self._serve_all)
         self._queues: dict[AccountId, ChargeQueue] = {}
-        self._holders = Holders(terms)
+        self._loans = LoanDesk(
+            self._clock,
+            self._links,
+            self.fleet,
+            terms,
+            kernel.chance,
+            waited=self._find_waited,
+            arrived=self._take_arrival,
+        )
         self._vouching = Vouching(self._clock, self._links, self.fleet, terms)
-        self._told: set[SlotId] = set()
         self._timer: Timer | None = None
 
     def start(self) -> None:
         """Begin to claim slots and to take charges."""
-        links = self._links
         self._vouching.start()
-        links.subscribe(Holdings, self._take_holdings)
-        links.watch(self._tell_holdings, self._forget_holdings)
-        links.subscribe(LoanRequest, self._take_request)
-        links.subscribe(Loan, self._take_loan)
-        links.subscribe(LoanReturn, self._take_return)
+        self._loans.start()
         self._kernel.find("document", DocumentSource).watch(self._take_document)
         self._tick()
 
@@ -138,6 +130,14 @@
             self._events.emit(TokensReturned(charge.account, 0.0, counted))
             self._serve(charge.account)
 
+    def can_charge(self, account: AccountId) -> bool:
+        """Tell whether this host holds, or knows who holds, a part of the account's rate."""
+        return self.fleet.holds(account) or self._loans.knows_holder(account)
+
+    def count_waiting(self) -> dict[AccountId, int]:
+        """Return how many requests wait for their account's rate."""
+        return {account: int(queue.requests) for account, queue in self._queues.items()}
+
     # charging
 
     def _try(
@@ -187,29 +187,12 @@
         now = self._clock.now()
         if queue.is_due(now):
             queue.back_off(now, ASK_FIRST, ASK_MOST)
-            self._ask(account, head, queue, now)
+            # the whole queue's need, so that a burst takes few messages
+            self._loans.ask(account, queue.requests, queue.tokens, queue.rounds)
         local = self.fleet.find_local_wait(account, head.requests, head.tokens, now)
         pause = queue.find_pause(now)
         queue.plan(self._clock, min(pause, local) if local else pause, self._pursue)
 
-    def _ask(self, account: AccountId, head: Waiting, queue: ChargeQueue, now: datetime) -> None:
-        for link in self._find_lenders(account, queue.rounds):
-            # the whole queue's need, so that a burst takes few messages
-            request = self.fleet.ask(
-                link.peer.host, account, queue.requests, queue.tokens, now, now - head.since
-            )
-            if request is not None:
-                link.send(request)
-
-    def _find_lenders(self, account: AccountId, rounds: int) -> list[Link]:
-        """Return whom to ask: both of two others, else more with each round."""
-        if not self._terms.lending:
-            return []
-        hosts = self._holders.find(account)
-        links = [link for link in map(self._links.find, hosts) if link is not None]
-        count = FEW_LENDERS if len(links) <= FEW_LENDERS else min(rounds, MOST_LENDERS)
-        return links if len(links) <= count else self._kernel.chance.sample(links, count)
-
     def _expire(self, waiting: Waiting) -> None:
         queue = self._queues.get(waiting.account)
         if queue is None or not queue.remove(waiting):
@@ -243,27 +226,9 @@
         if writes:
             self._slots.write(writes)
         self._vouching.ask(now)
-        self._tend_loans(now)
-        held = set(keeper.held)
-        if held != self._told:
-            self._told = held
-            for link in self._links.live():
-                self._tell_holdings(link)
-
-    def _tend_loans(self, now: datetime) -> None:
-        extended, ended = self.fleet.plan_loans(now)
-        for lender, requests in extended.items():
-            for request in requests:
-                self._send(lender, request)
-        for back in ended:
-            self._send(back.lender, back.back)
-
-    def _send(self, host: HostId, message: LoanRequest | LoanReturn) -> None:
-        link = self._links.find(host)
-        if link is not None:
-            link.send(message)
-
-    # messages and the document
+        self._loans.tend(now)
+
+    # the document
 
     def _take_document(self, document: Document) -> None:
         rates = {account.id: account.rate for account in document.accounts}
@@ -274,33 +239,22 @@
             self._drop_if_empty(account)
         self._serve_all()
 
-    def _tell_holdings(self, link: Link) -> None:
-        if link.peer.role is HostRole.ENTRY:
-            link.send(Holdings(sorted(self.fleet.keeper.held)))
-
-    def _forget_holdings(self, link: Link) -> None:
-        self._holders.note(link.peer.host, ())
+    # what loans need and bring
 
-    def _take_holdings(self, link: Link, message: Holdings) -> None:
-        self._holders.note(link.peer.host, message.slots)
-
-    def _take_request(self, link: Link, message: LoanRequest) -> None:
-        now = self._clock.now()
-        queue = self._queues.get(message.account)
+    def _find_waited(self, account: AccountId) -> timedelta:
+        queue = self._queues.get(account)
         head = queue.head() if queue is not None else None
-        waited = now - head.since if head is not None else timedelta(0)
-        link.send(self.fleet.lend(link.peer.host, message, now, waited))
+        return self._clock.now() - head.since if head is not None else timedelta(0)
 
-    def _take_loan(self, link: Link, message: Loan) -> None:
-        fruitful = self.fleet.take_loan(link.peer.host, message, self._clock.now())
-        queue = self._queues.get(message.account)
-        if fruitful and queue is not None:
+    def _take_arrival(self, account: AccountId, by_loan: bool) -> None:
+        queue = self._queues.get(account)
+        if queue is None:
+            return
+        if by_loan:
             queue.fruitful = True
-            self._pursue(message.account)
-
-    def _take_return(self, link: Link, message: LoanReturn) -> None:
-        self.fleet.take_back(link.peer.host, message, self._clock.now())
-        self._serve(message.account)
+            self._pursue(account)
+        else:
+            self._serve(account)
 
 
 @SERVICES.register("limits")
--- a/src/lavenderrun/services/_listener.py
+++ b/src/lavenderrun/services/_listener.py
@@ -9,6 +9,10 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.ssl import DefaultOpenSSLContextFactory
+from twisted.protocols.tls import TLSMemoryBIOFactory
+
+from lavenderrun.services._certificates import CertificateError, read_pem
+from lavenderrun.services._eager_tcp import EagerPort
 
 BACKLOG = 512
 
@@ -41,22 +45,20 @@
         """The IP number and port in use."""
         return f"{self._host}:{self.port}"
 
-    def open(self, make: Callable[[IReactorTime], ServerFactory]) -> None:
-        """Listen.
+    def open(self, make: Callable[[IReactorTime], ServerFactory], reactor: Any = None) -> None:
+        """Listen, on the running reactor unless another is given.
 
         :raises ListenError: when the address is taken or the certificate is bad.
         """
-        from twisted.internet import reactor  # the daemon has installed its own by now
+        if reactor is None:
+            from twisted.internet import reactor  # the daemon has installed its own by now
 
-        reactor_any: Any = reactor
-        context = make_tls_context(*self._tls) if self._tls is not None else None
-        factory = make(reactor_any)
-        arguments = {"backlog": BACKLOG, "interface": self._host}
+        context: Any = make_tls_context(*self._tls) if self._tls is not None else None
+        factory: Any = make(reactor)
+        served: Any = factory if context is None else TLSMemoryBIOFactory(context, False, factory)
         try:
-            if context is None:
-                self._port = reactor_any.listenTCP(self._wanted, factory, **arguments)
-            else:
-                self._port = reactor_any.listenSSL(self._wanted, factory, context, **arguments)
+            self._port = EagerPort(self._wanted, served, BACKLOG, self._host, reactor)
+            self._port.startListening()
         except Exception as error:
             msg = f"listen: {self._host}:{self._wanted} can not be used: {error}"
             raise ListenError(msg) from error
@@ -74,28 +76,13 @@
 
     :raises ListenError: names the setting whose file is missing, unreadable or does not fit.
     """
-    for setting, path in (("certificate", certificate), ("private_key", private_key)):
-        if path is None:
-            msg = f"{setting}: is missing; certificate and private_key go together"
-            raise ListenError(msg)
-        _check_file(setting, path)
+    try:
+        for setting, path in (("certificate", certificate), ("private_key", private_key)):
+            read_pem(setting, path)
+    except CertificateError as error:
+        raise ListenError(str(error)) from error
     try:
         return DefaultOpenSSLContextFactory(private_key, certificate, SSL.TLS_METHOD)
     except (SSL.Error, crypto.Error) as error:
         msg = f"private_key: {private_key} does not fit certificate {certificate}"
         raise ListenError(msg) from error
-
-
-def _check_file(setting: str, path: str) -> None:
-    try:
-        with open(path, "rb") as file:
-            data = file.read()
-    except OSError as error:
-        msg = f"{setting}: {path} can not be read: {error.strerror}"
-        raise ListenError(msg) from error
-    load: Any = crypto.load_certificate if setting == "certificate" else crypto.load_privatekey
-    try:
-        load(crypto.FILETYPE_PEM, data)
-    except (crypto.Error, ValueError, TypeError) as error:
-        msg = f"{setting}: {path} holds no PEM {setting.replace('_', ' ')}"
-        raise ListenError(msg) from error
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -16,6 +16,7 @@
 from lavenderrun.types import (
     Ack,
     AdmittedModel,
+    AnswerBegun,
     AnswerSink,
     AttemptFailed,
     AttemptId,
@@ -50,7 +51,8 @@
     from lavenderrun.services._model_router import ModelRouter
 
 MAX_TRIES = 4
-"""Attempts that an agent refused or that began; one that met a lost agent costs only patience."""
+HARMLESS = (Refusal.BACKEND_LOST, Refusal.LEAVING)
+"""Refusals of an attempt that did not begin, which cost patience but no try."""
 ACK_TOKENS = 64
 ANSWER_MARGIN = timedelta(seconds=1)
 BACKOFF = timedelta(milliseconds=50)
@@ -107,9 +109,10 @@
         self._prefiller: Link | None = None
         self._charge: Charge | None = None
         self._charging: Deferred[Charge | Refused] | None = None
-        self._waiting_since = request.arrived
+        self._waiting_since = self._heard_at = request.arrived
         self._probe: Deferred[None] | None = None
         self._begun = False
+        self._prefill_ordered = False
         self._tries = 0
         self._timer = router.clock.call_later(timedelta(0), lambda: None)
 
@@ -210,6 +213,8 @@
         if left <= timedelta(0):
             self._refuse(self._refuse_with(Refusal.NO_ROOM))
             return
+        if not self._may_start():
+            return
         verdict = self._router.quarantine.verdict(self.admitted.fingerprint)
         if verdict is Verdict.GUILTY:
             self._refuse(self._refuse_with(Refusal.QUARANTINED))
@@ -250,6 +255,19 @@
         )
         self._expect(left + ANSWER_MARGIN, self._stall)
 
+    def _may_start(self) -> bool:
+        """Return whether the key holds; without it the request waits or is refused."""
+        fault = self._router.find_fault(self)
+        if fault is None:
+            return True
+        self._drop_attempt()
+        if fault is Refusal.NOT_READY and self._patience_left() > timedelta(0):
+            # the host may soon know again whether keys are still valid
+            self._back_off()
+        else:
+            self._refuse(Refused(fault, Outcome.NOT_RUN, Step.ADMISSION))
+        return False
+
     def _seek_probe(self, left: timedelta) -> None:
         self.state = RunState.PROBING
         self._expect(left, self._seek_seat)
@@ -274,6 +292,7 @@
         self.state = RunState.PREFILLING
         start_in = max(timedelta(0), promise.ready_in - choice.lead)
         patience = min(max(self._patience_left(), ANSWER_MARGIN), PREFILL_PATIENCE)
+        self._prefill_ordered = True
         choice.link.send(
             Prefill(
                 request=self.request.request,
@@ -308,6 +327,8 @@
         assert self._demand is not None
         self._router.chooser.note_load(host, done.load)
         self._router.chooser.learn_prefill(self._demand, done, host)
+        if not self._assembly.offset and not self._may_start():
+            return
         self.state = RunState.DECODING
         self._assembly.begin(self._attempt)
         self._decoder.send(
@@ -328,6 +349,8 @@
     def _take_frame(self, frame: Frame) -> None:
         progress = self._assembly.accept(frame.attempt, frame.offset, frame.tokens, frame.finish)
         if progress.tokens:
+            if not self._delivered:
+                self._router.events.emit(AnswerBegun(self.request.request))
             self._delivered += progress.tokens
             self._sink.put_tokens(progress.tokens)
         if progress.finish is not None:
@@ -335,8 +358,8 @@
             return
         if self._assembly.offset - self._acked >= ACK_TOKENS:
             self._ack()
-        if self.state is RunState.DECODING:
-            self._expect(STALL_TIMEOUT, self._stall)
+        # the timer stands; it looks at this when it fires
+        self._heard_at = self._router.clock.now()
 
     def _finish(self, reason: FinishReason) -> None:
         self._ack(end=1)
@@ -355,6 +378,9 @@
     # failure
 
     def _take_failure(self, host: HostId, failed: AttemptFailed) -> None:
+        refused = failed.refused
+        if self._is_prefiller(host) and refused.outcome is Outcome.NOT_RUN:
+            self._prefill_ordered = False
         if failed.crashed:
             self._router.quarantine.strike(
                 Strike(
@@ -365,9 +391,17 @@
                     self.admitted.route.name,
                 )
             )
-        self._fail_attempt(host, failed.refused, started=failed.started or failed.crashed)
+        self._fail_attempt(host, refused, started=failed.started or failed.crashed)
+
+    def _is_prefiller(self, host: HostId) -> bool:
+        return self._prefiller is not None and self._prefiller.peer.host == host
 
     def _stall(self) -> None:
+        if self.state is RunState.DECODING:
+            left = self._heard_at + STALL_TIMEOUT - self._router.clock.now()
+            if left > timedelta(0):
+                self._expect(left, self._stall)
+                return
         started = self.state is RunState.DECODING
         link = self._prefiller if self.state is RunState.PREFILLING else self._decoder
         assert link is not None
@@ -389,7 +423,7 @@
             self._begun = True
             # an answer that was cut off waits anew; its first wait is paid
             self._waiting_since = self._router.clock.now()
-        if started or refused.refusal is not Refusal.BACKEND_LOST:
+        if started or refused.refusal not in HARMLESS:
             self._tries += 1
         if self._tries < MAX_TRIES:
             self._await_retry(refused)
@@ -414,6 +448,9 @@
         self._expect(pause * self._router.chance.uniform(0.5, 1.5), self._seek_seat)
 
     def _drop_attempt(self) -> None:
+        # a prefill that was ordered may have run, whatever became of the attempt
+        self._begun = self._begun or self._prefill_ordered
+        self._prefill_ordered = False
         self._timer.cancel()
         for link in (self._decoder, self._prefiller):
             if link is not None:
