--- a/src/lavenderrun/services/_policies.py
+++ b/src/lavenderrun/services/_policies.py
@@ -26,6 +26,8 @@
 
     @classmethod
     def of(cls, kernel: Kernel) -> Policies:
-        """Return those that the settings name, else the defaults."""
+        """Return those under ``policies``, else those that the settings name, else defaults."""
+        if kernel.has("policies"):
+            return kernel.find("policies", cls)
         named: dict[str, str] = getattr(kernel.settings, "policies", {})
         return cls(**{each.name: named[each.name] for each in fields(cls) if each.name in named})
