Learn how slow the links between data centres are and hold prefills back

Cause: a slowed link made exports die in the middle of their transfer. The first frame now carries the import's time; the entry learns a factor on the nominal duration for each direction, books transfers by it and holds a prefill back until its link is expected to be free. What was learned fades, so that a link is tried again.

--- a/src/lavenderrun/services/_chooser.py
+++ b/src/lavenderrun/services/_chooser.py
@@ -66,10 +66,12 @@
     """The prefill agent chosen.
 
     :param lead: until the export is expected at the decode agent, its queue included.
+    :param hold: how long the prefill is held back for the link between the data centres.
     """
 
     link: Link
     lead: timedelta
+    hold: timedelta
 
 
 class Chooser:
@@ -147,7 +149,7 @@
 
         def look_at_link(candidate: Candidate) -> tuple[timedelta, timedelta]:
             direction = (candidate.data_centre, target)
-            duration = self._budget.duration(direction, demand.tokens)
+            duration = self._budget.duration(direction, demand.tokens, now)
             return self._budget.wait(direction, now), duration
 
         need = PrefillNeed(
@@ -157,14 +159,24 @@
         link = None if choice.chosen is None else self._links.find(choice.chosen)
         if link is None:
             return None
+        seconds = self._speed.estimate(demand.tokens, int(cached.get(link.peer.host, 0.0)))
+        direction = (link.peer.data_centre, target)
+        wait = self._budget.wait(direction, now)
+        hold = max(timedelta(0), wait - timedelta(seconds=seconds))
         if not ask:
             self._report(demand.request, choice, "prefill")
-            seconds = self._speed.estimate(demand.tokens, int(cached.get(link.peer.host, 0.0)))
             self._sends.note(link.peer.host, seconds, now)
-            direction = (link.peer.data_centre, target)
-            transfer = self._budget.duration(direction, demand.tokens)
+            transfer = self._budget.duration(direction, demand.tokens, now)
             self._budget.book(direction, demand.tokens, now + choice.wait - transfer)
-        return PrefillChoice(link, choice.wait)
+        return PrefillChoice(link, choice.wait, hold)
+
+    def learn_transfer(
+        self, source: Link | None, target: Link | None, tokens: int, took: timedelta | None
+    ) -> None:
+        """Take the time of a transfer, ``None`` for one that failed."""
+        if source is not None and target is not None:
+            direction = (source.peer.data_centre, target.peer.data_centre)
+            self._budget.learn(direction, tokens, took, self._clock.now())
 
     def learn_prefill(self, demand: Demand, done: Prefilled, host: HostId) -> None:
         """Take what a finished prefill tells of the agent's cache and speed."""
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import partial
 from typing import ClassVar
 
@@ -219,7 +219,7 @@
         order = job.start
         assert order is not None
         job.begin(order.offset, partial(self._book.progress, key))
-        job.on_first = partial(self._events.emit, PrefillUsed(*key, order.tokens))
+        job.on_first = partial(self._note_first, job, order, self._clock.now())
         self._events.emit(BackendRun(*key, self._backend, job.order.account))
         job.running = self._engine.decode(
             order.request,
@@ -233,6 +233,10 @@
             self._finish, self._fail, callbackArgs=(key, job), errbackArgs=(key, job)
         )
 
+    def _note_first(self, job: DecodeJob, order: Start, began: datetime) -> None:
+        job.imported = self._clock.now() - began
+        self._events.emit(PrefillUsed(order.request, order.attempt, order.tokens))
+
     def _finish(self, _: None, key: JobKey, job: DecodeJob) -> None:
         whole = job.finished
         if self._jobs.get(key) is job:
--- a/src/lavenderrun/services/_decode_job.py
+++ b/src/lavenderrun/services/_decode_job.py
@@ -26,6 +26,7 @@
         self.running: Running | None = None
         self.has_seat = False
         self.on_first: Callable[[], None] | None = None
+        self.imported: timedelta | None = None
         self._timer: Timer | None = None
         self._begun = False
         self._note: Callable[[int], None] = _ignore
@@ -94,7 +95,8 @@
     def _send(self, offset: int, tokens: list[str]) -> None:
         if tokens or self._finish is not None:
             key = (self.order.request, self.order.attempt)
-            self.link.send(Frame(*key, offset, tokens, self._finish))
+            self.link.send(Frame(*key, offset, tokens, self._finish, self.imported))
+            self.imported = None
 
 
 def _ignore(_tokens: int) -> None:
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -290,7 +290,7 @@
             return
         self._prefiller = choice.link
         self.state = RunState.PREFILLING
-        start_in = max(timedelta(0), promise.ready_in - choice.lead)
+        start_in = max(choice.hold, promise.ready_in - choice.lead)
         patience = min(max(self._patience_left(), ANSWER_MARGIN), PREFILL_PATIENCE)
         self._prefill_ordered = True
         choice.link.send(
@@ -348,6 +348,8 @@
 
     def _take_frame(self, frame: Frame) -> None:
         progress = self._assembly.accept(frame.attempt, frame.offset, frame.tokens, frame.finish)
+        if frame.imported is not None:
+            self._learn_transfer(frame.imported)
         if progress.tokens:
             if not self._delivered:
                 self._router.events.emit(AnswerBegun(self.request.request))
@@ -361,6 +363,10 @@
         # the timer stands; it looks at this when it fires
         self._heard_at = self._router.clock.now()
 
+    def _learn_transfer(self, took: timedelta | None) -> None:
+        tokens = 0 if self._demand is None else self._demand.tokens
+        self._router.chooser.learn_transfer(self._prefiller, self._decoder, tokens, took)
+
     def _finish(self, reason: FinishReason) -> None:
         self._ack(end=1)
         self._router.events.emit(RequestFinished(self.request.request, self._assembly.offset))
@@ -381,6 +387,8 @@
         refused = failed.refused
         if self._is_prefiller(host) and refused.outcome is Outcome.NOT_RUN:
             self._prefill_ordered = False
+        if refused.step is Step.TRANSFER:
+            self._learn_transfer(None)
         if failed.crashed:
             self._router.quarantine.strike(
                 Strike(
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -212,6 +212,7 @@
 
     :param offset: position of the first token in the whole answer.
     :param finish: set on the last frame.
+    :param imported: time from the start of the import to the first token, on the first frame.
     """
 
     request: RequestId
@@ -219,6 +220,7 @@
     offset: int
     tokens: list[str]
     finish: FinishReason | None = None
+    imported: timedelta | None = None
 
 
 @message("ack")
