Test placement, prefix index, links and the prefill book, with their speed

Cause: the tests found that the first correction of a load was lost when no send had been noted before, and that entries with equal loads chose alike. Both mended; hosts are sampled in random order.

--- a/src/lavenderrun/decisions/_affinity.py
+++ b/src/lavenderrun/decisions/_affinity.py
@@ -157,7 +157,7 @@
             rejected.append(RejectedHost(candidate.host, bar, timedelta(0)))
     if not ranked:
         return Choice(None, timedelta(0), tuple(rejected))
-    ranked.sort()
+    ranked.sort(key=lambda item: item[0])
     for lead, index in ranked[1:]:
         other = candidates[index]
         busy = need.link(other)[0] > BUSY_LINK
@@ -170,11 +170,11 @@
 @PREFILL_PLACEMENTS.register("affinity")
 def place_by_affinity(candidates: Pool, need: PrefillNeed, chance: Chance) -> Choice:
     """Choose the earliest arrival among the believed holders and a random few."""
-    indexes = set(sample(len(candidates), SAMPLE, chance))
+    indexes = dict.fromkeys(sample(len(candidates), SAMPLE, chance))
     if need.cached:
         holders = sorted(need.cached, key=need.cached.__getitem__, reverse=True)[:MAX_HOLDERS]
-        indexes |= {at for host in holders if (at := candidates.find(host)) is not None}
-    choice = _pick(candidates, need, sorted(indexes))
+        indexes |= {at: None for host in holders if (at := candidates.find(host)) is not None}
+    choice = _pick(candidates, need, indexes.keys())
     if choice.chosen is None:
         return place_prefill_at_shortest(candidates, need, chance)
     return choice
--- a/src/lavenderrun/decisions/_placement.py
+++ b/src/lavenderrun/decisions/_placement.py
@@ -100,13 +100,17 @@
 
 
 def sample(count: int, wanted: int, chance: Chance) -> Collection[int]:
-    """Return *wanted* different indexes below *count*, all when there are no more."""
+    """Return *wanted* different indexes below *count* by chance, all when there are no more.
+
+    They begin at a random one, so that entries which see equal loads do not choose alike.
+    """
     if count <= wanted:
-        return range(count)
-    indexes: set[int] = set()
+        first = int(chance.random() * count)
+        return [*range(first, count), *range(first)]
+    indexes: dict[int, None] = {}
     while len(indexes) < wanted:
-        indexes.add(int(chance.random() * count))
-    return sorted(indexes)
+        indexes[int(chance.random() * count)] = None
+    return list(indexes)
 
 
 def estimate_wait(candidate: Candidate) -> float:
--- a/src/lavenderrun/decisions/_sends.py
+++ b/src/lavenderrun/decisions/_sends.py
@@ -39,9 +39,7 @@
 
     def since(self, host: HostId, report: Load | None, now: datetime) -> tuple[int, float]:
         """Return number and work of the sends that *report* cannot know of yet."""
-        sent = self._hosts.get(host)
-        if sent is None:
-            return 0, 0.0
+        sent = self._hosts.setdefault(host, _Sent(report))
         if report is not sent.report:
             sent.report = report
             sent.forget(now - REPORT_AGE)
--- /dev/null
+++ b/tests/decisions/test_speed.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from random import Random
+from typing import Any
+
+import pytest
+
+from lavenderrun.decisions import (
+    PLACEMENTS,
+    PREFILL_PLACEMENTS,
+    PROMISE_POLICIES,
+    QUEUE_POLICIES,
+    Candidate,
+    Job,
+    LinkBudget,
+    Need,
+    Pool,
+    PrefillNeed,
+    PrefixIndex,
+    RecentSends,
+    SeatBook,
+    SeatRequest,
+)
+from lavenderrun.types import (
+    AccountId,
+    AttemptId,
+    DataCentre,
+    HostId,
+    Load,
+    RequestId,
+    RouteName,
+)
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+PLACE = DataCentre("talca")
+
+
+def make_pool(size: int) -> Pool:
+    sends = RecentSends()
+    random = Random(1)
+    loads = {
+        HostId(f"h{n}"): Load(20, random.randrange(20), 0, timedelta(0), 600) for n in range(size)
+    }
+
+    def look(host: HostId, centre: DataCentre) -> Candidate:
+        sent, work = sends.since(host, loads[host], NOW)
+        return Candidate(host, centre, loads[host], sent=sent, work=work)
+
+    pool = Pool(look)
+    for host in loads:
+        pool.add(host, PLACE)
+        sends.note(host, 1.0, NOW)
+    return pool
+
+
+@pytest.mark.parametrize("size", [6, 60, 600])
+def test_placement(benchmark: Any, size: int) -> None:
+    pool, random = make_pool(size), Random(2)
+    choice = benchmark(PLACEMENTS.find("power"), pool, Need(4), random)
+    assert choice.chosen is not None
+
+
+@pytest.mark.parametrize("size", [6, 60, 600])
+def test_prefill_placement(benchmark: Any, size: int) -> None:
+    pool, random, budget, index = make_pool(size), Random(2), LinkBudget({}), PrefixIndex()
+    blocks = [f"b{n}" for n in range(16)]
+    for n in range(0, size, 3):
+        index.store(HostId(f"h{n}"), blocks[: n % 16], NOW)
+
+    def choose() -> Any:
+        def look(candidate: Candidate) -> tuple[timedelta, timedelta]:
+            direction = (candidate.data_centre, PLACE)
+            return budget.wait(direction, NOW), budget.duration(direction, 16000, NOW)
+
+        cached = index.expect(blocks, NOW)
+        need = PrefillNeed(16000, cached, lambda tokens, spared: (tokens - spared) * 5e-5, look)
+        return PREFILL_PLACEMENTS.find("affinity")(pool, need, random)
+
+    assert benchmark(choose).chosen is not None
+
+
+def make_job(number: int, accounts: int) -> Job:
+    account = AccountId(f"a{number % accounts}")
+    urgency = timedelta(seconds=1 + number % 3)
+    due = NOW + urgency + timedelta(milliseconds=number % 700)
+    deadline = NOW + timedelta(seconds=30)
+    return Job(RequestId(f"r{number}"), AttemptId(1), account, 2.0, 1.0, urgency, due, deadline)
+
+
+@pytest.mark.parametrize("accounts", [5, 210])
+def test_fair_queue(benchmark: Any, accounts: int) -> None:
+    queue = QUEUE_POLICIES.find("fair")(20.0)
+    for number in range(1000):
+        queue.push(make_job(number, accounts), NOW)
+    numbers = iter(range(1000, 100_000_000))
+
+    def turn() -> None:
+        job = make_job(next(numbers), accounts)
+        queue.work_ahead(job)
+        queue.push(job, NOW)
+        queue.pop(NOW)
+
+    benchmark(turn)
+    assert len(queue) == 1000
+
+
+@pytest.mark.parametrize("accounts", [5, 210])
+def test_seat_book(benchmark: Any, accounts: int) -> None:
+    book = SeatBook(20, 640, QUEUE_POLICIES.find("fair"), PROMISE_POLICIES.find("ahead"))
+    numbers = iter(range(100_000_000))
+
+    def ask() -> SeatRequest:
+        job = make_job(next(numbers), accounts)
+        lead = timedelta(seconds=0.2)
+        return SeatRequest(job, RouteName("r"), 900, 100, lead, solo=False, holder=HostId("e"))
+
+    first = [ask() for _ in range(100)]
+    for request in first:
+        book.reserve(request, NOW)
+        book.start(request.job.key, NOW)
+
+    def turn() -> None:
+        request = ask()
+        book.reserve(request, NOW)
+        book.tick(NOW)
+        book.cancel(request.job.key, NOW)
+
+    benchmark(turn)
+    assert len(book.held()) <= 100
