--- a/src/lavenderrun/decisions/_affinity.py
+++ b/src/lavenderrun/decisions/_affinity.py
@@ -30,6 +30,8 @@
 BLOCK_TOKENS = 1000
 BLOCK_CHARACTERS = 4 * BLOCK_TOKENS
 MAX_BLOCKS = 1 << 16
+MAX_HOLDERS_KNOWN = 12
+"""Hosts that are remembered for a block, the latest ones; more would not change the choice."""
 BELIEF_AGE = timedelta(minutes=10)
 TRUST_MEMORY = 0.2
 SAMPLE = 2
@@ -65,7 +67,11 @@
     def store(self, host: HostId, blocks: Sequence[str], now: datetime) -> None:
         """Believe that *host* caches *blocks*."""
         for block in blocks:
-            self._blocks.setdefault(block, {})[host] = now
+            holders = self._blocks.setdefault(block, {})
+            holders.pop(host, None)
+            holders[host] = now
+            if len(holders) > MAX_HOLDERS_KNOWN:
+                del holders[next(iter(holders))]
             self._blocks.move_to_end(block)
         while len(self._blocks) > self._maximum:
             self._blocks.popitem(last=False)
