--- a/src/lavenderrun/bench/__init__.py
+++ b/src/lavenderrun/bench/__init__.py
@@ -11,6 +11,7 @@
 from lavenderrun.bench._measures import Measures, encode
 from lavenderrun.bench._report import write_report
 from lavenderrun.bench._scenarios import SCENARIOS, Plan, Result, run_scenario
+from lavenderrun.bench._slopes import Slope, measure_slopes
 
 __all__ = [
     "DEPLOYMENTS",
@@ -22,8 +23,10 @@
     "OutsideProcess",
     "Plan",
     "Result",
+    "Slope",
     "digest_of",
     "encode",
+    "measure_slopes",
     "run_loopback",
     "run_scenario",
     "write_report",
--- a/src/lavenderrun/bench/_deployments.py
+++ b/src/lavenderrun/bench/_deployments.py
@@ -92,6 +92,8 @@
 
     :param accounts: each client account with its share of the traffic.
     :param max_tokens: allowed output of a request.
+    :param rate_factor: on all accounts' rates.
+    :param entries: entry hosts, spread over the data centres.
     """
 
     name: str
@@ -106,6 +108,7 @@
     speed: EngineSpeed = field(default_factory=EngineSpeed)
     max_tokens: int = 400
     rate_factor: float = 1.0
+    entries: int = 3
 
     @property
     def output_tokens(self) -> float:
@@ -205,7 +208,7 @@
                 group=ServiceGroup(self.model),
                 role=role,
                 data_centre=self.data_centres[number % len(self.data_centres)],
-                agent=f"10.0.1.{number + 1}:{AGENT_PORT}",
+                agent=f"10.1.{number // 250}.{number % 250 + 1}:{AGENT_PORT}",
                 seats=self.speed.seats,
                 pieces=self.speed.pieces,
             )
--- a/src/lavenderrun/bench/_fleet.py
+++ b/src/lavenderrun/bench/_fleet.py
@@ -180,7 +180,9 @@
         self.table.put(DOCUMENT_TABLE, "current", bytes(TOKEN_BYTES) + row, expect=0)
 
     def _build_hosts(self) -> None:
-        for number, place in enumerate(self.deployment.data_centres):
+        places = self.deployment.data_centres
+        for number in range(self.deployment.entries):
+            place = places[number % len(places)]
             address = f"10.0.0.{number + 1}:{ENTRY_PORT}"
             entry = BenchHost(self, f"entry-{number}", address, place)
             self.hosts[entry.host] = entry
--- a/src/lavenderrun/bench/_network.py
+++ b/src/lavenderrun/bench/_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
@@ -27,6 +28,8 @@
     def __init__(self, clock: Clock, chance: random.Random, jitter: float = JITTER) -> None:
         super().__init__(clock)
         self.jitter = jitter
+        self.sent_bytes: Counter[str] = Counter()
+        self.sent_batches: Counter[str] = Counter()
         self._chance = chance
         self._places: dict[str, DataCentre] = {}
         self._hosts: dict[str, HostClock] = {}
@@ -54,6 +57,9 @@
     def later(self, _pipe: MemoryPipe, call: Callable[..., None], *args: object) -> None:
         """Run *call* at the host that owns its pipe, in the pipe's order."""
         end: MemoryPipe = call.__self__  # type: ignore[attr-defined]
+        if args and isinstance(args[0], bytes):
+            self.sent_bytes[end.target] += len(args[0])
+            self.sent_batches[end.target] += 1
         host = self._hosts.get(end.source)
         if host is None:
             return
--- a/src/lavenderrun/bench/_time.py
+++ b/src/lavenderrun/bench/_time.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from datetime import UTC, datetime, timedelta
 from itertools import count
+from time import perf_counter_ns
 from typing import Any
 
 from twisted.internet.base import DelayedCall
@@ -50,6 +51,7 @@
         self._numbers = count()
         self._now = EPOCH
         self._now_at = 0.0
+        self.metered = False
 
     def now(self) -> datetime:
         """Return the instant; see ``Clock``."""
@@ -125,6 +127,8 @@
         self._backlog: list[EventTimer] = []
         self._paused = False
         self._dead = False
+        self.spent = 0
+        """Nanoseconds that the host's own code took, while the base is metered."""
 
     @property
     def is_dead(self) -> bool:
@@ -149,6 +153,10 @@
             return
         if self._paused:
             self._backlog.append(timer)
+        elif self._base.metered:
+            begun = perf_counter_ns()
+            timer.call(*timer.args)
+            self.spent += perf_counter_ns() - begun
         else:
             timer.call(*timer.args)
 
--- a/src/lavenderrun/commands/_bench.py
+++ b/src/lavenderrun/commands/_bench.py
@@ -6,7 +6,14 @@
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
 
-from lavenderrun.bench import SCENARIOS, Measures, encode, run_scenario, write_report
+from lavenderrun.bench import (
+    SCENARIOS,
+    Measures,
+    encode,
+    measure_slopes,
+    run_scenario,
+    write_report,
+)
 from lavenderrun.commands._base import COMMANDS
 
 FIGURES = ("goodput", "wasted_prefill", "worst_account", "in_rate_refusals", "held")
@@ -20,7 +27,11 @@
 
     def configure(self, parser: ArgumentParser) -> None:
         """Add the arguments."""
-        parser.add_argument("scenario", nargs="*", help="all when none is named")
+        parser.add_argument(
+            "scenario",
+            nargs="*",
+            help="all when none is named; 'slopes' for docs/CAPACITY.md",
+        )
         parser.add_argument("--list", action="store_true", help="list the scenarios")
         parser.add_argument("--seed", type=int, default=1)
         parser.add_argument("--json", action="store_true", help="print the measures as JSON")
@@ -42,6 +53,9 @@
             for name, plan in SCENARIOS:
                 print(f"{name:18} {(plan.__doc__ or '').splitlines()[0]}")
             return 0
+        if args.scenario == ["slopes"]:
+            _print_slopes(as_json=args.json)
+            return 0
         chosen = _read_pairs(args.policy)
         runs = [chosen]
         if args.compare:
@@ -71,6 +85,18 @@
     return policies
 
 
+def _print_slopes(*, as_json: bool) -> None:
+    slopes = measure_slopes()
+    if as_json:
+        print(encode(slopes).decode())
+        return
+    print(f"{'figure':40}{'slope':>13}{'base':>13}  {'unit':12}per, (size, figure) as measured")
+    for each in slopes:
+        points = " ".join(f"({size:g}, {figure:.4g})" for size, figure in each.points)
+        line = f"{each.name:40}{each.slope:13.4g}{each.base:13.4g}  {each.unit:12}"
+        print(f"{line}{each.per}: {points}")
+
+
 def _print(results: list[Measures], *, as_json: bool) -> None:
     if as_json:
         print(encode(results[0] if len(results) == 1 else results).decode())
--- a/src/lavenderrun/decisions/_freshness.py
+++ b/src/lavenderrun/decisions/_freshness.py
@@ -39,7 +39,8 @@
 
         Few hosts draw an early one, so that the others hear of their read before their own.
         """
-        return self.read_first + (self.read_last - self.read_first) * uniform**READ_SKEW
+        share = float(uniform**READ_SKEW)
+        return self.read_first + (self.read_last - self.read_first) * share
 
     def draw_vote_age(self, uniform: float) -> timedelta:
         """Return the age at which one host asks the voters, from a number in [0, 1)."""
