--- a/src/lavenderrun/codecs/_settings.py
+++ b/src/lavenderrun/codecs/_settings.py
@@ -65,6 +65,15 @@
         yield ("host", "listen"), "needs a port, since the other daemons dial it"
 
 
+@SETTINGS_CHECKS.register("store")
+def check_store(data: Mapping[str, Any]) -> Found:
+    """The table service is reached over HTTP by IP number."""
+    store = data.get("store")
+    url = store.get("url", "") if isinstance(store, dict) else None
+    if isinstance(url, str) and not _is_url(url):
+        yield ("store", "url"), "must be http:// or https:// with an IP number and a port"
+
+
 @SETTINGS_CHECKS.register("certificates")
 def check_certificates(data: Mapping[str, Any]) -> Found:
     """Certificate, private key and, for links, the authority go together."""
@@ -81,6 +90,11 @@
     return f"{', '.join(fields[:-1])} and {fields[-1]} go together"
 
 
+def _is_url(value: str) -> bool:
+    scheme, sign, rest = value.partition("://")
+    return bool(sign) and scheme in {"http", "https"} and _is_address(rest.partition("/")[0])
+
+
 def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(":")
     try:
--- a/src/lavenderrun/services/_metrics_events.py
+++ b/src/lavenderrun/services/_metrics_events.py
@@ -12,7 +12,6 @@
     Placed,
     PrefillDone,
     PrefillUsed,
-    PrefillWasted,
     RequestAccepted,
     RequestCancelled,
     RequestFinished,
@@ -48,7 +47,7 @@
 PREFILL_TOKENS = define(
     "lavenderrun_prefill_tokens_total",
     MeterKind.COUNTER,
-    "Prompt tokens: computed, spared by the prefix cache, imported, or computed in vain.",
+    "Prompt tokens of prefills: computed, spared by the prefix cache, and used by a decode.",
     ("result",),
 )
 BACKEND_RUNS = define(
@@ -140,12 +139,6 @@
     metrics.meters.add(PREFILL_TOKENS, what.tokens, "used")
 
 
-@observe(PrefillWasted)
-def take_wasted(metrics: MetricsService, _event: Event, what: PrefillWasted) -> None:
-    """Count what was computed in vain."""
-    metrics.meters.add(PREFILL_TOKENS, what.tokens, "wasted")
-
-
 @observe(BackendRun)
 def take_run(metrics: MetricsService, _event: Event, what: BackendRun) -> None:
     """Count work handed to the backend server."""
--- a/src/lavenderrun/services/_readiness.py
+++ b/src/lavenderrun/services/_readiness.py
@@ -7,7 +7,7 @@
 from lavenderrun.codecs import Readiness
 from lavenderrun.kernel import Kernel, Registry
 from lavenderrun.services._limits import LimitsService
-from lavenderrun.types import DocumentKeeper, Links
+from lavenderrun.types import DocumentKeeper, Links, ServiceGroup
 
 Check = Callable[[Kernel], str]
 
@@ -32,15 +32,19 @@
 
 @READINESS_CHECKS.register("links")
 def check_links(kernel: Kernel) -> str:
-    """Every group of the document has a linked backend server in each of its roles."""
+    """Some group of the document can be reached in each of its roles.
+
+    A group that is down everywhere is no fault of this host and takes no entry out of balance.
+    """
     document = kernel.find("document", DocumentKeeper).current
-    if document is None:
-        return ""
+    backends = document.backends if document is not None else []
     peers = [link.peer for link in kernel.find("links", Links).live()]
     linked = {(peer.group, peer.backend_role) for peer in peers}
-    wanted = {(backend.group, backend.role) for backend in document.backends}
-    lost = sorted(f"{group} {role.value}" for group, role in wanted if (group, role) not in linked)
-    return f"no agent is linked for {', '.join(lost)}" if lost else ""
+    wanted: dict[ServiceGroup, bool] = {}
+    for backend in backends:
+        whole = (backend.group, backend.role) in linked
+        wanted[backend.group] = wanted.get(backend.group, True) and whole
+    return "" if any(wanted.values()) or not wanted else "no group has its agents linked"
 
 
 @READINESS_CHECKS.register("limits")
--- a/tests/codecs/test_settings.py
+++ b/tests/codecs/test_settings.py
@@ -36,6 +36,7 @@
         ("127.0.0.1:7000", "localhost:7000", "line 4: host.listen: must be an IP number"),
         ("127.0.0.1:7000", "127.0.0.1:0", "line 4: host.listen: needs a port"),
         ("attempt_timeout = 0.5", "attempt_timeout = 0", "line 8: store.attempt_timeout"),
+        ("http://127.0.0.1:7001", "table:7001", "line 7: store.url: must be http://"),
         ("[store]", "[stores]", "store: field required"),
         ("[host]", 'boot = "x"\n[host]', "line 1: boot: extra inputs"),
         ("[admin]", '[admin]\ncertificate = "a"', "line 10: admin.private_key: is missing"),
