--- a/src/lavenderrun/decisions/_retries.py
+++ b/src/lavenderrun/decisions/_retries.py
@@ -6,8 +6,7 @@
 
 from lavenderrun.types import AccountId
 
-RETRY_RESERVE = 20.0
-"""Retries that are always allowed at once: the requests of one full decode engine."""
+RETRY_RESERVE = 3.0
 WINDOW = timedelta(seconds=10)
 ACCOUNT_SHARE_FACTOR = 2.0
 
@@ -38,10 +37,12 @@
     what the others need.
 
     :param share: most retries as a share of first tries.
+    :param reserve: retries that are allowed at once whatever the share.
     """
 
-    def __init__(self, share: float) -> None:
+    def __init__(self, share: float, reserve: float = RETRY_RESERVE) -> None:
         self.share = share
+        self._reserve = reserve
         self._tries = DecayingCount()
         self._retries = DecayingCount()
         self._account_tries: dict[AccountId | None, DecayingCount] = {}
@@ -56,8 +57,8 @@
         """Return whether a retry fits both budgets, and count it when it does."""
         tries = self._account_tries.setdefault(account, DecayingCount())
         retries = self._account_retries.setdefault(account, DecayingCount())
-        account_most = RETRY_RESERVE + ACCOUNT_SHARE_FACTOR * self.share * tries.read(now)
-        fleet_most = RETRY_RESERVE + self.share * self._tries.read(now)
+        account_most = self._reserve + ACCOUNT_SHARE_FACTOR * self.share * tries.read(now)
+        fleet_most = self._reserve + self.share * self._tries.read(now)
         if retries.read(now) >= account_most or self._retries.read(now) >= fleet_most:
             return False
         retries.add(now)
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -35,6 +35,9 @@
     Ticket,
 )
 
+RETRY_RESERVE = 20.0
+"""Retries that are always allowed at once: the requests that one lost decode engine held."""
+
 
 class DeadTicket:
     """Ticket of a request that has already ended."""
@@ -63,7 +66,7 @@
         self.quarantine = kernel.find("quarantine", QuarantineKeeper)
         self.events = Emitter.of(kernel)
         self.chooser = Chooser(kernel)
-        self.retries = RetryBudget(Document().retry_share)
+        self.retries = RetryBudget(Document().retry_share, RETRY_RESERVE)
         self._admission = kernel.find("admission", Admission)
         self._document = kernel.find("document", DocumentSource)
         self._runs: dict[RequestId, ModelRun] = {}
