Answer a reply that breaks before its first byte, and count waiting bodies

A backend server that sent a head and then died gave the caller an empty, closed connection; the head had not left yet, so the caller now gets the error answer.

--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import ServerFactory, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel, Request
+from twisted.web.http_headers import Headers
 
 from lavenderrun.codecs import encode_error, find_status, list_error_headers
 from lavenderrun.types import FrontSettings, Outcome, Refusal, Refused, RequestId, Step
@@ -94,6 +95,12 @@
             self.responseHeaders.addRawHeader(name.encode("latin-1", "replace"), raw)
         self.responseHeaders.setRawHeaders(REQUEST_ID_HEADER, [self.id])
 
+    def clear_head(self) -> None:
+        """Take back a status and headers that were set and not sent."""
+        self.responseHeaders = Headers()
+        if not self.channel.persistent:
+            self.close_after()
+
     def close_after(self) -> None:
         """Let this answer be the connection's last."""
         self.channel.persistent = 0
--- a/src/lavenderrun/services/_front_sinks.py
+++ b/src/lavenderrun/services/_front_sinks.py
@@ -40,9 +40,10 @@
             peer=refused.peer,
         )
         self._ended = True
-        if self._request.answered:
+        if self._request.startedWriting:
             self._break(refused)
         else:
+            self._request.clear_head()
             self._request.answer_refused(refused)
 
     def _break(self, refused: Refused) -> None:
--- a/src/lavenderrun/services/_plain_agent.py
+++ b/src/lavenderrun/services/_plain_agent.py
@@ -41,7 +41,8 @@
 )
 
 FIRST_COST = 0.02
-MAX_HELD_BYTES = 64 << 20
+MAX_BODY_BYTES = 64 << 20
+"""Bodies of calls that wait; beyond it no call is taken."""
 ENTRY_GRACE = timedelta(seconds=5)
 RETRY_AFTER = timedelta(seconds=1)
 
@@ -69,6 +70,7 @@
         self._kept = KeptReplies(kernel.clock)
         self._timers: dict[JobKey, Timer] = {}
         self._running = 0
+        self._body_bytes = 0
         self._alarm = Alarm(kernel.clock, self._serve)
         self._drain = Drain(kernel.clock, self._is_busy)
 
@@ -112,6 +114,7 @@
             self._fail(link, key, refusal, started=self._ledger.may_have_begun(key))
             return
         job = self._jobs[key] = PlainJob(link, call, self._take_end)
+        self._body_bytes += job.body_bytes
         if job.state is JobState.QUEUED:
             self._enqueue(job)
         else:
@@ -122,12 +125,16 @@
             return Refusal.CANCELLED
         if self._drain.is_on:
             return Refusal.LEAVING
-        held = sum(job.held_bytes for job in self._jobs.values())
-        return Refusal.NO_ROOM if held > MAX_HELD_BYTES else None
+        return Refusal.NO_ROOM if self._body_bytes > MAX_BODY_BYTES else None
 
     def _take_body(self, _link: Link, part: CallBody) -> None:
         job = self._jobs.get((part.request, part.attempt))
-        if job is not None and job.take_body(part):
+        if job is None:
+            return
+        before = job.body_bytes
+        whole = job.take_body(part)
+        self._body_bytes += job.body_bytes - before
+        if whole:
             self._forget_timer(job.key)
             self._enqueue(job)
 
@@ -160,11 +167,10 @@
         self._alarm.set(self._queue.next_deadline())
 
     def _give_up(self, key: JobKey) -> None:
-        job = self._jobs.pop(key)
-        self._forget_timer(key)
-        self._ledger.revoke(key, self._clock.now())
+        job = self._jobs[key]
         if job.link is not None:
             self._fail(job.link, key, Refusal.DEADLINE, started=False)
+        self._drop(job)
 
     # calls run
 
@@ -184,12 +190,15 @@
             running=self._running,
             queued=len(self._queue),
         )
-        running = self._plain.call(
-            call.request, call.method, call.target, call.headers, job.join_body(), job
-        )
+        body = self._take_whole_body(job)
+        running = self._plain.call(call.request, call.method, call.target, call.headers, body, job)
         job.running = running
         running.done.addBoth(lambda _: self._free_seat(job, now))
 
+    def _take_whole_body(self, job: PlainJob) -> bytes:
+        self._body_bytes -= job.body_bytes
+        return job.take_whole_body()
+
     def _free_seat(self, job: PlainJob, began: object) -> None:
         self._running -= 1
         self._cost.add((self._clock.now() - began).total_seconds())  # type: ignore[operator]
@@ -300,6 +309,7 @@
         self._kept.drop(job.key)
         self._forget_timer(job.key)
         if job.state in (JobState.RECEIVING, JobState.QUEUED):
+            self._take_whole_body(job)
             self._queue.remove(job.key)
             self._ledger.revoke(job.key, self._clock.now())
         if job.running is not None:
--- a/src/lavenderrun/services/_plain_job.py
+++ b/src/lavenderrun/services/_plain_job.py
@@ -81,17 +81,17 @@
             self.state = JobState.QUEUED
         return part.last
 
-    def join_body(self) -> bytes:
-        """Return the whole body and drop the parts."""
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the call's body that the agent holds."""
+        return self._size if self._body else 0
+
+    def take_whole_body(self) -> bytes:
+        """Return the whole body and hold it no longer."""
         body = b"".join(self._body)
         self._body.clear()
         return body
 
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of the call and of its reply that the agent holds."""
-        return sum(map(len, self._body)) + len(self._reply)
-
     # the reply, from the backend server
 
     def put_head(self, status: int, headers: list[tuple[str, str]]) -> None:
--- a/tests/services/test_front.py
+++ b/tests/services/test_front.py
@@ -420,6 +420,18 @@
     assert caller.transport.disconnecting
 
 
+def test_plain_reply_that_breaks_before_its_first_byte_gets_an_error_answer() -> None:
+    caller = Caller()
+    caller.send("GET", "/orders/7", b"", (AUTH,))
+    sink = caller.router.sinks[0]
+    sink.put_head(200, [("Content-Length", "4"), ("X-Own", "1")])
+    sink.refuse(refusal(Refusal.BACKEND_LOST, Outcome.UNKNOWN))
+    status, error, head = read_error(caller.transport.value())
+    assert (status, error["code"]) == (502, "backend_lost")
+    assert b"X-Own" not in head
+    assert not caller.transport.disconnecting
+
+
 def test_malformed_key_is_ignored_on_a_route_open_to_all_only() -> None:
     route = {"name": "browse", "prefix": "/layouts", "service": "editor", "open": True}
     document = Document.model_validate({"plain_routes": [route]})
--- a/tests/services/test_plain_schedules.py
+++ b/tests/services/test_plain_schedules.py
@@ -106,6 +106,10 @@
                     assert self.fleet.core.runs[request] == 0, (number, end)
                 elif end is None and "confirm" in path:
                     assert runs[path] == 1
+        agents: list[Any] = [
+            self.fleet.hosts[host].find("plain_agent", object) for host in self.fleet.addresses
+        ]
+        assert all(not agent.held() and not agent._body_bytes for agent in agents)
         assert all(not self.fleet.routers[e].held() for e in ("e1", "e2") if e not in self.dead)
 
 
