--- a/src/lavenderrun/bench/_network.py
+++ b/src/lavenderrun/bench/_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
@@ -14,17 +15,21 @@
 WITHIN_DATA_CENTRE = timedelta(microseconds=100)
 BETWEEN_DATA_CENTRES = timedelta(microseconds=500)
 JITTER = 0.4
-"""Largest share of a delay that is added by chance; batches of different pipes overtake."""
+"""Largest share of a delay that chance adds; batches of different pipes overtake one another."""
 
 
 class BenchNetwork(MemoryNetwork):
     """Connects hosts through their clocks, so that a paused or dead host takes nothing in.
 
     :param chance: seeded source of the jitter.
+    :param jitter: largest share of a delay that is added by chance.
     """
 
-    def __init__(self, clock: Clock, chance: random.Random) -> None:
+    def __init__(self, clock: Clock, chance: random.Random, jitter: float = JITTER) -> None:
         super().__init__(clock)
+        self.jitter = jitter
+        self.sent_bytes: Counter[str] = Counter()
+        self.sent_batches: Counter[str] = Counter()
         self._chance = chance
         self._places: dict[str, DataCentre] = {}
         self._hosts: dict[str, HostClock] = {}
@@ -52,6 +57,9 @@
     def later(self, _pipe: MemoryPipe, call: Callable[..., None], *args: object) -> None:
         """Run *call* at the host that owns its pipe, in the pipe's order."""
         end: MemoryPipe = call.__self__  # type: ignore[attr-defined]
+        if args and isinstance(args[0], bytes):
+            self.sent_bytes[end.target] += len(args[0])
+            self.sent_batches[end.target] += 1
         host = self._hosts.get(end.source)
         if host is None:
             return
@@ -95,4 +103,4 @@
     def _draw_delay(self, source: str, target: str) -> timedelta:
         here = self._places.get(source) == self._places.get(target)
         delay = WITHIN_DATA_CENTRE if here else BETWEEN_DATA_CENTRES
-        return delay * (1 + JITTER * self._chance.random())
+        return delay * (1 + self.jitter * self._chance.random())
--- a/src/lavenderrun/services/_limits.py
+++ b/src/lavenderrun/services/_limits.py
@@ -5,7 +5,6 @@
 from datetime import datetime, timedelta
 from typing import ClassVar
 
-import msgspec
 from eliot import log_message
 from twisted.internet.defer import Deferred, succeed
 
@@ -22,20 +21,17 @@
 from lavenderrun.kernel import SERVICES, Clock, Kernel, Timer
 from lavenderrun.services._charge_queue import ChargeQueue, Waiting
 from lavenderrun.services._emitter import Emitter
+from lavenderrun.services._loan_desk import LoanDesk
 from lavenderrun.services._policies import Policies
 from lavenderrun.services._slot_store import SlotStore, find_peers
+from lavenderrun.services._vouching import Vouching
 from lavenderrun.types import (
     AccountId,
     Charge,
     Document,
     DocumentSource,
     Hello,
-    HostId,
-    Link,
     Links,
-    Loan,
-    LoanRequest,
-    LoanReturn,
     Outcome,
     Refusal,
     Refused,
@@ -43,25 +39,14 @@
     Store,
     TokensGranted,
     TokensReturned,
-    Vouch,
-    Vouched,
 )
 
 TICK = timedelta(milliseconds=250)
 ASK_FIRST = timedelta(milliseconds=40)
 ASK_MOST = timedelta(milliseconds=500)
-LENDERS_AT_ONCE = 3
-VOUCHES_KEPT = 8
 NUMBER_BITS = 40
 
 
-class SentVouch(msgspec.Struct, frozen=True):
-    """A vouch that a standby has not answered."""
-
-    peer: Peer
-    sent: datetime
-
-
 class LimitsService:
     """Charges accounts; see ``Limits``."""
 
@@ -81,19 +66,22 @@
         store = kernel.find("store", Store)
         self._slots = SlotStore(self._clock, store, self.fleet, terms, self._serve_all)
         self._queues: dict[AccountId, ChargeQueue] = {}
-        self._vouches: dict[int, SentVouch] = {}
-        self._vouch_number = 0
-        self._vouch_at = self._clock.now()
+        self._loans = LoanDesk(
+            self._clock,
+            self._links,
+            self.fleet,
+            terms,
+            kernel.chance,
+            waited=self._find_waited,
+            arrived=self._take_arrival,
+        )
+        self._vouching = Vouching(self._clock, self._links, self.fleet, terms)
         self._timer: Timer | None = None
 
     def start(self) -> None:
         """Begin to claim slots and to take charges."""
-        links = self._links
-        links.subscribe(Vouch, self._take_vouch)
-        links.subscribe(Vouched, self._take_vouched)
-        links.subscribe(LoanRequest, self._take_request)
-        links.subscribe(Loan, self._take_loan)
-        links.subscribe(LoanReturn, self._take_return)
+        self._vouching.start()
+        self._loans.start()
         self._kernel.find("document", DocumentSource).watch(self._take_document)
         self._tick()
 
@@ -142,6 +130,14 @@
             self._events.emit(TokensReturned(charge.account, 0.0, counted))
             self._serve(charge.account)
 
+    def can_charge(self, account: AccountId) -> bool:
+        """Tell whether this host holds, or knows who holds, a part of the account's rate."""
+        return self.fleet.holds(account) or self._loans.knows_holder(account)
+
+    def count_waiting(self) -> dict[AccountId, int]:
+        """Return how many requests wait for their account's rate."""
+        return {account: int(queue.requests) for account, queue in self._queues.items()}
+
     # charging
 
     def _try(
@@ -191,29 +187,12 @@
         now = self._clock.now()
         if queue.is_due(now):
             queue.back_off(now, ASK_FIRST, ASK_MOST)
-            self._ask(account, head, queue, now)
+            # the whole queue's need, so that a burst takes few messages
+            self._loans.ask(account, queue.requests, queue.tokens, queue.rounds)
         local = self.fleet.find_local_wait(account, head.requests, head.tokens, now)
         pause = queue.find_pause(now)
         queue.plan(self._clock, min(pause, local) if local else pause, self._pursue)
 
-    def _ask(self, account: AccountId, head: Waiting, queue: ChargeQueue, now: datetime) -> None:
-        for link in self._find_lenders(account):
-            # the whole queue's need, so that a burst takes few messages
-            request = self.fleet.ask(
-                link.peer.host, account, queue.requests, queue.tokens, now, now - head.since
-            )
-            if request is not None:
-                link.send(request)
-
-    def _find_lenders(self, account: AccountId) -> list[Link]:
-        if not self._terms.lending:
-            return []
-        hosts = sorted(self.fleet.find_lenders(account))
-        links = [link for link in map(self._links.find, hosts) if link is not None]
-        if len(links) <= LENDERS_AT_ONCE:
-            return links
-        return self._kernel.chance.sample(links, LENDERS_AT_ONCE)
-
     def _expire(self, waiting: Waiting) -> None:
         queue = self._queues.get(waiting.account)
         if queue is None or not queue.remove(waiting):
@@ -246,36 +225,10 @@
         self.fleet.sync(now)
         if writes:
             self._slots.write(writes)
-        if now >= self._vouch_at:
-            self._vouch_at = now + self._terms.vouch_every
-            self._ask_to_vouch(now)
-        self._tend_loans(now)
-
-    def _ask_to_vouch(self, now: datetime) -> None:
-        for peer, slots in self.fleet.keeper.find_vouchers().items():
-            link = self._links.find(peer.host)
-            if link is None or link.peer.boot != peer.boot:
-                continue
-            self._vouch_number += 1
-            self._vouches[self._vouch_number] = SentVouch(peer, now)
-            link.send(Vouch(self._vouch_number, slots))
-        while len(self._vouches) > VOUCHES_KEPT + 2 * self._terms.slots:
-            del self._vouches[next(iter(self._vouches))]
-
-    def _tend_loans(self, now: datetime) -> None:
-        extended, ended = self.fleet.plan_loans(now)
-        for lender, requests in extended.items():
-            for request in requests:
-                self._send(lender, request)
-        for back in ended:
-            self._send(back.lender, back.back)
-
-    def _send(self, host: HostId, message: LoanRequest | LoanReturn) -> None:
-        link = self._links.find(host)
-        if link is not None:
-            link.send(message)
-
-    # messages and the document
+        self._vouching.ask(now)
+        self._loans.tend(now)
+
+    # the document
 
     def _take_document(self, document: Document) -> None:
         rates = {account.id: account.rate for account in document.accounts}
@@ -286,40 +239,22 @@
             self._drop_if_empty(account)
         self._serve_all()
 
-    def _take_vouch(self, link: Link, message: Vouch) -> None:
-        now = self._clock.now()
-        self.fleet.sync(now)
-        promised = self.fleet.keeper.vouch(message.slots, now)
-        link.send(Vouched(message.number, promised))
+    # what loans need and bring
 
-    def _take_vouched(self, link: Link, message: Vouched) -> None:
-        sent = self._vouches.pop(message.number, None)
-        peer = Peer(link.peer.host, link.peer.boot)
-        if sent is None or sent.peer != peer:
-            return
-        now = self._clock.now()
-        self.fleet.sync(now)
-        self.fleet.keeper.take_vouch(peer, message.slots, sent.sent)
-        self.fleet.keeper.resume(now)
-        self.fleet.sync(now)
-
-    def _take_request(self, link: Link, message: LoanRequest) -> None:
-        now = self._clock.now()
-        queue = self._queues.get(message.account)
+    def _find_waited(self, account: AccountId) -> timedelta:
+        queue = self._queues.get(account)
         head = queue.head() if queue is not None else None
-        waited = now - head.since if head is not None else timedelta(0)
-        link.send(self.fleet.lend(link.peer.host, message, now, waited))
+        return self._clock.now() - head.since if head is not None else timedelta(0)
 
-    def _take_loan(self, link: Link, message: Loan) -> None:
-        fruitful = self.fleet.take_loan(link.peer.host, message, self._clock.now())
-        queue = self._queues.get(message.account)
-        if fruitful and queue is not None:
+    def _take_arrival(self, account: AccountId, by_loan: bool) -> None:
+        queue = self._queues.get(account)
+        if queue is None:
+            return
+        if by_loan:
             queue.fruitful = True
-            self._pursue(message.account)
-
-    def _take_return(self, link: Link, message: LoanReturn) -> None:
-        self.fleet.take_back(link.peer.host, message, self._clock.now())
-        self._serve(message.account)
+            self._pursue(account)
+        else:
+            self._serve(account)
 
 
 @SERVICES.register("limits")
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -16,6 +16,7 @@
 from lavenderrun.types import (
     Ack,
     AdmittedModel,
+    AnswerBegun,
     AnswerSink,
     AttemptFailed,
     AttemptId,
@@ -108,9 +109,10 @@
         self._prefiller: Link | None = None
         self._charge: Charge | None = None
         self._charging: Deferred[Charge | Refused] | None = None
-        self._waiting_since = request.arrived
+        self._waiting_since = self._heard_at = request.arrived
         self._probe: Deferred[None] | None = None
         self._begun = False
+        self._prefill_ordered = False
         self._tries = 0
         self._timer = router.clock.call_later(timedelta(0), lambda: None)
 
@@ -247,7 +249,7 @@
                 patience=left,
                 urgency=self._urgency_left(),
                 weight=self._router.weigh(self.admitted),
-                solo=verdict is Verdict.SUSPECT,
+                cohort=self._router.quarantine.find_cohort(self.admitted.fingerprint),
                 fingerprint=self.admitted.fingerprint,
             )
         )
@@ -288,8 +290,9 @@
             return
         self._prefiller = choice.link
         self.state = RunState.PREFILLING
-        start_in = max(timedelta(0), promise.ready_in - choice.lead)
+        start_in = max(choice.hold, promise.ready_in - choice.lead)
         patience = min(max(self._patience_left(), ANSWER_MARGIN), PREFILL_PATIENCE)
+        self._prefill_ordered = True
         choice.link.send(
             Prefill(
                 request=self.request.request,
@@ -345,7 +348,11 @@
 
     def _take_frame(self, frame: Frame) -> None:
         progress = self._assembly.accept(frame.attempt, frame.offset, frame.tokens, frame.finish)
+        if frame.imported is not None:
+            self._learn_transfer(frame.imported)
         if progress.tokens:
+            if not self._delivered:
+                self._router.events.emit(AnswerBegun(self.request.request))
             self._delivered += progress.tokens
             self._sink.put_tokens(progress.tokens)
         if progress.finish is not None:
@@ -353,8 +360,12 @@
             return
         if self._assembly.offset - self._acked >= ACK_TOKENS:
             self._ack()
-        if self.state is RunState.DECODING:
-            self._expect(STALL_TIMEOUT, self._stall)
+        # the timer stands; it looks at this when it fires
+        self._heard_at = self._router.clock.now()
+
+    def _learn_transfer(self, took: timedelta | None) -> None:
+        tokens = 0 if self._demand is None else self._demand.tokens
+        self._router.chooser.learn_transfer(self._prefiller, self._decoder, tokens, took)
 
     def _finish(self, reason: FinishReason) -> None:
         self._ack(end=1)
@@ -373,6 +384,11 @@
     # failure
 
     def _take_failure(self, host: HostId, failed: AttemptFailed) -> None:
+        refused = failed.refused
+        if self._is_prefiller(host) and refused.outcome is Outcome.NOT_RUN:
+            self._prefill_ordered = False
+        if refused.step is Step.TRANSFER:
+            self._learn_transfer(None)
         if failed.crashed:
             self._router.quarantine.strike(
                 Strike(
@@ -383,9 +399,17 @@
                     self.admitted.route.name,
                 )
             )
-        self._fail_attempt(host, failed.refused, started=failed.started or failed.crashed)
+        self._fail_attempt(host, refused, started=failed.started or failed.crashed)
+
+    def _is_prefiller(self, host: HostId) -> bool:
+        return self._prefiller is not None and self._prefiller.peer.host == host
 
     def _stall(self) -> None:
+        if self.state is RunState.DECODING:
+            left = self._heard_at + STALL_TIMEOUT - self._router.clock.now()
+            if left > timedelta(0):
+                self._expect(left, self._stall)
+                return
         started = self.state is RunState.DECODING
         link = self._prefiller if self.state is RunState.PREFILLING else self._decoder
         assert link is not None
@@ -397,6 +421,7 @@
         self._fail_attempt(link.peer.host, refused, started=True)
 
     def _fail_attempt(self, host: HostId, refused: Refused, *, started: bool = False) -> None:
+        costly = started or self.state in (RunState.DECODING, RunState.RESUMING)
         self._drop_attempt()
         self._failed_hosts.add(host)
         once = self.admitted.route.repeatability is Repeatability.AT_MOST_ONCE
@@ -409,10 +434,13 @@
             self._waiting_since = self._router.clock.now()
         if started or refused.refusal not in HARMLESS:
             self._tries += 1
-        if self._tries < MAX_TRIES:
+        if self._tries >= MAX_TRIES:
+            self._refuse(refused)
+        elif costly:
             self._await_retry(refused)
         else:
-            self._refuse(refused)
+            # nothing was spent, so the budget for retries is not touched either
+            self._back_off()
 
     def _await_retry(self, refused: Refused) -> None:
         """Retry once the budget allows it; an outage is not amplified and no request is lost."""
@@ -432,6 +460,9 @@
         self._expect(pause * self._router.chance.uniform(0.5, 1.5), self._seek_seat)
 
     def _drop_attempt(self) -> None:
+        # a prefill that was ordered may have run, whatever became of the attempt
+        self._begun = self._begun or self._prefill_ordered
+        self._prefill_ordered = False
         self._timer.cancel()
         for link in (self._decoder, self._prefiller):
             if link is not None:
