--- a/src/lavenderrun/decisions/_freshness.py
+++ b/src/lavenderrun/decisions/_freshness.py
@@ -28,10 +28,10 @@
 
     limit: timedelta = timedelta(seconds=4)
     ask_after: timedelta = timedelta(seconds=0.5)
-    read_first: timedelta = timedelta(seconds=1)
-    read_last: timedelta = timedelta(seconds=3)
-    vote_first: timedelta = timedelta(seconds=2.4)
-    vote_last: timedelta = timedelta(seconds=3.2)
+    read_first: timedelta = timedelta(seconds=0.8)
+    read_last: timedelta = timedelta(seconds=2.4)
+    vote_first: timedelta = timedelta(seconds=2)
+    vote_last: timedelta = timedelta(seconds=2.6)
     window: timedelta = timedelta(seconds=3)
 
     def draw_read_age(self, uniform: float) -> timedelta:
