Draw the store's and the limits' chances from sources of their own

Cause: each more write or loan moved the draws of all other services, and with them the golden sessions' times.

--- a/src/lavenderrun/services/_limits.py
+++ b/src/lavenderrun/services/_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
+from random import Random
 from typing import ClassVar
 
 from eliot import log_message
@@ -45,6 +46,7 @@
 ASK_FIRST = timedelta(milliseconds=40)
 ASK_MOST = timedelta(milliseconds=500)
 NUMBER_BITS = 40
+SEED_BITS = 64
 
 
 class LimitsService:
@@ -62,7 +64,9 @@
         keeper = SlotKeeper(
             Peer(hello.host, hello.boot), make_slots(terms), terms, self._clock.now()
         )
-        self.fleet = FleetLimits(keeper, terms, kernel.chance.getrandbits(NUMBER_BITS))
+        # a source of its own, so that more loans here move no other service's draws
+        chance = Random(kernel.chance.getrandbits(SEED_BITS))
+        self.fleet = FleetLimits(keeper, terms, chance.getrandbits(NUMBER_BITS))
         store = kernel.find("store", Store)
         self._slots = SlotStore(self._clock, store, self.fleet, terms, self._serve_all)
         self._queues: dict[AccountId, ChargeQueue] = {}
@@ -71,7 +75,7 @@
             self._links,
             self.fleet,
             terms,
-            kernel.chance,
+            chance,
             waited=self._find_waited,
             arrived=self._take_arrival,
         )
--- a/src/lavenderrun/services/_store.py
+++ b/src/lavenderrun/services/_store.py
@@ -26,6 +26,7 @@
 T = TypeVar("T")
 
 TOKEN_BYTES = 12
+SEED_BITS = 64
 
 
 STORE_DIALECTS: Registry[Callable[[Kernel, StoreSettings], Store]] = Registry("store dialect")
@@ -243,4 +244,6 @@
     """Make the client over the dialect that the settings name."""
     settings: StoreSettings = kernel.settings.store
     dialect = STORE_DIALECTS.find(settings.dialect)(kernel, settings)
-    return StoreClient(kernel.clock, dialect, settings, kernel.chance)
+    # a source of its own, so that more calls here move no other service's draws
+    source = random.Random(kernel.chance.getrandbits(SEED_BITS))
+    return StoreClient(kernel.clock, dialect, settings, source)
