--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -58,6 +58,7 @@
     Placement,
     Reason,
     RejectedHost,
+    count_free,
 )
 from lavenderrun.decisions._pool import Pool
 from lavenderrun.decisions._prefills import (
@@ -166,6 +167,7 @@
     "check_record",
     "choose_dials",
     "choose_voters",
+    "count_free",
     "count_pieces",
     "count_tokens",
     "digest_key",
--- a/src/lavenderrun/decisions/_placement.py
+++ b/src/lavenderrun/decisions/_placement.py
@@ -113,6 +113,17 @@
     return list(indexes)
 
 
+def count_free(candidate: Candidate) -> int:
+    """Return the seats that a new request could have at once; zero when unknown.
+
+    Where requests wait there is none, also when seats are free: prefill is what they wait for.
+    """
+    load = candidate.load
+    if load is None or load.queued:
+        return 0
+    return load.seats - load.taken - candidate.sent
+
+
 def estimate_wait(candidate: Candidate) -> float:
     """Return the seconds until a seat is free; below zero, the share of free seats."""
     load = candidate.load
--- a/src/lavenderrun/services/_chooser.py
+++ b/src/lavenderrun/services/_chooser.py
@@ -20,6 +20,7 @@
     PrefillSpeed,
     PrefixIndex,
     RecentSends,
+    count_free,
     count_pieces,
 )
 from lavenderrun.kernel import Kernel
@@ -40,6 +41,8 @@
     ServiceGroup,
 )
 
+FREE_SEATS = 2
+"""Free seats at another agent from which a waiting request moves there."""
 SEAT_SECONDS = 2.0
 """Time that a seat is expected to be held, for the correction of lagging loads."""
 
@@ -124,6 +127,19 @@
         self._sends.note(choice.chosen, SEAT_SECONDS, self._clock.now())
         return self._links.find(choice.chosen)
 
+    def find_free(self, demand: Demand, tried: Collection[HostId]) -> Link | None:
+        """Return the link to a decode agent that is believed to have seats free now."""
+        pool = self._pool(ServiceGroup(demand.model), BackendRole.DECODE)
+        need = Need(count_pieces(demand.tokens + demand.max_tokens), frozenset(tried))
+        choice = self._place(pool, need, self._chance)
+        index = None if choice.chosen is None else pool.find(choice.chosen)
+        if index is None or count_free(pool[index]) < FREE_SEATS:
+            return None
+        candidate = pool[index]
+        self._report(demand.request, choice, "decode")
+        self._sends.note(candidate.host, SEAT_SECONDS, self._clock.now())
+        return self._links.find(candidate.host)
+
     def choose_plain(
         self, request: RequestId, group: ServiceGroup, tried: Collection[HostId]
     ) -> Link | None:
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -215,3 +215,20 @@
     fleet.run(10)
     runs = [e for e in fleet.record.events[left_at:] if isinstance(e.what, BackendRun)]
     assert {event.host for event in runs} == {"d2"}
+
+
+def test_a_request_that_waits_moves_to_a_seat_that_comes_free_elsewhere() -> None:
+    fleet = Fleet(decoders=2)
+    fleet.kill_agent("d2")
+    fleet.run(0.1)
+    for _ in range(2):
+        fleet.ask(LONG, 400)
+    fleet.run(0.2)
+    _, waiting = fleet.ask(PROMPT)
+    fleet.run(0.3)
+    assert waiting.tokens == []
+    fleet.start_agent("d2")
+    fleet.run(3)
+    assert_whole(waiting, PROMPT, 40)
+    fleet.run(20)
+    assert fleet.held() == 0
