--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -230,11 +230,12 @@
             self._failed_hosts.clear()
             self._back_off()
             return
-        self._reserve(link, left, solo=verdict is Verdict.SUSPECT)
+        self._reserve(link, left)
 
-    def _reserve(self, link: Link, left: timedelta, *, solo: bool) -> None:
+    def _reserve(self, link: Link, left: timedelta) -> None:
         route, demand = self.admitted.route, self._demand
         assert demand is not None
+        cohort = self._router.quarantine.find_cohort(self.admitted.fingerprint)
         expected = self._router.chooser.choose_prefill(
             demand, link.peer.data_centre, self._failed_hosts, ask=True
         )
@@ -254,11 +255,11 @@
                 patience=left,
                 urgency=self._urgency_left(),
                 weight=self._router.weigh(self.admitted),
-                solo=solo,
+                cohort=cohort,
                 fingerprint=self.admitted.fingerprint,
             )
         )
-        if solo:
+        if cohort:
             self._expect(left + ANSWER_MARGIN, self._stall)
         else:
             self._expect(MOVE_AFTER, self._reconsider)
@@ -277,7 +278,7 @@
             self._expect(MOVE_AFTER, self._reconsider)
             return
         self._decoder.send(Cancel(self.request.request, self._attempt))
-        self._reserve(link, left, solo=False)
+        self._reserve(link, left)
 
     def _may_start(self) -> bool:
         """Return whether the key holds; without it the request waits or is refused."""
@@ -445,6 +446,7 @@
         self._fail_attempt(link.peer.host, refused, started=True)
 
     def _fail_attempt(self, host: HostId, refused: Refused, *, started: bool = False) -> None:
+        costly = started or self.state in (RunState.DECODING, RunState.RESUMING)
         self._drop_attempt()
         self._failed_hosts.add(host)
         once = self.admitted.route.repeatability is Repeatability.AT_MOST_ONCE
@@ -457,10 +459,13 @@
             self._waiting_since = self._router.clock.now()
         if started or refused.refusal not in HARMLESS:
             self._tries += 1
-        if self._tries < MAX_TRIES:
+        if self._tries >= MAX_TRIES:
+            self._refuse(refused)
+        elif costly:
             self._await_retry(refused)
         else:
-            self._refuse(refused)
+            # nothing was spent, so the budget for retries is not touched either
+            self._back_off()
 
     def _await_retry(self, refused: Refused) -> None:
         """Retry once the budget allows it; an outage is not amplified and no request is lost."""
