--- a/src/lavenderrun/bench/_deployments.py
+++ b/src/lavenderrun/bench/_deployments.py
@@ -92,7 +92,7 @@
 
     :param accounts: each client account with its share of the traffic.
     :param max_tokens: allowed output of a request.
-    :param rate_factor: on all accounts' rates.
+    :param rate_factor: on all accounts' rates; calls for the plain service are never below one.
     :param entries: entry hosts, spread over the data centres.
     """
 
@@ -133,9 +133,9 @@
 
     def find_rate(self, account: AccountId) -> Rate:
         """Return the account's rate and burst, with headroom over its share at the peak."""
-        share = self.accounts[account] * self.rate_factor * RATE_HEADROOM
-        model = self.find_capacity() * PEAK_LOAD * share
-        requests = model + self.plain.per_second * share
+        share = self.accounts[account] * RATE_HEADROOM
+        model = self.find_capacity() * PEAK_LOAD * share * self.rate_factor
+        requests = model + self.plain.per_second * share * max(1.0, self.rate_factor)
         tokens = model * (self.prompts.mean + self.max_tokens)
         # an account of any size may send a few of the longest requests at once
         longest = 2.0 * (self.prompts.most + self.max_tokens)
--- a/src/lavenderrun/codecs/_lines.py
+++ b/src/lavenderrun/codecs/_lines.py
@@ -4,7 +4,9 @@
 
 import json
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 
 Path = tuple[str | int, ...]
 
@@ -18,27 +20,37 @@
 
 
 @dataclass
+class _Places:
+    known: dict[Path, int] = field(default_factory=dict)
+    repeated: list[Path] = field(default_factory=list)
+
+    def note(self, path: Path, line: int) -> None:
+        self.known.setdefault(path, line)
+
+
 class Lines:
-    """Lines of fields, from one.
+    """Lines of the fields of a text, from one; worked out when the first is asked for."""
 
-    :param repeated: fields that a JSON object names twice.
-    """
+    def __init__(self, walk: Callable[[], _Places]) -> None:
+        self._walk = walk
 
-    known: dict[Path, int] = field(default_factory=dict)
-    repeated: list[Path] = field(default_factory=list)
+    @cached_property
+    def _places(self) -> _Places:
+        return self._walk()
+
+    @property
+    def repeated(self) -> list[Path]:
+        """Fields that a JSON object names twice."""
+        return self._places.repeated
 
     def find(self, path: Path) -> int:
         """Return the line of *path* or of its nearest known parent, zero when there is none."""
         for size in range(len(path), 0, -1):
-            line = self.known.get(path[:size])
+            line = self._places.known.get(path[:size])
             if line is not None:
                 return line
         return 0
 
-    def note(self, path: Path, line: int) -> None:
-        """Keep the first line at which *path* is seen."""
-        self.known.setdefault(path, line)
-
 
 @dataclass(frozen=True)
 class _Token:
@@ -49,26 +61,26 @@
 
 def locate_toml(text: str) -> Lines:
     """Return the lines of the fields of *text*, which is valid TOML."""
-    return _Walker(text).walk_toml()
+    return Lines(lambda: _Walker(text).walk_toml())
 
 
 def locate_json(text: str) -> Lines:
     """Return the lines of the fields of *text*, which is valid JSON."""
-    return _Walker(text).walk_json()
+    return Lines(lambda: _Walker(text).walk_json())
 
 
 class _Walker:
     def __init__(self, text: str) -> None:
         self._tokens = _split(text)
         self._at = 0
-        self._lines = Lines()
+        self._lines = _Places()
         self._counts: dict[Path, int] = {}
 
-    def walk_json(self) -> Lines:
+    def walk_json(self) -> _Places:
         self._walk_value((), 0)
         return self._lines
 
-    def walk_toml(self) -> Lines:
+    def walk_toml(self) -> _Places:
         table: Path = ()
         while (token := self._skip_newlines()) is not None:
             if token.text == "[" and token.kind == "mark":
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -16,6 +16,7 @@
 from lavenderrun.types import (
     Ack,
     AdmittedModel,
+    AnswerBegun,
     AnswerSink,
     AttemptFailed,
     AttemptId,
@@ -108,7 +109,7 @@
         self._prefiller: Link | None = None
         self._charge: Charge | None = None
         self._charging: Deferred[Charge | Refused] | None = None
-        self._waiting_since = request.arrived
+        self._waiting_since = self._heard_at = request.arrived
         self._probe: Deferred[None] | None = None
         self._begun = False
         self._prefill_ordered = False
@@ -348,6 +349,8 @@
     def _take_frame(self, frame: Frame) -> None:
         progress = self._assembly.accept(frame.attempt, frame.offset, frame.tokens, frame.finish)
         if progress.tokens:
+            if not self._delivered:
+                self._router.events.emit(AnswerBegun(self.request.request))
             self._delivered += progress.tokens
             self._sink.put_tokens(progress.tokens)
         if progress.finish is not None:
@@ -355,8 +358,8 @@
             return
         if self._assembly.offset - self._acked >= ACK_TOKENS:
             self._ack()
-        if self.state is RunState.DECODING:
-            self._expect(STALL_TIMEOUT, self._stall)
+        # the timer stands; it looks at this when it fires
+        self._heard_at = self._router.clock.now()
 
     def _finish(self, reason: FinishReason) -> None:
         self._ack(end=1)
@@ -394,6 +397,11 @@
         return self._prefiller is not None and self._prefiller.peer.host == host
 
     def _stall(self) -> None:
+        if self.state is RunState.DECODING:
+            left = self._heard_at + STALL_TIMEOUT - self._router.clock.now()
+            if left > timedelta(0):
+                self._expect(left, self._stall)
+                return
         started = self.state is RunState.DECODING
         link = self._prefiller if self.state is RunState.PREFILLING else self._decoder
         assert link is not None
