Let links fall idle: end the wake-up that two links gave each other for ever

Cause: the last busy heartbeat of one end, heard more than 5 s after the other end's last use, woke that end, whose busy heartbeat woke the first again; and every question for the document's state woke its link. No link of a quiet fleet ever fell idle. After: only a change from idle to busy wakes the other end, and questions for the document's state keep no link busy. The new test fails without the change.

--- a/src/lavenderrun/services/_link.py
+++ b/src/lavenderrun/services/_link.py
@@ -9,6 +9,8 @@
 from lavenderrun.codecs import WireCodec, WireError
 from lavenderrun.kernel import Clock
 from lavenderrun.types import (
+    DocumentAsk,
+    DocumentState,
     DocumentVersion,
     Heartbeat,
     Hello,
@@ -22,6 +24,8 @@
 BUSY_FOR = timedelta(seconds=5)
 GREETING_TIMEOUT = timedelta(seconds=2)
 SILENCE_FACTOR = 3
+BACKGROUND = (DocumentAsk, DocumentState)
+"""Messages that keep no link busy: a lost one is asked again of another peer."""
 
 
 class LinkState(Enum):
@@ -79,6 +83,7 @@
         self._peer: Hello | None = None
         self._queue: list[Message] = []
         self._flushing = False
+        self._peer_interval = BUSY_INTERVAL
         self._used_at = clock.now()
         self._deadline = self._used_at + GREETING_TIMEOUT
         self._watch = clock.call_later(GREETING_TIMEOUT, self._check_silence)
@@ -105,10 +110,11 @@
         """Queue a message for the next flush; see ``Link``."""
         if self._state is LinkState.CLOSED:
             return False
-        now = self._clock.now()
-        if now - self._used_at > BUSY_FOR:
-            self._wake(now)
-        self._used_at = now
+        if not isinstance(message, BACKGROUND):
+            now = self._clock.now()
+            if now - self._used_at > BUSY_FOR:
+                self._wake(now)
+            self._used_at = now
         self._put(message)
         return True
 
@@ -186,20 +192,25 @@
 
     def _extend_deadline(self, messages: list[Message]) -> None:
         now = self._clock.now()
-        interval = BUSY_INTERVAL
+        interval = None
         for message in messages:
             if isinstance(message, Heartbeat):
                 self._take_heartbeat(message, now)
                 interval = message.next_in
-            else:
+            elif not isinstance(message, BACKGROUND):
                 self._used_at = now
-        self._set_deadline(now + interval * SILENCE_FACTOR)
+                interval = interval or BUSY_INTERVAL
+        if interval is not None:
+            self._set_deadline(now + interval * SILENCE_FACTOR)
 
     def _take_heartbeat(self, beat: Heartbeat, now: datetime) -> None:
         self.leaving = beat.leaving
         if beat.load is not None:
             self.heard_load = beat.load
-        if beat.next_in <= BUSY_INTERVAL and now - self._used_at > BUSY_FOR:
+        # a peer's last busy heartbeats must not wake this end, which would wake the peer for ever
+        woke = beat.next_in <= BUSY_INTERVAL < self._peer_interval
+        self._peer_interval = beat.next_in
+        if woke and now - self._used_at > BUSY_FOR:
             self._used_at = now
             self.announce()
 
--- a/tests/services/test_links.py
+++ b/tests/services/test_links.py
@@ -13,6 +13,7 @@
     BootId,
     Cancel,
     DataCentre,
+    DocumentAsk,
     Hello,
     HostId,
     HostRole,
@@ -121,3 +122,23 @@
     pair.entry.keep([])
     pair.run(3.0)
     assert pair.entry.find(HostId("agent-1")) is None
+
+
+def test_link_out_of_use_falls_idle_and_background_traffic_keeps_it_so() -> None:
+    pair = Pair()
+    pair.to_agent().send(CANCEL)
+    pair.run(20)
+    sent: list[bytes] = []
+    later: Any = pair.network.later
+
+    def count(pipe: Any, call: Any, *args: Any) -> None:
+        sent.extend(args)
+        later(pipe, call, *args)
+
+    pair.network.later = count  # type: ignore[method-assign]
+    for _ in range(30):
+        pair.to_agent().send(DocumentAsk(1))
+        pair.run(1)
+    # 30 questions, and a heartbeat each way every five seconds
+    assert len(sent) <= 30 + 2 * 7
+    assert pair.downs == {}
