--- a/src/lavenderrun/services/_policies.py
+++ b/src/lavenderrun/services/_policies.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, fields
 
-from lavenderrun.kernel import Kernel
+from lavenderrun.kernel import Kernel, UnknownNameError
 
 
 @dataclass(frozen=True)
@@ -26,6 +26,14 @@
 
     @classmethod
     def of(cls, kernel: Kernel) -> Policies:
-        """Return those that the settings name, else the defaults."""
+        """Return those provided under ``policies``, else those that the settings name.
+
+        :raises UnknownNameError: when the settings name a part that has no policies.
+        """
+        if kernel.has("policies"):
+            return kernel.find("policies", cls)
         named: dict[str, str] = getattr(kernel.settings, "policies", {})
-        return cls(**{each.name: named[each.name] for each in fields(cls) if each.name in named})
+        parts = sorted(each.name for each in fields(cls))
+        for part in sorted(named.keys() - set(parts)):
+            raise UnknownNameError("part with policies", part, parts)
+        return cls(**named)
--- /dev/null
+++ b/tests/services/test_policies.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from lavenderrun.kernel import Kernel, UnknownNameError
+from lavenderrun.services import Policies
+
+
+@dataclass
+class Settings:
+    policies: dict[str, str] = field(default_factory=dict)
+
+
+def make(**policies: str) -> Kernel:
+    clock: Any = None
+    return Kernel(clock, Settings(policies))
+
+
+def test_provided_policies_go_before_those_of_the_settings() -> None:
+    kernel = make(queue="fair", placement="shortest")
+    assert Policies.of(kernel).placement == "shortest"
+    kernel.provide("policies", Policies(queue="fifo"))
+    assert Policies.of(kernel) == Policies(queue="fifo")
+
+
+def test_a_part_without_policies_is_refused() -> None:
+    with pytest.raises(UnknownNameError, match="'placment': one of limits, placement"):
+        Policies.of(make(placment="power"))
