--- a/src/lavenderrun/decisions/_affinity.py
+++ b/src/lavenderrun/decisions/_affinity.py
@@ -30,6 +30,8 @@
 BLOCK_TOKENS = 1000
 BLOCK_CHARACTERS = 4 * BLOCK_TOKENS
 MAX_BLOCKS = 1 << 16
+MAX_HOLDERS_KNOWN = 12
+"""Hosts that are remembered for a block, the latest ones; more would not change the choice."""
 BELIEF_AGE = timedelta(minutes=10)
 TRUST_MEMORY = 0.2
 SAMPLE = 2
@@ -65,7 +67,11 @@
     def store(self, host: HostId, blocks: Sequence[str], now: datetime) -> None:
         """Believe that *host* caches *blocks*."""
         for block in blocks:
-            self._blocks.setdefault(block, {})[host] = now
+            holders = self._blocks.setdefault(block, {})
+            holders.pop(host, None)
+            holders[host] = now
+            if len(holders) > MAX_HOLDERS_KNOWN:
+                del holders[next(iter(holders))]
             self._blocks.move_to_end(block)
         while len(self._blocks) > self._maximum:
             self._blocks.popitem(last=False)
@@ -157,7 +163,7 @@
             rejected.append(RejectedHost(candidate.host, bar, timedelta(0)))
     if not ranked:
         return Choice(None, timedelta(0), tuple(rejected))
-    ranked.sort()
+    ranked.sort(key=lambda item: item[0])
     for lead, index in ranked[1:]:
         other = candidates[index]
         busy = need.link(other)[0] > BUSY_LINK
@@ -170,11 +176,11 @@
 @PREFILL_PLACEMENTS.register("affinity")
 def place_by_affinity(candidates: Pool, need: PrefillNeed, chance: Chance) -> Choice:
     """Choose the earliest arrival among the believed holders and a random few."""
-    indexes = set(sample(len(candidates), SAMPLE, chance))
+    indexes = dict.fromkeys(sample(len(candidates), SAMPLE, chance))
     if need.cached:
         holders = sorted(need.cached, key=need.cached.__getitem__, reverse=True)[:MAX_HOLDERS]
-        indexes |= {at for host in holders if (at := candidates.find(host)) is not None}
-    choice = _pick(candidates, need, sorted(indexes))
+        indexes |= {at: None for host in holders if (at := candidates.find(host)) is not None}
+    choice = _pick(candidates, need, indexes.keys())
     if choice.chosen is None:
         return place_prefill_at_shortest(candidates, need, chance)
     return choice
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -111,7 +111,8 @@
     :param lead: time that prefill and transfer are expected to take.
     :param patience: how long the request may wait for a seat.
     :param urgency: target for the first token; the smaller the sooner it is served.
-    :param solo: run only when nothing else runs on the backend server.
+    :param cohort: for a suspect, most suspects that may share the backend server with nothing
+        else on it; zero for a request that is none.
     """
 
     request: RequestId
@@ -125,7 +126,7 @@
     patience: timedelta
     urgency: timedelta
     weight: float = 1.0
-    solo: bool = False
+    cohort: int = 0
     fingerprint: Fingerprint = Fingerprint("")
 
 
@@ -212,6 +213,7 @@
 
     :param offset: position of the first token in the whole answer.
     :param finish: set on the last frame.
+    :param imported: time from the start of the import to the first token, on the first frame.
     """
 
     request: RequestId
@@ -219,6 +221,7 @@
     offset: int
     tokens: list[str]
     finish: FinishReason | None = None
+    imported: timedelta | None = None
 
 
 @message("ack")
