Report only the work that a new request would wait for

Cause: the backlog of an agent counted late jobs, behind which a new request does not wait, so placement under overload followed noise and random choice was better.

--- a/src/lavenderrun/decisions/_fairqueue.py
+++ b/src/lavenderrun/decisions/_fairqueue.py
@@ -61,6 +61,12 @@
         """Return the summed cost in seconds."""
         return self._work
 
+    @property
+    def pressing(self) -> float:
+        """Return the summed cost in seconds of the jobs that can still meet their target."""
+        late = sum(account.late_work for account in self._accounts.values())
+        return max(0.0, self._work - late)
+
     @property
     def accounts(self) -> int:
         """Return the number of accounts that state is kept for."""
--- a/src/lavenderrun/decisions/_placement.py
+++ b/src/lavenderrun/decisions/_placement.py
@@ -129,11 +129,12 @@
     load = candidate.load
     if load is None:
         return 0.0
-    free = load.seats - load.taken - load.queued - candidate.sent
+    waiting = load.queued if load.backlog else 0
+    free = load.seats - load.taken - waiting - candidate.sent
     if free > 0:
         return -free / load.seats
     backlog = load.backlog.total_seconds() + candidate.work / load.seats
-    return NO_SEAT_SECONDS * (1 - free) + backlog
+    return NO_SEAT_SECONDS * (1 + candidate.sent) + backlog
 
 
 def find_bar(candidate: Candidate, tried: Collection[HostId]) -> Reason | None:
--- a/src/lavenderrun/decisions/_queue.py
+++ b/src/lavenderrun/decisions/_queue.py
@@ -51,6 +51,10 @@
     def work(self) -> float:
         """Return the summed cost of all waiting jobs in seconds."""
 
+    @property
+    def pressing(self) -> float:
+        """Return the summed cost in seconds of the jobs that a new one would wait for."""
+
     def push(self, job: Job, now: datetime) -> None:
         """Add a job; a key that waits already is ignored."""
 
@@ -104,6 +108,11 @@
         """Return the summed cost in seconds."""
         return self._work if self._jobs else 0.0
 
+    @property
+    def pressing(self) -> float:
+        """Return the summed cost in seconds."""
+        return self.work
+
     def push(self, job: Job, now: datetime) -> None:
         """Add a job at the end."""
         if job.key in self._jobs:
--- a/src/lavenderrun/decisions/_seats.py
+++ b/src/lavenderrun/decisions/_seats.py
@@ -90,7 +90,7 @@
 
     def load(self) -> Load:
         """Return the load to report."""
-        backlog = timedelta(seconds=self._queue.work / self.seats)
+        backlog = timedelta(seconds=self._queue.pressing / self.seats)
         return Load(self.seats, len(self._taken), len(self._waiting), backlog, self.pieces_free)
 
     def reserve(self, request: SeatRequest, now: datetime) -> list[SeatAction]:
