Check the fronts' certificates before anything starts

Cause: a bad certificate of the front or the operators' API failed the start of its service, and the stop of those already started waits for the table service. Before: with the table service down the process was still ending after 5 s.

--- a/src/lavenderrun/commands/_daemons.py
+++ b/src/lavenderrun/commands/_daemons.py
@@ -50,11 +50,11 @@
     reactor = install_loop()
     from lavenderrun.daemons import Daemon  # needs the installed reactor
     from lavenderrun.kernel import ReactorClock
-    from lavenderrun.services import CertificateError
+    from lavenderrun.services import CertificateError, ListenError
 
     try:
         daemon = Daemon(ReactorClock.starting_now(reactor), settings)
-    except (CertificateError, LookupError) as error:
+    except (CertificateError, ListenError, LookupError) as error:
         sys.stderr.write(f"{args.settings}: {error}\n")
         return 2
 
--- a/src/lavenderrun/daemons/_daemon.py
+++ b/src/lavenderrun/daemons/_daemon.py
@@ -15,14 +15,18 @@
     list_agent_services,
 )
 from lavenderrun.kernel import Clock, Kernel
-from lavenderrun.services import AdminService, FrontService, MetricsPage, check_readiness
+from lavenderrun.services import AdminService, FrontService, MetricsPage, check_readiness, check_tls
 from lavenderrun.types import AgentSettings, EntrySettings
 
 CHECK_EVERY: Final = timedelta(milliseconds=20)
 
 
 class Daemon:
-    """An entry or an agent, as its settings say."""
+    """An entry or an agent, as its settings say.
+
+    :raises CertificateError: names the setting of a link's certificate that can not be used.
+    :raises ListenError: the same for the callers' and the operators' front.
+    """
 
     def __init__(self, clock: Clock, settings: EntrySettings | AgentSettings) -> None:
         self.kernel = Kernel(clock, settings)
@@ -31,6 +35,8 @@
         self._running = False
         # the pages go first, for the departure must be last
         if isinstance(settings, EntrySettings):
+            check_tls("front", settings.front.certificate, settings.front.private_key)
+            check_tls("admin", settings.admin.certificate, settings.admin.private_key)
             self.kernel.build(ENTRY_PAGES + ENTRY_SERVICES)
         else:
             self.kernel.build(AGENT_PAGES + list_agent_services(settings.serves.role))
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -19,7 +19,7 @@
 from lavenderrun.services._leases import LeasesService
 from lavenderrun.services._limits import LimitsService
 from lavenderrun.services._links import LinksService
-from lavenderrun.services._listener import Listener, ListenError
+from lavenderrun.services._listener import Listener, ListenError, check_tls
 from lavenderrun.services._membership import Membership
 from lavenderrun.services._metrics import METRICS, MetricsService
 from lavenderrun.services._metrics_page import MetricsPage
@@ -79,4 +79,5 @@
     "StoreClient",
     "StoreCounters",
     "check_readiness",
+    "check_tls",
 ]
--- a/src/lavenderrun/services/_listener.py
+++ b/src/lavenderrun/services/_listener.py
@@ -86,3 +86,17 @@
     except (SSL.Error, crypto.Error) as error:
         msg = f"private_key: {private_key} does not fit certificate {certificate}"
         raise ListenError(msg) from error
+
+
+def check_tls(section: str, certificate: str | None, private_key: str | None) -> None:
+    """Check the files that a section of the settings names, before anything listens.
+
+    :raises ListenError: names section and setting.
+    """
+    if certificate is None and private_key is None:
+        return
+    try:
+        make_tls_context(certificate, private_key)
+    except ListenError as error:
+        msg = f"{section}.{error}"
+        raise ListenError(msg) from error
