--- a/src/lavenderrun/daemons/_loop.py
+++ b/src/lavenderrun/daemons/_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Callable, Coroutine
@@ -16,6 +17,8 @@
 
 def install_loop() -> Any:
     """Install and return the reactor; call it before any import of ``twisted.internet.reactor``."""
+    # a peer's planned stop is no news for standard error
+    os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
     if "twisted.internet.reactor" not in sys.modules:
         loop = asyncio.new_event_loop()
         asyncio.set_event_loop(loop)
--- a/src/lavenderrun/demo/_demo.py
+++ b/src/lavenderrun/demo/_demo.py
@@ -62,6 +62,7 @@
         self._deployment: Deployment = DEPLOYMENTS.find(deployment)()
         self._port = port
         self._fabric = Fabric(self.clock)
+        self._desk = PlainCore()
         self._running = True
         self._ports: list[Any] = []
         self._agents: list[Daemon] = []
@@ -160,7 +161,7 @@
 
     def _serve_backend(self, backend: Backend) -> str:
         if backend.role is BackendRole.PLAIN:
-            return self._serve(PlainResource(self.clock, PlainCore()))
+            return self._serve(PlainResource(self.clock, self._desk))
         model = EngineModel(
             self.clock,
             self._fabric,
