--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -11,10 +11,16 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
-from lavenderrun.decisions import Assembly, count_tokens, hash_blocks
+from lavenderrun.decisions import count_tokens, hash_blocks
 from lavenderrun.services._chooser import Demand
+from lavenderrun.services._model_answer import Answer
+from lavenderrun.services._model_orders import (
+    OrderTerms,
+    make_prefill,
+    make_reserve,
+    make_start,
+)
 from lavenderrun.types import (
-    Ack,
     AdmittedModel,
     AnswerBegun,
     AnswerSink,
@@ -29,7 +35,6 @@
     Message,
     ModelRequest,
     Outcome,
-    Prefill,
     Prefilled,
     Refusal,
     Refused,
@@ -38,10 +43,8 @@
     RequestCancelled,
     RequestFinished,
     RequestRefused,
-    Reserve,
     Resume,
     SeatPromised,
-    Start,
     Step,
     Strike,
     Verdict,
@@ -53,7 +56,6 @@
 MAX_TRIES = 4
 HARMLESS = (Refusal.BACKEND_LOST, Refusal.LEAVING)
 """Refusals of an attempt that did not begin, which cost patience but no try."""
-ACK_TOKENS = 64
 ANSWER_MARGIN = timedelta(seconds=1)
 BACKOFF = timedelta(milliseconds=50)
 BACKOFF_MOST = timedelta(seconds=2)
@@ -101,9 +103,7 @@
         self._sink = sink
         self._prompt_tokens = count_tokens(request.prompt)
         self._max_tokens = min(request.max_tokens, admitted.route.max_output_tokens)
-        self._assembly = Assembly()
-        self._delivered: list[str] = []
-        self._acked = 0
+        self._answer = Answer(request, sink)
         self._attempt = AttemptId(0)
         self._failed_hosts: set[HostId] = set()
         self._demand: Demand | None = None
@@ -162,7 +162,7 @@
             return
         self._decoder = link
         self.state = RunState.DECODING
-        link.send(Resume(self.request.request, self._attempt, self._assembly.offset))
+        link.send(Resume(self.request.request, self._attempt, self._answer.offset))
         self._expect(STALL_TIMEOUT, self._stall)
 
     def link_down(self, link: Link) -> None:
@@ -177,7 +177,7 @@
 
     def withdraw(self, refusal: Refusal) -> None:
         """Refuse the request as not run unless its answer has begun."""
-        if self.state in WAITING and not self._assembly.offset:
+        if self.state in WAITING and not self._answer.offset:
             self._drop_attempt()
             self._refuse(Refused(refusal, Outcome.NOT_RUN, Step.ADMISSION))
 
@@ -233,7 +233,7 @@
         self._reserve(link, left)
 
     def _reserve(self, link: Link, left: timedelta) -> None:
-        route, demand = self.admitted.route, self._demand
+        demand = self._demand
         assert demand is not None
         cohort = self._router.quarantine.find_cohort(self.admitted.fingerprint)
         expected = self._router.chooser.choose_prefill(
@@ -242,23 +242,8 @@
         self._decoder = link
         self._attempt = AttemptId(self._attempt + 1)
         self.state = RunState.SEATING
-        link.send(
-            Reserve(
-                request=self.request.request,
-                attempt=self._attempt,
-                account=self.admitted.account or "",  # type: ignore[arg-type]
-                route=route.name,
-                model=route.model,
-                prompt_tokens=demand.tokens,
-                max_tokens=demand.max_tokens,
-                lead=timedelta(0) if expected is None else expected.lead,
-                patience=left,
-                urgency=self._urgency_left(),
-                weight=self._router.weigh(self.admitted),
-                cohort=cohort,
-                fingerprint=self.admitted.fingerprint,
-            )
-        )
+        lead = timedelta(0) if expected is None else expected.lead
+        link.send(make_reserve(self._make_terms(left), demand, lead, cohort))
         if cohort:
             self._expect(left + ANSWER_MARGIN, self._stall)
         else:
@@ -304,7 +289,6 @@
     def _take_seat(self, promise: SeatPromised) -> None:
         assert self._decoder is not None
         assert self._demand is not None
-        route = self.admitted.route
         choice = self._router.chooser.choose_prefill(
             self._demand, self._decoder.peer.data_centre, self._failed_hosts
         )
@@ -318,72 +302,55 @@
         start_in = max(choice.hold, promise.ready_in - choice.lead)
         patience = min(max(self._patience_left(), ANSWER_MARGIN), PREFILL_PATIENCE)
         self._prefill_ordered = True
-        choice.link.send(
-            Prefill(
-                request=self.request.request,
-                attempt=self._attempt,
-                account=self.admitted.account or "",  # type: ignore[arg-type]
-                model=route.model,
-                text=self._text(),
-                tokens=self._demand.tokens,
-                start_in=start_in,
-                patience=patience,
-                urgency=self._urgency_left(),
-                weight=self._router.weigh(self.admitted),
-                fingerprint=self.admitted.fingerprint,
-            )
-        )
+        terms = self._make_terms(patience)
+        choice.link.send(make_prefill(terms, self._demand, self._answer.text, start_in))
         self._expect(patience + start_in + ANSWER_MARGIN, self._stall)
 
     def _describe(self) -> Demand:
         return Demand(
             self.request.request,
             self.admitted.route.model,
-            self._prompt_tokens + self._assembly.offset,
-            self._max_tokens - self._assembly.offset,
-            hash_blocks(self._text()),
+            self._prompt_tokens + self._answer.offset,
+            self._max_tokens - self._answer.offset,
+            hash_blocks(self._answer.text),
         )
 
-    def _text(self) -> str:
-        return self.request.prompt + "".join(self._delivered)
+    def _make_terms(self, patience: timedelta) -> OrderTerms:
+        return OrderTerms(
+            self.request.request,
+            self._attempt,
+            self.admitted,
+            self._urgency_left(),
+            patience,
+            self._router.weigh(self.admitted),
+        )
 
     def _take_prefill(self, done: Prefilled, host: HostId) -> None:
         assert self._decoder is not None
         assert self._demand is not None
         self._router.chooser.note_load(host, done.load)
         self._router.chooser.learn_prefill(self._demand, done, host)
-        if not self._assembly.offset and not self._may_start():
+        if not self._answer.offset and not self._may_start():
             return
         self.state = RunState.DECODING
-        self._assembly.begin(self._attempt)
-        self._decoder.send(
-            Start(
-                request=self.request.request,
-                attempt=self._attempt,
-                handle=done.handle,
-                source=done.source,
-                tokens=done.tokens,
-                offset=self._assembly.offset,
-                max_tokens=self._max_tokens - self._assembly.offset,
-            )
-        )
+        self._answer.begin(self._attempt)
+        offset = self._answer.offset
+        self._decoder.send(make_start(done, offset, self._max_tokens - offset))
         self._expect(STALL_TIMEOUT, self._stall)
 
     # decode
 
     def _take_frame(self, frame: Frame) -> None:
-        progress = self._assembly.accept(frame.attempt, frame.offset, frame.tokens, frame.finish)
+        fresh = not self._answer.offset
+        progress = self._answer.take(frame)
         if frame.imported is not None:
             self._learn_transfer(frame.imported)
-        if progress.tokens:
-            if not self._delivered:
-                self._router.events.emit(AnswerBegun(self.request.request))
-            self._delivered += progress.tokens
-            self._sink.put_tokens(progress.tokens)
+        if fresh and progress.tokens:
+            self._router.events.emit(AnswerBegun(self.request.request))
         if progress.finish is not None:
             self._finish(progress.finish)
             return
-        if self._assembly.offset - self._acked >= ACK_TOKENS:
+        if self._answer.is_ack_due:
             self._ack()
         # the timer stands; it looks at this when it fires
         self._heard_at = self._router.clock.now()
@@ -394,7 +361,7 @@
 
     def _finish(self, reason: FinishReason) -> None:
         self._ack(end=1)
-        self._router.events.emit(RequestFinished(self.request.request, self._assembly.offset))
+        self._router.events.emit(RequestFinished(self.request.request, self._answer.offset))
         quarantine = self._router.quarantine
         if quarantine.verdict(self.admitted.fingerprint) is not Verdict.CLEAR:
             quarantine.acquit(self.admitted.fingerprint)
@@ -402,9 +369,8 @@
         self._sink.finish(reason)
 
     def _ack(self, *, end: int = 0) -> None:
-        self._acked = self._assembly.offset + end
         if self._decoder is not None:
-            self._decoder.send(Ack(self.request.request, self._attempt, self._acked))
+            self._decoder.send(self._answer.make_ack(self._attempt, end=end))
 
     # failure
 
@@ -450,7 +416,7 @@
         self._drop_attempt()
         self._failed_hosts.add(host)
         once = self.admitted.route.repeatability is Repeatability.AT_MOST_ONCE
-        if once and (started or self._assembly.offset):
+        if once and (started or self._answer.offset):
             self._refuse(Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.DECODE, host))
             return
         if started:
@@ -525,7 +491,7 @@
         charge, self._charge = self._charge, None
         if charge is None:
             return
-        used = self._prompt_tokens + self._assembly.offset if self._attempt else 0
+        used = self._prompt_tokens + self._answer.offset if self._attempt else 0
         unused = charge.tokens - used
         if unused > 0:
             self._router.limits.give_back(charge, unused)
