--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -85,6 +85,7 @@
 from lavenderrun.decisions._tokens import count_tokens
 from lavenderrun.decisions._tombstones import Tombstones
 from lavenderrun.decisions._transfers import LinkBudget
+from lavenderrun.decisions._tries import AfterFailure, Tries, find_backoff
 
 __all__ = [
     "INVARIANT_CHECKS",
@@ -96,6 +97,7 @@
     "QUEUE_POLICIES",
     "Abort",
     "AdmissionIndex",
+    "AfterFailure",
     "Assembly",
     "Assignment",
     "Blocked",
@@ -164,6 +166,7 @@
     "StoredLease",
     "StoredSlot",
     "Tombstones",
+    "Tries",
     "Violation",
     "assign",
     "check_record",
@@ -173,6 +176,7 @@
     "count_pieces",
     "count_tokens",
     "digest_key",
+    "find_backoff",
     "find_changes",
     "find_home",
     "find_plain_route",
--- /dev/null
+++ b/src/lavenderrun/services/_model_charge.py
@@ -0,0 +1,58 @@
+"""The charge of one model request to its account's rate."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from lavenderrun.types import AccountId, Charge, Limits, Outcome, Refusal, Refused, Step
+
+
+class RequestCharge:
+    """Prompt and allowed output, charged before anything else; the unused part goes back."""
+
+    def __init__(self, limits: Limits) -> None:
+        self._limits = limits
+        self._charge: Charge | None = None
+        self._charging: Deferred[Charge | Refused] | None = None
+        self._ended = False
+
+    def begin(
+        self,
+        account: AccountId,
+        tokens: int,
+        patience: timedelta,
+        done: Callable[[Refused | None], None],
+    ) -> None:
+        """Charge the account and call *done* with nothing or with the refusal."""
+
+        def take(result: Charge | Refused) -> None:
+            self._charging = None
+            if isinstance(result, Refused):
+                done(result)
+                return
+            self._charge = result
+            if self._ended:
+                self.end(0)
+            else:
+                done(None)
+
+        def fail(failure: Failure) -> None:
+            self._charging = None
+            if not isinstance(failure.value, CancelledError):
+                done(Refused(Refusal.NOT_READY, Outcome.NOT_RUN, Step.LIMIT))
+
+        self._charging = self._limits.charge(account, 1.0, float(tokens), patience)
+        self._charging.addCallbacks(take, fail)
+
+    def end(self, used: int) -> None:
+        """Give back what was charged beyond *used* tokens, or give the charge up."""
+        self._ended = True
+        if self._charging is not None:
+            self._charging.cancel()
+        charge, self._charge = self._charge, None
+        if charge is not None and charge.tokens > used:
+            self._limits.give_back(charge, charge.tokens - used)
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -8,12 +8,12 @@
 from typing import TYPE_CHECKING
 
 from msgspec import structs
-from twisted.internet.defer import CancelledError, Deferred
-from twisted.python.failure import Failure
+from twisted.internet.defer import Deferred
 
-from lavenderrun.decisions import count_tokens, hash_blocks
+from lavenderrun.decisions import AfterFailure, Tries, count_tokens, find_backoff, hash_blocks
 from lavenderrun.services._chooser import Demand
 from lavenderrun.services._model_answer import Answer
+from lavenderrun.services._model_charge import RequestCharge
 from lavenderrun.services._model_orders import (
     OrderTerms,
     make_prefill,
@@ -27,7 +27,6 @@
     AttemptFailed,
     AttemptId,
     Cancel,
-    Charge,
     FinishReason,
     Frame,
     HostId,
@@ -38,7 +37,6 @@
     Prefilled,
     Refusal,
     Refused,
-    Repeatability,
     RequestAccepted,
     RequestCancelled,
     RequestFinished,
@@ -53,12 +51,7 @@
 if TYPE_CHECKING:
     from lavenderrun.services._model_router import ModelRouter
 
-MAX_TRIES = 4
-HARMLESS = (Refusal.BACKEND_LOST, Refusal.LEAVING)
-"""Refusals of an attempt that did not begin, which cost patience but no try."""
 ANSWER_MARGIN = timedelta(seconds=1)
-BACKOFF = timedelta(milliseconds=50)
-BACKOFF_MOST = timedelta(seconds=2)
 BUDGET_PAUSE = timedelta(milliseconds=300)
 RESUME_GRACE = timedelta(seconds=2)
 MOVE_AFTER = timedelta(milliseconds=100)
@@ -109,13 +102,11 @@
         self._demand: Demand | None = None
         self._decoder: Link | None = None
         self._prefiller: Link | None = None
-        self._charge: Charge | None = None
-        self._charging: Deferred[Charge | Refused] | None = None
-        self._waiting_since = self._heard_at = request.arrived
+        self._charge = RequestCharge(router.limits)
+        self._heard_at = request.arrived
         self._probe: Deferred[None] | None = None
-        self._begun = False
-        self._prefill_ordered = False
-        self._tries = 0
+        route = admitted.route
+        self._tries = Tries(request.arrived, route.patience, route.repeatability)
         self._timer = router.clock.call_later(timedelta(0), lambda: None)
 
     def begin(self) -> None:
@@ -133,10 +124,8 @@
         if account is None:
             self._seek_seat()
             return
-        tokens = float(self._prompt_tokens + self._max_tokens)
-        charging = router.limits.charge(account, 1.0, tokens, self.admitted.route.patience)
-        self._charging = charging
-        charging.addCallbacks(self._take_charge, self._fail_charge)
+        tokens = self._prompt_tokens + self._max_tokens
+        self._charge.begin(account, tokens, self.admitted.route.patience, self._take_charge)
 
     def take(self, link: Link, message: Message) -> None:
         """Take an agent's message; those of earlier attempts are dropped."""
@@ -189,24 +178,13 @@
         self._router.events.emit(RequestCancelled(self.request.request))
         self._end()
 
-    # charge
-
-    def _take_charge(self, result: Charge | Refused) -> None:
-        self._charging = None
-        if isinstance(result, Refused):
-            if self.state is not RunState.DONE:
-                self._refuse(result)
-            return
-        self._charge = result
+    def _take_charge(self, refused: Refused | None) -> None:
         if self.state is RunState.DONE:
-            self._give_back()
-        else:
+            return
+        if refused is None:
             self._seek_seat()
-
-    def _fail_charge(self, failure: Failure) -> None:
-        self._charging = None
-        if not isinstance(failure.value, CancelledError) and self.state is not RunState.DONE:
-            self._refuse(Refused(Refusal.NOT_READY, Outcome.NOT_RUN, Step.LIMIT))
+        else:
+            self._refuse(refused)
 
     # seat and prefill
 
@@ -301,7 +279,7 @@
         self.state = RunState.PREFILLING
         start_in = max(choice.hold, promise.ready_in - choice.lead)
         patience = min(max(self._patience_left(), ANSWER_MARGIN), PREFILL_PATIENCE)
-        self._prefill_ordered = True
+        self._tries.prefill_ordered = True
         terms = self._make_terms(patience)
         choice.link.send(make_prefill(terms, self._demand, self._answer.text, start_in))
         self._expect(patience + start_in + ANSWER_MARGIN, self._stall)
@@ -377,7 +355,7 @@
     def _take_failure(self, host: HostId, failed: AttemptFailed) -> None:
         refused = failed.refused
         if self._is_prefiller(host) and refused.outcome is Outcome.NOT_RUN:
-            self._prefill_ordered = False
+            self._tries.prefill_ordered = False
         if refused.step is Step.TRANSFER:
             self._learn_transfer(None)
         if failed.crashed:
@@ -415,23 +393,22 @@
         costly = started or self.state in (RunState.DECODING, RunState.RESUMING)
         self._drop_attempt()
         self._failed_hosts.add(host)
-        once = self.admitted.route.repeatability is Repeatability.AT_MOST_ONCE
-        if once and (started or self._answer.offset):
-            self._refuse(Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.DECODE, host))
-            return
-        if started:
-            self._begun = True
-            # an answer that was cut off waits anew; its first wait is paid
-            self._waiting_since = self._router.clock.now()
-        if started or refused.refusal not in HARMLESS:
-            self._tries += 1
-        if self._tries >= MAX_TRIES:
-            self._refuse(refused)
-        elif costly:
-            self._await_retry(refused)
-        else:
-            # nothing was spent, so the budget for retries is not touched either
-            self._back_off()
+        next_step = self._tries.fail(
+            refused,
+            self._router.clock.now(),
+            started=started,
+            costly=costly,
+            delivered=self._answer.offset > 0,
+        )
+        match next_step:
+            case AfterFailure.REFUSE_UNKNOWN:
+                self._refuse(Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.DECODE, host))
+            case AfterFailure.REFUSE:
+                self._refuse(refused)
+            case AfterFailure.RETRY_IN_BUDGET:
+                self._await_retry(refused)
+            case AfterFailure.RETRY:
+                self._back_off()
 
     def _await_retry(self, refused: Refused) -> None:
         """Retry once the budget allows it; an outage is not amplified and no request is lost."""
@@ -447,32 +424,28 @@
 
     def _back_off(self) -> None:
         self.state = RunState.BACKING_OFF
-        pause = min(BACKOFF * 2 ** min(self._attempt, 10), BACKOFF_MOST)
-        self._expect(pause * self._router.chance.uniform(0.5, 1.5), self._seek_seat)
+        pause = find_backoff(self._attempt, self._router.chance.uniform(0.5, 1.5))
+        self._expect(pause, self._seek_seat)
 
     def _drop_attempt(self) -> None:
-        # a prefill that was ordered may have run, whatever became of the attempt
-        self._begun = self._begun or self._prefill_ordered
-        self._prefill_ordered = False
+        self._tries.drop()
         self._timer.cancel()
         for link in (self._decoder, self._prefiller):
             if link is not None:
                 link.send(Cancel(self.request.request, self._attempt))
         self._decoder = self._prefiller = None
-        if self._charging is not None:
-            self._charging.cancel()
         if self.state is RunState.PROBING and self._probe is not None:
             self._probe.cancel()
 
     def _refuse_with(self, refusal: Refusal, link: Link | None = None) -> Refused:
-        outcome = Outcome.UNKNOWN if self._begun else Outcome.NOT_RUN
         peer = "" if link is None else link.peer.host
+        outcome = self._tries.outcome
         return Refused(refusal, outcome, Step.SEAT, peer, retry_after=ANSWER_MARGIN)
 
     def _refuse(self, refused: Refused) -> None:
-        if self._begun and refused.outcome is Outcome.NOT_RUN:
-            # the last attempt was not run, but an earlier one was
-            refused = structs.replace(refused, outcome=Outcome.UNKNOWN)
+        if refused.outcome is Outcome.NOT_RUN:
+            # the last attempt was not run, but an earlier one may have been
+            refused = structs.replace(refused, outcome=self._tries.outcome)
         self._router.events.emit(RequestRefused(self.request.request, refused))
         self._end()
         self._sink.refuse(refused)
@@ -484,25 +457,15 @@
         if self._probe is not None:
             self._router.quarantine.end_probe(self.admitted.fingerprint, self.request.request)
         self.state = RunState.DONE
-        self._give_back()
+        self._charge.end(self._prompt_tokens + self._answer.offset if self._attempt else 0)
         self._router.forget(self)
 
-    def _give_back(self) -> None:
-        charge, self._charge = self._charge, None
-        if charge is None:
-            return
-        used = self._prompt_tokens + self._answer.offset if self._attempt else 0
-        unused = charge.tokens - used
-        if unused > 0:
-            self._router.limits.give_back(charge, unused)
-
     def _urgency_left(self) -> timedelta:
-        waited = self._router.clock.now() - self._waiting_since
+        waited = self._tries.find_waited(self._router.clock.now())
         return max(timedelta(0), self.admitted.route.targets.first_token - waited)
 
     def _patience_left(self) -> timedelta:
-        waited = self._router.clock.now() - self._waiting_since
-        return self.admitted.route.patience - waited
+        return self._tries.find_patience(self._router.clock.now())
 
     def _expect(self, delay: timedelta, call: Callable[..., None], *args: object) -> None:
         self._timer.cancel()
