Give the whole charge back when nothing was run

Cause: a request that was refused after it had waited for a seat kept its prompt's tokens charged, though no backend server had worked on it. Conclusion: unused reservations are returned in full.

--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -457,7 +457,8 @@
         if self._probe is not None:
             self._router.quarantine.end_probe(self.admitted.fingerprint, self.request.request)
         self.state = RunState.DONE
-        self._charge.end(self._prompt_tokens + self._answer.offset if self._attempt else 0)
+        spent = self._answer.offset > 0 or self._tries.begun
+        self._charge.end(self._prompt_tokens + self._answer.offset if spent else 0)
         self._router.forget(self)
 
     def _urgency_left(self) -> timedelta:
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -66,6 +66,10 @@
     [refused] = late.ends
     assert isinstance(refused, Refused)
     assert (refused.refusal, refused.outcome) == (Refusal.NO_ROOM, Outcome.NOT_RUN)
+    begun = sum(1 for event in fleet.record.all(BackendRun))
+    assert begun == 2
+    long_requests = 2 * (-(-len(LONG) // 4) + 400)
+    assert fleet.limits.out <= long_requests
 
 
 def test_gone_caller_frees_seat_and_memory_at_once() -> None:
