Let one trial a pause in while a backend server is down

Now what has not started is sent away at once, one request a pause is the trial, and the first token or export ends the outage.

Conclusion: an outage costs about one prefill a pause and engine.

--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -104,7 +104,7 @@
     def stop(self) -> Deferred[None]:
         """Take no new work, send away what has no seat, and wait for the rest."""
         for key in [key for key in self._jobs if self._book.state(key) is SeatState.WAITING]:
-            self._send_away(self._jobs[key].link, key)
+            self._send_away(self._jobs[key].link, key, LEAVING)
             self._drop(key)
         return self._drain.begin().addBoth(lambda _: self.close())
 
@@ -114,8 +114,17 @@
             self._drop(key)
         self._alarm.set(None)
 
-    def _send_away(self, link: Link, key: JobKey) -> None:
-        link.send(AttemptFailed(*key, LEAVING, started=False))
+    def _send_away(self, link: Link, key: JobKey, refused: Refused) -> None:
+        link.send(AttemptFailed(*key, refused, started=False))
+
+    def _take_outage(self, error: BaseException | None) -> None:
+        """Send away what has not started, for the backend server is down."""
+        self._outage.note(error)
+        if not isinstance(error, BackendCrashError | BackendDownError):
+            return
+        for key in [key for key, job in self._jobs.items() if job.start is None]:
+            self._send_away(self._jobs[key].link, key, self._outage.refuse(Step.SEAT))
+            self._drop(key)
 
     def _is_busy(self) -> bool:
         return bool(self._jobs) or bool(self._book.load().taken)
@@ -130,10 +139,10 @@
         key = (order.request, order.attempt)
         job = self._jobs.get(key)
         if job is None and self._drain.is_on:
-            self._send_away(link, key)
+            self._send_away(link, key, LEAVING)
             return
-        if job is None and self._outage.is_on:
-            link.send(AttemptFailed(*key, self._outage.refuse(Step.SEAT), started=False))
+        if job is None and self._outage.turn_away():
+            self._send_away(link, key, self._outage.refuse(Step.SEAT))
             return
         if job is None:
             job = self._jobs[key] = DecodeJob(link, order)
@@ -234,6 +243,7 @@
         )
 
     def _note_first(self, job: DecodeJob, order: Start, began: datetime) -> None:
+        self._outage.end()
         job.imported = self._clock.now() - began
         self._events.emit(PrefillUsed(order.request, order.attempt, order.tokens))
 
@@ -253,7 +263,7 @@
             if crashed:
                 self._events.emit(BackendCrashed(self._backend, [job.order.fingerprint]))
             error = failure.value
-            self._outage.note(error)
+            self._take_outage(error)
             step = error.step if isinstance(error, StepError) else Step.DECODE
             started = step is not Step.TRANSFER and not isinstance(error, BackendDownError)
             outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -127,7 +127,7 @@
         if self._drain.is_on:
             self._send_away(link, key)
             return
-        if self._outage.is_on:
+        if self._outage.turn_away():
             link.send(AttemptFailed(*key, self._outage.refuse(Step.PREFILL), started=False))
             return
         self._jobs[key] = PrefillJob(link, order)
@@ -187,6 +187,7 @@
         )
 
     def _finish(self, export: Export, key: JobKey, job: PrefillJob) -> None:
+        self._outage.end()
         self._events.emit(PrefillDone(*key, self._backend, export.tokens, export.cached))
         if self._jobs.get(key) is not job:
             self._engine.release(export.handle)
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -11,7 +11,9 @@
     FinishReason,
     ModelRoute,
     Outcome,
+    PrefillDone,
     PrefillStarted,
+    PrefillUsed,
     Refusal,
     Refused,
     Repeatability,
@@ -236,3 +238,20 @@
     assert_whole(waiting, PROMPT, 40)
     fleet.run(20)
     assert fleet.held() == 0
+
+
+def test_engines_that_stay_down_cost_few_prefills() -> None:
+    fleet = Fleet(decoders=2)
+    prompts = [f"certificate {n} of a long coil" for n in range(30)]
+    sinks = [fleet.ask(prompt, 60)[1] for prompt in prompts]
+    fleet.run(0.3)
+    fleet.engines["d1"].crash()
+    fleet.engines["d2"].crash()
+    fleet.run(2.9)
+    wasted = len(fleet.record.all(PrefillDone)) - len(fleet.record.all(PrefillUsed))
+    # for each engine what was under way in its two seats, and a trial each half second
+    assert wasted <= 2 * (2 + 6)
+    fleet.run(20)
+    for prompt, sink in zip(prompts, sinks, strict=True):
+        assert_whole(sink, prompt, 60)
+    assert fleet.held() == 0
