Wait for work in hand in one way

Cause: the routers of models and of plain calls each kept their own wait at a stop beside the agents' Drain. Both use it now, without a limit of their own, for the front bounds what it drains. Conclusion: behaviour is the same, one wait to read.

--- a/src/lavenderrun/services/_drain.py
+++ b/src/lavenderrun/services/_drain.py
@@ -13,14 +13,21 @@
 
 
 class Drain:
-    """Fires once nothing is in hand any more, at the latest after :data:`DRAIN_LIMIT`.
+    """Fires once nothing is in hand any more, at the latest after a limit.
 
     :param is_busy: whether work is in hand.
+    :param limit: ``None`` where those who give the work bound the wait.
     """
 
-    def __init__(self, clock: Clock, is_busy: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        is_busy: Callable[[], bool],
+        limit: timedelta | None = DRAIN_LIMIT,
+    ) -> None:
         self._clock = clock
         self._is_busy = is_busy
+        self._limit_after = limit
         self._done: Deferred[None] | None = None
         self._limit: Timer | None = None
 
@@ -32,7 +39,8 @@
     def begin(self) -> Deferred[None]:
         """Begin to wait."""
         done = self._done = Deferred()
-        self._limit = self._clock.call_later(DRAIN_LIMIT, self._end)
+        if self._limit_after is not None:
+            self._limit = self._clock.call_later(self._limit_after, self._end)
         self.check()
         return done
 
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -9,6 +9,7 @@
 from lavenderrun.decisions import RetryBudget, find_shares
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.services._chooser import Chooser
+from lavenderrun.services._drain import Drain
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._model_request import ModelRun
 from lavenderrun.types import (
@@ -71,7 +72,7 @@
         self._document = kernel.find("document", DocumentSource)
         self._runs: dict[RequestId, ModelRun] = {}
         self._shares: dict[AccountId, float] = {}
-        self._drained: Deferred[None] | None = None
+        self._drain = Drain(kernel.clock, self._is_busy, limit=None)
 
     def start(self) -> None:
         """Listen to agents, to the document and to withdrawn keys."""
@@ -83,12 +84,10 @@
 
     def stop(self) -> Deferred[None]:
         """Wait until every accepted request has ended."""
-        drained: Deferred[None] = Deferred()
-        if self._runs:
-            self._drained = drained
-        else:
-            drained.callback(None)
-        return drained
+        return self._drain.begin()
+
+    def _is_busy(self) -> bool:
+        return bool(self._runs)
 
     def submit(self, request: ModelRequest, sink: AnswerSink) -> Ticket:
         """Serve *request* into *sink*; see ``Router.submit_model``."""
@@ -112,9 +111,7 @@
     def forget(self, run: ModelRun) -> None:
         """Drop an ended run."""
         self._runs.pop(run.request.request, None)
-        if self._drained is not None and not self._runs:
-            drained, self._drained = self._drained, None
-            drained.callback(None)
+        self._drain.check()
 
     def _run(self, request: ModelRequest, admitted: AdmittedModel, sink: AnswerSink) -> Ticket:
         run = ModelRun(self, request, admitted, sink)
--- a/src/lavenderrun/services/_plain_router.py
+++ b/src/lavenderrun/services/_plain_router.py
@@ -6,12 +6,13 @@
 from typing import ClassVar
 
 from eliot import log_message
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 
 from lavenderrun.decisions import RetryBudget
 from lavenderrun.kernel import SERVICES, Kernel
 from lavenderrun.services._chooser import Chooser
 from lavenderrun.services._claims import ClaimDesk, name_claim
+from lavenderrun.services._drain import Drain
 from lavenderrun.services._emitter import Emitter
 from lavenderrun.services._plain_attempt import CallMessage
 from lavenderrun.services._plain_call import PlainCall
@@ -75,7 +76,7 @@
         self._calls: dict[PlainCall, None] = {}
         self._followers: dict[RequestId, list[PlainCall]] = {}
         self._writes = 0
-        self._drained: Deferred[None] | None = None
+        self._drain = Drain(kernel.clock, self._is_busy, limit=None)
 
     def start(self) -> None:
         """Listen to agents, to the document and to withdrawn keys."""
@@ -89,10 +90,10 @@
 
     def stop(self) -> Deferred[None]:
         """Wait until every accepted call has ended and its outcome is kept."""
-        if not self._calls and not self._writes:
-            return succeed(None)
-        self._drained = Deferred()
-        return self._drained
+        return self._drain.begin()
+
+    def _is_busy(self) -> bool:
+        return bool(self._calls) or self._writes > 0
 
     def held(self) -> int:
         """Return the number of calls in hand."""
@@ -135,7 +136,7 @@
                 self._followers[request] = left
             else:
                 self._followers.pop(request, None)
-        self._check_drained()
+        self._drain.check()
 
     def note_write(self, write: Deferred[None]) -> None:
         """Keep a stop waiting for a write of an outcome."""
@@ -149,12 +150,7 @@
 
     def _end_write(self) -> None:
         self._writes -= 1
-        self._check_drained()
-
-    def _check_drained(self) -> None:
-        if self._drained is not None and not self._calls and not self._writes:
-            drained, self._drained = self._drained, None
-            drained.callback(None)
+        self._drain.check()
 
     def _make_claim(self, request: PlainRequest, admitted: AdmittedPlain) -> PlainClaim | None:
         # a call that may be repeated needs no claim, and no table service
