Run an entry on the users' platform: a gateway that calls backend servers itself

The gateway finds configuration, backend servers and other gateways in the platform's store, calls servers directly and keeps decisions pure in dispatch/. platform/ only translates.

--- /dev/null
+++ b/src/lavenderrun/commands/_gateway.py
@@ -0,0 +1,27 @@
+"""The sub-command ``gateway``: an entry on the users' platform."""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+
+from lavenderrun.commands._base import COMMANDS
+
+
+@COMMANDS.register("gateway")
+class GatewayCommand:
+    """examples:
+    lavenderrun gateway --settings /etc/lavenderrun/node.json
+    """
+
+    help = "run a gateway: callers' front and direct calls to backend servers"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the sub-command's arguments."""
+        parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+
+    def run(self, args: Namespace) -> int:
+        """Run until a signal, then drain; return 0, 1 for a failure, 2 for faulty settings."""
+        from lavenderrun.daemons import run_gateway
+
+        return run_gateway(args.settings)
--- a/src/lavenderrun/daemons/__init__.py
+++ b/src/lavenderrun/daemons/__init__.py
@@ -1,17 +1,10 @@
-"""Daemons: a list of service names each, and the loop that runs them."""
+"""Daemons: a list of service names each, and the loop that runs them.
+
+Names are loaded on first use, so that each daemon holds only its own services.
+"""
 
 from __future__ import annotations
 
-from lavenderrun.daemons._daemon import Daemon
-from lavenderrun.daemons._lists import AGENT_ROLES, ENTRY_SERVICES, list_agent_services
-from lavenderrun.daemons._loop import install_loop, open_log, run_until_signal
+import lazy_loader
 
-__all__ = [
-    "AGENT_ROLES",
-    "ENTRY_SERVICES",
-    "Daemon",
-    "install_loop",
-    "list_agent_services",
-    "open_log",
-    "run_until_signal",
-]
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- /dev/null
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -0,0 +1,100 @@
+"""The gateway: an entry that finds backend servers in the store and calls them itself."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+from lavenderrun.daemons._signals import run_until_signal
+from lavenderrun.gateway import GATEWAY_SERVICES, BoundedLog, log
+from lavenderrun.kernel import Clock, Kernel, ReactorClock
+from lavenderrun.platform import SettingsError, read_platform_settings
+from lavenderrun.types import GatewaySettings
+
+GATEWAY_LIST: Final = (
+    "stats",
+    "store_dialect",
+    "caller_dialect",
+    "backend_dialect",
+    "pool",
+    "rows",
+    "configuration",
+    "members",
+    "peers",
+    "view",
+    "seats",
+    "router",
+    "callers",
+    "pages",
+    "wakes",
+    "departure",
+)
+"""Services of a gateway; the dialects are those of the users' platform."""
+
+FAULTY_SETTINGS: Final = 2
+
+
+class GatewayDaemon:
+    """One gateway.
+
+    :param read: reads the settings anew when the platform says that they changed.
+    """
+
+    def __init__(
+        self, clock: Clock, settings: GatewaySettings, read: Callable[[], GatewaySettings]
+    ) -> None:
+        self.kernel = Kernel(clock, settings)
+        self._settings = settings
+        self._read = read
+        self.kernel.build(GATEWAY_LIST, GATEWAY_SERVICES)
+
+    async def start(self) -> None:
+        """Start all services."""
+        await self.kernel.start()
+        log("daemon:started", "daemon: started", host=self._settings.host)
+
+    async def stop(self) -> None:
+        """Stop as planned."""
+        await self.kernel.stop()
+        log("daemon:stopped", "daemon: stopped", host=self._settings.host)
+
+    def reload(self) -> None:
+        """Read the settings anew and say what changed; addresses hold until a restart."""
+        try:
+            found = self._read()
+        except (OSError, SettingsError) as error:
+            log("daemon:reload_failed", "daemon: settings can not be read", error=str(error))
+            return
+        changed = [
+            name
+            for name in GatewaySettings.__dataclass_fields__
+            if getattr(found, name) != getattr(self._settings, name)
+        ]
+        self._settings = found
+        log("daemon:reloaded", "daemon: settings read anew", changed=changed)
+
+
+def run_gateway(path: Path) -> int:
+    """Run a gateway by the platform's settings file until a signal; return the exit code."""
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+
+    def read() -> GatewaySettings:
+        return read_platform_settings(path.read_bytes())
+
+    clock = ReactorClock.starting_now(loop)
+    BoundedLog(clock, sys.stdout.fileno()).open()
+    try:
+        daemon = GatewayDaemon(clock, read(), read)
+    except OSError as error:
+        sys.stderr.write(f"{path}: can not be read: {error.strerror}\n")
+        return FAULTY_SETTINGS
+    except SettingsError as error:
+        sys.stderr.write(f"{path}: {error}\n")
+        return FAULTY_SETTINGS
+    signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(daemon.reload))
+    return run_until_signal(loop, daemon.start, daemon.stop)
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -4,7 +4,7 @@
 
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
-from lavenderrun.decisions._admission import AdmissionIndex, digest_key
+from lavenderrun.decisions._admission import AdmissionIndex
 from lavenderrun.decisions._affinity import (
     PREFILL_PLACEMENTS,
     PrefillNeed,
@@ -86,6 +86,7 @@
 from lavenderrun.decisions._tombstones import Tombstones
 from lavenderrun.decisions._transfers import LinkBudget
 from lavenderrun.decisions._tries import AfterFailure, Tries, find_backoff
+from lavenderrun.dispatch import digest_key
 
 __all__ = [
     "INVARIANT_CHECKS",
--- a/src/lavenderrun/decisions/_admission.py
+++ b/src/lavenderrun/decisions/_admission.py
@@ -9,6 +9,7 @@
 
 from lavenderrun.decisions._paths import RouteTable, normalize_path
 from lavenderrun.decisions._tokens import count_tokens
+from lavenderrun.dispatch import digest_key
 from lavenderrun.types import (
     AccountId,
     AdmittedModel,
@@ -116,11 +117,6 @@
         return owner
 
 
-def digest_key(key: str) -> KeyDigest:
-    """Return the digest under which a key is stored."""
-    return KeyDigest("sha256:" + hashlib.sha256(key.encode("utf-8", "surrogatepass")).hexdigest())
-
-
 def _digest(*parts: bytes) -> str:
     content = hashlib.sha256()
     for part in parts:
--- /dev/null
+++ b/src/lavenderrun/dispatch/_access.py
@@ -0,0 +1,59 @@
+"""Whose a call is and by which route it runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import sha256
+
+from lavenderrun.types import (
+    CallRoute,
+    ClientAccount,
+    Configuration,
+    KeyDigest,
+    Refusal,
+)
+
+
+@dataclass(frozen=True)
+class Access:
+    """A call's route and account; an open route has no account."""
+
+    route: CallRoute
+    account: ClientAccount | None
+
+
+class HostRoutes:
+    """Routes by host and path prefix; the longest prefix wins."""
+
+    def __init__(self, routes: Iterable[CallRoute]) -> None:
+        self._routes: dict[str, list[CallRoute]] = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            self._routes.setdefault(route.host.lower(), []).append(route)
+
+    def find(self, host: str, path: str) -> CallRoute | None:
+        """Return the route of *path* at *host*."""
+        for route in self._routes.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def digest_key(key: str) -> KeyDigest:
+    """Return the digest under which a configuration names *key*."""
+    return KeyDigest("sha256:" + sha256(key.encode("utf-8", "surrogatepass")).hexdigest())
+
+
+def judge_access(
+    configuration: Configuration, routes: HostRoutes, host: str, path: str, key: str | None
+) -> Access | Refusal:
+    """Find route and account of a call."""
+    route = routes.find(host, path)
+    if route is None:
+        return Refusal.UNKNOWN_PATH
+    if route.open or not configuration.accounts:
+        return Access(route, None)
+    if key is None:
+        return Refusal.NO_KEY
+    account = configuration.owners.get(digest_key(key))
+    return Refusal.UNKNOWN_KEY if account is None else Access(route, account)
--- /dev/null
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -0,0 +1,151 @@
+"""Which backend server takes a call."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime
+from random import Random
+from typing import Final
+
+from lavenderrun.dispatch._health import HealthBook
+from lavenderrun.dispatch._occupancy import Occupancy
+from lavenderrun.kernel import Registry
+from lavenderrun.types import BackendId, BackendRole, DataCentre, Member, MemberState
+
+REMOTE_COST: Final = 0.35
+"""What another data centre adds to a plain server's load: about two calls on six seats."""
+
+REMOTE_TOKENS: Final = 400
+"""Prompt tokens of queue, or of memory, that make up for another data centre."""
+
+FAILURE_COST: Final = 2.0
+"""What a server that fails every call adds to its load."""
+
+SLOW_COST: Final = 0.5
+"""What each doubling of a server's pace over the best one adds to its load."""
+
+SLOW_FROM: Final = 2.0
+"""Pace against the best server from which slowness counts."""
+
+MEMORY_PART: Final = 0.97
+"""Part of an engine's memory that is reserved by expected sizes; the rest takes the errors."""
+
+
+@dataclass(frozen=True)
+class Need:
+    """What a call asks of its server.
+
+    :param tokens: KV cache that it will fill; zero for plain calls.
+    :param tried: servers that it was sent to before.
+    :param harmless: it may be sent to a server that is on trial.
+    """
+
+    tokens: int = 0
+    tried: Collection[BackendId] = ()
+    harmless: bool = True
+
+
+@dataclass
+class Sight:
+    """What a placement knows at this instant."""
+
+    now: datetime
+    data_centre: DataCentre
+    health: HealthBook
+    occupancy: Occupancy
+    chance: Random
+    memory: int = 0
+    paces: dict[BackendId, float] = field(default_factory=dict)
+
+
+Placement = Callable[[Sequence[Member], Need, Sight], Member | None]
+
+PLACEMENTS: Registry[Placement] = Registry("gateway placement")
+
+
+def list_candidates(members: Iterable[Member], need: Need, sight: Sight) -> list[Member]:
+    """Return the ready servers that were not tried and are not paused."""
+    found = [
+        member
+        for member in members
+        if member.state is MemberState.READY
+        and member.id not in need.tried
+        and not sight.health.is_paused(member.id, sight.now)
+    ]
+    if need.harmless:
+        return found
+    calm = [m for m in found if sight.health.find(m.id).paused_until is None]
+    return calm or found
+
+
+def _trouble(member: Member, best: float, sight: Sight) -> float:
+    cost = FAILURE_COST * sight.health.share_failed(member.id)
+    pace = sight.health.find(member.id).pace
+    if best and pace > SLOW_FROM * best:
+        cost += SLOW_COST * (pace / best - 1)
+    if member.warmup:
+        cost += SLOW_COST
+    return cost
+
+
+def _choose(found: list[Member], cost: Callable[[Member, float], float], sight: Sight) -> Member:
+    paces = [pace for m in found if (pace := sight.health.find(m.id).pace)]
+    best = min(paces, default=0.0)
+    return min(found, key=lambda member: (cost(member, best), sight.chance.random()))
+
+
+@PLACEMENTS.register("plain")
+def place_plain(members: Sequence[Member], need: Need, sight: Sight) -> Member | None:
+    """Choose the plain server with the least load, near ones first."""
+    found = list_candidates(members, need, sight)
+    if not found:
+        return None
+
+    def cost(member: Member, best: float) -> float:
+        load = sight.occupancy.count_calls(member.id, sight.now) / max(1, member.seats)
+        remote = REMOTE_COST if member.data_centre != sight.data_centre else 0.0
+        return load + remote + _trouble(member, best, sight)
+
+    return _choose(found, cost, sight)
+
+
+@PLACEMENTS.register("prefill")
+def place_prefill(members: Sequence[Member], need: Need, sight: Sight) -> Member | None:
+    """Choose the prefill engine with the fewest prompt tokens before it."""
+    ready = [m for m in members if m.role is BackendRole.PREFILL]
+    found = list_candidates(ready, need, sight)
+    if not found:
+        return None
+
+    def cost(member: Member, best: float) -> float:
+        queue = sight.occupancy.sum_tokens(member.id)
+        remote = REMOTE_TOKENS if member.data_centre != sight.data_centre else 0
+        return (queue + need.tokens + remote) * (1 + _trouble(member, best, sight))
+
+    return _choose(found, cost, sight)
+
+
+@PLACEMENTS.register("decode")
+def place_decode(members: Sequence[Member], need: Need, sight: Sight) -> Member | None:
+    """Choose the decode engine with the most free memory; ``None`` while none has room."""
+    ready = [m for m in members if m.role is not BackendRole.PREFILL]
+    found = [m for m in list_candidates(ready, need, sight) if has_room(m, need, sight)]
+    if not found:
+        return None
+
+    def cost(member: Member, best: float) -> float:
+        used = sight.occupancy.sum_tokens(member.id)
+        remote = REMOTE_TOKENS if member.data_centre != sight.data_centre else 0
+        return (used + need.tokens + remote) * (1 + _trouble(member, best, sight))
+
+    return _choose(found, cost, sight)
+
+
+def has_room(member: Member, need: Need, sight: Sight) -> bool:
+    """Tell whether a decode engine has memory and a seat for the call."""
+    if sight.occupancy.count_reserved(member.id) >= member.seats:
+        return False
+    used = sight.occupancy.sum_tokens(member.id)
+    # an idle engine takes whatever fits at all
+    return not used or not sight.memory or used + need.tokens <= sight.memory * MEMORY_PART
--- /dev/null
+++ b/src/lavenderrun/gateway/__init__.py
@@ -0,0 +1,40 @@
+"""Services of a gateway: an entry that calls backend servers itself."""
+
+from __future__ import annotations
+
+from lavenderrun.gateway import _callers as _callers
+from lavenderrun.gateway import _departure as _departure
+from lavenderrun.gateway import _pages as _pages
+from lavenderrun.gateway import _wakes as _wakes
+from lavenderrun.gateway._log import BoundedLog, log
+from lavenderrun.gateway._ports import (
+    BackendDialect,
+    CallerDialect,
+    HistoryGoneError,
+    HttpCall,
+    RowChange,
+    RowConflictError,
+    RowPage,
+    RowWrite,
+    StoreDialect,
+    StoreRefusal,
+)
+from lavenderrun.gateway._registry import GATEWAY_SERVICES
+from lavenderrun.gateway._stats import GATEWAY_METERS
+
+__all__ = [
+    "GATEWAY_METERS",
+    "GATEWAY_SERVICES",
+    "BackendDialect",
+    "BoundedLog",
+    "CallerDialect",
+    "HistoryGoneError",
+    "HttpCall",
+    "RowChange",
+    "RowConflictError",
+    "RowPage",
+    "RowWrite",
+    "StoreDialect",
+    "StoreRefusal",
+    "log",
+]
--- /dev/null
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -0,0 +1,164 @@
+"""One send of a call to one backend server."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from lavenderrun.dispatch import Attempted
+from lavenderrun.gateway._call_log import CallLog
+from lavenderrun.gateway._parts import Parts
+from lavenderrun.gateway._pool import Exchange
+from lavenderrun.gateway._stats import ATTEMPTS
+from lavenderrun.types import (
+    AnswerHead,
+    Break,
+    Dispatch,
+    GatewayCall,
+    Headers,
+    Member,
+    Standing,
+)
+
+
+class AttemptEvents(Protocol):
+    """Takes what comes of an attempt; nothing follows ``settled``."""
+
+    def headed(self, attempt: Attempt) -> None:
+        """The head has come."""
+
+    def received(self, attempt: Attempt, data: bytes) -> None:
+        """A part of the body has come."""
+
+    def settled(self, attempt: Attempt) -> None:
+        """The attempt is over; ``attempt.broke`` tells why when it is not whole."""
+
+
+class Attempt:
+    """Sends a call and watches what comes back.
+
+    :ivar head: the answer's head, ``None`` before it.
+    :ivar broke: why there will be no whole answer.
+    """
+
+    def __init__(
+        self, parts: Parts, call: GatewayCall, member: Member, events: AttemptEvents, story: CallLog
+    ) -> None:
+        self._parts = parts
+        self._call = call
+        self._events: AttemptEvents | None = events
+        self._story = story
+        self._began = parts.clock.now()
+        self._exchange: Exchange | None = None
+        self._needs_signature = True
+        self.member = member
+        self.head: AnswerHead | None = None
+        self.broke: Break | None = None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more will come."""
+        return self._events is None
+
+    @property
+    def sent(self) -> bool:
+        """Whether a byte of the call may have reached the server."""
+        return self._exchange is not None and self._exchange.sent
+
+    @property
+    def outcome(self) -> Attempted:
+        """What is known once it is over."""
+        return Attempted(self.sent, self.head.standing if self.head else None, self.broke)
+
+    def send(self, dispatch: Dispatch) -> None:
+        """Send the call."""
+        self._needs_signature = not dispatch.prefill_only
+        wire = self._parts.backends.encode_call(self._call, dispatch)
+        self._parts.view.health.begin(self.member.id, self._began)
+        self._exchange = self._parts.pool.call(
+            self.member.address, wire.method, wire.target, wire.headers, wire.body, self
+        )
+
+    def abandon(self) -> None:
+        """Close the connection; the server drops the call."""
+        if self._events is None:
+            return
+        self._events = None
+        self._parts.view.health.release(self.member.id)
+        if self._exchange is not None:
+            self._exchange.abandon()
+        self._tell("abandoned")
+
+    def give_up(self) -> None:
+        """End a silent attempt as broken."""
+        if self._events is None:
+            return
+        if self._exchange is not None:
+            self._exchange.abandon()
+        self.broken(Break.SILENT)
+
+    def pause(self) -> None:
+        """Stop reading."""
+        if self._exchange is not None:
+            self._exchange.pause()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._exchange is not None:
+            self._exchange.resume()
+
+    def headed(self, status: int, headers: Headers) -> None:
+        """Take the head; see ``Receiver``."""
+        head = self._parts.backends.decode_head(self._call.id, status, headers)
+        unsigned = head.standing is Standing.SERVED and self._needs_signature and not head.signed
+        if head.standing is Standing.FOREIGN or unsigned:
+            if self._exchange is not None:
+                self._exchange.abandon()
+            self.broken(Break.FOREIGN_ANSWER)
+            return
+        self.head = head
+        now = self._parts.clock.now()
+        if head.load is not None:
+            self._parts.view.occupancy.observe_load(self.member.id, head.load, now)
+        if head.idle is not None:
+            self._parts.pool.learn_idle(self.member.address, head.idle)
+        if self._events is not None:
+            self._events.headed(self)
+
+    def received(self, data: bytes) -> None:
+        """Take a part of the body; see ``Receiver``."""
+        if self._events is not None:
+            self._events.received(self, data)
+
+    def ended(self) -> None:
+        """The answer is whole; see ``Receiver``."""
+        standing = self.head.standing if self.head else Standing.FAILED
+        health = self._parts.view.health
+        if standing is Standing.SERVED:
+            health.succeed(self.member.id, self._parts.clock.now() - self._began)
+        elif standing is Standing.FAILED:
+            health.fail(self.member.id)
+        elif standing is Standing.WRONG_SERVER:
+            health.lose(self.member.id, self._parts.clock.now())
+        else:
+            health.release(self.member.id)
+        self._settle(standing.value)
+
+    def broken(self, reason: Break) -> None:
+        """There will be no whole answer; see ``Receiver``."""
+        self.broke = reason
+        health = self._parts.view.health
+        if reason in {Break.MALFORMED, Break.FOREIGN_ANSWER} or self.head is not None:
+            health.fail(self.member.id)
+        else:
+            health.lose(self.member.id, self._parts.clock.now())
+        self._settle(reason.value)
+
+    def _settle(self, result: str) -> None:
+        events, self._events = self._events, None
+        self._tell(result)
+        if events is not None:
+            events.settled(self)
+
+    def _tell(self, result: str) -> None:
+        self._parts.stats.count(ATTEMPTS, self.member.service, result)
+        self._story.tell_attempt(self, result, self._parts.clock.now() - self._began)
--- /dev/null
+++ b/src/lavenderrun/gateway/_pages.py
@@ -0,0 +1,77 @@
+"""Service ``pages``: readiness for the balancer and the page of metrics."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from lavenderrun.gateway._ports import CallerDialect
+from lavenderrun.gateway._registry import GATEWAY_SERVICES
+from lavenderrun.gateway._router import GatewayRouter
+from lavenderrun.gateway._stats import Stats
+from lavenderrun.kernel import Kernel
+
+METRICS_PATH = b"/metrics"
+
+
+class _Page(Resource):
+    """Answers by path."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, pages: PagesService) -> None:
+        super().__init__()
+        self._pages = pages
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Answer a request."""
+        if request.path == METRICS_PATH:
+            accept = request.getHeader("accept")
+            body, headers = self._pages.stats.render([accept] if accept else [])
+            for name, value in headers.items():
+                request.setHeader(name, value)
+            return body
+        if request.path.decode("latin-1") == self._pages.readiness_target:
+            request.setResponseCode(200 if self._pages.router.is_ready else 503)
+            return b""
+        request.setResponseCode(404)
+        return b""
+
+
+class PagesService:
+    """Listens on the addresses of both pages."""
+
+    needs: ClassVar[tuple[str, ...]] = ("router",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._addresses: tuple[str, ...] = (kernel.settings.readiness, kernel.settings.metrics)
+        self.router = kernel.find("router", GatewayRouter)
+        self.stats = kernel.find("stats", Stats)
+        self.readiness_target = kernel.find("caller_dialect", CallerDialect).readiness_target
+        self._ports: list[Any] = []
+
+    def start(self) -> None:
+        """Listen."""
+        from twisted.internet import reactor  # the daemon has installed its own by now
+
+        loop: Any = reactor
+        for address in dict.fromkeys(self._addresses):
+            host, _, port = address.rpartition(":")
+            site: Any = Site(_Page(self))
+            site.noisy = False
+            site.displayTracebacks = False
+            site.log = lambda _request: None
+            self._ports.append(loop.listenTCP(int(port), site, interface=host))
+
+    def stop(self) -> None:
+        """Listen no more."""
+        for port in self._ports:
+            port.stopListening()
+
+
+@GATEWAY_SERVICES.register("pages")
+def make_pages(kernel: Kernel) -> PagesService:
+    """Make the service."""
+    return PagesService(kernel)
--- /dev/null
+++ b/src/lavenderrun/gateway/_pool.py
@@ -0,0 +1,204 @@
+"""Service ``pool``: connections to backend servers and to the store, kept while they are sound."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Any, ClassVar, Final
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from lavenderrun.gateway._connection import Connection, Receiver
+from lavenderrun.gateway._registry import GATEWAY_SERVICES
+from lavenderrun.kernel import Clock, Kernel
+from lavenderrun.types import Break, Headers
+
+CONNECT_TIMEOUT: Final = timedelta(milliseconds=400)
+"""Longest time to connect: many round trips within a region, and half of a short objective."""
+
+IDLE_DEFAULT: Final = timedelta(seconds=1)
+"""How long a connection is reused when its server does not say how long it keeps it."""
+
+IDLE_PART: Final = 0.5
+"""Part of the server's idle time within which a connection is taken again."""
+
+IDLE_MOST: Final = 32
+"""Idle connections kept to one server."""
+
+
+@dataclass
+class _Site:
+    """Idle connections to one address, each with the instant until which it may be reused."""
+
+    idle: list[tuple[datetime, Connection]] = field(default_factory=list)
+    keeps: timedelta = IDLE_DEFAULT
+    open: int = 0
+
+
+class Exchange:
+    """One call to one address, from the wait for a connection to the end of the answer."""
+
+    def __init__(self, receiver: Receiver) -> None:
+        self._receiver: Receiver | None = receiver
+        self._connection: Connection | None = None
+        self.sent = False
+
+    def abandon(self) -> None:
+        """Close the connection at once; nothing more is heard."""
+        self._receiver = None
+        if self._connection is not None:
+            self._connection.drop()
+            self._connection = None
+
+    def pause(self) -> None:
+        """Stop reading for a while."""
+        if self._connection is not None and self._connection.is_open:
+            self._connection.pause()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._connection is not None and self._connection.is_open:
+            self._connection.resume()
+
+    def begin(self, connection: Connection, send: Callable[[Connection, Receiver], None]) -> None:
+        """Send over *connection*; an abandoned exchange sends nothing."""
+        if self._receiver is None:
+            connection.drop()
+            return
+        self._connection = connection
+        self.sent = True
+        send(connection, self._receiver)
+
+    def fail(self, reason: Break) -> None:
+        """Nothing could be sent."""
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.broken(reason)
+
+
+class _ConnectionFactory(ClientFactory):
+    noisy = False
+
+    def __init__(self, owner: ConnectionPool) -> None:
+        self._owner = owner
+
+    def buildProtocol(self, addr: Any) -> Connection:  # noqa: N802
+        return Connection(self._owner)
+
+
+class ConnectionPool:
+    """Opens connections and keeps idle ones for a while; it never repeats a call."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
+
+    def __init__(self, clock: Clock, reactor: Any) -> None:
+        self._clock = clock
+        self._reactor = reactor
+        self._sites: dict[str, _Site] = {}
+        self._addresses: dict[Connection, str] = {}
+        self.opened = 0
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    def stop(self) -> None:
+        """Close all connections."""
+        for connection in list(self._addresses):
+            connection.drop()
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        receiver: Receiver,
+    ) -> Exchange:
+        """Send a call to *address*; what comes of it goes to *receiver*."""
+        exchange = Exchange(receiver)
+
+        def send(connection: Connection, to: Receiver) -> None:
+            connection.call(method, target, headers, body, to)
+
+        idle = self._take_idle(address)
+        if idle is not None:
+            exchange.begin(idle, send)
+        else:
+            self._open(address, exchange, send)
+        return exchange
+
+    def learn_idle(self, address: str, keeps: timedelta) -> None:
+        """Take how long the server at *address* keeps idle connections."""
+        self._sites.setdefault(address, _Site()).keeps = keeps
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a server that is gone."""
+        site = self._sites.pop(address, None)
+        for _, connection in site.idle if site is not None else ():
+            connection.drop()
+
+    def drop_idle(self) -> None:
+        """Close all idle connections, for they may be dead."""
+        for site in self._sites.values():
+            for _, connection in site.idle:
+                connection.drop()
+            site.idle.clear()
+
+    def count_open(self) -> int:
+        """Return the number of open connections."""
+        return len(self._addresses)
+
+    def rested(self, connection: Connection) -> None:
+        """Keep an idle connection; see ``Owner``."""
+        address = self._addresses.get(connection, "")
+        site = self._sites.setdefault(address, _Site())
+        if not address or len(site.idle) >= IDLE_MOST:
+            connection.drop()
+            return
+        site.idle.append((self._clock.now() + site.keeps * IDLE_PART, connection))
+
+    def lost(self, connection: Connection) -> None:
+        """Forget a closed connection; see ``Owner``."""
+        address = self._addresses.pop(connection, "")
+        site = self._sites.get(address)
+        if site is not None:
+            site.idle = [pair for pair in site.idle if pair[1] is not connection]
+
+    def _take_idle(self, address: str) -> Connection | None:
+        site = self._sites.get(address)
+        now = self._clock.now()
+        while site is not None and site.idle:
+            until, connection = site.idle.pop()
+            if connection.is_open and now < until:
+                return connection
+            connection.drop()
+        return None
+
+    def _open(
+        self, address: str, exchange: Exchange, send: Callable[[Connection, Receiver], None]
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        seconds = CONNECT_TIMEOUT.total_seconds()
+        endpoint: Any = TCP4ClientEndpoint(self._reactor, host, int(port), seconds)
+        self.opened += 1
+
+        def connected(connection: Any) -> None:
+            self._addresses[connection] = address
+            exchange.begin(connection, send)
+
+        def failed(_: Failure) -> None:
+            exchange.fail(Break.UNREACHABLE)
+
+        endpoint.connect(_ConnectionFactory(self)).addCallbacks(connected, failed)
+
+
+@GATEWAY_SERVICES.register("pool")
+def make_pool(kernel: Kernel) -> ConnectionPool:
+    """Make the service on the running reactor."""
+    from twisted.internet import reactor  # the daemon has installed its own by now
+
+    return ConnectionPool(kernel.clock, reactor)
--- /dev/null
+++ b/src/lavenderrun/gateway/_router.py
@@ -0,0 +1,251 @@
+"""Service ``router``: admits callers' calls and runs them."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from typing import ClassVar, Final
+
+from lavenderrun.dispatch import Access, judge_access
+from lavenderrun.gateway._call_log import CallLog
+from lavenderrun.gateway._configuration import ConfigurationService
+from lavenderrun.gateway._members import MembersService
+from lavenderrun.gateway._parts import Parts
+from lavenderrun.gateway._pool import ConnectionPool
+from lavenderrun.gateway._ports import BackendDialect
+from lavenderrun.gateway._registry import GATEWAY_SERVICES
+from lavenderrun.gateway._running import Admitted, RunningCallBase
+from lavenderrun.gateway._seats import SeatsService
+from lavenderrun.gateway._stats import CALLS, REFUSALS, Stats
+from lavenderrun.gateway._stream_call import StreamCall
+from lavenderrun.gateway._view import FleetView
+from lavenderrun.gateway._whole_call import WholeCall
+from lavenderrun.kernel import Kernel
+from lavenderrun.types import (
+    CallerSink,
+    CallRoute,
+    ClientAccount,
+    Delivery,
+    GatewayCall,
+    Outcome,
+    QuotaUnit,
+    Refusal,
+    Refused,
+    RunningCall,
+    ServiceGroup,
+    Step,
+)
+
+NOT_READY_RETRY: Final = timedelta(milliseconds=300)
+"""When a caller may ask again while this host can not tell whether its call is allowed."""
+
+LEAVING_RETRY: Final = timedelta(milliseconds=50)
+"""The same when this host stops: another one serves at once."""
+
+LATE_WORK: Final = timedelta(seconds=3)
+"""Time after the order to stop from which no new call is taken."""
+
+
+class _Confirming:
+    """A call that waits for the store to confirm that it is not allowed."""
+
+    def __init__(self) -> None:
+        self.running: RunningCall | None = None
+        self.is_gone = False
+
+    def cancel(self) -> None:
+        """The caller is gone; see ``RunningCall``."""
+        self.is_gone = True
+        if self.running is not None:
+            self.running.cancel()
+
+    def pause(self) -> None:
+        """See ``RunningCall``."""
+        if self.running is not None:
+            self.running.pause()
+
+    def resume(self) -> None:
+        """See ``RunningCall``."""
+        if self.running is not None:
+            self.running.resume()
+
+
+class _Refused:
+    """A call that was refused at once; nothing runs."""
+
+    def cancel(self) -> None:
+        """See ``RunningCall``."""
+
+    def pause(self) -> None:
+        """See ``RunningCall``."""
+
+    def resume(self) -> None:
+        """See ``RunningCall``."""
+
+
+class GatewayRouter:
+    """Finds account and route, charges the quota and runs the call."""
+
+    needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "view", "seats")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._clock = kernel.clock
+        self._chance = kernel.chance
+        self._configuration = kernel.find("configuration", ConfigurationService)
+        self._members = kernel.find("members", MembersService)
+        self._stats = kernel.find("stats", Stats)
+        self._parts = Parts(
+            kernel.clock,
+            kernel.find("pool", ConnectionPool),
+            kernel.find("view", FleetView),
+            kernel.find("seats", SeatsService),
+            kernel.find("backend_dialect", BackendDialect),
+            self._stats,
+        )
+        self._running: set[RunningCallBase] = set()
+        self._leaving_since: datetime | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether calls can be served: configuration and backend servers are known."""
+        is_known = self._configuration.current is not None and self._members.is_known
+        return is_known and self._leaving_since is None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this host was told to stop."""
+        return self._leaving_since is not None
+
+    @property
+    def running(self) -> int:
+        """How many calls run."""
+        return len(self._running)
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    def stop(self) -> None:
+        """Cancel what still runs."""
+        for running in list(self._running):
+            running.cancel()
+
+    def leave(self) -> None:
+        """Take new calls for a little while only; calls that run go on."""
+        self._leaving_since = self._clock.now()
+
+    def submit(self, call: GatewayCall, sink: CallerSink) -> RunningCall:
+        """Serve *call* into *sink*."""
+        arrived = self._clock.now()
+        access = self._judge(call)
+        if isinstance(access, Access):
+            return self._admit(call, access, sink, arrived)
+        if access is Refusal.NOT_READY:
+            return self._refuse(call, sink, access, Step.ADMISSION, NOT_READY_RETRY)
+        waiting = _Confirming()
+
+        def decide(confirmed: bool) -> None:
+            if not waiting.is_gone:
+                waiting.running = self._decide(call, sink, arrived, confirmed=confirmed)
+
+        self._configuration.confirm().addCallback(decide)
+        return waiting
+
+    def _judge(self, call: GatewayCall) -> Access | Refusal:
+        configuration = self._configuration.current
+        if configuration is None:
+            return Refusal.NOT_READY
+        routes = self._configuration.routes
+        return judge_access(configuration, routes, call.host, call.path, call.key)
+
+    def _decide(
+        self, call: GatewayCall, sink: CallerSink, arrived: datetime, *, confirmed: bool
+    ) -> RunningCall:
+        access = self._judge(call)
+        if isinstance(access, Access):
+            return self._admit(call, access, sink, arrived)
+        if not confirmed:
+            return self._refuse(call, sink, Refusal.NOT_READY, Step.ADMISSION, NOT_READY_RETRY)
+        return self._refuse(call, sink, access, Step.ADMISSION, None)
+
+    def _admit(
+        self, call: GatewayCall, access: Access, sink: CallerSink, arrived: datetime
+    ) -> RunningCall:
+        if self._leaving_since is not None and arrived - self._leaving_since > LATE_WORK:
+            return self._refuse(call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY)
+        cost = _find_cost(call, access.account)
+        if cost and access.account is not None:
+            wait = self._parts.view.quotas.charge(access.account.id, cost, arrived)
+            if wait is not None:
+                return self._refuse(call, sink, Refusal.OVER_RATE, Step.LIMIT, wait)
+        route = access.route
+        service = self._choose_service(route)
+        self._parts.view.resends.count_call(service, arrived)
+        patience = route.timeout if call.patience is None else call.patience
+        admitted = Admitted(
+            call,
+            access,
+            service,
+            cost,
+            arrived,
+            arrived + min(patience, route.timeout),
+            arrived + patience,
+        )
+        story = CallLog(call)
+        story.tell(
+            "admitted",
+            "admitted",
+            route=route.name,
+            service=service,
+            account=access.account.id if access.account else None,
+            cost=cost,
+            configuration=self._configuration.version,
+            patience_ms=round(patience / timedelta(milliseconds=1)),
+        )
+        kind = StreamCall if route.delivery is Delivery.EVENTS else WholeCall
+        running = kind(self._parts, admitted, sink, story, self._running.discard)
+        self._running.add(running)
+        running.start()
+        return running
+
+    def _choose_service(self, route: CallRoute) -> ServiceGroup:
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [choice.weight for choice in route.services]
+        return self._chance.choices(route.services, weights)[0].service
+
+    def _refuse(
+        self,
+        call: GatewayCall,
+        sink: CallerSink,
+        refusal: Refusal,
+        step: Step,
+        retry_after: timedelta | None,
+    ) -> RunningCall:
+        refused = Refused(refusal, Outcome.NOT_RUN, step, retry_after=retry_after)
+        age = self._configuration.age
+        story = CallLog(
+            call,
+            configuration=self._configuration.version,
+            store_age_ms=None if age is None else round(age / timedelta(milliseconds=1)),
+        )
+        story.tell_refused(refused)
+        self._stats.count(REFUSALS, refusal.value, step.value, Outcome.NOT_RUN.value)
+        self._stats.count(CALLS, "", "", refusal.value)
+        sink.refuse(refused)
+        return _Refused()
+
+
+def _find_cost(call: GatewayCall, account: ClientAccount | None) -> float:
+    quota = account.quota if account is not None else None
+    if quota is None:
+        return 0.0
+    if quota.unit is QuotaUnit.REQUESTS:
+        return 1.0
+    if call.size is None:
+        return float(quota.default_cost)
+    return float(call.size.prompt + call.size.output)
+
+
+@GATEWAY_SERVICES.register("router")
+def make_router(kernel: Kernel) -> GatewayRouter:
+    """Make the service."""
+    return GatewayRouter(kernel)
--- /dev/null
+++ b/src/lavenderrun/gateway/_view.py
@@ -0,0 +1,137 @@
+"""Service ``view``: what this host knows of the whole fleet's quotas, seats, health and budget."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import ClassVar
+
+from lavenderrun.dispatch import (
+    PLACEMENTS,
+    HealthBook,
+    Need,
+    Occupancy,
+    QuotaLedger,
+    ResendBudget,
+    Reserved,
+    Sight,
+)
+from lavenderrun.gateway._configuration import ConfigurationService
+from lavenderrun.gateway._members import MembersService
+from lavenderrun.gateway._peers import PeersService, Report
+from lavenderrun.gateway._pool import ConnectionPool
+from lavenderrun.gateway._registry import GATEWAY_SERVICES
+from lavenderrun.gateway._stats import QUOTA_USED, Stats
+from lavenderrun.kernel import Kernel
+from lavenderrun.types import (
+    AccountId,
+    BackendId,
+    BootId,
+    Configuration,
+    GatewayBounds,
+    HostId,
+    Member,
+    MemberState,
+    ServiceGroup,
+)
+
+
+class FleetView:
+    """Joins reports of peers, announcements of backend servers and own observations."""
+
+    needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "peers", "pool")
+
+    def __init__(self, kernel: Kernel) -> None:
+        bounds: GatewayBounds = kernel.settings.bounds
+        self._clock = kernel.clock
+        self._chance = kernel.chance
+        self._host: HostId = kernel.settings.host
+        self._data_centre = kernel.settings.data_centre
+        self._configuration = kernel.find("configuration", ConfigurationService)
+        self._members = kernel.find("members", MembersService)
+        self._peers = kernel.find("peers", PeersService)
+        self._pool = kernel.find("pool", ConnectionPool)
+        self.quotas = QuotaLedger()
+        self.resends = ResendBudget(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window)
+        self.occupancy = Occupancy()
+        self.health = HealthBook()
+        kernel.find("stats", Stats).read(QUOTA_USED, self._read_used)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._configuration.watch(self._configure)
+        self._members.watch(self._change_member)
+        self._peers.report = self._make_report
+        self._peers.heard = self._hear
+        self._peers.changed = self._change_hosts
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+    def place(self, service: ServiceGroup, placement: str, need: Need) -> Member | None:
+        """Choose a backend server of *service*."""
+        members = self._members.serving(service)
+        return PLACEMENTS.find(placement)(members, need, self._make_sight(service))
+
+    def find_ready(self, member: Member) -> Member | None:
+        """Return *member* as it is now, ``None`` when it takes no new work."""
+        current = self._members.find(member.id)
+        if current is None or current.started != member.started:
+            return None
+        return current if current.state is MemberState.READY else None
+
+    def _make_sight(self, service: ServiceGroup) -> Sight:
+        now = self._clock.now()
+        self.occupancy.expire(now)
+        configuration = self._configuration.current
+        facts = configuration.services.get(service) if configuration is not None else None
+        memory = facts.engine.memory if facts is not None and facts.engine is not None else 0
+        return Sight(
+            now, self._data_centre, self.health, self.occupancy, self._chance, memory=memory
+        )
+
+    def _configure(self, configuration: Configuration) -> None:
+        quotas = {
+            account.id: account.quota
+            for account in configuration.accounts
+            if account.quota is not None
+        }
+        self.quotas.configure(quotas, self._clock.now())
+
+    def _change_member(self, old: Member | None, new: Member | None) -> None:
+        if old is None:
+            return
+        if new is None or new.started != old.started or new.address != old.address:
+            self.health.forget(old.id)
+            self._pool.forget(old.address)
+
+    def _change_hosts(self, hosts: dict[HostId, datetime]) -> None:
+        self.quotas.keep_peers(hosts)
+        self.resends.share_among(len(hosts) + 1)
+
+    def _make_report(self) -> Report:
+        reserved = {
+            str(member): (row.calls, row.tokens) for member, row in self.occupancy.own.items()
+        }
+        used = {str(account): units for account, units in self.quotas.used.items()}
+        version = self._configuration.version
+        return Report(self._host, self._peers.boot, version, used, reserved)
+
+    def _hear(self, report: Report) -> None:
+        now = self._clock.now()
+        host = HostId(report.host)
+        used = {AccountId(account): units for account, units in report.used.items()}
+        self.quotas.hear(host, BootId(report.boot), used, now)
+        reserved = {
+            BackendId(member): Reserved(calls, tokens)
+            for member, (calls, tokens) in report.reserved.items()
+        }
+        self.occupancy.hear(host, reserved, now)
+
+    def _read_used(self) -> dict[tuple[str, ...], float]:
+        return {(str(account),): units for account, units in self.quotas.used.items()}
+
+
+@GATEWAY_SERVICES.register("view")
+def make_view(kernel: Kernel) -> FleetView:
+    """Make the service."""
+    return FleetView(kernel)
--- a/src/lavenderrun/kernel/_kernel.py
+++ b/src/lavenderrun/kernel/_kernel.py
@@ -83,6 +83,11 @@
         """
         self.add(name, _Passive(value))
 
+    @staticmethod
+    def wrap(value: object) -> Service:
+        """Return *value* as a service that needs no start or stop."""
+        return _Passive(value)
+
     def build(self, names: Iterable[str], registry: Registry[ServiceFactory] = SERVICES) -> None:
         """Make the named services by the factories of *registry*; present ones are kept."""
         for name in names:
--- /dev/null
+++ b/src/lavenderrun/platform/__init__.py
@@ -0,0 +1,10 @@
+"""The users' platform: its settings, store, callers and backend servers in the product's types."""
+
+from __future__ import annotations
+
+from lavenderrun.platform import _backends as _backends
+from lavenderrun.platform import _callers as _callers
+from lavenderrun.platform import _store as _store
+from lavenderrun.platform._settings import SettingsError, read_platform_settings
+
+__all__ = ["SettingsError", "read_platform_settings"]
--- /dev/null
+++ b/src/lavenderrun/platform/_store.py
@@ -0,0 +1,149 @@
+"""The platform's table service: its calls, and the rows that others write there."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Collection
+from datetime import timedelta
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import msgspec
+
+from lavenderrun.gateway import (
+    GATEWAY_SERVICES,
+    HistoryGoneError,
+    HttpCall,
+    RowChange,
+    RowConflictError,
+    RowPage,
+    RowWrite,
+    StoreRefusal,
+)
+from lavenderrun.kernel import Kernel
+from lavenderrun.platform._configuration import decode_configuration
+from lavenderrun.platform._members import decode_member
+from lavenderrun.types import Configuration, Member
+
+CONFIGURATION_KEY: Final = "config"
+PART: Final = ""
+"""All rows that the product reads or writes lie in the unnamed part."""
+
+PAGE_ROWS: Final = 500
+"""Most rows of one answer, as the platform bounds it."""
+
+OK: Final = 200
+CONFLICT: Final = 412
+HISTORY_GONE: Final = 410
+
+
+class _Row(msgspec.Struct):
+    key: str
+    ver: int
+    part: str = ""
+    value: str | None = None
+    removed: bool = False
+
+
+class _Rows(msgspec.Struct):
+    ver: int
+    rows: list[msgspec.Raw] = []
+    truncated: bool = False
+
+
+class TableDialect:
+    """Calls and answers of the platform's store; see ``StoreDialect``."""
+
+    configuration_table = "op"
+    members_table = "servers"
+    hosts_table = "lavenderrun-gateways"
+
+    def __init__(self, address: str) -> None:
+        self._headers = [("Host", address)]
+
+    def encode_read(self, table: str, start: str) -> HttpCall:
+        """Return the call that reads a table from key *start*."""
+        query: dict[str, object] = {"table": table, "part": PART, "limit": PAGE_ROWS}
+        if start:
+            query["from"] = start
+        return HttpCall("GET", f"/api/rows-get?{urlencode(query)}", self._headers)
+
+    def encode_feed(self, table: str, after: int, wait: timedelta) -> HttpCall:
+        """Return the call that waits for changes after a version."""
+        wait_ms = int(wait / timedelta(milliseconds=1))
+        query = urlencode({"table": table, "after": after, "wait-ms": wait_ms})
+        return HttpCall("GET", f"/api/rows-feed?{query}", self._headers)
+
+    def encode_write(self, table: str, writes: Collection[RowWrite]) -> HttpCall:
+        """Return the call that writes rows of one table in one transaction."""
+
+        def name(write: RowWrite) -> dict[str, Any]:
+            return {"table": table, "part": PART, "key": write.key}
+
+        body = msgspec.json.encode(
+            {
+                "expected": [
+                    {**name(write), "ver": write.expected}
+                    for write in writes
+                    if write.expected is not None
+                ],
+                "writes": [
+                    {**name(write), "value": base64.b64encode(write.value).decode()}
+                    for write in writes
+                    if write.value is not None
+                ],
+                "deletes": [name(write) for write in writes if write.value is None],
+            }
+        )
+        headers = [
+            *self._headers,
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        return HttpCall("POST", "/api/rows-tx", headers, body)
+
+    def decode_rows(self, status: int, body: bytes) -> RowPage:
+        """Return the rows in an answer; rows that can't be read are left out."""
+        if status == HISTORY_GONE:
+            raise HistoryGoneError(status)
+        if status == CONFLICT:
+            raise RowConflictError(status)
+        if status != OK:
+            raise StoreRefusal(status)
+        try:
+            found = msgspec.json.decode(body, type=_Rows)
+        except msgspec.DecodeError as error:
+            raise ValueError(str(error)) from error
+        rows = [row for raw in found.rows if (row := _decode_row(raw)) is not None]
+        # the range includes its first key: the smallest key after the last one read
+        next_key = rows[-1].key + "\0" if found.truncated and rows else None
+        return RowPage(rows, found.ver, next_key)
+
+    def decode_configuration(self, rows: Collection[RowChange]) -> Configuration | None:
+        """Return the newest configuration among *rows*."""
+        values = [r.value for r in rows if r.key == CONFIGURATION_KEY and r.value is not None]
+        return decode_configuration(values[-1]) if values else None
+
+    def decode_member(self, row: RowChange) -> Member | None:
+        """Return the backend server of a row, ``None`` when the row names none to use."""
+        return None if row.value is None else decode_member(row.key, row.value)
+
+
+def _decode_row(raw: msgspec.Raw) -> RowChange | None:
+    try:
+        row = msgspec.json.decode(raw, type=_Row)
+        if row.part != PART:
+            return None
+        if row.removed or row.value is None:
+            return RowChange(row.key, None, row.ver)
+        return RowChange(row.key, base64.b64decode(row.value, validate=True), row.ver)
+    except (msgspec.DecodeError, binascii.Error):
+        # another writer's row; the others hold
+        return None
+
+
+@GATEWAY_SERVICES.register("store_dialect")
+def make_store_dialect(kernel: Kernel) -> Any:
+    """Make the service."""
+    return kernel.wrap(TableDialect(kernel.settings.store))
--- a/src/lavenderrun/services/_metrics.py
+++ b/src/lavenderrun/services/_metrics.py
@@ -8,7 +8,7 @@
 from typing import Any, ClassVar, Final
 
 from lavenderrun.kernel import SERVICES, Kernel, Registry
-from lavenderrun.services._meters import Meter, MeterKind, Meters
+from lavenderrun.meters import Meter, MeterKind, Meters
 from lavenderrun.services._record import RecordService
 from lavenderrun.types import EVENTS, Event, Happening, RequestId
 
--- a/src/lavenderrun/services/_metrics_events.py
+++ b/src/lavenderrun/services/_metrics_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lavenderrun.services._meters import MeterKind
+from lavenderrun.meters import MeterKind
 from lavenderrun.services._metrics import MetricsService, define, observe
 from lavenderrun.types import (
     AnswerBegun,
--- a/src/lavenderrun/services/_metrics_states.py
+++ b/src/lavenderrun/services/_metrics_states.py
@@ -7,8 +7,8 @@
 from dataclasses import asdict
 
 from lavenderrun.kernel import Kernel
+from lavenderrun.meters import MeterKind
 from lavenderrun.services._links import LinksService
-from lavenderrun.services._meters import MeterKind
 from lavenderrun.services._metrics import MetricsService, Readings, read
 from lavenderrun.services._store import StoreClient
 from lavenderrun.types import (
--- /dev/null
+++ b/src/lavenderrun/types/_members.py
@@ -0,0 +1,40 @@
+"""Backend servers as they announce themselves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from lavenderrun.types._ids import BackendId, DataCentre, ServiceGroup
+from lavenderrun.types._states import BackendRole
+
+
+class MemberState(Enum):
+    """Whether a backend server takes new work."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class Member:
+    """A backend server as it last announced itself.
+
+    :param address: IP number and port.
+    :param seats: calls that it runs at once.
+    :param warmup: how much longer it stays slow after its start.
+    :param sequence: orders that it has taken since its start.
+    :param started: milliseconds since 1970 of its start; tells two lives of one id apart.
+    """
+
+    id: BackendId
+    service: ServiceGroup
+    address: str
+    data_centre: DataCentre
+    role: BackendRole
+    seats: int
+    state: MemberState
+    warmup: timedelta
+    sequence: int
+    started: int
--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -6,7 +6,7 @@
 
 from lavenderrun.kernel import Kernel
 from lavenderrun.services import MetricsService, RecordService
-from lavenderrun.services._meters import SERIES_MOST, Meter, MeterKind, Meters
+from lavenderrun.meters import SERIES_MOST, Meter, MeterKind, Meters
 from lavenderrun.types import (
     AccountId,
     AnswerBegun,
