--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -26,6 +26,7 @@
     "peers",
     "view",
     "seats",
+    "roles",
     "router",
     "callers",
     "pages",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -23,13 +23,6 @@
 )
 from lavenderrun.decisions._estimates import Mean, PrefillSpeed
 from lavenderrun.decisions._fairqueue import FairQueue
-from lavenderrun.decisions._fencing import (
-    FenceGate,
-    LeaseKeeper,
-    LeaseTerms,
-    LeaseWrite,
-    StoredLease,
-)
 from lavenderrun.decisions._freshness import Freshness, FreshnessRules, choose_voters, has_majority
 from lavenderrun.decisions._holders import Holders
 from lavenderrun.decisions._invariants import INVARIANT_CHECKS, RecordIndex, Violation, check_record
@@ -79,14 +72,22 @@
 from lavenderrun.decisions._seats import SeatBook
 from lavenderrun.decisions._sends import RecentSends
 from lavenderrun.decisions._shares import find_shares
-from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotWrite, StoredSlot, make_slots
+from lavenderrun.decisions._slot_views import SlotTerms, SlotWrite, StoredSlot, make_slots
 from lavenderrun.decisions._slots import SlotKeeper
 from lavenderrun.decisions._stream import Assembly, Progress
 from lavenderrun.decisions._tokens import count_tokens
 from lavenderrun.decisions._tombstones import Tombstones
 from lavenderrun.decisions._transfers import LinkBudget
 from lavenderrun.decisions._tries import AfterFailure, Tries, find_backoff
-from lavenderrun.dispatch import digest_key
+from lavenderrun.dispatch import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    Peer,
+    StoredLease,
+    digest_key,
+)
 
 __all__ = [
     "INVARIANT_CHECKS",
--- a/src/lavenderrun/decisions/_slot_states.py
+++ b/src/lavenderrun/decisions/_slot_states.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from lavenderrun.decisions._slot_views import Peer, SlotTerms
+from lavenderrun.decisions._slot_views import SlotTerms
+from lavenderrun.dispatch import Peer
 from lavenderrun.types import NO_HOST, SlotId, SlotRow
 
 
--- a/src/lavenderrun/decisions/_slot_views.py
+++ b/src/lavenderrun/decisions/_slot_views.py
@@ -7,14 +7,8 @@
 
 import msgspec
 
-from lavenderrun.types import NO_HOST, AccountId, BootId, HostId, SlotId, SlotRow
-
-
-class Peer(msgspec.Struct, frozen=True):
-    """One life of a host."""
-
-    host: HostId
-    boot: BootId
+from lavenderrun.dispatch import Peer
+from lavenderrun.types import NO_HOST, AccountId, SlotId, SlotRow
 
 
 class SlotTerms(msgspec.Struct, frozen=True):
--- a/src/lavenderrun/decisions/_slots.py
+++ b/src/lavenderrun/decisions/_slots.py
@@ -15,7 +15,8 @@
 from zlib import crc32
 
 from lavenderrun.decisions._slot_states import Gained, HeldState, find_standby
-from lavenderrun.decisions._slot_views import Peer, SlotTerms, SlotView, SlotWrite, StoredSlot
+from lavenderrun.decisions._slot_views import SlotTerms, SlotView, SlotWrite, StoredSlot
+from lavenderrun.dispatch import Peer
 from lavenderrun.types import NO_HOST, HeldSlot, SlotId, SlotRow
 
 CLAIMS_AT_ONCE = 4
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -4,10 +4,19 @@
 
 from lavenderrun.dispatch._access import Access, HostRoutes, digest_key, judge_access
 from lavenderrun.dispatch._health import HealthBook, MemberHealth
+from lavenderrun.dispatch._leases import (
+    FenceGate,
+    LeaseKeeper,
+    LeaseTerms,
+    LeaseWrite,
+    Peer,
+    StoredLease,
+)
 from lavenderrun.dispatch._occupancy import Occupancy, Reserved
 from lavenderrun.dispatch._placement import PLACEMENTS, Need, Placement, Sight, has_room
 from lavenderrun.dispatch._quota import QuotaLedger
 from lavenderrun.dispatch._resends import ResendBudget
+from lavenderrun.dispatch._roles import RoleBalance, RoleChange
 from lavenderrun.dispatch._verdicts import Attempted, Verdict, judge_attempt
 from lavenderrun.dispatch._waiting import PATIENCE_MOST, Waiting, order_key
 
@@ -16,16 +25,24 @@
     "PLACEMENTS",
     "Access",
     "Attempted",
+    "FenceGate",
     "HealthBook",
     "HostRoutes",
+    "LeaseKeeper",
+    "LeaseTerms",
+    "LeaseWrite",
     "MemberHealth",
     "Need",
     "Occupancy",
+    "Peer",
     "Placement",
     "QuotaLedger",
     "ResendBudget",
     "Reserved",
+    "RoleBalance",
+    "RoleChange",
     "Sight",
+    "StoredLease",
     "Verdict",
     "Waiting",
     "digest_key",
--- a/src/lavenderrun/decisions/_fencing.py
+++ b/src/lavenderrun/dispatch/_leases.py
@@ -6,8 +6,14 @@
 
 import msgspec
 
-from lavenderrun.decisions._slot_views import Peer
-from lavenderrun.types import NO_BOOT, NO_HOST, FencingNumber, LeaseRow
+from lavenderrun.types import NO_BOOT, NO_HOST, BootId, FencingNumber, HostId, LeaseRow
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """One life of a host."""
+
+    host: HostId
+    boot: BootId
 
 
 class LeaseTerms(msgspec.Struct, frozen=True):
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass, field
-from datetime import datetime
+from dataclasses import dataclass
+from datetime import datetime, timedelta
 from random import Random
 from typing import Final
 
@@ -28,6 +28,9 @@
 SLOW_FROM: Final = 2.0
 """Pace against the best server from which slowness counts."""
 
+PREFILL_QUEUE: Final = timedelta(milliseconds=400)
+"""Longest queue at a prefill engine; half of a usual objective for the first token."""
+
 MEMORY_PART: Final = 0.97
 """Part of an engine's memory that is reserved by expected sizes; the rest takes the errors."""
 
@@ -48,7 +51,12 @@
 
 @dataclass
 class Sight:
-    """What a placement knows at this instant."""
+    """What a placement knows at this instant.
+
+    :param memory: tokens of KV cache that a decode engine holds, zero for no bound.
+    :param prefill_speed: prompt tokens that an engine computes a second, zero when unknown.
+    :param moving: engines that were ordered to another role and serve nothing until then.
+    """
 
     now: datetime
     data_centre: DataCentre
@@ -56,7 +64,8 @@
     occupancy: Occupancy
     chance: Random
     memory: int = 0
-    paces: dict[BackendId, float] = field(default_factory=dict)
+    prefill_speed: float = 0.0
+    moving: Collection[BackendId] = ()
 
 
 Placement = Callable[[Sequence[Member], Need, Sight], Member | None]
@@ -71,6 +80,7 @@
         for member in members
         if member.state is MemberState.READY
         and member.id not in need.tried
+        and member.id not in sight.moving
         and not sight.health.is_paused(member.id, sight.now)
     ]
     if need.harmless:
@@ -112,9 +122,17 @@
 
 @PLACEMENTS.register("prefill")
 def place_prefill(members: Sequence[Member], need: Need, sight: Sight) -> Member | None:
-    """Choose the prefill engine with the fewest prompt tokens before it."""
+    """Choose the prefill engine with the fewest prompt tokens before it.
+
+    ``None`` when all have so many that the decode engine is faster with the prompt itself.
+    """
     ready = [m for m in members if m.role is BackendRole.PREFILL]
-    found = list_candidates(ready, need, sight)
+    most = sight.prefill_speed * PREFILL_QUEUE.total_seconds()
+    found = [
+        member
+        for member in list_candidates(ready, need, sight)
+        if not most or sight.occupancy.sum_tokens(member.id) <= most
+    ]
     if not found:
         return None
 
--- a/src/lavenderrun/gateway/__init__.py
+++ b/src/lavenderrun/gateway/__init__.py
@@ -5,13 +5,16 @@
 from lavenderrun.gateway import _callers as _callers
 from lavenderrun.gateway import _departure as _departure
 from lavenderrun.gateway import _pages as _pages
+from lavenderrun.gateway import _roles as _roles
 from lavenderrun.gateway import _wakes as _wakes
 from lavenderrun.gateway._log import BoundedLog, log
 from lavenderrun.gateway._ports import (
     BackendDialect,
     CallerDialect,
+    EngineReport,
     HistoryGoneError,
     HttpCall,
+    OrderResult,
     RowChange,
     RowConflictError,
     RowPage,
@@ -28,8 +31,10 @@
     "BackendDialect",
     "BoundedLog",
     "CallerDialect",
+    "EngineReport",
     "HistoryGoneError",
     "HttpCall",
+    "OrderResult",
     "RowChange",
     "RowConflictError",
     "RowPage",
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -27,6 +27,9 @@
 REPORT_EVERY: Final = timedelta(milliseconds=250)
 """How often a host reports; bounds how far the sum of all hosts may run over a quota."""
 
+REPORT_SOON: Final = timedelta(milliseconds=10)
+"""When a host reports after it has reserved a seat; calls of a few round trips go together."""
+
 LOST_AFTER: Final = timedelta(seconds=1)
 """Four missed reports."""
 
@@ -42,6 +45,7 @@
 
     :param used: units charged since the start, by account.
     :param reserved: calls and tokens reserved, by backend server.
+    :param moving: engines that took an order, with the role they will have.
     """
 
     host: str
@@ -49,6 +53,7 @@
     version: int
     used: dict[str, float]
     reserved: dict[str, tuple[int, int]]
+    moving: dict[str, str] = {}
 
 
 class _Entry(msgspec.Struct):
@@ -93,6 +98,7 @@
         self._port: Any = None
         self._datagrams = _Datagrams(self._take)
         self._timer: Timer | None = None
+        self._soon: Timer | None = None
         self._announcing: Deferred[None] | None = None
         self._entry_version = 0
         self.boot = BootId(uuid4().hex[:12])
@@ -115,8 +121,9 @@
 
     async def stop(self) -> None:
         """Take this host's entry out and report no more."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._soon):
+            if timer is not None:
+                timer.cancel()
         self.follower.stop()
         if self._announcing is not None:
             self._announcing.cancel()
@@ -131,6 +138,12 @@
         """Return how many gateways there are, this one included."""
         return len(self._peers) + 1
 
+    def is_first(self) -> bool:
+        """Tell whether this host has the first name among those that report."""
+        now = self._clock.now()
+        live = [h for h, p in self._peers.items() if p.heard and now - p.heard < LOST_AFTER]
+        return all(self._host < host for host in live)
+
     def replace(self, rows: Sequence[RowChange]) -> None:
         """Take all entries; see ``TableReader``."""
         present = {row.key for row in rows}
@@ -190,12 +203,23 @@
         finally:
             timer.cancel()
 
-    def _tick(self) -> None:
-        self._timer = self._clock.call_later(REPORT_EVERY, self._tick)
+    def report_soon(self) -> None:
+        """Report before the next regular time."""
+        if self._soon is None:
+            self._soon = self._clock.call_later(REPORT_SOON, self._report)
+
+    def _report(self) -> None:
+        if self._soon is not None:
+            self._soon.cancel()
+            self._soon = None
         if self._peers and self._datagrams.transport is not None:
             data = msgspec.msgpack.encode(self.report())
             for peer in self._peers.values():
                 self._send(data, peer)
+
+    def _tick(self) -> None:
+        self._timer = self._clock.call_later(REPORT_EVERY, self._tick)
+        self._report()
         now = self._clock.now()
         for host, peer in list(self._peers.items()):
             if now - (peer.heard or peer.since) > REMOVED_AFTER:
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -7,11 +7,13 @@
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
 from lavenderrun.gateway._connection import Connection, Receiver
+from lavenderrun.gateway._ports import HttpCall
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.kernel import Clock, Kernel
 from lavenderrun.types import Break, Headers
@@ -39,7 +41,10 @@
 
 
 class Exchange:
-    """One call to one address, from the wait for a connection to the end of the answer."""
+    """One call to one address, from the wait for a connection to the end of the answer.
+
+    It holds its connection no longer than its answer, for the next call may use it then.
+    """
 
     def __init__(self, receiver: Receiver) -> None:
         self._receiver: Receiver | None = receiver
@@ -49,9 +54,9 @@
     def abandon(self) -> None:
         """Close the connection at once; nothing more is heard."""
         self._receiver = None
-        if self._connection is not None:
-            self._connection.drop()
-            self._connection = None
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.drop()
 
     def pause(self) -> None:
         """Stop reading for a while."""
@@ -70,15 +75,58 @@
             return
         self._connection = connection
         self.sent = True
-        send(connection, self._receiver)
+        send(connection, self)
+
+    def headed(self, status: int, headers: Headers) -> None:
+        """Take the head; see ``Receiver``."""
+        if self._receiver is not None:
+            self._receiver.headed(status, headers)
+
+    def received(self, data: bytes) -> None:
+        """Take a part of the body; see ``Receiver``."""
+        if self._receiver is not None:
+            self._receiver.received(data)
 
-    def fail(self, reason: Break) -> None:
-        """Nothing could be sent."""
+    def ended(self) -> None:
+        """Leave the connection; see ``Receiver``."""
+        self._connection = None
+        receiver, self._receiver = self._receiver, None
+        if receiver is not None:
+            receiver.ended()
+
+    def broken(self, reason: Break) -> None:
+        """There will be no whole answer; see ``Receiver``."""
+        self._connection = None
         receiver, self._receiver = self._receiver, None
         if receiver is not None:
             receiver.broken(reason)
 
 
+class _Answer:
+    """Collects one whole answer."""
+
+    def __init__(self) -> None:
+        self.done: Deferred[tuple[int, bytes] | None] = Deferred()
+        self._status = 0
+        self._parts: list[bytes] = []
+
+    def headed(self, status: int, _headers: Headers) -> None:
+        self._status = status
+
+    def received(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def ended(self) -> None:
+        self._settle((self._status, b"".join(self._parts)))
+
+    def broken(self, _reason: Break) -> None:
+        self._settle(None)
+
+    def _settle(self, result: tuple[int, bytes] | None) -> None:
+        if not self.done.called:
+            self.done.callback(result)
+
+
 class _ConnectionFactory(ClientFactory):
     noisy = False
 
@@ -131,6 +179,19 @@
             self._open(address, exchange, send)
         return exchange
 
+    async def ask(
+        self, address: str, call: HttpCall, timeout: timedelta
+    ) -> tuple[int, bytes] | None:
+        """Send a call and return status and body of its answer, ``None`` without a whole one."""
+        answer = _Answer()
+        exchange = self.call(address, call.method, call.target, call.headers, call.body, answer)
+        timer = self._clock.call_later(timeout, answer.broken, Break.SILENT)
+        try:
+            return await answer.done
+        finally:
+            timer.cancel()
+            exchange.abandon()
+
     def learn_idle(self, address: str, keeps: timedelta) -> None:
         """Take how long the server at *address* keeps idle connections."""
         self._sites.setdefault(address, _Site()).keeps = keeps
@@ -191,7 +252,7 @@
             exchange.begin(connection, send)
 
         def failed(_: Failure) -> None:
-            exchange.fail(Break.UNREACHABLE)
+            exchange.broken(Break.UNREACHABLE)
 
         endpoint.connect(_ConnectionFactory(self)).addCallbacks(connected, failed)
 
--- a/src/lavenderrun/gateway/_ports.py
+++ b/src/lavenderrun/gateway/_ports.py
@@ -5,15 +5,19 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 from typing import Protocol
 
 from lavenderrun.types import (
     AnswerHead,
+    BackendRole,
     Configuration,
     Dispatch,
+    FencingNumber,
     GatewayCall,
     Headers,
     HeldCache,
+    HostId,
     Member,
     Refused,
     RequestId,
@@ -86,12 +90,35 @@
     """A row does not have the expected version; nothing was written."""
 
 
+class OrderResult(Enum):
+    """What a backend server says of an order."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    FENCED = "fenced"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """An engine's state as it tells it.
+
+    :param busy: an order is being carried out.
+    :param sequence: orders that it has taken since its start.
+    """
+
+    role: BackendRole
+    busy: bool
+    sequence: int
+
+
 class StoreDialect(Protocol):
     """Service ``store_dialect``: calls and answers of the table service."""
 
     configuration_table: str
     members_table: str
     hosts_table: str
+    leases_table: str
 
     def encode_read(self, table: str, start: str) -> HttpCall:
         """Return the call that reads a table from key *start*."""
@@ -150,6 +177,25 @@
     def encode_release(self, cache: HeldCache) -> HttpCall:
         """Return the call that frees KV cache at its holder."""
 
+    def encode_report(self, member: Member) -> HttpCall:
+        """Return the call that asks an engine for its state."""
+
+    def decode_report(self, status: int, body: bytes) -> EngineReport | None:
+        """Return an engine's state, ``None`` when the answer can't be read."""
+
+    def encode_order(
+        self,
+        member: Member,
+        role: BackendRole,
+        holder: HostId,
+        fencing: FencingNumber,
+        sequence: int,
+    ) -> HttpCall:
+        """Return the order to take another role, valid only after *sequence* orders."""
+
+    def decode_order(self, status: int) -> OrderResult:
+        """Return what the answer to an order says."""
+
 
 class ConfigurationSource(Protocol):
     """Service ``configuration``: the configuration in force."""
--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -46,6 +46,8 @@
         self._body: list[bytes] = []
         self._tokens = admitted.call.size.prompt if admitted.call.size else 0
         self._timer: Timer | None = None
+        self._alone = False
+        self._began = parts.clock.now()
 
     def start(self, make: MakeDispatch) -> None:
         """Send the prompt to the engine with the shortest queue."""
@@ -55,6 +57,8 @@
             self._story.tell("prefill_skipped", "no prefill engine takes calls")
             self._end(None)
             return
+        self._alone = not self._parts.view.occupancy.sum_tokens(member.id)
+        self._began = self._parts.clock.now()
         self._parts.view.occupancy.reserve(member.id, self._tokens)
         self._attempt = Attempt(self._parts, self._admitted.call, member, self, self._story)
         self._timer = self._parts.clock.call_later(SILENCE_MOST, self._attempt.give_up)
@@ -78,9 +82,16 @@
         """Hand the KV cache on; see ``AttemptEvents``."""
         self._leave()
         if attempt.broke is None and attempt.head and attempt.head.standing is Standing.SERVED:
+            if self._alone:
+                balance = self._parts.view.find_balance(self._admitted.service)
+                took = self._parts.clock.now() - self._began
+                balance.observe_prefill(took, self._tokens)
             body = b"".join(self._body)
             self._end(self._parts.backends.decode_export(attempt.member.address, body))
         else:
+            if attempt.outcome.standing is Standing.NOT_RUN:
+                # full, or on its way to another role
+                self._parts.view.health.lose(attempt.member.id, self._parts.clock.now())
             self._end(None)
 
     def _leave(self) -> None:
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -7,10 +7,8 @@
 from enum import Enum
 from typing import ClassVar, Final
 
-from twisted.internet.defer import Deferred
-
 from lavenderrun.gateway._log import log
-from lavenderrun.gateway._pool import ConnectionPool, Exchange
+from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import (
     HttpCall,
     RowChange,
@@ -22,7 +20,7 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._stats import STORE_CALLS, Stats
 from lavenderrun.kernel import Kernel
-from lavenderrun.types import Break, Headers, StoreUnavailableError
+from lavenderrun.types import StoreUnavailableError
 
 ANSWER_TIMEOUT: Final = timedelta(seconds=1.5)
 """Longest wait for an answer: a store that is sixty times slower than usual still makes it."""
@@ -36,27 +34,6 @@
     LOST = "lost"
 
 
-class _Answer:
-    """Collects one answer of the store."""
-
-    def __init__(self) -> None:
-        self.done: Deferred[tuple[int, bytes]] = Deferred()
-        self._status = 0
-        self._parts: list[bytes] = []
-
-    def headed(self, status: int, _headers: Headers) -> None:
-        self._status = status
-
-    def received(self, data: bytes) -> None:
-        self._parts.append(data)
-
-    def ended(self) -> None:
-        self.done.callback((self._status, b"".join(self._parts)))
-
-    def broken(self, reason: Break) -> None:
-        self.done.errback(StoreUnavailableError(reason.value))
-
-
 class RowStore:
     """The table service as this host reaches it.
 
@@ -112,17 +89,13 @@
 
     async def _ask(self, kind: str, call: HttpCall, timeout: timedelta) -> RowPage:
         sent = self._clock.now()
-        answer = _Answer()
-        exchange = self._pool.call(
-            self._address, call.method, call.target, call.headers, call.body, answer
-        )
-        timer = self._clock.call_later(timeout, self._give_up, exchange, answer)
+        answer = await self._pool.ask(self._address, call, timeout)
+        if answer is None:
+            self._settle(kind, StoreState.LOST, "no answer")
+            msg = f"no answer to {kind}"
+            raise StoreUnavailableError(msg)
         try:
-            status, body = await answer.done
-            page = self.dialect.decode_rows(status, body)
-        except StoreUnavailableError as error:
-            self._settle(kind, StoreState.LOST, str(error))
-            raise
+            page = self.dialect.decode_rows(*answer)
         except StoreRefusal as refusal:
             is_down = refusal.status in {429, 503}
             self._settle(kind, StoreState.LOST if is_down else StoreState.REACHED, str(refusal))
@@ -130,16 +103,10 @@
         except ValueError as error:
             self._settle(kind, StoreState.LOST, "answer can not be read")
             raise StoreUnavailableError(str(error)) from error
-        finally:
-            timer.cancel()
         self.answered = max(sent, self.answered or sent)
         self._settle(kind, StoreState.REACHED, "")
         return page
 
-    def _give_up(self, exchange: Exchange, answer: _Answer) -> None:
-        exchange.abandon()
-        answer.broken(Break.SILENT)
-
     def _settle(self, kind: str, state: StoreState, reason: str) -> None:
         self._stats.count(STORE_CALLS, kind, reason or "ok")
         if state is self.state:
--- a/src/lavenderrun/gateway/_running.py
+++ b/src/lavenderrun/gateway/_running.py
@@ -27,7 +27,10 @@
 )
 
 RETRY_SOON: Final = timedelta(milliseconds=300)
-"""When a caller may ask again after a refusal for want of room: a few calls' time."""
+"""When a caller may ask again after a refusal for want of a server: a few calls' time."""
+
+RETRY_SEAT: Final = timedelta(seconds=2)
+"""The same for want of a seat: about the time in which a third of the seats turn over."""
 
 LEAST_TIME: Final = timedelta(milliseconds=30)
 """Less time than any call needs; with less no send is tried."""
@@ -159,8 +162,8 @@
         self._sink.refuse(refused)
         self._finish(outcome.value)
 
-    def _refuse_for_room(self, detail: str) -> None:
-        self._refuse(Refusal.NO_ROOM, Step.SEAT, detail, RETRY_SOON)
+    def _refuse_for_room(self, detail: str, retry_after: timedelta = RETRY_SOON) -> None:
+        self._refuse(Refusal.NO_ROOM, Step.SEAT, detail, retry_after)
 
     def _give_back(self) -> None:
         account = self._admitted.access.account
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -9,7 +9,7 @@
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._event_split import EventSplitter
 from lavenderrun.gateway._prefill import Prefill
-from lavenderrun.gateway._running import LEAST_TIME, RunningCallBase
+from lavenderrun.gateway._running import LEAST_TIME, RETRY_SEAT, RunningCallBase
 from lavenderrun.gateway._seats import Seat, SeatRequest
 from lavenderrun.gateway._stats import EVENT_GAP
 from lavenderrun.kernel import Timer
@@ -49,15 +49,19 @@
         self._begun = False
         self._unknown = False
         self._watch: Timer | None = None
-        self._last = self._admitted.arrived
+        self._last = self._sent = self._admitted.arrived
 
     def start(self) -> None:
         """Ask for a seat."""
         self._ask_seat()
 
+    @property
+    def _need_tokens(self) -> int:
+        return self._size.prompt + self._size.likely_output
+
     def _ask_seat(self) -> None:
         route, now = self._admitted.access.route, self._parts.clock.now()
-        tokens = self._size.prompt + self._size.likely_output
+        tokens = self._need_tokens
         tried = [member.id for member in self._tried]
         need = Need(tokens=tokens, tried=tried, harmless=route.is_idempotent)
         arrived = self._admitted.arrived if not self._tried else now
@@ -89,7 +93,7 @@
         if self._begun:
             self._cut("no engine has room to go on")
         else:
-            self._refuse_for_room("no engine had room in time")
+            self._refuse_for_room("no engine had room in time", RETRY_SEAT)
 
     def _begin_decode(self, cache: HeldCache | None) -> None:
         self._prefill, self._cache = None, cache
@@ -122,7 +126,7 @@
         self._attempt = attempt
         self._events.reset()
         self._body.clear()
-        self._last = self._parts.clock.now()
+        self._last = self._sent = self._parts.clock.now()
         self._story.tell(
             "send",
             "sent to engine",
@@ -168,6 +172,7 @@
         standing = attempt.head.standing if attempt.head else None
         if attempt.broke is None and standing is Standing.SERVED and self._events.is_between:
             self._story.tell("answered", "stream passed on", member=attempt.member.id)
+            self._observe_decode()
             self._sink.finish()
             self._finish("answered")
         elif not attempt.outcome.may_have_run:
@@ -177,6 +182,14 @@
         else:
             self._go_on_after_break(attempt)
 
+    def _observe_decode(self) -> None:
+        service = self._admitted.service
+        memory = self._parts.view.find_memory(service)
+        if memory and self._need_tokens:
+            took = self._parts.clock.now() - self._sent
+            part = self._need_tokens / memory
+            self._parts.view.find_balance(service).observe_decode(took, part)
+
     def _go_on_after_rejection(self, attempt: Attempt) -> None:
         if not attempt.sent:
             self._tried.remove(attempt.member)
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from datetime import datetime
-from typing import ClassVar
+from datetime import datetime, timedelta
+from typing import ClassVar, Final
 
 from lavenderrun.dispatch import (
     PLACEMENTS,
@@ -13,6 +13,7 @@
     QuotaLedger,
     ResendBudget,
     Reserved,
+    RoleBalance,
     Sight,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -25,6 +26,7 @@
 from lavenderrun.types import (
     AccountId,
     BackendId,
+    BackendRole,
     BootId,
     Configuration,
     GatewayBounds,
@@ -34,6 +36,9 @@
     ServiceGroup,
 )
 
+MOVE_MOST: Final = timedelta(seconds=10)
+"""Longest time that an engine is taken to need for another role."""
+
 
 class FleetView:
     """Joins reports of peers, announcements of backend servers and own observations."""
@@ -54,6 +59,8 @@
         self.resends = ResendBudget(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window)
         self.occupancy = Occupancy()
         self.health = HealthBook()
+        self._moving: dict[BackendId, tuple[BackendRole, datetime]] = {}
+        self._balances: dict[ServiceGroup, RoleBalance] = {}
         kernel.find("stats", Stats).read(QUOTA_USED, self._read_used)
 
     def start(self) -> None:
@@ -72,6 +79,29 @@
         members = self._members.serving(service)
         return PLACEMENTS.find(placement)(members, need, self._make_sight(service))
 
+    def find_balance(self, service: ServiceGroup) -> RoleBalance:
+        """Return the balance of roles of a model service."""
+        return self._balances.setdefault(service, RoleBalance())
+
+    def find_memory(self, service: ServiceGroup) -> int:
+        """Return the tokens that an engine of *service* holds, zero when unknown."""
+        configuration = self._configuration.current
+        facts = configuration.services.get(service) if configuration is not None else None
+        return facts.engine.memory if facts is not None and facts.engine is not None else 0
+
+    def note_moving(self, member: BackendId, role: BackendRole) -> None:
+        """Take note that an engine took the order to change its role."""
+        self._moving[member] = (role, self._clock.now() + MOVE_MOST)
+        self._peers.report_soon()
+
+    def list_moving(self, now: datetime) -> set[BackendId]:
+        """Return the engines that are on their way to another role."""
+        for key, (role, until) in list(self._moving.items()):
+            member = self._members.find(key)
+            if now >= until or member is None or member.role is role:
+                del self._moving[key]
+        return set(self._moving)
+
     def find_ready(self, member: Member) -> Member | None:
         """Return *member* as it is now, ``None`` when it takes no new work."""
         current = self._members.find(member.id)
@@ -82,11 +112,15 @@
     def _make_sight(self, service: ServiceGroup) -> Sight:
         now = self._clock.now()
         self.occupancy.expire(now)
-        configuration = self._configuration.current
-        facts = configuration.services.get(service) if configuration is not None else None
-        memory = facts.engine.memory if facts is not None and facts.engine is not None else 0
         return Sight(
-            now, self._data_centre, self.health, self.occupancy, self._chance, memory=memory
+            now,
+            self._data_centre,
+            self.health,
+            self.occupancy,
+            self._chance,
+            memory=self.find_memory(service),
+            prefill_speed=self.find_balance(service).prefill_speed,
+            moving=self.list_moving(now),
         )
 
     def _configure(self, configuration: Configuration) -> None:
@@ -114,7 +148,8 @@
         }
         used = {str(account): units for account, units in self.quotas.used.items()}
         version = self._configuration.version
-        return Report(self._host, self._peers.boot, version, used, reserved)
+        moving = {str(member): role.value for member, (role, _) in self._moving.items()}
+        return Report(self._host, self._peers.boot, version, used, reserved, moving)
 
     def _hear(self, report: Report) -> None:
         now = self._clock.now()
@@ -126,6 +161,9 @@
             for member, (calls, tokens) in report.reserved.items()
         }
         self.occupancy.hear(host, reserved, now)
+        for member, role in report.moving.items():
+            until = now + MOVE_MOST
+            self._moving.setdefault(BackendId(member), (BackendRole(role), until))
 
     def _read_used(self) -> dict[tuple[str, ...], float]:
         return {(str(account),): units for account, units in self.quotas.used.items()}
--- a/src/lavenderrun/platform/_backends.py
+++ b/src/lavenderrun/platform/_backends.py
@@ -8,17 +8,21 @@
 
 import msgspec
 
-from lavenderrun.gateway import GATEWAY_SERVICES, HttpCall
+from lavenderrun.gateway import GATEWAY_SERVICES, EngineReport, HttpCall, OrderResult
 from lavenderrun.kernel import Kernel
 from lavenderrun.platform import _headers as names
 from lavenderrun.types import (
     AnswerHead,
     BackendLoad,
+    BackendRole,
     Dispatch,
     ExportHandle,
+    FencingNumber,
     GatewayCall,
     Headers,
     HeldCache,
+    HostId,
+    Member,
     RequestId,
     Standing,
 )
@@ -32,6 +36,26 @@
 """Headers of an answer that are meant for this host."""
 
 
+OK: Final = 200
+STAGES: Final = {BackendRole.PREFILL: "prefill", BackendRole.DECODE: "decode"}
+ROLES: Final = {stage: role for role, stage in STAGES.items()}
+ORDER_RESULTS: Final = {
+    200: OrderResult.ACCEPTED,
+    202: OrderResult.ACCEPTED,
+    400: OrderResult.REJECTED,
+    409: OrderResult.REJECTED,
+    412: OrderResult.FENCED,
+    421: OrderResult.REJECTED,
+}
+"""A result that stands for no answer of an engine may have taken effect."""
+
+
+class _Report(msgspec.Struct):
+    stage: str
+    busy: bool
+    seq: int  # counts orders here; in a server's row the same name counts heartbeats
+
+
 class _Export(msgspec.Struct, rename="kebab"):
     kv_handle: str
 
@@ -87,6 +111,52 @@
         headers = [("Host", cache.source)]
         return HttpCall("DELETE", f"/api/kv-handle/{cache.handle}", headers)
 
+    def encode_report(self, member: Member) -> HttpCall:
+        """Return the call that asks an engine for its state."""
+        headers = [("Host", member.address), ("X-Expect-Instance", str(member.id))]
+        return HttpCall("GET", "/api/report", headers)
+
+    def decode_report(self, status: int, body: bytes) -> EngineReport | None:
+        """Return an engine's state, ``None`` when the answer can't be read."""
+        if status != OK:
+            return None
+        try:
+            found = msgspec.json.decode(body, type=_Report)
+        except msgspec.DecodeError:
+            return None
+        role = ROLES.get(found.stage)
+        return None if role is None else EngineReport(role, found.busy, found.seq)
+
+    def encode_order(
+        self,
+        member: Member,
+        role: BackendRole,
+        holder: HostId,
+        fencing: FencingNumber,
+        sequence: int,
+    ) -> HttpCall:
+        """Return the order to take another role."""
+        body = msgspec.json.encode(
+            {
+                "op": "stage",
+                "stage": STAGES[role],
+                "holder": holder,
+                "fence": fencing,
+                "expected": sequence,
+            }
+        )
+        headers = [
+            ("Host", member.address),
+            ("X-Expect-Instance", str(member.id)),
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        return HttpCall("POST", "/api/order", headers, body)
+
+    def decode_order(self, status: int) -> OrderResult:
+        """Return what the answer to an order says."""
+        return ORDER_RESULTS.get(status, OrderResult.UNKNOWN)
+
 
 def _find_standing(request: RequestId, status: int, headers: Headers) -> Standing:
     echoed = names.find_value(headers, names.REQUEST_ID)
--- a/src/lavenderrun/platform/_members.py
+++ b/src/lavenderrun/platform/_members.py
@@ -32,7 +32,6 @@
     state: str
     slots: int = 1
     cold_left_ms: float = 0
-    seq: int = 0
     born: int = 0
     stage: str | None = None
 
@@ -55,6 +54,5 @@
         max(1, entry.slots),
         STATES[entry.state],
         timedelta(milliseconds=max(0.0, entry.cold_left_ms)),
-        entry.seq,
         entry.born,
     )
--- a/src/lavenderrun/platform/_store.py
+++ b/src/lavenderrun/platform/_store.py
@@ -58,6 +58,7 @@
     configuration_table = "op"
     members_table = "servers"
     hosts_table = "lavenderrun-gateways"
+    leases_table = "lavenderrun-leases"
 
     def __init__(self, address: str) -> None:
         self._headers = [("Host", address)]
--- a/src/lavenderrun/types/_members.py
+++ b/src/lavenderrun/types/_members.py
@@ -24,7 +24,6 @@
     :param address: IP number and port.
     :param seats: calls that it runs at once.
     :param warmup: how much longer it stays slow after its start.
-    :param sequence: orders that it has taken since its start.
     :param started: milliseconds since 1970 of its start; tells two lives of one id apart.
     """
 
@@ -36,5 +35,4 @@
     seats: int
     state: MemberState
     warmup: timedelta
-    sequence: int
     started: int
