--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -69,13 +69,22 @@
         """What is known once it is over."""
         return Attempted(self.sent, self.head.standing if self.head else None, self.broke)
 
-    def send(self, dispatch: Dispatch) -> None:
-        """Send the call."""
+    def send(self, dispatch: Dispatch, *, fresh: bool) -> None:
+        """Send the call.
+
+        :param fresh: over a new connection; a reused one may be closing or lead nowhere.
+        """
         self._needs_signature = not dispatch.prefill_only
         wire = self._parts.backends.encode_call(self._call, dispatch)
         self._parts.view.health.begin(self.member.id, self._began)
         self._exchange = self._parts.pool.call(
-            self.member.address, wire.method, wire.target, wire.headers, wire.body, self
+            self.member.address,
+            wire.method,
+            wire.target,
+            wire.headers,
+            wire.body,
+            self,
+            fresh=fresh,
         )
 
     def abandon(self) -> None:
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -18,8 +18,9 @@
 from lavenderrun.kernel import Clock, Kernel
 from lavenderrun.types import Break, Headers
 
-CONNECT_TIMEOUT: Final = timedelta(milliseconds=400)
-"""Longest time to connect: many round trips within a region, and half of a short objective."""
+CONNECT_TIMEOUT: Final = timedelta(milliseconds=200)
+"""Longest time to connect: many round trips within a region, and less than exported KV cache
+lives."""
 
 IDLE_DEFAULT: Final = timedelta(seconds=1)
 """How long a connection is reused when its server does not say how long it keeps it."""
@@ -165,14 +166,19 @@
         headers: Headers,
         body: bytes,
         receiver: Receiver,
+        *,
+        fresh: bool = False,
     ) -> Exchange:
-        """Send a call to *address*; what comes of it goes to *receiver*."""
+        """Send a call to *address*; what comes of it goes to *receiver*.
+
+        :param fresh: over a new connection, so that a call never goes to a server that is gone.
+        """
         exchange = Exchange(receiver)
 
         def send(connection: Connection, to: Receiver) -> None:
             connection.call(method, target, headers, body, to)
 
-        idle = self._take_idle(address)
+        idle = None if fresh else self._take_idle(address)
         if idle is not None:
             exchange.begin(idle, send)
         else:
--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -14,7 +14,7 @@
 from lavenderrun.kernel import Timer
 from lavenderrun.types import Dispatch, HeldCache, Member, Standing
 
-SILENCE_MOST: Final = timedelta(seconds=1)
+SILENCE_MOST: Final = timedelta(milliseconds=800)
 """Longest wait for a prefill: several times the largest prompt's time in a short queue."""
 
 
@@ -62,7 +62,7 @@
         self._parts.view.occupancy.reserve(member.id, self._tokens)
         self._attempt = Attempt(self._parts, self._admitted.call, member, self, self._story)
         self._timer = self._parts.clock.call_later(SILENCE_MOST, self._attempt.give_up)
-        self._attempt.send(make(member, prefill_only=True))
+        self._attempt.send(make(member, prefill_only=True), fresh=True)
 
     def abandon(self) -> None:
         """Drop it; the engine drops the work."""
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -25,6 +25,9 @@
 GAP_WAIT_DEFAULT: Final = timedelta(seconds=1.2)
 """The same for a route that states no objective for gaps."""
 
+CACHE_PART: Final = 0.7
+"""Part of the life of held KV cache within which it is still offered to an engine."""
+
 UNSTATED_SIZE: Final = DeclaredSize(0, 0, 0)
 
 
@@ -42,6 +45,7 @@
         self._seat: Seat | None = None
         self._prefill: Prefill | None = None
         self._cache: HeldCache | None = None
+        self._cache_until = self._admitted.arrived
         self._attempt: Attempt | None = None
         self._events = EventSplitter()
         self._events.last_id = self._admitted.call.resume_after
@@ -83,7 +87,9 @@
             waited_ms=round(waited / timedelta(milliseconds=1)),
             reserved=self._parts.view.occupancy.sum_tokens(seat.member.id),
         )
-        if self._size.prompt and not self._tried:
+        if self._cache is not None and self._parts.clock.now() < self._cache_until:
+            self._send(self._cache)
+        elif self._size.prompt and not self._tried:
             self._prefill = Prefill(self._parts, self._admitted, self._story, self._begin_decode)
             self._prefill.start(self._dispatch)
         else:
@@ -97,6 +103,8 @@
 
     def _begin_decode(self, cache: HeldCache | None) -> None:
         self._prefill, self._cache = None, cache
+        life = self._parts.view.find_export_life(self._admitted.service)
+        self._cache_until = self._parts.clock.now() + life * CACHE_PART
         if self._over or self._seat is None:
             return
         member = self._seat.member
@@ -135,7 +143,8 @@
             resume_after=self._events.last_id,
             attempt=len(self._tried),
         )
-        attempt.send(self._dispatch(member, cache=cache, resume_after=self._events.last_id))
+        dispatch = self._dispatch(member, cache=cache, resume_after=self._events.last_id)
+        attempt.send(dispatch, fresh=True)
         self._watch_silence(FIRST_EVENT_WAIT)
 
     def headed(self, attempt: Attempt) -> None:
@@ -223,6 +232,7 @@
 
     def _go_on_after_break(self, attempt: Attempt) -> None:
         self._unknown = True
+        self._cache = None
         route = self._admitted.access.route
         if route.is_idempotent and self._attempts_left > 0 and self._take_resend():
             reason = attempt.broke.value if attempt.broke else "ended inside an event"
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -89,6 +89,14 @@
         facts = configuration.services.get(service) if configuration is not None else None
         return facts.engine.memory if facts is not None and facts.engine is not None else 0
 
+    def find_export_life(self, service: ServiceGroup) -> timedelta:
+        """Return how long engines of *service* hold KV cache for each other."""
+        configuration = self._configuration.current
+        facts = configuration.services.get(service) if configuration is not None else None
+        if facts is None or facts.engine is None:
+            return timedelta(0)
+        return facts.engine.export_life
+
     def note_moving(self, member: BackendId, role: BackendRole) -> None:
         """Take note that an engine took the order to change its role."""
         self._moving[member] = (role, self._clock.now() + MOVE_MOST)
