--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -11,4 +11,4 @@
 from lavenderrun.daemons import run_gateway
 
 if __name__ == "__main__":
-    sys.exit(run_gateway(Path(os.environ["LAVENDERRUN_SETTINGS"])))
+    sys.exit(run_gateway(Path(os.environ["LAVENDERRUN_SETTINGS"]), metrics_port=int(sys.argv[1])))
--- a/src/lavenderrun/commands/_gateway.py
+++ b/src/lavenderrun/commands/_gateway.py
@@ -4,9 +4,13 @@
 
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
+from typing import Final
 
 from lavenderrun.commands._base import COMMANDS
 
+METRICS_PORT: Final = 9464
+"""Usual port of metrics pages; ``deploy/system.toml`` names the same."""
+
 
 @COMMANDS.register("gateway")
 class GatewayCommand:
@@ -19,9 +23,12 @@
     def configure(self, parser: ArgumentParser) -> None:
         """Add the sub-command's arguments."""
         parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+        parser.add_argument(
+            "--metrics-port", type=int, default=METRICS_PORT, metavar="PORT", help="metrics page"
+        )
 
     def run(self, args: Namespace) -> int:
         """Run until a signal, then drain; return 0, 1 for a failure, 2 for faulty settings."""
         from lavenderrun.daemons import run_gateway
 
-        return run_gateway(args.settings)
+        return run_gateway(args.settings, metrics_port=args.metrics_port)
--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -78,14 +78,17 @@
         log("daemon:reloaded", "daemon: settings read anew", changed=changed)
 
 
-def run_gateway(path: Path) -> int:
-    """Run a gateway by the platform's settings file until a signal; return the exit code."""
+def run_gateway(path: Path, *, metrics_port: int) -> int:
+    """Run a gateway by the platform's settings file until a signal; return the exit code.
+
+    :param metrics_port: port of the metrics page.
+    """
     from twisted.internet import reactor
 
     loop: Any = reactor
 
     def read() -> GatewaySettings:
-        return read_platform_settings(path.read_bytes())
+        return read_platform_settings(path.read_bytes(), metrics_port=metrics_port)
 
     clock = ReactorClock.starting_now(loop)
     BoundedLog(clock, sys.stdout.fileno()).open()
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -17,6 +17,7 @@
 from lavenderrun.dispatch._quota import QuotaLedger
 from lavenderrun.dispatch._resends import ResendBudget
 from lavenderrun.dispatch._roles import RoleBalance, RoleChange
+from lavenderrun.dispatch._suspects import SuspectBook, make_fingerprint
 from lavenderrun.dispatch._verdicts import Attempted, Verdict, judge_attempt
 from lavenderrun.dispatch._waiting import PATIENCE_MOST, Waiting, order_key
 
@@ -43,11 +44,13 @@
     "RoleChange",
     "Sight",
     "StoredLease",
+    "SuspectBook",
     "Verdict",
     "Waiting",
     "digest_key",
     "has_room",
     "judge_access",
     "judge_attempt",
+    "make_fingerprint",
     "order_key",
 ]
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -74,15 +74,18 @@
 
 
 def list_candidates(members: Iterable[Member], need: Need, sight: Sight) -> list[Member]:
-    """Return the ready servers that were not tried and are not paused."""
-    found = [
+    """Return the ready servers that were not tried, paused ones only when there is no other."""
+    ready = [
         member
         for member in members
         if member.state is MemberState.READY
         and member.id not in need.tried
         and member.id not in sight.moving
-        and not sight.health.is_paused(member.id, sight.now)
     ]
+    found = [m for m in ready if not sight.health.is_paused(m.id, sight.now)]
+    if not found:
+        # a server that may be back is better than none
+        return ready
     if need.harmless:
         return found
     calm = [m for m in found if sight.health.find(m.id).paused_until is None]
--- a/src/lavenderrun/dispatch/_quota.py
+++ b/src/lavenderrun/dispatch/_quota.py
@@ -50,11 +50,13 @@
         return self._used
 
     def configure(self, quotas: Mapping[AccountId, AccountQuota], now: datetime) -> None:
-        """Take the quotas in force; a bucket that goes on keeps its debt."""
+        """Take the quotas in force; what was used of a bucket stays used."""
         buckets = {}
         for account, quota in quotas.items():
             old = self._refill(account, now)
-            level = quota.burst if old is None else min(old.level, quota.burst)
+            level = quota.burst
+            if old is not None:
+                level -= old.quota.burst - old.level
             buckets[account] = _Bucket(quota, level, now)
         self._buckets = buckets
 
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from lavenderrun.dispatch import Attempted
 from lavenderrun.gateway._call_log import CallLog
@@ -19,6 +19,9 @@
     Standing,
 )
 
+CRASHES: Final = frozenset({Break.RESET, Break.CLOSED, Break.SILENT})
+"""How a run ends whose server crashes."""
+
 
 class AttemptEvents(Protocol):
     """Takes what comes of an attempt; nothing follows ``settled``."""
@@ -47,6 +50,7 @@
         self._call = call
         self._events: AttemptEvents | None = events
         self._story = story
+        self._fingerprint = story.fingerprint
         self._began = parts.clock.now()
         self._exchange: Exchange | None = None
         self._needs_signature = True
@@ -143,6 +147,7 @@
         standing = self.head.standing if self.head else Standing.FAILED
         health = self._parts.view.health
         if standing is Standing.SERVED:
+            self._parts.view.suspects.clear(self._fingerprint)
             health.succeed(self.member.id, self._parts.clock.now() - self._began)
         elif standing is Standing.FAILED:
             health.fail(self.member.id)
@@ -155,11 +160,14 @@
     def broken(self, reason: Break) -> None:
         """There will be no whole answer; see ``Receiver``."""
         self.broke = reason
+        if self.sent and reason in CRASHES:
+            self._parts.view.suspects.strike(self._fingerprint, self._parts.clock.now())
         health = self._parts.view.health
-        if reason in {Break.MALFORMED, Break.FOREIGN_ANSWER} or self.head is not None:
-            health.fail(self.member.id)
-        else:
+        if reason in {Break.UNREACHABLE, Break.SILENT}:
             health.lose(self.member.id, self._parts.clock.now())
+        else:
+            # a server that is down shows at the next connection
+            health.fail(self.member.id)
         self._settle(reason.value)
 
     def _settle(self, result: str) -> None:
--- a/src/lavenderrun/gateway/_call_log.py
+++ b/src/lavenderrun/gateway/_call_log.py
@@ -6,22 +6,27 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from lavenderrun.gateway._log import log
-from lavenderrun.types import GatewayCall, Refused
+from lavenderrun.types import Fingerprint, GatewayCall, Refused
 
 if TYPE_CHECKING:
     from lavenderrun.gateway._attempt import Attempt
 
+NO_FINGERPRINT: Final = Fingerprint("")
 MILLISECOND: Final = timedelta(milliseconds=1)
 
 
 class CallLog:
     """Writes the lines of one call.
 
-    :param version: the configuration's version by which the call runs.
+    :param fingerprint: digest that a repeated call shares.
+    :param fields: stand on each line.
     """
 
-    def __init__(self, call: GatewayCall, **fields: Any) -> None:
+    def __init__(
+        self, call: GatewayCall, fingerprint: Fingerprint = NO_FINGERPRINT, **fields: Any
+    ) -> None:
         self._request = call.id
+        self.fingerprint = fingerprint
         self._fields = fields
 
     def tell(self, event: str, text: str, **fields: Any) -> None:
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -46,6 +46,7 @@
     :param used: units charged since the start, by account.
     :param reserved: calls and tokens reserved, by backend server.
     :param moving: engines that took an order, with the role they will have.
+    :param strikes: runs that their servers broke off, by the call's fingerprint.
     """
 
     host: str
@@ -54,6 +55,7 @@
     used: dict[str, float]
     reserved: dict[str, tuple[int, int]]
     moving: dict[str, str] = {}
+    strikes: dict[str, int] = {}
 
 
 class _Entry(msgspec.Struct):
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -5,7 +5,7 @@
 from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
-from lavenderrun.dispatch import Access, judge_access
+from lavenderrun.dispatch import Access, judge_access, make_fingerprint
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._members import MembersService
@@ -41,6 +41,9 @@
 LEAVING_RETRY: Final = timedelta(milliseconds=50)
 """The same when this host stops: another one serves at once."""
 
+QUARANTINE_RETRY: Final = timedelta(seconds=4)
+"""The same after a call has broken several servers: these take some seconds to be back."""
+
 LATE_WORK: Final = timedelta(seconds=3)
 """Time after the order to stop from which no new call is taken."""
 
@@ -171,6 +174,9 @@
     ) -> RunningCall:
         if self._leaving_since is not None and arrived - self._leaving_since > LATE_WORK:
             return self._refuse(call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY)
+        fingerprint = make_fingerprint(call, access.account.id if access.account else None)
+        if self._parts.view.suspects.is_refused(fingerprint, arrived):
+            return self._refuse(call, sink, Refusal.QUARANTINED, Step.ADMISSION, QUARANTINE_RETRY)
         cost = _find_cost(call, access.account)
         if cost and access.account is not None:
             wait = self._parts.view.quotas.charge(access.account.id, cost, arrived)
@@ -189,7 +195,7 @@
             arrived + min(patience, route.timeout),
             arrived + patience,
         )
-        story = CallLog(call)
+        story = CallLog(call, fingerprint)
         story.tell(
             "admitted",
             "admitted",
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -15,6 +15,7 @@
     Reserved,
     RoleBalance,
     Sight,
+    SuspectBook,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._members import MembersService
@@ -29,6 +30,7 @@
     BackendRole,
     BootId,
     Configuration,
+    Fingerprint,
     GatewayBounds,
     HostId,
     Member,
@@ -59,6 +61,7 @@
         self.resends = ResendBudget(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window)
         self.occupancy = Occupancy()
         self.health = HealthBook()
+        self.suspects = SuspectBook()
         self._moving: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._balances: dict[ServiceGroup, RoleBalance] = {}
         kernel.find("stats", Stats).read(QUOTA_USED, self._read_used)
@@ -157,7 +160,8 @@
         used = {str(account): units for account, units in self.quotas.used.items()}
         version = self._configuration.version
         moving = {str(member): role.value for member, (role, _) in self._moving.items()}
-        return Report(self._host, self._peers.boot, version, used, reserved, moving)
+        strikes = {str(key): n for key, n in self.suspects.report(self._clock.now()).items()}
+        return Report(self._host, self._peers.boot, version, used, reserved, moving, strikes)
 
     def _hear(self, report: Report) -> None:
         now = self._clock.now()
@@ -169,6 +173,7 @@
             for member, (calls, tokens) in report.reserved.items()
         }
         self.occupancy.hear(host, reserved, now)
+        self.suspects.hear(host, {Fingerprint(key): n for key, n in report.strikes.items()})
         for member, role in report.moving.items():
             until = now + MOVE_MOST
             self._moving.setdefault(BackendId(member), (BackendRole(role), until))
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -110,7 +110,7 @@
             attempt=len(self._tried),
             left_ms=round(self._time_left() / timedelta(milliseconds=1)),
         )
-        attempt.send(self._dispatch(member), fresh=not route.is_idempotent)
+        attempt.send(self._dispatch(member), fresh=not route.is_idempotent or len(self._tried) > 1)
         if route.is_idempotent and self._attempts_left > 0:
             self._plan(route.objective * HEDGE_PART, self._hedge)
         return True
--- a/src/lavenderrun/platform/_settings.py
+++ b/src/lavenderrun/platform/_settings.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import Annotated, Final
+from typing import Annotated
 
 import msgspec
 
 from lavenderrun.types import DataCentre, GatewayBounds, GatewaySettings, HostId
 
-METRICS_PORT: Final = 9464
-"""Port of the metrics page, as ``deploy/system.toml`` names it."""
-
 Count = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -46,9 +43,10 @@
     """A settings file that can not be used; names the field."""
 
 
-def read_platform_settings(text: bytes) -> GatewaySettings:
+def read_platform_settings(text: bytes, *, metrics_port: int) -> GatewaySettings:
     """Return the settings in the platform's JSON file.
 
+    :param metrics_port: port of the metrics page, which the file does not name.
     :raises SettingsError: names the field that is missing or wrong.
     """
     try:
@@ -72,7 +70,7 @@
         callers=found.listen.front,
         readiness=found.listen.ready,
         peers=f"{found.ip}:{found.port_range[0]}",
-        metrics=f"{found.ip}:{METRICS_PORT}",
+        metrics=f"{found.ip}:{metrics_port}",
         store=found.platform.addr,
         bounds=GatewayBounds(
             timedelta(seconds=bounds.grace_s),
--- /dev/null
+++ b/tests/dispatch/test_budget_and_health.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+
+from lavenderrun.dispatch import HealthBook, ResendBudget, SuspectBook, make_fingerprint
+from lavenderrun.types import AccountId, BackendId, Fingerprint, GatewayCall, HostId, RequestId
+from lavenderrun.types import ServiceGroup as Group
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+SERVICE = Group("apps")
+SERVER = BackendId("s1")
+TOOK = timedelta(milliseconds=40)
+
+
+def at(seconds: float) -> datetime:
+    return START + timedelta(seconds=seconds)
+
+
+def test_resends_are_a_share_of_calls_and_a_part_of_the_reserve() -> None:
+    budget = ResendBudget(0.2, 50, timedelta(seconds=10))
+    budget.share_among(5)
+    for _ in range(10):
+        budget.count_call(SERVICE, START)
+    taken = sum(budget.take(SERVICE, START) for _ in range(40))
+    assert taken == 10  # 0.2 x 10 and 0.8 x 50 / 5
+    assert not budget.take(SERVICE, at(9))
+    assert budget.take(SERVICE, at(10.1))
+
+
+def test_hosts_that_do_not_know_each_other_keep_the_reserve() -> None:
+    hosts = 8
+    budgets = [ResendBudget(0.2, 58, timedelta(seconds=10)) for _ in range(hosts)]
+    taken = sum(budget.take(SERVICE, START) for budget in budgets for _ in range(60))
+    assert taken <= 58
+
+
+def test_an_unreachable_server_is_paused_and_tried_by_one_call() -> None:
+    health = HealthBook()
+    health.lose(SERVER, START)
+    assert health.is_paused(SERVER, at(0.4))
+    assert not health.is_paused(SERVER, at(0.6))
+    health.begin(SERVER, at(0.6))
+    assert health.is_paused(SERVER, at(0.7))
+    health.lose(SERVER, at(0.8))
+    assert health.is_paused(SERVER, at(1.7))
+    assert not health.is_paused(SERVER, at(1.9))
+    health.begin(SERVER, at(1.9))
+    health.succeed(SERVER, TOOK)
+    assert not health.is_paused(SERVER, at(1.9))
+
+
+def test_failures_count_after_a_few_calls_and_fade() -> None:
+    health = HealthBook()
+    for _ in range(4):
+        health.fail(SERVER)
+    assert health.share_failed(SERVER) == 0.0
+    health.fail(SERVER)
+    assert health.share_failed(SERVER) == 1.0
+    for _ in range(20):
+        health.succeed(SERVER, TOOK)
+    assert health.share_failed(SERVER) < 0.1
+
+
+def make_call(body: bytes = b"x", request: str = "r") -> GatewayCall:
+    return GatewayCall(RequestId(request), "POST", "h", "/p", [], body, None, None, None, None)
+
+
+def test_a_call_that_broke_three_servers_is_refused_whoever_saw_it() -> None:
+    book, account = SuspectBook(), AccountId("a")
+    mark = make_fingerprint(make_call(), account)
+    assert mark == make_fingerprint(make_call(request="again"), account)
+    assert mark != make_fingerprint(make_call(b"y"), account)
+    book.strike(mark, START)
+    book.strike(mark, START)
+    assert not book.is_refused(mark, START)
+    book.hear(HostId("h2"), {mark: 1})
+    assert book.is_refused(mark, START)
+    assert not book.is_refused(mark, at(61))
+    book.clear(mark)
+    assert not book.is_refused(mark, START)
+
+
+def test_a_report_of_strikes_is_bounded_and_holds_the_newest() -> None:
+    book = SuspectBook()
+    for number in range(50):
+        book.strike(Fingerprint(f"f{number}"), START)
+    report = book.report(START)
+    assert len(report) == 20
+    assert Fingerprint("f49") in report
--- /dev/null
+++ b/tests/dispatch/test_choices.py
@@ -0,0 +1,212 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavenderrun.dispatch import (
+    PLACEMENTS,
+    Attempted,
+    HealthBook,
+    Need,
+    Occupancy,
+    Reserved,
+    RoleBalance,
+    Sight,
+    Verdict,
+    Waiting,
+    judge_attempt,
+    order_key,
+)
+from lavenderrun.types import (
+    BackendId,
+    BackendLoad,
+    BackendRole,
+    Break,
+    DataCentre,
+    HostId,
+    Member,
+    MemberState,
+    ServiceGroup,
+    Standing,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+HERE, THERE = DataCentre("here"), DataCentre("there")
+
+
+def make_member(
+    name: str,
+    role: BackendRole = BackendRole.PLAIN,
+    where: DataCentre = HERE,
+    state: MemberState = MemberState.READY,
+) -> Member:
+    return Member(
+        BackendId(name),
+        ServiceGroup("s"),
+        "127.0.0.1:1",
+        where,
+        role,
+        6,
+        state,
+        timedelta(0),
+        1,
+    )
+
+
+def make_sight(memory: int = 0) -> Sight:
+    return Sight(START, HERE, HealthBook(), Occupancy(), Random(1), memory=memory)
+
+
+def place(kind: str, members: list[Member], need: Need, sight: Sight) -> str | None:
+    found = PLACEMENTS.find(kind)(members, need, sight)
+    return None if found is None else found.id
+
+
+def test_near_servers_go_first_until_they_are_busy() -> None:
+    members, sight = [make_member("near"), make_member("far", where=THERE)], make_sight()
+    assert place("plain", members, Need(), sight) == "near"
+    sight.occupancy.observe_load(BackendId("near"), BackendLoad(3, 0, 6), START)
+    assert place("plain", members, Need(), sight) == "far"
+
+
+def test_leaving_tried_and_paused_servers_are_passed_over() -> None:
+    members = [make_member(name) for name in ("a", "b", "c")]
+    members.append(make_member("d", state=MemberState.LEAVING))
+    sight = make_sight()
+    sight.health.lose(BackendId("b"), START)
+    assert place("plain", members, Need(tried=[BackendId("a")]), sight) == "c"
+    need = Need(tried=[BackendId("a"), BackendId("c")])
+    assert place("plain", members, need, sight) == "b"  # better than none
+    assert place("plain", members[3:], Need(), sight) is None
+
+
+def test_slow_and_failing_servers_lose_calls() -> None:
+    for spoil in ("slow", "grey"):
+        members, sight = [make_member("good"), make_member("bad")], make_sight()
+        for _ in range(8):
+            sight.health.succeed(BackendId("good"), timedelta(milliseconds=40))
+            if spoil == "slow":
+                sight.health.succeed(BackendId("bad"), timedelta(milliseconds=400))
+            else:
+                sight.health.fail(BackendId("bad"))
+        sight.occupancy.observe_load(BackendId("good"), BackendLoad(4, 0, 6), START)
+        assert place("plain", members, Need(), sight) == "good"
+
+
+def test_a_decode_engine_needs_room_in_the_sum_of_all_hosts() -> None:
+    members = [make_member("d1", BackendRole.DECODE), make_member("p1", BackendRole.PREFILL)]
+    sight = make_sight(memory=10_000)
+    sight.occupancy.reserve(BackendId("d1"), 4000)
+    assert place("decode", members, Need(tokens=5000), sight) == "d1"
+    sight.occupancy.hear(HostId("h2"), {BackendId("d1"): Reserved(1, 4000)}, START)
+    assert place("decode", members, Need(tokens=5000), sight) is None
+    sight.occupancy.expire(START + timedelta(seconds=4))
+    assert place("decode", members, Need(tokens=5000), sight) == "d1"
+
+
+def test_prompts_skip_prefill_engines_with_long_queues_or_moving_ones() -> None:
+    members = [make_member("p1", BackendRole.PREFILL)]
+    sight = make_sight()
+    sight.prefill_speed = 10_000.0
+    sight.occupancy.reserve(BackendId("p1"), 3000)
+    assert place("prefill", members, Need(tokens=3000), sight) == "p1"
+    sight.occupancy.reserve(BackendId("p1"), 3000)
+    assert place("prefill", members, Need(tokens=3000), sight) is None
+    sight = make_sight()
+    sight.moving = [BackendId("p1")]
+    assert place("prefill", members, Need(tokens=3000), sight) is None
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 5000)), max_size=60))
+def test_reservations_that_are_freed_leave_nothing(steps: list[tuple[bool, int]]) -> None:
+    occupancy = Occupancy()
+    held: list[int] = []
+    for take, tokens in steps:
+        if take or not held:
+            occupancy.reserve(BackendId("d"), tokens)
+            held.append(tokens)
+        else:
+            occupancy.free(BackendId("d"), held.pop())
+    assert occupancy.sum_tokens(BackendId("d")) == sum(held)
+    assert occupancy.count_reserved(BackendId("d")) == len(held)
+    for tokens in held:
+        occupancy.free(BackendId("d"), tokens)
+    assert not occupancy.own
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("may_resend", [True, False])
+@pytest.mark.parametrize("sent", [True, False])
+@pytest.mark.parametrize("standing", [None, *Standing])
+@pytest.mark.parametrize("broke", [None, *Break])
+def test_what_may_have_run_is_repeated_only_when_idempotent_and_never_called_not_run(
+    idempotent: bool, may_resend: bool, sent: bool, standing: Standing | None, broke: Break | None
+) -> None:
+    attempted = Attempted(sent, standing, broke)
+    verdict = judge_attempt(attempted, idempotent=idempotent, may_resend=may_resend)
+    if attempted.may_have_run and not idempotent:
+        assert verdict in {Verdict.PASS_ON, Verdict.FAIL_UNKNOWN}
+    if attempted.may_have_run:
+        assert verdict is not Verdict.REFUSE_NOT_RUN
+    if not may_resend:
+        assert verdict is not Verdict.TRY_AGAIN
+    if broke is not None:
+        assert verdict is not Verdict.PASS_ON
+
+
+def test_calls_that_can_be_in_time_go_before_late_ones() -> None:
+    def wait(number: int, seconds_ago: float, rank: int = 1) -> Waiting:
+        arrived = START - timedelta(seconds=seconds_ago)
+        return Waiting(rank, arrived, timedelta(milliseconds=900), number)
+
+    waiting = [wait(1, 2.0), wait(2, 0.5), wait(3, 0.1), wait(4, 2.0, rank=0)]
+    ordered = sorted(waiting, key=lambda found: order_key(found, START))
+    assert [found.number for found in ordered] == [4, 2, 3, 1]
+
+
+def engines(prefills: int, decodes: int) -> list[Member]:
+    found = [make_member(f"p{n}", BackendRole.PREFILL) for n in range(prefills)]
+    return found + [make_member(f"d{n}", BackendRole.DECODE) for n in range(decodes)]
+
+
+@pytest.mark.parametrize(
+    ("prefills", "decodes", "expected"),
+    [
+        (2, 3, BackendRole.DECODE),
+        (1, 4, None),
+        (1, 2, None),
+        (0, 2, None),
+        (0, 4, BackendRole.PREFILL),
+        (2, 0, BackendRole.DECODE),
+        (1, 0, BackendRole.DECODE),
+        (3, 3, BackendRole.DECODE),
+        (1, 1, None),
+    ],
+)
+def test_engines_are_divided_by_the_usual_share_before_calls_were_seen(
+    prefills: int, decodes: int, expected: BackendRole | None
+) -> None:
+    change = RoleBalance().plan(engines(prefills, decodes), {}, {}, START)
+    assert (change.role if change else None) is expected
+
+
+def test_the_share_follows_the_calls_and_moves_keep_their_distance() -> None:
+    balance = RoleBalance()
+    for _ in range(40):
+        balance.observe_prefill(timedelta(milliseconds=300), 9000)
+        balance.observe_decode(timedelta(seconds=1), 0.1)
+    assert balance.prefill_share == pytest.approx(0.75)
+    assert balance.prefill_speed == pytest.approx(30_000)
+    change = balance.plan(engines(1, 4), {}, {BackendId("d0"): 9}, START)
+    assert change is not None
+    assert (change.member.id, change.role) == ("d1", BackendRole.PREFILL)
+    balance.note_move(START)
+    assert balance.plan(engines(1, 4), {}, {}, START + timedelta(seconds=1)) is None
+    pending = {BackendId("d1"): BackendRole.PREFILL, BackendId("d2"): BackendRole.PREFILL}
+    later = START + timedelta(seconds=5)
+    second = balance.plan(engines(1, 4), pending, {}, later)
+    assert second is None or second.member.id not in pending
--- /dev/null
+++ b/tests/platform/gateway_process.py
@@ -0,0 +1,200 @@
+"""One gateway as a process before a stand-in platform, and a caller of it."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from platform_standin import HOST, KEY, Store, Worker, make_config
+
+ROOT = Path(__file__).parents[2]
+WAIT = 10.0
+FIELDS = ("front", "ready")
+
+
+def find_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+def wait_for(check: Callable[[], Any], what: str) -> Any:
+    until = time.monotonic() + WAIT
+    while time.monotonic() < until:
+        found = check()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise AssertionError(f"not in time: {what}")
+
+
+class Answer:
+    def __init__(self, response: http.client.HTTPResponse) -> None:
+        self.status = response.status
+        self.headers = {name.lower(): value for name, value in response.getheaders()}
+        self.whole = True
+        try:
+            self.body = response.read()
+        except http.client.IncompleteRead as cut:
+            self.whole, self.body = False, cut.partial
+
+
+class Gateway:
+    """Starts ``deploy/gateway.py`` on loopback."""
+
+    def __init__(self, folder: Path, store: str, name: str = "front-1", **changes: Any) -> None:
+        self.front, self.ready, self.peers, self.metrics = find_ports(4)
+        self.settings = folder / f"{name}.json"
+        self.log = folder / f"{name}.log"
+        self.errors = folder / f"{name}.err"
+        self.settings.write_text(json.dumps({**self.describe(name, store), **changes}))
+        self.popen: subprocess.Popen[bytes] | None = None
+
+    def describe(self, name: str, store: str) -> dict[str, Any]:
+        return {
+            "node": name,
+            "ip": "127.0.0.1",
+            "zone": "here",
+            "listen": {"front": f"127.0.0.1:{self.front}", "ready": f"127.0.0.1:{self.ready}"},
+            "port-range": [self.peers, self.peers + 1],
+            "bounds": {
+                "grace-s": 8,
+                "retry-ratio": 0.2,
+                "retry-window-s": 10,
+                "retry-slack": 58,
+                "quota-window-s": 8,
+            },
+            "platform": {"addr": store},
+        }
+
+    def start(self) -> Gateway:
+        with self.log.open("ab") as out, self.errors.open("ab") as err:
+            self.popen = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "gateway.py"), str(self.metrics)],
+                stdout=out,
+                stderr=err,
+                env={**os.environ, "LAVENDERRUN_SETTINGS": str(self.settings)},
+            )
+        return self
+
+    def wait_ready(self) -> Gateway:
+        wait_for(lambda: self.ask_ready() == 200, "ready")
+        return self
+
+    def ask_ready(self) -> int:
+        try:
+            return self.get(self.ready, "/api/readyz").status
+        except OSError:
+            return 0
+
+    def get(self, port: int, path: str) -> Answer:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT)
+        try:
+            connection.request("GET", path)
+            return Answer(connection.getresponse())
+        finally:
+            connection.close()
+
+    def connect(self) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection("127.0.0.1", self.front, timeout=WAIT)
+
+    def call(
+        self,
+        path: str,
+        method: str = "GET",
+        *,
+        key: str | None = KEY,
+        request: str = "r1",
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        connection: http.client.HTTPConnection | None = None,
+    ) -> Answer:
+        given = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "4000"}
+        if key is not None:
+            given["Authorization"] = f"Bearer {key}"
+        own = connection or self.connect()
+        try:
+            own.request(method, path, body or None, {**given, **(headers or {})})
+            return Answer(own.getresponse())
+        finally:
+            if connection is None:
+                own.close()
+
+    def generate(self, path: str, **given: Any) -> Answer:
+        sizes = {"X-Model": "m", "X-Token-Count": "100,50", "X-Prefix-Hash": "ab:100"}
+        return self.call(path, "POST", body=b"a prompt", headers=sizes, **given)
+
+    def lines(self, kind: str = "") -> list[dict[str, Any]]:
+        found = [json.loads(line) for line in self.log.read_text().splitlines()]
+        return [line for line in found if line["message_type"].startswith(kind)]
+
+    def signal(self, number: int) -> None:
+        assert self.popen is not None
+        self.popen.send_signal(number)
+
+    def terminate(self) -> int:
+        self.signal(signal.SIGTERM)
+        assert self.popen is not None
+        return self.popen.wait(WAIT)
+
+    def close(self) -> None:
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.kill()
+            self.popen.wait(WAIT)
+
+
+class Site:
+    """A stand-in platform with its servers and gateways."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = Store()
+        self.workers: dict[str, Worker] = {}
+        self.gateways: list[Gateway] = []
+        self._version = 1
+
+    def configure(self, **changes: Any) -> None:
+        self._version += 3
+        self.store.put("op", "config", make_config(self._version, **changes))
+
+    def add(self, worker: Worker) -> Worker:
+        self.workers[worker.id] = worker
+        self.store.put("servers", worker.id, worker.entry())
+        return worker
+
+    def add_gateway(self, name: str = "front-1") -> Gateway:
+        gateway = Gateway(self.folder, self.store.address, name).start()
+        self.gateways.append(gateway)
+        return gateway
+
+    def wait_known(self, gateway: Gateway) -> Gateway:
+        """Wait until the gateway has read every server's entry."""
+        gateway.wait_ready()
+
+        def knows() -> bool:
+            seen = {line["member"] for line in gateway.lines("members:changed")}
+            return seen >= set(self.workers)
+
+        wait_for(knows, "servers known")
+        return gateway
+
+    def close(self) -> None:
+        for gateway in self.gateways:
+            gateway.close()
+        for worker in self.workers.values():
+            worker.close()
+        self.store.close()
--- /dev/null
+++ b/tests/platform/platform_standin.py
@@ -0,0 +1,338 @@
+"""A small platform on loopback: the table service and backend servers of both kinds."""
+
+from __future__ import annotations
+
+import base64
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+STREAM, RESUMED, PLAIN, ORDERS = "/gen/", "/again/", "/look/", "/order/"
+HOST = "front.example"
+KEY, OTHER_KEY = "key-of-talleres", "key-of-molinos"
+
+
+def read_all(handler: BaseHTTPRequestHandler) -> bytes:
+    return handler.rfile.read(int(handler.headers.get("Content-Length") or 0))
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """A caller that resets its connection is no news."""
+
+
+class Store:
+    """Rows with versions, feeds that wait, transactions; may go dark or refuse."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
+        self.version = 0
+        self.refusing = False
+        self.history_from = 0
+        self.calls: list[str] = []
+        self._changed = threading.Condition()
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_: Any) -> None:
+                pass
+
+            def do_GET(self) -> None:
+                self._reply(*store.answer(self.path, b""))
+
+            def do_POST(self) -> None:
+                self._reply(*store.answer(self.path, read_all(self)))
+
+            def _reply(self, status: int, found: dict[str, Any]) -> None:
+                body = json.dumps(found).encode()
+                with suppress(OSError):
+                    self.send_response(status)
+                    self.send_header("Content-Length", str(len(body)))
+                    self.end_headers()
+                    self.wfile.write(body)
+
+        self._server = _Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=self._server.serve_forever, args=(0.02,), daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self._changed:
+            self._write(table, key, raw)
+
+    def remove(self, table: str, key: str) -> None:
+        with self._changed:
+            self._write(table, key, None)
+
+    def forget_history(self) -> None:
+        with self._changed:
+            self.version += 1
+            self.history_from = self.version
+            self._changed.notify_all()
+
+    def close(self) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+
+    def answer(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
+        url = urlsplit(path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.calls.append(url.path)
+        with self._changed:
+            if self.refusing:
+                return 503, {}
+            if url.path == "/api/rows-tx":
+                return self._transact(json.loads(body))
+            if url.path == "/api/rows-feed":
+                return self._feed(query)
+            return 200, self._page(query["table"], after=0, removed=False)
+
+    def _write(self, table: str, key: str, raw: bytes | None) -> None:
+        self.version += 1
+        self.rows[table, key] = (self.version, raw)
+        self._changed.notify_all()
+
+    def _transact(self, wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in wanted["expected"]:
+            version, raw = self.rows.get((row["table"], row["key"]), (0, None))
+            if row["ver"] != (version if raw is not None else 0):
+                return 412, {"rows": [], "ver": self.version}
+        for row in wanted["writes"]:
+            self._write(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in wanted["deletes"]:
+            self._write(row["table"], row["key"], None)
+        return 200, {"ver": self.version, "now-ms": 1}
+
+    def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        until = time.monotonic() + int(query["wait-ms"]) / 1000
+        while True:
+            if self.refusing:
+                return 503, {}
+            if int(query["after"]) < self.history_from:
+                return 410, {}
+            page = self._page(query["table"], after=int(query["after"]), removed=True)
+            left = until - time.monotonic()
+            if page["rows"] or left <= 0:
+                return 200, page
+            self._changed.wait(left)
+
+    def _page(self, table: str, *, after: int, removed: bool) -> dict[str, Any]:
+        rows = []
+        for (where, key), (version, raw) in sorted(self.rows.items()):
+            if where != table or version <= after or (raw is None and not removed):
+                continue
+            row = {"table": table, "part": "", "key": key, "ver": version}
+            if raw is None:
+                row["removed"] = True
+            else:
+                row["value"] = base64.b64encode(raw).decode()
+            rows.append(row)
+        return {"rows": rows, "truncated": False, "ver": self.version, "now-ms": 1}
+
+
+@dataclass
+class Seen:
+    """A call as a server saw it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Behave = Callable[["Worker", BaseHTTPRequestHandler, Seen], bool]
+
+
+@dataclass
+class Worker:
+    """A backend server; *behave* may answer a call in its own way and return whether it did."""
+
+    id: str
+    service: str
+    stage: str | None = None
+    events: int = 6
+    pause: float = 0.01
+    behave: Behave | None = None
+    seen: list[Seen] = field(default_factory=list)
+    runs: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        worker = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            wbufsize = 0
+
+            def log_message(self, *_: Any) -> None:
+                pass
+
+            def do_GET(self) -> None:
+                worker.serve(self)
+
+            def do_POST(self) -> None:
+                worker.serve(self)
+
+            def do_DELETE(self) -> None:
+                worker.serve(self)
+
+        self._server = _Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=self._server.serve_forever, args=(0.02,), daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        found: dict[str, Any] = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": "here",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-left-ms": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        if self.stage is not None:
+            found["stage"] = self.stage
+        return {**found, **changes}
+
+    def close(self) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+
+    def serve(self, handler: BaseHTTPRequestHandler) -> None:
+        headers = {name.lower(): value for name, value in handler.headers.items()}
+        seen = Seen(handler.command, handler.path, headers, read_all(handler))
+        self.seen.append(seen)
+        with suppress(OSError):
+            if handler.path == "/api/order" or handler.path.startswith("/api/kv-handle/"):
+                self.reply(handler, 200, b"", [])
+            elif handler.path == "/api/report":
+                state = {"stage": self.stage, "busy": False, "seq": 0}
+                self.reply(handler, 200, json.dumps(state).encode(), [])
+            elif headers.get("x-expect-instance") != self.id:
+                self.reply(handler, 421, b"", [])
+            elif self.behave is None or not self.behave(self, handler, seen):
+                self.run(handler, seen)
+
+    def run(self, handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+        request = seen.headers["x-request-id"]
+        if seen.headers.get("x-stage") == "prefill":
+            body = json.dumps({"kv-handle": f"h{len(self.seen)}", "tokens": 5, "version": 1})
+            self.reply(handler, 200, body.encode(), [("X-Request-Id", request)])
+            return
+        self.runs.append(request)
+        if self.stage is None:
+            self.reply(handler, 200, b"body of " + self.id.encode(), self.sign(request))
+            return
+        self.stream(handler, seen, self.events)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def sign(self, request: str) -> list[tuple[str, str]]:
+        return [("X-Request-Id", request), ("X-Server-Stamp", f"stamp-{self.id}")]
+
+    def stream(self, handler: BaseHTTPRequestHandler, seen: Seen, until: int) -> None:
+        handler.send_response(200)
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        for name, value in self.sign(seen.headers["x-request-id"]):
+            handler.send_header(name, value)
+        handler.end_headers()
+        for number in range(int(seen.headers.get("last-event-id", "0")) + 1, until + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(self.pause)
+
+    @staticmethod
+    def reply(
+        handler: BaseHTTPRequestHandler, status: int, body: bytes, headers: list[tuple[str, str]]
+    ) -> None:
+        handler.send_response(status)
+        handler.send_header("Content-Length", str(len(body)))
+        for name, value in headers:
+            handler.send_header(name, value)
+        handler.end_headers()
+        handler.wfile.write(body)
+
+
+def reset(handler: BaseHTTPRequestHandler) -> None:
+    """Close a connection with a reset."""
+    linger = b"\1\0\0\0\0\0\0\0"
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    handler.close_connection = True
+    handler.connection.close()
+
+
+def make_config(version: int, **changes: Any) -> dict[str, Any]:
+    def route(prefix: str, kind: str, **more: Any) -> dict[str, Any]:
+        base = {
+            "name": f"r{prefix.strip('/')}",
+            "host": HOST,
+            "prefix": prefix,
+            "kind": kind,
+            "timeout-ms": 4000,
+            "slo-ms": 500,
+            "priority": 1,
+            "service": "apps",
+            "attempts": 2,
+            "public": False,
+            "sticky": False,
+        }
+        return {**base, **more}
+
+    found: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            route(STREAM, "stream", service="llm", attempts=1, sticky=True, resumable=False),
+            route(RESUMED, "stream", service="llm", sticky=True, resumable=True),
+            route(PLAIN, "safe"),
+            route(ORDERS, "unsafe", attempts=1),
+            route("/open/", "safe", public=True),
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "max-conns": 100,
+                "engine": {"slots": 8, "kv-tokens": 9000, "kv-hold-s": 0.5},
+            },
+            {"name": "apps", "max-conns": 100},
+        ],
+        "limits": {"idle-timeout-ms": 15000, "max-body-bytes": 100000},
+        "tenants": [
+            {
+                "name": "talleres",
+                "api-keys": [KEY],
+                "priority": 1,
+                "unit": "tokens",
+                "plain-tokens": 10,
+                "rate-per-s": 100000,
+                "burst": 100000,
+            },
+            {
+                "name": "molinos",
+                "api-keys": [OTHER_KEY],
+                "unit": "tokens",
+                "plain-tokens": 10,
+                "rate-per-s": 1,
+                "burst": 25,
+            },
+        ],
+    }
+    return {**found, **changes}
--- /dev/null
+++ b/tests/platform/test_end_to_end.py
@@ -0,0 +1,444 @@
+from __future__ import annotations
+
+import http.client
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from http.server import BaseHTTPRequestHandler
+from pathlib import Path
+
+import pytest
+from gateway_process import ROOT, WAIT, Answer, Gateway, Site, find_ports, wait_for
+from platform_standin import (
+    HOST,
+    KEY,
+    ORDERS,
+    OTHER_KEY,
+    PLAIN,
+    RESUMED,
+    STREAM,
+    Behave,
+    Seen,
+    Worker,
+    make_config,
+    reset,
+)
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    found = Site(tmp_path)
+    found.configure()
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def gateway(site: Site) -> Gateway:
+    for name in ("app-1", "app-2"):
+        site.add(Worker(name, "apps"))
+    site.add(Worker("pre-1", "llm", "prefill"))
+    for name in ("dec-1", "dec-2"):
+        site.add(Worker(name, "llm", "decode"))
+    return site.wait_known(site.add_gateway())
+
+
+def pieces(first: int, last: int) -> bytes:
+    return b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(first, last + 1))
+
+
+def run_lost(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+    worker.runs.append(seen.headers["x-request-id"])
+    reset(handler)
+    return True
+
+
+def once(behave: Behave) -> Behave:
+    done: list[bool] = []
+
+    def act(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        if done:
+            return False
+        done.append(True)
+        return behave(worker, handler, seen)
+
+    return act
+
+
+def runs(site: Site) -> list[str]:
+    return [run for worker in site.workers.values() for run in worker.runs]
+
+
+def test_a_plain_call_goes_on_without_the_key_and_comes_back_signed(
+    site: Site, gateway: Gateway
+) -> None:
+    answer = gateway.call(PLAIN + "x?a=1", headers={"X-Tenant": "other", "X-Kv-Hold": "1"})
+    assert answer.status == 200
+    (worker,) = [w for w in site.workers.values() if w.runs]
+    (seen,) = worker.seen
+    assert answer.body == b"body of " + worker.id.encode()
+    assert answer.headers["x-server-stamp"] == f"stamp-{worker.id}"
+    assert (seen.method, seen.path) == ("GET", PLAIN + "x?a=1")
+    assert seen.headers["x-tenant"] == "talleres"
+    assert seen.headers["x-expect-instance"] == worker.id
+    assert seen.headers["host"] == HOST
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 4000
+    assert not {"authorization", "x-kv-hold"} & set(seen.headers)
+    assert KEY not in gateway.log.read_text()
+
+
+def test_a_model_call_prefills_then_decodes_from_the_cache(site: Site, gateway: Gateway) -> None:
+    answer = gateway.generate(STREAM + "x")
+    assert answer.status == 200
+    assert answer.body == pieces(1, 6)
+    prefill = site.workers["pre-1"]
+    (decode,) = [w for w in site.workers.values() if w.stage == "decode" and w.runs]
+    source = decode.seen[0].headers["x-kv-source"]
+    assert source.startswith(prefill.address + "/h")
+    assert prefill.seen[0].body == b"a prompt"
+    assert "x-kv-source" not in prefill.seen[0].headers
+
+
+def test_a_lost_answer_is_asked_for_again_only_when_that_is_harmless(
+    site: Site, gateway: Gateway
+) -> None:
+    for worker in site.workers.values():
+        worker.behave = run_lost
+    unsafe = gateway.call(ORDERS + "1", "POST", body=b"wire", request="order")
+    assert unsafe.status == 502
+    assert runs(site) == ["order"]
+    for worker in site.workers.values():
+        worker.behave = once(run_lost) if worker.id == "app-1" else None
+    for number in range(6):
+        assert gateway.call(PLAIN + "x", request=f"look{number}").status == 200
+
+
+def test_a_true_rejection_is_a_refusal_that_says_not_run(site: Site, gateway: Gateway) -> None:
+    def shed(worker: Worker, handler: BaseHTTPRequestHandler, _seen: Seen) -> bool:
+        worker.reply(handler, 503, b"", [("X-Not-Executed", "1")])
+        return True
+
+    for worker in site.workers.values():
+        worker.behave = shed
+    answer = gateway.call(ORDERS + "1", "POST", body=b"wire")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert not runs(site)
+
+
+def break_after(events: int) -> Behave:
+    def behave(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        worker.runs.append(seen.headers["x-request-id"])
+        worker.stream(handler, seen, events)
+        handler.wfile.write(b"30\r\nid: 99\ndata: ha")
+        reset(handler)
+        return True
+
+    return once(behave)
+
+
+def test_a_broken_stream_goes_on_elsewhere_after_the_last_whole_event(
+    site: Site, gateway: Gateway
+) -> None:
+    for name in ("dec-1", "dec-2"):
+        site.workers[name].behave = break_after(3)
+    first = gateway.generate(RESUMED + "x")
+    assert not first.whole or first.body == pieces(1, 6)
+    second = gateway.generate(RESUMED + "x", request="r2")
+    assert second.body == pieces(1, 6)
+
+
+def test_a_resumed_stream_has_each_event_once(site: Site, gateway: Gateway) -> None:
+    broken = site.workers["dec-1"]
+    broken.behave = break_after(3)
+    answers = [gateway.generate(RESUMED + "x", request=f"r{n}") for n in range(4)]
+    assert all(answer.whole and answer.body == pieces(1, 6) for answer in answers)
+    resumed = [s for s in site.workers["dec-2"].seen if "last-event-id" in s.headers]
+    assert [seen.headers["last-event-id"] for seen in resumed] == ["3"]
+
+
+def test_a_broken_stream_that_may_not_be_repeated_does_not_look_complete(
+    site: Site, gateway: Gateway
+) -> None:
+    for name in ("dec-1", "dec-2"):
+        site.workers[name].behave = break_after(3)
+    answer = gateway.generate(STREAM + "x")
+    assert not answer.whole
+    assert answer.body == pieces(1, 3)
+    assert runs(site) == ["r1"]
+
+
+def test_held_cache_that_is_gone_is_computed_by_the_decode_engine(
+    site: Site, gateway: Gateway
+) -> None:
+    def reject_cache(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        if "x-kv-source" not in seen.headers:
+            return False
+        worker.reply(handler, 503, b"", [("X-Not-Executed", "1")])
+        return True
+
+    for name in ("dec-1", "dec-2"):
+        site.workers[name].behave = reject_cache
+    assert gateway.generate(STREAM + "x").body == pieces(1, 6)
+    assert runs(site) == ["r1"]
+
+
+def test_bytes_after_an_answer_reach_nobody(site: Site, gateway: Gateway) -> None:
+    def twice(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        worker.runs.append(seen.headers["x-request-id"])
+        worker.reply(handler, 200, b"first", worker.sign(seen.headers["x-request-id"]))
+        time.sleep(0.01)
+        worker.reply(handler, 200, b"stray", worker.sign(seen.headers["x-request-id"]))
+        return True
+
+    for name in ("app-1", "app-2"):
+        site.workers[name].behave = twice
+    for number in range(8):
+        answer = gateway.call(PLAIN + "x", request=f"q{number}")
+        assert (answer.status, answer.body) == (200, b"first")
+
+
+def test_an_answer_to_another_call_is_not_passed_on(site: Site, gateway: Gateway) -> None:
+    def foreign(worker: Worker, handler: BaseHTTPRequestHandler, _seen: Seen) -> bool:
+        worker.reply(handler, 200, b"not yours", worker.sign("somebody-else"))
+        return True
+
+    for name in ("app-1", "app-2"):
+        site.workers[name].behave = foreign
+    assert gateway.call(PLAIN + "x").status == 502
+
+
+def test_an_answer_without_length_counts_only_when_it_was_closed_in_order(
+    site: Site, gateway: Gateway
+) -> None:
+    def unframed(cut: bool) -> Behave:
+        def behave(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+            lines = [f"{n}: {v}\r\n" for n, v in worker.sign(seen.headers["x-request-id"])]
+            handler.wfile.write(("HTTP/1.1 200 OK\r\n" + "".join(lines) + "\r\n").encode())
+            handler.wfile.write(b"half")
+            if cut:
+                time.sleep(0.05)
+                reset(handler)
+            else:
+                handler.wfile.write(b" and half")
+                handler.close_connection = True
+            return True
+
+        return behave
+
+    for name in ("app-1", "app-2"):
+        site.workers[name].behave = unframed(cut=False)
+    assert gateway.call(PLAIN + "x").body == b"half and half"
+    for name in ("app-1", "app-2"):
+        site.workers[name].behave = unframed(cut=True)
+    assert gateway.call(PLAIN + "x", request="r2").status == 502
+
+
+def test_a_leaving_or_vanished_server_gets_no_new_call(site: Site, gateway: Gateway) -> None:
+    site.store.put("servers", "app-1", site.workers["app-1"].entry(state="draining"))
+    wait_for(
+        lambda: any(line.get("state") == "leaving" for line in gateway.lines("members:changed")),
+        "leaving seen",
+    )
+    for number in range(6):
+        assert gateway.call(PLAIN + "x", request=f"a{number}").status == 200
+    assert not site.workers["app-1"].runs
+    time.sleep(2.5)
+    site.store.remove("servers", "app-2")
+    wait_for(
+        lambda: any(line.get("state") == "gone" for line in gateway.lines("members:changed")),
+        "vanished seen",
+    )
+    assert gateway.call(PLAIN + "x", request="b").status == 503
+
+
+def test_rows_of_other_writers_hide_no_server(site: Site, gateway: Gateway) -> None:
+    for number, value in enumerate((b"\xff\xfe", b"[]", b"null", b'{"service": 3}', b"{" * 3000)):
+        site.store.put("servers", f"junk-{number}", value)
+    site.add(Worker("app-3", "apps"))
+    site.wait_known(gateway)
+    assert gateway.call(PLAIN + "x").status == 200
+
+
+def test_a_withdrawn_key_stops_and_a_new_route_starts(site: Site, gateway: Gateway) -> None:
+    assert gateway.call(PLAIN + "x").status == 200
+    accounts = make_config(1)["tenants"]
+    accounts[0]["api-keys"] = ["another-key"]
+    site.configure(tenants=accounts)
+    wait_for(lambda: gateway.call(PLAIN + "x").status == 401, "key withdrawn")
+    assert gateway.call(PLAIN + "x", key="another-key").status == 200
+    assert gateway.call("/none/x", key="another-key").status == 404
+    assert gateway.call("/open/x", key=None).status == 200
+
+
+def test_history_that_is_gone_is_read_anew(site: Site, gateway: Gateway) -> None:
+    site.store.forget_history()
+    site.configure(tenants=[])
+    wait_for(lambda: gateway.call(PLAIN + "x", key=None).status == 200, "accounts gone")
+
+
+def test_nothing_is_denied_while_the_store_can_not_confirm_it(site: Site, gateway: Gateway) -> None:
+    site.store.refusing = True
+    answer = gateway.call(PLAIN + "x", key="unknown")
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+    assert gateway.call(PLAIN + "x").status == 200
+    site.store.refusing = False
+    assert gateway.call(PLAIN + "x", key="unknown").status == 401
+
+
+def test_an_account_over_its_quota_is_told_when_to_come_back(site: Site, gateway: Gateway) -> None:
+    statuses = [gateway.call(PLAIN + "x", key=OTHER_KEY, request=f"m{n}").status for n in range(4)]
+    assert statuses == [200, 200, 429, 429]
+    assert gateway.call(PLAIN + "x").status == 200
+
+
+def test_a_caller_that_leaves_frees_the_engine(site: Site, gateway: Gateway) -> None:
+    ended = threading.Event()
+
+    def endless(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        try:
+            worker.stream(handler, seen, 100_000)
+        except OSError:
+            ended.set()
+        return True
+
+    for name in ("dec-1", "dec-2"):
+        site.workers[name].behave = endless
+    connection = gateway.connect()
+    headers = {"Host": HOST, "X-Request-Id": "gone", "Authorization": f"Bearer {KEY}"}
+    connection.request("POST", STREAM + "x", b"p", {**headers, "X-Token-Count": "5,5"})
+    connection.getresponse().read(20)
+    connection.close()
+    assert connection.sock is None
+    assert ended.wait(1.0)
+
+
+def test_a_planned_stop_lets_a_stream_end(site: Site, gateway: Gateway) -> None:
+    for name in ("dec-1", "dec-2"):
+        site.workers[name].pause = 0.3
+    found: list[Answer] = []
+    caller = threading.Thread(target=lambda: found.append(gateway.generate(STREAM + "x")))
+    caller.start()
+    wait_for(lambda: runs(site), "stream runs")
+    gateway.signal(signal.SIGTERM)
+    wait_for(lambda: gateway.ask_ready() == 503, "not ready")
+    late = gateway.call(PLAIN + "x", request="late")
+    assert late.status == 200
+    assert late.headers["connection"] == "close"
+    caller.join(WAIT)
+    assert found[0].whole
+    assert found[0].body == pieces(1, 6)
+    assert gateway.popen is not None
+    assert gateway.popen.wait(WAIT) == 0
+    assert ("lavenderrun-gateways", "front-1") in site.store.rows
+    assert site.store.rows["lavenderrun-gateways", "front-1"][1] is None
+
+
+def test_gateways_find_each_other_and_share_a_quota(site: Site, gateway: Gateway) -> None:
+    other = site.wait_known(site.add_gateway("front-2"))
+    wait_for(lambda: other.lines("peers:heard") and gateway.lines("peers:heard"), "peers")
+    accounts = make_config(1)["tenants"]
+    accounts[1]["burst"] = 100
+    site.configure(tenants=accounts)
+    wait_for(lambda: len(other.lines("configuration:in_force")) == 2, "quota in force")
+    wait_for(lambda: len(gateway.lines("configuration:in_force")) == 2, "quota in force")
+    served = 0
+    for number in range(20):
+        host = gateway if number % 2 else other
+        served += host.call(PLAIN + "x", key=OTHER_KEY, request=f"s{number}").status == 200
+        time.sleep(0.3)
+    # ten of the burst, and one unit a second in between is less than one more call
+    assert 9 <= served <= 11
+
+
+def test_metrics_and_log_lines_tell_of_a_call(site: Site, gateway: Gateway) -> None:
+    gateway.call(PLAIN + "x", request="told")
+    page = gateway.get(gateway.metrics, "/metrics").body.decode()
+    assert 'lavenderrun_gateway_calls_total{delivery="whole",outcome="answered"' in page
+    assert "lavenderrun_gateway_first_answer_seconds_bucket" in page
+    mine = [line for line in gateway.lines("call:") if line["request"] == "told"]
+    assert [line["message_type"] for line in mine] == [
+        "call:admitted",
+        "call:send",
+        "call:attempt",
+        "call:answered",
+    ]
+    assert mine[0]["configuration"] == 4
+
+
+def test_changed_settings_are_read_anew(site: Site, gateway: Gateway) -> None:
+    gateway.signal(signal.SIGHUP)
+    wait_for(lambda: gateway.lines("daemon:reloaded"), "reload")
+    gateway.settings.write_text("{}")
+    gateway.signal(signal.SIGHUP)
+    wait_for(lambda: gateway.lines("daemon:reload_failed"), "faulty reload told")
+    assert gateway.call(PLAIN + "x").status == 200
+
+
+def test_a_gateway_without_the_store_answers_503_and_recovers(site: Site) -> None:
+    site.add(Worker("app-1", "apps"))
+    site.store.refusing = True
+    gateway = site.add_gateway()
+    wait_for(lambda: gateway.ask_ready() == 503, "up, not ready")
+    assert gateway.call(PLAIN + "x").status == 503
+    site.store.refusing = False
+    gateway.wait_ready()
+    wait_for(lambda: gateway.call(PLAIN + "x").status == 200, "serves")
+
+
+@pytest.mark.parametrize(
+    ("text", "field"),
+    [
+        ("{", "truncated"),
+        ("{}", "node"),
+        ('{"node": 3}', "node"),
+    ],
+)
+def test_faulty_settings_are_one_line_and_an_exit_code(
+    tmp_path: Path, text: str, field: str
+) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(text)
+    done = run_with(path)
+    assert done.returncode == 2
+    assert len(done.stderr.splitlines()) == 1
+    assert field in done.stderr
+
+
+def run_with(path: Path) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, str(ROOT / "deploy" / "gateway.py"), str(find_ports(1)[0])],
+        env={"LAVENDERRUN_SETTINGS": str(path), "PATH": ""},
+        capture_output=True,
+        text=True,
+        timeout=WAIT,
+        check=False,
+    )
+
+
+def test_missing_settings_and_a_port_in_use_are_one_line(site: Site, gateway: Gateway) -> None:
+    done = run_with(site.folder / "absent.json")
+    assert (done.returncode, len(done.stderr.splitlines())) == (2, 1)
+    done = run_with(gateway.settings)
+    assert (done.returncode, len(done.stderr.splitlines())) == (1, 1)
+    assert str(gateway.peers) in done.stderr
+
+
+def test_malformed_calls_are_refused_before_anything_runs(site: Site, gateway: Gateway) -> None:
+    assert gateway.call(PLAIN + "x", headers={"X-Deadline-Ms": "soon"}).status == 400
+    connection = gateway.connect()
+    connection.putrequest("POST", ORDERS + "1", skip_host=True)
+    for name, value in (("Host", HOST), ("X-Request-Id", "s"), ("Content-Length", "3")):
+        connection.putheader(name, value)
+    connection.putheader("Transfer-Encoding", "chunked")
+    connection.endheaders()
+    connection.send(b"0\r\n\r\nGET /open/smuggled HTTP/1.1\r\nHost: front.example\r\n\r\n")
+    with suppress(http.client.BadStatusLine, OSError):
+        assert connection.getresponse().status == 400
+    connection.close()
+    assert not runs(site)
--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from lavenderrun.kernel import Kernel
-from lavenderrun.services import MetricsService, RecordService
 from lavenderrun.meters import SERIES_MOST, Meter, MeterKind, Meters
+from lavenderrun.services import MetricsService, RecordService
 from lavenderrun.types import (
     AccountId,
     AnswerBegun,
