--- a/src/lavenderrun/dispatch/_roles.py
+++ b/src/lavenderrun/dispatch/_roles.py
@@ -9,8 +9,8 @@
 
 from lavenderrun.types import BackendId, BackendRole, Member, MemberState
 
-SMOOTHING: Final = 0.05
-"""Weight of the newest call in a mean; about twenty calls."""
+SMOOTHING: Final = 0.02
+"""Weight of the newest call in a mean; about fifty calls."""
 
 TRUSTED_AFTER: Final = 6
 """Calls before the means count."""
@@ -21,6 +21,9 @@
 SLACK: Final = 0.7
 """Engines by which a role may miss its share before one is moved; less moves back and forth."""
 
+SLACK_PART: Final = 0.08
+"""The same as a part of the engines, for large services."""
+
 PAUSE: Final = timedelta(seconds=3)
 """Shortest time between two moves of one service."""
 
@@ -113,8 +116,9 @@
             # decode engines can compute prompts themselves, prefill engines can't decode
             return prefills - 1
         ideal = self.prefill_share * engines
-        if prefills - ideal >= SLACK and prefills > 1:
+        slack = max(SLACK, SLACK_PART * engines)
+        if prefills - ideal >= slack and prefills > 1:
             return prefills - 1
-        if ideal - prefills >= SLACK and engines - prefills > 1:
+        if ideal - prefills >= slack and engines - prefills > 1:
             return prefills + 1
         return prefills
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -27,6 +27,12 @@
 REPORT_EVERY: Final = timedelta(milliseconds=250)
 """How often a host reports; bounds how far the sum of all hosts may run over a quota."""
 
+HOSTS_AT_FULL_PACE: Final = 12
+"""Hosts up to which reports come at that pace; more report less often, as each tells all."""
+
+REPORT_PAUSE_MOST: Final = timedelta(milliseconds=500)
+"""Longest pause between reports, half of the silence that counts."""
+
 REPORT_SOON: Final = timedelta(milliseconds=10)
 """When a host reports after it has reserved a seat; calls of a few round trips go together."""
 
@@ -220,7 +226,8 @@
                 self._send(data, peer)
 
     def _tick(self) -> None:
-        self._timer = self._clock.call_later(REPORT_EVERY, self._tick)
+        pause = REPORT_EVERY * max(1.0, self.count_hosts() / HOSTS_AT_FULL_PACE)
+        self._timer = self._clock.call_later(min(pause, REPORT_PAUSE_MOST), self._tick)
         self._report()
         now = self._clock.now()
         for host, peer in list(self._peers.items()):
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -63,6 +63,9 @@
 UNSURE_FOR: Final = timedelta(seconds=15)
 """How long an order without answer may still be carried out."""
 
+LEASE_PAUSE: Final = timedelta(seconds=2)
+"""Pause after the store did not answer, since each call to it is paid for."""
+
 LEASE_SPARE: Final = timedelta(seconds=1)
 """Time left of the lease with which no order is sent, for it may arrive late."""
 
@@ -85,6 +88,7 @@
         self._keeper = LeaseKeeper(Peer(self._host, self._peers.boot), TERMS)
         self._pending: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._timer: Timer | None = None
+        self._not_before = self._clock.now()
         self._busy: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -100,7 +104,8 @@
 
     def _look(self) -> None:
         self._timer = self._clock.call_later(LOOK_EVERY, self._look)
-        if self._busy is not None or not self._peers.is_first():
+        waits = self._busy is not None or self._clock.now() < self._not_before
+        if waits or not self._peers.is_first():
             return
         configuration = self._configuration.current
         for facts in configuration.services.values() if configuration is not None else ():
@@ -171,6 +176,7 @@
                 await self._write(write)
         except (StoreUnavailableError, StoreRefusal) as error:
             self._keeper.forget()
+            self._not_before = self._clock.now() + LEASE_PAUSE
             log("roles:no_lease", "roles: lease not to be had", error=str(error))
             return None
         return self._keeper.find_fencing(self._clock.now() + LEASE_SPARE)
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -28,6 +28,9 @@
 CACHE_PART: Final = 0.7
 """Part of the life of held KV cache within which it is still offered to an engine."""
 
+CACHE_PAUSE: Final = timedelta(milliseconds=70)
+"""Pause before held KV cache is offered to the same engine again: some tens of decode steps."""
+
 UNSTATED_SIZE: Final = DeclaredSize(0, 0, 0)
 
 
@@ -204,12 +207,7 @@
             self._tried.remove(attempt.member)
             self._move_seat()
         elif self._cache is not None and attempt.outcome.standing is Standing.NOT_RUN:
-            # the cache may be gone; the same engine computes the prompt itself
-            self._cache = None
-            if self._take_resend():
-                self._send(None)
-            else:
-                self._refuse_for_room("engine rejected the call")
+            self._go_on_with_cache()
         elif self._attempts_left > 0 and self._take_resend():
             self._move_seat()
         elif self._begun:
@@ -217,6 +215,22 @@
         else:
             self._refuse_for_room("engine rejected the call")
 
+    def _go_on_with_cache(self) -> None:
+        """The engine has no memory for the prompt just now, or the cache is gone."""
+        if not self._take_resend():
+            self._refuse_for_room("engine rejected the call")
+        elif self._parts.clock.now() < self._cache_until and self._attempts_left > 0:
+            self._move_seat()
+        elif self._parts.clock.now() + CACHE_PAUSE < self._cache_until:
+            self._plan(CACHE_PAUSE, self._send_again)
+        else:
+            self._cache = None
+            self._send(None)
+
+    def _send_again(self) -> None:
+        if not self._over:
+            self._send(self._cache)
+
     def _go_on_after_failure(self, attempt: Attempt) -> None:
         self._unknown = True
         route = self._admitted.access.route
