--- /dev/null
+++ b/src/lavenderrun/commands/_explain.py
@@ -0,0 +1,97 @@
+"""The sub-command ``explain``: the story of one call from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+import sys
+from argparse import ArgumentParser, Namespace
+from collections.abc import Iterable, Iterator
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, Final
+
+from lavenderrun.commands._base import COMMANDS
+
+HIDDEN: Final = frozenset(
+    {"text", "message_type", "timestamp", "task_uuid", "task_level", "request", "log"}
+)
+"""Fields that a printed line shows elsewhere or not at all."""
+
+ENDS: Final = frozenset(
+    {"call:answered", "call:refused", "call:cut", "call:cancelled", "record:RequestFinished"}
+)
+"""Kinds of lines that tell how a call ended."""
+
+NOT_FOUND: Final = 1
+
+
+def find_lines(request: str, name: str, lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yield the lines of one log that belong to *request*, one at a time."""
+    for text in lines:
+        if request not in text:
+            continue
+        start = text.find("{")
+        try:
+            found = json.loads(text[start:]) if start >= 0 else None
+        except ValueError:
+            # a line that was cut when its process was killed
+            continue
+        if isinstance(found, dict) and found.get("request") == request:
+            yield {**found, "log": name}
+
+
+def tell_line(line: dict[str, Any], began: float) -> str:
+    """Return a line for a reader: time since the first one, log, sentence and inputs."""
+    passed = (float(line.get("timestamp", began)) - began) * 1000
+    inputs = " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in HIDDEN and value is not None
+    )
+    return f"{passed:9.1f} ms  {line['log']}  {line.get('text', '')}  {inputs}".rstrip()
+
+
+@COMMANDS.register("explain")
+class ExplainCommand:
+    """examples:
+    lavenderrun explain 9c41d07be2a35f68 front-1.log front-2.log
+    lavenderrun explain 9c41d07be2a35f68 --json *.log
+    """
+
+    help = "tell the story of one call from the logs of several processes"
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the sub-command's arguments."""
+        parser.add_argument("request", metavar="REQUEST_ID")
+        parser.add_argument("logs", type=Path, nargs="+", metavar="LOG")
+        parser.add_argument("--json", action="store_true", help="print the lines as they are")
+
+    def run(self, args: Namespace) -> int:
+        """Print the story; return 0, 1 when no log knows the call, 2 for an unreadable log."""
+        found: list[dict[str, Any]] = []
+        for path in args.logs:
+            try:
+                with path.open(encoding="utf-8", errors="replace") as lines:
+                    found.extend(find_lines(args.request, path.name, lines))
+            except OSError as error:
+                sys.stderr.write(f"{path}: can not be read: {error.strerror}\n")
+                return 2
+        found.sort(key=lambda line: float(line.get("timestamp", 0)))
+        if not found:
+            sys.stderr.write(f"{args.request}: in none of {len(args.logs)} logs\n")
+            return NOT_FOUND
+        for text in _print_json(found) if args.json else _print_story(args.request, found):
+            sys.stdout.write(f"{text}\n")
+        return 0
+
+
+def _print_json(found: list[dict[str, Any]]) -> Iterator[str]:
+    return (json.dumps(line) for line in found)
+
+
+def _print_story(request: str, found: list[dict[str, Any]]) -> Iterator[str]:
+    began = float(found[0].get("timestamp", 0))
+    yield f"call {request}, first seen {datetime.fromtimestamp(began, UTC).isoformat()}"
+    yield from (tell_line(line, began) for line in found)
+    if not any(line.get("message_type") in ENDS for line in found):
+        yield "no line tells how it ended: the process ended first, or its lines were dropped"
--- /dev/null
+++ b/tests/commands/test_explain.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from lavenderrun.commands import main
+
+
+def write(path: Path, *lines: dict[str, object]) -> str:
+    path.write_text("".join(json.dumps(line) + "\n" for line in lines) + '{"request": "a", "cut')
+    return str(path)
+
+
+def make(at: float, kind: str, request: str = "a", **fields: object) -> dict[str, object]:
+    text = f"call: {kind}"
+    return {"timestamp": at, "message_type": f"call:{kind}", "text": text, "request": request} | {
+        **fields
+    }
+
+
+def test_lines_of_all_logs_are_told_in_order(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    first = write(tmp_path / "one.log", make(10.5, "answered", member="s1"), make(9.0, "x", "b"))
+    second = write(tmp_path / "two.log", make(10.0, "admitted", configuration=7))
+    assert main(["explain", "a", first, second]) == 0
+    head, *story = capsys.readouterr().out.splitlines()
+    assert head.startswith("call a, first seen 1970-01-01T00:00:10")
+    assert [line.split("  ")[1:] for line in (text.strip() for text in story)] == [
+        ["two.log", "call: admitted", "configuration=7"],
+        ["one.log", "call: answered", "member=s1"],
+    ]
+    assert main(["explain", "a", "--json", first]) == 0
+    assert json.loads(capsys.readouterr().out)["member"] == "s1"
+
+
+def test_missing_lines_and_logs_are_told(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = write(tmp_path / "one.log", make(1.0, "send"))
+    assert main(["explain", "a", log]) == 0
+    assert "no line tells how it ended" in capsys.readouterr().out
+    assert main(["explain", "c", log]) == 1
+    assert "in none of 1 logs" in capsys.readouterr().err
+    assert main(["explain", "a", str(tmp_path / "none.log")]) == 2
+    assert "can not be read" in capsys.readouterr().err
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -36,3 +36,75 @@
             parts = name.split(".")
             private = parts[0] == "lavenderrun" and any(p.startswith("_") for p in parts[2:])
             assert not private or name.startswith(own), f"{path} imports {name}"
+
+
+def test_dispatch_imports_no_io_library() -> None:
+    for path in (SOURCE / "dispatch").glob("*.py"):
+        roots = {name.split(".")[0] for name in imported(path)}
+        assert not roots & (IO_LIBRARIES - {"random"} | {"twisted"}), path
+
+
+WIRE_NAMES = [
+    "x-deadline-ms",
+    "x-prefix-hash",
+    "x-server-stamp",
+    "x-tenant",
+    "x-expect-instance",
+    "x-instance-load",
+    "x-not-executed",
+    "x-instance-id",
+    "x-token-count",
+    "x-request-priority",
+    "x-stage",
+    "x-kv-source",
+    "x-weight-versions",
+    "x-pin-ms",
+    "x-kv-hold",
+    "x-length-hint",
+    "x-kv-backup",
+    "kv-handle",
+    "kv-hold-s",
+    "kv-tokens",
+    "kv-token-bytes",
+    "kv-used",
+    "kv-total",
+    "kv-move",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "rows-parts",
+    "slo-ms",
+    "gap-aim-ms",
+    "timeout-ms",
+    "plain-tokens",
+    "rate-per-s",
+    "api-keys",
+    "cold-left-ms",
+    "max-conns",
+    "health-path",
+    "idle-timeout-ms",
+    "max-body-bytes",
+    "port-range",
+    "grace-s",
+    "retry-slack",
+    "lease-ms",
+    "wait-ms",
+    "api/order",
+    "api/report",
+    "hold-take",
+]
+
+SHARED_NAMES = ["x-request-id", "readyz"]
+"""Names that the product's own front has used since before the platform."""
+
+OWN_FRONT = {"bench", "codecs", "services", "standins"}
+
+
+def test_names_of_the_platform_stand_in_its_folder_only() -> None:
+    for path in SOURCE.rglob("*.py"):
+        folder = path.relative_to(SOURCE).parts[0]
+        if folder == "platform":
+            continue
+        names = WIRE_NAMES + ([] if folder in OWN_FRONT else SHARED_NAMES)
+        text = path.read_text().lower()
+        assert not [name for name in names if name in text], path
