--- a/src/lavenderrun/dispatch/_roles.py
+++ b/src/lavenderrun/dispatch/_roles.py
@@ -15,10 +15,10 @@
 TRUSTED_AFTER: Final = 6
 """Calls before the means count."""
 
-USUAL_SHARE: Final = 0.25
-"""Prefill share before that: a prompt takes its engine for a small part of the answer's time."""
+USUAL_SHARE: Final = 0.33
+"""Prefill share before that: a prompt takes its engine for half of what its answer takes."""
 
-SLACK: Final = 0.7
+SLACK: Final = 0.6
 """Engines by which a role may miss its share before one is moved; less moves back and forth."""
 
 SLACK_PART: Final = 0.08
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -6,6 +6,7 @@
 
 from lavenderrun.dispatch import Attempted
 from lavenderrun.gateway._call_log import CallLog
+from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._parts import Parts
 from lavenderrun.gateway._pool import Exchange
 from lavenderrun.gateway._stats import ATTEMPTS
@@ -73,10 +74,11 @@
         """What is known once it is over."""
         return Attempted(self.sent, self.head.standing if self.head else None, self.broke)
 
-    def send(self, dispatch: Dispatch, *, fresh: bool) -> None:
+    def send(self, dispatch: Dispatch, *, fresh: bool, over: Connection | None = None) -> None:
         """Send the call.
 
         :param fresh: over a new connection; a reused one may be closing or lead nowhere.
+        :param over: a new connection that is at hand.
         """
         self._needs_signature = not dispatch.prefill_only
         wire = self._parts.backends.encode_call(self._call, dispatch)
@@ -89,6 +91,7 @@
             wire.body,
             self,
             fresh=fresh,
+            over=over,
         )
 
     def abandon(self) -> None:
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -69,6 +69,15 @@
         if self._connection is not None and self._connection.is_open:
             self._connection.resume()
 
+    def take(
+        self, connection: Connection | None, send: Callable[[Connection, Receiver], None]
+    ) -> None:
+        """Send over the connection that was opened, if any."""
+        if connection is None:
+            self.broken(Break.UNREACHABLE)
+        else:
+            self.begin(connection, send)
+
     def begin(self, connection: Connection, send: Callable[[Connection, Receiver], None]) -> None:
         """Send over *connection*; an abandoned exchange sends nothing."""
         if self._receiver is None:
@@ -168,21 +177,25 @@
         receiver: Receiver,
         *,
         fresh: bool = False,
+        over: Connection | None = None,
     ) -> Exchange:
         """Send a call to *address*; what comes of it goes to *receiver*.
 
         :param fresh: over a new connection, so that a call never goes to a server that is gone.
+        :param over: an unused connection by :meth:`open`; a closed one is replaced.
         """
         exchange = Exchange(receiver)
 
         def send(connection: Connection, to: Receiver) -> None:
             connection.call(method, target, headers, body, to)
 
-        idle = None if fresh else self._take_idle(address)
-        if idle is not None:
-            exchange.begin(idle, send)
+        ready = over if over is not None and over.is_open else None
+        if ready is None and not fresh:
+            ready = self._take_idle(address)
+        if ready is not None:
+            exchange.begin(ready, send)
         else:
-            self._open(address, exchange, send)
+            self.open(address, exchange.take, send)
         return exchange
 
     async def ask(
@@ -245,9 +258,8 @@
             connection.drop()
         return None
 
-    def _open(
-        self, address: str, exchange: Exchange, send: Callable[[Connection, Receiver], None]
-    ) -> None:
+    def open(self, address: str, opened: Callable[..., None], *given: Any) -> None:
+        """Open a connection and call *opened* with it, or with ``None``, and with *given*."""
         host, _, port = address.rpartition(":")
         seconds = CONNECT_TIMEOUT.total_seconds()
         endpoint: Any = TCP4ClientEndpoint(self._reactor, host, int(port), seconds)
@@ -255,10 +267,10 @@
 
         def connected(connection: Any) -> None:
             self._addresses[connection] = address
-            exchange.begin(connection, send)
+            opened(connection, *given)
 
         def failed(_: Failure) -> None:
-            exchange.broken(Break.UNREACHABLE)
+            opened(None, *given)
 
         endpoint.connect(_ConnectionFactory(self)).addCallbacks(connected, failed)
 
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -7,6 +7,7 @@
 
 from lavenderrun.dispatch import Need, Waiting
 from lavenderrun.gateway._attempt import Attempt
+from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._event_split import EventSplitter
 from lavenderrun.gateway._prefill import Prefill
 from lavenderrun.gateway._running import LEAST_TIME, RETRY_SEAT, RunningCallBase
@@ -46,6 +47,7 @@
         self._size = self._admitted.call.size or UNSTATED_SIZE
         self._request: SeatRequest | None = None
         self._seat: Seat | None = None
+        self._line: Connection | None = None
         self._prefill: Prefill | None = None
         self._cache: HeldCache | None = None
         self._cache_until = self._admitted.arrived
@@ -90,6 +92,20 @@
             waited_ms=round(waited / timedelta(milliseconds=1)),
             reserved=self._parts.view.occupancy.sum_tokens(seat.member.id),
         )
+        # no prompt is computed for an engine that can't be reached
+        self._parts.pool.open(seat.member.address, self._take_line, seat)
+
+    def _take_line(self, line: Connection | None, seat: Seat) -> None:
+        if self._over or self._seat is not seat:
+            if line is not None:
+                line.drop()
+            return
+        if line is None:
+            self._story.tell("unreachable", "engine not reached", member=seat.member.id)
+            self._parts.view.health.lose(seat.member.id, self._parts.clock.now())
+            self._move_seat()
+            return
+        self._line = line
         if self._cache is not None and self._parts.clock.now() < self._cache_until:
             self._send(self._cache)
         elif self._size.prompt and not self._tried:
@@ -119,14 +135,20 @@
 
     def _move_seat(self) -> None:
         """The seat's engine went while the prompt was computed; ask for another one."""
-        if self._seat is not None:
-            self._seat.free()
-            self._seat = None
+        self._leave_seat()
         if self._time_left() <= LEAST_TIME:
             self._reach_deadline()
         else:
             self._ask_seat()
 
+    def _leave_seat(self) -> None:
+        if self._line is not None:
+            self._line.drop()
+            self._line = None
+        if self._seat is not None:
+            self._seat.free()
+            self._seat = None
+
     def _send(self, cache: HeldCache | None) -> None:
         if self._seat is None:
             return
@@ -147,7 +169,8 @@
             attempt=len(self._tried),
         )
         dispatch = self._dispatch(member, cache=cache, resume_after=self._events.last_id)
-        attempt.send(dispatch, fresh=True)
+        line, self._line = self._line, None
+        attempt.send(dispatch, fresh=True, over=line)
         self._watch_silence(FIRST_EVENT_WAIT)
 
     def headed(self, attempt: Attempt) -> None:
@@ -312,9 +335,7 @@
         if self._attempt is not None:
             self._attempt.abandon()
             self._attempt = None
-        if self._seat is not None:
-            self._seat.free()
-            self._seat = None
+        self._leave_seat()
         if self._cache is not None:
             self._parts.free_cache(self._cache)
             self._cache = None
