Learn a newer configuration from another gateway while the store refuses this host

Reports carry the version already; a host that the store does not answer now asks the reporting gateway. What goes over holds digests only.

--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -25,6 +25,7 @@
     "members",
     "peers",
     "view",
+    "second_hand",
     "seats",
     "roles",
     "router",
--- a/src/lavenderrun/gateway/_pages.py
+++ b/src/lavenderrun/gateway/_pages.py
@@ -1,4 +1,4 @@
-"""Service ``pages``: readiness for the balancer and the page of metrics."""
+"""Service ``pages``: readiness for the balancer, metrics, and what other gateways ask for."""
 
 from __future__ import annotations
 
@@ -10,10 +10,12 @@
 from lavenderrun.gateway._ports import CallerDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
+from lavenderrun.gateway._second_hand import TARGET, SecondHandService
 from lavenderrun.gateway._stats import Stats
 from lavenderrun.kernel import Kernel
 
 METRICS_PATH = b"/metrics"
+CONFIGURATION_PATH = TARGET.encode()
 
 
 class _Page(Resource):
@@ -21,9 +23,10 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, pages: PagesService) -> None:
+    def __init__(self, pages: PagesService, *, is_peer: bool) -> None:
         super().__init__()
         self._pages = pages
+        self._is_peer = is_peer
 
     def render_GET(self, request: Any) -> bytes:  # noqa: N802
         """Answer a request."""
@@ -36,17 +39,27 @@
         if request.path.decode("latin-1") == self._pages.readiness_target:
             request.setResponseCode(200 if self._pages.router.is_ready else 503)
             return b""
+        if request.path == CONFIGURATION_PATH and self._is_peer:
+            shared = self._pages.second_hand.encode()
+            if shared is not None:
+                return shared
         request.setResponseCode(404)
         return b""
 
 
 class PagesService:
-    """Listens on the addresses of both pages."""
+    """Listens on the addresses of readiness, of metrics and of peers."""
 
-    needs: ClassVar[tuple[str, ...]] = ("router",)
+    needs: ClassVar[tuple[str, ...]] = ("router", "second_hand")
 
     def __init__(self, kernel: Kernel) -> None:
-        self._addresses: tuple[str, ...] = (kernel.settings.readiness, kernel.settings.metrics)
+        self._peers: str = kernel.settings.peers
+        self._addresses: tuple[str, ...] = (
+            kernel.settings.readiness,
+            kernel.settings.metrics,
+            self._peers,
+        )
+        self.second_hand = kernel.find("second_hand", SecondHandService)
         self.router = kernel.find("router", GatewayRouter)
         self.stats = kernel.find("stats", Stats)
         self.readiness_target = kernel.find("caller_dialect", CallerDialect).readiness_target
@@ -59,7 +72,7 @@
         loop: Any = reactor
         for address in dict.fromkeys(self._addresses):
             host, _, port = address.rpartition(":")
-            site: Any = Site(_Page(self))
+            site: Any = Site(_Page(self, is_peer=address == self._peers))
             site.noisy = False
             site.displayTracebacks = False
             site.log = lambda _request: None
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -91,7 +91,7 @@
     """Knows the other gateways.
 
     :ivar report: set by the service that knows what to report.
-    :ivar heard: set by the service that takes reports.
+    :ivar changed: set by the service that must know all hosts.
     """
 
     needs: ClassVar[tuple[str, ...]] = ("rows",)
@@ -111,7 +111,7 @@
         self._entry_version = 0
         self.boot = BootId(uuid4().hex[:12])
         self.report: Callable[[], Report] = lambda: Report(self._host, self.boot, 0, {}, {})
-        self.heard: Callable[[Report], None] = lambda _report: None
+        self._watchers: list[Callable[[Report], None]] = []
         self.changed: Callable[[dict[HostId, datetime]], None] = lambda _hosts: None
         self.follower = Follower(self._rows, self._table, self, kernel.clock, kernel.chance)
         kernel.find("stats", Stats).read(PEERS_HEARD, self._count_states)
@@ -146,6 +146,15 @@
         """Return how many gateways there are, this one included."""
         return len(self._peers) + 1
 
+    def watch(self, watcher: Callable[[Report], None]) -> None:
+        """Call *watcher* with each report."""
+        self._watchers.append(watcher)
+
+    def find_address(self, host: HostId) -> str | None:
+        """Return the address at which a known gateway serves others."""
+        peer = self._peers.get(host)
+        return None if peer is None else f"{peer.address[0]}:{peer.address[1]}"
+
     def is_first(self) -> bool:
         """Tell whether this host has the first name among those that report."""
         now = self._clock.now()
@@ -261,7 +270,8 @@
         if peer.heard is None:
             log("peers:heard", "peers: host reports", peer=report.host, version=report.version)
         peer.heard = self._clock.now()
-        self.heard(report)
+        for watcher in self._watchers:
+            watcher(report)
 
     def _count_states(self) -> dict[tuple[str, ...], float]:
         now = self._clock.now()
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -71,7 +71,7 @@
         self._configuration.watch(self._configure)
         self._members.watch(self._change_member)
         self._peers.report = self._make_report
-        self._peers.heard = self._hear
+        self._peers.watch(self._hear)
         self._peers.changed = self._change_hosts
 
     def stop(self) -> None:
--- a/src/lavenderrun/types/_configuration.py
+++ b/src/lavenderrun/types/_configuration.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from functools import cached_property
 
 from lavenderrun.types._ids import (
     AccountId,
@@ -153,8 +154,8 @@
     services: dict[ServiceGroup, ServiceFacts]
     accounts: tuple[ClientAccount, ...]
     limits: CallerLimits
-    owners: dict[KeyDigest, ClientAccount] = field(init=False, repr=False, compare=False)
 
-    def __post_init__(self) -> None:
-        owners = {digest: account for account in self.accounts for digest in account.keys}
-        object.__setattr__(self, "owners", owners)
+    @cached_property
+    def owners(self) -> dict[KeyDigest, ClientAccount]:
+        """The account of each key."""
+        return {digest: account for account in self.accounts for digest in account.keys}
--- a/src/lavenderrun/types/_gateway_settings.py
+++ b/src/lavenderrun/types/_gateway_settings.py
@@ -32,7 +32,7 @@
 
     :param callers: IP number and port that callers reach.
     :param readiness: IP number and port of the readiness check.
-    :param peers: IP number and port for datagrams between gateways.
+    :param peers: IP number and port, of UDP and TCP, that other gateways reach.
     :param metrics: IP number and port of the metrics page.
     :param store: IP number and port of the table service.
     """
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from platform_standin import HOST, KEY, Store, Worker, make_config
+from platform_standin import HOST, KEY, Door, Store, Worker, make_config
 
 ROOT = Path(__file__).parents[2]
 WAIT = 10.0
@@ -176,8 +176,9 @@
         self.store.put("servers", worker.id, worker.entry())
         return worker
 
-    def add_gateway(self, name: str = "front-1") -> Gateway:
-        gateway = Gateway(self.folder, self.store.address, name).start()
+    def add_gateway(self, name: str = "front-1", door: Door | None = None) -> Gateway:
+        address = self.store.address if door is None else door.address
+        gateway = Gateway(self.folder, address, name).start()
         self.gateways.append(gateway)
         return gateway
 
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -31,17 +31,12 @@
         """A caller that resets its connection is no news."""
 
 
-class Store:
-    """Rows with versions, feeds that wait, transactions; may go dark or refuse."""
+class Door:
+    """An address of the store, which may refuse all calls."""
 
-    def __init__(self) -> None:
-        self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
-        self.version = 0
+    def __init__(self, store: Store) -> None:
         self.refusing = False
-        self.history_from = 0
-        self.calls: list[str] = []
-        self._changed = threading.Condition()
-        store = self
+        door = self
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -50,10 +45,10 @@
                 pass
 
             def do_GET(self) -> None:
-                self._reply(*store.answer(self.path, b""))
+                self._reply(*store.answer(door, self.path, b""))
 
             def do_POST(self) -> None:
-                self._reply(*store.answer(self.path, read_all(self)))
+                self._reply(*store.answer(door, self.path, read_all(self)))
 
             def _reply(self, status: int, found: dict[str, Any]) -> None:
                 body = json.dumps(found).encode()
@@ -70,6 +65,32 @@
     def address(self) -> str:
         return f"127.0.0.1:{self._server.server_address[1]}"
 
+    def close(self) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class Store:
+    """Rows with versions, feeds that wait, and transactions."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
+        self.version = 0
+        self.history_from = 0
+        self._changed = threading.Condition()
+        self.doors = [Door(self)]
+
+    @property
+    def address(self) -> str:
+        return self.doors[0].address
+
+    def refuse(self, *, refusing: bool) -> None:
+        self.doors[0].refusing = refusing
+
+    def add_door(self) -> Door:
+        self.doors.append(Door(self))
+        return self.doors[-1]
+
     def put(self, table: str, key: str, value: Any) -> None:
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self._changed:
@@ -86,20 +107,19 @@
             self._changed.notify_all()
 
     def close(self) -> None:
-        self._server.shutdown()
-        self._server.server_close()
+        for door in self.doors:
+            door.close()
 
-    def answer(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
+    def answer(self, door: Door, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
         url = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        self.calls.append(url.path)
         with self._changed:
-            if self.refusing:
+            if door.refusing:
                 return 503, {}
             if url.path == "/api/rows-tx":
                 return self._transact(json.loads(body))
             if url.path == "/api/rows-feed":
-                return self._feed(query)
+                return self._feed(door, query)
             return 200, self._page(query["table"], after=0, removed=False)
 
     def _write(self, table: str, key: str, raw: bytes | None) -> None:
@@ -118,10 +138,10 @@
             self._write(row["table"], row["key"], None)
         return 200, {"ver": self.version, "now-ms": 1}
 
-    def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+    def _feed(self, door: Door, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         until = time.monotonic() + int(query["wait-ms"]) / 1000
         while True:
-            if self.refusing:
+            if door.refusing:
                 return 503, {}
             if int(query["after"]) < self.history_from:
                 return 410, {}
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -282,12 +282,12 @@
 
 
 def test_nothing_is_denied_while_the_store_can_not_confirm_it(site: Site, gateway: Gateway) -> None:
-    site.store.refusing = True
+    site.store.refuse(refusing=True)
     answer = gateway.call(PLAIN + "x", key="unknown")
     assert answer.status == 503
     assert "retry-after" in answer.headers
     assert gateway.call(PLAIN + "x").status == 200
-    site.store.refusing = False
+    site.store.refuse(refusing=False)
     assert gateway.call(PLAIN + "x", key="unknown").status == 401
 
 
@@ -356,6 +356,26 @@
     assert 9 <= served <= 11
 
 
+def test_a_gateway_that_the_store_refuses_learns_of_a_withdrawn_key_from_another(
+    site: Site, gateway: Gateway
+) -> None:
+    door = site.store.add_door()
+    other = site.wait_known(site.add_gateway("front-2", door))
+    wait_for(lambda: other.lines("peers:heard") and gateway.lines("peers:heard"), "peers")
+    door.refusing = True
+    accounts = make_config(1)["tenants"]
+    accounts[0]["api-keys"] = ["another-key"]
+    site.configure(tenants=accounts)
+    wait_for(lambda: other.call(PLAIN + "x").status == 503, "key withdrawn by a peer's word")
+    assert other.call(PLAIN + "x", key="another-key").status == 200
+    (newest,) = other.lines("configuration:in_force")[1:]
+    assert newest["source"] == "front-1"
+    page = gateway.get(gateway.peers, "/configuration").body.decode()
+    assert "sha256:" in page
+    assert "another-key" not in page
+    assert gateway.get(gateway.metrics, "/configuration").status == 404
+
+
 def test_metrics_and_log_lines_tell_of_a_call(site: Site, gateway: Gateway) -> None:
     gateway.call(PLAIN + "x", request="told")
     page = gateway.get(gateway.metrics, "/metrics").body.decode()
@@ -382,11 +402,11 @@
 
 def test_a_gateway_without_the_store_answers_503_and_recovers(site: Site) -> None:
     site.add(Worker("app-1", "apps"))
-    site.store.refusing = True
+    site.store.refuse(refusing=True)
     gateway = site.add_gateway()
     wait_for(lambda: gateway.ask_ready() == 503, "up, not ready")
     assert gateway.call(PLAIN + "x").status == 503
-    site.store.refusing = False
+    site.store.refuse(refusing=False)
     gateway.wait_ready()
     wait_for(lambda: gateway.call(PLAIN + "x").status == 200, "serves")
 
