--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -9,7 +9,7 @@
 from typing import Any, Final
 
 from lavenderrun.daemons._signals import run_until_signal
-from lavenderrun.gateway import GATEWAY_SERVICES, BoundedLog, log
+from lavenderrun.gateway import GATEWAY_SERVICES, LINES_DROPPED, BoundedLog, Stats, log
 from lavenderrun.kernel import Clock, Kernel, ReactorClock
 from lavenderrun.platform import SettingsError, read_platform_settings
 from lavenderrun.types import GatewaySettings
@@ -43,15 +43,22 @@
     """One gateway.
 
     :param read: reads the settings anew when the platform says that they changed.
+    :param lines: where log lines go.
     """
 
     def __init__(
-        self, clock: Clock, settings: GatewaySettings, read: Callable[[], GatewaySettings]
+        self,
+        clock: Clock,
+        settings: GatewaySettings,
+        read: Callable[[], GatewaySettings],
+        lines: BoundedLog,
     ) -> None:
         self.kernel = Kernel(clock, settings)
         self._settings = settings
         self._read = read
         self.kernel.build(GATEWAY_LIST, GATEWAY_SERVICES)
+        stats = self.kernel.find("stats", Stats)
+        stats.read(LINES_DROPPED, lambda: {(): float(lines.dropped)})
 
     async def start(self) -> None:
         """Start all services."""
@@ -92,9 +99,10 @@
         return read_platform_settings(path.read_bytes(), metrics_port=metrics_port)
 
     clock = ReactorClock.starting_now(loop)
-    BoundedLog(clock, sys.stdout.fileno()).open()
+    lines = BoundedLog(clock, sys.stdout.fileno())
+    lines.open()
     try:
-        daemon = GatewayDaemon(clock, read(), read)
+        daemon = GatewayDaemon(clock, read(), read, lines)
     except OSError as error:
         sys.stderr.write(f"{path}: can not be read: {error.strerror}\n")
         return FAULTY_SETTINGS
--- a/src/lavenderrun/gateway/__init__.py
+++ b/src/lavenderrun/gateway/__init__.py
@@ -23,11 +23,12 @@
     StoreRefusal,
 )
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
-from lavenderrun.gateway._stats import GATEWAY_METERS
+from lavenderrun.gateway._stats import GATEWAY_METERS, LINES_DROPPED, Stats
 
 __all__ = [
     "GATEWAY_METERS",
     "GATEWAY_SERVICES",
+    "LINES_DROPPED",
     "BackendDialect",
     "BoundedLog",
     "CallerDialect",
@@ -39,6 +40,7 @@
     "RowConflictError",
     "RowPage",
     "RowWrite",
+    "Stats",
     "StoreDialect",
     "StoreRefusal",
     "log",
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -12,6 +12,7 @@
 
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import log
+from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import CallerDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
@@ -243,7 +244,14 @@
         self._port: Any = None
         self._factory: CallerFactory | None = None
         stats = kernel.find("stats", Stats)
-        stats.read(OPEN_CONNECTIONS, lambda: {("callers",): float(len(self.channels))})
+        pool = kernel.find("pool", ConnectionPool)
+        stats.read(
+            OPEN_CONNECTIONS,
+            lambda: {
+                ("callers",): float(len(self.channels)),
+                ("backends",): float(pool.count_open()),
+            },
+        )
 
     @property
     def channels(self) -> set[CallerChannel]:
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -43,6 +43,11 @@
         """Whether the entries were read since the start."""
         return self.follower.version is not None
 
+    @property
+    def version(self) -> int | None:
+        """The store's version up to which the entries were read, ``None`` before the first."""
+        return self.follower.version
+
     def start(self) -> None:
         """Begin to follow."""
         self.follower.start()
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -146,6 +146,11 @@
         """Return how many gateways there are, this one included."""
         return len(self._peers) + 1
 
+    def count_reporting(self) -> int:
+        """Return how many of the others report."""
+        now = self._clock.now()
+        return sum(1 for p in self._peers.values() if p.heard and now - p.heard < LOST_AFTER)
+
     def watch(self, watcher: Callable[[Report], None]) -> None:
         """Call *watcher* with each report."""
         self._watchers.append(watcher)
@@ -240,6 +245,9 @@
         self._report()
         now = self._clock.now()
         for host, peer in list(self._peers.items()):
+            if peer.heard is not None and now - peer.heard >= LOST_AFTER:
+                log("peers:lost", "peers: host reports no more", peer=host)
+                peer.since, peer.heard = peer.heard, None
             if now - (peer.heard or peer.since) > REMOVED_AFTER:
                 self._remove(host, peer, now)
 
@@ -274,10 +282,7 @@
             watcher(report)
 
     def _count_states(self) -> dict[tuple[str, ...], float]:
-        now = self._clock.now()
-        live = sum(
-            1 for p in self._peers.values() if p.heard is not None and now - p.heard < LOST_AFTER
-        )
+        live = self.count_reporting()
         return {("live",): float(live), ("silent",): float(len(self._peers) - live)}
 
 
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
-from typing import ClassVar, Final
+from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import Access, judge_access, make_fingerprint
 from lavenderrun.gateway._call_log import CallLog
@@ -181,7 +181,12 @@
         if cost and access.account is not None:
             wait = self._parts.view.quotas.charge(access.account.id, cost, arrived)
             if wait is not None:
-                return self._refuse(call, sink, Refusal.OVER_RATE, Step.LIMIT, wait)
+                told = {
+                    "account": access.account.id,
+                    "cost": cost,
+                    **self._parts.view.describe_peers(),
+                }
+                return self._refuse(call, sink, Refusal.OVER_RATE, Step.LIMIT, wait, **told)
         route = access.route
         service = self._choose_service(route)
         self._parts.view.resends.count_call(service, arrived)
@@ -204,6 +209,7 @@
             account=access.account.id if access.account else None,
             cost=cost,
             configuration=self._configuration.version,
+            members=self._members.version,
             patience_ms=round(patience / timedelta(milliseconds=1)),
         )
         kind = StreamCall if route.delivery is Delivery.EVENTS else WholeCall
@@ -225,6 +231,7 @@
         refusal: Refusal,
         step: Step,
         retry_after: timedelta | None,
+        **told: Any,
     ) -> RunningCall:
         refused = Refused(refusal, Outcome.NOT_RUN, step, retry_after=retry_after)
         age = self._configuration.age
@@ -232,6 +239,7 @@
             call,
             configuration=self._configuration.version,
             store_age_ms=None if age is None else round(age / timedelta(milliseconds=1)),
+            **told,
         )
         story.tell_refused(refused)
         self._stats.count(REFUSALS, refusal.value, step.value, Outcome.NOT_RUN.value)
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -18,7 +18,7 @@
     StoreRefusal,
 )
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
-from lavenderrun.gateway._stats import STORE_CALLS, Stats
+from lavenderrun.gateway._stats import STORE_AGE, STORE_CALLS, Stats
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import StoreUnavailableError
 
@@ -53,6 +53,7 @@
         self.state = StoreState.UNKNOWN
         self.changed: datetime = kernel.clock.now()
         self.answered: datetime | None = None
+        self._stats.read(STORE_AGE, self._read_age)
 
     def start(self) -> None:
         """Nothing to begin."""
@@ -107,6 +108,11 @@
         self._settle(kind, StoreState.REACHED, "")
         return page
 
+    def _read_age(self) -> dict[tuple[str, ...], float]:
+        if self.answered is None:
+            return {}
+        return {(): (self._clock.now() - self.answered).total_seconds()}
+
     def _settle(self, kind: str, state: StoreState, reason: str) -> None:
         self._stats.count(STORE_CALLS, kind, reason or "ok")
         if state is self.state:
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
-from typing import ClassVar, Final
+from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import (
     PLACEMENTS,
@@ -92,6 +92,10 @@
         facts = configuration.services.get(service) if configuration is not None else None
         return facts.engine.memory if facts is not None and facts.engine is not None else 0
 
+    def describe_peers(self) -> dict[str, Any]:
+        """Return how many gateways there are and how many of the others report."""
+        return {"hosts": self._peers.count_hosts(), "reporting": self._peers.count_reporting()}
+
     def find_export_life(self, service: ServiceGroup) -> timedelta:
         """Return how long engines of *service* hold KV cache for each other."""
         configuration = self._configuration.current
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -28,6 +28,8 @@
     reset,
 )
 
+from lavenderrun.gateway import GATEWAY_METERS
+
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Site]:
@@ -381,6 +383,15 @@
     page = gateway.get(gateway.metrics, "/metrics").body.decode()
     assert 'lavenderrun_gateway_calls_total{delivery="whole",outcome="answered"' in page
     assert "lavenderrun_gateway_first_answer_seconds_bucket" in page
+    missing = {name for name, _ in GATEWAY_METERS if name not in page}
+    # these begin with the first event, refusal or resend
+    assert missing <= {
+        "lavenderrun_gateway_event_gap_seconds",
+        "lavenderrun_gateway_loop_lag_seconds",
+        "lavenderrun_gateway_quota_used_units",
+        "lavenderrun_gateway_refusals_total",
+        "lavenderrun_gateway_resends_total",
+    }
     mine = [line for line in gateway.lines("call:") if line["request"] == "told"]
     assert [line["message_type"] for line in mine] == [
         "call:admitted",
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -6,13 +6,16 @@
 import pytest
 
 from lavenderrun.codecs import Faults, Form, read_document, read_settings
+from lavenderrun.gateway import GATEWAY_METERS
 from lavenderrun.services import ADMIN_ENDPOINTS, METRICS, READINESS_CHECKS, STATUS_SECTIONS
 from lavenderrun.services._record import SENTENCES
 from lavenderrun.types import AgentSettings, EntrySettings
 
 ROOT = Path(__file__).parents[1]
 PAGES = ROOT / "docs" / "operating"
-LOG_LINE = re.compile(r'(?:log_message\(|_log\(|text=)\s*(?:"[a-z_:]+",\s*)?f?"([a-z_]+): ')
+LOG_LINE = re.compile(
+    r'(?:log_message\(|\blog\(|_log\(|text=|"text": )\s*(?:f?"[a-z_:{}]+",\s*)?f?"([a-z_]+): '
+)
 
 
 def find_example(page: str, kind: str) -> str:
@@ -35,12 +38,14 @@
 
 def test_every_metric_is_on_its_page_and_no_other() -> None:
     text = (PAGES / "metrics.md").read_text()
-    assert set(re.findall(r"^\| `(lavenderrun_[a-z_]+)`", text, re.M)) == set(METRICS.names())
+    assert set(re.findall(r"^\| `(lavenderrun_[a-z_]+)`", text, re.M)) == set(
+        METRICS.names()
+    ) | set(GATEWAY_METERS.names())
 
 
 def test_every_log_prefix_is_on_its_page() -> None:
     used = {sentence.partition(":")[0] for sentence in SENTENCES.values()}
-    for folder in ("services", "daemons", "kernel"):
+    for folder in ("services", "daemons", "kernel", "gateway", "platform"):
         for path in (ROOT / "src" / "lavenderrun" / folder).glob("*.py"):
             used |= set(LOG_LINE.findall(path.read_text()))
     listed = set(re.findall(r"^\| `([a-z_]+):`", (PAGES / "logs.md").read_text(), re.M))
@@ -56,5 +61,5 @@
 
 
 def test_every_page_is_in_the_index() -> None:
-    index = (ROOT / "docs" / "OPERATING.md").read_text()
+    index = (ROOT / "docs" / "OPERATIONS.md").read_text()
     assert all(f"(operating/{page.name})" in index for page in PAGES.glob("*.md"))
