--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -59,7 +59,7 @@
             return
         self._alone = not self._parts.view.occupancy.sum_tokens(member.id)
         self._began = self._parts.clock.now()
-        self._parts.view.occupancy.reserve(member.id, self._tokens)
+        self._parts.view.reserve(member.id, self._tokens)
         self._attempt = Attempt(self._parts, self._admitted.call, member, self, self._story)
         self._timer = self._parts.clock.call_later(SILENCE_MOST, self._attempt.give_up)
         self._attempt.send(make(member, prefill_only=True), fresh=True)
@@ -98,7 +98,7 @@
         if self._timer is not None:
             self._timer.cancel()
         if self._attempt is not None:
-            self._parts.view.occupancy.free(self._attempt.member.id, self._tokens)
+            self._parts.view.free(self._attempt.member.id, self._tokens)
             self._attempt = None
 
     def _end(self, cache: HeldCache | None) -> None:
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -66,6 +66,9 @@
 LEASE_PAUSE: Final = timedelta(seconds=2)
 """Pause after the store did not answer, since each call to it is paid for."""
 
+SETTLE: Final = timedelta(seconds=2.5)
+"""Time after a new engine until roles are planned: two heartbeats, in which the rest shows."""
+
 LEASE_SPARE: Final = timedelta(seconds=1)
 """Time left of the lease with which no order is sent, for it may arrive late."""
 
@@ -93,6 +96,7 @@
 
     def start(self) -> None:
         """Begin to look."""
+        self._members.watch(self._change_member)
         self._timer = self._clock.call_later(LOOK_EVERY, self._look)
 
     def stop(self) -> None:
@@ -102,6 +106,11 @@
         if self._busy is not None:
             self._busy.cancel()
 
+    def _change_member(self, old: Member | None, new: Member | None) -> None:
+        if old is None and new is not None and new.role is not BackendRole.PLAIN:
+            # others may appear with their next heartbeats
+            self._not_before = self._clock.now() + SETTLE
+
     def _look(self) -> None:
         self._timer = self._clock.call_later(LOOK_EVERY, self._look)
         waits = self._busy is not None or self._clock.now() < self._not_before
--- a/src/lavenderrun/gateway/_seats.py
+++ b/src/lavenderrun/gateway/_seats.py
@@ -7,7 +7,6 @@
 from typing import ClassVar, Final
 
 from lavenderrun.dispatch import PATIENCE_MOST, Need, Waiting, order_key
-from lavenderrun.gateway._peers import PeersService
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._stats import QUEUED, Stats
 from lavenderrun.gateway._view import FleetView
@@ -61,7 +60,6 @@
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
         self._view = kernel.find("view", FleetView)
-        self._peers = kernel.find("peers", PeersService)
         self._queue: list[SeatRequest] = []
         self._timer: Timer | None = None
         kernel.find("stats", Stats).read(QUEUED, lambda: {(): float(len(self._queue))})
@@ -86,8 +84,7 @@
 
     def give_back(self, member: BackendId, tokens: int) -> None:
         """Take a freed seat and look who may have it."""
-        self._view.occupancy.free(member, tokens)
-        self._peers.report_soon()
+        self._view.free(member, tokens)
         if self._queue:
             self._clock.call_later(timedelta(0), self._look)
 
@@ -108,8 +105,7 @@
                 full.add(request.service)
                 continue
             self._queue.remove(request)
-            self._view.occupancy.reserve(member.id, request.need.tokens)
-            self._peers.report_soon()
+            self._view.reserve(member.id, request.need.tokens)
             request.taken(Seat(self, member, request.need.tokens))
         self._plan()
 
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -26,6 +26,9 @@
 GAP_WAIT_DEFAULT: Final = timedelta(seconds=1.2)
 """The same for a route that states no objective for gaps."""
 
+RESUMED_RANK: Final = -1
+"""Rank of a stream that goes on, before all that begin."""
+
 CACHE_PART: Final = 0.7
 """Part of the life of held KV cache within which it is still offered to an engine."""
 
@@ -73,8 +76,11 @@
         tokens = self._need_tokens
         tried = [member.id for member in self._tried]
         need = Need(tokens=tokens, tried=tried, harmless=route.is_idempotent)
-        arrived = self._admitted.arrived if not self._tried else now
-        waiting = Waiting(route.rank, arrived, route.objective, id(self))
+        arrived, rank = self._admitted.arrived, route.rank
+        if self._tried:
+            # what an engine has already made is not thrown away for new work
+            arrived, rank = now, RESUMED_RANK
+        waiting = Waiting(rank, arrived, route.objective, id(self))
         self._request = SeatRequest(self._admitted.service, need, waiting, self._take_seat)
         self._parts.seats.ask(self._request)
 
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -82,6 +82,16 @@
         members = self._members.serving(service)
         return PLACEMENTS.find(placement)(members, need, self._make_sight(service))
 
+    def reserve(self, member: BackendId, tokens: int) -> None:
+        """Reserve at an engine and let the other gateways know."""
+        self.occupancy.reserve(member, tokens)
+        self._peers.report_soon()
+
+    def free(self, member: BackendId, tokens: int) -> None:
+        """Return what was reserved at an engine and let the other gateways know."""
+        self.occupancy.free(member, tokens)
+        self._peers.report_soon()
+
     def find_balance(self, service: ServiceGroup) -> RoleBalance:
         """Return the balance of roles of a model service."""
         return self._balances.setdefault(service, RoleBalance())
