--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -29,6 +29,9 @@
 RESUMED_RANK: Final = -1
 """Rank of a stream that goes on, before all that begin."""
 
+OUTPUT_PART: Final = 0.6
+"""Part of the likely output that is reserved: streams are at different points of theirs."""
+
 CACHE_PART: Final = 0.7
 """Part of the life of held KV cache within which it is still offered to an engine."""
 
@@ -69,7 +72,7 @@
 
     @property
     def _need_tokens(self) -> int:
-        return self._size.prompt + self._size.likely_output
+        return self._size.prompt + int(self._size.likely_output * OUTPUT_PART)
 
     def _ask_seat(self) -> None:
         route, now = self._admitted.access.route, self._parts.clock.now()
