--- a/src/lavenderrun/dispatch/_resends.py
+++ b/src/lavenderrun/dispatch/_resends.py
@@ -65,7 +65,3 @@
             return False
         self._resends[service].add(now)
         return True
-
-    def force(self, service: ServiceGroup, now: datetime) -> None:
-        """Count a resend that has been made."""
-        self._resends.setdefault(service, _Window()).add(now)
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -59,11 +59,6 @@
         self.head: AnswerHead | None = None
         self.broke: Break | None = None
 
-    @property
-    def is_over(self) -> bool:
-        """Whether nothing more will come."""
-        return self._events is None
-
     @property
     def sent(self) -> bool:
         """Whether a byte of the call may have reached the server."""
--- a/src/lavenderrun/gateway/_follower.py
+++ b/src/lavenderrun/gateway/_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
 from random import Random
 from typing import Final, Protocol
@@ -51,7 +51,6 @@
         self._version: int | None = None
         self._pause = PAUSE_FIRST
         self._running: Deferred[None] | None = None
-        self._waiting: Callable[[], None] | None = None
 
     @property
     def version(self) -> int | None:
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -121,12 +121,7 @@
         for present in self._members.values():
             services.setdefault(present.service, []).append(present)
         self._services = services
-        if (
-            old is None
-            or member is None
-            or old.state is not member.state
-            or old.role != member.role
-        ):
+        if _summarize(old) != _summarize(member):
             log(
                 "members:changed",
                 "members: backend server changed",
--- a/src/lavenderrun/platform/_configuration.py
+++ b/src/lavenderrun/platform/_configuration.py
@@ -57,27 +57,22 @@
     split: list[_Share] | None = None
     attempts: int = 1
     public: bool = False
-    sticky: bool = False  # says that the calls are generations, not that callers stick
     resumable: bool = False
     gap_aim_ms: Amount | None = None
 
 
 class _Engine(msgspec.Struct, rename="kebab"):
-    slots: int
     kv_tokens: int
     kv_hold_s: Amount | None = None
 
 
 class _Service(msgspec.Struct, rename="kebab"):
     name: str
-    max_conns: int = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    header_bytes: int = 16384
     max_body_bytes: int = 4194304
-    header_timeout_ms: Amount = 3000
     idle_timeout_ms: Amount = 15000
 
 
@@ -114,9 +109,7 @@
         {ServiceGroup(s.name): _convert_service(s) for s in found.services},
         tuple(_convert_account(tenant) for tenant in found.tenants),
         CallerLimits(
-            found.limits.header_bytes,
             found.limits.max_body_bytes,
-            timedelta(milliseconds=found.limits.header_timeout_ms),
             timedelta(milliseconds=found.limits.idle_timeout_ms),
         ),
     )
@@ -149,7 +142,6 @@
         route.priority,
         max(1, route.attempts),
         route.public,
-        route.sticky,
         services,
     )
 
@@ -159,8 +151,8 @@
     facts = None
     if engine is not None:
         life = EXPORT_LIFE if engine.kv_hold_s is None else timedelta(seconds=engine.kv_hold_s)
-        facts = EngineFacts(engine.slots, engine.kv_tokens, life)
-    return ServiceFacts(ServiceGroup(service.name), service.max_conns, facts)
+        facts = EngineFacts(engine.kv_tokens, life)
+    return ServiceFacts(ServiceGroup(service.name), facts)
 
 
 def _convert_account(tenant: _Tenant) -> ClientAccount:
--- a/src/lavenderrun/platform/_settings.py
+++ b/src/lavenderrun/platform/_settings.py
@@ -22,7 +22,6 @@
     retry_ratio: Count
     retry_window_s: Count
     retry_slack: Count
-    quota_window_s: Count
 
 
 class _Platform(msgspec.Struct):
@@ -78,6 +77,5 @@
             timedelta(seconds=bounds.retry_window_s),
             # the platform's name says slack for what is a reserve of resends a window
             bounds.retry_slack,
-            timedelta(seconds=bounds.quota_window_s),
         ),
     )
--- a/src/lavenderrun/types/_configuration.py
+++ b/src/lavenderrun/types/_configuration.py
@@ -54,7 +54,6 @@
     :param rank: urgency, zero is first.
     :param attempts: most backend servers that one call may be sent to.
     :param open: served without a key.
-    :param generates: served by model engines.
     """
 
     name: RouteName
@@ -69,7 +68,6 @@
     rank: int
     attempts: int
     open: bool
-    generates: bool
     services: tuple[WeightedService, ...]
 
     @property
@@ -84,35 +82,27 @@
 class EngineFacts:
     """What the engines of a model service have in common.
 
-    :param seats: requests that one engine runs at once.
     :param memory: tokens of KV cache that one engine holds.
     :param export_life: how long an engine keeps KV cache for another one.
     """
 
-    seats: int
     memory: int
     export_life: timedelta
 
 
 @dataclass(frozen=True)
 class ServiceFacts:
-    """A service and the bounds of its backend servers.
-
-    :param connections: open connections that one backend server takes from all hosts.
-    """
+    """A service; one without *engine* is a plain one."""
 
     name: ServiceGroup
-    connections: int
     engine: EngineFacts | None = None
 
 
 @dataclass(frozen=True)
 class CallerLimits:
-    """Bounds on what a caller may send and how long it may idle."""
+    """Most bytes of a body, and how long a connection may idle."""
 
-    header_bytes: int
     body_bytes: int
-    header_timeout: timedelta
     idle_timeout: timedelta
 
 
--- a/src/lavenderrun/types/_gateway_settings.py
+++ b/src/lavenderrun/types/_gateway_settings.py
@@ -16,14 +16,12 @@
     :param retry_ratio: most resends as a share of the calls in one window, over all hosts.
     :param retry_window: the window of that share.
     :param retry_reserve: resends a window beyond the share, over all hosts.
-    :param quota_window: the window in which an account's quota is checked.
     """
 
     grace: timedelta
     retry_ratio: float
     retry_window: timedelta
     retry_reserve: float
-    quota_window: timedelta
 
 
 @dataclass(frozen=True)
--- a/tests/dispatch/test_access.py
+++ b/tests/dispatch/test_access.py
@@ -37,14 +37,13 @@
         rank=1,
         attempts=2,
         open=is_open,
-        generates=False,
         services=(WeightedService(ServiceGroup("apps"), 1.0),),
     )
 
 
 def configure(*routes: CallRoute, keys: tuple[str, ...] = ("k",)) -> Configuration:
     accounts = (ClientAccount(AccountId("a"), frozenset(map(digest_key, keys)), None, None),)
-    limits = CallerLimits(1, 1, SECOND, SECOND)
+    limits = CallerLimits(1, SECOND)
     return Configuration(DocumentVersion(1), routes, {}, accounts if keys else (), limits)
 
 
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -76,7 +76,6 @@
                 "retry-ratio": 0.2,
                 "retry-window-s": 10,
                 "retry-slack": 58,
-                "quota-window-s": 8,
             },
             "platform": {"addr": store},
         }
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -358,7 +358,6 @@
         "retry-ratio": 0.2,
         "retry-window-s": 10,
         "retry-slack": 58,
-        "quota-window-s": 8,
         "fencing": True,
     },
     "platform": {"addr": "10.200.1.7:8361", "form": "table"},
