Add a randomized fault soak of real gateways

Two gateways before the stand-in platform behind proxies that delay, reset, cut one way or silence; signals stop, pause, kill and reload; the configuration, servers and the store's history change. It checks what callers and servers saw.

--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,104 @@
+"""A loopback proxy whose connections can be delayed, reset, cut one way or silenced."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import threading
+from contextlib import suppress
+from enum import Enum
+
+
+class Path(Enum):
+    """How a proxy treats what it carries."""
+
+    OPEN = "open"
+    SLOW = "slow"
+    RESET = "reset"
+    NO_ANSWERS = "no_answers"
+    SILENT = "silent"
+
+
+DELAY = 0.15
+CHUNK = 65536
+LINGER = struct.pack("ii", 1, 0)
+
+
+class Proxy:
+    """Carries connections to *target* on a loop of its own thread."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self.path = Path.OPEN
+        self._loop = asyncio.new_event_loop()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._ready = threading.Event()
+        self.address = ""
+        threading.Thread(target=self._run, daemon=True).start()
+        self._ready.wait(5)
+
+    def set(self, path: Path) -> None:
+        self.path = path
+        if path is Path.RESET:
+            self._loop.call_soon_threadsafe(self._reset_all)
+
+    def close(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        server = self._loop.run_until_complete(asyncio.start_server(self._carry, "127.0.0.1", 0))
+        host, port = server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self._ready.set()
+        self._loop.run_forever()
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
+            task.cancel()
+        self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        self._loop.close()
+
+    def _reset_all(self) -> None:
+        for writer in list(self._writers):
+            found: socket.socket | None = writer.get_extra_info("socket")
+            with suppress(OSError):
+                if found is not None:
+                    found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+            writer.transport.abort()
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            if self.path is Path.RESET:
+                self._reset_all()
+                return
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+            self._writers.add(far_writer)
+            try:
+                await asyncio.gather(
+                    self._pump(reader, far_writer, answers=False),
+                    self._pump(far_reader, writer, answers=True),
+                )
+            finally:
+                self._writers.discard(far_writer)
+                far_writer.close()
+        except OSError:
+            pass  # the far end is down; the near end sees a closed connection
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answers: bool
+    ) -> None:
+        while data := await reader.read(CHUNK):
+            if self.path is Path.SLOW:
+                await asyncio.sleep(DELAY)
+            if self.path is Path.SILENT or (answers and self.path is Path.NO_ANSWERS):
+                continue
+            writer.write(data)
+            await writer.drain()
+        with suppress(OSError):
+            writer.write_eof()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,331 @@
+"""A randomized soak: real gateways before the stand-in platform, with faults from outside.
+
+Run by hand: ``python tests/soak/soak.py --seeds 1-50 --seconds 20``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import http.client
+import json
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path as File
+
+sys.path.insert(0, str(File(__file__).parents[1] / "platform"))
+sys.path.insert(0, str(File(__file__).parent))
+
+from gateway_process import Answer, Gateway, Site
+from platform_standin import KEY, ORDERS, PLAIN, RESUMED, STREAM, Worker
+from proxy import Path, Proxy
+
+CALLERS = 6
+RECOVERY = 12.0
+ONCE = (ORDERS, STREAM)
+KINDS = (PLAIN, ORDERS, STREAM, RESUMED)
+NOT_RUN = {429, 503}
+EVENTS = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 7))
+
+
+@dataclass
+class Told:
+    """What callers were told, by the call's id."""
+
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    answers: dict[str, Answer | None] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+
+    def add(self, request: str, answer: Answer | None) -> None:
+        with self.lock:
+            self.answers[request] = answer
+
+
+class Soak:
+    """One run by one seed."""
+
+    def __init__(self, seed: int, folder: File) -> None:
+        self.chance = random.Random(seed)
+        self.seed = seed
+        self.site = Site(folder)
+        self.site.configure()
+        self.proxies: dict[str, Proxy] = {}
+        for name, service, stage in (
+            ("app-1", "apps", None),
+            ("app-2", "apps", None),
+            ("pre-1", "llm", "prefill"),
+            ("dec-1", "llm", "decode"),
+            ("dec-2", "llm", "decode"),
+        ):
+            worker = Worker(name, service, stage)
+            self.site.workers[name] = worker
+            self.proxies[name] = Proxy(worker.address)
+            self._announce(worker)
+        self.door = Proxy(self.site.store.address)
+        self.proxies["store"] = self.door
+        self.gateways: list[Gateway] = []
+        self.told = Told()
+        self.stopping = threading.Event()
+        self.happened: list[str] = []
+
+    def _announce(self, worker: Worker, state: str = "ready") -> None:
+        address = self.proxies[worker.id].address
+        entry = worker.entry(addr=address, state=state)
+        self.site.store.put("servers", worker.id, entry)
+
+    def run(self, seconds: float) -> list[str]:
+        """Run for *seconds* and return every broken promise."""
+        try:
+            for name in ("front-1", "front-2"):
+                gateway = Gateway(self.site.folder, self.door.address, name).start()
+                self.site.gateways.append(gateway)
+                self.gateways.append(gateway)
+            for gateway in self.gateways:
+                self.site.wait_known(gateway)
+            callers = [threading.Thread(target=self._call, args=(n,)) for n in range(CALLERS)]
+            for caller in callers:
+                caller.start()
+            self._trouble(time.monotonic() + seconds)
+            self._calm()
+            self._check_recovery()
+            self.stopping.set()
+            for caller in callers:
+                caller.join(20)
+            time.sleep(0.5)  # a run that comes late would still be counted
+            self._check()
+        finally:
+            self.stopping.set()
+            self.site.close()
+            for proxy in self.proxies.values():
+                proxy.close()
+        return self.told.faults
+
+    def _call(self, number: int) -> None:
+        chance = random.Random(self.seed * 1000 + number)
+        connections: dict[int, http.client.HTTPConnection] = {}
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            kind, index = chance.choice(KINDS), chance.randrange(len(self.gateways))
+            gateway = self.gateways[index]
+            request = f"{kind.strip('/')}-{number}-{count}"
+            connection = connections.pop(index, None) or gateway.connect()
+            try:
+                answer = self._send(gateway, kind, request, connection)
+            except (OSError, http.client.HTTPException):
+                connection.close()
+                self.told.add(request, None)
+                time.sleep(0.05)
+                continue
+            self.told.add(request, answer)
+            if answer.whole and answer.headers.get("connection") != "close":
+                connections[index] = connection
+            time.sleep(chance.random() * 0.05)
+
+    def _send(
+        self, gateway: Gateway, kind: str, request: str, connection: http.client.HTTPConnection
+    ) -> Answer:
+        if kind in (STREAM, RESUMED):
+            return gateway.generate(kind + "x", request=request, connection=connection)
+        method, body = ("POST", b"order") if kind == ORDERS else ("GET", b"")
+        return gateway.call(kind + "x", method, request=request, body=body, connection=connection)
+
+    def _trouble(self, until: float) -> None:
+        while time.monotonic() < until:
+            trouble = self.chance.choice(TROUBLES)
+            self.happened.append(trouble.__name__)
+            trouble(self)
+            time.sleep(self.chance.uniform(0.05, 0.8))
+
+    def _calm(self) -> None:
+        for proxy in self.proxies.values():
+            proxy.set(Path.OPEN)
+        for worker in self.site.workers.values():
+            self._announce(worker)
+        for gateway in self.gateways:
+            with suppress(ProcessLookupError):
+                gateway.signal(signal.SIGCONT)
+            self._revive(gateway)
+
+    def _revive(self, gateway: Gateway) -> None:
+        if gateway.popen is None or gateway.popen.poll() is not None:
+            gateway.start()
+
+    def _check_recovery(self) -> None:
+        until = time.monotonic() + RECOVERY
+        for gateway in self.gateways:
+            for kind in KINDS:
+                if not self._recovers(gateway, kind, until):
+                    name = gateway.settings.stem
+                    self.told.faults.append(f"not served again: {kind} at {name}")
+
+    def _recovers(self, gateway: Gateway, kind: str, until: float) -> bool:
+        attempt = 0
+        while time.monotonic() < until:
+            attempt += 1
+            request = f"{kind.strip('/')}-r-{gateway.settings.stem}-{attempt}"
+            connection = gateway.connect()
+            try:
+                answer = self._send(gateway, kind, request, connection)
+                self.told.add(request, answer)
+                if answer.status == 200 and answer.whole:
+                    return True
+            except (OSError, http.client.HTTPException):
+                self.told.add(request, None)
+            finally:
+                connection.close()
+            time.sleep(0.1)
+        return False
+
+    def _check(self) -> None:
+        runs = Counter(run for worker in self.site.workers.values() for run in worker.runs)
+        for request, answer in self.told.answers.items():
+            kind = f"/{request.partition('-')[0]}/"
+            if kind in ONCE and runs[request] > 1:
+                self.told.faults.append(f"ran {runs[request]} times: {request}")
+            if answer is not None:
+                self._check_status(kind, request, answer, runs[request])
+        self._check_servers()
+
+    def _check_status(self, kind: str, request: str, answer: Answer, runs: int) -> None:
+        if kind in ONCE and answer.status in NOT_RUN and runs:
+            self.told.faults.append(f"refused as not run, and ran: {request}")
+        if answer.status == 200:
+            self._check_answer(kind, request, answer)
+        elif answer.status not in {429, 500, 502, 503, 504}:
+            self.told.faults.append(f"denied with {answer.status}: {request}")
+
+    def _check_servers(self) -> None:
+        for worker in self.site.workers.values():
+            for seen in worker.seen:
+                if KEY in str(seen.headers):
+                    self.told.faults.append(f"key passed on to {worker.id}")
+                if "x-request-id" in seen.headers and seen.headers.get("x-tenant") != "talleres":
+                    self.told.faults.append(f"wrong account at {worker.id}")
+
+    def _check_answer(self, kind: str, request: str, answer: Answer) -> None:
+        if answer.headers.get("x-request-id") != request:
+            self.told.faults.append(f"answer to another call: {request}")
+        if kind in (STREAM, RESUMED):
+            good = answer.body == EVENTS if answer.whole else EVENTS.startswith(answer.body)
+        else:
+            good = answer.whole and answer.body.startswith(b"body of app-")
+        if not good:
+            self.told.faults.append(f"spoiled answer: {request} {answer.body!r}")
+
+
+Trouble = Callable[[Soak], None]
+TROUBLES: list[Trouble] = []
+
+
+def trouble(act: Trouble) -> Trouble:
+    """Add *act* to the troubles."""
+    TROUBLES.append(act)
+    return act
+
+
+@trouble
+def change_path(soak: Soak) -> None:
+    """Harm one path, the store's too."""
+    proxy = soak.proxies[soak.chance.choice(sorted(soak.proxies))]
+    proxy.set(soak.chance.choice(list(Path)))
+
+
+@trouble
+def heal_paths(soak: Soak) -> None:
+    """Open all paths."""
+    for proxy in soak.proxies.values():
+        proxy.set(Path.OPEN)
+
+
+@trouble
+def pause_gateway(soak: Soak) -> None:
+    """Stop a gateway and let it go on."""
+    gateway = soak.chance.choice(soak.gateways)
+    gateway.signal(signal.SIGSTOP)
+    time.sleep(soak.chance.uniform(0.1, 2.0))
+    gateway.signal(signal.SIGCONT)
+
+
+@trouble
+def kill_gateway(soak: Soak) -> None:
+    """Kill a gateway and start it again."""
+    gateway = soak.chance.choice(soak.gateways)
+    gateway.close()
+    time.sleep(soak.chance.uniform(0.0, 0.5))
+    soak._revive(gateway)
+
+
+@trouble
+def restart_gateway(soak: Soak) -> None:
+    """Stop a gateway as planned and start it again; it must end by itself."""
+    gateway = soak.chance.choice(soak.gateways)
+    gateway.signal(signal.SIGTERM)
+    assert gateway.popen is not None
+    if gateway.popen.wait(15) != 0:
+        soak.told.faults.append("a planned stop ended with an error")
+    soak._revive(gateway)
+
+
+@trouble
+def reload_gateway(soak: Soak) -> None:
+    """Tell a gateway that its settings changed."""
+    soak.chance.choice(soak.gateways).signal(signal.SIGHUP)
+
+
+@trouble
+def change_configuration(soak: Soak) -> None:
+    """Put another version of the same configuration in force."""
+    soak.site.configure()
+
+
+@trouble
+def move_worker(soak: Soak) -> None:
+    """Let a server leave, or come back."""
+    worker = soak.chance.choice(sorted(soak.site.workers.values(), key=lambda w: w.id))
+    soak._announce(worker, soak.chance.choice(["ready", "draining"]))
+
+
+@trouble
+def forget_history(soak: Soak) -> None:
+    """Let the store drop its history."""
+    soak.site.store.forget_history()
+
+
+def run_seed(seed: int, seconds: float, folder: File) -> tuple[list[str], Counter[str]]:
+    """Run one seed; return broken promises and how calls ended."""
+    soak = Soak(seed, folder)
+    faults = soak.run(seconds)
+    ends = Counter(
+        "cut" if answer is None or not answer.whole else str(answer.status)
+        for answer in soak.told.answers.values()
+    )
+    return faults, ends
+
+
+def main() -> int:
+    """Run the seeds that the command line names; return how many failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-5", metavar="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    args = parser.parse_args()
+    first, _, last = args.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        folder = File(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        faults, ends = run_seed(seed, args.seconds, folder)
+        failed += bool(faults)
+        told = {"seed": seed, "faults": faults[:10], "ends": ends, "logs": str(folder)}
+        print(json.dumps(told), flush=True)
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
