--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from pathlib import Path
 
+
+def _end_early(*_: object) -> None:
+    sys.exit(0)
+
+
+# before the daemon has its own handlers a stop is no error and a reload needless
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+signal.signal(signal.SIGTERM, _end_early)
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
 
-from lavenderrun.daemons import run_gateway
+from lavenderrun.daemons import run_gateway  # noqa: E402
 
 if __name__ == "__main__":
     sys.exit(run_gateway(Path(os.environ["LAVENDERRUN_SETTINGS"]), metrics_port=int(sys.argv[1])))
--- a/src/lavenderrun/dispatch/_roles.py
+++ b/src/lavenderrun/dispatch/_roles.py
@@ -12,11 +12,11 @@
 SMOOTHING: Final = 0.02
 """Weight of the newest call in a mean; about fifty calls."""
 
-TRUSTED_AFTER: Final = 6
-"""Calls before the means count."""
+USUAL_CALLS: Final = 40
+"""Calls for which the usual share stands; a few slow ones must not move an engine."""
 
 USUAL_SHARE: Final = 0.33
-"""Prefill share before that: a prompt takes its engine for half of what its answer takes."""
+"""Prefill share before any call: a prompt takes its engine for half of what its answer takes."""
 
 SLACK: Final = 0.6
 """Engines by which a role may miss its share before one is moved; less moves back and forth."""
@@ -74,10 +74,12 @@
 
     @property
     def prefill_share(self) -> float:
-        """Share of the engines' time that prefills take."""
-        if min(self._prefills, self._decodes) < TRUSTED_AFTER:
+        """Share of the engines' time that prefills take, with the usual one as so many calls."""
+        seen = min(self._prefills, self._decodes)
+        if not seen:
             return USUAL_SHARE
-        return self._prefill / (self._prefill + self._decode)
+        measured = self._prefill / (self._prefill + self._decode)
+        return (USUAL_SHARE * USUAL_CALLS + measured * seen) / (USUAL_CALLS + seen)
 
     def plan(
         self,
