--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+
 from soak import run_seed
 
 # 10, 30, 32: a signal that came while a gateway started ended it with an error
