--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -148,8 +148,7 @@
 
     def count_reporting(self) -> int:
         """Return how many of the others report."""
-        now = self._clock.now()
-        return sum(1 for p in self._peers.values() if p.heard and now - p.heard < LOST_AFTER)
+        return len(self._list_reporting())
 
     def watch(self, watcher: Callable[[Report], None]) -> None:
         """Call *watcher* with each report."""
@@ -162,9 +161,7 @@
 
     def is_first(self) -> bool:
         """Tell whether this host has the first name among those that report."""
-        now = self._clock.now()
-        live = [h for h, p in self._peers.items() if p.heard and now - p.heard < LOST_AFTER]
-        return all(self._host < host for host in live)
+        return all(self._host < host for host in self._list_reporting())
 
     def replace(self, rows: Sequence[RowChange]) -> None:
         """Take all entries; see ``TableReader``."""
@@ -175,7 +172,6 @@
         if self._host not in present and self._entry_version:
             self._announce()
         self.change(rows)
-        self._tell()
 
     def change(self, rows: Sequence[RowChange]) -> None:
         """Take changed and removed entries; see ``TableReader``."""
@@ -196,6 +192,10 @@
             self._peers[HostId(row.key)] = peer
         self._tell()
 
+    def _list_reporting(self) -> list[HostId]:
+        now = self._clock.now()
+        return [h for h, p in self._peers.items() if p.heard and now - p.heard < LOST_AFTER]
+
     def _tell(self) -> None:
         self.changed({host: peer.since for host, peer in self._peers.items()})
 
--- a/src/lavenderrun/gateway/_ports.py
+++ b/src/lavenderrun/gateway/_ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -195,19 +195,3 @@
 
     def decode_order(self, status: int) -> OrderResult:
         """Return what the answer to an order says."""
-
-
-class ConfigurationSource(Protocol):
-    """Service ``configuration``: the configuration in force."""
-
-    current: Configuration | None
-
-    def watch(self, handler: Callable[[Configuration], None]) -> None:
-        """Call *handler* for the configuration in force and for each later one."""
-
-
-class HostCount(Protocol):
-    """Service ``peers``, for those who share something among all hosts."""
-
-    def count_hosts(self) -> int:
-        """Return how many gateways there are, this one included."""
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -30,6 +30,7 @@
     BackendRole,
     BootId,
     Configuration,
+    EngineFacts,
     Fingerprint,
     GatewayBounds,
     HostId,
@@ -98,9 +99,8 @@
 
     def find_memory(self, service: ServiceGroup) -> int:
         """Return the tokens that an engine of *service* holds, zero when unknown."""
-        configuration = self._configuration.current
-        facts = configuration.services.get(service) if configuration is not None else None
-        return facts.engine.memory if facts is not None and facts.engine is not None else 0
+        engine = self._find_engine(service)
+        return 0 if engine is None else engine.memory
 
     def describe_peers(self) -> dict[str, Any]:
         """Return how many gateways there are and how many of the others report."""
@@ -108,11 +108,8 @@
 
     def find_export_life(self, service: ServiceGroup) -> timedelta:
         """Return how long engines of *service* hold KV cache for each other."""
-        configuration = self._configuration.current
-        facts = configuration.services.get(service) if configuration is not None else None
-        if facts is None or facts.engine is None:
-            return timedelta(0)
-        return facts.engine.export_life
+        engine = self._find_engine(service)
+        return timedelta(0) if engine is None else engine.export_life
 
     def note_moving(self, member: BackendId, role: BackendRole) -> None:
         """Take note that an engine took the order to change its role."""
@@ -134,6 +131,11 @@
             return None
         return current if current.state is MemberState.READY else None
 
+    def _find_engine(self, service: ServiceGroup) -> EngineFacts | None:
+        configuration = self._configuration.current
+        facts = configuration.services.get(service) if configuration is not None else None
+        return None if facts is None else facts.engine
+
     def _make_sight(self, service: ServiceGroup) -> Sight:
         now = self._clock.now()
         self.occupancy.expire(now)
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import os
-import signal
 import socket
 import subprocess
 import sys
@@ -18,7 +17,6 @@
 
 ROOT = Path(__file__).parents[2]
 WAIT = 10.0
-FIELDS = ("front", "ready")
 
 
 def find_ports(count: int) -> list[int]:
@@ -145,11 +143,6 @@
         assert self.popen is not None
         self.popen.send_signal(number)
 
-    def terminate(self) -> int:
-        self.signal(signal.SIGTERM)
-        assert self.popen is not None
-        return self.popen.wait(WAIT)
-
     def close(self) -> None:
         if self.popen is not None and self.popen.poll() is None:
             self.popen.kill()
