Wait for a time by one function, and give milliseconds to log lines by one

Cause: a read of the whole change. Five log lines divided by a millisecond each on their own. Behaviour is as before.

--- a/src/lavenderrun/daemons/_daemon.py
+++ b/src/lavenderrun/daemons/_daemon.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 from eliot import log_message
-from twisted.internet.defer import Deferred
 
 from lavenderrun.daemons._lists import (
     AGENT_PAGES,
@@ -14,7 +13,7 @@
     ENTRY_SERVICES,
     list_agent_services,
 )
-from lavenderrun.kernel import Clock, Kernel
+from lavenderrun.kernel import Clock, Kernel, sleep
 from lavenderrun.services import AdminService, FrontService, MetricsPage, check_readiness, check_tls
 from lavenderrun.types import AgentSettings, EntrySettings
 
@@ -50,7 +49,7 @@
     async def wait_ready(self) -> None:
         """Wait until an entry can serve callers."""
         while self._running and not check_readiness(self.kernel).ready:
-            await self._pause()
+            await sleep(self._clock, CHECK_EVERY)
 
     async def stop(self) -> None:
         """Stop as planned: take no new work, let what runs end, then stop all services."""
@@ -73,11 +72,6 @@
             "admin": f"{_scheme(admin.settings.certificate)}://{admin.address}",
         }
 
-    def _pause(self) -> Deferred[None]:
-        pause: Deferred[None] = Deferred()
-        self._clock.call_later(CHECK_EVERY, pause.callback, None)
-        return pause
-
     def _log(self, kind: str, text: str, **fields: str) -> None:
         log_message(f"daemon:{kind}", text=text, **{"host": self._settings.host.id, **fields})
 
--- a/src/lavenderrun/gateway/_call_log.py
+++ b/src/lavenderrun/gateway/_call_log.py
@@ -5,14 +5,13 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any, Final
 
-from lavenderrun.gateway._log import log
+from lavenderrun.gateway._log import MILLISECOND, log
 from lavenderrun.types import Fingerprint, GatewayCall, Refused
 
 if TYPE_CHECKING:
     from lavenderrun.gateway._attempt import Attempt
 
 NO_FINGERPRINT: Final = Fingerprint("")
-MILLISECOND: Final = timedelta(milliseconds=1)
 
 
 class CallLog:
--- a/src/lavenderrun/gateway/_departure.py
+++ b/src/lavenderrun/gateway/_departure.py
@@ -5,13 +5,11 @@
 from datetime import timedelta
 from typing import ClassVar, Final
 
-from twisted.internet.defer import Deferred
-
 from lavenderrun.gateway._callers import CallersService
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
-from lavenderrun.kernel import Kernel
+from lavenderrun.kernel import Kernel, sleep
 
 IDLE_AFTER: Final = timedelta(seconds=2.6)
 """When idle connections are closed: the balancer has taken this host out after two misses."""
@@ -59,14 +57,9 @@
             if passed >= self._grace - SPARE:
                 log("departure:cut", "departure: grace is over", running=self._router.running)
                 break
-            await self._sleep()
+            await sleep(self._clock, LOOK_EVERY)
         log("departure:done", "departure: ends", running=self._router.running)
 
-    def _sleep(self) -> Deferred[None]:
-        done: Deferred[None] = Deferred()
-        self._clock.call_later(LOOK_EVERY, done.callback, None)
-        return done
-
 
 @GATEWAY_SERVICES.register("departure")
 def make_departure(kernel: Kernel) -> DepartureService:
--- a/src/lavenderrun/gateway/_follower.py
+++ b/src/lavenderrun/gateway/_follower.py
@@ -12,7 +12,7 @@
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._ports import HistoryGoneError, RowChange, StoreRefusal
 from lavenderrun.gateway._rows import RowStore
-from lavenderrun.kernel import Clock
+from lavenderrun.kernel import Clock, sleep
 from lavenderrun.types import StoreUnavailableError
 
 FEED_WAIT: Final = timedelta(seconds=5)
@@ -113,12 +113,7 @@
     async def _sleep(self) -> None:
         pause = self._pause * (0.5 + self._chance.random())
         self._pause = min(self._pause * 2, PAUSE_MOST)
-        done: Deferred[None] = Deferred()
-        timer = self._clock.call_later(pause, done.callback, None)
-        try:
-            await done
-        finally:
-            timer.cancel()
+        await sleep(self._clock, pause)
 
     def _report(self, failure: object) -> None:
         error = getattr(failure, "value", failure)
--- a/src/lavenderrun/gateway/_log.py
+++ b/src/lavenderrun/gateway/_log.py
@@ -5,12 +5,15 @@
 import json
 import os
 import select
+from datetime import timedelta
 from typing import Any, Final
 
 from eliot import add_destinations, log_message
 
 from lavenderrun.kernel import Clock
 
+MILLISECOND: Final = timedelta(milliseconds=1)
+
 LINES_PER_SECOND: Final = 400
 """Rate of lines that are written; about ten calls' worth of lines a millisecond of writing."""
 
@@ -30,6 +33,11 @@
     log_message(kind, text=text, **fields)
 
 
+def count_ms(time: timedelta) -> int:
+    """Return a time in whole milliseconds, as log lines give it."""
+    return round(time / MILLISECOND)
+
+
 class BoundedLog:
     """Writes lines to a descriptor while its reader keeps up; counts those it drops.
 
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -21,7 +21,7 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore
 from lavenderrun.gateway._stats import PEERS_HEARD, Stats
-from lavenderrun.kernel import Clock, Kernel, Timer
+from lavenderrun.kernel import Clock, Kernel, Timer, sleep
 from lavenderrun.types import BootId, HostId, StoreUnavailableError
 
 REPORT_EVERY: Final = timedelta(milliseconds=250)
@@ -211,20 +211,12 @@
                 written = await self._rows.write(self._table, [RowWrite(self._host, value)])
             except (StoreUnavailableError, StoreRefusal):
                 # the store logs when it is lost
-                await self._sleep(ANNOUNCE_PAUSE)
+                await sleep(self._clock, ANNOUNCE_PAUSE)
                 continue
             self._entry_version = written
             self._announcing = None
             return
 
-    async def _sleep(self, pause: timedelta) -> None:
-        done: Deferred[None] = Deferred()
-        timer = self._clock.call_later(pause, done.callback, None)
-        try:
-            await done
-        finally:
-            timer.cancel()
-
     def report_soon(self) -> None:
         """Report before the next regular time."""
         if self._soon is None:
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -8,6 +8,7 @@
 from lavenderrun.dispatch import Access, judge_access, make_fingerprint
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._configuration import ConfigurationService
+from lavenderrun.gateway._log import count_ms
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._parts import Parts
 from lavenderrun.gateway._pool import ConnectionPool
@@ -210,7 +211,7 @@
             cost=cost,
             configuration=self._configuration.version,
             members=self._members.version,
-            patience_ms=round(patience / timedelta(milliseconds=1)),
+            patience_ms=count_ms(patience),
         )
         kind = StreamCall if route.delivery is Delivery.EVENTS else WholeCall
         running = kind(self._parts, admitted, sink, story, self._running.discard)
@@ -238,7 +239,7 @@
         story = CallLog(
             call,
             configuration=self._configuration.version,
-            store_age_ms=None if age is None else round(age / timedelta(milliseconds=1)),
+            store_age_ms=None if age is None else count_ms(age),
             **told,
         )
         story.tell_refused(refused)
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -9,6 +9,7 @@
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._event_split import EventSplitter
+from lavenderrun.gateway._log import count_ms
 from lavenderrun.gateway._prefill import Prefill
 from lavenderrun.gateway._running import LEAST_TIME, RETRY_SEAT, RunningCallBase
 from lavenderrun.gateway._seats import Seat, SeatRequest
@@ -98,7 +99,7 @@
             "seat",
             "seat reserved",
             member=seat.member.id,
-            waited_ms=round(waited / timedelta(milliseconds=1)),
+            waited_ms=count_ms(waited),
             reserved=self._parts.view.occupancy.sum_tokens(seat.member.id),
         )
         # no prompt is computed for an engine that can't be reached
--- a/src/lavenderrun/gateway/_wakes.py
+++ b/src/lavenderrun/gateway/_wakes.py
@@ -7,7 +7,7 @@
 from typing import ClassVar, Final
 
 from lavenderrun.gateway._configuration import ConfigurationService
-from lavenderrun.gateway._log import log
+from lavenderrun.gateway._log import count_ms, log
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._peers import PeersService
 from lavenderrun.gateway._pool import ConnectionPool
@@ -63,7 +63,7 @@
             log(
                 "wakes:woken",
                 "wakes: host stood still",
-                gap_ms=round(gap / timedelta(milliseconds=1)),
+                gap_ms=count_ms(gap),
             )
             self._pool.drop_idle()
             for follower in self._followers:
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -8,6 +8,7 @@
 
 from lavenderrun.dispatch import Need, Verdict, judge_attempt
 from lavenderrun.gateway._attempt import Attempt
+from lavenderrun.gateway._log import count_ms
 from lavenderrun.gateway._running import LEAST_TIME, RunningCallBase
 from lavenderrun.types import Member, Refusal, Step
 
@@ -108,7 +109,7 @@
             load=self._parts.view.occupancy.count_calls(member.id, self._parts.clock.now()),
             failures=round(self._parts.view.health.share_failed(member.id), 2),
             attempt=len(self._tried),
-            left_ms=round(self._time_left() / timedelta(milliseconds=1)),
+            left_ms=count_ms(self._time_left()),
         )
         attempt.send(self._dispatch(member), fresh=not route.is_idempotent or len(self._tried) > 1)
         if route.is_idempotent and self._attempts_left > 0:
--- a/src/lavenderrun/kernel/__init__.py
+++ b/src/lavenderrun/kernel/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lavenderrun.kernel._clock import Clock, ReactorClock, Timer
+from lavenderrun.kernel._clock import Clock, ReactorClock, Timer, sleep
 from lavenderrun.kernel._errors import KernelError, ServiceStartError, UnknownServiceError
 from lavenderrun.kernel._kernel import SERVICES, Kernel, Service, ServiceFactory
 from lavenderrun.kernel._registry import Registry, UnknownNameError
@@ -20,4 +20,5 @@
     "Timer",
     "UnknownNameError",
     "UnknownServiceError",
+    "sleep",
 ]
--- a/src/lavenderrun/kernel/_clock.py
+++ b/src/lavenderrun/kernel/_clock.py
@@ -6,6 +6,8 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any, Protocol
 
+from twisted.internet.defer import Deferred
+
 
 class ReactorTime(Protocol):
     """The part of a reactor, or of ``twisted.internet.task.Clock``, that keeps time."""
@@ -34,6 +36,13 @@
         """Run *call* after *delay* on the loop."""
 
 
+def sleep(clock: Clock, delay: timedelta) -> Deferred[None]:
+    """Return what fires after *delay*; cancelling it drops the timer."""
+    done: Deferred[None] = Deferred(lambda _: timer.cancel())
+    timer = clock.call_later(delay, done.callback, None)
+    return done
+
+
 class _ReactorTimer:
     def __init__(self, delayed: Any) -> None:
         self._delayed = delayed
--- a/src/lavenderrun/services/_claims.py
+++ b/src/lavenderrun/services/_claims.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderrun.codecs import RowCodec, RowError
-from lavenderrun.kernel import Clock
+from lavenderrun.kernel import Clock, sleep
 from lavenderrun.types import (
     AccountId,
     Claim,
@@ -110,9 +110,7 @@
             raise ClaimUnavailableError from error
 
     def _pause(self) -> Deferred[None]:
-        done: Deferred[None] = Deferred()
-        self._clock.call_later(WRITE_PAUSE, done.callback, None)
-        return done
+        return sleep(self._clock, WRITE_PAUSE)
 
 
 def name_claim(account: AccountId | None, key: IdempotencyKey) -> str:
--- a/src/lavenderrun/services/_document_submit.py
+++ b/src/lavenderrun/services/_document_submit.py
@@ -12,7 +12,7 @@
 
 from lavenderrun.codecs import StoredDocumentError, decode_stored, encode_stored, make_stored
 from lavenderrun.decisions import find_changes
-from lavenderrun.kernel import Clock
+from lavenderrun.kernel import Clock, sleep
 from lavenderrun.types import (
     Document,
     DocumentConflict,
@@ -132,10 +132,7 @@
             yield self._pause()
 
     def _pause(self) -> Deferred[None]:
-        pause: Deferred[None] = Deferred()
-        delay = SETTLE_PAUSE * self._random.uniform(0.5, 1.5)
-        self._keeper.clock.call_later(delay, pause.callback, None)
-        return pause
+        return sleep(self._keeper.clock, SETTLE_PAUSE * self._random.uniform(0.5, 1.5))
 
     @inlineCallbacks
     def _accept(
