Count a life of a server once among the strikes of a call, and not when it answers

Cause: a reset of the path to a server counted as a crash, once for every answer lost and once for every gateway that saw it. A gateway that was gone kept its accusations for ever.

Strikes are now kept by the server's life (id and start), joined over gateways; a server that serves a call sent within the second after the break is acquitted, for a restart takes longer; a host's accusations end with its reports.

--- a/src/lavenderrun/dispatch/_suspects.py
+++ b/src/lavenderrun/dispatch/_suspects.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from hashlib import sha256
-from typing import Final
+from typing import Any, Final
 
-from lavenderrun.types import AccountId, Fingerprint, GatewayCall, HostId
+from lavenderrun.types import AccountId, Fingerprint, GatewayCall, HostId, Incarnation
 
 STRIKES_MOST: Final = 3
-"""Broken runs after which a call is refused, over all hosts."""
+"""Servers that a call may have broken before it is refused, as all hosts saw it."""
 
 MEMORY: Final = timedelta(seconds=60)
 """How long a strike counts; callers send such a call again within seconds."""
 
+ACQUIT_WITHIN: Final = timedelta(seconds=1)
+"""How soon after a break a server must take a call to count as whole; a restart takes longer."""
+
 KEPT_MOST: Final = 2000
 """Fingerprints kept; the oldest go first."""
 
@@ -31,19 +35,45 @@
     return Fingerprint(digest.hexdigest()[:16])
 
 
+@dataclass(frozen=True)
+class _Accusations:
+    """What another host reported, and when."""
+
+    heard: datetime
+    broken: Mapping[Fingerprint, Sequence[Incarnation]]
+
+
 class SuspectBook:
-    """Counts broken runs by fingerprint, of this host and as others report them."""
+    """Knows which servers each call may have broken, by this host and as others report them.
 
-    def __init__(self) -> None:
-        self._own: dict[Fingerprint, list[datetime]] = {}
-        self._others: dict[HostId, Mapping[Fingerprint, int]] = {}
+    A server breaks once in a life, so many lost answers of one life are one strike.
+    """
 
-    def strike(self, fingerprint: Fingerprint, now: datetime) -> None:
-        """Count a run that its server broke off."""
-        times = self._own.pop(fingerprint, [])
-        self._own[fingerprint] = [*times, now]
-        while len(self._own) > KEPT_MOST:
-            del self._own[next(iter(self._own))]
+    def __init__(self) -> None:
+        self._own: dict[Fingerprint, dict[Incarnation, datetime]] = {}
+        self._struck: dict[Incarnation, datetime] = {}
+        self._others: dict[HostId, _Accusations] = {}
+
+    def strike(self, fingerprint: Fingerprint, server: Incarnation, now: datetime) -> None:
+        """Count a run that *server* broke off."""
+        broken = self._own.pop(fingerprint, {})
+        broken[server] = now
+        self._own[fingerprint] = broken
+        self._struck.pop(server, None)
+        self._struck[server] = now
+        _trim(self._own)
+        _trim(self._struck)
+
+    def acquit(self, server: Incarnation, sent: datetime) -> None:
+        """Take the answer to a call *sent* to *server*: what broke just before was its path."""
+        struck = self._struck.get(server)
+        if struck is None or not struck < sent <= struck + ACQUIT_WITHIN:
+            return
+        del self._struck[server]
+        for broken in self._own.values():
+            at = broken.get(server)
+            if at is not None and at < sent <= at + ACQUIT_WITHIN:
+                del broken[server]
 
     def clear(self, fingerprint: Fingerprint) -> None:
         """Take a whole run: the call is harmless."""
@@ -51,21 +81,34 @@
 
     def is_refused(self, fingerprint: Fingerprint, now: datetime) -> bool:
         """Tell whether the call has broken too many servers."""
-        own = sum(1 for at in self._own.get(fingerprint, ()) if now - at < MEMORY)
-        others = sum(counts.get(fingerprint, 0) for counts in self._others.values())
-        return own + others >= STRIKES_MOST
-
-    def hear(self, host: HostId, counts: Mapping[Fingerprint, int]) -> None:
-        """Take another host's counts."""
-        self._others[host] = counts
-
-    def report(self, now: datetime) -> dict[Fingerprint, int]:
-        """Return the newest counts of this host."""
-        counts: dict[Fingerprint, int] = {}
-        for fingerprint, times in reversed(self._own.items()):
-            if len(counts) >= REPORTED_MOST:
+        broken = set(self._list_fresh(fingerprint, now))
+        for accusations in self._others.values():
+            if now - accusations.heard < MEMORY:
+                broken.update(accusations.broken.get(fingerprint, ()))
+        return len(broken) >= STRIKES_MOST
+
+    def hear(
+        self, host: HostId, broken: Mapping[Fingerprint, Sequence[Incarnation]], now: datetime
+    ) -> None:
+        """Take what another host saw broken."""
+        self._others[host] = _Accusations(now, broken)
+
+    def report(self, now: datetime) -> dict[Fingerprint, list[Incarnation]]:
+        """Return the newest suspects of this host and what they may have broken."""
+        report: dict[Fingerprint, list[Incarnation]] = {}
+        for fingerprint in reversed(self._own):
+            if len(report) >= REPORTED_MOST:
                 break
-            fresh = sum(1 for at in times if now - at < MEMORY)
+            fresh = self._list_fresh(fingerprint, now)
             if fresh:
-                counts[fingerprint] = fresh
-        return counts
+                report[fingerprint] = fresh
+        return report
+
+    def _list_fresh(self, fingerprint: Fingerprint, now: datetime) -> list[Incarnation]:
+        broken = self._own.get(fingerprint, {})
+        return [server for server, at in broken.items() if now - at < MEMORY]
+
+
+def _trim(kept: dict[Any, Any]) -> None:
+    while len(kept) > KEPT_MOST:
+        del kept[next(iter(kept))]
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -127,6 +127,8 @@
             self.broken(Break.FOREIGN_ANSWER)
             return
         self.head = head
+        if head.standing is Standing.SERVED:
+            self._parts.view.suspects.acquit(self.member.incarnation, self._began)
         now = self._parts.clock.now()
         if head.load is not None:
             self._parts.view.occupancy.observe_load(self.member.id, head.load, now)
@@ -159,7 +161,8 @@
         """There will be no whole answer; see ``Receiver``."""
         self.broke = reason
         if self.sent and reason in CRASHES:
-            self._parts.view.suspects.strike(self._fingerprint, self._parts.clock.now())
+            server, now = self.member.incarnation, self._parts.clock.now()
+            self._parts.view.suspects.strike(self._fingerprint, server, now)
         health = self._parts.view.health
         if reason in {Break.UNREACHABLE, Break.SILENT}:
             health.lose(self.member.id, self._parts.clock.now())
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -52,7 +52,7 @@
     :param used: units charged since the start, by account.
     :param reserved: calls and tokens reserved, by backend server.
     :param moving: engines that took an order, with the role they will have.
-    :param strikes: runs that their servers broke off, by the call's fingerprint.
+    :param broken: lives of servers that may have been broken, by the call's fingerprint.
     """
 
     host: str
@@ -61,7 +61,7 @@
     used: dict[str, float]
     reserved: dict[str, tuple[int, int]]
     moving: dict[str, str] = {}
-    strikes: dict[str, int] = {}
+    broken: dict[str, list[str]] = {}
 
 
 class _Entry(msgspec.Struct):
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -34,6 +34,7 @@
     Fingerprint,
     GatewayBounds,
     HostId,
+    Incarnation,
     Member,
     MemberState,
     ServiceGroup,
@@ -176,8 +177,11 @@
         used = {str(account): units for account, units in self.quotas.used.items()}
         version = self._configuration.version
         moving = {str(member): role.value for member, (role, _) in self._moving.items()}
-        strikes = {str(key): n for key, n in self.suspects.report(self._clock.now()).items()}
-        return Report(self._host, self._peers.boot, version, used, reserved, moving, strikes)
+        broken = {
+            str(key): [str(server) for server in servers]
+            for key, servers in self.suspects.report(self._clock.now()).items()
+        }
+        return Report(self._host, self._peers.boot, version, used, reserved, moving, broken)
 
     def _hear(self, report: Report) -> None:
         now = self._clock.now()
@@ -189,7 +193,11 @@
             for member, (calls, tokens) in report.reserved.items()
         }
         self.occupancy.hear(host, reserved, now)
-        self.suspects.hear(host, {Fingerprint(key): n for key, n in report.strikes.items()})
+        broken = {
+            Fingerprint(key): [Incarnation(server) for server in servers]
+            for key, servers in report.broken.items()
+        }
+        self.suspects.hear(host, broken, now)
         for member, role in report.moving.items():
             until = now + MOVE_MOST
             self._moving.setdefault(BackendId(member), (BackendRole(role), until))
--- a/src/lavenderrun/types/_members.py
+++ b/src/lavenderrun/types/_members.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from hashlib import sha256
 
-from lavenderrun.types._ids import BackendId, DataCentre, ServiceGroup
+from lavenderrun.types._ids import BackendId, DataCentre, Incarnation, ServiceGroup
 from lavenderrun.types._states import BackendRole
 
 
@@ -36,3 +37,8 @@
     state: MemberState
     warmup: timedelta
     started: int
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return a short name of this life of the server, the same on every host."""
+        return Incarnation(sha256(f"{self.id}@{self.started}".encode()).hexdigest()[:8])
