Tell when a stream's first event went out and its longest gap

A late stream could not be told from its log lines: whether its first event or a gap was late. The answered line holds both now.

--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -66,6 +66,8 @@
         self._unknown = False
         self._watch: Timer | None = None
         self._last = self._sent = self._admitted.arrived
+        self._first: timedelta | None = None
+        self._longest_gap = timedelta(0)
 
     def start(self) -> None:
         """Ask for a seat."""
@@ -203,12 +205,19 @@
             return
         whole = self._events.take(data)
         if whole:
-            now = self._parts.clock.now()
-            self._parts.stats.observe(EVENT_GAP, now - self._last)
-            self._last = now
+            self._observe_event()
             self._sink.write(whole)
             self._watch_silence(self._gap_wait())
 
+    def _observe_event(self) -> None:
+        now = self._parts.clock.now()
+        self._parts.stats.observe(EVENT_GAP, now - self._last)
+        if self._first is None:
+            self._first = now - self._admitted.arrived
+        else:
+            self._longest_gap = max(self._longest_gap, now - self._last)
+        self._last = now
+
     def settled(self, attempt: Attempt) -> None:
         """End the answer or go on elsewhere; see ``AttemptEvents``."""
         self._attempt = None
@@ -216,7 +225,13 @@
             return
         standing = attempt.head.standing if attempt.head else None
         if attempt.broke is None and standing is Standing.SERVED and self._events.is_between:
-            self._story.tell("answered", "stream passed on", member=attempt.member.id)
+            self._story.tell(
+                "answered",
+                "stream passed on",
+                member=attempt.member.id,
+                first_ms=None if self._first is None else count_ms(self._first),
+                longest_gap_ms=count_ms(self._longest_gap),
+            )
             self._observe_decode()
             self._sink.finish()
             self._finish("answered")
