Bound the queue at a prefill engine before its speed was measured

Cause: without a measured speed the queue at a prefill engine had no bound. When all gateways start together, each sends every prompt to the same engine; each gives up after 0.8 s of silence, and the decode engines compute the prompts after all.

A usual speed of 20,000 tokens a second stands until one is measured. The test fails on the old code, where a hundred prompts queue at one engine.

--- a/src/lavenderrun/dispatch/_roles.py
+++ b/src/lavenderrun/dispatch/_roles.py
@@ -27,6 +27,10 @@
 PAUSE: Final = timedelta(seconds=3)
 """Shortest time between two moves of one service."""
 
+USUAL_SPEED: Final = 20_000.0
+"""Prompt tokens a second until a prefill was measured: a mid-size model on one accelerator. Too
+low only leaves more prompts to the decode engines; without any bound, hosts that start together
+all queue at one engine."""
 
 SPEED_CALLS: Final = 20
 """Prefills over which the speed is averaged."""
@@ -46,7 +50,7 @@
     Work is engine time: a prefill takes the whole engine for its time, a decode the part of the
     memory that it fills for as long as it runs.
 
-    :ivar prefill_speed: prompt tokens that an engine computes a second, zero when unknown.
+    :ivar prefill_speed: prompt tokens that an engine computes a second.
     """
 
     def __init__(self) -> None:
@@ -55,7 +59,7 @@
         self._prefills = 0
         self._decodes = 0
         self._moved: datetime | None = None
-        self.prefill_speed = 0.0
+        self.prefill_speed = USUAL_SPEED
 
     def observe_prefill(self, took: timedelta, tokens: int) -> None:
         """Take the engine time of a prefill that waited for no other."""
--- a/tests/dispatch/test_choices.py
+++ b/tests/dispatch/test_choices.py
@@ -195,6 +195,18 @@
     assert (change.role if change else None) is expected
 
 
+def test_before_any_measurement_prompts_do_not_all_queue_at_one_engine() -> None:
+    speed = RoleBalance().prefill_speed
+    sight = make_sight()
+    sight.prefill_speed = speed
+    members = [make_member("p1", BackendRole.PREFILL)]
+    placed = 0
+    while placed < 100 and place("prefill", members, Need(tokens=3000), sight) is not None:
+        sight.occupancy.reserve(members[0].id, 3000)
+        placed += 1
+    assert 1 <= placed <= 5
+
+
 def test_a_few_slow_prefills_move_no_engine() -> None:
     balance = RoleBalance()
     for _ in range(8):
