--- a/src/lavenderrun/dispatch/_quota.py
+++ b/src/lavenderrun/dispatch/_quota.py
@@ -103,6 +103,14 @@
         self._used[account] = self._used.get(account, 0.0) + cost
         return None
 
+    def left(self, now: datetime) -> dict[AccountId, float]:
+        """Return the units in each account's bucket; below zero for a debt."""
+        return {
+            account: bucket.level
+            for account in self._buckets
+            if (bucket := self._refill(account, now)) is not None
+        }
+
     def give_back(self, account: AccountId, cost: float) -> None:
         """Return the charge of a call that was not run."""
         bucket = self._buckets.get(account)
--- a/src/lavenderrun/dispatch/_resends.py
+++ b/src/lavenderrun/dispatch/_resends.py
@@ -59,6 +59,10 @@
         share = self._reserve * RESERVE_PART / self._hosts
         return self._ratio * calls + share - resends
 
+    def list_left(self, now: datetime) -> dict[ServiceGroup, float]:
+        """Return how many resends are left of each service that had calls."""
+        return {service: self.left(service, now) for service in self._calls}
+
     def take(self, service: ServiceGroup, now: datetime) -> bool:
         """Take one resend when the budget has it; return whether it had."""
         if self.left(service, now) < 1:
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -70,6 +70,10 @@
         """Return the backend servers of a service, also those that are leaving."""
         return self._services.get(service, ())
 
+    def list_services(self) -> Sequence[ServiceGroup]:
+        """Return the services that have a backend server."""
+        return list(self._services)
+
     def replace(self, rows: Sequence[RowChange]) -> None:
         """Take all entries; see ``TableReader``."""
         present = {row.key for row in rows}
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -103,6 +103,24 @@
     "Units charged by this host since its start, by account.",
     ("account",),
 )
+QUOTA_LEFT = define(
+    "lavenderrun_gateway_quota_left_units",
+    MeterKind.GAUGE,
+    "Units left in the fleet's bucket as this host sees it, by account; below zero for a debt.",
+    ("account",),
+)
+RESENDS_LEFT = define(
+    "lavenderrun_gateway_resends_left",
+    MeterKind.GAUGE,
+    "Resends that the budget of this host has left in the present window, by service.",
+    ("service",),
+)
+EJECTED = define(
+    "lavenderrun_gateway_ejected_servers",
+    MeterKind.GAUGE,
+    "Backend servers that this host sends nothing for a while, by service.",
+    ("service",),
+)
 PEERS_HEARD = define(
     "lavenderrun_gateway_peers", MeterKind.GAUGE, "Other gateways by state.", ("state",)
 )
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
@@ -22,7 +23,7 @@
 from lavenderrun.gateway._peers import PeersService, Report
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
-from lavenderrun.gateway._stats import QUOTA_USED, Stats
+from lavenderrun.gateway._stats import EJECTED, QUOTA_LEFT, QUOTA_USED, RESENDS_LEFT, Stats
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import (
     AccountId,
@@ -66,7 +67,11 @@
         self.suspects = SuspectBook()
         self._moving: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._balances: dict[ServiceGroup, RoleBalance] = {}
-        kernel.find("stats", Stats).read(QUOTA_USED, self._read_used)
+        stats = kernel.find("stats", Stats)
+        stats.read(QUOTA_USED, lambda: _label(self.quotas.used))
+        stats.read(QUOTA_LEFT, lambda: _label(self.quotas.left(self._clock.now())))
+        stats.read(RESENDS_LEFT, lambda: _label(self.resends.list_left(self._clock.now())))
+        stats.read(EJECTED, self._count_ejected)
 
     def start(self) -> None:
         """Begin to watch."""
@@ -202,8 +207,18 @@
             until = now + MOVE_MOST
             self._moving.setdefault(BackendId(member), (BackendRole(role), until))
 
-    def _read_used(self) -> dict[tuple[str, ...], float]:
-        return {(str(account),): units for account, units in self.quotas.used.items()}
+    def _count_ejected(self) -> dict[tuple[str, ...], float]:
+        now = self._clock.now()
+        counts = {}
+        for service in self._members.list_services():
+            members = self._members.serving(service)
+            counts[service] = sum(self.health.is_paused(member.id, now) for member in members)
+        return _label(counts)
+
+
+def _label(values: Mapping[Any, float]) -> dict[tuple[str, ...], float]:
+    """Return gauges whose only label is the key."""
+    return {(str(key),): float(value) for key, value in values.items()}
 
 
 @GATEWAY_SERVICES.register("view")
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -300,6 +300,32 @@
     assert gateway.call(PLAIN + "x").status == 200
 
 
+def read_gauge(gateway: Gateway, name: str, label: str) -> float:
+    page = gateway.get(gateway.metrics, "/metrics").body.decode()
+    line = next(line for line in page.splitlines() if line.startswith(name + "{") and label in line)
+    return float(line.rpartition(" ")[2])
+
+
+def test_metrics_tell_what_is_left_and_which_servers_are_ejected(
+    site: Site, gateway: Gateway
+) -> None:
+    ejected = ("lavenderrun_gateway_ejected_servers", '"apps"')
+    assert read_gauge(gateway, *ejected) == 0
+    # ports that were never opened: nobody listens there
+    for name in ("app-1", "app-2"):
+        site.store.put("servers", name, site.workers[name].entry(addr="127.0.0.1:1"))
+    wait_for(
+        lambda: len([x for x in gateway.lines("members:changed") if x["state"] == "ready"]) >= 6,
+        "new addresses seen",
+    )
+    assert gateway.call(PLAIN + "x").status == 503
+    assert read_gauge(gateway, *ejected) > 0
+    gateway.call(PLAIN + "x", key=OTHER_KEY, request="one")
+    gateway.call(PLAIN + "x", key=OTHER_KEY, request="two")
+    assert read_gauge(gateway, "lavenderrun_gateway_quota_left_units", "molinos") <= 25
+    assert read_gauge(gateway, "lavenderrun_gateway_resends_left", '"apps"') > 0
+
+
 def test_a_caller_that_leaves_frees_the_engine(site: Site, gateway: Gateway) -> None:
     ended = threading.Event()
 
@@ -393,6 +419,7 @@
         "lavenderrun_gateway_refusals_total",
         "lavenderrun_gateway_resends_total",
     }
+    assert "lavenderrun_gateway_resends_left" in page
     mine = [line for line in gateway.lines("call:") if line["request"] == "told"]
     assert [line["message_type"] for line in mine] == [
         "call:admitted",
