Keep a quarter of a decode engine's memory from calls that are late already

Cause: while engines lack, a seat that came free went to whoever asked first at one of five gateways.

A late call now gets a seat only below three quarters of the memory, as trunk reservation does it; the queue is ordered by arrival, where an address in memory stood before. Tests for both fail on the old code.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -19,7 +19,7 @@
 from lavenderrun.dispatch._roles import RoleBalance, RoleChange
 from lavenderrun.dispatch._suspects import SuspectBook, make_fingerprint
 from lavenderrun.dispatch._verdicts import Attempted, Verdict, judge_attempt
-from lavenderrun.dispatch._waiting import PATIENCE_MOST, Waiting, order_key
+from lavenderrun.dispatch._waiting import PATIENCE_MOST, Waiting, is_late, order_key
 
 __all__ = [
     "PATIENCE_MOST",
@@ -49,6 +49,7 @@
     "Waiting",
     "digest_key",
     "has_room",
+    "is_late",
     "judge_access",
     "judge_attempt",
     "make_fingerprint",
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -34,6 +34,9 @@
 MEMORY_PART: Final = 0.97
 """Part of an engine's memory that is reserved by expected sizes; the rest takes the errors."""
 
+LATE_MEMORY_PART: Final = 0.75
+"""The same for a call that is late already: the rest is kept for those that can be in time."""
+
 
 @dataclass(frozen=True)
 class Need:
@@ -42,11 +45,13 @@
     :param tokens: KV cache that it will fill; zero for plain calls.
     :param tried: servers that it was sent to before.
     :param harmless: it may be sent to a server that is on trial.
+    :param late: it misses its objective whatever is done.
     """
 
     tokens: int = 0
     tried: Collection[BackendId] = ()
     harmless: bool = True
+    late: bool = False
 
 
 @dataclass
@@ -169,4 +174,5 @@
         return False
     used = sight.occupancy.sum_tokens(member.id)
     # an idle engine takes whatever fits at all
-    return not used or not sight.memory or used + need.tokens <= sight.memory * MEMORY_PART
+    part = LATE_MEMORY_PART if need.late else MEMORY_PART
+    return not used or not sight.memory or used + need.tokens <= sight.memory * part
--- a/src/lavenderrun/dispatch/_waiting.py
+++ b/src/lavenderrun/dispatch/_waiting.py
@@ -19,16 +19,18 @@
 
     :param rank: urgency, zero is first.
     :param objective: time after its arrival at which its first token should be out.
-    :param number: order of arrival.
     """
 
     rank: int
     arrived: datetime
     objective: timedelta
-    number: int
 
 
-def order_key(waiting: Waiting, now: datetime) -> tuple[int, bool, int]:
+def order_key(waiting: Waiting, now: datetime) -> tuple[int, bool, datetime]:
     """Return the sort key: by rank, those that can still be in time first, then by arrival."""
-    is_late = now + START_TIME > waiting.arrived + waiting.objective
-    return waiting.rank, is_late, waiting.number
+    return waiting.rank, is_late(waiting, now), waiting.arrived
+
+
+def is_late(waiting: Waiting, now: datetime) -> bool:
+    """Tell whether a seat that is had now comes too late for the objective."""
+    return now + START_TIME > waiting.arrived + waiting.objective
--- a/src/lavenderrun/gateway/_seats.py
+++ b/src/lavenderrun/gateway/_seats.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from typing import ClassVar, Final
 
-from lavenderrun.dispatch import PATIENCE_MOST, Need, Waiting, order_key
+from lavenderrun.dispatch import PATIENCE_MOST, Need, Waiting, is_late, order_key
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._stats import QUEUED, Stats
 from lavenderrun.gateway._view import FleetView
@@ -100,7 +101,8 @@
                 continue
             if request.service in full:
                 continue
-            member = self._view.place(request.service, "decode", request.need)
+            need = replace(request.need, late=is_late(request.waiting, now))
+            member = self._view.place(request.service, "decode", need)
             if member is None:
                 full.add(request.service)
                 continue
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -86,7 +86,7 @@
         if self._tried:
             # what an engine has already made is not thrown away for new work
             arrived, rank = now, RESUMED_RANK
-        waiting = Waiting(rank, arrived, route.objective, id(self))
+        waiting = Waiting(rank, arrived, route.objective)
         self._request = SeatRequest(self._admitted.service, need, waiting, self._take_seat)
         self._parts.seats.ask(self._request)
 
--- a/tests/dispatch/test_choices.py
+++ b/tests/dispatch/test_choices.py
@@ -18,6 +18,7 @@
     Sight,
     Verdict,
     Waiting,
+    is_late,
     judge_attempt,
     order_key,
 )
@@ -158,14 +159,25 @@
         assert verdict is not Verdict.PASS_ON
 
 
-def test_calls_that_can_be_in_time_go_before_late_ones() -> None:
-    def wait(number: int, seconds_ago: float, rank: int = 1) -> Waiting:
-        arrived = START - timedelta(seconds=seconds_ago)
-        return Waiting(rank, arrived, timedelta(milliseconds=900), number)
+def wait(ago: float, rank: int = 1) -> Waiting:
+    return Waiting(rank, START - timedelta(seconds=ago), timedelta(milliseconds=900))
 
-    waiting = [wait(1, 2.0), wait(2, 0.5), wait(3, 0.1), wait(4, 2.0, rank=0)]
+
+def test_calls_that_can_be_in_time_come_first_then_those_that_wait_longest() -> None:
+    waiting = [wait(2.0), wait(0.1), wait(0.5), wait(2.0, rank=0), wait(1.0)]
     ordered = sorted(waiting, key=lambda found: order_key(found, START))
-    assert [found.number for found in ordered] == [4, 2, 3, 1]
+    assert ordered == [wait(2.0, rank=0), wait(0.5), wait(0.1), wait(2.0), wait(1.0)]
+
+
+def test_a_late_call_leaves_memory_to_those_that_can_be_in_time() -> None:
+    members = [make_member("d1", BackendRole.DECODE)]
+    sight = make_sight(memory=10_000)
+    sight.occupancy.reserve(members[0].id, 5000)
+    assert place("decode", members, Need(tokens=4000), sight) == "d1"
+    assert place("decode", members, Need(tokens=4000, late=True), sight) is None
+    assert place("decode", members, Need(tokens=2000, late=True), sight) == "d1"
+    assert is_late(wait(0.7), START)
+    assert not is_late(wait(0.6), START)
 
 
 def engines(prefills: int, decodes: int) -> list[Member]:
