Tell when a host can't enter itself, try again, and split addresses in one place

A fault other than the store's left the entry task set for ever and told nobody, so the host would never enter itself again after its row was removed. It is logged and the next removal starts a new task; the test fails on the old code. IP:PORT was taken apart by hand in five places of gateway/.

--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -16,7 +16,7 @@
 from lavenderrun.gateway._ports import CallerDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
-from lavenderrun.gateway._sockets import watch_silence
+from lavenderrun.gateway._sockets import split_address, watch_silence
 from lavenderrun.gateway._stats import OPEN_CONNECTIONS, Stats
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import (
@@ -263,9 +263,9 @@
         from twisted.internet import reactor  # the daemon has installed its own by now
 
         loop: Any = reactor
-        host, _, port = self._listen.rpartition(":")
+        host, port = split_address(self._listen)
         self._factory = CallerFactory(self, loop.callLater)
-        self._port = loop.listenTCP(int(port), self._factory, backlog=BACKLOG, interface=host)
+        self._port = loop.listenTCP(port, self._factory, backlog=BACKLOG, interface=host)
         log("callers:listening", "callers: listening", address=self._listen)
         self._configuration.watch(self._configure)
 
--- a/src/lavenderrun/gateway/_pages.py
+++ b/src/lavenderrun/gateway/_pages.py
@@ -11,6 +11,7 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
 from lavenderrun.gateway._second_hand import TARGET, SecondHandService
+from lavenderrun.gateway._sockets import split_address
 from lavenderrun.gateway._stats import Stats
 from lavenderrun.kernel import Kernel
 
@@ -71,12 +72,12 @@
 
         loop: Any = reactor
         for address in dict.fromkeys(self._addresses):
-            host, _, port = address.rpartition(":")
+            host, port = split_address(address)
             site: Any = Site(_Page(self, is_peer=address == self._peers))
             site.noisy = False
             site.displayTracebacks = False
             site.log = lambda _request: None
-            self._ports.append(loop.listenTCP(int(port), site, interface=host))
+            self._ports.append(loop.listenTCP(port, site, interface=host))
 
     def stop(self) -> None:
         """Listen no more."""
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -12,14 +12,16 @@
 from uuid import uuid4
 
 import msgspec
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.protocol import DatagramProtocol
+from twisted.python.failure import Failure
 
 from lavenderrun.gateway._follower import Follower
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._ports import RowChange, RowWrite, StoreRefusal
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore
+from lavenderrun.gateway._sockets import split_address
 from lavenderrun.gateway._stats import PEERS_HEARD, Stats
 from lavenderrun.kernel import Clock, Kernel, Timer, sleep
 from lavenderrun.types import BootId, HostId, StoreUnavailableError
@@ -121,8 +123,8 @@
         from twisted.internet import reactor  # the daemon has installed its own by now
 
         loop: Any = reactor
-        host, _, port = self._address.rpartition(":")
-        self._port = loop.listenUDP(int(port), self._datagrams, interface=host)
+        host, port = split_address(self._address)
+        self._port = loop.listenUDP(port, self._datagrams, interface=host)
         self.follower.start()
         self._announce()
         self._tick()
@@ -184,9 +186,8 @@
             if entry is None:
                 self._peers.pop(HostId(row.key), None)
                 continue
-            host, _, port = entry.address.rpartition(":")
             old = self._peers.get(HostId(row.key))
-            peer = _Peer((host, int(port)), row.version, self._clock.now())
+            peer = _Peer(split_address(entry.address), row.version, self._clock.now())
             if old is not None and old.address == peer.address:
                 peer.heard = old.heard
             self._peers[HostId(row.key)] = peer
@@ -202,7 +203,12 @@
     def _announce(self) -> None:
         if self._announcing is None:
             self._announcing = Deferred.fromCoroutine(self._enter())
-            self._announcing.addErrback(lambda _failure: None)
+            self._announcing.addErrback(self._fail_to_enter)
+
+    def _fail_to_enter(self, failure: Failure) -> None:
+        self._announcing = None
+        if not failure.check(CancelledError):
+            log("peers:not_entered", "peers: own entry not written", error=repr(failure.value))
 
     async def _enter(self) -> None:
         value = msgspec.json.encode(_Entry(self._address, self.boot))
@@ -283,7 +289,7 @@
         return None
     try:
         entry = msgspec.json.decode(value, type=_Entry)
-        int(entry.address.rpartition(":")[2])
+        split_address(entry.address)
     except (msgspec.DecodeError, ValueError) as error:
         log("peers:entry_unreadable", "peers: entry can not be read", error=str(error))
         return None
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -15,6 +15,7 @@
 from lavenderrun.gateway._connection import Connection, Receiver
 from lavenderrun.gateway._ports import HttpCall
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
+from lavenderrun.gateway._sockets import split_address
 from lavenderrun.kernel import Clock, Kernel
 from lavenderrun.types import Break, Headers
 
@@ -260,9 +261,9 @@
 
     def open(self, address: str, opened: Callable[..., None], *given: Any) -> None:
         """Open a connection and call *opened* with it, or with ``None``, and with *given*."""
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         seconds = CONNECT_TIMEOUT.total_seconds()
-        endpoint: Any = TCP4ClientEndpoint(self._reactor, host, int(port), seconds)
+        endpoint: Any = TCP4ClientEndpoint(self._reactor, host, port, seconds)
         self.opened += 1
 
         def connected(connection: Any) -> None:
--- a/src/lavenderrun/gateway/_sockets.py
+++ b/src/lavenderrun/gateway/_sockets.py
@@ -22,6 +22,15 @@
 )
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of ``IP:PORT``.
+
+    :raises ValueError: the port is no number.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def watch_silence(transport: Any) -> None:
     """Set the options on a connected transport."""
     transport.setTcpNoDelay(True)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from eliot import add_destinations, remove_destination
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as FakeTime
 
@@ -15,7 +16,8 @@
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._follower import Follower
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.gateway._ports import RowChange
+from lavenderrun.gateway._peers import PeersService
+from lavenderrun.gateway._ports import RowChange, RowWrite
 from lavenderrun.gateway._rows import RowStore, StoreState
 from lavenderrun.kernel import Kernel, ReactorClock
 from lavenderrun.platform._store import TableDialect
@@ -207,3 +209,28 @@
     bench.pool.answers.append(None)
     service.confirm().addCallback(answers.append)
     assert answers[-1] is False
+
+
+def test_a_fault_while_a_host_enters_itself_is_told_and_tried_again() -> None:
+    bench = Bench()
+    bench.kernel.settings.host, bench.kernel.settings.peers = "h1", "127.0.0.1:9"
+    lines: list[dict[str, Any]] = []
+    take = lines.append
+    add_destinations(take)
+    peers = PeersService(bench.kernel)
+    wrote: list[str] = []
+
+    async def write(_table: str, rows: Sequence[RowWrite]) -> int:
+        wrote.append(rows[0].key)
+        raise OSError("no more files")
+
+    bench.rows.write = write  # type: ignore[assignment]
+    try:
+        for _ in range(2):
+            peers.change([RowChange("h1", None, len(wrote) + 1)])
+    finally:
+        remove_destination(take)
+    assert wrote == ["h1", "h1"]
+    told = [line for line in lines if line["message_type"] == "peers:not_entered"]
+    assert len(told) == 2
+    assert "no more files" in told[0]["error"]
