Load no pydantic in a gateway: half a second until it is ready, and a package it did not name

Cause: the store's errors stood beside ports that import the document's schema, so a gateway loaded pydantic at its start, 0.25 s of its 0.8 s of imports, and would not have started at all where pydantic is not installed, for deploy/requirements.txt does not name it. The errors stand in a module of their own; a test starts the imports with the other packages blocked and fails on the old code.

--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -160,8 +160,6 @@
     Store,
     StoreConflictError,
     StoredRow,
-    StoreThrottledError,
-    StoreUnavailableError,
     TokenSink,
     Transport,
 )
@@ -228,6 +226,7 @@
     Repeatability,
     Step,
 )
+from ._store_errors import StoreThrottledError, StoreUnavailableError
 from ._witness import (
     BackendReceived,
     CallerFinished,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,6 +1,11 @@
 from __future__ import annotations
 
 import ast
+import re
+import subprocess
+import sys
+import tomllib
+from collections.abc import Iterable
 from pathlib import Path
 
 import pytest
@@ -44,6 +49,21 @@
         assert not roots & (IO_LIBRARIES - {"random"} | {"twisted"}), path
 
 
+def read_requirements(lines: Iterable[str]) -> set[str]:
+    return {re.split(r"[\[<>=]", line)[0].strip() for line in lines if line.strip()}
+
+
+def test_a_gateway_needs_only_the_packages_that_its_deployment_names() -> None:
+    root = SOURCE.parents[1]
+    project = tomllib.loads((root / "pyproject.toml").read_text())["project"]
+    deployed = read_requirements((root / "deploy" / "requirements.txt").read_text().splitlines())
+    others = read_requirements(project["dependencies"]) - deployed
+    assert others == {"grpcio", "pydantic"}
+    program = "import sys; sys.modules.update(grpc=None, pydantic=None)\n"
+    program += "import lavenderrun.daemons._gateway\n"
+    subprocess.run([sys.executable, "-c", program], check=True, timeout=60)
+
+
 WIRE_NAMES = [
     "x-deadline-ms",
     "x-prefix-hash",
