--- /dev/null
+++ b/tests/platform/misbehaviour.py
@@ -0,0 +1,41 @@
+"""How backend servers of the stand-in platform misbehave."""
+
+from __future__ import annotations
+
+from http.server import BaseHTTPRequestHandler
+
+from platform_standin import Behave, Seen, Worker, reset
+
+
+def run_lost(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+    worker.runs.append(seen.headers["x-request-id"])
+    reset(handler)
+    return True
+
+
+def reject(worker: Worker, handler: BaseHTTPRequestHandler, _seen: Seen) -> bool:
+    worker.reply(handler, 503, b"", [("X-Not-Executed", "1")])
+    return True
+
+
+def once(behave: Behave) -> Behave:
+    done: list[bool] = []
+
+    def act(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        if done:
+            return False
+        done.append(True)
+        return behave(worker, handler, seen)
+
+    return act
+
+
+def break_after(events: int) -> Behave:
+    def behave(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        worker.runs.append(seen.headers["x-request-id"])
+        worker.stream(handler, seen, events)
+        handler.wfile.write(b"30\r\nid: 99\ndata: ha")
+        reset(handler)
+        return True
+
+    return once(behave)
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -14,6 +14,7 @@
 
 import pytest
 from gateway_process import ROOT, WAIT, Answer, Gateway, Site, find_ports, wait_for
+from misbehaviour import break_after, once, reject, run_lost
 from platform_standin import (
     HOST,
     KEY,
@@ -54,24 +55,6 @@
     return b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(first, last + 1))
 
 
-def run_lost(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
-    worker.runs.append(seen.headers["x-request-id"])
-    reset(handler)
-    return True
-
-
-def once(behave: Behave) -> Behave:
-    done: list[bool] = []
-
-    def act(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
-        if done:
-            return False
-        done.append(True)
-        return behave(worker, handler, seen)
-
-    return act
-
-
 def runs(site: Site) -> list[str]:
     return [run for worker in site.workers.values() for run in worker.runs]
 
@@ -121,29 +104,14 @@
 
 
 def test_a_true_rejection_is_a_refusal_that_says_not_run(site: Site, gateway: Gateway) -> None:
-    def shed(worker: Worker, handler: BaseHTTPRequestHandler, _seen: Seen) -> bool:
-        worker.reply(handler, 503, b"", [("X-Not-Executed", "1")])
-        return True
-
     for worker in site.workers.values():
-        worker.behave = shed
+        worker.behave = reject
     answer = gateway.call(ORDERS + "1", "POST", body=b"wire")
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) > 0
     assert not runs(site)
 
 
-def break_after(events: int) -> Behave:
-    def behave(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
-        worker.runs.append(seen.headers["x-request-id"])
-        worker.stream(handler, seen, events)
-        handler.wfile.write(b"30\r\nid: 99\ndata: ha")
-        reset(handler)
-        return True
-
-    return once(behave)
-
-
 def test_a_broken_stream_goes_on_elsewhere_after_the_last_whole_event(
     site: Site, gateway: Gateway
 ) -> None:
--- /dev/null
+++ b/tests/platform/test_golden.py
@@ -0,0 +1,152 @@
+"""Whole sessions of the adapter over real sockets, as callers and backend servers see them."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from gateway_process import Answer, Gateway, Site
+from misbehaviour import break_after, reject, run_lost
+from platform_standin import KEY, ORDERS, OTHER_KEY, PLAIN, RESUMED, STREAM, Seen, Worker
+from pytest_regressions.file_regression import FileRegressionFixture
+
+from lavenderrun.kernel import Registry
+
+Play = Callable[["Session"], None]
+
+SESSIONS: Registry[Play] = Registry("adapter session")
+TIMES = {"date", "retry-after", "x-deadline-ms", "server", "connection", "accept-encoding"}
+"""Headers whose values differ from run to run, or are the library's."""
+
+
+class Session:
+    """Calls one gateway and writes down what it and the servers answered and saw."""
+
+    def __init__(self, site: Site, gateway: Gateway) -> None:
+        self.site = site
+        self.gateway = gateway
+        self._lines: list[str] = []
+        self._told = dict.fromkeys(site.workers, 0)
+        self._calls = 0
+
+    def call(self, path: str, method: str = "GET", *, key: str | None = KEY, **given: str) -> None:
+        body = given.get("body", "").encode()
+        self._lines.append(f"caller: {method} {path} {body.decode()}".rstrip())
+        self._tell(self.gateway.call(path, method, key=key, body=body, request=self._name()))
+
+    def generate(self, path: str) -> None:
+        self._lines.append(f"caller: POST {path} 100 tokens, 50 at most")
+        self._tell(self.gateway.generate(path, request=self._name()))
+
+    def _name(self) -> str:
+        self._calls += 1
+        return f"call-{self._calls}"
+
+    def _tell(self, answer: Answer) -> None:
+        for name, seen in self._list_seen():
+            self._lines.append(f"  at {name}: {seen.method} {seen.path}")
+            self._lines += self._list_headers(seen.headers)
+            self._lines += [f"    | {seen.body.decode()}"] if seen.body else []
+        end = "" if answer.whole else ", cut"
+        self._lines.append(f"  answer: {answer.status}{end}")
+        self._lines += self._list_headers(answer.headers)
+        self._lines += [f"    | {line}" for line in answer.body.decode().splitlines()]
+
+    def _list_seen(self) -> list[tuple[str, Seen]]:
+        found = []
+        for name, worker in self.site.workers.items():
+            fresh = worker.seen[self._told[name] :]
+            self._told[name] += len(fresh)
+            found += [(name, seen) for seen in fresh if seen.path != "/api/report"]
+        # servers note no times; a stream that goes on comes after the one that broke
+        return sorted(found, key=lambda pair: pair[1].headers.get("last-event-id", ""))
+
+    @staticmethod
+    def _list_headers(headers: dict[str, str]) -> list[str]:
+        return [
+            f"    {name}: {'...' if name in TIMES else value}"
+            for name, value in sorted(headers.items())
+        ]
+
+    def render(self) -> str:
+        text = "\n".join(self._lines) + "\n"
+        for name, worker in self.site.workers.items():
+            text = text.replace(worker.address, f"address of {name}")
+        text = text.replace(f"127.0.0.1:{self.gateway.front}", "the gateway")
+        # which of the two engines is first is left to chance
+        text = re.sub(r"dec-[12]", "dec-N", text)
+        return re.sub(r"(handle/|/)h\d+", r"\1HANDLE", text)
+
+
+@SESSIONS.register("plain")
+def play_plain(session: Session) -> None:
+    session.call(PLAIN + "x?of=1")
+    session.call(ORDERS + "x", "POST", body="an order")
+
+
+@SESSIONS.register("denied")
+def play_denied(session: Session) -> None:
+    session.call(PLAIN + "x", key="nobody's")
+    session.call(PLAIN + "x", key=None)
+    session.call("/nowhere/x")
+    session.call("/open/x", key=None)
+
+
+@SESSIONS.register("over-quota")
+def play_over_quota(session: Session) -> None:
+    for _ in range(3):
+        session.call(PLAIN + "x", key=OTHER_KEY)
+
+
+@SESSIONS.register("model")
+def play_model(session: Session) -> None:
+    session.generate(STREAM + "x")
+
+
+@SESSIONS.register("resumed")
+def play_resumed(session: Session) -> None:
+    broken = break_after(3)
+    for name in ("dec-1", "dec-2"):
+        session.site.workers[name].behave = broken
+    session.generate(RESUMED + "x")
+
+
+@SESSIONS.register("cut")
+def play_cut(session: Session) -> None:
+    for name in ("dec-1", "dec-2"):
+        session.site.workers[name].behave = break_after(3)
+    session.generate(STREAM + "x")
+
+
+@SESSIONS.register("rejected")
+def play_rejected(session: Session) -> None:
+    session.site.workers["app-1"].behave = reject
+    session.call(ORDERS + "x", "POST", body="an order")
+
+
+@SESSIONS.register("answer-lost")
+def play_answer_lost(session: Session) -> None:
+    session.site.workers["app-1"].behave = run_lost
+    session.call(ORDERS + "x", "POST", body="an order")
+
+
+@pytest.fixture
+def session(tmp_path: Path) -> Iterator[Session]:
+    site = Site(tmp_path)
+    site.configure()
+    site.add(Worker("app-1", "apps"))
+    site.add(Worker("pre-1", "llm", "prefill"))
+    for name in ("dec-1", "dec-2"):
+        site.add(Worker(name, "llm", "decode"))
+    yield Session(site, site.wait_known(site.add_gateway()))
+    site.close()
+
+
+@pytest.mark.parametrize("name", [name for name, _ in SESSIONS])
+def test_a_session_is_as_it_was(
+    name: str, session: Session, file_regression: FileRegressionFixture
+) -> None:
+    SESSIONS.find(name)(session)
+    file_regression.check(session.render(), basename=name, extension=".txt")
