Keep a stream's timing in a module of its own, gaps spanning attempts

A gap was measured from the newest send, so the pause of a stream that went on elsewhere did not show, and the time to the first event was counted as a gap.

--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -13,7 +13,7 @@
 from lavenderrun.gateway._prefill import Prefill
 from lavenderrun.gateway._running import LEAST_TIME, RETRY_SEAT, RunningCallBase
 from lavenderrun.gateway._seats import Seat, SeatRequest
-from lavenderrun.gateway._stats import EVENT_GAP
+from lavenderrun.gateway._stream_pace import StreamPace
 from lavenderrun.kernel import Timer
 from lavenderrun.types import AnswerHead, DeclaredSize, HeldCache, Refusal, Standing, Step
 
@@ -65,9 +65,8 @@
         self._begun = False
         self._unknown = False
         self._watch: Timer | None = None
-        self._last = self._sent = self._admitted.arrived
-        self._first: timedelta | None = None
-        self._longest_gap = timedelta(0)
+        self._sent = self._admitted.arrived
+        self._pace = StreamPace(self._parts.stats, self._admitted.arrived)
 
     def start(self) -> None:
         """Ask for a seat."""
@@ -171,7 +170,7 @@
         self._attempt = attempt
         self._events.reset()
         self._body.clear()
-        self._last = self._sent = self._parts.clock.now()
+        self._sent = self._parts.clock.now()
         self._story.tell(
             "send",
             "sent to engine",
@@ -205,19 +204,10 @@
             return
         whole = self._events.take(data)
         if whole:
-            self._observe_event()
+            self._pace.observe_event(self._parts.clock.now())
             self._sink.write(whole)
             self._watch_silence(self._gap_wait())
 
-    def _observe_event(self) -> None:
-        now = self._parts.clock.now()
-        self._parts.stats.observe(EVENT_GAP, now - self._last)
-        if self._first is None:
-            self._first = now - self._admitted.arrived
-        else:
-            self._longest_gap = max(self._longest_gap, now - self._last)
-        self._last = now
-
     def settled(self, attempt: Attempt) -> None:
         """End the answer or go on elsewhere; see ``AttemptEvents``."""
         self._attempt = None
@@ -229,8 +219,7 @@
                 "answered",
                 "stream passed on",
                 member=attempt.member.id,
-                first_ms=None if self._first is None else count_ms(self._first),
-                longest_gap_ms=count_ms(self._longest_gap),
+                **self._pace.describe(),
             )
             self._observe_decode()
             self._sink.finish()
--- /dev/null
+++ b/tests/gateway/test_stream_pace.py
@@ -0,0 +1,19 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+
+from lavenderrun.gateway._stats import Stats
+from lavenderrun.gateway._stream_pace import StreamPace
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+def test_the_first_event_is_no_gap_and_the_longest_gap_spans_attempts() -> None:
+    stats = Stats()
+    pace = StreamPace(stats, START)
+    assert pace.describe() == {"first_ms": None, "longest_gap_ms": 0}
+    for seconds in (0.4, 0.45, 1.45, 1.5):
+        pace.observe_event(START + timedelta(seconds=seconds))
+    assert pace.describe() == {"first_ms": 400, "longest_gap_ms": 1000}
+    page, _ = stats.render([])
+    assert b"lavenderrun_gateway_event_gap_seconds_count 3" in page
