Share idle connections to a server among all gateways

Each of 26 gateways kept up to 32 idle connections to each of three servers that accept 220 in all, and calls that may not be repeated open a new one each time.

All gateways together keep 64 idle connections a server now, each its part, an eighth of it until the hosts are known.

--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -29,8 +29,12 @@
 IDLE_PART: Final = 0.5
 """Part of the server's idle time within which a connection is taken again."""
 
-IDLE_MOST: Final = 32
-"""Idle connections kept to one server."""
+IDLE_MOST: Final = 64
+"""Idle connections to one server that all hosts together keep: a part of the one or two hundred
+that a server usually accepts, for it resets those beyond."""
+
+UNKNOWN_HOSTS: Final = 8
+"""Hosts among which they are shared until the hosts are known."""
 
 
 @dataclass
@@ -39,7 +43,6 @@
 
     idle: list[tuple[datetime, Connection]] = field(default_factory=list)
     keeps: timedelta = IDLE_DEFAULT
-    open: int = 0
 
 
 class Exchange:
@@ -158,6 +161,7 @@
         self._reactor = reactor
         self._sites: dict[str, _Site] = {}
         self._addresses: dict[Connection, str] = {}
+        self._idle_most = IDLE_MOST // UNKNOWN_HOSTS
         self.opened = 0
 
     def start(self) -> None:
@@ -222,6 +226,10 @@
         for _, connection in site.idle if site is not None else ():
             connection.drop()
 
+    def share_among(self, hosts: int) -> None:
+        """Keep this host's part of the idle connections; what is over it goes as it is taken."""
+        self._idle_most = max(1, IDLE_MOST // max(1, hosts))
+
     def drop_idle(self) -> None:
         """Close all idle connections, for they may be dead."""
         for site in self._sites.values():
@@ -237,7 +245,7 @@
         """Keep an idle connection; see ``Owner``."""
         address = self._addresses.get(connection, "")
         site = self._sites.setdefault(address, _Site())
-        if not address or len(site.idle) >= IDLE_MOST:
+        if not address or len(site.idle) >= self._idle_most:
             connection.drop()
             return
         site.idle.append((self._clock.now() + site.keeps * IDLE_PART, connection))
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -174,6 +174,7 @@
     def _change_hosts(self, hosts: dict[HostId, datetime]) -> None:
         self.quotas.keep_peers(hosts)
         self.resends.share_among(len(hosts) + 1)
+        self._pool.share_among(len(hosts) + 1)
 
     def _make_report(self) -> Report:
         reserved = {
