Acquit a server that takes a connection after it broke off an answer

A server that broke off is connected to 0.15 s later; one that takes the connection was not broken by the call. A crashed one refuses, so the rule for calls that break servers stands.

Two tests over real sockets: eight equal calls whose answers all get lost are never refused (fails on the old code), and a call that breaks three servers is refused at the fourth send.

--- a/src/lavenderrun/dispatch/_suspects.py
+++ b/src/lavenderrun/dispatch/_suspects.py
@@ -65,7 +65,7 @@
         _trim(self._struck)
 
     def acquit(self, server: Incarnation, sent: datetime) -> None:
-        """Take the answer to a call *sent* to *server*: what broke just before was its path."""
+        """Take a connection or an answer to what was *sent* to *server*: it did not break."""
         struck = self._struck.get(server)
         if struck is None or not struck < sent <= struck + ACQUIT_WITHIN:
             return
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -161,8 +161,7 @@
         """There will be no whole answer; see ``Receiver``."""
         self.broke = reason
         if self.sent and reason in CRASHES:
-            server, now = self.member.incarnation, self._parts.clock.now()
-            self._parts.view.suspects.strike(self._fingerprint, server, now)
+            self._parts.view.strike(self._fingerprint, self.member)
         health = self._parts.view.health
         if reason in {Break.UNREACHABLE, Break.SILENT}:
             health.lose(self.member.id, self._parts.clock.now())
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -19,12 +19,13 @@
     SuspectBook,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
+from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._peers import PeersService, Report
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._stats import EJECTED, QUOTA_LEFT, QUOTA_USED, RESENDS_LEFT, Stats
-from lavenderrun.kernel import Kernel
+from lavenderrun.kernel import Kernel, Timer
 from lavenderrun.types import (
     AccountId,
     BackendId,
@@ -41,6 +42,10 @@
     ServiceGroup,
 )
 
+PROBE_AFTER: Final = timedelta(milliseconds=150)
+"""When a server that broke off an answer is connected to: a crashed one is still down then, and a
+call that comes again at once finds the verdict."""
+
 MOVE_MOST: Final = timedelta(seconds=10)
 """Longest time that an engine is taken to need for another role."""
 
@@ -66,6 +71,7 @@
         self.health = HealthBook()
         self.suspects = SuspectBook()
         self._moving: dict[BackendId, tuple[BackendRole, datetime]] = {}
+        self._probes: dict[BackendId, Timer] = {}
         self._balances: dict[ServiceGroup, RoleBalance] = {}
         stats = kernel.find("stats", Stats)
         stats.read(QUOTA_USED, lambda: _label(self.quotas.used))
@@ -82,7 +88,9 @@
         self._peers.changed = self._change_hosts
 
     def stop(self) -> None:
-        """Nothing to end."""
+        """Probe no more."""
+        for timer in self._probes.values():
+            timer.cancel()
 
     def place(self, service: ServiceGroup, placement: str, need: Need) -> Member | None:
         """Choose a backend server of *service*."""
@@ -99,6 +107,21 @@
         self.occupancy.free(member, tokens)
         self._peers.report_soon()
 
+    def strike(self, fingerprint: Fingerprint, member: Member) -> None:
+        """Count a call whose server broke off, and see whether the server itself is still there."""
+        self.suspects.strike(fingerprint, member.incarnation, self._clock.now())
+        if member.id not in self._probes:
+            self._probes[member.id] = self._clock.call_later(PROBE_AFTER, self._probe, member)
+
+    def _probe(self, member: Member) -> None:
+        del self._probes[member.id]
+        self._pool.open(member.address, self._take_probe, member, self._clock.now())
+
+    def _take_probe(self, line: Connection | None, member: Member, since: datetime) -> None:
+        if line is not None:
+            line.drop()
+            self.suspects.acquit(member.incarnation, since)
+
     def find_balance(self, service: ServiceGroup) -> RoleBalance:
         """Return the balance of roles of a model service."""
         return self._balances.setdefault(service, RoleBalance())
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -233,6 +233,10 @@
             found["stage"] = self.stage
         return {**found, **changes}
 
+    def stop_listening(self) -> None:
+        """Take no more connections, as a crashed server."""
+        self._server.socket.close()
+
     def close(self) -> None:
         self._server.shutdown()
         self._server.server_close()
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -103,6 +103,41 @@
         assert gateway.call(PLAIN + "x", request=f"look{number}").status == 200
 
 
+def test_lost_answers_of_servers_that_live_make_no_suspect(site: Site, gateway: Gateway) -> None:
+    for number in range(3, 6):
+        site.add(Worker(f"app-{number}", "apps"))
+    site.wait_known(gateway)
+    for name, worker in site.workers.items():
+        if name.startswith("app-"):
+            worker.behave = run_lost
+    statuses = []
+    for number in range(8):
+        statuses.append(gateway.call(ORDERS + "x", "POST", body=b"o", request=f"{number}").status)
+        time.sleep(0.2)
+    assert statuses == [502] * 8
+
+
+def test_a_call_that_breaks_three_servers_is_refused(site: Site, gateway: Gateway) -> None:
+    for name in ("app-3", "app-4"):
+        site.add(Worker(name, "apps"))
+    site.wait_known(gateway)
+
+    def crash(worker: Worker, handler: BaseHTTPRequestHandler, seen: Seen) -> bool:
+        worker.stop_listening()
+        return run_lost(worker, handler, seen)
+
+    for name, worker in site.workers.items():
+        if name.startswith("app-"):
+            worker.behave = crash
+    statuses = []
+    for number in range(5):
+        statuses.append(gateway.call(ORDERS + "x", "POST", body=b"o", request=f"{number}").status)
+        time.sleep(0.3)
+    assert statuses == [502, 502, 502, 503, 503]
+    reasons = [line["reason"] for line in gateway.lines("call:refused")]
+    assert reasons == ["backend_lost"] * 3 + ["quarantined"] * 2
+
+
 def test_a_true_rejection_is_a_refusal_that_says_not_run(site: Site, gateway: Gateway) -> None:
     for worker in site.workers.values():
         worker.behave = reject
