Leave nothing to chance in the test of a resumed stream

Its log shows all four calls placed at dec-2, while only dec-1 was made to break; equal engines are chosen by lot, so this happens once in sixteen runs. The first stream breaks now whichever engine it goes to, and the test asks besides that both engines ran it: stricter.

--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -159,12 +159,15 @@
 
 
 def test_a_resumed_stream_has_each_event_once(site: Site, gateway: Gateway) -> None:
-    broken = site.workers["dec-1"]
-    broken.behave = break_after(3)
+    engines = [site.workers[name] for name in ("dec-1", "dec-2")]
+    broken = break_after(3)
+    for engine in engines:
+        engine.behave = broken
     answers = [gateway.generate(RESUMED + "x", request=f"r{n}") for n in range(4)]
     assert all(answer.whole and answer.body == pieces(1, 6) for answer in answers)
-    resumed = [s for s in site.workers["dec-2"].seen if "last-event-id" in s.headers]
+    resumed = [s for engine in engines for s in engine.seen if "last-event-id" in s.headers]
     assert [seen.headers["last-event-id"] for seen in resumed] == ["3"]
+    assert [engine.runs.count("r0") for engine in engines] == [1, 1]
 
 
 def test_a_broken_stream_that_may_not_be_repeated_does_not_look_complete(
