Call one piece where the change had written it twice, drop state that nothing reads

Found on a last read of the whole change; behaviour is meant to be as before. One cost of placements by tokens where prefill and decode each had it; one list of hop-by-hop fields for the API's codec and the platform; one table of stages; one check of the platform's addresses; one number of unknown hosts among which shares are cut; the front's stop closes idle connections by close_idle. Gone: the connection's and the pool's counters and the stream's arrival, never read.

--- a/src/lavenderrun/codecs/_api_headers.py
+++ b/src/lavenderrun/codecs/_api_headers.py
@@ -6,27 +6,11 @@
 from collections.abc import Iterable, Sequence
 
 from lavenderrun.codecs._api_errors import ApiError
-from lavenderrun.types import IdempotencyKey, Refusal
+from lavenderrun.types import HOP_BY_HOP, IdempotencyKey, Refusal
 
 MAX_KEY_LENGTH = 512
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
 
-# fields of RFC 9110 section 7.6.1 and those that frame one message
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 KEY_HEADER = "authorization"
 
 _BEARER = re.compile(r"bearer +([A-Za-z0-9._~+/=-]+)", re.IGNORECASE)
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -15,7 +15,7 @@
 from lavenderrun.dispatch._occupancy import Occupancy, Reserved
 from lavenderrun.dispatch._placement import PLACEMENTS, Need, Placement, Sight, has_room
 from lavenderrun.dispatch._quota import QuotaLedger
-from lavenderrun.dispatch._resends import ResendBudget
+from lavenderrun.dispatch._resends import UNKNOWN_HOSTS, ResendBudget
 from lavenderrun.dispatch._roles import RoleBalance, RoleChange
 from lavenderrun.dispatch._suspects import SuspectBook, make_fingerprint
 from lavenderrun.dispatch._verdicts import Attempted, Verdict, judge_attempt
@@ -24,6 +24,7 @@
 __all__ = [
     "PATIENCE_MOST",
     "PLACEMENTS",
+    "UNKNOWN_HOSTS",
     "Access",
     "Attempted",
     "FenceGate",
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -113,6 +113,15 @@
     return min(found, key=lambda member: (cost(member, best), sight.chance.random()))
 
 
+def _choose_least_tokens(found: list[Member], need: Need, sight: Sight) -> Member:
+    def cost(member: Member, best: float) -> float:
+        reserved = sight.occupancy.sum_tokens(member.id)
+        remote = REMOTE_TOKENS if member.data_centre != sight.data_centre else 0
+        return (reserved + need.tokens + remote) * (1 + _trouble(member, best, sight))
+
+    return _choose(found, cost, sight)
+
+
 @PLACEMENTS.register("plain")
 def place_plain(members: Sequence[Member], need: Need, sight: Sight) -> Member | None:
     """Choose the plain server with the least load, near ones first."""
@@ -143,13 +152,7 @@
     ]
     if not found:
         return None
-
-    def cost(member: Member, best: float) -> float:
-        queue = sight.occupancy.sum_tokens(member.id)
-        remote = REMOTE_TOKENS if member.data_centre != sight.data_centre else 0
-        return (queue + need.tokens + remote) * (1 + _trouble(member, best, sight))
-
-    return _choose(found, cost, sight)
+    return _choose_least_tokens(found, need, sight)
 
 
 @PLACEMENTS.register("decode")
@@ -159,13 +162,7 @@
     found = [m for m in list_candidates(ready, need, sight) if has_room(m, need, sight)]
     if not found:
         return None
-
-    def cost(member: Member, best: float) -> float:
-        used = sight.occupancy.sum_tokens(member.id)
-        remote = REMOTE_TOKENS if member.data_centre != sight.data_centre else 0
-        return (used + need.tokens + remote) * (1 + _trouble(member, best, sight))
-
-    return _choose(found, cost, sight)
+    return _choose_least_tokens(found, need, sight)
 
 
 def has_room(member: Member, need: Need, sight: Sight) -> bool:
--- a/src/lavenderrun/dispatch/_resends.py
+++ b/src/lavenderrun/dispatch/_resends.py
@@ -12,7 +12,7 @@
 """Part of the reserve that is shared out; the rest covers hosts that are not known yet."""
 
 UNKNOWN_HOSTS: Final = 8
-"""Hosts among which the reserve is shared until they are known."""
+"""Hosts among which what all have together is shared until they are known."""
 
 
 class _Window:
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -273,8 +273,7 @@
         """Close what is left."""
         if self._port is not None:
             self._port.stopListening()
-        for channel in list(self.channels):
-            channel.close_when_idle()
+        self.close_idle()
 
     def close_idle(self) -> None:
         """Close connections that carry no call."""
--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -58,7 +58,6 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
         self._receiver: Receiver | None = None
         self._open = False
-        self.calls = 0
 
     @property
     def is_open(self) -> bool:
@@ -74,7 +73,6 @@
         self, method: str, target: str, headers: Headers, body: bytes, receiver: Receiver
     ) -> None:
         """Send a call; from here on it may reach the server."""
-        self.calls += 1
         self._receiver = receiver
         event = h11.Request(
             method=method.encode("latin-1"),
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -12,6 +12,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
+from lavenderrun.dispatch import UNKNOWN_HOSTS
 from lavenderrun.gateway._connection import Connection, Receiver
 from lavenderrun.gateway._ports import HttpCall
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -33,9 +34,6 @@
 """Idle connections to one server that all hosts together keep: a part of the one or two hundred
 that a server usually accepts, for it resets those beyond."""
 
-UNKNOWN_HOSTS: Final = 8
-"""Hosts among which they are shared until the hosts are known."""
-
 
 @dataclass
 class _Site:
@@ -161,8 +159,7 @@
         self._reactor = reactor
         self._sites: dict[str, _Site] = {}
         self._addresses: dict[Connection, str] = {}
-        self._idle_most = IDLE_MOST // UNKNOWN_HOSTS
-        self.opened = 0
+        self.share_among(UNKNOWN_HOSTS)
 
     def start(self) -> None:
         """Nothing to begin."""
@@ -272,7 +269,6 @@
         host, port = split_address(address)
         seconds = CONNECT_TIMEOUT.total_seconds()
         endpoint: Any = TCP4ClientEndpoint(self._reactor, host, port, seconds)
-        self.opened += 1
 
         def connected(connection: Any) -> None:
             self._addresses[connection] = address
--- a/src/lavenderrun/gateway/_stream_pace.py
+++ b/src/lavenderrun/gateway/_stream_pace.py
@@ -13,7 +13,6 @@
 
     def __init__(self, stats: Stats, arrived: datetime) -> None:
         self._stats = stats
-        self._arrived = arrived
         self._first: timedelta | None = None
         self._last = arrived
         self._longest = timedelta(0)
--- a/src/lavenderrun/platform/_backends.py
+++ b/src/lavenderrun/platform/_backends.py
@@ -11,6 +11,7 @@
 from lavenderrun.gateway import GATEWAY_SERVICES, EngineReport, HttpCall, OrderResult
 from lavenderrun.kernel import Kernel
 from lavenderrun.platform import _headers as names
+from lavenderrun.platform._members import ROLES, STAGES
 from lavenderrun.types import (
     AnswerHead,
     BackendLoad,
@@ -37,8 +38,6 @@
 
 
 OK: Final = 200
-STAGES: Final = {BackendRole.PREFILL: "prefill", BackendRole.DECODE: "decode"}
-ROLES: Final = {stage: role for role, stage in STAGES.items()}
 ORDER_RESULTS: Final = {
     200: OrderResult.ACCEPTED,
     202: OrderResult.ACCEPTED,
@@ -113,8 +112,7 @@
 
     def encode_report(self, member: Member) -> HttpCall:
         """Return the call that asks an engine for its state."""
-        headers = [("Host", member.address), ("X-Expect-Instance", str(member.id))]
-        return HttpCall("GET", "/api/report", headers)
+        return HttpCall("GET", "/api/report", _head(member))
 
     def decode_report(self, status: int, body: bytes) -> EngineReport | None:
         """Return an engine's state, ``None`` when the answer can't be read."""
@@ -146,8 +144,7 @@
             }
         )
         headers = [
-            ("Host", member.address),
-            ("X-Expect-Instance", str(member.id)),
+            *_head(member),
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
         ]
@@ -158,6 +155,10 @@
         return ORDER_RESULTS.get(status, OrderResult.UNKNOWN)
 
 
+def _head(member: Member) -> Headers:
+    return [("Host", member.address), ("X-Expect-Instance", str(member.id))]
+
+
 def _find_standing(request: RequestId, status: int, headers: Headers) -> Standing:
     echoed = names.find_value(headers, names.REQUEST_ID)
     if echoed is not None and echoed != request:
--- a/src/lavenderrun/platform/_headers.py
+++ b/src/lavenderrun/platform/_headers.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from lavenderrun.types import Headers
+from lavenderrun.types import HOP_BY_HOP, Headers
 
 REQUEST_ID: Final = "x-request-id"
 DEADLINE: Final = "x-deadline-ms"
@@ -25,23 +25,6 @@
 CONTENT_ENCODING: Final = "content-encoding"
 HOST: Final = "host"
 
-HOP_BY_HOP: Final = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-        "content-length",
-    }
-)
-"""Headers that concern one connection or one framing only."""
-
 SET_HERE: Final = frozenset(
     {
         DEADLINE,
--- a/src/lavenderrun/platform/_members.py
+++ b/src/lavenderrun/platform/_members.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lavenderrun.platform._addresses import is_address
 from lavenderrun.types import (
     BackendId,
     BackendRole,
@@ -17,12 +18,10 @@
 )
 
 STATES: Final = {"ready": MemberState.READY, "draining": MemberState.LEAVING}
-ROLES: Final = {
-    None: BackendRole.PLAIN,
-    "prefill": BackendRole.PREFILL,
-    "decode": BackendRole.DECODE,
-    "colocated": BackendRole.DECODE,
-}
+STAGES: Final = {BackendRole.PREFILL: "prefill", BackendRole.DECODE: "decode"}
+ROLES: Final[dict[str | None, BackendRole]] = {stage: role for role, stage in STAGES.items()}
+ENTRY_ROLES: Final = {None: BackendRole.PLAIN, "colocated": BackendRole.DECODE, **ROLES}
+"""What an entry may name: besides the stages that an order may set, none or both in one."""
 
 
 class _Entry(msgspec.Struct, rename="kebab"):
@@ -42,15 +41,15 @@
         entry = msgspec.json.decode(value, type=_Entry)
     except (msgspec.DecodeError, RecursionError):
         return None
-    host, _, port = entry.addr.rpartition(":")
-    if not host or not port.isdecimal() or entry.state not in STATES or entry.stage not in ROLES:
+    is_known = entry.state in STATES and entry.stage in ENTRY_ROLES
+    if not is_known or not is_address(entry.addr):
         return None
     return Member(
         BackendId(key),
         ServiceGroup(entry.service),
         entry.addr,
         DataCentre(entry.zone),
-        ROLES[entry.stage],
+        ENTRY_ROLES[entry.stage],
         max(1, entry.slots),
         STATES[entry.state],
         timedelta(milliseconds=max(0.0, entry.cold_left_ms)),
--- a/src/lavenderrun/platform/_settings.py
+++ b/src/lavenderrun/platform/_settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lavenderrun.platform._addresses import is_address
 from lavenderrun.types import DataCentre, GatewayBounds, GatewaySettings, HostId
 
 Count = Annotated[float, msgspec.Meta(ge=0)]
@@ -58,8 +59,7 @@
         "platform.addr": found.platform.addr,
     }
     for field, address in addresses.items():
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdecimal():
+        if not is_address(address):
             msg = f"{field}: {address!r} is not an IP number and a port"
             raise SettingsError(msg)
     bounds = found.bounds
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -1,6 +1,7 @@
 """Ids, states, messages, refusals, events and the interfaces between services."""
 
 from ._calls import (
+    HOP_BY_HOP,
     AnswerHead,
     BackendLoad,
     Break,
@@ -242,6 +243,7 @@
 
 __all__ = [
     "EVENTS",
+    "HOP_BY_HOP",
     "MESSAGES",
     "NO_BOOT",
     "NO_HOST",
--- a/src/lavenderrun/types/_calls.py
+++ b/src/lavenderrun/types/_calls.py
@@ -5,13 +5,30 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
-from typing import Protocol
+from typing import Final, Protocol
 
 from lavenderrun.types._ids import AccountId, BackendId, ExportHandle, RequestId
 from lavenderrun.types._refusals import Refused
 
 Headers = list[tuple[str, str]]
 
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Fields that concern one connection (RFC 9110, section 7.6.1) and those that frame one message."""
+
 
 @dataclass(frozen=True)
 class DeclaredSize:
