Decode a peer's report into the product's types once

A role that is not known passed the decoder and raised in the datagram's handler.

The report's fields have the product's types now; bytes on the wire are the same. An unreadable role is logged as any unreadable report is; the test fails on the old code, which told nothing.

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 from uuid import uuid4
@@ -24,7 +24,17 @@
 from lavenderrun.gateway._sockets import split_address
 from lavenderrun.gateway._stats import PEERS_HEARD, Stats
 from lavenderrun.kernel import Clock, Kernel, Timer, sleep
-from lavenderrun.types import BootId, HostId, StoreUnavailableError
+from lavenderrun.types import (
+    AccountId,
+    BackendId,
+    BackendRole,
+    BootId,
+    DocumentVersion,
+    Fingerprint,
+    HostId,
+    Incarnation,
+    StoreUnavailableError,
+)
 
 REPORT_EVERY: Final = timedelta(milliseconds=250)
 """How often a host reports; bounds how far the sum of all hosts may run over a quota."""
@@ -57,13 +67,13 @@
     :param broken: lives of servers that may have been broken, by the call's fingerprint.
     """
 
-    host: str
-    boot: str
-    version: int
-    used: dict[str, float]
-    reserved: dict[str, tuple[int, int]]
-    moving: dict[str, str] = {}
-    broken: dict[str, list[str]] = {}
+    host: HostId
+    boot: BootId
+    version: DocumentVersion
+    used: Mapping[AccountId, float]
+    reserved: Mapping[BackendId, tuple[int, int]]
+    moving: Mapping[BackendId, BackendRole] = {}
+    broken: Mapping[Fingerprint, Sequence[Incarnation]] = {}
 
 
 class _Entry(msgspec.Struct):
@@ -112,7 +122,9 @@
         self._announcing: Deferred[None] | None = None
         self._entry_version = 0
         self.boot = BootId(uuid4().hex[:12])
-        self.report: Callable[[], Report] = lambda: Report(self._host, self.boot, 0, {}, {})
+        self.report: Callable[[], Report] = lambda: Report(
+            self._host, self.boot, DocumentVersion(0), {}, {}
+        )
         self._watchers: list[Callable[[Report], None]] = []
         self.changed: Callable[[dict[HostId, datetime]], None] = lambda _hosts: None
         self.follower = Follower(self._rows, self._table, self, kernel.clock, kernel.chance)
@@ -270,7 +282,7 @@
         except msgspec.DecodeError as error:
             log("peers:unreadable", "peers: report can not be read", error=str(error))
             return
-        peer = self._peers.get(HostId(report.host))
+        peer = self._peers.get(report.host)
         if peer is None:
             return
         if peer.heard is None:
--- a/src/lavenderrun/gateway/_second_hand.py
+++ b/src/lavenderrun/gateway/_second_hand.py
@@ -19,7 +19,7 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore, StoreState
 from lavenderrun.kernel import Kernel
-from lavenderrun.types import Configuration, HostId
+from lavenderrun.types import Configuration
 
 TARGET: Final = "/configuration"
 ASK_TIMEOUT: Final = timedelta(milliseconds=800)
@@ -58,7 +58,7 @@
         is_lost = self._rows.state is StoreState.LOST
         if not is_lost or self._asking is not None or report.version <= self._configuration.version:
             return
-        address = self._peers.find_address(HostId(report.host))
+        address = self._peers.find_address(report.host)
         if address is not None:
             self._asking = Deferred.fromCoroutine(self._ask(report.host, address))
             self._asking.addBoth(self._settle)
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -27,16 +27,13 @@
 from lavenderrun.gateway._stats import EJECTED, QUOTA_LEFT, QUOTA_USED, RESENDS_LEFT, Stats
 from lavenderrun.kernel import Kernel, Timer
 from lavenderrun.types import (
-    AccountId,
     BackendId,
     BackendRole,
-    BootId,
     Configuration,
     EngineFacts,
     Fingerprint,
     GatewayBounds,
     HostId,
-    Incarnation,
     Member,
     MemberState,
     ServiceGroup,
@@ -200,36 +197,24 @@
         self._pool.share_among(len(hosts) + 1)
 
     def _make_report(self) -> Report:
-        reserved = {
-            str(member): (row.calls, row.tokens) for member, row in self.occupancy.own.items()
-        }
-        used = {str(account): units for account, units in self.quotas.used.items()}
-        version = self._configuration.version
-        moving = {str(member): role.value for member, (role, _) in self._moving.items()}
-        broken = {
-            str(key): [str(server) for server in servers]
-            for key, servers in self.suspects.report(self._clock.now()).items()
-        }
-        return Report(self._host, self._peers.boot, version, used, reserved, moving, broken)
+        return Report(
+            self._host,
+            self._peers.boot,
+            self._configuration.version,
+            self.quotas.used,
+            {member: (row.calls, row.tokens) for member, row in self.occupancy.own.items()},
+            {member: role for member, (role, _) in self._moving.items()},
+            self.suspects.report(self._clock.now()),
+        )
 
     def _hear(self, report: Report) -> None:
         now = self._clock.now()
-        host = HostId(report.host)
-        used = {AccountId(account): units for account, units in report.used.items()}
-        self.quotas.hear(host, BootId(report.boot), used, now)
-        reserved = {
-            BackendId(member): Reserved(calls, tokens)
-            for member, (calls, tokens) in report.reserved.items()
-        }
-        self.occupancy.hear(host, reserved, now)
-        broken = {
-            Fingerprint(key): [Incarnation(server) for server in servers]
-            for key, servers in report.broken.items()
-        }
-        self.suspects.hear(host, broken, now)
+        self.quotas.hear(report.host, report.boot, report.used, now)
+        reserved = {member: Reserved(*row) for member, row in report.reserved.items()}
+        self.occupancy.hear(report.host, reserved, now)
+        self.suspects.hear(report.host, report.broken, now)
         for member, role in report.moving.items():
-            until = now + MOVE_MOST
-            self._moving.setdefault(BackendId(member), (BackendRole(role), until))
+            self._moving.setdefault(member, (role, now + MOVE_MOST))
 
     def _count_ejected(self) -> dict[tuple[str, ...], float]:
         now = self._clock.now()
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 from eliot import add_destinations, remove_destination
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as FakeTime
@@ -234,3 +235,18 @@
     told = [line for line in lines if line["message_type"] == "peers:not_entered"]
     assert len(told) == 2
     assert "no more files" in told[0]["error"]
+
+
+def test_a_report_with_an_unknown_role_is_told_and_left_out() -> None:
+    bench = Bench()
+    bench.kernel.settings.host, bench.kernel.settings.peers = "h1", "127.0.0.1:9"
+    peers = PeersService(bench.kernel)
+    lines: list[dict[str, Any]] = []
+    take = lines.append
+    add_destinations(take)
+    try:
+        peers._take(msgspec.msgpack.encode(["h2", "b", 1, {}, {}, {"dec-1": "nonsense"}, {}]))
+        peers._take(msgspec.msgpack.encode(["h2", "b", 1, {}, {}, {"dec-1": "decode"}, {}]))
+    finally:
+        remove_destination(take)
+    assert [line["message_type"] for line in lines] == ["peers:unreadable"]
