Space apart the prompts that decode engines compute themselves

Ruled out: first tokens, slow links, the engines' memory. Change: a decode engine computes one prompt at a time and rests as long after it; hosts report how long engines are busy. A call that finds no rested engine waits for one. A prefill queue is accepted as long as the first token meets its objective, and the wait for a prefill follows from the queue.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -8,6 +8,7 @@
     AttemptOutcome,
     decide_after_attempt,
 )
+from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
 from lavenderrun.dispatch._leases import (
     FencingGuard,
@@ -54,6 +55,7 @@
     "LeaseWrite",
     "Placement",
     "PlacementContext",
+    "PromptComputations",
     "QueuedCall",
     "QuotaLedger",
     "ResendBudget",
@@ -66,6 +68,7 @@
     "authorize_call",
     "decide_after_attempt",
     "digest_key",
+    "estimate_computation",
     "has_capacity",
     "make_fingerprint",
     "make_sort_key",
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
 from typing import Final
 
+from lavenderrun.dispatch._computations import PromptComputations
 from lavenderrun.dispatch._health import HealthTracker
 from lavenderrun.dispatch._occupancy import FleetOccupancy
 from lavenderrun.kernel import Registry
@@ -29,7 +30,10 @@
 """Ratio of a server's mean time to that of the fastest one above which it counts as slow."""
 
 MAX_PREFILL_QUEUE: Final = timedelta(milliseconds=400)
-"""Longest queue at a prefill engine; half of a usual objective for the first token."""
+"""Longest queue at a prefill engine for a call without an objective that it can still meet."""
+
+FIRST_STEP_TIME: Final = timedelta(milliseconds=100)
+"""Time from the end of a prefill to the first token: a transfer and a decode step."""
 
 MEMORY_SHARE: Final = 0.97
 """Share of an engine's memory that expected sizes may fill; the rest absorbs estimation errors."""
@@ -47,12 +51,16 @@
     :param tried: backend servers that it was sent to before.
     :param may_probe: it may be the first call to a server after its pause.
     :param late: it misses its objective wherever it is placed.
+    :param computes_prompt: the decode engine computes the prompt itself.
+    :param first_token_due: when the first token should be out, ``None`` without an objective.
     """
 
     tokens: int = 0
     tried: Collection[BackendId] = ()
     may_probe: bool = True
     late: bool = False
+    computes_prompt: bool = False
+    first_token_due: datetime | None = None
 
 
 @dataclass
@@ -63,6 +71,7 @@
     :param memory_tokens: tokens of KV cache that a decode engine holds, zero for no bound.
     :param prefill_speed: prompt tokens that an engine computes a second, zero when unknown.
     :param moving: engines that were ordered to change their role and take no call until they have.
+    :param computations: prompts that decode engines compute themselves.
     """
 
     now: datetime
@@ -73,6 +82,7 @@
     memory_tokens: int = 0
     prefill_speed: float = 0.0
     moving: Collection[BackendId] = ()
+    computations: PromptComputations = field(default_factory=PromptComputations)
 
 
 Placement = Callable[[Sequence[Member], CallRequirements, PlacementContext], Member | None]
@@ -159,10 +169,10 @@
 ) -> Member | None:
     """Choose the prefill engine with the fewest reserved prompt tokens.
 
-    ``None`` when all queues are so long that the decode engine computes the prompt sooner.
+    ``None`` when all queues are so long that the first token would miss its objective.
     """
     engines = [m for m in members if m.role is BackendRole.PREFILL]
-    max_tokens = context.prefill_speed * MAX_PREFILL_QUEUE.total_seconds()
+    max_tokens = context.prefill_speed * _find_max_queue(requirements, context).total_seconds()
     candidates = [
         member
         for member in list_candidates(engines, requirements, context)
@@ -173,6 +183,14 @@
     return _choose_fewest_tokens(candidates, requirements, context)
 
 
+def _find_max_queue(requirements: CallRequirements, context: PlacementContext) -> timedelta:
+    if requirements.first_token_due is None or not context.prefill_speed:
+        return MAX_PREFILL_QUEUE
+    own_time = timedelta(seconds=requirements.tokens / context.prefill_speed)
+    left = requirements.first_token_due - context.now
+    return max(MAX_PREFILL_QUEUE, left - own_time - FIRST_STEP_TIME)
+
+
 @PLACEMENTS.register("decode")
 def place_decode(
     members: Sequence[Member], requirements: CallRequirements, context: PlacementContext
@@ -190,7 +208,9 @@
 
 
 def has_capacity(member: Member, requirements: CallRequirements, context: PlacementContext) -> bool:
-    """Tell whether a decode engine has memory and a decode slot for the call."""
+    """Tell whether a decode engine has memory, a decode slot and time to compute the prompt."""
+    if requirements.computes_prompt and context.computations.is_busy(member.id, context.now):
+        return False
     if context.occupancy.count_reserved_slots(member.id) >= member.slots:
         return False
     used = context.occupancy.sum_reserved_tokens(member.id)
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -69,6 +69,8 @@
     :param reserved: reserved calls and tokens, by backend server.
     :param moving: engines that accepted a role change, with their new role.
     :param broken: server incarnations that a call may have crashed, by the call's fingerprint.
+    :param computing: how much longer, in seconds, decode engines are busy with prompts that they
+        compute themselves.
     """
 
     host: HostId
@@ -78,6 +80,7 @@
     reserved: Mapping[BackendId, tuple[int, int]]
     moving: Mapping[BackendId, BackendRole] = {}
     broken: Mapping[Fingerprint, Sequence[Incarnation]] = {}
+    computing: Mapping[BackendId, float] = {}
 
 
 class _GatewayRow(msgspec.Struct):
--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -14,8 +14,11 @@
 from lavenderrun.kernel import Timer
 from lavenderrun.types import AnswerKind, CallContext, HeldCache, Member
 
-PREFILL_TIMEOUT: Final = timedelta(milliseconds=800)
-"""Longest wait for a prefill: several times the largest prompt's time in a short queue."""
+MIN_PREFILL_TIMEOUT: Final = timedelta(milliseconds=800)
+"""Shortest wait for a prefill before it counts as lost."""
+
+PREFILL_TIMEOUT_FACTOR: Final = 2.0
+"""Longest wait for a prefill, as a multiple of the time expected for it and those before it."""
 
 
 class CallContextFactory(Protocol):
@@ -29,6 +32,7 @@
     """Has a prefill engine compute the prompt; after a failure the decode engine does it.
 
     :param on_done: called once with the held KV cache, or ``None`` without one.
+    :ivar was_sent: whether the prompt was sent to a prefill engine.
     """
 
     def __init__(
@@ -47,21 +51,28 @@
         self._tokens = admitted.call.size.prompt if admitted.call.size else 0
         self._timer: Timer | None = None
         self._was_engine_free = False
+        self.was_sent = False
         self._began_at = services.clock.now()
 
     def start(self, make_context: CallContextFactory) -> None:
         """Send the prompt to the prefill engine with the shortest queue."""
-        requirements = CallRequirements(tokens=self._tokens)
+        due = self._admitted.arrived + self._admitted.access.route.objective
+        requirements = CallRequirements(tokens=self._tokens, first_token_due=due)
         member = self._services.view.place(self._admitted.service, "prefill", requirements)
         if member is None:
             self._call_log.write("prefill_skipped", "no prefill engine takes calls")
             self._finish(None)
             return
-        self._was_engine_free = not self._services.view.occupancy.sum_reserved_tokens(member.id)
+        queued = self._services.view.occupancy.sum_reserved_tokens(member.id)
+        self._was_engine_free = not queued
         self._began_at = self._services.clock.now()
         self._services.view.reserve(member.id, self._tokens)
+        self.was_sent = True
         self._attempt = Attempt(self._services, self._admitted.call, member, self, self._call_log)
-        self._timer = self._services.clock.call_later(PREFILL_TIMEOUT, self._attempt.time_out)
+        speed = self._services.view.find_balancer(self._admitted.service).prefill_speed
+        expected = timedelta(seconds=(queued + self._tokens) / speed)
+        timeout = max(MIN_PREFILL_TIMEOUT, expected * PREFILL_TIMEOUT_FACTOR)
+        self._timer = self._services.clock.call_later(timeout, self._attempt.time_out)
         self._attempt.send(make_context(member, prefill_only=True), force_new=True)
 
     def abandon(self) -> None:
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -59,6 +59,8 @@
         self._slot: DecodeSlotReservation | None = None
         self._connection: Connection | None = None
         self._prefill: PrefillStep | None = None
+        self._was_prefill_sent = False
+        self._needs_own_prompt = False
         self._cache: HeldCache | None = None
         self._cache_offered_until = self._admitted.arrived
         self._attempt: Attempt | None = None
@@ -83,7 +85,15 @@
         route, now = self._admitted.access.route, self._services.clock.now()
         tokens = self._required_tokens
         tried = [member.id for member in self._tried_servers]
-        requirements = CallRequirements(tokens=tokens, tried=tried, may_probe=route.is_idempotent)
+        has_cache = self._cache is not None and now < self._cache_offered_until
+        requirements = CallRequirements(
+            tokens=tokens,
+            tried=tried,
+            may_probe=route.is_idempotent,
+            computes_prompt=bool(self._size.prompt)
+            and not has_cache
+            and (self._needs_own_prompt or bool(self._tried_servers)),
+        )
         arrived, rank = self._admitted.arrived, route.rank
         if self._tried_servers:
             # ahead of new calls, so that what an engine has computed is not lost
@@ -128,7 +138,7 @@
         self._connection = connection
         if self._cache is not None and self._services.clock.now() < self._cache_offered_until:
             self._send(self._cache)
-        elif self._size.prompt and not self._tried_servers:
+        elif self._size.prompt and not self._tried_servers and not self._was_prefill_sent:
             self._prefill = PrefillStep(
                 self._services, self._admitted, self._call_log, self._begin_decode
             )
@@ -143,6 +153,8 @@
             self._refuse_without_capacity("no engine had room in time", RETRY_AFTER_NO_SLOT)
 
     def _begin_decode(self, cache: HeldCache | None) -> None:
+        if self._prefill is not None:
+            self._was_prefill_sent = self._prefill.was_sent
         self._prefill, self._cache = None, cache
         lifetime = self._services.view.find_export_lifetime(self._admitted.service)
         self._cache_offered_until = self._services.clock.now() + lifetime * CACHE_LIFETIME_SHARE
@@ -153,6 +165,11 @@
         if current is None or self._time_left() <= MIN_SEND_TIME:
             self._request_another_slot()
             return
+        if cache is None and self._size.prompt and not self._services.view.may_compute(member.id):
+            # two prompts in a row would hold up the engine's streams
+            self._needs_own_prompt = True
+            self._request_another_slot()
+            return
         self._send(cache)
 
     def _request_another_slot(self) -> None:
@@ -190,6 +207,8 @@
             resume_after=self._splitter.last_id,
             attempt=len(self._tried_servers),
         )
+        if cache is None and self._size.prompt:
+            self._services.view.begin_computation(member, self._size.prompt)
         context = self._make_context(member, cache=cache, resume_after=self._splitter.last_id)
         connection, self._connection = self._connection, None
         attempt.send(context, force_new=True, unused_connection=connection)
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -12,11 +12,13 @@
     FleetOccupancy,
     HealthTracker,
     PlacementContext,
+    PromptComputations,
     QuotaLedger,
     ResendBudget,
     Reservations,
     RoleBalancer,
     SuspectTracker,
+    estimate_computation,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._connection import Connection
@@ -53,6 +55,7 @@
     :ivar quotas: fleet-wide quotas of client accounts.
     :ivar resends: this host's retry budget.
     :ivar occupancy: reservations and reported loads at backend servers.
+    :ivar computations: prompts that decode engines compute themselves.
     :ivar health: health of backend servers.
     :ivar suspects: calls that may crash backend servers.
     """
@@ -72,6 +75,7 @@
         self.quotas = QuotaLedger()
         self.resends = ResendBudget(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window)
         self.occupancy = FleetOccupancy()
+        self.computations = PromptComputations()
         self.health = HealthTracker()
         self.suspects = SuspectTracker()
         self._role_changes: dict[BackendId, tuple[BackendRole, datetime]] = {}
@@ -118,6 +122,17 @@
         self.occupancy.free(member, tokens)
         self._peers.report_soon()
 
+    def begin_computation(self, member: Member, tokens: int) -> None:
+        """Record that a decode engine computes a prompt of *tokens*, and report it soon."""
+        speed = self.find_balancer(member.service).prefill_speed
+        duration = estimate_computation(tokens, speed)
+        self.computations.begin(member.id, duration, self._clock.now())
+        self._peers.report_soon()
+
+    def may_compute(self, member: BackendId) -> bool:
+        """Tell whether a decode engine can compute a prompt without holding up its streams."""
+        return not self.computations.is_busy(member, self._clock.now())
+
     def record_crash(self, fingerprint: Fingerprint, member: Member) -> None:
         """Count a strike for a call whose server dropped the connection; test that server later."""
         self.suspects.add_strike(fingerprint, member.incarnation, self._clock.now())
@@ -192,6 +207,7 @@
             memory_tokens=self.find_memory(service),
             prefill_speed=self.find_balancer(service).prefill_speed,
             moving=self.list_changing_role(now),
+            computations=self.computations,
         )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -207,6 +223,7 @@
             return
         if new is None or new.started != old.started or new.address != old.address:
             self.health.forget(old.id)
+            self.computations.forget(old.id)
             self._pool.forget(old.address)
 
     def _note_host_change(self, hosts: dict[HostId, datetime]) -> None:
@@ -215,6 +232,7 @@
         self._pool.set_host_count(len(hosts) + 1)
 
     def _make_report(self) -> PeerReport:
+        now = self._clock.now()
         return PeerReport(
             self._host,
             self._peers.boot,
@@ -225,7 +243,11 @@
                 for member, row in self.occupancy.own_reservations.items()
             },
             {member: role for member, (role, _) in self._role_changes.items()},
-            self.suspects.list_suspects(self._clock.now()),
+            self.suspects.list_suspects(now),
+            {
+                member: rest.total_seconds()
+                for member, rest in self.computations.list_remaining(now).items()
+            },
         )
 
     def _apply_peer_report(self, report: PeerReport) -> None:
@@ -234,6 +256,8 @@
         reserved = {member: Reservations(*row) for member, row in report.reserved.items()}
         self.occupancy.apply_peer_report(report.host, reserved, now)
         self.suspects.apply_peer_report(report.host, report.broken, now)
+        rests = {m: timedelta(seconds=seconds) for m, seconds in report.computing.items()}
+        self.computations.apply_peer_report(report.host, rests, now)
         for member, role in report.moving.items():
             self._role_changes.setdefault(member, (role, now + MAX_ROLE_CHANGE_TIME))
 
