Leave a replaced server out until its row changes

The row looked like the emptiest engine, because its reservations were gone, and the pause of half a second after such an answer ended before the row did. Change: an answer that names another server leaves the row out, until it changes or for six seconds; no call through it could be served.

--- a/src/lavenderrun/dispatch/_health.py
+++ b/src/lavenderrun/dispatch/_health.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 from typing import Final
 
-from lavenderrun.types import BackendId
+from lavenderrun.types import BackendId, Member
 
 SMOOTHING_WEIGHT: Final = 0.15
 """Weight of the newest observation in a moving average."""
@@ -15,6 +15,10 @@
 LONGEST_PAUSE: Final = timedelta(seconds=4)
 """Bounds of the pause after an unreachable server; each failed trial doubles the pause."""
 
+MAX_REPLACED_TIME: Final = timedelta(seconds=6)
+"""Longest time for which a server that answers no calls to its id is left out: its row expires or
+changes within a few heartbeats."""
+
 MIN_OBSERVATIONS: Final = 5
 """Observations below which the failure rate of a server counts as zero."""
 
@@ -44,6 +48,7 @@
 
     def __init__(self) -> None:
         self._members: dict[BackendId, BackendHealth] = {}
+        self._replaced: dict[BackendId, tuple[Member, datetime]] = {}
 
     def find(self, member: BackendId) -> BackendHealth:
         """Return the health of *member*, without observations when it is new."""
@@ -52,6 +57,27 @@
     def forget(self, member: BackendId) -> None:
         """Drop the observations of a backend server that is gone or was restarted."""
         self._members.pop(member, None)
+        self._replaced.pop(member, None)
+
+    def note_replaced(self, member: Member, now: datetime) -> None:
+        """Record that the server at the address of *member* is another one or in another role."""
+        self._replaced[member.id] = (member, now + MAX_REPLACED_TIME)
+
+    def is_replaced(self, member: Member, now: datetime) -> bool:
+        """Tell whether *member* is known only by an outdated row: no call to it can succeed."""
+        known = self._replaced.get(member.id)
+        if known is None:
+            return False
+        outdated, until = known
+        is_same = (outdated.started, outdated.role, outdated.address) == (
+            member.started,
+            member.role,
+            member.address,
+        )
+        if now < until and is_same:
+            return True
+        del self._replaced[member.id]
+        return False
 
     def is_paused(self, member: BackendId, now: datetime) -> bool:
         """Tell whether *member* is paused or on trial by the first call after a pause."""
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -100,6 +100,7 @@
         if member.state is MemberState.READY
         and member.id not in requirements.tried
         and member.id not in context.moving
+        and not context.health.is_replaced(member, context.now)
     ]
     candidates = [m for m in ready if not context.health.is_paused(m.id, context.now)]
     if not candidates:
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -159,7 +159,8 @@
         elif answer_kind is AnswerKind.FAILED:
             health.record_failure(self.member.id)
         elif answer_kind is AnswerKind.WRONG_SERVER:
-            health.pause_after_failure(self.member.id, self._services.clock.now())
+            health.record_no_result(self.member.id)
+            health.note_replaced(self.member, self._services.clock.now())
         else:
             health.record_no_result(self.member.id)
         self._end(answer_kind.value)
