Handle peer reports and store changes at a cost that hundreds of hosts can bear

Change: a report is handled by what it changes; reservations are summed a server; regular reports are sent each second in a large fleet and not after an early one; prefill queues are not reported at once there; changes of rows are read in groups; one follower asks while the store is away. A refund is credited at all hosts. Reports still go from each host to each other one, see docs/CAPACITY.md.

--- a/src/lavenderrun/dispatch/_occupancy.py
+++ b/src/lavenderrun/dispatch/_occupancy.py
@@ -28,12 +28,17 @@
     tokens: int = 0
 
 
+NO_RESERVATIONS: Final = Reservations()
+
+
 class FleetOccupancy:
     """Reservations of this host, reservations that peers report, and loads that servers report."""
 
     def __init__(self) -> None:
         self._own: dict[BackendId, Reservations] = {}
+        # in order of their last reports, so that stale ones come first
         self._peers: dict[HostId, tuple[datetime, Mapping[BackendId, Reservations]]] = {}
+        self._peer_sums: dict[BackendId, Reservations] = {}
         self._loads: dict[BackendId, tuple[datetime, BackendLoad, int]] = {}
 
     @property
@@ -43,7 +48,7 @@
 
     def reserve(self, member: BackendId, tokens: int) -> None:
         """Add one call and *tokens* to the reservations of this host at *member*."""
-        old = self._own.get(member, Reservations())
+        old = self._own.get(member, NO_RESERVATIONS)
         self._own[member] = Reservations(old.calls + 1, old.tokens + tokens)
 
     def free(self, member: BackendId, tokens: int) -> None:
@@ -58,21 +63,38 @@
         self, host: HostId, reservations: Mapping[BackendId, Reservations], now: datetime
     ) -> None:
         """Replace the reservations of the peer *host* by those that it reports now."""
+        self._drop_peer(host)
         self._peers[host] = (now, reservations)
+        for member, row in reservations.items():
+            self._add_to_sum(member, row.calls, row.tokens)
 
     def drop_stale_reports(self, now: datetime) -> None:
         """Drop the reservations of peers that have not reported for ``REPORT_LIFETIME``."""
-        for host, (reported_at, _) in list(self._peers.items()):
-            if now - reported_at > REPORT_LIFETIME:
-                del self._peers[host]
+        while self._peers:
+            host, (reported_at, _) = next(iter(self._peers.items()))
+            if now - reported_at <= REPORT_LIFETIME:
+                return
+            self._drop_peer(host)
+
+    def _drop_peer(self, host: HostId) -> None:
+        _, reservations = self._peers.pop(host, (None, {}))
+        for member, row in reservations.items():
+            self._add_to_sum(member, -row.calls, -row.tokens)
+
+    def _add_to_sum(self, member: BackendId, calls: int, tokens: int) -> None:
+        old = self._peer_sums.get(member, NO_RESERVATIONS)
+        if old.calls + calls or old.tokens + tokens:
+            self._peer_sums[member] = Reservations(old.calls + calls, old.tokens + tokens)
+        else:
+            self._peer_sums.pop(member, None)
 
     def observe_load(self, member: BackendId, load: BackendLoad, now: datetime) -> None:
         """Store the load that a backend server reports in an answer."""
-        self._loads[member] = (now, load, self._own.get(member, Reservations()).calls)
+        self._loads[member] = (now, load, self._own.get(member, NO_RESERVATIONS).calls)
 
     def estimate_calls(self, member: BackendId, now: datetime) -> int:
         """Return the calls expected at *member*, by its last report and own sends since."""
-        own = self._own.get(member, Reservations()).calls
+        own = self._own.get(member, NO_RESERVATIONS).calls
         reported = self._loads.get(member)
         if reported is None or now - reported[0] > LOAD_LIFETIME:
             return own
@@ -81,10 +103,10 @@
 
     def count_reserved_slots(self, member: BackendId) -> int:
         """Return the decode slots reserved at *member* by all hosts."""
-        peers = (rows.get(member, Reservations()).calls for _, rows in self._peers.values())
-        return self._own.get(member, Reservations()).calls + sum(peers)
+        own = self._own.get(member, NO_RESERVATIONS)
+        return own.calls + self._peer_sums.get(member, NO_RESERVATIONS).calls
 
     def sum_reserved_tokens(self, member: BackendId) -> int:
         """Return the tokens reserved at *member* by all hosts."""
-        peers = (rows.get(member, Reservations()).tokens for _, rows in self._peers.values())
-        return self._own.get(member, Reservations()).tokens + sum(peers)
+        own = self._own.get(member, NO_RESERVATIONS)
+        return own.tokens + self._peer_sums.get(member, NO_RESERVATIONS).tokens
--- a/src/lavenderrun/dispatch/_quota.py
+++ b/src/lavenderrun/dispatch/_quota.py
@@ -15,7 +15,7 @@
 from lavenderrun.types import AccountId, AccountQuota, BootId, HostId
 
 PEER_TIMEOUT: Final = timedelta(seconds=1)
-"""Time without a peer report, four regular intervals, after which a host's use is estimated."""
+"""Default time without a peer report after which a host's use is estimated."""
 
 MAX_DEBT: Final = timedelta(seconds=4)
 """Largest debt of a bucket, as refill time; a late peer report must not block an account longer."""
@@ -54,7 +54,9 @@
 
     def __init__(self) -> None:
         self._buckets: dict[AccountId, _AccountBucket] = {}
+        # in order of their last peer reports, so that silent ones come first
         self._peers: dict[HostId, _PeerUsage] = {}
+        self._peer_timeout = PEER_TIMEOUT
         self._used: dict[AccountId, float] = {}
 
     @property
@@ -78,10 +80,15 @@
 
         :param hosts: since when each host has been known, or silent.
         """
-        for host in set(self._peers) - set(hosts):
+        for host in [host for host in self._peers if host not in hosts]:
             del self._peers[host]
         for host, since in hosts.items():
             self._peers.setdefault(host, _PeerUsage(BootId(""), since, {}))
+        self._peers = dict(sorted(self._peers.items(), key=lambda item: item[1].last_report))
+
+    def set_peer_timeout(self, timeout: timedelta) -> None:
+        """Set the time without a peer report after which a host's use is estimated."""
+        self._peer_timeout = timeout
 
     def apply_peer_report(
         self, host: HostId, boot: BootId, used: Mapping[AccountId, float], now: datetime
@@ -90,18 +97,26 @@
 
         :param used: units charged by that host since its start, by account.
         """
-        for account in self._buckets:
-            self._refill(account, now)
         peer = self._peers.get(host)
+        if peer is not None and now > peer.last_report + self._peer_timeout:
+            # its estimated use up to now counts before its report ends the estimate
+            for account in self._buckets:
+                self._refill(account, now)
+        self._peers.pop(host, None)
+        self._peers[host] = _PeerUsage(boot, now, dict(used))
         if peer is None or peer.boot != boot:
             # its earlier use is unknown or already estimated
-            self._peers[host] = _PeerUsage(boot, now, dict(used))
             return
-        for account, bucket in self._buckets.items():
-            reported = used.get(account, 0.0) - peer.used.get(account, 0.0)
-            estimated = peer.estimated.get(account, 0.0)
-            bucket.level -= max(0.0, reported - estimated)
-        self._peers[host] = _PeerUsage(boot, now, dict(used))
+        for account, units in used.items():
+            if units == peer.used.get(account) and account not in peer.estimated:
+                continue
+            bucket = self._refill(account, now)
+            if bucket is not None:
+                reported = units - peer.used.get(account, 0.0)
+                estimated = peer.estimated.get(account, 0.0)
+                # less than before is a refund; what was estimated too high stays charged
+                charged = max(0.0, reported - estimated) if estimated else reported
+                bucket.level = min(bucket.quota.burst, bucket.level - charged)
 
     def charge(self, account: AccountId, cost: float, now: datetime) -> timedelta | None:
         """Take *cost* units from the account's bucket.
@@ -142,13 +157,13 @@
         gained = elapsed * bucket.quota.rate
         peer_rate = bucket.quota.rate / (len(self._peers) + 1)
         for peer in self._peers.values():
-            silent_seconds = (
-                now - max(peer.last_report + PEER_TIMEOUT, bucket.updated)
-            ).total_seconds()
-            if silent_seconds > 0:
-                taken = min(silent_seconds, elapsed) * peer_rate
-                gained -= taken
-                peer.estimated[account] = peer.estimated.get(account, 0.0) + taken
+            silent_since = peer.last_report + self._peer_timeout
+            if silent_since >= now:
+                break
+            silent_seconds = (now - max(silent_since, bucket.updated)).total_seconds()
+            taken = min(silent_seconds, elapsed) * peer_rate
+            gained -= taken
+            peer.estimated[account] = peer.estimated.get(account, 0.0) + taken
         floor = -MAX_DEBT.total_seconds() * bucket.quota.rate
         bucket.level = min(bucket.quota.burst, max(floor, bucket.level) + gained)
         bucket.updated = now
--- a/src/lavenderrun/dispatch/_suspects.py
+++ b/src/lavenderrun/dispatch/_suspects.py
@@ -98,7 +98,10 @@
 
         :param crashed: crashed server incarnations by the call's fingerprint.
         """
-        self._peer_strikes[host] = _PeerStrikes(now, crashed)
+        if crashed:
+            self._peer_strikes[host] = _PeerStrikes(now, crashed)
+        else:
+            self._peer_strikes.pop(host, None)
 
     def list_suspects(self, now: datetime) -> dict[Fingerprint, list[Incarnation]]:
         """Return this host's newest suspects with the server incarnations they may have crashed."""
--- a/src/lavenderrun/gateway/_follower.py
+++ b/src/lavenderrun/gateway/_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from random import Random
 from typing import Final, Protocol
@@ -23,6 +23,9 @@
 MAX_RETRY_PAUSE: Final = timedelta(milliseconds=800)
 """Bounds of the pause after a failed call, which doubles each time and has jitter."""
 
+MAX_OUTAGE_WAIT: Final = timedelta(seconds=1.6)
+"""Longest wait of a follower that leaves it to another one to find out when the store is back."""
+
 
 class TableListener(Protocol):
     """Receives the rows that a follower reads."""
@@ -38,6 +41,8 @@
     """Passes the rows of a table and their changes to a listener.
 
     :param table: the table's name in the store.
+    :param find_pause: returns the pause after an answer with changes, in which further changes
+        collect; without one there is no pause.
     """
 
     def __init__(
@@ -47,7 +52,9 @@
         listener: TableListener,
         clock: Clock,
         random_source: Random,
+        find_pause: Callable[[], timedelta] | None = None,
     ) -> None:
+        self._find_pause = find_pause
         self._rows = rows
         self._table = table
         self._listener = listener
@@ -69,6 +76,7 @@
 
     def stop(self) -> None:
         """Stop reading the table."""
+        self._rows.release_probe(self)
         reading, self._reading = self._reading, None
         if reading is not None:
             reading.cancel()
@@ -95,8 +103,8 @@
             try:
                 if self._version is None:
                     await self._read_all()
-                else:
-                    await self._read_changes(CHANGES_WAIT)
+                elif await self._read_changes(CHANGES_WAIT) and self._find_pause is not None:
+                    await sleep(self._clock, self._find_pause())
                 self._retry_pause = FIRST_RETRY_PAUSE
             except HistoryGoneError:
                 log(
@@ -114,16 +122,21 @@
         self._version = page.version
         self._listener.replace_rows(page.rows)
 
-    async def _read_changes(self, wait: timedelta) -> None:
+    async def _read_changes(self, wait: timedelta) -> bool:
+        """Read changes; return whether there were any."""
         after = self._version or 0
         page = await self._rows.read_changes(self._table, after, wait)
         if page.version < (self._version or 0):
-            return
+            return False
         self._version = page.version
         if page.rows:
             self._listener.change_rows(page.rows)
+        return bool(page.rows)
 
     async def _pause_before_retry(self) -> None:
+        if not self._rows.claim_probe(self):
+            await self._rows.wait_until_reached(MAX_OUTAGE_WAIT)
+            return
         pause = self._retry_pause * (0.5 + self._random.random())
         self._retry_pause = min(self._retry_pause * 2, MAX_RETRY_PAUSE)
         await sleep(self._clock, pause)
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -19,6 +19,10 @@
 """How long a row that expired during a store outage may take to return; the platform promises
 about two seconds."""
 
+CHANGES_READ_PAUSE: Final = timedelta(milliseconds=15)
+"""Pause after changes of rows, for each gateway: servers that start change their rows with each
+heartbeat, and all gateways read all changes."""
+
 MemberWatcher = Callable[[Member | None, Member | None], None]
 
 
@@ -29,6 +33,7 @@
     again.
 
     :ivar follower: reads the table of backend servers.
+    :ivar host_count: number of gateways that follow the rows; set by the service ``view``.
     """
 
     needs: ClassVar[tuple[str, ...]] = ("rows",)
@@ -40,8 +45,16 @@
         self._services: dict[ServiceGroup, list[Member]] = {}
         self._removal_timers: dict[BackendId, Timer] = {}
         self._watchers: list[MemberWatcher] = []
+        self.host_count = 1
         table = self._rows.dialect.members_table
-        self.follower = TableFollower(self._rows, table, self, kernel.clock, kernel.random_source)
+        self.follower = TableFollower(
+            self._rows,
+            table,
+            self,
+            kernel.clock,
+            kernel.random_source,
+            lambda: CHANGES_READ_PAUSE * self.host_count,
+        )
         kernel.find("stats", Stats).register_reader(MEMBERS, self._count_states)
 
     @property
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -37,21 +37,27 @@
 )
 
 REPORT_INTERVAL: Final = timedelta(milliseconds=250)
-"""Interval between peer reports; bounds how far all hosts together may exceed a quota."""
+"""Interval between regular peer reports; charges and decode slots are reported sooner."""
 
 MAX_HOSTS_AT_REPORT_INTERVAL: Final = 12
 """Number of hosts up to which ``REPORT_INTERVAL`` applies. With more hosts the interval grows,
 because each host reports to all others."""
 
-MAX_REPORT_INTERVAL: Final = timedelta(milliseconds=500)
-"""Longest interval between peer reports, half the silence after which a host counts as lost."""
+MAX_REPORT_INTERVAL: Final = timedelta(seconds=1)
+"""Longest interval between regular peer reports."""
 
 EARLY_REPORT_DELAY: Final = timedelta(milliseconds=10)
 """Delay of a report after a reservation, so that reservations made within a few round trips share
 one report."""
 
-LOST_AFTER: Final = timedelta(seconds=1)
-"""Silence, four regular report intervals, after which a host counts as lost."""
+MIN_LOST_AFTER: Final = timedelta(seconds=1)
+"""Shortest silence after which a host counts as lost."""
+
+LOST_AFTER_INTERVALS: Final = 2.5
+"""Silence after which a host counts as lost, in regular intervals, so that one may be missed."""
+
+HOSTS_READ_PAUSE: Final = timedelta(milliseconds=25)
+"""Pause after changes in the table of gateways, for each gateway: all of them read all changes."""
 
 REMOVED_AFTER: Final = timedelta(seconds=10)
 """Silence after which a host's row is removed; a host that is still alive writes it again."""
@@ -142,6 +148,7 @@
         self._early_timer: Timer | None = None
         self._announcement: Deferred[None] | None = None
         self._row_version = 0
+        self._last_sent: datetime = kernel.clock.now()
         self.boot = BootId(uuid4().hex[:12])
         self.make_report: Callable[[], PeerReport] = lambda: PeerReport(
             self._host, self.boot, DocumentVersion(0), {}, {}
@@ -149,7 +156,12 @@
         self._watchers: list[Callable[[PeerReport], None]] = []
         self.on_hosts_changed: Callable[[dict[HostId, datetime]], None] = lambda _hosts: None
         self.follower = TableFollower(
-            self._rows, self._table, self, kernel.clock, kernel.random_source
+            self._rows,
+            self._table,
+            self,
+            kernel.clock,
+            kernel.random_source,
+            lambda: HOSTS_READ_PAUSE * self.count_hosts(),
         )
         kernel.find("stats", Stats).register_reader(PEERS_HEARD, self._count_states)
 
@@ -179,6 +191,17 @@
         if self._port is not None:
             await self._port.stopListening()
 
+    @property
+    def report_interval(self) -> timedelta:
+        """Interval between regular peer reports; it grows with the number of hosts."""
+        factor = max(1.0, self.count_hosts() / MAX_HOSTS_AT_REPORT_INTERVAL)
+        return min(REPORT_INTERVAL * factor, MAX_REPORT_INTERVAL)
+
+    @property
+    def lost_after(self) -> timedelta:
+        """Silence after which a host counts as lost."""
+        return max(MIN_LOST_AFTER, self.report_interval * LOST_AFTER_INTERVALS)
+
     def count_hosts(self) -> int:
         """Return the number of gateways, including this one."""
         return len(self._peers) + 1
@@ -229,10 +252,8 @@
         self._notify_hosts()
 
     def _list_reporting(self) -> list[HostId]:
-        now = self._clock.now()
-        return [
-            h for h, p in self._peers.items() if p.last_report and now - p.last_report < LOST_AFTER
-        ]
+        since = self._clock.now() - self.lost_after
+        return [h for h, p in self._peers.items() if p.last_report and p.last_report > since]
 
     def _notify_hosts(self) -> None:
         self.on_hosts_changed({host: peer.since for host, peer in self._peers.items()})
@@ -260,8 +281,13 @@
             self._announcement = None
             return
 
-    def report_soon(self) -> None:
-        """Send a peer report soon, before the next regular one."""
+    def report_soon(self, *, brief: bool = False) -> None:
+        """Send a peer report soon, before the next regular one.
+
+        :param brief: what has changed will not last; with many hosts it is not worth a report.
+        """
+        if brief and self.count_hosts() > MAX_HOSTS_AT_REPORT_INTERVAL:
+            return
         if self._early_timer is None:
             self._early_timer = self._clock.call_later(EARLY_REPORT_DELAY, self._report)
 
@@ -270,17 +296,21 @@
             self._early_timer.cancel()
             self._early_timer = None
         if self._peers and self._report_protocol.transport is not None:
+            self._last_sent = self._clock.now()
             data = msgspec.msgpack.encode(self.make_report())
             for peer in self._peers.values():
                 self._send(data, peer)
 
     def _tick(self) -> None:
-        interval = REPORT_INTERVAL * max(1.0, self.count_hosts() / MAX_HOSTS_AT_REPORT_INTERVAL)
-        self._timer = self._clock.call_later(min(interval, MAX_REPORT_INTERVAL), self._tick)
-        self._report()
-        now = self._clock.now()
+        # an early report postpones the regular one
+        due = self._last_sent + self.report_interval
+        if self._clock.now() >= due or self.count_hosts() <= MAX_HOSTS_AT_REPORT_INTERVAL:
+            self._report()
+            due = self._clock.now() + self.report_interval
+        self._timer = self._clock.call_later(due - self._clock.now(), self._tick)
+        now, lost_after = self._clock.now(), self.lost_after
         for host, peer in list(self._peers.items()):
-            if peer.last_report is not None and now - peer.last_report >= LOST_AFTER:
+            if peer.last_report is not None and now - peer.last_report >= lost_after:
                 log("peers:lost", "peers: host stopped reporting", peer=host)
                 peer.since, peer.last_report = peer.last_report, None
             if now - (peer.last_report or peer.since) > REMOVED_AFTER:
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import ClassVar, Final
 
+from twisted.internet.defer import Deferred
+
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import (
@@ -19,7 +21,7 @@
 )
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._stats import STORE_AGE, STORE_CALLS, Stats
-from lavenderrun.kernel import Kernel
+from lavenderrun.kernel import Kernel, Timer
 from lavenderrun.types import StoreUnavailableError
 
 ANSWER_TIMEOUT: Final = timedelta(seconds=1.5)
@@ -55,6 +57,8 @@
         self.state = StoreState.UNKNOWN
         self.state_changed: datetime = kernel.clock.now()
         self.last_success: datetime | None = None
+        self._probing: object | None = None
+        self._waiting: dict[Deferred[None], Timer] = {}
         self._stats.register_reader(STORE_AGE, self._measure_age)
 
     def start(self) -> None:
@@ -102,6 +106,37 @@
         page = await self._call("write", self.dialect.encode_write(table, writes), ANSWER_TIMEOUT)
         return page.version
 
+    def claim_probe(self, caller: object) -> bool:
+        """Tell whether *caller* is the one that keeps calling while the store does not answer.
+
+        Each call has a cost, so one caller finds out when the store is back and the others wait.
+        """
+        if self.state is not StoreState.LOST:
+            return True
+        if self._probing is None:
+            self._probing = caller
+        return self._probing is caller
+
+    def release_probe(self, caller: object) -> None:
+        """Let another caller find out when the store is back."""
+        if self._probing is caller:
+            self._probing = None
+
+    def wait_until_reached(self, limit: timedelta) -> Deferred[None]:
+        """Return a deferred that fires when the store answers again, or after *limit*."""
+        done: Deferred[None] = Deferred(self._forget_waiting)
+        self._waiting[done] = self._clock.call_later(limit, self._end_wait, done)
+        return done
+
+    def _forget_waiting(self, done: Deferred[None]) -> None:
+        timer = self._waiting.pop(done, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _end_wait(self, done: Deferred[None]) -> None:
+        self._forget_waiting(done)
+        done.callback(None)
+
     async def _call(self, kind: str, call: HttpRequest, timeout: timedelta) -> RowPage:
         sent = self._clock.now()
         answer = await self._pool.fetch(self._address, call, timeout)
@@ -136,8 +171,11 @@
         self.state, self.state_changed = state, self._clock.now()
         if state is StoreState.LOST:
             log("store:lost", "store: unavailable", call=kind, reason=reason)
-        else:
-            log("store:reached", "store: available", call=kind)
+            return
+        log("store:reached", "store: available", call=kind)
+        self._probing = None
+        for done in list(self._waiting):
+            self._end_wait(done)
 
 
 @GATEWAY_SERVICES.register("rows")
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -112,15 +112,21 @@
         members = self._members.list_members(service)
         return PLACEMENTS.find(placement)(members, need, self._make_placement_context(service))
 
-    def reserve(self, member: BackendId, tokens: int) -> None:
-        """Reserve capacity for a call of *tokens* at an engine, and report it soon."""
+    def reserve(self, member: BackendId, tokens: int, *, brief: bool = False) -> None:
+        """Reserve capacity for a call of *tokens* at an engine, and report it soon.
+
+        :param brief: the capacity will be freed within some tens of milliseconds.
+        """
         self.occupancy.reserve(member, tokens)
-        self._peers.report_soon()
+        self._peers.report_soon(brief=brief)
 
-    def free(self, member: BackendId, tokens: int) -> None:
-        """Free the capacity that a call of *tokens* reserved at an engine, and report it soon."""
+    def free(self, member: BackendId, tokens: int, *, brief: bool = False) -> None:
+        """Free the capacity that a call of *tokens* reserved at an engine, and report it soon.
+
+        :param brief: the capacity was reserved as such.
+        """
         self.occupancy.free(member, tokens)
-        self._peers.report_soon()
+        self._peers.report_soon(brief=brief)
 
     def begin_computation(self, member: Member, tokens: int) -> None:
         """Record that a decode engine computes a prompt of *tokens*, and report it soon."""
@@ -228,8 +234,10 @@
 
     def _note_host_change(self, hosts: dict[HostId, datetime]) -> None:
         self.quotas.set_peers(hosts)
+        self.quotas.set_peer_timeout(self._peers.lost_after)
         self.resends.set_host_count(len(hosts) + 1)
         self._pool.set_host_count(len(hosts) + 1)
+        self._members.host_count = len(hosts) + 1
 
     def _make_report(self) -> PeerReport:
         now = self._clock.now()
--- a/tests/dispatch/test_quota.py
+++ b/tests/dispatch/test_quota.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime, timedelta
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -105,3 +106,65 @@
     elapsed_seconds = (now - START).total_seconds()
     # three calls of up to 60 units each may run between two reports
     assert total <= QUOTA.burst + QUOTA.rate * elapsed_seconds + 3 * 60
+
+
+class ReferenceLedger:
+    """The quota by its definition: each report brings every account up to date for every host."""
+
+    def __init__(self, hosts: int) -> None:
+        self.level, self.updated = QUOTA.burst, START
+        self.last = {HostId(f"h{n}"): START for n in range(hosts)}
+        self.used = dict.fromkeys(self.last, 0.0)
+        self.boots = dict.fromkeys(self.last, "")
+        self.estimated = dict.fromkeys(self.last, 0.0)
+
+    def refill(self, now: datetime) -> None:
+        elapsed = (now - self.updated).total_seconds()
+        gained = elapsed * QUOTA.rate
+        for host, last in self.last.items():
+            silent = (now - max(last + timedelta(seconds=1), self.updated)).total_seconds()
+            if silent > 0:
+                taken = min(silent, elapsed) * QUOTA.rate / (len(self.last) + 1)
+                gained -= taken
+                self.estimated[host] += taken
+        self.level = min(QUOTA.burst, max(-4 * QUOTA.rate, self.level) + gained)
+        self.updated = now
+
+    def report(self, host: HostId, boot: str, used: float, now: datetime) -> None:
+        self.refill(now)
+        if self.boots[host] == boot:
+            delta, estimated = used - self.used[host], self.estimated[host]
+            charged = max(0.0, delta - estimated) if estimated else delta
+            self.level = min(QUOTA.burst, self.level - charged)
+        self.last[host], self.used[host], self.boots[host] = now, used, boot
+        self.estimated[host] = 0.0
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 1), st.integers(-20, 60), st.integers(0, 2500)),
+        max_size=60,
+    )
+)
+def test_reports_of_many_hosts_leave_what_the_definition_says(
+    steps: list[tuple[int, int, int, int]],
+) -> None:
+    ledger, reference = make_ledger(others=4), ReferenceLedger(4)
+    used = [0.0] * 4
+    now = START
+    for host, boot, change, wait in steps:
+        now += timedelta(milliseconds=wait)
+        used[host] = max(0.0, used[host] + change)
+        name = HostId(f"h{host}")
+        ledger.apply_peer_report(name, BootId(f"b{boot}"), {ACCOUNT: used[host]}, now)
+        reference.report(name, f"b{boot}", used[host], now)
+    reference.refill(now)
+    assert ledger.list_remaining(now)[ACCOUNT] == pytest.approx(reference.level)
+
+
+def test_a_refund_at_one_host_is_credited_at_the_others() -> None:
+    ledger = make_ledger(others=1)
+    ledger.apply_peer_report(HostId("h0"), BOOT, {}, START)
+    ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 150.0}, START)
+    ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 0.0}, START)
+    assert ledger.charge(ACCOUNT, 200, START) is None
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -86,10 +86,12 @@
         self.received.append(("some", [found.key for found in rows]))
 
 
-def start_follower(fixture: StoreFixture) -> tuple[TableFollower, RecordingListener]:
+def start_follower(
+    fixture: StoreFixture, table: str = "t"
+) -> tuple[TableFollower, RecordingListener]:
     listener = RecordingListener()
     follower = TableFollower(
-        fixture.rows, "t", listener, fixture.kernel.clock, fixture.kernel.random_source
+        fixture.rows, table, listener, fixture.kernel.clock, fixture.kernel.random_source
     )
     follower.start()
     return follower, listener
@@ -259,3 +261,91 @@
     finally:
         remove_destination(take)
     assert [line["message_type"] for line in lines] == ["peers:unreadable"]
+
+
+class SentReports:
+    """Counts datagrams in the place of a UDP transport."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+
+    def write(self, _data: bytes, _address: tuple[str, int]) -> None:
+        self.sent += 1
+
+
+def start_peers(hosts: int) -> tuple[StoreFixture, PeersService, SentReports]:
+    fixture = StoreFixture()
+    fixture.kernel.settings.host, fixture.kernel.settings.peers = "h0", "127.0.0.1:9"
+    peers, reports = PeersService(fixture.kernel), SentReports()
+    peers._report_protocol.transport = reports  # type: ignore[assignment]
+    rows = [
+        RowChange(f"h{n}", msgspec.json.encode({"address": "127.0.0.1:1", "boot": "b"}), n)
+        for n in range(1, hosts)
+    ]
+    peers.change_rows(rows)
+    return fixture, peers, reports
+
+
+def test_brief_reservations_are_not_reported_soon_in_a_large_fleet() -> None:
+    for hosts, expected in ((5, 4), (68, 0)):
+        fixture, peers, reports = start_peers(hosts)
+        peers.report_soon(brief=True)
+        fixture.time.advance(0.05)
+        assert reports.sent == expected
+    peers.report_soon()
+    fixture.time.advance(0.05)
+    assert reports.sent == 67
+
+
+def test_regular_reports_are_rarer_with_more_hosts_and_after_early_ones() -> None:
+    fixture, peers, reports = start_peers(68)
+    peers._tick()
+    for _ in range(40):
+        fixture.time.advance(0.25)
+    regular = reports.sent
+    assert 9 * 67 <= regular <= 11 * 67
+    reports.sent = 0
+    for _ in range(10):
+        peers.report_soon()
+        for _ in range(4):
+            fixture.time.advance(0.25)
+    assert reports.sent <= 12 * 67
+
+
+def test_one_follower_finds_out_when_the_store_is_back_for_all() -> None:
+    fixture = StoreFixture()
+    fixture.pool.answers.extend([None] * 300)
+    tables = ["t1", "t2", "t3"]
+    for table in tables:
+        start_follower(fixture, table)
+    for _ in range(100):
+        fixture.time.advance(0.1)
+    assert len(fixture.pool.calls) <= 45
+    fixture.pool.answers.clear()
+    fixture.answer(7)
+    before = len(fixture.pool.calls)
+    while fixture.rows.state is StoreState.LOST:
+        fixture.time.advance(0.1)
+    called = fixture.pool.calls[before:]
+    assert [table for table in tables if not any(f"table={table}" in call for call in called)] == []
+
+
+def test_changes_that_come_together_are_read_together() -> None:
+    fixture = StoreFixture()
+    listener = RecordingListener()
+    follower = TableFollower(
+        fixture.rows,
+        "t",
+        listener,
+        fixture.kernel.clock,
+        fixture.kernel.random_source,
+        lambda: timedelta(seconds=1),
+    )
+    fixture.answer(5)
+    fixture.answer(6, make_row("a", 6, {}))
+    follower.start()
+    calls = len(fixture.pool.calls)
+    fixture.time.advance(0.9)
+    assert len(fixture.pool.calls) == calls
+    fixture.time.advance(0.2)
+    assert len(fixture.pool.calls) == calls + 1
