Send no order under a lease that ended while the engine's report was read

Cause: a holder checked its lease, then waited up to a second for the engine's report, then sent the order. The clock that the lease is checked by does not count suspensions, so a host that had been suspended went on as the holder for as long as its lease had left, while another one had taken over. Change: the lease and a suspension are checked right before the order; after a suspension the lease is forgotten and taken anew by a conditional write.

--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -27,11 +27,11 @@
     "view",
     "second_hand",
     "seats",
+    "wakes",
     "roles",
     "router",
     "callers",
     "pages",
-    "wakes",
     "departure",
 )
 """Names of a gateway's services, in the order in which they are built."""
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -33,6 +33,7 @@
 )
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore
+from lavenderrun.gateway._suspension import SuspensionService
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.kernel import Kernel, Timer
 from lavenderrun.types import (
@@ -77,7 +78,7 @@
 class RolesService:
     """Checks the balance of roles in each model service; orders changes while it holds a lease."""
 
-    needs: ClassVar[tuple[str, ...]] = ("view", "peers", "rows", "members")
+    needs: ClassVar[tuple[str, ...]] = ("view", "peers", "rows", "members", "wakes")
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
@@ -89,7 +90,8 @@
         self._pool = kernel.find("pool", ConnectionPool)
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._dialect = kernel.find("backend_dialect", BackendDialect)
-        self._keeper = LeaseKeeper(HostIncarnation(self._host, self._peers.boot), LEASE_TERMS)
+        self._suspension = kernel.find("wakes", SuspensionService)
+        self._keeper = self._make_keeper()
         self._pending: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._timer: Timer | None = None
         self._paused_until = self._clock.now()
@@ -98,6 +100,7 @@
     def start(self) -> None:
         """Start to check the balance of roles."""
         self._members.watch(self._note_member_change)
+        self._suspension.watch(self._drop_lease)
         self._timer = self._clock.call_later(CHECK_INTERVAL, self._check_balance)
 
     def stop(self) -> None:
@@ -107,6 +110,13 @@
         if self._order is not None:
             self._order.cancel()
 
+    def _make_keeper(self) -> LeaseKeeper:
+        return LeaseKeeper(HostIncarnation(self._host, self._peers.boot), LEASE_TERMS)
+
+    def _drop_lease(self) -> None:
+        """Forget the lease: another host may hold it by now."""
+        self._keeper = self._make_keeper()
+
     def _note_member_change(self, old: Member | None, new: Member | None) -> None:
         if old is None and new is not None and new.role is not BackendRole.PLAIN:
             # further engines may appear with their next heartbeats
@@ -153,6 +163,11 @@
                 member=member.id,
             )
             return
+        # the lease may have ended, or the host been suspended, while the report was read
+        self._suspension.check()
+        if self._keeper.find_fencing_number(self._clock.now() + LEASE_MARGIN) != fencing:
+            log("roles:lease_ended", "roles: lease ended before the order", member=member.id)
+            return
         self._pending[member.id] = (change.role, self._clock.now() + UNCONFIRMED_ORDER_LIFETIME)
         request = self._dialect.encode_order(
             member, change.role, self._host, fencing, report.sequence
@@ -174,7 +189,7 @@
         if result in {OrderResult.REJECTED, OrderResult.FENCED}:
             self._pending.pop(member.id, None)
         if result is OrderResult.FENCED:
-            self._keeper = LeaseKeeper(HostIncarnation(self._host, self._peers.boot), LEASE_TERMS)
+            self._drop_lease()
 
     async def _acquire_lease(self) -> FencingNumber | None:
         """Return the fencing number, ``None`` unless this host holds the lease for long enough."""
--- a/src/lavenderrun/gateway/_suspension.py
+++ b/src/lavenderrun/gateway/_suspension.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
@@ -27,6 +28,8 @@
 
     After a suspension it closes idle connections and repeats pending calls to the store, as their
     connections may be dead. It also measures the lag of the event loop.
+
+    :ivar read_boot_time: returns the seconds since the host's start, suspensions included.
     """
 
     needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "peers", "pool")
@@ -43,12 +46,20 @@
         self._timer: Timer | None = None
         self._due: datetime = self._clock.now()
         self._boot_time = 0.0
+        self._checked: datetime = self._clock.now()
+        self._watchers: list[Callable[[], None]] = []
+        self.read_boot_time: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def start(self) -> None:
         """Start to compare the clocks."""
-        self._boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._boot_time = self.read_boot_time()
+        self._checked = self._clock.now()
         self._schedule_check()
 
+    def watch(self, watcher: Callable[[], None]) -> None:
+        """Call *watcher* after each suspension."""
+        self._watchers.append(watcher)
+
     def stop(self) -> None:
         """Stop comparing the clocks."""
         if self._timer is not None:
@@ -56,24 +67,28 @@
 
     def _schedule_check(self) -> None:
         self._due = self._clock.now() + CHECK_INTERVAL
-        self._timer = self._clock.call_later(CHECK_INTERVAL, self._check)
+        self._timer = self._clock.call_later(CHECK_INTERVAL, self._check_regularly)
 
-    def _check(self) -> None:
-        boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
-        suspended = timedelta(seconds=boot_time - self._boot_time) - CHECK_INTERVAL
-        self._boot_time = boot_time
+    def _check_regularly(self) -> None:
         self._stats.observe(LOOP_LAG, max(timedelta(0), self._clock.now() - self._due))
-        if suspended > MIN_SUSPENSION:
-            log(
-                "wakes:woken",
-                "wakes: host was suspended",
-                gap_ms=to_milliseconds(suspended),
-            )
-            self._pool.close_idle()
-            for follower in self._followers:
-                follower.restart()
+        self.check()
         self._schedule_check()
 
+    def check(self) -> None:
+        """Compare the clocks now, for an action that must not follow a suspension unnoticed."""
+        boot_time, now = self.read_boot_time(), self._clock.now()
+        expected = min(now - self._checked, CHECK_INTERVAL)
+        suspended = timedelta(seconds=boot_time - self._boot_time) - expected
+        self._boot_time, self._checked = boot_time, now
+        if suspended <= MIN_SUSPENSION:
+            return
+        log("wakes:woken", "wakes: host was suspended", gap_ms=to_milliseconds(suspended))
+        self._pool.close_idle()
+        for follower in self._followers:
+            follower.restart()
+        for watcher in self._watchers:
+            watcher()
+
 
 @GATEWAY_SERVICES.register("wakes")
 def make_suspension(kernel: Kernel) -> SuspensionService:
--- /dev/null
+++ b/tests/gateway/test_roles.py
@@ -0,0 +1,160 @@
+"""Orders to engines around the hand-over of the lease from one gateway to another."""
+
+from __future__ import annotations
+
+import json
+from datetime import UTC, datetime, timedelta
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock as FakeTime
+
+from lavenderrun.dispatch import RoleBalancer, RoleChange
+from lavenderrun.gateway import HttpRequest
+from lavenderrun.gateway._ports import RowPage
+from lavenderrun.gateway._roles import RolesService
+from lavenderrun.gateway._suspension import CHECK_INTERVAL, SuspensionService
+from lavenderrun.kernel import Kernel, ReactorClock
+from lavenderrun.platform._backends import PlatformBackends
+from lavenderrun.types import (
+    BackendId,
+    BackendRole,
+    BootId,
+    DataCentre,
+    Member,
+    MemberState,
+    ServiceGroup,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+ENGINE = Member(
+    BackendId("e1"),
+    ServiceGroup("s"),
+    "127.0.0.1:1",
+    DataCentre("here"),
+    BackendRole.DECODE,
+    64,
+    MemberState.READY,
+    timedelta(0),
+    1,
+)
+CHANGE = RoleChange(ENGINE, BackendRole.PREFILL)
+REPORT = {"stage": "decode", "busy": False, "seq": 3}
+
+
+class Engine:
+    """Answers reports when told to and records orders."""
+
+    def __init__(self) -> None:
+        self.orders: list[dict[str, Any]] = []
+        self.pending: Deferred[tuple[int, bytes]] = Deferred()
+
+    def forget(self, _address: str) -> None:
+        """Keep no connections."""
+
+    def close_idle(self) -> None:
+        """Keep no connections."""
+
+    async def fetch(
+        self, _address: str, call: HttpRequest, _timeout: timedelta
+    ) -> tuple[int, bytes]:
+        if call.method == "POST":
+            self.orders.append(json.loads(call.body))
+            return 202, b""
+        return await self.pending
+
+
+class Rows:
+    """A table with one writer, whose transactions all succeed."""
+
+    dialect = SimpleNamespace(leases_table="leases")
+
+    async def read(self, _table: str) -> RowPage:
+        return RowPage([], 1)
+
+    async def write(self, _table: str, _rows: Any) -> int:
+        return 2
+
+
+class Fixture:
+    def __init__(self) -> None:
+        self.time = FakeTime()
+        self.boot_time = 0.0
+        clock = ReactorClock(self.time, START, zero=0.0)
+        kernel = Kernel(clock, SimpleNamespace(host="h1"), Random(1))
+        self.engine = Engine()
+        follower = SimpleNamespace(restart=lambda: None)
+        watched = SimpleNamespace(follower=follower, watch=lambda _handler: None)
+        for name in ("configuration", "members"):
+            kernel.provide(name, watched)
+        peers = SimpleNamespace(
+            follower=follower, boot=BootId("b1"), is_first_by_name=lambda: False
+        )
+        kernel.provide("peers", peers)
+        kernel.provide("stats", SimpleNamespace(observe=lambda *_: None))
+        kernel.provide("rows", Rows())
+        kernel.provide("pool", self.engine)
+        kernel.provide("view", SimpleNamespace(note_role_change=lambda *_: None))
+        kernel.provide("backend_dialect", PlatformBackends())
+        self.suspension = SuspensionService(kernel)
+        self.suspension.read_boot_time = lambda: self.boot_time
+        kernel.provide("wakes", self.suspension)
+        self.roles = RolesService(kernel)
+        self.suspension.start()
+        self.roles.start()
+        self.order = Deferred.fromCoroutine(self.roles._order_change(CHANGE, RoleBalancer()))
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass while the host runs."""
+        self.boot_time += seconds
+        self.time.advance(seconds)
+
+    def suspend(self, seconds: float) -> None:
+        """Let time pass that the clock of the timers does not count."""
+        self.boot_time += seconds
+
+    def answer_report(self) -> None:
+        self.engine.pending.callback((200, json.dumps(REPORT).encode()))
+
+
+def test_a_holder_orders_an_engine_after_reading_its_report() -> None:
+    fixture = Fixture()
+    fixture.answer_report()
+    (order,) = fixture.engine.orders
+    assert (order["op"], order["fence"], order["expected"]) == ("stage", 1, 3)
+
+
+def test_no_order_is_sent_when_the_lease_ended_while_the_report_was_read() -> None:
+    fixture = Fixture()
+    for _ in range(20):
+        fixture.advance(0.25)
+    fixture.answer_report()
+    assert fixture.engine.orders == []
+
+
+def test_no_order_is_sent_after_a_suspension_that_the_timers_do_not_count() -> None:
+    fixture = Fixture()
+    fixture.advance(0.1)
+    fixture.suspend(20.0)
+    fixture.answer_report()
+    assert fixture.engine.orders == []
+
+
+def test_a_lease_held_before_a_suspension_is_not_used_after_it() -> None:
+    fixture = Fixture()
+    fixture.advance(0.1)
+    fixture.suspend(20.0)
+    fixture.advance(CHECK_INTERVAL.total_seconds())
+    assert fixture.roles._keeper.find_fencing_number(START) is None
+
+
+def test_a_busy_loop_is_no_suspension() -> None:
+    fixture = Fixture()
+    fixture.advance(0.2)
+    fixture.suspension.check()
+    fixture.advance(0.04)
+    fixture.suspension.check()
+    fixture.answer_report()
+    assert len(fixture.engine.orders) == 1
