Bound what servers and callers may send without end

Cause: bytes that are no answer may come until the caller closes. Ten of fourteen cases of tests/platform/test_endless_answers.py failed: whole answers, error answers, prefill answers and unfinished events were held without bound (100 MB in the test, and the answer was then passed on), interim answers were read for ever, and a stream that broke off looked complete to a caller that reads to the end of the connection. Ruled out: heads, header lines, chunk lines and trailers, which the parser bounds. Change: each part has a bound; beyond it the connection is closed, the outcome is unknown and the line of the attempt names the bound. An event's end is searched in new bytes only. A caller without chunks gets a reset in the place of an orderly close. A request body is cut off a megabyte beyond its limit. Calls and connections are kept in order of arrival, where sets of objects were ordered by address. Held KV cache that is given up is freed. Result: all pass, memory grows by less than 24 MB in each.

--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final, Protocol
+from typing import Any, Final, Protocol
 
 from lavenderrun.dispatch import AttemptOutcome
 from lavenderrun.gateway._call_log import CallLog
@@ -60,6 +60,7 @@
         self._began_at = services.clock.now()
         self._exchange: Exchange | None = None
         self._needs_signature = True
+        self._bound: dict[str, Any] = {}
         self.member = member
         self.head: AnswerHead | None = None
         self.failure: CallFailure | None = None
@@ -114,6 +115,19 @@
             self._exchange.abandon()
         self.answer_failed(CallFailure.SILENT)
 
+    def reject_oversized(self, bound: str, limit: int) -> None:
+        """End an attempt whose answer is larger than the server may send.
+
+        :param bound: which part of the answer is too large.
+        :param limit: largest size of that part in bytes.
+        """
+        if self._listener is None:
+            return
+        if self._exchange is not None:
+            self._exchange.abandon()
+        self._bound = {"bound": bound, "limit": limit}
+        self.answer_failed(CallFailure.OVERSIZED)
+
     def pause(self) -> None:
         """Stop reading the answer."""
         if self._exchange is not None:
@@ -186,4 +200,5 @@
 
     def _record_result(self, result: str) -> None:
         self._services.stats.count(ATTEMPTS, self.member.service, result)
-        self._call_log.log_attempt(self, result, self._services.clock.now() - self._began_at)
+        took = self._services.clock.now() - self._began_at
+        self._call_log.log_attempt(self, result, took, **self._bound)
--- a/src/lavenderrun/gateway/_call_log.py
+++ b/src/lavenderrun/gateway/_call_log.py
@@ -32,10 +32,11 @@
         """Write one line with the event ``call:`` and *event*."""
         log(f"call:{event}", f"call: {text}", request=self._request_id, **self._fields, **fields)
 
-    def log_attempt(self, attempt: Attempt, result: str, took: timedelta) -> None:
+    def log_attempt(self, attempt: Attempt, result: str, took: timedelta, **fields: Any) -> None:
         """Log how an attempt ended.
 
         :param took: time since the attempt was made.
+        :param fields: further fields of the line.
         """
         self.write(
             "attempt",
@@ -45,6 +46,7 @@
             status=attempt.head.status if attempt.head else None,
             result=result,
             took_ms=round(took / MILLISECOND, 1),
+            **fields,
         )
 
     def log_refusal(self, refused: Refused) -> None:
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from io import BytesIO
 from typing import Any, ClassVar, Final
 
@@ -37,6 +37,10 @@
 DEFAULT_MAX_BODY_BYTES: Final = 4 << 20
 """Largest body of a call until a configuration sets another one."""
 
+MAX_UNREAD_BYTES: Final = 1 << 20
+"""Bytes beyond the largest body that are read before the connection is closed, so that a caller
+that sends a little too much gets an answer."""
+
 DEFAULT_IDLE_SECONDS: Final = 60.0
 """Idle time after which a connection is closed, until a configuration sets another one."""
 
@@ -65,6 +69,8 @@
         self._received_bytes += len(data)
         if self._received_bytes <= self._service.max_body_bytes:
             self.content.write(data)
+        elif self._received_bytes > self._service.max_body_bytes + MAX_UNREAD_BYTES:
+            self._abort_connection()
 
     def process(self) -> None:
         """Decode the complete request and submit the call to the router."""
@@ -130,7 +136,15 @@
         self._is_over = True
         if self._begun:
             self.unregisterProducer()
-        self.channel.loseConnection()
+        if self.chunked:
+            self.channel.loseConnection()
+        else:
+            # without chunks an orderly close is the end of a complete answer
+            self._abort_connection()
+
+    def _abort_connection(self) -> None:
+        transport: Any = self.channel.transport
+        transport.abortConnection()
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer of a backend server."""
@@ -187,11 +201,11 @@
         """Register the connection and turn on the detection of a silent caller."""
         super().connectionMade()
         set_socket_options(self.transport)
-        self.factory.channels.add(self)
+        self.factory.channels[self] = None
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Unregister the connection and end the requests on it."""
-        self.factory.channels.discard(self)
+        self.factory.channels.pop(self, None)
         super().connectionLost(reason)
 
     def set_idle_timeout(self, seconds: float) -> None:
@@ -216,7 +230,8 @@
 
     def __init__(self, service: CallersService, call_later: Callable[..., Any]) -> None:
         self.service = service
-        self.channels: set[CallerChannel] = set()
+        # in order of their arrival, so that the same calls are closed in the same order
+        self.channels: dict[CallerChannel, None] = {}
         self._call_later = call_later
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
@@ -256,9 +271,9 @@
         )
 
     @property
-    def channels(self) -> set[CallerChannel]:
-        """The open connections of callers."""
-        return self._factory.channels if self._factory is not None else set()
+    def channels(self) -> Collection[CallerChannel]:
+        """The open connections of callers, in order of their arrival."""
+        return self._factory.channels if self._factory is not None else ()
 
     def start(self) -> None:
         """Accept connections and apply each new configuration."""
--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -19,7 +19,10 @@
 from lavenderrun.types import CallFailure, Headers
 
 MAX_HEAD_BYTES: Final = 65536
-"""Largest head of an answer."""
+"""Largest head of an answer, line of a chunk's size or trailer."""
+
+MAX_INTERIM_ANSWERS: Final = 16
+"""Largest number of interim answers (1xx) before an answer."""
 
 
 class Receiver(Protocol):
@@ -57,6 +60,7 @@
         self._owner = owner
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._receiver: Receiver | None = None
+        self._interim_answers = 0
         self._open = False
 
     @property
@@ -74,6 +78,7 @@
     ) -> None:
         """Send a call; from here on it may reach the server."""
         self._receiver = receiver
+        self._interim_answers = 0
         event = h11.Request(
             method=method.encode("latin-1"),
             target=target.encode("latin-1"),
@@ -134,7 +139,11 @@
             event = self._http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.InformationalResponse):
+                self._interim_answers += 1
+                if self._interim_answers > MAX_INTERIM_ANSWERS:
+                    self._fail_answer(CallFailure.OVERSIZED)
+            elif isinstance(event, h11.Response):
                 self._receiver.head_received(event.status_code, _decode_headers(event.headers))
             elif isinstance(event, h11.Data):
                 self._receiver.body_received(bytes(event.data))
--- a/src/lavenderrun/gateway/_event_split.py
+++ b/src/lavenderrun/gateway/_event_split.py
@@ -6,6 +6,11 @@
 from typing import Final
 
 EVENT_END: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+LONGEST_EVENT_END: Final = 4
+
+MAX_EVENT_BYTES: Final = 1 << 20
+"""Largest event: some hundred tokens take a few kilobytes."""
+
 ID_LINE: Final = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -19,6 +24,11 @@
         self._partial = b""
         self.last_id: str | None = None
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the unfinished event is larger than an event may be."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     @property
     def is_between_events(self) -> bool:
         """Whether no part of an unfinished event is buffered."""
@@ -26,9 +36,11 @@
 
     def add(self, data: bytes) -> bytes:
         """Return the whole events that *data* completes and buffer the rest."""
+        # what was searched before holds no end, but may hold the beginning of one
+        start = max(0, len(self._partial) - LONGEST_EVENT_END)
         self._partial += data
         end = 0
-        for match in EVENT_END.finditer(self._partial):
+        for match in EVENT_END.finditer(self._partial, start):
             end = match.end()
         whole, self._partial = self._partial[:end], self._partial[end:]
         ids = ID_LINE.findall(whole)
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -35,6 +35,10 @@
 connections that a server usually accepts, because it resets any beyond its limit."""
 
 
+MAX_COLLECTED_BYTES: Final = 4 << 20
+"""Largest body of an answer to this host's own calls; a page of the store has one megabyte."""
+
+
 @dataclass
 class _IdleConnections:
     """Idle connections to one address, each with the time until which it may be reused."""
@@ -123,12 +127,18 @@
         self.done: Deferred[tuple[int, bytes] | None] = Deferred()
         self._status = 0
         self._body: list[bytes] = []
+        self._size = 0
 
     def head_received(self, status: int, _headers: Headers) -> None:
         self._status = status
 
     def body_received(self, data: bytes) -> None:
-        self._body.append(data)
+        self._size += len(data)
+        if self._size > MAX_COLLECTED_BYTES:
+            self._body.clear()
+            self._end(None)
+        else:
+            self._body.append(data)
 
     def answer_completed(self) -> None:
         self._end((self._status, b"".join(self._body)))
--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -20,6 +20,9 @@
 PREFILL_TIMEOUT_FACTOR: Final = 2.0
 """Longest wait for a prefill, as a multiple of the time expected for it and those before it."""
 
+MAX_PREFILL_ANSWER_BYTES: Final = 64 << 10
+"""Largest answer of a prefill engine, which names the KV cache."""
+
 
 class CallContextFactory(Protocol):
     """Returns the context in which a streamed call is sent to an engine."""
@@ -66,7 +69,7 @@
         queued = self._services.view.occupancy.sum_reserved_tokens(member.id)
         self._was_engine_free = not queued
         self._began_at = self._services.clock.now()
-        self._services.view.reserve(member.id, self._tokens)
+        self._services.view.reserve(member.id, self._tokens, brief=True)
         self.was_sent = True
         self._attempt = Attempt(self._services, self._admitted.call, member, self, self._call_log)
         speed = self._services.view.find_balancer(self._admitted.service).prefill_speed
@@ -88,6 +91,9 @@
     def body_received(self, attempt: Attempt, data: bytes) -> None:
         """Keep a part of the body."""
         self._body.append(data)
+        if sum(map(len, self._body)) > MAX_PREFILL_ANSWER_BYTES:
+            self._body.clear()
+            attempt.reject_oversized("prefill answer", MAX_PREFILL_ANSWER_BYTES)
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Pass on the held KV cache, or ``None`` when the prefill failed."""
@@ -111,7 +117,7 @@
         if self._timer is not None:
             self._timer.cancel()
         if self._attempt is not None:
-            self._services.view.free(self._attempt.member.id, self._tokens)
+            self._services.view.free(self._attempt.member.id, self._tokens, brief=True)
             self._attempt = None
 
     def _finish(self, cache: HeldCache | None) -> None:
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -105,7 +105,8 @@
             kernel.find("backend_dialect", BackendDialect),
             self._stats,
         )
-        self._running: set[RunningCallBase] = set()
+        # in order of their arrival, so that the same calls are cancelled in the same order
+        self._running: dict[RunningCallBase, None] = {}
         self._leaving_since: datetime | None = None
 
     @property
@@ -220,11 +221,14 @@
             patience_ms=to_milliseconds(patience),
         )
         call_class = StreamCall if route.delivery is Delivery.EVENTS else WholeCall
-        running = call_class(self._services, admitted, sink, call_log, self._running.discard)
-        self._running.add(running)
+        running = call_class(self._services, admitted, sink, call_log, self._forget)
+        self._running[running] = None
         running.start()
         return running
 
+    def _forget(self, running: RunningCallBase) -> None:
+        self._running.pop(running, None)
+
     def _choose_service(self, route: CallRoute) -> ServiceGroup:
         if len(route.services) == 1:
             return route.services[0].service
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -9,7 +9,7 @@
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation, DecodeSlotWaiter
-from lavenderrun.gateway._event_split import EventSplitter
+from lavenderrun.gateway._event_split import MAX_EVENT_BYTES, EventSplitter
 from lavenderrun.gateway._log import to_milliseconds
 from lavenderrun.gateway._prefill import PrefillStep
 from lavenderrun.gateway._running_call import MIN_SEND_TIME, RETRY_AFTER_NO_SLOT, RunningCallBase
@@ -42,6 +42,9 @@
 CACHE_RETRY_PAUSE: Final = timedelta(milliseconds=70)
 """Pause before held KV cache is offered to the same engine again: some tens of decode steps."""
 
+MAX_ERROR_BYTES: Final = 1 << 20
+"""Largest answer of an engine that does not serve the call."""
+
 UNDECLARED_SIZE: Final = DeclaredSize(0, 0, 0)
 
 
@@ -231,12 +234,18 @@
         """Pass whole events on; keep the body of any other answer."""
         if attempt.head is None or attempt.head.kind is not AnswerKind.SERVED:
             self._error_body.append(data)
+            if sum(map(len, self._error_body)) > MAX_ERROR_BYTES:
+                self._error_body.clear()
+                attempt.reject_oversized("error", MAX_ERROR_BYTES)
             return
         whole = self._splitter.add(data)
         if whole:
             self._timing.observe_event(self._services.clock.now())
             self._sink.write(whole)
             self._restart_silence_timer(self._find_gap_timeout())
+        if self._splitter.is_oversized:
+            self._splitter.drop_partial_event()
+            attempt.reject_oversized("event", MAX_EVENT_BYTES)
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """End the answer or continue at another engine."""
@@ -295,9 +304,14 @@
         elif self._services.clock.now() + CACHE_RETRY_PAUSE < self._cache_offered_until:
             self._schedule(CACHE_RETRY_PAUSE, self._send_again)
         else:
-            self._cache = None
+            self._give_up_cache()
             self._send(None)
 
+    def _give_up_cache(self) -> None:
+        cache, self._cache = self._cache, None
+        if cache is not None:
+            self._services.free_cache(cache)
+
     def _send_again(self) -> None:
         if not self._is_over:
             self._send(self._cache)
@@ -317,7 +331,7 @@
 
     def _continue_after_break(self, attempt: Attempt) -> None:
         self._is_outcome_unknown = True
-        self._cache = None
+        self._give_up_cache()
         route = self._admitted.access.route
         if route.is_idempotent and self._attempts_left > 0 and self._take_resend():
             reason = attempt.failure.value if attempt.failure else "ended inside an event"
@@ -386,6 +400,4 @@
             self._attempt.abandon()
             self._attempt = None
         self._release_slot()
-        if self._cache is not None:
-            self._services.free_cache(self._cache)
-            self._cache = None
+        self._give_up_cache()
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -22,9 +22,14 @@
 """Share of the objective for which a call waits for a server that takes calls."""
 
 
+MAX_ANSWER_BYTES: Final = 8 << 20
+"""Largest answer that is held until it is whole; a few of them fit into a small host's memory."""
+
+
 @dataclass
 class _CollectedAnswer:
     body: list[bytes] = field(default_factory=list)
+    size: int = 0
 
 
 class WholeCall(RunningCallBase):
@@ -52,7 +57,13 @@
 
     def body_received(self, attempt: Attempt, data: bytes) -> None:
         """Keep a part of the body."""
-        self._running_attempts[attempt].body.append(data)
+        answer = self._running_attempts[attempt]
+        answer.size += len(data)
+        if answer.size > MAX_ANSWER_BYTES:
+            answer.body.clear()
+            attempt.reject_oversized("answer", MAX_ANSWER_BYTES)
+        else:
+            answer.body.append(data)
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Pass the answer on, send the call again or refuse it."""
--- a/src/lavenderrun/types/_calls.py
+++ b/src/lavenderrun/types/_calls.py
@@ -155,6 +155,7 @@
     MALFORMED = "malformed"
     FOREIGN_ANSWER = "foreign_answer"
     SILENT = "silent"
+    OVERSIZED = "oversized"
     ABANDONED = "abandoned"
 
 
