Restore the strict check of endless events in small chunks as known red

Cause: on reading the change again. The check that an unfinished event is ended by its size failed for chunks of two bytes; it was replaced before it was committed by one that also takes the deadline, without a trace.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -13,6 +13,7 @@
 from gateway_process import Gateway, StandinPlatform, wait_for
 from platform_standin import HOST, KEY, ORDERS, STREAM, Behaviour, SeenRequest, StandinServer
 
+KNOWN_RED = (Path(__file__).parents[2] / "KNOWN-RED.txt").read_text()
 MEGABYTE = 1 << 20
 SENT = 100 * MEGABYTE
 GROWTH_LIMIT = 24 * MEGABYTE
@@ -130,11 +131,15 @@
     assert measure_memory(gateway) - before < GROWTH_LIMIT
 
 
+@pytest.mark.parametrize("size", ["large", "small"])
 def test_an_event_without_end_is_cut_off_and_the_stream_ends_incomplete(
-    platform: StandinPlatform, gateway: Gateway
+    platform: StandinPlatform, gateway: Gateway, size: str, request: pytest.FixtureRequest
 ) -> None:
+    if f"endless event {size} chunks" in KNOWN_RED:
+        request.applymarker(pytest.mark.xfail(reason=f"known red: endless event {size} chunks"))
+    piece = CHUNK if size == "large" else SMALL_CHUNKS
     chunk = b"%x\r\n%s\r\n" % (len(FIRST_EVENT), FIRST_EVENT)
-    answer = EndlessAnswer(EVENT_STREAM + chunk, CHUNK)
+    answer = EndlessAnswer(EVENT_STREAM + chunk, piece)
     play(platform, "dec-1", answer)
     before = measure_memory(gateway)
     found = gateway.generate(STREAM + "x")
