Log why a missing server stays ready and how old the rows of a send are

Cause: the logs of a call to a server that had left did not tell an outage of the store, for which missing rows are kept, from a feed that hears nothing, and did not show that the server's own answers said it is leaving. Change: a line for each server that is kept although its row is missing, with the time for which the store had answered by then; version and age of the rows in each line of a send; a line and a counter for each answer that carries the server's notice, which changes no decision yet. The test of the metrics page allows the new counter to be absent before its first notice, like those of refusals and resends.

--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -9,7 +9,7 @@
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._pool import Exchange
-from lavenderrun.gateway._stats import ATTEMPTS
+from lavenderrun.gateway._stats import ATTEMPTS, NOTICES
 from lavenderrun.types import (
     AnswerHead,
     AnswerKind,
@@ -141,6 +141,7 @@
     def head_received(self, status: int, headers: Headers) -> None:
         """Decode the head, record the server's load and idle timeout, and tell the listener."""
         head = self._services.backends.decode_head(self._call.id, status, headers)
+        self._record_notices(head)
         unsigned = head.kind is AnswerKind.SERVED and self._needs_signature and not head.signed
         if head.kind is AnswerKind.FOREIGN or unsigned:
             if self._exchange is not None:
@@ -158,6 +159,15 @@
         if self._listener is not None:
             self._listener.head_received(self)
 
+    def _record_notices(self, head: AnswerHead) -> None:
+        """Record what the server says about itself; an answer to another call is not its word."""
+        if head.kind is AnswerKind.FOREIGN or not head.leaving:
+            return
+        self._services.stats.count(NOTICES, self.member.service, "leaving")
+        self._call_log.write(
+            "server_leaving", "server said it is leaving", member=self.member.id, status=head.status
+        )
+
     def body_received(self, data: bytes) -> None:
         """Pass a part of the body on to the listener."""
         if self._listener is not None:
--- a/src/lavenderrun/gateway/_follower.py
+++ b/src/lavenderrun/gateway/_follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 from random import Random
 from typing import Final, Protocol
 
@@ -61,6 +61,7 @@
         self._clock = clock
         self._random = random_source
         self._version: int | None = None
+        self._answered: datetime | None = None
         self._retry_pause = FIRST_RETRY_PAUSE
         self._reading: Deferred[None] | None = None
 
@@ -69,6 +70,11 @@
         """The store's version up to which the table was read, ``None`` before the first read."""
         return self._version
 
+    @property
+    def age(self) -> timedelta | None:
+        """Time since the last answer about the table, ``None`` before the first."""
+        return None if self._answered is None else self._clock.now() - self._answered
+
     def start(self) -> None:
         """Start reading the table."""
         self._reading = Deferred.fromCoroutine(self._run())
@@ -119,7 +125,7 @@
 
     async def _read_all(self) -> None:
         page = await self._rows.read(self._table)
-        self._version = page.version
+        self._version, self._answered = page.version, self._clock.now()
         self._listener.replace_rows(page.rows)
 
     async def _read_changes(self, wait: timedelta) -> bool:
@@ -128,7 +134,7 @@
         page = await self._rows.read_changes(self._table, after, wait)
         if page.version < (self._version or 0):
             return False
-        self._version = page.version
+        self._version, self._answered = page.version, self._clock.now()
         if page.rows:
             self._listener.change_rows(page.rows)
         return bool(page.rows)
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -7,7 +7,7 @@
 from typing import ClassVar, Final
 
 from lavenderrun.gateway._follower import TableFollower
-from lavenderrun.gateway._log import log
+from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._ports import RowChange
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore, StoreState
@@ -67,6 +67,11 @@
         """The store's version up to which the rows were read, ``None`` before the first read."""
         return self.follower.version
 
+    @property
+    def age(self) -> timedelta | None:
+        """Time since the store last answered about the rows, ``None`` before the first answer."""
+        return self.follower.age
+
     def start(self) -> None:
         """Start to follow the rows of backend servers."""
         self.follower.start()
@@ -136,6 +141,14 @@
             RETURN_GRACE - unchanged_for if self._rows.state is StoreState.REACHED else RETURN_GRACE
         )
         self._removal_timers[member] = self._clock.call_later(delay, self._remove, member)
+        log(
+            "members:kept",
+            "members: row is missing after a store outage, backend server kept for now",
+            member=member,
+            kept_ms=to_milliseconds(delay),
+            answering_ms=to_milliseconds(unchanged_for),
+            row_version=self.follower.version,
+        )
 
     def _remove(self, member: BackendId) -> None:
         self._removal_timers.pop(member, None)
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -217,8 +217,8 @@
             account=access.account.id if access.account else None,
             cost=cost,
             configuration=self._configuration.version,
-            members=self._members.version,
             patience_ms=to_milliseconds(patience),
+            **self._services.view.describe_members(),
         )
         call_class = StreamCall if route.delivery is Delivery.EVENTS else WholeCall
         running = call_class(self._services, admitted, sink, call_log, self._forget)
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -45,6 +45,12 @@
     "Sends to backend servers by service and how they ended.",
     ("service", "result"),
 )
+NOTICES = define_gateway_metric(
+    "lavenderrun_gateway_server_notices_total",
+    MetricKind.COUNTER,
+    "Answers in which a backend server says something about itself, by service and notice.",
+    ("service", "notice"),
+)
 RESENDS = define_gateway_metric(
     "lavenderrun_gateway_resends_total",
     MetricKind.COUNTER,
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -209,6 +209,7 @@
             cache=cache.source if cache else None,
             resume_after=self._splitter.last_id,
             attempt=len(self._tried_servers),
+            **self._services.view.describe_members(),
         )
         if cache is None and self._size.prompt:
             self._services.view.begin_computation(member, self._size.prompt)
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -22,6 +22,7 @@
 )
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._connection import Connection
+from lavenderrun.gateway._log import to_milliseconds
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._peers import PeerReport, PeersService
 from lavenderrun.gateway._pool import ConnectionPool
@@ -169,6 +170,14 @@
         """Return the number of gateways and of other gateways that report, for log lines."""
         return {"hosts": self._peers.count_hosts(), "reporting": self._peers.count_reporting()}
 
+    def describe_members(self) -> dict[str, Any]:
+        """Return the version and the age of what is known of backend servers, for log lines."""
+        age = self._members.age
+        return {
+            "members": self._members.version,
+            "members_age_ms": None if age is None else to_milliseconds(age),
+        }
+
     def find_export_lifetime(self, service: ServiceGroup) -> timedelta:
         """Return how long engines of *service* keep exported KV cache, zero when unknown."""
         engine = self._find_engine_configuration(service)
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -120,6 +120,7 @@
             failures=round(self._services.view.health.get_failure_rate(member.id), 2),
             attempt=len(self._tried_servers),
             left_ms=to_milliseconds(self._time_left()),
+            **self._services.view.describe_members(),
         )
         attempt.send(
             self._make_context(member),
--- a/src/lavenderrun/platform/_backends.py
+++ b/src/lavenderrun/platform/_backends.py
@@ -31,10 +31,11 @@
 LOAD_PATTERN: Final = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})")
 KEEP_ALIVE_PATTERN: Final = re.compile(r"timeout=(\d{1,6})")
 MAX_RANK: Final = 9
+TRUE: Final = "1"
 MISDIRECTED: Final = 421
 FIRST_SUCCESS, FIRST_REDIRECT = 200, 300
 GATEWAY_ONLY_HEADERS: Final = frozenset(
-    {header_names.SERVER, header_names.LOAD, header_names.NOT_RUN}
+    {header_names.SERVER, header_names.LOAD, header_names.LEAVING, header_names.NOT_RUN}
 )
 """Headers of an answer that are meant for the gateway and not passed on."""
 
@@ -101,6 +102,7 @@
             _read_load(header_names.find_value(headers, header_names.LOAD)),
             _read_idle_timeout(header_names.find_value(headers, header_names.KEEP_ALIVE)),
             signed=header_names.find_value(headers, header_names.SIGNATURE) is not None,
+            leaving=header_names.find_value(headers, header_names.LEAVING) == TRUE,
         )
 
     def decode_export(self, source: str, body: bytes) -> HeldCache | None:
--- a/src/lavenderrun/types/_calls.py
+++ b/src/lavenderrun/types/_calls.py
@@ -135,6 +135,7 @@
     :param headers: headers that are forwarded to the caller unchanged.
     :param idle_timeout: how long the backend server keeps an idle connection; ``None`` if unknown.
     :param signed: the answer carries the backend server's signature.
+    :param leaving: the backend server says that it is leaving.
     """
 
     status: int
@@ -143,6 +144,7 @@
     load: BackendLoad | None
     idle_timeout: timedelta | None
     signed: bool
+    leaving: bool = False
 
 
 class CallFailure(Enum):
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -447,13 +447,14 @@
     assert 'lavenderrun_gateway_calls_total{delivery="whole",outcome="answered"' in page
     assert "lavenderrun_gateway_first_answer_seconds_bucket" in page
     missing = {name for name, _ in GATEWAY_METRICS if name not in page}
-    # these appear with the first event, refusal or resend
+    # these appear with the first event, refusal, resend or notice of a server
     assert missing <= {
         "lavenderrun_gateway_event_gap_seconds",
         "lavenderrun_gateway_loop_lag_seconds",
         "lavenderrun_gateway_quota_used_units",
         "lavenderrun_gateway_refusals_total",
         "lavenderrun_gateway_resends_total",
+        "lavenderrun_gateway_server_notices_total",
     }
     assert "lavenderrun_gateway_resends_left" in page
     own_lines = [line for line in gateway.lines("call:") if line["request"] == "told"]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -71,6 +71,7 @@
     "x-tenant",
     "x-expect-instance",
     "x-instance-load",
+    "server-leaving",
     "x-not-executed",
     "x-instance-id",
     "x-token-count",
