--- /dev/null
+++ b/tests/gateway/store_fixture.py
@@ -0,0 +1,138 @@
+"""A store without a network: answers from a list, or a table service that can break."""
+
+from __future__ import annotations
+
+import json
+from base64 import b64encode
+from collections import deque
+from datetime import UTC, datetime, timedelta
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock as FakeTime
+
+from lavenderrun.gateway import GATEWAY_SERVICES, HttpRequest
+from lavenderrun.gateway._rows import RowStore
+from lavenderrun.kernel import Kernel, ReactorClock
+from lavenderrun.platform._store import TableDialect
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+SERVER_ROW = {"service": "s", "addr": "127.0.0.1:1", "zone": "here", "state": "ready", "slots": 4}
+STEP_SECONDS = 0.02
+
+
+class Pool:
+    """Answers calls to the store from a list.
+
+    ``None`` in the list stands for no answer; with an empty list the call waits.
+    """
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.answers: deque[tuple[int, dict[str, Any]] | None] = deque()
+
+    async def fetch(
+        self, _address: str, call: HttpRequest, _timeout: timedelta
+    ) -> tuple[int, bytes] | None:
+        self.calls.append(call.target)
+        if not self.answers:
+            unanswered: Deferred[None] = Deferred()
+            await unanswered
+        found = self.answers.popleft()
+        return None if found is None else (found[0], json.dumps(found[1]).encode())
+
+
+class StoreFixture:
+    """The service ``rows`` on a fake clock.
+
+    :param pool: takes the calls to the store.
+    """
+
+    def __init__(self, pool: Pool | None = None, seed: int = 1) -> None:
+        self.time = FakeTime()
+        clock = ReactorClock(self.time, START, zero=0.0)
+        self.kernel = Kernel(clock, SimpleNamespace(store="127.0.0.1:9"), Random(seed))
+        self.pool = pool or Pool()
+        self.kernel.provide("pool", self.pool)
+        self.kernel.provide("store_dialect", TableDialect("127.0.0.1:9"))
+        self.kernel.build(["stats", "rows"], GATEWAY_SERVICES)
+        self.rows = self.kernel.find("rows", RowStore)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass in steps, so that timers run in their order."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.time.advance(STEP_SECONDS)
+
+    def answer(self, version: int, *rows: dict[str, Any], status: int = 200) -> None:
+        body = {"rows": list(rows), "ver": version, "truncated": False, "now-ms": 1}
+        self.pool.answers.append((status, body))
+
+
+def make_row(key: str, version: int, value: dict[str, Any] | None) -> dict[str, Any]:
+    found: dict[str, Any] = {"key": key, "ver": version, "part": ""}
+    if value is None:
+        return found | {"removed": True}
+    return found | {"value": b64encode(json.dumps(value).encode()).decode()}
+
+
+class BreakingStore(Pool):
+    """A table service whose connections break and which may answer nobody.
+
+    :ivar is_down: whether each call fails at once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_down = False
+        self._rows: dict[tuple[str, str], tuple[int, dict[str, Any] | None]] = {}
+        self._version = 0
+        self._pending: list[tuple[str, int, Deferred[tuple[int, bytes] | None]]] = []
+
+    def put(self, table: str, key: str, value: dict[str, Any] | None) -> None:
+        """Write a row, or remove it when *value* is ``None``."""
+        self._version += 1
+        self._rows[table, key] = (self._version, value)
+        pending, self._pending = self._pending, []
+        for called, after, answer in pending:
+            if called == table:
+                answer.callback(self._read(table, after, removed=True))
+            else:
+                self._pending.append((called, after, answer))
+
+    def break_connections(self) -> None:
+        """Let all calls that wait for changes end without an answer."""
+        pending, self._pending = self._pending, []
+        for _, _, answer in pending:
+            answer.callback(None)
+
+    async def fetch(
+        self, _address: str, call: HttpRequest, _timeout: timedelta
+    ) -> tuple[int, bytes] | None:
+        self.calls.append(call.target)
+        if self.is_down:
+            return None
+        url = urlsplit(call.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if "after" not in query:
+            return self._read(query["table"], 0, removed=False)
+        table, after = query["table"], int(query["after"])
+        if query["wait-ms"] == "0" or self._list_rows(table, after, removed=True):
+            return self._read(table, after, removed=True)
+        answer: Deferred[tuple[int, bytes] | None] = Deferred()
+        self._pending.append((table, after, answer))
+        return await answer
+
+    def _list_rows(self, table: str, after: int, *, removed: bool) -> list[dict[str, Any]]:
+        return [
+            make_row(key, version, value)
+            for (where, key), (version, value) in self._rows.items()
+            if where == table and version > after and (removed or value is not None)
+        ]
+
+    def _read(self, table: str, after: int, *, removed: bool) -> tuple[int, bytes]:
+        rows = self._list_rows(table, after, removed=removed)
+        page = {"rows": rows, "ver": self._version, "truncated": False, "now-ms": 1}
+        return 200, json.dumps(page).encode()
--- /dev/null
+++ b/tests/gateway/test_leaving_servers.py
@@ -0,0 +1,96 @@
+"""Servers that leave while a host loses the store: when their calls end, and which are kept."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from store_fixture import SERVER_ROW, BreakingStore, StoreFixture
+
+from lavenderrun.gateway._follower import TableFollower
+from lavenderrun.gateway._members import MembersService
+from lavenderrun.types import BackendId
+
+DRAIN_SECONDS = 2.0
+CONTACT_SECONDS = 3.0
+RETURN_SECONDS = 2.0
+LARGE_FLEET = 350
+SERVERS = "servers"
+
+
+class Host:
+    """The members service and two other followers of a host, as each gateway has them."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.store = BreakingStore()
+        self.fixture = StoreFixture(self.store, seed)
+        for key in ("a", "b"):
+            self.store.put(SERVERS, key, SERVER_ROW)
+        self.members = MembersService(self.fixture.kernel)
+        for table in ("configuration", "hosts"):
+            kernel = self.fixture.kernel
+            TableFollower(
+                self.fixture.rows, table, _Ignore(), kernel.clock, kernel.random_source
+            ).start()
+        self.members.start()
+        self.fixture.pass_time(10)
+
+    def knows(self, key: str) -> bool:
+        return self.members.find(BackendId(key)) is not None
+
+
+class _Ignore:
+    def replace_rows(self, rows: object) -> None:
+        pass
+
+    def change_rows(self, rows: object) -> None:
+        pass
+
+
+# a broken connection counted as an outage of the store, in which missing servers stay ready
+def test_a_server_that_left_is_gone_two_seconds_after_connections_of_the_host_broke() -> None:
+    host = Host()
+    host.store.break_connections()
+    host.store.put(SERVERS, "a", None)
+    host.fixture.pass_time(DRAIN_SECONDS)
+    assert not host.knows("a")
+    assert host.knows("b")
+
+
+# the host noticed up to 1.6 s late, or 5 s, that the store was back, and kept servers from then on
+@pytest.mark.parametrize("seed", range(20))
+def test_a_server_that_left_is_gone_three_seconds_after_an_outage(seed: int) -> None:
+    host = Host(seed)
+    host.store.is_down = True
+    host.store.break_connections()
+    host.fixture.pass_time(Random(seed).uniform(1, 6))
+    host.store.put(SERVERS, "a", None)
+    host.store.is_down = False
+    host.fixture.pass_time(CONTACT_SECONDS)
+    assert not host.knows("a")
+    assert host.knows("b")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_server_whose_row_expired_in_an_outage_is_kept_until_it_can_be_back(seed: int) -> None:
+    host = Host(seed)
+    host.store.is_down = True
+    host.store.break_connections()
+    host.fixture.pass_time(Random(seed).uniform(1, 6))
+    host.store.put(SERVERS, "a", None)
+    host.store.is_down = False
+    host.fixture.pass_time(RETURN_SECONDS - 0.1)
+    assert host.knows("a")
+    host.store.put(SERVERS, "a", SERVER_ROW)
+    host.fixture.pass_time(10)
+    assert host.knows("a")
+
+
+# the pause in which changes collect grew with the hosts and had no bound
+def test_a_server_that_left_is_gone_within_two_seconds_in_a_large_fleet() -> None:
+    host = Host()
+    host.members.host_count = LARGE_FLEET
+    host.store.put(SERVERS, "b", {**SERVER_ROW, "slots": 5})
+    host.store.put(SERVERS, "a", None)
+    host.fixture.pass_time(DRAIN_SECONDS)
+    assert not host.knows("a")
--- /dev/null
+++ b/tests/platform/test_server_notices.py
@@ -0,0 +1,80 @@
+"""What a backend server says about itself in its answers binds the gateway that got them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from gateway_process import Gateway, StandinPlatform
+from misbehaviour import reject
+from platform_standin import ORDERS, PLAIN, RESUMED, STREAM, StandinServer
+
+DRAIN_SECONDS = 2.0
+LEAVING = ("Server-Leaving", "1")
+LEAVERS = ("app-1", "pre-1", "dec-1")
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[StandinPlatform]:
+    found = StandinPlatform(tmp_path)
+    found.configure()
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def gateway(platform: StandinPlatform) -> Gateway:
+    for number in (1, 2, 3):
+        platform.add(StandinServer(f"app-{number}", "apps"))
+        platform.add(StandinServer(f"pre-{number}", "llm", "prefill"))
+        platform.add(StandinServer(f"dec-{number}", "llm", "decode"))
+    return platform.wait_known(platform.add_gateway())
+
+
+def call_all_kinds(gateway: Gateway, seconds: float, name: str) -> list[int]:
+    """Call all kinds of routes for some time and return the statuses."""
+    until = time.monotonic() + seconds
+    statuses: list[int] = []
+    while time.monotonic() < until:
+        request = f"{name}{len(statuses)}"
+        statuses.append(gateway.call(PLAIN + "x", request=request).status)
+        statuses.append(gateway.call(ORDERS + "1", "POST", request=f"{request}o").status)
+        statuses.append(gateway.generate(STREAM + "x", request=f"{request}s").status)
+        statuses.append(gateway.generate(RESUMED + "x", request=f"{request}r").status)
+        time.sleep(0.02)
+    return statuses
+
+
+def list_late_requests(server: StandinServer) -> list[str]:
+    """Return requests that reached a server later than it allows after its first answer."""
+    first = min((seen.at for seen in server.seen), default=0.0)
+    return [seen.path for seen in server.seen if seen.at > first + DRAIN_SECONDS]
+
+
+# the gateway read the state of a server in the store only, not in the server's own answers
+@pytest.mark.parametrize("store", ["reached", "lost"])
+def test_no_call_reaches_a_server_two_seconds_after_its_answer_said_it_leaves(
+    platform: StandinPlatform, gateway: Gateway, store: str
+) -> None:
+    for name in LEAVERS:
+        platform.servers[name].notices = [LEAVING]
+    platform.store.refuse(refusing=store == "lost")
+    statuses = call_all_kinds(gateway, DRAIN_SECONDS + 1.0, "q")
+    assert set(statuses) == {200}
+    for name in LEAVERS:
+        assert platform.servers[name].seen, name
+        assert list_late_requests(platform.servers[name]) == []
+
+
+def test_a_rejection_says_that_the_server_leaves_as_well(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    for name in LEAVERS:
+        platform.servers[name].notices = [LEAVING]
+        platform.servers[name].behave = reject
+    call_all_kinds(gateway, DRAIN_SECONDS + 1.0, "q")
+    for name in LEAVERS:
+        assert platform.servers[name].seen, name
+        assert list_late_requests(platform.servers[name]) == []
