Keep a server whose row is missing only after an outage of the store

What callers met: for 2.3 s after any connection of the host to the store had broken, their calls went to servers that had left meanwhile without a report. Cause: a row that is missing after a change of the store's state is taken for one that expired in an outage, and one call that ends without an answer changes the state, although the store answered the next call; the time ran from that answer. Class: a local failure taken for a failure of the peer. Change: an outage is a failed call and a call, sent after it, that failed as well; calls that break together are none. Rows are kept until 2 s after its end, which is when the first answered call was sent. Two tests set the store's state by hand; they now let calls fail and are as strict: one row kept 1.9 s after the first answer and gone 0.5 s later, none kept without an outage.

--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -10,14 +10,13 @@
 from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._ports import RowChange
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
-from lavenderrun.gateway._rows import RowStore, StoreState
+from lavenderrun.gateway._rows import RowStore
 from lavenderrun.gateway._stats import MEMBERS, Stats
 from lavenderrun.kernel import Kernel, Timer
 from lavenderrun.types import BackendId, Member, MemberState, ServiceGroup
 
-RETURN_GRACE: Final = timedelta(seconds=2.3)
-"""How long a row that expired during a store outage may take to return; the platform promises
-about two seconds."""
+RETURN_GRACE: Final = timedelta(seconds=2)
+"""How long a row that expired during a store outage may take to return after it."""
 
 CHANGES_READ_PAUSE: Final = timedelta(milliseconds=15)
 """Pause after changes of rows, for each gateway: servers that start change their rows with each
@@ -133,20 +132,18 @@
     def _note_missing(self, member: BackendId) -> None:
         if member not in self._members or member in self._removal_timers:
             return
-        unchanged_for = self._clock.now() - self._rows.state_changed
-        if self._rows.state is StoreState.REACHED and unchanged_for >= RETURN_GRACE:
+        now, ended = self._clock.now(), self._rows.outage_ended
+        if ended is None or now >= ended + RETURN_GRACE:
             self._set_member(member, None)
             return
-        delay = (
-            RETURN_GRACE - unchanged_for if self._rows.state is StoreState.REACHED else RETURN_GRACE
-        )
+        delay = ended + RETURN_GRACE - now
         self._removal_timers[member] = self._clock.call_later(delay, self._remove, member)
         log(
             "members:kept",
             "members: row is missing after a store outage, backend server kept for now",
             member=member,
             kept_ms=to_milliseconds(delay),
-            answering_ms=to_milliseconds(unchanged_for),
+            answering_ms=to_milliseconds(now - ended),
             row_version=self.follower.version,
         )
 
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -42,6 +42,8 @@
     :ivar dialect: encodes calls to the store and decodes its answers.
     :ivar state: result of the last call.
     :ivar state_changed: when the state last changed.
+    :ivar outage_ended: when the last outage ended, ``None`` before the first. A single failed call
+        is none: its connection may have broken.
     :ivar last_success: when the last successful call was sent, ``None`` before the first; what it
         read is at least as new.
     """
@@ -57,6 +59,8 @@
         self.state = StoreState.UNKNOWN
         self.state_changed: datetime = kernel.clock.now()
         self.last_success: datetime | None = None
+        self.outage_ended: datetime | None = None
+        self._is_outage = False
         self._probing: object | None = None
         self._waiting: dict[Deferred[None], Timer] = {}
         self._stats.register_reader(STORE_AGE, self._measure_age)
@@ -141,22 +145,22 @@
         sent = self._clock.now()
         answer = await self._pool.fetch(self._address, call, timeout)
         if answer is None:
-            self._note_result(kind, StoreState.LOST, "no answer")
+            self._note_failure(kind, sent, "no answer")
             msg = f"store did not answer {kind}"
             raise StoreUnavailableError(msg)
         try:
             page = self.dialect.decode_rows(*answer)
         except StoreRefusal as refusal:
-            is_unavailable = refusal.status in {429, 503}
-            self._note_result(
-                kind, StoreState.LOST if is_unavailable else StoreState.REACHED, str(refusal)
-            )
+            if refusal.status in {429, 503}:
+                self._note_failure(kind, sent, str(refusal))
+            else:
+                self._note_answer(kind, sent, str(refusal))
             raise
         except ValueError as error:
-            self._note_result(kind, StoreState.LOST, "answer can not be read")
+            self._note_failure(kind, sent, "answer can not be read")
             raise StoreUnavailableError(str(error)) from error
         self.last_success = max(sent, self.last_success or sent)
-        self._note_result(kind, StoreState.REACHED, "")
+        self._note_answer(kind, sent, "")
         return page
 
     def _measure_age(self) -> dict[tuple[str, ...], float]:
@@ -164,15 +168,25 @@
             return {}
         return {(): (self._clock.now() - self.last_success).total_seconds()}
 
-    def _note_result(self, kind: str, state: StoreState, reason: str) -> None:
-        self._stats.count(STORE_CALLS, kind, reason or "ok")
-        if state is self.state:
+    def _note_failure(self, kind: str, sent: datetime, reason: str) -> None:
+        self._stats.count(STORE_CALLS, kind, reason)
+        if self.state is StoreState.LOST:
+            # calls that were under way may have failed by the same cause as the first
+            self._is_outage = self._is_outage or sent >= self.state_changed
             return
-        self.state, self.state_changed = state, self._clock.now()
-        if state is StoreState.LOST:
-            log("store:lost", "store: unavailable", call=kind, reason=reason)
+        self.state, self.state_changed = StoreState.LOST, self._clock.now()
+        log("store:lost", "store: unavailable", call=kind, reason=reason)
+
+    def _note_answer(self, kind: str, sent: datetime, refusal: str) -> None:
+        self._stats.count(STORE_CALLS, kind, refusal or "ok")
+        if self.state is StoreState.REACHED:
             return
-        log("store:reached", "store: available", call=kind)
+        now = self._clock.now()
+        if self._is_outage:
+            # an answer to an earlier call does not tell since when the store answers
+            self.outage_ended = sent if sent >= self.state_changed else now
+        log("store:reached", "store: available", call=kind, outage=self._is_outage)
+        self.state, self.state_changed, self._is_outage = StoreState.REACHED, now, False
         self._probing = None
         for done in list(self._waiting):
             self._end_wait(done)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from eliot import add_destinations, remove_destination
-from store_fixture import SERVER_ROW, StoreFixture, make_row
+from store_fixture import SERVER_ROW, STEP_SECONDS, BreakingStore, StoreFixture, make_row
 
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._follower import TableFollower
@@ -102,35 +102,38 @@
     return seen
 
 
-def put_row(members: MembersService, key: str) -> None:
-    members.change_rows([RowChange(key, json.dumps(SERVER_ROW).encode(), 1)])
-
-
 def test_a_row_removed_while_the_store_is_available_is_dropped_at_once() -> None:
     fixture = StoreFixture()
     members = MembersService(fixture.kernel)
-    fixture.rows.state = StoreState.REACHED
-    fixture.time.advance(10)
-    put_row(members, "a")
+    fixture.answer(1, make_row("a", 1, SERVER_ROW))
+    fixture.answer(2, make_row("a", 2, None))
     seen = watch(members)
-    members.change_rows([RowChange("a", None, 2)])
-    assert seen == [("a", False)]
+    members.start()
+    assert seen == [("a", True), ("a", False)]
 
 
 def test_a_row_that_expired_in_a_store_outage_may_return() -> None:
-    fixture = StoreFixture()
+    store = BreakingStore()
+    fixture = StoreFixture(store)
     members = MembersService(fixture.kernel)
-    put_row(members, "back")
-    put_row(members, "gone")
-    fixture.rows.state, fixture.rows.state_changed = StoreState.REACHED, fixture.kernel.clock.now()
+    for key in ("back", "gone"):
+        store.put("servers", key, SERVER_ROW)
+    members.start()
+    store.is_down = True
+    store.break_connections()
+    fixture.pass_time(3)
     seen = watch(members)
-    members.replace_rows([])
-    fixture.time.advance(2.0)
+    for key in ("back", "gone"):
+        store.put("servers", key, None)
+    store.is_down = False
+    while fixture.rows.state is StoreState.LOST:
+        fixture.pass_time(STEP_SECONDS)
+    fixture.pass_time(1.9)
     assert members.find(BackendId("gone")) is not None
-    put_row(members, "back")
-    fixture.time.advance(0.4)
+    store.put("servers", "back", SERVER_ROW)
+    fixture.pass_time(0.5)
     assert seen == [("gone", False)]
-    fixture.time.advance(5)
+    fixture.pass_time(5)
     assert members.find(BackendId("back")) is not None
 
 
