Bound the pause in which changes of servers' rows collect

Cause: the pause grows by 15 ms a host without a bound. With 350 hosts a server that left was chosen until the next read, 5.25 s after another change; allowed are 2 s, and with 134 hosts the pause alone is as long. Change: the pause is at most a quarter of the time within which leaving servers must be known, a setting of the platform that the adapter now reads. Result: the test failed before and passes; 68 hosts with 4 s keep their pause of 1 s.

--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -22,6 +22,9 @@
 """Pause after changes of rows, for each gateway: servers that start change their rows with each
 heartbeat, and all gateways read all changes."""
 
+MAX_PAUSE_SHARE: Final = 0.25
+"""Longest such pause, as a share of the time within which leaving servers must be known."""
+
 MemberWatcher = Callable[[Member | None, Member | None], None]
 
 
@@ -45,6 +48,7 @@
         self._removal_timers: dict[BackendId, Timer] = {}
         self._watchers: list[MemberWatcher] = []
         self.host_count = 1
+        self._max_pause = kernel.settings.bounds.drain * MAX_PAUSE_SHARE
         table = self._rows.dialect.members_table
         self.follower = TableFollower(
             self._rows,
@@ -52,7 +56,7 @@
             self,
             kernel.clock,
             kernel.random_source,
-            lambda: CHANGES_READ_PAUSE * self.host_count,
+            lambda: min(CHANGES_READ_PAUSE * self.host_count, self._max_pause),
         )
         kernel.find("stats", Stats).register_reader(MEMBERS, self._count_states)
 
--- a/src/lavenderrun/platform/_settings.py
+++ b/src/lavenderrun/platform/_settings.py
@@ -23,6 +23,7 @@
     retry_ratio: NonNegative
     retry_window_s: NonNegative
     retry_slack: NonNegative
+    drain_ms: NonNegative = 2000
 
 
 class _Platform(msgspec.Struct):
@@ -73,6 +74,7 @@
         store=settings_file.platform.addr,
         bounds=GatewayBounds(
             timedelta(seconds=bounds.grace_s),
+            timedelta(milliseconds=bounds.drain_ms),
             bounds.retry_ratio,
             timedelta(seconds=bounds.retry_window_s),
             # called slack by the platform: resends that are allowed in each window beyond the ratio
--- a/tests/gateway/store_fixture.py
+++ b/tests/gateway/store_fixture.py
@@ -18,10 +18,18 @@
 from lavenderrun.gateway._rows import RowStore
 from lavenderrun.kernel import Clock, Kernel, ReactorClock, sleep
 from lavenderrun.platform._store import TableDialect
+from lavenderrun.types import GatewayBounds
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 SERVER_ROW = {"service": "s", "addr": "127.0.0.1:1", "zone": "here", "state": "ready", "slots": 4}
 STEP_SECONDS = 0.02
+BOUNDS = GatewayBounds(
+    grace=timedelta(seconds=8),
+    drain=timedelta(seconds=2),
+    retry_ratio=0.2,
+    retry_window=timedelta(seconds=10),
+    retry_reserve=58,
+)
 
 
 class Pool:
@@ -54,7 +62,9 @@
     def __init__(self, pool: Pool | None = None, seed: int = 1) -> None:
         self.time = FakeTime()
         clock = ReactorClock(self.time, START, zero=0.0)
-        self.kernel = Kernel(clock, SimpleNamespace(store="127.0.0.1:9"), Random(seed))
+        self.kernel = Kernel(
+            clock, SimpleNamespace(store="127.0.0.1:9", bounds=BOUNDS), Random(seed)
+        )
         self.pool = pool or Pool()
         self.kernel.provide("pool", self.pool)
         self.kernel.provide("store_dialect", TableDialect("127.0.0.1:9"))
