--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -59,6 +59,9 @@
 HOSTS_READ_PAUSE: Final = timedelta(milliseconds=25)
 """Pause after changes in the table of gateways, for each gateway: all of them read all changes."""
 
+MAX_HOSTS_READ_PAUSE: Final = timedelta(seconds=2)
+"""Longest such pause: reports of a new host are ignored until its row is read."""
+
 REMOVED_AFTER: Final = timedelta(seconds=10)
 """Silence after which a host's row is removed; a host that is still alive writes it again."""
 
@@ -161,7 +164,7 @@
             self,
             kernel.clock,
             kernel.random_source,
-            lambda: HOSTS_READ_PAUSE * self.count_hosts(),
+            lambda: min(HOSTS_READ_PAUSE * self.count_hosts(), MAX_HOSTS_READ_PAUSE),
         )
         kernel.find("stats", Stats).register_reader(PEERS_HEARD, self._count_states)
 
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -15,8 +15,9 @@
 from lavenderrun.gateway._peers import PeersService
 from lavenderrun.gateway._ports import RowChange, RowWrite
 from lavenderrun.gateway._rows import StoreState
-from lavenderrun.types import BackendId, Member
+from lavenderrun.types import BackendId, HostId, Member
 
+LARGE_FLEET = 350
 CONFIG: dict[str, Any] = {"routes": [], "services": [], "limits": {}, "tenants": []}
 
 
@@ -297,3 +298,19 @@
     assert len(fixture.pool.calls) == calls
     fixture.time.advance(0.2)
     assert len(fixture.pool.calls) == calls + 1
+
+
+# the pause in which changes collect grew with the hosts and had no bound
+def test_a_new_host_is_known_within_three_seconds_in_a_large_fleet() -> None:
+    store = BreakingStore()
+    fixture = StoreFixture(store)
+    fixture.kernel.settings.host, fixture.kernel.settings.peers = "h0", "127.0.0.1:9"
+    row = {"address": "127.0.0.1:1", "boot": "b"}
+    for number in range(1, LARGE_FLEET):
+        store.put("lavenderrun-gateways", f"h{number}", row)
+    peers = PeersService(fixture.kernel)
+    peers.follower.start()
+    store.put("lavenderrun-gateways", "h1", {**row, "boot": "c"})
+    store.put("lavenderrun-gateways", "new", row)
+    fixture.pass_time(3)
+    assert peers.find_address(HostId("new")) is not None
