Send no call to a server whose own answer said that it leaves

What callers met: their calls reached servers that had said they leave, as long as the rows in the store did not show it, which in a host without the store is for good. Cause: the only source of a server's state is its row. Class: a fact held in one place although its owner tells it in another. The record overrides the row in one place, the members, so that placement, queued and resumed calls, prefills, roles and metrics all see it. Peers are told until the row shows it.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -9,6 +9,7 @@
     decide_after_attempt,
 )
 from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
+from lavenderrun.dispatch._departures import DepartureNotices
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
 from lavenderrun.dispatch._leases import (
     FencingGuard,
@@ -46,6 +47,7 @@
     "AttemptOutcome",
     "BackendHealth",
     "CallRequirements",
+    "DepartureNotices",
     "FencingGuard",
     "FleetOccupancy",
     "HealthTracker",
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -163,6 +163,7 @@
         """Record what the server says about itself; an answer to another call is not its word."""
         if head.kind is AnswerKind.FOREIGN or not head.leaving:
             return
+        self._services.view.note_departure(self.member)
         self._services.stats.count(NOTICES, self.member.service, "leaving")
         self._call_log.write(
             "server_leaving", "server said it is leaving", member=self.member.id, status=head.status
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from typing import ClassVar, Final
 
+from lavenderrun.dispatch import DepartureNotices
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._ports import RowChange
@@ -13,7 +14,7 @@
 from lavenderrun.gateway._rows import RowStore
 from lavenderrun.gateway._stats import MEMBERS, Stats
 from lavenderrun.kernel import Kernel, Timer
-from lavenderrun.types import BackendId, Member, MemberState, ServiceGroup
+from lavenderrun.types import BackendId, Incarnation, Member, MemberState, ServiceGroup
 
 RETURN_GRACE: Final = timedelta(seconds=2)
 """How long a row that expired during a store outage may take to return after it."""
@@ -32,7 +33,8 @@
     """Follows the rows of backend servers.
 
     A server whose row vanished around a store outage is kept until it has had time to register
-    again.
+    again. One that said, here or at another gateway, that it is leaving is leaving whatever its row
+    says.
 
     :ivar follower: reads the table of backend servers.
     :ivar host_count: number of gateways that follow the rows; set by the service ``view``.
@@ -44,6 +46,7 @@
         self._clock = kernel.clock
         self._rows = kernel.find("rows", RowStore)
         self._members: dict[BackendId, Member] = {}
+        self._departures = DepartureNotices()
         self._services: dict[ServiceGroup, list[Member]] = {}
         self._removal_timers: dict[BackendId, Timer] = {}
         self._watchers: list[MemberWatcher] = []
@@ -104,6 +107,17 @@
         """Return the services that have at least one backend server."""
         return list(self._services)
 
+    def note_departures(self, incarnations: Iterable[Incarnation]) -> None:
+        """Record servers that said they are leaving; they take no new call from now on."""
+        if self._departures.record(incarnations):
+            ready = [m for m in self._members.values() if m.state is MemberState.READY]
+            for member in ready:
+                self._set_member(member.id, self._departures.apply(member))
+
+    def list_departures(self) -> Sequence[Incarnation]:
+        """Return the servers that said they are leaving while their rows don't say so."""
+        return self._departures.list_ahead_of_rows()
+
     def replace_rows(self, rows: Sequence[RowChange]) -> None:
         """Apply all rows of the table, as ``TableListener`` requires."""
         present = {row.key for row in rows}
@@ -131,7 +145,7 @@
         timer = self._removal_timers.pop(member.id, None)
         if timer is not None:
             timer.cancel()
-        self._set_member(member.id, member)
+        self._set_member(member.id, self._departures.apply(member))
 
     def _note_missing(self, member: BackendId) -> None:
         if member not in self._members or member in self._removal_timers:
@@ -161,6 +175,7 @@
             return
         if member is None:
             del self._members[key]
+            self._departures.forget_row(key)
         else:
             self._members[key] = member
         services: dict[ServiceGroup, list[Member]] = {}
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -80,6 +80,7 @@
     :param broken: server incarnations that a call may have crashed, by the call's fingerprint.
     :param computing: how much longer, in seconds, decode engines are busy with prompts that they
         compute themselves.
+    :param leaving: backend servers that said they are leaving while their rows don't say so.
     """
 
     host: HostId
@@ -90,6 +91,7 @@
     moving: Mapping[BackendId, BackendRole] = {}
     broken: Mapping[Fingerprint, Sequence[Incarnation]] = {}
     computing: Mapping[BackendId, float] = {}
+    leaving: Sequence[Incarnation] = ()
 
 
 class _GatewayRow(msgspec.Struct):
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -203,6 +203,11 @@
             return None
         return current if current.state is MemberState.READY else None
 
+    def note_departure(self, member: Member) -> None:
+        """Record that *member* said it is leaving, and tell the other gateways soon."""
+        self._members.note_departures([member.incarnation])
+        self._peers.report_soon()
+
     def _find_engine_configuration(self, service: ServiceGroup) -> EngineConfiguration | None:
         configuration = self._configuration.current
         service_configuration = (
@@ -265,6 +270,7 @@
                 member: rest.total_seconds()
                 for member, rest in self.computations.list_remaining(now).items()
             },
+            self._members.list_departures(),
         )
 
     def _apply_peer_report(self, report: PeerReport) -> None:
@@ -275,6 +281,7 @@
         self.suspects.apply_peer_report(report.host, report.broken, now)
         rests = {m: timedelta(seconds=seconds) for m, seconds in report.computing.items()}
         self.computations.apply_peer_report(report.host, rests, now)
+        self._members.note_departures(report.leaving)
         for member, role in report.moving.items():
             self._role_changes.setdefault(member, (role, now + MAX_ROLE_CHANGE_TIME))
 
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from random import Random
 
 import pytest
@@ -9,7 +10,8 @@
 
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.types import BackendId
+from lavenderrun.gateway._ports import RowChange
+from lavenderrun.types import BackendId, Incarnation, MemberState
 
 DRAIN_SECONDS = 2.0
 CONTACT_SECONDS = 3.0
@@ -96,3 +98,26 @@
     host.store.put(SERVERS, "a", None)
     host.fixture.pass_time(DRAIN_SECONDS)
     assert not host.knows("a")
+
+
+def test_a_notice_holds_through_an_outage_and_a_whole_read_until_the_server_starts_anew() -> None:
+    host = Host()
+    server = host.members.find(BackendId("a"))
+    assert server is not None
+    host.members.note_departures([server.incarnation])
+    assert host.members.list_departures() == [server.incarnation]
+    host.members.note_departures([Incarnation("another")])
+    host.lose_store(3, silent=False)
+    host.fixture.pass_time(CONTACT_SECONDS + 1)
+    host.store.put(SERVERS, "a", SERVER_ROW)
+    host.members.replace_rows([RowChange("a", json.dumps(SERVER_ROW).encode(), 99)])
+    server = host.members.find(BackendId("a"))
+    assert server is not None
+    assert server.state is MemberState.LEAVING
+    assert host.members.list_departures() == [server.incarnation]
+    host.store.put(SERVERS, "a", {**SERVER_ROW, "born": 7})
+    host.fixture.pass_time(1)
+    server = host.members.find(BackendId("a"))
+    assert server is not None
+    assert server.state is MemberState.READY
+    assert host.members.list_departures() == []
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from gateway_process import Gateway, StandinPlatform
+from gateway_process import Gateway, StandinPlatform, wait_for
 from misbehaviour import reject
 from platform_standin import ORDERS, PLAIN, RESUMED, STREAM, StandinServer
 
@@ -78,3 +78,38 @@
     for name in LEAVERS:
         assert platform.servers[name].seen, name
         assert list_late_requests(platform.servers[name]) == []
+
+
+def test_another_gateway_learns_that_a_server_leaves_and_callers_see_nothing_of_it(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    endpoint = platform.store.add_endpoint()
+    other = platform.wait_known(platform.add_gateway("front-2", endpoint))
+    wait_for(lambda: other.lines("peers:heard") and gateway.lines("peers:heard"), "peers")
+    endpoint.refusing = True
+    server = platform.servers["app-1"]
+    server.notices = [LEAVING]
+    while not server.seen:
+        answer = gateway.call(PLAIN + "x")
+        assert answer.status == 200
+    assert "server-leaving" not in answer.headers
+    wait_for(
+        lambda: any(line["state"] == "leaving" for line in other.lines("members:changed")),
+        "notice heard",
+    )
+    for number in range(9):
+        assert other.call(PLAIN + "x", request=f"o{number}").status == 200
+    assert len(server.seen) == 1
+
+
+def test_calls_are_refused_as_not_run_when_all_servers_say_they_leave(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    for name in ("app-1", "app-2", "app-3"):
+        platform.servers[name].notices = [LEAVING]
+    answers = [gateway.call(PLAIN + "x", request=f"a{number}") for number in range(5)]
+    assert [answer.status for answer in answers] == [200, 200, 200, 503, 503]
+    assert float(answers[-1].headers["retry-after"]) > 0
+    platform.add(StandinServer("app-4", "apps"))
+    platform.wait_known(gateway)
+    assert gateway.call(PLAIN + "x", request="new").status == 200
