Look at a server's state again at the moment a call is sent to it

Cause: a call whose connection was being opened, held KV cache that is offered again and a stream with a connection opened before were sent by the choice made earlier, up to 200 ms and the cache's lifetime before, although the server had begun to leave. Change: the pool asks, once a connection is open, whether the call is still to be sent; a withdrawn call was not sent, so another server takes it and the outcome stays true. Streams look again before the prompt is computed and before cache is offered. Result: the test failed before (the parameter did not exist: the call was sent) and passes.

--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -95,6 +95,7 @@
             self,
             force_new=force_new,
             unused_connection=unused_connection,
+            may_send=lambda: self._services.view.find_ready(self.member) is not None,
         )
 
     def abandon(self) -> None:
@@ -198,6 +199,8 @@
         health = self._services.view.health
         if reason in {CallFailure.UNREACHABLE, CallFailure.SILENT}:
             health.pause_after_failure(self.member.id, self._services.clock.now())
+        elif reason is CallFailure.WITHDRAWN:
+            health.record_no_result(self.member.id)
         else:
             # if the server is down, the next connection attempt finds that out
             health.record_failure(self.member.id)
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -51,10 +51,13 @@
     """One call to one address, from the wait for a connection to the end of the answer.
 
     It releases the connection when its answer ends, because another call may use it from then on.
+
+    :param may_send: tells, once a connection is open, whether the call is still to be sent.
     """
 
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(self, receiver: Receiver, may_send: Callable[[], bool]) -> None:
         self._receiver: Receiver | None = receiver
+        self._may_send = may_send
         self._connection: Connection | None = None
         self.sent = False
 
@@ -81,6 +84,9 @@
         """Send over the new connection, or fail when it could not be opened."""
         if connection is None:
             self.answer_failed(CallFailure.UNREACHABLE)
+        elif not self._may_send():
+            connection.abort()
+            self.answer_failed(CallFailure.WITHDRAWN)
         else:
             self.send_over(connection, send)
 
@@ -189,13 +195,15 @@
         *,
         force_new: bool = False,
         unused_connection: Connection | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Exchange:
         """Send a call to *address*; *receiver* handles its answer.
 
         :param force_new: use a new connection, because the server of an idle one may be gone.
         :param unused_connection: an unused connection by :meth:`open`; a closed one is replaced.
+        :param may_send: tells, once a connection is open, whether the call is still to be sent.
         """
-        exchange = Exchange(receiver)
+        exchange = Exchange(receiver, may_send)
 
         def send(connection: Connection, to: Receiver) -> None:
             connection.send_call(method, target, headers, body, to)
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -139,6 +139,9 @@
             self._request_another_slot()
             return
         self._connection = connection
+        if self._services.view.find_ready(slot.member) is None:
+            self._request_another_slot()
+            return
         if self._cache is not None and self._services.clock.now() < self._cache_offered_until:
             self._send(self._cache)
         elif self._size.prompt and not self._tried_servers and not self._was_prefill_sent:
@@ -314,8 +317,16 @@
             self._services.free_cache(cache)
 
     def _send_again(self) -> None:
-        if not self._is_over:
+        if self._is_over or self._slot is None:
+            return
+        if self._services.view.find_ready(self._slot.member) is not None:
             self._send(self._cache)
+        elif self._attempts_left > 0:
+            self._request_another_slot()
+        elif self._is_begun:
+            self._abort_answer("engine is leaving")
+        else:
+            self._refuse_without_capacity("engine is leaving")
 
     def _continue_after_failed_answer(self, attempt: Attempt) -> None:
         self._is_outcome_unknown = True
--- a/src/lavenderrun/types/_calls.py
+++ b/src/lavenderrun/types/_calls.py
@@ -151,6 +151,7 @@
     """Why a call to a backend server got no complete answer."""
 
     UNREACHABLE = "unreachable"
+    WITHDRAWN = "withdrawn"
     CONNECT_TIMEOUT = "connect_timeout"
     RESET = "reset"
     CLOSED = "closed"
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import UTC, datetime
 from typing import Any, cast
 
@@ -9,6 +10,7 @@
 from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.kernel import ReactorClock
+from lavenderrun.types import CallFailure, Headers
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 ADDRESS = "127.0.0.1:1"
@@ -46,3 +48,44 @@
     reactor: Any = None
     pool = ConnectionPool(ReactorClock(FakeTime(), START, zero=0.0), reactor)
     assert count_kept(pool, 100) == 8
+
+
+class Failures:
+    """Receives the failures of a call."""
+
+    def __init__(self) -> None:
+        self.reasons: list[CallFailure] = []
+
+    def head_received(self, status: int, headers: Headers) -> None:
+        raise AssertionError
+
+    def body_received(self, data: bytes) -> None:
+        raise AssertionError
+
+    def answer_completed(self) -> None:
+        raise AssertionError
+
+    def answer_failed(self, reason: CallFailure) -> None:
+        self.reasons.append(reason)
+
+
+# a server began to leave while the connection to it was opened, and the call was sent all the same
+def test_a_call_is_withdrawn_when_its_server_leaves_before_the_connection_is_open() -> None:
+    reactor: Any = None
+    pool = ConnectionPool(ReactorClock(FakeTime(), START, zero=0.0), reactor)
+    opened: list[Callable[..., None]] = []
+    arguments: list[Any] = []
+
+    def open_later(_address: str, on_opened: Callable[..., None], *args: Any) -> None:
+        opened.append(on_opened)
+        arguments.extend(args)
+
+    pool.open = open_later  # type: ignore[method-assign, assignment]
+    receiver, is_ready = Failures(), True
+    exchange = pool.call(ADDRESS, "GET", "/", [], b"", receiver, may_send=lambda: is_ready)
+    is_ready = False
+    connection = FakeConnection()
+    opened[0](connection, *arguments)
+    assert receiver.reasons == [CallFailure.WITHDRAWN]
+    assert connection.aborted
+    assert not exchange.sent
