Send nothing to a server for as long as it asks for

What servers met: a rejection that said when to come back was followed by further calls, as any other; what callers met: a wait until their patience ended. Cause: the time in a server's rejection was not read. Change: it is decoded (seconds, bounded; anything else asks for nothing) and kept by server and start. Placement, queued and resumed calls, held cache, prefills and role orders keep to it; one call tries the server after it, at a random time, and others follow once it is taken. While all servers of a service rest, calls that can't wait are refused at once with the time of the first return, spread over callers.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -35,6 +35,7 @@
 )
 from lavenderrun.dispatch._quota import QuotaLedger
 from lavenderrun.dispatch._resends import ASSUMED_HOSTS, ResendBudget
+from lavenderrun.dispatch._rests import ServerRests
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
 from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
 
@@ -65,6 +66,7 @@
     "RoleBalancer",
     "RoleChange",
     "RouteIndex",
+    "ServerRests",
     "StoredLease",
     "SuspectTracker",
     "authorize_call",
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -11,6 +11,7 @@
 from lavenderrun.dispatch._computations import PromptComputations
 from lavenderrun.dispatch._health import HealthTracker
 from lavenderrun.dispatch._occupancy import FleetOccupancy
+from lavenderrun.dispatch._rests import ServerRests
 from lavenderrun.kernel import Registry
 from lavenderrun.types import BackendId, BackendRole, DataCentre, Member, MemberState
 
@@ -72,6 +73,7 @@
     :param prefill_speed: prompt tokens that an engine computes a second, zero when unknown.
     :param moving: engines that were ordered to change their role and take no call until they have.
     :param computations: prompts that decode engines compute themselves.
+    :param rests: servers that asked this host for no calls.
     """
 
     now: datetime
@@ -83,6 +85,7 @@
     prefill_speed: float = 0.0
     moving: Collection[BackendId] = ()
     computations: PromptComputations = field(default_factory=PromptComputations)
+    rests: ServerRests = field(default_factory=ServerRests)
 
 
 Placement = Callable[[Sequence[Member], CallRequirements, PlacementContext], Member | None]
@@ -101,6 +104,7 @@
         and member.id not in requirements.tried
         and member.id not in context.moving
         and not context.health.is_replaced(member, context.now)
+        and not context.rests.is_resting(member, context.now)
     ]
     candidates = [m for m in ready if not context.health.is_paused(m.id, context.now)]
     if not candidates:
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -8,6 +8,7 @@
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._connection import Connection
+from lavenderrun.gateway._log import to_milliseconds
 from lavenderrun.gateway._pool import Exchange
 from lavenderrun.gateway._stats import ATTEMPTS, NOTICES
 from lavenderrun.types import (
@@ -24,6 +25,10 @@
 """Failures of a sent call that a crash of its server may cause."""
 
 
+TAKEN: Final = frozenset({AnswerKind.SERVED, AnswerKind.FAILED})
+"""Answers of a server that took the call, whatever came of it."""
+
+
 class AttemptListener(Protocol):
     """Handles the events of an attempt; none follows ``attempt_ended``."""
 
@@ -61,6 +66,7 @@
         self._exchange: Exchange | None = None
         self._needs_signature = True
         self._bound: dict[str, Any] = {}
+        self._is_trial = False
         self.member = member
         self.head: AnswerHead | None = None
         self.failure: CallFailure | None = None
@@ -86,6 +92,7 @@
         self._needs_signature = not context.prefill_only
         request = self._services.backends.encode_call(self._call, context)
         self._services.view.health.record_start(self.member.id, self._began_at)
+        self._is_trial = self._services.view.rests.start_trial(self.member, self._began_at)
         self._exchange = self._services.pool.call(
             self.member.address,
             request.method,
@@ -95,7 +102,7 @@
             self,
             force_new=force_new,
             unused_connection=unused_connection,
-            may_send=lambda: self._services.view.find_ready(self.member) is not None,
+            may_send=lambda: self._services.view.takes_calls(self.member),
         )
 
     def abandon(self) -> None:
@@ -162,13 +169,34 @@
 
     def _record_notices(self, head: AnswerHead) -> None:
         """Record what the server says about itself; an answer to another call is not its word."""
-        if head.kind is AnswerKind.FOREIGN or not head.leaving:
+        if head.kind is AnswerKind.FOREIGN:
             return
-        self._services.view.note_departure(self.member)
-        self._services.stats.count(NOTICES, self.member.service, "leaving")
-        self._call_log.write(
-            "server_leaving", "server said it is leaving", member=self.member.id, status=head.status
-        )
+        view, stats, service = self._services.view, self._services.stats, self.member.service
+        if head.leaving:
+            view.note_departure(self.member)
+            stats.count(NOTICES, service, "leaving")
+            self._call_log.write(
+                "server_leaving",
+                "server said it is leaving",
+                member=self.member.id,
+                status=head.status,
+            )
+        if head.rest is not None:
+            view.begin_rest(self.member, head.rest)
+            stats.count(NOTICES, service, "rest")
+            self._call_log.write(
+                "server_resting",
+                "server asked for no calls",
+                member=self.member.id,
+                rest_ms=to_milliseconds(head.rest),
+            )
+        elif head.kind in TAKEN:
+            self._end_trial(accepted=True)
+
+    def _end_trial(self, *, accepted: bool) -> None:
+        if self._is_trial:
+            self._is_trial = False
+            self._services.view.rests.end_trial(self.member, accepted=accepted)
 
     def body_received(self, data: bytes) -> None:
         """Pass a part of the body on to the listener."""
@@ -213,6 +241,7 @@
             listener.attempt_ended(self)
 
     def _record_result(self, result: str) -> None:
+        self._end_trial(accepted=False)
         self._services.stats.count(ATTEMPTS, self.member.service, result)
         took = self._services.clock.now() - self._began_at
         self._call_log.log_attempt(self, result, took, **self._bound)
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -104,7 +104,8 @@
         ):
             if waiter not in self._queue:
                 continue
-            if now - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
+            rest = self._view.find_rest_left(waiter.service)
+            if now + rest - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
                 self._queue.remove(waiter)
                 waiter.on_result(None)
                 continue
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -154,6 +154,8 @@
         if fencing is None:
             return
         member = change.member
+        if not self._view.takes_calls(member):
+            return
         balancer.note_change(self._clock.now())
         report = await self._read_report(member)
         if report is None or report.busy or report.role is change.role:
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -165,7 +165,8 @@
     def _refuse_without_capacity(
         self, detail: str, retry_after: timedelta = RETRY_AFTER_NO_SERVER
     ) -> None:
-        self._refuse(Refusal.NO_ROOM, Step.SEAT, detail, retry_after)
+        rest = self._services.view.advise_return(self._admitted.service)
+        self._refuse(Refusal.NO_ROOM, Step.SEAT, detail, max(retry_after, rest))
 
     def _refund(self) -> None:
         account = self._admitted.access.account
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -139,7 +139,7 @@
             self._request_another_slot()
             return
         self._connection = connection
-        if self._services.view.find_ready(slot.member) is None:
+        if not self._services.view.takes_calls(slot.member):
             self._request_another_slot()
             return
         if self._cache is not None and self._services.clock.now() < self._cache_offered_until:
@@ -167,8 +167,7 @@
         if self._is_over or self._slot is None:
             return
         member = self._slot.member
-        current = self._services.view.find_ready(member)
-        if current is None or self._time_left() <= MIN_SEND_TIME:
+        if not self._services.view.takes_calls(member) or self._time_left() <= MIN_SEND_TIME:
             self._request_another_slot()
             return
         if cache is None and self._size.prompt and not self._services.view.may_compute(member.id):
@@ -319,14 +318,14 @@
     def _send_again(self) -> None:
         if self._is_over or self._slot is None:
             return
-        if self._services.view.find_ready(self._slot.member) is not None:
+        if self._services.view.takes_calls(self._slot.member):
             self._send(self._cache)
         elif self._attempts_left > 0:
             self._request_another_slot()
         elif self._is_begun:
-            self._abort_answer("engine is leaving")
+            self._abort_answer("engine takes no calls any more")
         else:
-            self._refuse_without_capacity("engine is leaving")
+            self._refuse_without_capacity("engine takes no calls any more")
 
     def _continue_after_failed_answer(self, attempt: Attempt) -> None:
         self._is_outcome_unknown = True
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -17,6 +17,7 @@
     ResendBudget,
     Reservations,
     RoleBalancer,
+    ServerRests,
     SuspectTracker,
     estimate_computation,
 )
@@ -46,6 +47,10 @@
 """Delay of the test connection to a server that dropped an answer. A crashed server is still down
 then, and the result is known before the call is repeated."""
 
+RETURN_SPREAD_SHARE: Final = 0.5
+"""Random part added to the wait advised while all servers of a service rest, as a share of it, so
+that callers do not return all at once."""
+
 MAX_ROLE_CHANGE_TIME: Final = timedelta(seconds=10)
 """Time after which an ordered role change is no longer expected."""
 
@@ -58,6 +63,7 @@
     :ivar occupancy: reservations and reported loads at backend servers.
     :ivar computations: prompts that decode engines compute themselves.
     :ivar health: health of backend servers.
+    :ivar rests: servers that asked this host for no calls.
     :ivar suspects: calls that may crash backend servers.
     """
 
@@ -78,6 +84,7 @@
         self.occupancy = FleetOccupancy()
         self.computations = PromptComputations()
         self.health = HealthTracker()
+        self.rests = ServerRests()
         self.suspects = SuspectTracker()
         self._role_changes: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._probes: dict[BackendId, Timer] = {}
@@ -203,6 +210,30 @@
             return None
         return current if current.state is MemberState.READY else None
 
+    def takes_calls(self, member: Member) -> bool:
+        """Tell whether a call that was to be sent to *member* may still be sent."""
+        is_ready = self.find_ready(member) is not None
+        return is_ready and not self.rests.forbids(member, self._clock.now())
+
+    def begin_rest(self, member: Member, wait: timedelta) -> None:
+        """Record that *member* asked this host for no calls for some time."""
+        self.rests.begin(member, wait, self._clock.now(), self._random.random())
+
+    def find_rest_left(self, service: ServiceGroup) -> timedelta:
+        """Return how long all servers of *service* that could serve rest, zero if one does not."""
+        now = self._clock.now()
+        servers = [
+            member
+            for member in self._members.list_members(service)
+            if member.state is MemberState.READY and member.role is not BackendRole.PREFILL
+        ]
+        returns = self.rests.find_return(servers, now)
+        return timedelta(0) if returns is None else returns - now
+
+    def advise_return(self, service: ServiceGroup) -> timedelta:
+        """Return when a refused caller may come back because all servers of *service* rest."""
+        return self.find_rest_left(service) * (1 + RETURN_SPREAD_SHARE * self._random.random())
+
     def note_departure(self, member: Member) -> None:
         """Record that *member* said it is leaving, and tell the other gateways soon."""
         self._members.note_departures([member.incarnation])
@@ -228,6 +259,7 @@
             prefill_speed=self.find_balancer(service).prefill_speed,
             moving=self.list_changing_role(now),
             computations=self.computations,
+            rests=self.rests,
         )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -290,7 +322,10 @@
         counts = {}
         for service in self._members.list_services():
             members = self._members.list_members(service)
-            counts[service] = sum(self.health.is_paused(member.id, now) for member in members)
+            counts[service] = sum(
+                self.health.is_paused(member.id, now) or self.rests.is_resting(member, now)
+                for member in members
+            )
         return _label_by_key(counts)
 
 
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -144,7 +144,8 @@
 
     def _wait_for_server(self) -> None:
         waited = self._services.clock.now() - self._admitted.arrived
-        if waited > self._admitted.access.route.objective * NO_SERVER_WAIT_SHARE:
+        rest = self._services.view.find_rest_left(self._admitted.service)
+        if waited + rest > self._admitted.access.route.objective * NO_SERVER_WAIT_SHARE:
             self._refuse_without_capacity("no backend server takes calls")
             return
         self._unreached_servers.clear()
--- a/src/lavenderrun/platform/_backends.py
+++ b/src/lavenderrun/platform/_backends.py
@@ -32,6 +32,8 @@
 KEEP_ALIVE_PATTERN: Final = re.compile(r"timeout=(\d{1,6})")
 MAX_RANK: Final = 9
 TRUE: Final = "1"
+REST_PATTERN: Final = re.compile(r"\d{1,9}(\.\d{1,6})?")
+UNAVAILABLE: Final = 503
 MISDIRECTED: Final = 421
 FIRST_SUCCESS, FIRST_REDIRECT = 200, 300
 GATEWAY_ONLY_HEADERS: Final = frozenset(
@@ -103,6 +105,7 @@
             _read_idle_timeout(header_names.find_value(headers, header_names.KEEP_ALIVE)),
             signed=header_names.find_value(headers, header_names.SIGNATURE) is not None,
             leaving=header_names.find_value(headers, header_names.LEAVING) == TRUE,
+            rest=_read_rest(status, header_names.find_value(headers, header_names.RETRY_AFTER)),
         )
 
     def decode_export(self, source: str, body: bytes) -> HeldCache | None:
@@ -197,6 +200,13 @@
     return timedelta(seconds=int(match[1])) if match else None
 
 
+def _read_rest(status: int, value: str | None) -> timedelta | None:
+    """Return the rest that a rejection asks for; a date, or anything but seconds, asks for none."""
+    if status != UNAVAILABLE or value is None or not REST_PATTERN.fullmatch(value):
+        return None
+    return timedelta(seconds=float(value)) or None
+
+
 @GATEWAY_SERVICES.register("backend_dialect")
 def make_backend_dialect(kernel: Kernel) -> Any:
     """Make the service ``backend_dialect``."""
--- a/src/lavenderrun/types/_calls.py
+++ b/src/lavenderrun/types/_calls.py
@@ -136,6 +136,7 @@
     :param idle_timeout: how long the backend server keeps an idle connection; ``None`` if unknown.
     :param signed: the answer carries the backend server's signature.
     :param leaving: the backend server says that it is leaving.
+    :param rest: how long the backend server asks this host to send it nothing, ``None`` without.
     """
 
     status: int
@@ -145,6 +146,7 @@
     idle_timeout: timedelta | None
     signed: bool
     leaving: bool = False
+    rest: timedelta | None = None
 
 
 class CallFailure(Enum):
--- a/tests/gateway/test_roles.py
+++ b/tests/gateway/test_roles.py
@@ -96,7 +96,11 @@
         kernel.provide("stats", SimpleNamespace(observe=lambda *_: None))
         kernel.provide("rows", Rows())
         kernel.provide("pool", self.engine)
-        kernel.provide("view", SimpleNamespace(note_role_change=lambda *_: None))
+        self.engine_takes_calls = True
+        view = SimpleNamespace(
+            note_role_change=lambda *_: None, takes_calls=lambda _: self.engine_takes_calls
+        )
+        kernel.provide("view", view)
         kernel.provide("backend_dialect", PlatformBackends())
         self.suspension = SuspensionService(kernel)
         self.suspension.read_boot_time = lambda: self.boot_time
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -187,6 +187,37 @@
     assert BACKENDS.decode_head(RequestId("1"), status, headers).kind is standing
 
 
+@pytest.mark.parametrize(
+    ("status", "value", "seconds"),
+    [
+        (503, "3", 3.0),
+        (503, "0.25", 0.25),
+        (503, "999999999", 999999999.0),
+        (503, "0", None),
+        (503, "-1", None),
+        (503, "soon", None),
+        (503, "9" * 400, None),
+        (503, "Fri, 04 Dec 2026 20:00:00 GMT", None),
+        (429, "3", None),
+        (200, "3", None),
+    ],
+)
+def test_the_rest_that_a_server_asks_for_is_decoded(
+    status: int, value: str, seconds: float | None
+) -> None:
+    head = BACKENDS.decode_head(RequestId("1"), status, [("Retry-After", value)])
+    assert head.rest == (None if seconds is None else timedelta(seconds=seconds))
+
+
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False), ("yes", False)])
+def test_the_notice_of_a_leaving_server_is_decoded_and_not_forwarded(
+    value: str, leaving: bool
+) -> None:
+    head = BACKENDS.decode_head(RequestId("1"), 200, [("Server-Leaving", value)])
+    assert head.leaving is leaving
+    assert head.headers == []
+
+
 def test_load_and_idle_timeout_are_decoded_and_not_forwarded() -> None:
     head = BACKENDS.decode_head(
         RequestId("1"),
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -4,14 +4,18 @@
 
 import time
 from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler
 from pathlib import Path
 
 import pytest
 from gateway_process import Gateway, StandinPlatform, wait_for
 from misbehaviour import reject
-from platform_standin import ORDERS, PLAIN, RESUMED, STREAM, StandinServer
+from platform_standin import ORDERS, PLAIN, RESUMED, STREAM, SeenRequest, StandinServer
 
 DRAIN_SECONDS = 2.0
+REST_SECONDS = 1.0
+REACTION_SECONDS = 0.5
+MAX_REQUESTS_IN_REST = 2
 LEAVING = ("Server-Leaving", "1")
 LEAVERS = ("app-1", "pre-1", "dec-1")
 
@@ -113,3 +117,64 @@
     platform.add(StandinServer("app-4", "apps"))
     platform.wait_known(gateway)
     assert gateway.call(PLAIN + "x", request="new").status == 200
+
+
+def ask_for_rest(
+    server: StandinServer, handler: BaseHTTPRequestHandler, _seen: SeenRequest
+) -> bool:
+    server.reply(handler, 503, b"", [("X-Not-Executed", "1"), ("Retry-After", "1")])
+    return True
+
+
+def ask_for_long_rest(
+    server: StandinServer, handler: BaseHTTPRequestHandler, _seen: SeenRequest
+) -> bool:
+    server.reply(handler, 503, b"", [("X-Not-Executed", "1"), ("Retry-After", "30")])
+    return True
+
+
+def count_in_rests(server: StandinServer) -> int:
+    """Return the most requests that reached a server in one of the rests it asked for."""
+    times = [seen.at for seen in server.seen if seen.path != "/api/report"]
+    return max(
+        sum(at + REACTION_SECONDS < other < at + REST_SECONDS for other in times) for at in times
+    )
+
+
+# a rejection with a time was followed by further calls, as any other rejection
+def test_no_call_reaches_a_server_while_it_asks_for_none(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    for name in LEAVERS:
+        platform.servers[name].behave = ask_for_rest
+    call_all_kinds(gateway, 3 * REST_SECONDS, "q")
+    for name in LEAVERS:
+        assert platform.servers[name].seen, name
+        assert count_in_rests(platform.servers[name]) <= MAX_REQUESTS_IN_REST
+    for name in LEAVERS:
+        platform.servers[name].behave = None
+    time.sleep(2 * REST_SECONDS)
+    before = {name: len(platform.servers[name].seen) for name in LEAVERS}
+    statuses = call_all_kinds(gateway, REST_SECONDS, "later")
+    assert set(statuses) == {200}
+    for name in LEAVERS:
+        assert len(platform.servers[name].seen) > before[name], name
+
+
+def test_calls_are_refused_at_once_while_all_servers_ask_for_none(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    names = [name for name in platform.servers if not name.startswith("pre")]
+    for name in names:
+        platform.servers[name].behave = ask_for_long_rest
+    for number in range(4):
+        gateway.call(PLAIN + "x", request=f"first{number}")
+        gateway.generate(RESUMED + "x", request=f"stream{number}")
+    began = time.monotonic()
+    answers = [gateway.call(PLAIN + "x", request=f"p{number}") for number in range(5)]
+    answers += [gateway.generate(STREAM + "x", request=f"s{number}") for number in range(5)]
+    assert time.monotonic() - began < 1.0
+    assert {answer.status for answer in answers} == {503}
+    waits = [float(answer.headers["retry-after"]) for answer in answers]
+    assert min(waits) > 20
+    assert max(waits) - min(waits) > 1
