Let soak servers say that they leave and ask for no calls, and check what reaches them

Two faults more: a server that says it leaves in its answers only, until it starts anew, and one that rejects with a time. The check is taken from what servers saw and when callers had their answers: no call sent later than 2 s after an answer with the notice had been passed on reaches that server from that gateway, and at most two reach it in a rest; restarts and suspensions of the gateway, and for rests disturbed paths, excuse.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,11 +24,13 @@
 sys.path.insert(0, str(File(__file__).parent))
 
 from gateway_process import Answer, Gateway, StandinPlatform
+from notices import Notices
 from platform_standin import KEY, ORDERS, PLAIN, RESUMED, STREAM, StandinServer
 from proxy import Proxy, ProxyMode
 
 CALLER_COUNT = 6
 RECOVERY_SECONDS = 12.0
+RESTART_SHARE = 0.5
 AT_MOST_ONCE = (ORDERS, STREAM)
 KINDS = (PLAIN, ORDERS, STREAM, RESUMED)
 NOT_RUN = {429, 503}
@@ -57,6 +59,7 @@
         self.platform = StandinPlatform(folder)
         self.platform.configure()
         self.proxies: dict[str, Proxy] = {}
+        self.starts: Counter[str] = Counter()
         for name, service, stage in (
             ("app-1", "apps", None),
             ("app-2", "apps", None),
@@ -72,12 +75,13 @@
         self.proxies["store"] = self.store_proxy
         self.gateways: list[Gateway] = []
         self.outcomes = Outcomes()
+        self.notices = Notices()
         self.stopping = threading.Event()
         self.injected: list[str] = []
 
     def _announce(self, server: StandinServer, state: str = "ready") -> None:
         address = self.proxies[server.id].address
-        entry = server.entry(addr=address, state=state)
+        entry = server.entry(addr=address, state=state, born=self.starts[server.id])
         self.platform.store.put("servers", server.id, entry)
 
     def run(self, seconds: float) -> list[str]:
@@ -117,8 +121,10 @@
             gateway = self.gateways[index]
             request = f"{kind.strip('/')}-{number}-{count}"
             connection = connections.pop(index, None) or gateway.connect()
+            self.notices.note_sent(request, index)
             try:
                 answer = self._send(gateway, kind, request, connection)
+                self.notices.note_answer(request, answer)
             except (OSError, http.client.HTTPException):
                 connection.close()
                 self.outcomes.add(request, None)
@@ -148,7 +154,8 @@
         for proxy in self.proxies.values():
             proxy.set(ProxyMode.OPEN)
         for server in self.platform.servers.values():
-            self._announce(server)
+            server.behave = None
+            self._start_server_anew(server)
         for gateway in self.gateways:
             with suppress(ProcessLookupError):
                 gateway.signal(signal.SIGCONT)
@@ -157,6 +164,16 @@
     def _restart_if_dead(self, gateway: Gateway) -> None:
         if gateway.popen is None or gateway.popen.poll() is not None:
             gateway.start()
+            self.excuse(gateway)
+
+    def _start_server_anew(self, server: StandinServer) -> None:
+        if self.notices.end_departure(server):
+            self.starts[server.id] += 1
+        self._announce(server)
+
+    def excuse(self, gateway: Gateway) -> None:
+        """Record that a gateway is restarted or suspended, and so knows less than it was told."""
+        self.notices.excuse(self.gateways.index(gateway))
 
     def _check_recovery(self) -> None:
         until = time.monotonic() + RECOVERY_SECONDS
@@ -193,6 +210,8 @@
             if answer is not None:
                 self._check_status(kind, request, answer, runs[request])
         self._check_servers()
+        servers = list(self.platform.servers.values())
+        self.outcomes.failures.extend(self.notices.check(servers))
 
     def _check_status(self, kind: str, request: str, answer: Answer, runs: int) -> None:
         if kind in AT_MOST_ONCE and answer.status in NOT_RUN and runs:
@@ -234,14 +253,17 @@
 @fault
 def change_proxy_mode(soak: Soak) -> None:
     """Set a random mode on one random proxy, of a server or the store."""
-    proxy = soak.proxies[soak.random_source.choice(sorted(soak.proxies))]
+    name = soak.random_source.choice(sorted(soak.proxies))
+    proxy = soak.proxies[name]
+    soak.notices.disturb(name)
     proxy.set(soak.random_source.choice(list(ProxyMode)))
 
 
 @fault
 def open_all_proxies(soak: Soak) -> None:
     """Open all proxies."""
-    for proxy in soak.proxies.values():
+    for name, proxy in soak.proxies.items():
+        soak.notices.disturb(name)
         proxy.set(ProxyMode.OPEN)
 
 
@@ -249,15 +271,18 @@
 def pause_gateway(soak: Soak) -> None:
     """Suspend a gateway process for up to two seconds."""
     gateway = soak.random_source.choice(soak.gateways)
+    soak.excuse(gateway)
     gateway.signal(signal.SIGSTOP)
     time.sleep(soak.random_source.uniform(0.1, 2.0))
     gateway.signal(signal.SIGCONT)
+    soak.excuse(gateway)
 
 
 @fault
 def kill_gateway(soak: Soak) -> None:
     """Kill a gateway and restart it."""
     gateway = soak.random_source.choice(soak.gateways)
+    soak.excuse(gateway)
     gateway.close()
     time.sleep(soak.random_source.uniform(0.0, 0.5))
     soak._restart_if_dead(gateway)
@@ -295,6 +320,26 @@
     soak._announce(server, soak.random_source.choice(["ready", "draining"]))
 
 
+@fault
+def say_leaving(soak: Soak) -> None:
+    """Let a server say in its answers that it leaves, while its row stays as it is."""
+    servers = soak.platform.servers
+    leaving = [server for server in servers.values() if server.notices]
+    if leaving and soak.random_source.random() < RESTART_SHARE:
+        soak._start_server_anew(leaving[0])
+        return
+    soak.notices.begin_departure(soak.random_source.choice(list(servers.values())))
+
+
+@fault
+def ask_for_rest(soak: Soak) -> None:
+    """Let a server reject calls for some time and ask for none in it; end that of others."""
+    for server in soak.platform.servers.values():
+        server.behave = None
+    server = soak.random_source.choice(list(soak.platform.servers.values()))
+    soak.notices.ask_for_rest(server, soak.random_source.randint(1, 3))
+
+
 @fault
 def forget_history(soak: Soak) -> None:
     """Make the store drop its change history."""
