Count only events with data as progress of a stream

What callers met: a stream whose engine stalled and sent comments to keep the connection open went on until the deadline and was cut off. Cause: any whole event restarted the silence timer, also one of comments only. Change: an event counts with a data line; comments are passed on as before. Result: the test failed before and passes; a stream that stalls with a byte now and then was resumed already, and a slow but sound one is not cut, each shown by a test.

--- a/src/lavenderrun/gateway/_event_split.py
+++ b/src/lavenderrun/gateway/_event_split.py
@@ -14,6 +14,7 @@
 MAX_EVENT_PIECES: Final = 1 << 14
 """Largest number of pieces in which an event may arrive: each costs processor time."""
 
+DATA_LINE: Final = re.compile(rb"^data:", re.MULTILINE)
 ID_LINE: Final = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -21,11 +22,14 @@
     """Returns whole events only and keeps the id of the last one.
 
     :ivar last_id: id of the last whole event, ``None`` before the first.
+    :ivar has_progressed: whether the last call of :meth:`add` completed an event with data, and not
+        only comments, which keep a connection open.
     """
 
     def __init__(self) -> None:
         self._partial = bytearray()
         self._pieces = 0
+        self.has_progressed = False
         self.last_id: str | None = None
 
     @property
@@ -51,6 +55,7 @@
         del self._partial[:end]
         if end:
             self._pieces = 0
+        self.has_progressed = DATA_LINE.search(whole) is not None
         ids = ID_LINE.findall(whole)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -242,10 +242,11 @@
                 attempt.reject_oversized("error", MAX_ERROR_BYTES)
             return
         whole = self._splitter.add(data)
-        if whole:
+        if self._splitter.has_progressed:
             self._timing.observe_event(self._services.clock.now())
-            self._sink.write(whole)
             self._restart_silence_timer(self._find_gap_timeout())
+        if whole:
+            self._sink.write(whole)
         if self._splitter.is_oversized:
             self._splitter.drop_partial_event()
             attempt.reject_oversized("event", MAX_EVENT_BYTES)
