Cut off requests that trickle in

Cause: each byte of a request restarted the idle timeout, so a caller that sent one now and then kept its connection, and a host's descriptors, for good. Change: the first part of a request restarts it, its further parts do not. Result: head and body, one byte each 0.2 s, were still read after three idle timeouts before and are cut off now; the other end-to-end tests pass.

--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -7,6 +7,7 @@
 from typing import Any, ClassVar, Final
 
 from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel, Request
 
@@ -197,6 +198,23 @@
     transport: Any
     timeOut: Any  # noqa: N815
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_reading = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read a part of a request; only its first part restarts the idle timeout."""
+        if self._is_reading:
+            LineReceiver.dataReceived(self, data)
+        else:
+            self._is_reading = True
+            super().dataReceived(data)
+
+    def allContentReceived(self) -> None:  # noqa: N802
+        """Handle the request, which is complete."""
+        self._is_reading = False
+        super().allContentReceived()
+
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and turn on the detection of a silent caller."""
         super().connectionMade()
--- a/tests/platform/test_slow_peers.py
+++ b/tests/platform/test_slow_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler
@@ -11,6 +12,9 @@
 from gateway_process import Gateway, StandinPlatform
 from misbehaviour import once
 from platform_standin import (
+    HOST,
+    KEY,
+    ORDERS,
     RESUMED,
     Behaviour,
     SeenRequest,
@@ -74,3 +78,26 @@
     assert found.whole
     assert found.body.count(b"data: ") == 6
     assert [len(platform.servers[name].runs) for name in ("dec-1", "dec-2")] in ([1, 0], [0, 1])
+
+
+# each byte restarted the idle timeout, so a caller could keep a connection for good
+@pytest.mark.parametrize("part", ["head", "body"])
+def test_a_request_that_trickles_in_is_cut_off(
+    platform: StandinPlatform, gateway: Gateway, part: str
+) -> None:
+    head = f"POST {ORDERS}1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+    head += "X-Request-Id: r1\r\nX-Deadline-Ms: 4000\r\nContent-Length: 1000\r\n"
+    with socket.create_connection(("127.0.0.1", gateway.front), timeout=10) as caller:
+        caller.sendall(head.encode() + (b"X-Long: " if part == "head" else b"\r\n"))
+        began, closed = time.monotonic(), False
+        caller.settimeout(0.2)
+        while time.monotonic() < began + 3 * IDLE_SECONDS and not closed:
+            try:
+                caller.sendall(b"x")
+                closed = caller.recv(100) == b""
+            except TimeoutError:
+                continue
+            except OSError:
+                closed = True
+    assert closed
+    assert not platform.servers["app-1"].runs
