Report a server's notice once, and stop at the first server that does not rest

Cause: each further answer of a leaving server asked for a peer report, and each check of the queue listed all engines of each waiting call. Found on reading the change again. Change: a report follows the first notice only; the search ends at the first server that does not rest.

--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -107,12 +107,17 @@
         """Return the services that have at least one backend server."""
         return list(self._services)
 
-    def note_departures(self, incarnations: Iterable[Incarnation]) -> None:
-        """Record servers that said they are leaving; they take no new call from now on."""
-        if self._departures.record(incarnations):
-            ready = [m for m in self._members.values() if m.state is MemberState.READY]
-            for member in ready:
-                self._set_member(member.id, self._departures.apply(member))
+    def note_departures(self, incarnations: Iterable[Incarnation]) -> bool:
+        """Record servers that said they are leaving, which take no new call from now on.
+
+        :return: whether any of them had not said so before.
+        """
+        if not self._departures.record(incarnations):
+            return False
+        ready = [member for member in self._members.values() if member.state is MemberState.READY]
+        for member in ready:
+            self._set_member(member.id, self._departures.apply(member))
+        return True
 
     def list_departures(self) -> Sequence[Incarnation]:
         """Return the servers that said they are leaving while their rows don't say so."""
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -222,11 +222,11 @@
     def find_rest_left(self, service: ServiceGroup) -> timedelta:
         """Return how long all servers of *service* that could serve rest, zero if one does not."""
         now = self._clock.now()
-        servers = [
+        servers = (
             member
             for member in self._members.list_members(service)
             if member.state is MemberState.READY and member.role is not BackendRole.PREFILL
-        ]
+        )
         returns = self.rests.find_return(servers, now)
         return timedelta(0) if returns is None else returns - now
 
@@ -236,8 +236,8 @@
 
     def note_departure(self, member: Member) -> None:
         """Record that *member* said it is leaving, and tell the other gateways soon."""
-        self._members.note_departures([member.incarnation])
-        self._peers.report_soon()
+        if self._members.note_departures([member.incarnation]):
+            self._peers.report_soon()
 
     def _find_engine_configuration(self, service: ServiceGroup) -> EngineConfiguration | None:
         configuration = self._configuration.current
--- a/src/lavenderrun/types/_gateway_settings.py
+++ b/src/lavenderrun/types/_gateway_settings.py
@@ -13,7 +13,7 @@
     """Limits that a deployment sets for its gateways.
 
     :param grace: time between the signal to stop and the kill.
-    :param drain: time within which calls to a leaving backend server must end to be sent.
+    :param drain: time after which no call may be sent to a backend server that leaves.
     :param retry_ratio: maximum resends as a share of the calls in one window, over all hosts.
     :param retry_window: length of the window in which calls and resends are counted.
     :param retry_reserve: resends allowed in a window beyond the share, over all hosts.
