Tell a caller with an unknown key so before anything about its body

What callers met: a model request with an unknown key and a faulty body got 400 or 413 with the name of a field instead of 401. Cause: the router checks the key, which the front reached only with a parsed body. Change: when the body is refused, the key is checked first. The body is still read before.

--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -122,8 +122,13 @@
         key = _read_key(request)
         idempotency_key = parse_idempotency_key(request.find_headers("Idempotency-Key"))
         body = request.read_body()
-        _check_size(len(body), self.settings.max_body)
-        call = parse(body)
+        try:
+            _check_size(len(body), self.settings.max_body)
+            call = parse(body)
+        except ApiError:
+            # a caller whose key is not valid learns that, and nothing about the body
+            self._check_key(request, key)
+            raise
         arrived = self._kernel.clock.now()
         sink = self._make_sink(request, call)
         sink.codec = AnswerCodec(call.form, request.id, call.model, arrived)
@@ -176,6 +181,11 @@
                 return
         request.answer(200, encode_models(names), [])
 
+    def _check_key(self, request: FrontRequest, key: str) -> None:
+        denial = self._find_denial(request, key, ModelName(""))
+        if denial is not None and denial.refusal is Refusal.UNKNOWN_KEY:
+            raise ApiError(denial.refusal, denial.detail, "Authorization")
+
     def _find_denial(self, request: FrontRequest, key: str, model: ModelName) -> Refused | None:
         admission = self._kernel.find("admission", Admission)
         trial_request = ModelRequest(request.id, key, model, "", 1, self._kernel.clock.now())
--- a/tests/services/test_front.py
+++ b/tests/services/test_front.py
@@ -443,6 +443,18 @@
     assert (status, error["code"]) == (401, "no_key")
 
 
+# the body was examined first: 400 or 413, and its field, for a caller without a valid key
+@pytest.mark.parametrize("body", [b"{}", b"[", b"x" * 200])
+def test_a_caller_with_an_unknown_key_learns_nothing_about_its_body(body: bytes) -> None:
+    caller = Caller(max_body=100)
+    unknown = "Authorization: Bearer other"
+    status, error, _ = read_error(caller.send("POST", "/v1/completions", body, (unknown,)))
+    assert (status, error["code"]) == (401, "unknown_key")
+    caller.connect()
+    status, _, _ = read_error(caller.send("POST", "/v1/completions", body, (AUTH,)))
+    assert status in {400, 413}
+
+
 def test_models_are_listed_for_a_known_key_and_its_routes_only() -> None:
     routes = [{"name": name, "model": name} for name in ("mill", "closed")]
     caller = Caller(document=Document.model_validate({"model_routes": routes}))
