--- a/src/lavenderrun/commands/_bench.py
+++ b/src/lavenderrun/commands/_bench.py
@@ -59,6 +59,9 @@
         if args.scenario == ["slopes"]:
             _print_slopes(as_json=args.json)
             return 0
+        unknown = [name for name in args.scenario if name not in SCENARIOS]
+        if unknown:
+            sys.exit(f"bench: no scenario {unknown[0]!r}; --list shows them")
         chosen = _read_pairs(args.policy)
         runs = [chosen]
         if args.compare:
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -25,6 +25,11 @@
     assert main(["check", str(tmp_path / "absent.toml")]) == 2
 
 
+def test_an_unknown_scenario_is_named_without_a_traceback() -> None:
+    with pytest.raises(SystemExit, match="no scenario 'absent'; --list shows them"):
+        main(["bench", "absent"])
+
+
 def test_schema_is_json(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["schema"]) == 0
     assert json.loads(capsys.readouterr().out)["title"] == "Document"
