--- a/tests/commands/processes.py
+++ b/tests/commands/processes.py
@@ -7,10 +7,8 @@
 import os
 import select
 import signal
-import socket
 import subprocess
 import sys
-from contextlib import ExitStack
 from dataclasses import asdict
 from pathlib import Path
 from ssl import create_default_context
@@ -19,6 +17,7 @@
 from urllib.request import Request, urlopen
 
 from authority import CertificateAuthority
+from free_ports import find_ports
 from tap import Tap
 
 CALLER_KEY = "lr-marker-caller-key"
@@ -30,14 +29,6 @@
     return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
 
 
-def find_ports(count: int) -> list[int]:
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-
-
 class Process:
     def __init__(self, folder: Path, name: str, *arguments: str) -> None:
         self.name = name
--- /dev/null
+++ b/tests/platform/free_ports.py
@@ -0,0 +1,30 @@
+"""Ports for processes that a test starts."""
+
+from __future__ import annotations
+
+import os
+import random
+import socket
+from contextlib import ExitStack
+from typing import Final
+
+PORTS: Final = range(12_000, 32_000)
+"""Below the ports that the system gives to outgoing connections and to sockets bound to port 0, so
+that none of those takes a port between the search and the start of the process that uses it."""
+
+_RANDOM_SOURCE: Final = random.Random(os.getpid())
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports of the loopback address."""
+    with ExitStack() as stack:
+        ports: list[int] = []
+        while len(ports) < count:
+            port = _RANDOM_SOURCE.choice(PORTS)
+            candidate = stack.enter_context(socket.socket())
+            try:
+                candidate.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
+        return ports
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -13,23 +12,13 @@
 from pathlib import Path
 from typing import Any
 
+from free_ports import find_ports
 from platform_standin import HOST, KEY, StandinServer, Store, StoreEndpoint, make_config
 
 ROOT = Path(__file__).parents[2]
 WAIT = 10.0
 
 
-def find_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
 def wait_for(check: Callable[[], Any], what: str) -> Any:
     until = time.monotonic() + WAIT
     while time.monotonic() < until:
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -13,7 +13,8 @@
 from pathlib import Path
 
 import pytest
-from gateway_process import ROOT, WAIT, Answer, Gateway, StandinPlatform, find_ports, wait_for
+from free_ports import find_ports
+from gateway_process import ROOT, WAIT, Answer, Gateway, StandinPlatform, wait_for
 from misbehaviour import break_after, once, reject, run_and_reset
 from platform_standin import (
     HOST,
