--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,9 +51,13 @@
 
 
 class Soak:
-    """One soak run with one seed."""
+    """One soak run with one seed.
 
-    def __init__(self, seed: int, folder: File) -> None:
+    :param hosts: number of gateways.
+    """
+
+    def __init__(self, seed: int, folder: File, hosts: int = 2) -> None:
+        self.hosts = hosts
         self.random_source = random.Random(seed)
         self.seed = seed
         self.platform = StandinPlatform(folder)
@@ -87,7 +91,7 @@
     def run(self, seconds: float) -> list[str]:
         """Inject faults for *seconds*, check recovery and answers, and return the failed checks."""
         try:
-            for name in ("front-1", "front-2"):
+            for name in (f"front-{number + 1}" for number in range(self.hosts)):
                 gateway = Gateway(self.platform.folder, self.store_proxy.address, name).start()
                 self.platform.gateways.append(gateway)
                 self.gateways.append(gateway)
@@ -346,9 +350,11 @@
     soak.platform.store.forget_history()
 
 
-def run_seed(seed: int, seconds: float, folder: File) -> tuple[list[str], Counter[str]]:
+def run_seed(
+    seed: int, seconds: float, folder: File, hosts: int = 2
+) -> tuple[list[str], Counter[str]]:
     """Run one seed; return the failed checks and the number of calls by status."""
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, hosts)
     failures = soak.run(seconds)
     statuses = Counter(
         "cut" if answer is None or not answer.whole else str(answer.status)
@@ -362,12 +368,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-5", metavar="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--hosts", type=int, default=2, help="number of gateways")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         folder = File(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        failures, statuses = run_seed(seed, args.seconds, folder)
+        failures, statuses = run_seed(seed, args.seconds, folder, args.hosts)
         failed += bool(failures)
         outcomes = {"seed": seed, "faults": failures[:10], "ends": statuses, "logs": str(folder)}
         print(json.dumps(outcomes), flush=True)
