Take a 404 for an answer only when a row is read

Cause: the protocol knows 404 for the read of one row; for a write it ended in an AttributeError and a delete counted as done, so a wrong address or proxy in between lost deletes without a word. Change: any other 404 means that the table service is not available. Result: the test failed before and passes.

--- a/src/lavenderrun/services/_store_http.py
+++ b/src/lavenderrun/services/_store_http.py
@@ -38,7 +38,7 @@
 
     def get(self, table: str, key: str) -> Deferred[StoredRow | None]:
         """Read one row, ``None`` when it is absent."""
-        return self._call("GET", _make_path(table, key), _decode_row)
+        return self._call("GET", _make_path(table, key), _decode_row, may_be_absent=True)
 
     def scan(self, table: str) -> Deferred[list[StoredRow]]:
         """Read all rows of a table."""
@@ -59,6 +59,8 @@
         decode: Callable[[bytes], Any],
         expect: int | None = None,
         value: bytes | None = None,
+        *,
+        may_be_absent: bool = False,
     ) -> Deferred[Any]:
         headers = Headers()
         if expect is not None:
@@ -66,7 +68,7 @@
         body = None if value is None else BytesBody(value)
         url = (self._url + path).encode("ascii")
         response: Deferred[Any] = self._agent.request(method.encode("ascii"), url, headers, body)
-        response.addCallback(_read_response, decode)
+        response.addCallback(_read_response, decode, may_be_absent=may_be_absent)
         response.addErrback(_translate_failure)
         return response
 
@@ -76,15 +78,20 @@
     return rows if key is None else f"{rows}/{quote(key, safe='')}"
 
 
-def _read_response(response: Any, decode: Callable[[bytes], Any]) -> Deferred[Any]:
-    return read_response_body(response).addCallback(_decode_response, response, decode)
+def _read_response(
+    response: Any, decode: Callable[[bytes], Any], *, may_be_absent: bool
+) -> Deferred[Any]:
+    body = read_response_body(response)
+    return body.addCallback(_decode_response, response, decode, may_be_absent=may_be_absent)
 
 
-def _decode_response(body: bytes, response: Any, decode: Callable[[bytes], Any]) -> Any:
+def _decode_response(
+    body: bytes, response: Any, decode: Callable[[bytes], Any], *, may_be_absent: bool
+) -> Any:
     code: int = response.code
     if code == HTTPStatus.OK:
         return decode(body)
-    if code == HTTPStatus.NOT_FOUND:
+    if code == HTTPStatus.NOT_FOUND and may_be_absent:
         return None
     if code == HTTPStatus.PRECONDITION_FAILED:
         raise StoreConflictError(_decode_row(body))
--- a/tests/services/test_store_http.py
+++ b/tests/services/test_store_http.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 from twisted.internet.defer import Deferred
+from twisted.web.pages import notFound
 from twisted.web.server import Site
 
 from lavenderrun.kernel import ReactorClock
@@ -70,3 +71,34 @@
     assert current == second
     assert after == []
     assert isinstance(error, StoreUnavailableError)
+
+
+# 404 counted as success for a delete, and ended a write with an AttributeError
+def test_only_the_read_of_a_row_may_be_answered_with_404() -> None:
+    loop = asyncio.new_event_loop()
+    reactor: Any = AsyncioSelectorReactor(loop)
+    site = make_site(notFound())
+    port = reactor.listenTCP(0, site, interface="127.0.0.1")
+    store = HttpStore(f"http://127.0.0.1:{port.getHost().port}", reactor, 2)
+    results: list[Any] = []
+
+    async def call_all() -> None:
+        results.append(await store.get("t", "k"))
+        for call in (
+            lambda: store.put("t", "k", b"v", expect=0),
+            lambda: store.delete("t", "k", expect=1),
+            lambda: store.scan("t"),
+        ):
+            try:
+                results.append(await call())
+            except StoreUnavailableError as error:
+                results.append(str(error))
+
+    def run() -> None:
+        done = Deferred.fromCoroutine(call_all())
+        done.addErrback(results.append)
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(run)
+    reactor.run()
+    assert results == [None, "status 404", "status 404", "status 404"]
