--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
+from gateway_process import StandinPlatform
 from hypothesis import HealthCheck, settings
 
 # deterministic results: the same examples in every run, and no time limits
@@ -30,3 +32,12 @@
     for item in items:
         for name in {item.name, getattr(item, "originalname", item.name)} & set(listed):
             item.add_marker(pytest.mark.xfail(reason=f"known red: {listed[name]}"))
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[StandinPlatform]:
+    """Return a stand-in platform with a configuration and without servers and gateways."""
+    found = StandinPlatform(tmp_path)
+    found.configure()
+    yield found
+    found.close()
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -7,7 +7,6 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler
 from pathlib import Path
@@ -34,14 +33,6 @@
 from lavenderrun.gateway import GATEWAY_METRICS
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[StandinPlatform]:
-    found = StandinPlatform(tmp_path)
-    found.configure()
-    yield found
-    found.close()
-
-
 @pytest.fixture
 def gateway(platform: StandinPlatform) -> Gateway:
     for name in ("app-1", "app-2"):
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -4,7 +4,6 @@
 
 import socket
 import time
-from collections.abc import Iterator
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler
 from pathlib import Path
@@ -18,14 +17,6 @@
 GROWTH_LIMIT = 24 * MEGABYTE
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[StandinPlatform]:
-    found = StandinPlatform(tmp_path)
-    found.configure()
-    yield found
-    found.close()
-
-
 @pytest.fixture
 def gateway(platform: StandinPlatform) -> Gateway:
     platform.add(StandinServer("app-1", "apps"))
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler
-from pathlib import Path
 
 import pytest
 from gateway_process import Gateway, StandinPlatform, wait_for
@@ -20,14 +18,6 @@
 LEAVERS = ("app-1", "pre-1", "dec-1")
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[StandinPlatform]:
-    found = StandinPlatform(tmp_path)
-    found.configure()
-    yield found
-    found.close()
-
-
 @pytest.fixture
 def gateway(platform: StandinPlatform) -> Gateway:
     for number in (1, 2, 3):
--- a/tests/platform/test_slow_peers.py
+++ b/tests/platform/test_slow_peers.py
@@ -4,9 +4,7 @@
 
 import socket
 import time
-from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler
-from pathlib import Path
 
 import pytest
 from gateway_process import Gateway, StandinPlatform
@@ -25,17 +23,10 @@
 IDLE_SECONDS = 1.5
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[StandinPlatform]:
-    found = StandinPlatform(tmp_path)
-    limits = {**make_config(1)["limits"], "idle-timeout-ms": int(IDLE_SECONDS * 1000)}
-    found.configure(limits=limits)
-    yield found
-    found.close()
-
-
 @pytest.fixture
 def gateway(platform: StandinPlatform) -> Gateway:
+    limits = {**make_config(1)["limits"], "idle-timeout-ms": int(IDLE_SECONDS * 1000)}
+    platform.configure(limits=limits)
     platform.add(StandinServer("app-1", "apps"))
     platform.add(StandinServer("pre-1", "llm", "prefill"))
     for name in ("dec-1", "dec-2"):
