--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,7 @@
 from proxy import Proxy, ProxyMode
 
 CALLER_COUNT = 6
+START_BATCH = 4
 RECOVERY_SECONDS = 12.0
 RESTART_SHARE = 0.5
 AT_MOST_ONCE = (ORDERS, STREAM)
@@ -95,8 +96,9 @@
                 gateway = Gateway(self.platform.folder, self.store_proxy.address, name).start()
                 self.platform.gateways.append(gateway)
                 self.gateways.append(gateway)
-            for gateway in self.gateways:
-                self.platform.wait_known(gateway)
+                if len(self.gateways) % START_BATCH == 0:
+                    self._wait_known()
+            self._wait_known()
             callers = [threading.Thread(target=self._call, args=(n,)) for n in range(CALLER_COUNT)]
             for caller in callers:
                 caller.start()
@@ -115,6 +117,10 @@
                 proxy.close()
         return self.outcomes.failures
 
+    def _wait_known(self) -> None:
+        for gateway in self.gateways:
+            self.platform.wait_known(gateway)
+
     def _call(self, number: int) -> None:
         random_source = random.Random(self.seed * 1000 + number)
         connections: dict[int, http.client.HTTPConnection] = {}
