Account for every request that was read whole

Callers saw connections close without an answer, and neither logs nor metrics could tell why: the only line was "caller is gone", also where this host had closed.

The servers for callers, of gateways and entries, now share AccountedRequest and AccountedChannel. Each request that was read whole ends as answered, refused, broken off, caller gone or unanswered; the last is a fault of this host, counted by who closed the connection and logged with the id of the request. Requests whose connection closes before they are read whole are counted apart. No decision changes.

--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -6,10 +6,9 @@
 from io import BytesIO
 from typing import Any, ClassVar, Final
 
-from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
-from twisted.web.http import HTTPChannel, Request
 
 from lavenderrun.decoding import parse_address
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -19,7 +18,15 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
 from lavenderrun.gateway._sockets import set_socket_options
-from lavenderrun.gateway._stats import OPEN_CONNECTIONS, Stats
+from lavenderrun.gateway._stats import OPEN_CONNECTIONS, PARTIAL, REQUESTS, UNANSWERED, Stats
+from lavenderrun.http_server import (
+    AccountedChannel,
+    AccountedFactory,
+    AccountedRequest,
+    CloseReason,
+    RequestAccount,
+    RequestEnd,
+)
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import (
     Configuration,
@@ -47,14 +54,14 @@
 """Idle time after which a connection is closed, until a configuration sets another one."""
 
 
-class CallerRequest(Request):
+class CallerRequest(AccountedRequest):
     """One HTTP request of a caller; its body stays in memory."""
 
     content: Any
     defaultContentType: Any = None  # noqa: N815
 
     def __init__(self, channel: Any, queued: object = False) -> None:
-        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+        super().__init__(channel, queued)
         self._service: CallersService = channel.factory.service
         self._running: RunningCall | None = None
         self._received_bytes = 0
@@ -62,6 +69,16 @@
         self._call_id: RequestId | None = None
         self._begun = False
 
+    @property
+    def id_for_log(self) -> str | None:
+        """The id that the caller gave the request."""
+        return self._service.dialect.find_id(self._list_headers())
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of the body that were read."""
+        return self._received_bytes
+
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Keep the body in memory whatever its length."""
         self.content = BytesIO()
@@ -80,11 +97,7 @@
             detail = f"body: larger than {self._service.max_body_bytes} bytes"
             self.refuse(Refused(Refusal.TOO_LARGE, Outcome.NOT_RUN, Step.ADMISSION, detail=detail))
             return
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, values in self.requestHeaders.getAllRawHeaders()
-            for value in values
-        ]
+        headers = self._list_headers()
         method, target = self.method.decode("latin-1"), self.uri.decode("latin-1")
         decoded = self._service.dialect.decode_call(method, target, headers, self.content.read())
         if isinstance(decoded, str):
@@ -94,8 +107,17 @@
             return
         self._submit(decoded)
 
+    def _list_headers(self) -> Headers:
+        return [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, values in self.requestHeaders.getAllRawHeaders()
+            for value in values
+        ]
+
     def _submit(self, call: GatewayCall) -> None:
         self._call_id = call.id
+        if call.patience is not None:
+            self.due = self._service.account.clock.now() + call.patience
         self._running = self._service.router.submit(call, self)
         if self._is_over:
             self._running = None
@@ -136,6 +158,7 @@
         if self._is_over:
             return
         self._is_over = True
+        self.record_end(RequestEnd.BROKEN_OFF)
         if self._begun:
             self.unregisterProducer()
         if self.chunked:
@@ -145,6 +168,7 @@
             self._abort_connection()
 
     def _abort_connection(self) -> None:
+        self.channel.note_closing(CloseReason.ABORT)
         transport: Any = self.channel.transport
         transport.abortConnection()
 
@@ -159,6 +183,7 @@
 
     def refuse(self, refused: Refused) -> None:
         """Send a refusal of this host."""
+        self.end_when_finished = RequestEnd.REFUSED
         status, headers, body = self._service.dialect.encode_refusal(self._call_id, refused)
         self.answer(status, headers, body)
 
@@ -191,7 +216,7 @@
         """Do nothing: ``CallerRequest.connectionLost`` cancels the call."""
 
 
-class CallerChannel(HTTPChannel):
+class CallerChannel(AccountedChannel):
     """One connection of a caller."""
 
     requestFactory: Any = CallerRequest  # noqa: N815
@@ -239,15 +264,15 @@
         if self.requests:
             self.persistent = 0
         else:
+            self.note_closing(CloseReason.DEPARTURE)
             self.loseConnection()
 
 
-class CallerFactory(ServerFactory):
+class CallerFactory(AccountedFactory):
     """Makes a channel for each connection of a caller."""
 
-    noisy = False
-
     def __init__(self, service: CallersService, call_later: Callable[..., Any]) -> None:
+        super().__init__(service.account)
         self.service = service
         # in order of their arrival, so that the same calls are closed in the same order
         self.channels: dict[CallerChannel, None] = {}
@@ -275,6 +300,7 @@
         self._configuration = kernel.find("configuration", ConfigurationService)
         self.router = kernel.find("router", GatewayRouter)
         self.dialect = kernel.find("caller_dialect", CallerDialect)
+        self.account = RequestAccount(kernel.clock)
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self._port: Any = None
@@ -289,6 +315,10 @@
             },
         )
 
+        stats.register_reader(REQUESTS, self.account.read_ends)
+        stats.register_reader(UNANSWERED, self.account.read_unanswered)
+        stats.register_reader(PARTIAL, self.account.read_partial)
+
     @property
     def channels(self) -> Collection[CallerChannel]:
         """The open connections of callers, in order of their arrival."""
@@ -309,6 +339,7 @@
         """Accept no more connections and close those that are left."""
         if self._port is not None:
             self._port.stopListening()
+        self.account.is_leaving = True
         self.close_idle()
 
     def close_idle(self) -> None:
--- a/src/lavenderrun/gateway/_ports.py
+++ b/src/lavenderrun/gateway/_ports.py
@@ -157,6 +157,9 @@
     ) -> GatewayCall | str:
         """Return the call, or a text that says what is wrong with it."""
 
+    def find_id(self, headers: Headers) -> RequestId | None:
+        """Return the id that the caller gave, ``None`` without one."""
+
     def encode_refusal(
         self, request: RequestId | None, refused: Refused
     ) -> tuple[int, Headers, bytes]:
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -33,6 +33,24 @@
     "Callers' calls by service, delivery and outcome.",
     ("service", "delivery", "outcome"),
 )
+REQUESTS = define_gateway_metric(
+    "lavenderrun_gateway_requests_total",
+    MetricKind.COUNTER,
+    "Callers' requests that were read whole, by how they ended.",
+    ("end",),
+)
+UNANSWERED = define_gateway_metric(
+    "lavenderrun_gateway_unanswered_requests_total",
+    MetricKind.COUNTER,
+    "Callers' requests that were read whole and ended without an answer, by who closed.",
+    ("closed_by",),
+)
+PARTIAL = define_gateway_metric(
+    "lavenderrun_gateway_partial_requests_total",
+    MetricKind.COUNTER,
+    "Callers' requests whose connection closed before they were read whole, by who closed.",
+    ("closed_by",),
+)
 REFUSALS = define_gateway_metric(
     "lavenderrun_gateway_refusals_total",
     MetricKind.COUNTER,
--- /dev/null
+++ b/src/lavenderrun/http_server/_requests.py
@@ -0,0 +1,160 @@
+"""Requests, connections and factories that keep the account of requests."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from typing import Any, Final
+
+from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost
+from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.http import HTTPChannel, Request
+
+from lavenderrun.http_server._account import CloseReason, RequestAccount, RequestEnd
+from lavenderrun.http_server._errors import describe_error
+
+OVERDUE_AFTER: Final = timedelta(milliseconds=500)
+"""Time after the deadline of a request from which its caller has left for want of an answer."""
+
+
+class AccountedRequest(Request):
+    """A request whose end is recorded once.
+
+    :ivar end_when_finished: end that is recorded when the answer is finished.
+    :ivar due: when the caller stops waiting, ``None`` when it does not say.
+    """
+
+    channel: Any
+
+    def __init__(self, channel: Any, queued: object = False) -> None:
+        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+        self.end_when_finished = RequestEnd.ANSWERED
+        self.due: datetime | None = None
+        self._account: RequestAccount = channel.factory.account
+        self._read_at: datetime | None = None
+        self._is_recorded = False
+
+    @property
+    def id_for_log(self) -> str | None:
+        """The id of the request in log lines, ``None`` without one."""
+        return None
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of the body that were read."""
+        return 0
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
+        """Note that the request was read whole, and handle it."""
+        self._read_at = self._account.clock.now()
+        super().requestReceived(command, path, version)
+
+    def finish(self) -> None:
+        """Record the end of the request and finish its answer."""
+        self.record_end(self.end_when_finished)
+        super().finish()
+
+    def record_end(self, end: RequestEnd) -> None:
+        """Record how the request ended; a second call does nothing."""
+        if not self._is_recorded:
+            self._is_recorded = True
+            self._account.record_end(end)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Record the end of a request whose connection closed before its answer ended."""
+        if not self._is_recorded:
+            self._record_loss(reason)
+        super().connectionLost(reason)
+
+    def _record_loss(self, failure: Failure) -> None:
+        reason = self.channel.find_close_reason(failure)
+        fields: dict[str, Any] = {}
+        if reason is CloseReason.ERROR and failure.value is not None:
+            fields["error"] = describe_error(failure.value)
+        if self.startedWriting and (self._read_at is None or reason is not CloseReason.CALLER):
+            refused = self.end_when_finished is RequestEnd.REFUSED
+            self.record_end(RequestEnd.REFUSED if refused else RequestEnd.BROKEN_OFF)
+            return
+        self._is_recorded = True
+        if self._read_at is None:
+            self._account.record_partial(self.id_for_log, reason, self.received_bytes, **fields)
+        elif reason is not CloseReason.CALLER:
+            self._account.record_unanswered(self.id_for_log, reason, self._read_at, **fields)
+        elif self._is_overdue():
+            self._account.record_unanswered(self.id_for_log, CloseReason.OVERDUE, self._read_at)
+        else:
+            self._account.record_end(RequestEnd.CALLER_GONE)
+
+    def _is_overdue(self) -> bool:
+        is_late = self.due is not None and self._account.clock.now() > self.due + OVERDUE_AFTER
+        return is_late and not self.startedWriting
+
+
+class AccountedChannel(HTTPChannel):
+    """A connection of callers that knows why it is closed."""
+
+    factory: AccountedFactory
+    transport: Any
+    _closing: CloseReason | None = None
+
+    def note_closing(self, reason: CloseReason) -> None:
+        """Note why this host closes the connection; the first reason stays."""
+        if self._closing is None:
+            self._closing = reason
+
+    def find_close_reason(self, failure: Failure) -> CloseReason:
+        """Return why the connection closed.
+
+        :param failure: what the transport says.
+        """
+        if self._closing is not None:
+            return self._closing
+        if failure.check(ConnectionAborted):
+            return CloseReason.ABORT
+        if not failure.check(ConnectionDone, ConnectionLost) and not _is_tls_error(failure):
+            return CloseReason.ERROR
+        return CloseReason.DEPARTURE if self.factory.account.is_leaving else CloseReason.CALLER
+
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close an idle connection."""
+        self.note_closing(CloseReason.IDLE_TIMEOUT)
+        super().timeoutConnection()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection once what was written is sent."""
+        self.note_closing(CloseReason.HOST)
+        super().loseConnection()
+
+    def forceAbortClient(self) -> None:  # noqa: N802
+        """Close the connection at once."""
+        self.note_closing(CloseReason.ABORT)
+        super().forceAbortClient()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """End the requests on this connection."""
+        unread = sum(map(len, self._dataBuffer))
+        if unread:
+            # pipelined behind a request that was under way
+            self.factory.account.record_partial(None, self.find_close_reason(reason), unread)
+        super().connectionLost(reason)
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        self.note_closing(CloseReason.BAD_REQUEST)
+        super()._respondToBadRequestAndDisconnect()
+
+
+class AccountedFactory(ServerFactory):
+    """Base of the factories of callers' connections.
+
+    :ivar account: how the requests on these connections ended.
+    """
+
+    noisy = False
+
+    def __init__(self, account: RequestAccount) -> None:
+        self.account = account
+
+
+def _is_tls_error(failure: Failure) -> bool:
+    # a caller that resets a TLS connection; pyOpenSSL is not installed beside a gateway
+    return failure.type is not None and failure.type.__module__.startswith("OpenSSL")
--- a/src/lavenderrun/platform/_callers.py
+++ b/src/lavenderrun/platform/_callers.py
@@ -82,6 +82,11 @@
             _read_shared_parts(header_names.find_value(headers, header_names.PROMPT_PARTS)),
         )
 
+    def find_id(self, headers: Headers) -> RequestId | None:
+        """Return the id that the caller gave, ``None`` without one."""
+        found = header_names.find_value(headers, header_names.REQUEST_ID)
+        return RequestId(found) if found else None
+
     def encode_refusal(
         self, request: RequestId | None, refused: Refused
     ) -> tuple[int, Headers, bytes]:
--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -22,6 +22,7 @@
     strip_headers,
 )
 from lavenderrun.decisions import estimate_tokens, find_plain_route
+from lavenderrun.http_server import CloseReason, RequestAccount, describe_error
 from lavenderrun.kernel import SERVICES, Kernel, Registry
 from lavenderrun.services._front_http import FrontChannel, FrontFactory, FrontRequest
 from lavenderrun.services._front_sinks import PlainSink, Sink, StreamSink, WholeSink
@@ -74,6 +75,11 @@
         """The IP address and port that callers reach; empty before ``start``."""
         return self._listener.address if self._listener is not None else ""
 
+    @property
+    def account(self) -> RequestAccount | None:
+        """How callers' requests ended, ``None`` before ``start``."""
+        return self._factory.account if self._factory is not None else None
+
     def make_factory(self, reactor: IReactorTime) -> FrontFactory:
         """Return the factory of callers' connections; *reactor* runs their timeouts."""
         self._factory = FrontFactory(self, reactor)
@@ -92,6 +98,8 @@
         drain_done = self._drain_done = Deferred()
         if self._listener is not None:
             self._listener.close()
+        if self._factory is not None:
+            self._factory.account.is_leaving = True
         channels = self._list_channels()
         log_message("front:draining", text="front: closing connections", open=len(channels))
         limit = self._kernel.clock.call_later(self.settings.drain, self._abort_remaining)
@@ -204,11 +212,10 @@
             sink.attach(submit())
         except Exception as error:
             # the caller learns that the outcome is unknown, but nothing of the error itself
-            error_site = f"{type(error).__name__} at {_find_raise_site(error)}"
             log_message(
                 "front:failed",
                 text="front: request failed with an unexpected error",
-                error=error_site,
+                error=describe_error(error),
             )
             sink.refuse(Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.ADMISSION))
 
@@ -245,19 +252,13 @@
     def _abort_remaining(self) -> None:
         log_message("front:drain_over", text="front: drain limit passed, open connections aborted")
         for channel in self._list_channels():
+            channel.note_closing(CloseReason.DEPARTURE)
             channel.abort()
 
     def _list_channels(self) -> list[FrontChannel]:
         return list(self._factory.channels) if self._factory is not None else []
 
 
-def _find_raise_site(error: BaseException) -> str:
-    trace = error.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    return f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace else ""
-
-
 def _read_key(request: FrontRequest) -> str:
     key = parse_key(request.find_headers("Authorization"))
     if key is None:
--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -8,12 +8,20 @@
 from uuid import uuid4
 
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
-from twisted.web.http import HTTPChannel, Request
 from twisted.web.http_headers import Headers
 
 from lavenderrun.codecs import encode_error, find_status, list_error_headers
+from lavenderrun.http_server import (
+    AccountedChannel,
+    AccountedFactory,
+    AccountedRequest,
+    CloseReason,
+    RequestAccount,
+    RequestEnd,
+)
+from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import FrontSettings, Outcome, Refusal, Refused, RequestId, Step
 
 # multiple of the body size limit up to which a refused body is read and discarded: to close the
@@ -32,19 +40,29 @@
         """Answer a request whose body has arrived in full."""
 
 
-class FrontRequest(Request):
+class FrontRequest(AccountedRequest):
     """A request whose body is kept in memory, up to the size limit of the settings."""
 
     content: Any
 
     def __init__(self, channel: Any, queued: object = False) -> None:
-        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+        super().__init__(channel, queued)
         self.id = RequestId(uuid4().hex)
         self.answered = False
         self._handler: RequestHandler = channel.factory.handler
         self._max_body = max(self._handler.settings.max_body, self._handler.settings.max_plain_body)
         self._received_bytes = 0
 
+    @property
+    def id_for_log(self) -> str | None:
+        """The id that this host gave the request."""
+        return self.id
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of the body that were read."""
+        return self._received_bytes
+
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body whose declared size is over the limit before it is read."""
         self.content = BytesIO()
@@ -116,6 +134,7 @@
 
     def answer_refused(self, refused: Refused, field: str = "") -> None:
         """Send a refusal as the complete answer."""
+        self.end_when_finished = RequestEnd.REFUSED
         body = encode_error(refused, field)
         self.answer(find_status(refused), body, list_error_headers(refused))
 
@@ -124,6 +143,7 @@
             return
         detail = f"body: larger than {self._max_body} bytes."
         refused = Refused(Refusal.TOO_LARGE, Outcome.NOT_RUN, Step.ADMISSION, detail=detail)
+        self.end_when_finished = RequestEnd.REFUSED
         body = encode_error(refused, "body")
         framing = [("Content-Type", JSON_CONTENT_TYPE), ("Content-Length", str(len(body)))]
         # the channel sets these only after the body has been read
@@ -133,7 +153,7 @@
         self.write(body)
 
 
-class FrontChannel(HTTPChannel):
+class FrontChannel(AccountedChannel):
     """A connection of a caller or operator."""
 
     requestFactory: Any = FrontRequest  # noqa: N815
@@ -163,9 +183,11 @@
         if self.requests:
             self.persistent = 0
         else:
+            self.note_closing(CloseReason.DEPARTURE)
             self.loseConnection()
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        self.note_closing(CloseReason.BAD_REQUEST)
         detail = "HTTP: the request line or a header is malformed."
         refused = Refused(Refusal.BAD_REQUEST, Outcome.NOT_RUN, Step.ADMISSION, detail=detail)
         body = encode_error(refused)
@@ -180,16 +202,15 @@
         self.loseConnection()
 
 
-class FrontFactory(ServerFactory):
+class FrontFactory(AccountedFactory):
     """Makes the channels of new connections.
 
     :param reactor: runs the idle timeouts.
     :ivar on_empty: called when the last connection has closed.
     """
 
-    noisy = False
-
     def __init__(self, handler: RequestHandler, reactor: IReactorTime) -> None:
+        super().__init__(RequestAccount(ReactorClock.starting_now(reactor)))
         self.handler = handler
         self.channels: set[FrontChannel] = set()
         self.on_empty: Callable[[], None] = lambda: None
--- a/src/lavenderrun/services/_front_sinks.py
+++ b/src/lavenderrun/services/_front_sinks.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 
 from lavenderrun.codecs import DONE_EVENT, AnswerCodec, encode_error_event
+from lavenderrun.http_server import RequestEnd
 from lavenderrun.kernel import Clock
 from lavenderrun.services._front_http import FrontRequest
 from lavenderrun.services._front_output import CallerOutput
@@ -109,6 +110,7 @@
 
     def _end_incomplete(self, refused: Refused) -> None:
         self._request.channel.persistent = 0
+        self._request.end_when_finished = RequestEnd.BROKEN_OFF
         self._output.write(encode_error_event(refused))
         self._output.finish()
 
--- a/src/lavenderrun/services/_metrics_states.py
+++ b/src/lavenderrun/services/_metrics_states.py
@@ -6,8 +6,10 @@
 from collections.abc import Iterator
 from dataclasses import asdict
 
+from lavenderrun.http_server import RequestAccount
 from lavenderrun.kernel import Kernel
 from lavenderrun.metrics import MetricKind
+from lavenderrun.services._front import FrontService
 from lavenderrun.services._links import LinksService
 from lavenderrun.services._metrics import MetricsService, Readings, register_reader
 from lavenderrun.services._store import StoreClient
@@ -111,6 +113,46 @@
     }
 
 
+@register_reader(
+    "lavenderrun_requests_ended_total",
+    "Callers' requests that were read whole, by how they ended.",
+    ("end",),
+    MetricKind.COUNTER,
+)
+def read_request_ends(kernel: Kernel) -> Readings:
+    """Return the number of requests by their end; agents have no front."""
+    account = _find_account(kernel)
+    return account.read_ends() if account is not None else {}
+
+
+@register_reader(
+    "lavenderrun_unanswered_requests_total",
+    "Callers' requests that were read whole and ended without an answer, by who closed.",
+    ("closed_by",),
+    MetricKind.COUNTER,
+)
+def read_unanswered(kernel: Kernel) -> Readings:
+    """Return the number of requests without an answer; agents have no front."""
+    account = _find_account(kernel)
+    return account.read_unanswered() if account is not None else {}
+
+
+@register_reader(
+    "lavenderrun_partial_requests_total",
+    "Callers' requests whose connection closed before they were read whole, by who closed.",
+    ("closed_by",),
+    MetricKind.COUNTER,
+)
+def read_partial(kernel: Kernel) -> Readings:
+    """Return the number of requests that were not read whole; agents have no front."""
+    account = _find_account(kernel)
+    return account.read_partial() if account is not None else {}
+
+
+def _find_account(kernel: Kernel) -> RequestAccount | None:
+    return kernel.find("front", FrontService).account if kernel.has("front") else None
+
+
 def _list_loads(kernel: Kernel) -> Iterator[tuple[tuple[str, str], LoadReport]]:
     """Yield group, role and load of this host's backend server and of those of linked hosts."""
     links = kernel.find("links", LinksService)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -36,8 +36,13 @@
 
 @pytest.fixture
 def platform(tmp_path: Path) -> Iterator[StandinPlatform]:
-    """Return a stand-in platform with a configuration and without servers and gateways."""
+    """Return a stand-in platform with a configuration and without servers and gateways.
+
+    Whatever a test does, no gateway may leave a request without an answer.
+    """
     found = StandinPlatform(tmp_path)
     found.configure()
     yield found
+    unanswered = [line for gateway in found.gateways for line in gateway.list_unanswered()]
     found.close()
+    assert not unanswered
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -132,6 +132,10 @@
         found = [json.loads(line) for line in self.log.read_text().splitlines()]
         return [line for line in found if line["message_type"].startswith(kind)]
 
+    def list_unanswered(self) -> list[dict[str, Any]]:
+        """Return the log lines of requests that were read whole and ended without an answer."""
+        return self.lines("requests:unanswered")
+
     def signal(self, number: int) -> None:
         assert self.popen is not None
         self.popen.send_signal(number)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -48,7 +48,7 @@
 
 def test_every_log_prefix_is_on_its_page() -> None:
     used = {sentence.partition(":")[0] for sentence in LOG_TEXTS.values()}
-    for folder in ("services", "daemons", "kernel", "gateway", "platform"):
+    for folder in ("services", "daemons", "kernel", "gateway", "http_server", "platform"):
         for path in (ROOT / "src" / "lavenderrun" / folder).glob("*.py"):
             used |= set(LOG_LINE.findall(path.read_text()))
     listed = set(re.findall(r"^\| `([a-z_]+):`", (PAGES / "logs.md").read_text(), re.M))
