Show what a short silence of an engine does to streams

An engine that is silent for 1.6 s after the third event, or for 2.4 s before the first, is given up by a timer before another engine is known to take the stream. Seen: the answer is cut after three events when there is no other engine, no resend is left or the other engine rejects the call; the call is refused when the silence comes before the first event. Silence of all engines at once moves every stream, and silence of one engine moves all its streams.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -182,9 +182,12 @@
         self._restarts.append(restart)
         restart.start()
 
-    def add_gateway(self, name: str = "front-1", endpoint: StoreEndpoint | None = None) -> Gateway:
+    def add_gateway(
+        self, name: str = "front-1", endpoint: StoreEndpoint | None = None, **changes: Any
+    ) -> Gateway:
+        """Start a gateway; *changes* are those of its settings."""
         address = self.store.address if endpoint is None else endpoint.address
-        gateway = Gateway(self.folder, address, name).start()
+        gateway = Gateway(self.folder, address, name, **changes).start()
         self.gateways.append(gateway)
         return gateway
 
--- a/tests/platform/misbehaviour.py
+++ b/tests/platform/misbehaviour.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from http.server import BaseHTTPRequestHandler
 
 from platform_standin import Behaviour, SeenRequest, StandinServer, reset
@@ -41,3 +42,19 @@
         return True
 
     return once(behave)
+
+
+def fall_silent(events: int, seconds: float) -> Behaviour:
+    """Stream some events of an answer, then none for some time, then the others."""
+
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        if seen.headers.get("x-stage") == "prefill" or "last-event-id" in seen.headers:
+            return False
+        server.runs.append(seen.headers["x-request-id"])
+        server.stream(handler, seen, events)
+        time.sleep(seconds)
+        server.write_events(handler, events + 1, server.events)
+        handler.wfile.write(b"0\r\n\r\n")
+        return True
+
+    return behave
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -325,7 +325,10 @@
         for name, value in (*self.sign(seen.headers["x-request-id"]), *self.notices):
             handler.send_header(name, value)
         handler.end_headers()
-        for number in range(int(seen.headers.get("last-event-id", "0")) + 1, until + 1):
+        self.write_events(handler, int(seen.headers.get("last-event-id", "0")) + 1, until)
+
+    def write_events(self, handler: BaseHTTPRequestHandler, first: int, last: int) -> None:
+        for number in range(first, last + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             time.sleep(self.pause)
--- /dev/null
+++ b/tests/platform/test_silent_servers.py
@@ -0,0 +1,126 @@
+"""Streams at engines that fall silent for a second or so and go on."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from http.server import BaseHTTPRequestHandler
+
+import pytest
+from gateway_process import Answer, Gateway, StandinPlatform
+from misbehaviour import fall_silent, reject
+from platform_standin import RESUMED, STREAM, SeenRequest, StandinServer
+
+EVENTS = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 7)]
+BEGUN = 3
+SILENCE = 1.6
+LONG_SILENCE = 2.4
+NO_RESENDS = {"grace-s": 8, "retry-ratio": 0, "retry-window-s": 10, "retry-slack": 0}
+
+
+def is_whole(answer: Answer) -> bool:
+    return answer.whole and (answer.status, answer.body) == (200, b"".join(EVENTS))
+
+
+def list_resumed(platform: StandinPlatform) -> list[str]:
+    """Return the requests that an engine was asked to go on with."""
+    return [
+        seen.headers["x-request-id"]
+        for server in platform.servers.values()
+        for seen in server.seen
+        if "last-event-id" in seen.headers
+    ]
+
+
+def add_engines(platform: StandinPlatform, *names: str) -> list[StandinServer]:
+    return [platform.add(StandinServer(name, "llm", "decode")) for name in names]
+
+
+# the only engine was given up after 1.2 s of silence and the answer was cut
+@pytest.mark.parametrize("path", [RESUMED, STREAM])
+def test_a_stream_is_whole_when_its_only_engine_is_silent_for_a_moment(
+    platform: StandinPlatform, path: str
+) -> None:
+    (engine,) = add_engines(platform, "dec-1")
+    engine.behave = fall_silent(BEGUN, SILENCE)
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(path + "x"))
+    assert engine.runs == ["r1"]
+
+
+# the only engine was given up before its first event and the call was refused
+def test_a_stream_is_whole_when_its_only_engine_is_silent_before_the_first_event(
+    platform: StandinPlatform,
+) -> None:
+    (engine,) = add_engines(platform, "dec-1")
+    engine.behave = fall_silent(0, LONG_SILENCE)
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(RESUMED + "x"))
+    assert engine.runs == ["r1"]
+
+
+# a silent engine was given up although no resend was left, and the answer was cut
+def test_a_stream_is_whole_when_its_engine_is_silent_and_no_resend_is_left(
+    platform: StandinPlatform,
+) -> None:
+    for engine in add_engines(platform, "dec-1", "dec-2"):
+        engine.behave = fall_silent(BEGUN, SILENCE)
+    gateway = platform.wait_known(platform.add_gateway(bounds=NO_RESENDS))
+    assert is_whole(gateway.generate(RESUMED + "x"))
+    assert not list_resumed(platform)
+
+
+# the silent engine was given up, then the other one rejected the call and the answer was cut
+def test_a_stream_is_whole_when_its_engine_is_silent_and_the_other_one_rejects_it(
+    platform: StandinPlatform,
+) -> None:
+    silent = fall_silent(BEGUN, SILENCE)
+
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        if "last-event-id" in seen.headers:
+            return reject(server, handler, seen)
+        return silent(server, handler, seen)
+
+    for engine in add_engines(platform, "dec-1", "dec-2"):
+        engine.behave = behave
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(RESUMED + "x"))
+
+
+def run_streams(gateway: Gateway, count: int) -> list[Answer]:
+    with ThreadPoolExecutor(count) as pool:
+        running = []
+        for number in range(count):
+            running.append(pool.submit(gateway.generate, RESUMED + "x", request=f"r{number}"))
+            time.sleep(0.05)
+        return [call.result() for call in running]
+
+
+# streams moved between engines that were all silent: the path or the platform was, not they
+def test_no_stream_moves_when_two_engines_are_silent_at_once(platform: StandinPlatform) -> None:
+    engines = add_engines(platform, "dec-1", "dec-2")
+    for engine in engines:
+        engine.behave = fall_silent(BEGUN, SILENCE)
+    gateway = platform.wait_known(platform.add_gateway())
+    answers = run_streams(gateway, 4)
+    assert all(engine.runs for engine in engines)
+    assert all(is_whole(answer) for answer in answers)
+    assert not list_resumed(platform)
+
+
+# all streams of a silent engine moved to the other ones at once
+def test_the_streams_of_a_silent_engine_do_not_all_move_at_once(
+    platform: StandinPlatform,
+) -> None:
+    silent, sound = add_engines(platform, "dec-1", "dec-2")
+    gateway = platform.wait_known(platform.add_gateway())
+    platform.store.put("servers", sound.id, sound.entry(state="draining"))
+    time.sleep(1)
+    silent.behave = fall_silent(BEGUN, SILENCE)
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(run_streams, gateway, 6)
+        time.sleep(0.6)
+        platform.store.put("servers", sound.id, sound.entry(born=2))
+        answers = running.result()
+    assert all(is_whole(answer) for answer in answers)
+    assert len(list_resumed(platform)) <= 1
