Keep a request that had begun apart only after a second crash

Sound requests that lost their engine ended with an unknown outcome: of each crashed engine all streams became suspects, which run among at most four suspects and without other requests, and so waited for an empty engine until their deadline.

A request that crashes its server mostly does so before it begins to be answered. A strike now says whether its attempt had begun; one such strike does not keep the request apart, two do, three make it guilty as before.

--- a/src/lavenderrun/decisions/_quarantine.py
+++ b/src/lavenderrun/decisions/_quarantine.py
@@ -80,7 +80,11 @@
         """
         if self.find_verdict(fingerprint, now) is not QuarantineVerdict.SUSPECT:
             return 0
-        return SUSPECT_LIMITS.get(len(self.find_strikes(fingerprint)), 1)
+        strikes = self.find_strikes(fingerprint)
+        if len(strikes) == 1 and strikes[0].had_begun:
+            # most crash their server before they begin; a second crash limits this one too
+            return 0
+        return SUSPECT_LIMITS.get(len(strikes), 1)
 
     def find_strikes(self, fingerprint: Fingerprint) -> list[Strike]:
         """Return the strikes of *fingerprint*."""
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -113,6 +113,7 @@
         self._max_tokens = min(request.max_tokens, admitted.route.max_output_tokens)
         self._answer = ModelAnswer(request, sink)
         self._attempt = AttemptId(0)
+        self._offset_before = 0
         self._failed_hosts: set[HostId] = set()
         self._demand: Demand | None = None
         self._decode_link: Link | None = None
@@ -332,7 +333,7 @@
         self.state = RunState.DECODING
         self._sent_at = self._router.clock.now()
         self._answer.begin_attempt(self._attempt)
-        offset = self._answer.offset
+        offset = self._offset_before = self._answer.offset
         self._decode_link.send(make_start(done, offset, self._max_tokens - offset))
         self._set_timer(STALL_TIMEOUT, self._handle_timeout)
 
@@ -387,6 +388,7 @@
                     self._attempt,
                     self.admitted.account,
                     self.admitted.route.name,
+                    had_begun=self._answer.offset > self._offset_before,
                 )
             )
             if not self._answer.offset:
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -45,13 +45,17 @@
 
 @message("strike")
 class Strike(Message, tag="strike", frozen=True):
-    """A backend server crashed while it ran an attempt; entries send this to one another."""
+    """A backend server crashed while it ran an attempt; entries send this to one another.
+
+    :param had_begun: the attempt had begun to be answered, so another one is more likely the cause.
+    """
 
     fingerprint: Fingerprint
     request: RequestId
     attempt: AttemptId
     account: AccountId | None
     route: RouteName
+    had_begun: bool = False
 
 
 @message("acquitted")
--- /dev/null
+++ b/tests/decisions/test_strikes.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+import pytest
+
+from lavenderrun.decisions import Quarantine
+from lavenderrun.types import (
+    AccountId,
+    AttemptId,
+    Fingerprint,
+    QuarantineVerdict,
+    RequestId,
+    RouteName,
+    Strike,
+)
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+PRINT = Fingerprint("f")
+
+
+def strike(quarantine: Quarantine, number: int, *, had_begun: bool) -> None:
+    quarantine.add_strike(
+        Strike(
+            PRINT,
+            RequestId(f"r{number}"),
+            AttemptId(1),
+            AccountId("a"),
+            RouteName("orders"),
+            had_begun=had_begun,
+        ),
+        NOW,
+    )
+
+
+# requests that had begun to be answered waited for a server of their own until their deadline
+@pytest.mark.parametrize(
+    ("begun", "limits"),
+    [([True], [0]), ([False], [4]), ([True, True], [0, 1]), ([False, True], [4, 1])],
+)
+def test_a_request_that_had_begun_is_not_kept_apart_after_one_crash(
+    begun: list[bool], limits: list[int]
+) -> None:
+    quarantine = Quarantine()
+    found = []
+    for number, had_begun in enumerate(begun):
+        strike(quarantine, number, had_begun=had_begun)
+        found.append(quarantine.find_suspect_limit(PRINT, NOW))
+    assert found == limits
+
+
+def test_three_crashes_make_a_request_guilty_also_when_it_had_begun_each_time() -> None:
+    quarantine = Quarantine()
+    for number in range(3):
+        strike(quarantine, number, had_begun=True)
+    assert quarantine.find_verdict(PRINT, NOW) is QuarantineVerdict.GUILTY
