Run a suspect that has waited long next

A suspect that has waited for 2 s is next at its agent; until it has started, no other request joins those that run. The wait counts from the end of the suspect before it, so that others have their turn.

The two new tests failed before.

--- a/src/lavenderrun/decisions/_decode_scheduler.py
+++ b/src/lavenderrun/decisions/_decode_scheduler.py
@@ -44,6 +44,9 @@
 RESERVED_SLOTS = 4
 """Last free slots that an account over its share may not take while it has late jobs."""
 RECHECK_INTERVAL = timedelta(milliseconds=20)
+MAX_SUSPECT_WAIT = timedelta(seconds=2)
+"""Wait after which a suspect is next; until it starts, no other request joins those that run.
+It counts from the end of the suspect before it, so that other requests have their turn."""
 
 
 class DecodeScheduler:
@@ -70,6 +73,8 @@
         self._queue = queue(float(slots))
         self._may_promise = may_promise
         self._waiting: dict[JobKey, DecodeSlotLease] = {}
+        self._waiting_suspects: dict[JobKey, DecodeSlotLease] = {}
+        self._suspects_ended: datetime | None = None
         self._taken: dict[JobKey, DecodeSlotLease] = {}
         self._ended = Tombstones()
         self._usage = DecodeSlotUsage(slots)
@@ -118,7 +123,9 @@
         if not fits or wait > request.job.deadline - now:
             self._ended.add(key, now, started=False)
             return [RefuseDecode(key, request.holder, Refusal.NO_ROOM, wait if fits else ZERO)]
-        self._waiting[key] = DecodeSlotLease(request)
+        lease = self._waiting[key] = DecodeSlotLease(request, now)
+        if request.cohort:
+            self._waiting_suspects[key] = lease
         self._usage.note(request.job.account, request.job.weight, now)
         self._queue.push(request.job, now)
         return self._assign(now)
@@ -195,7 +202,7 @@
         """End waits and leases whose time is up and assign the slots that are free."""
         actions: list[DecodeAction] = []
         for job in self._queue.expire(now):
-            lease = self._waiting.pop(job.key)
+            lease = self._drop_waiting(job.key)
             self._ended.add(job.key, now, started=False)
             actions.append(RefuseDecode(job.key, lease.holder, Refusal.NO_ROOM))
         for lease in list(self._taken.values()):
@@ -232,14 +239,20 @@
             return [CancelDecode(key)]
         if lease.state is DecodeState.WAITING:
             self._queue.remove(key)
-            del self._waiting[key]
+            self._drop_waiting(key)
             self._ended.add(key, now, started=False)
             return [ForgetAttempt(key)]
         self._free(lease, now)
         return [ForgetAttempt(key)]
 
+    def _drop_waiting(self, key: JobKey) -> DecodeSlotLease:
+        self._waiting_suspects.pop(key, None)
+        return self._waiting.pop(key)
+
     def _free(self, lease: DecodeSlotLease, now: datetime) -> None:
         key = lease.request.job.key
+        if lease.request.cohort:
+            self._suspects_ended = now
         del self._taken[key]
         self.free_kv_blocks += lease.request.kv_blocks
         self._usage.free(lease.request.job.account)
@@ -261,16 +274,18 @@
             waiting = self._find_promisable(now, excluded)
             if waiting is None:
                 return actions
-            self._queue.pop(now, excluded)
+            if waiting is self._find_overdue_suspect(now):
+                self._queue.remove(waiting.request.job.key)
+            else:
+                self._queue.pop(now, excluded)
             actions.append(self._promise(waiting, now))
 
     def _find_promisable(
         self, now: datetime, excluded: frozenset[AccountId]
     ) -> DecodeSlotLease | None:
-        job = self._queue.peek(now, excluded)
-        if job is None or job.account in excluded:
+        lease = self._find_overdue_suspect(now) or self._find_next(now, excluded)
+        if lease is None:
             return None
-        lease = self._waiting[job.key]
         if lease.request.kv_blocks > self.free_kv_blocks or not self._allows_suspects(lease):
             return None
         wanted = len(self._taken) - self.slots + 1
@@ -282,6 +297,24 @@
             return None
         return lease
 
+    def _find_next(self, now: datetime, excluded: frozenset[AccountId]) -> DecodeSlotLease | None:
+        job = self._queue.peek(now, excluded)
+        if job is None or job.account in excluded:
+            return None
+        return self._waiting[job.key]
+
+    def _find_overdue_suspect(self, now: datetime) -> DecodeSlotLease | None:
+        """Return the suspect that has waited longest, if that is longer than the bound.
+
+        A steady load of other requests would otherwise keep suspects out until their deadline;
+        they get as long between two suspects.
+        """
+        lease = next(iter(self._waiting_suspects.values()), None)
+        if lease is None:
+            return None
+        since = max(lease.waits_since, self._suspects_ended or lease.waits_since)
+        return lease if now - since >= MAX_SUSPECT_WAIT else None
+
     def _find_excluded(self, now: datetime) -> frozenset[AccountId]:
         """Return the accounts that may not take one of the last free slots."""
         if len(self._taken) < self.slots - RESERVED_SLOTS:
@@ -292,7 +325,7 @@
     def _promise(self, lease: DecodeSlotLease, now: datetime) -> DecodeAction:
         request = lease.request
         key = request.job.key
-        del self._waiting[key]
+        self._drop_waiting(key)
         ready_in = self._estimate_free_in(len(self._taken) - self.slots + 1)
         self._taken[key] = lease
         self.free_kv_blocks -= request.kv_blocks
--- a/src/lavenderrun/decisions/_decode_slots.py
+++ b/src/lavenderrun/decisions/_decode_slots.py
@@ -112,16 +112,27 @@
 class DecodeSlotLease:
     """Lease of a decode slot, or a request that waits for one.
 
+    :ivar waits_since: when the request for the slot came.
     :ivar expires: when a lease that is not running ends, ``None`` while waiting or running.
     :ivar orphaned: when a running decode whose entry is lost is cancelled, ``None`` otherwise.
     :ivar started_at: start of the decode on the engine.
     :ivar tokens: tokens of the answer so far.
     """
 
-    __slots__ = ("expires", "holder", "orphaned", "request", "started_at", "state", "tokens")
-
-    def __init__(self, request: DecodeSlotRequest) -> None:
+    __slots__ = (
+        "expires",
+        "holder",
+        "orphaned",
+        "request",
+        "started_at",
+        "state",
+        "tokens",
+        "waits_since",
+    )
+
+    def __init__(self, request: DecodeSlotRequest, now: datetime) -> None:
         self.request = request
+        self.waits_since = now
         self.holder = request.holder
         self.state = DecodeState.WAITING
         self.expires: datetime | None = None
--- a/tests/decisions/test_decode_scheduler.py
+++ b/tests/decisions/test_decode_scheduler.py
@@ -301,3 +301,32 @@
     max_examples=150, stateful_step_count=40, deadline=None
 )
 TestDecodeScheduler = DecodeSchedulerMachine.TestCase
+
+
+def run_one(scheduler: DecodeScheduler, name: str, start: float, end: float) -> list[str]:
+    scheduler.start(key(name), at(start))
+    return find_promised(scheduler.end(key(name), at(end), whole=True))
+
+
+# a steady load of other requests kept suspects out until their deadline
+def test_a_suspect_that_has_waited_long_is_next_and_runs_alone() -> None:
+    scheduler = make_scheduler()
+    scheduler.reserve(make_request("r0"), at(0))
+    assert find_promised(scheduler.reserve(make_request("s", cohort=1), at(0))) == []
+    assert find_promised(scheduler.reserve(make_request("r1", 2.5), at(2.5))) == []
+    assert run_one(scheduler, "r0", 2.6, 2.7) == ["s"]
+    assert run_one(scheduler, "s", 2.8, 2.9) == ["r1"]
+
+
+def test_other_requests_have_their_turn_between_two_suspects() -> None:
+    scheduler = make_scheduler()
+    scheduler.reserve(make_request("r0"), at(0))
+    scheduler.reserve(make_request("s0", cohort=1), at(0))
+    scheduler.reserve(make_request("s1", cohort=1), at(0))
+    scheduler.reserve(make_request("r1", 2.5), at(2.5))
+    assert run_one(scheduler, "r0", 2.6, 2.7) == ["s0"]
+    assert run_one(scheduler, "s0", 2.8, 2.9) == ["r1"]
+    assert find_promised(scheduler.reserve(make_request("r2", 3.0), at(3.0))) == ["r2"]
+    scheduler.reserve(make_request("r3", 5.0), at(5.0))
+    assert run_one(scheduler, "r1", 5.1, 5.2) == []
+    assert run_one(scheduler, "r2", 5.1, 5.2) == ["s1"]
