--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -43,6 +43,13 @@
 from lavenderrun.dispatch._resends import ASSUMED_HOSTS, ResendBudget
 from lavenderrun.dispatch._rests import ServerRests
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
+from lavenderrun.dispatch._stream_decisions import (
+    RESENDS,
+    CacheState,
+    StreamDecision,
+    StreamSituation,
+    decide_after_stream_attempt,
+)
 from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
 
 __all__ = [
@@ -50,10 +57,12 @@
     "MAX_QUEUE_WAIT",
     "MAX_SHARED_PARTS",
     "PLACEMENTS",
+    "RESENDS",
     "Access",
     "AttemptDecision",
     "AttemptOutcome",
     "BackendHealth",
+    "CacheState",
     "CallRequirements",
     "CrashingParts",
     "DepartureNotices",
@@ -78,9 +87,12 @@
     "ServerCrash",
     "ServerRests",
     "StoredLease",
+    "StreamDecision",
+    "StreamSituation",
     "SuspectTracker",
     "authorize_call",
     "decide_after_attempt",
+    "decide_after_stream_attempt",
     "digest_key",
     "estimate_computation",
     "has_capacity",
--- a/src/lavenderrun/dispatch/_attempt_decisions.py
+++ b/src/lavenderrun/dispatch/_attempt_decisions.py
@@ -37,6 +37,11 @@
             return False
         return self.kind not in {AnswerKind.NOT_RUN, AnswerKind.WRONG_SERVER}
 
+    @property
+    def has_broken(self) -> bool:
+        """Whether the answer is neither complete nor a whole failure."""
+        return self.failure is not None or self.kind is not AnswerKind.FAILED
+
 
 def decide_after_attempt(
     outcome: AttemptOutcome, *, idempotent: bool, may_resend: bool
--- /dev/null
+++ b/src/lavenderrun/dispatch/_stream_decisions.py
@@ -0,0 +1,106 @@
+"""What a gateway does after an attempt to have a stream served by one engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from lavenderrun.dispatch._attempt_decisions import AttemptOutcome
+from lavenderrun.types import AnswerKind
+
+
+class StreamDecision(Enum):
+    """What a gateway does after an attempt at a stream."""
+
+    COMPLETE = "complete"
+    CHOOSE_AGAIN = "choose_again"
+    SEND_TO_ANOTHER = "send_to_another"
+    OFFER_CACHE_LATER = "offer_cache_later"
+    COMPUTE_PROMPT = "compute_prompt"
+    RESUME = "resume"
+    PASS_FAILURE_ON = "pass_failure_on"
+    CUT = "cut"
+    REFUSE_NOT_RUN = "refuse_not_run"
+    REFUSE_LOST = "refuse_lost"
+
+
+RESENDS: Final = frozenset(
+    {
+        StreamDecision.SEND_TO_ANOTHER,
+        StreamDecision.OFFER_CACHE_LATER,
+        StreamDecision.COMPUTE_PROMPT,
+        StreamDecision.RESUME,
+    }
+)
+"""Decisions that use one resend of the budget."""
+
+
+class CacheState(Enum):
+    """State of the KV cache that a prefill engine holds for a stream."""
+
+    NONE = "none"
+    OFFERED = "offered"
+    EXPIRING = "expiring"
+
+
+@dataclass(frozen=True)
+class StreamSituation:
+    """What is known when an attempt at a stream has ended.
+
+    :param ends_between_events: no part of an unfinished event was received.
+    :param is_idempotent: the stream may be resumed at another engine.
+    :param is_begun: the answer to the caller has begun.
+    :param has_attempts: the route allows another server.
+    :param has_resend: the budget allows a resend.
+    :param has_pause_left: held KV cache outlasts a pause.
+    """
+
+    outcome: AttemptOutcome
+    ends_between_events: bool
+    is_idempotent: bool
+    is_begun: bool
+    has_attempts: bool
+    has_resend: bool
+    cache: CacheState = CacheState.NONE
+    has_pause_left: bool = False
+
+
+def decide_after_stream_attempt(situation: StreamSituation) -> StreamDecision:
+    """Decide how a stream goes on; those of :data:`RESENDS` need a resend."""
+    outcome = situation.outcome
+    is_served = outcome.failure is None and outcome.kind is AnswerKind.SERVED
+    if is_served and situation.ends_between_events:
+        return StreamDecision.COMPLETE
+    if not outcome.may_have_run:
+        return _decide_after_rejection(situation)
+    may_repeat = situation.is_idempotent and situation.has_attempts and situation.has_resend
+    if outcome.failure is None and outcome.kind is AnswerKind.FAILED:
+        if may_repeat:
+            return StreamDecision.SEND_TO_ANOTHER
+        return StreamDecision.CUT if situation.is_begun else StreamDecision.PASS_FAILURE_ON
+    if may_repeat:
+        return StreamDecision.RESUME
+    return StreamDecision.CUT if situation.is_begun else StreamDecision.REFUSE_LOST
+
+
+def _decide_after_rejection(situation: StreamSituation) -> StreamDecision:
+    outcome = situation.outcome
+    if not outcome.sent:
+        return StreamDecision.CHOOSE_AGAIN
+    if situation.cache is not CacheState.NONE and outcome.kind is AnswerKind.NOT_RUN:
+        return _decide_with_cache(situation)
+    if situation.has_attempts and situation.has_resend:
+        return StreamDecision.SEND_TO_ANOTHER
+    return StreamDecision.CUT if situation.is_begun else StreamDecision.REFUSE_NOT_RUN
+
+
+def _decide_with_cache(situation: StreamSituation) -> StreamDecision:
+    """Offer held KV cache again: the engine lacks memory just now, or the cache is gone."""
+    if not situation.has_resend:
+        return StreamDecision.REFUSE_NOT_RUN
+    if situation.cache is CacheState.OFFERED and situation.has_attempts:
+        return StreamDecision.SEND_TO_ANOTHER
+    if situation.has_pause_left:
+        return StreamDecision.OFFER_CACHE_LATER
+    return StreamDecision.COMPUTE_PROMPT
--- /dev/null
+++ b/src/lavenderrun/gateway/_engine_search.py
@@ -0,0 +1,193 @@
+"""Search for a decode engine that takes a stream: slot, connection and KV cache of the prompt."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from enum import Enum
+from typing import Final
+
+from lavenderrun.dispatch import CacheState, CallRequirements, QueuedCall
+from lavenderrun.gateway._call_log import CallLog
+from lavenderrun.gateway._call_services import CallServices
+from lavenderrun.gateway._connection import Connection
+from lavenderrun.gateway._decode_place import DecodePlace
+from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation, DecodeSlotWaiter
+from lavenderrun.gateway._log import to_milliseconds
+from lavenderrun.gateway._prefill import CallContextFactory, PrefillStep
+from lavenderrun.gateway._prompt_cache import PromptCache
+from lavenderrun.gateway._running_call import MIN_SEND_TIME, AdmittedCall
+from lavenderrun.types import DeclaredSize, HeldCache, Member
+
+RESUMED_RANK: Final = -1
+"""Rank of a resumed stream, ahead of all new streams."""
+
+RESERVED_OUTPUT_SHARE: Final = 0.6
+"""Share of the likely output that is reserved, because the streams of an engine are at different
+points of their output."""
+
+UNDECLARED_SIZE: Final = DeclaredSize(0, 0, 0)
+
+
+class SearchFailure(Enum):
+    """Why a search ended without an engine."""
+
+    NO_SLOT = "no_slot"
+    NO_TIME = "no_time"
+
+
+def count_required_tokens(admitted: AdmittedCall) -> int:
+    """Return how many tokens of KV cache are reserved for a stream."""
+    size = admitted.call.size or UNDECLARED_SIZE
+    return size.prompt + int(size.likely_output * RESERVED_OUTPUT_SHARE)
+
+
+class EngineSearch:
+    """Waits for a decode slot, connects, and has the prompt of a new stream computed.
+
+    :param tried: servers that the stream was sent to before.
+    :param on_end: called with the place, or why there is none.
+    """
+
+    def __init__(
+        self,
+        services: CallServices,
+        admitted: AdmittedCall,
+        call_log: CallLog,
+        cache: PromptCache,
+        tried: Sequence[Member],
+        make_context: CallContextFactory,
+        on_end: Callable[[DecodePlace | SearchFailure], None],
+    ) -> None:
+        self._services = services
+        self._admitted = admitted
+        self._call_log = call_log
+        self._cache = cache
+        self._tried = tried
+        self._make_context = make_context
+        self._on_end = on_end
+        self._prompt_tokens = (admitted.call.size or UNDECLARED_SIZE).prompt
+        self._waiter: DecodeSlotWaiter | None = None
+        self._slot: DecodeSlotReservation | None = None
+        self._connection: Connection | None = None
+        self._prefill: PrefillStep | None = None
+        self._was_prefill_sent = False
+        self._needs_own_prompt = False
+
+    def start(self) -> None:
+        """Search for an engine, if there is time left."""
+        if self._admitted.deadline - self._services.clock.now() <= MIN_SEND_TIME:
+            self._on_end(SearchFailure.NO_TIME)
+        else:
+            self.request_slot()
+
+    def request_slot(self) -> None:
+        """Wait for a decode slot."""
+        route, now = self._admitted.access.route, self._services.clock.now()
+        requirements = CallRequirements(
+            tokens=count_required_tokens(self._admitted),
+            tried=[member.id for member in self._tried],
+            may_probe=route.is_idempotent,
+            computes_prompt=bool(self._prompt_tokens)
+            and self._cache.state is not CacheState.OFFERED
+            and (self._needs_own_prompt or bool(self._tried)),
+        )
+        arrived, rank = self._admitted.arrived, route.rank
+        if self._tried:
+            # ahead of new calls, so that what an engine has computed is not lost
+            arrived, rank = now, RESUMED_RANK
+        queued_call = QueuedCall(rank, arrived, route.objective)
+        self._waiter = DecodeSlotWaiter(
+            self._admitted.service, requirements, queued_call, self._take_slot
+        )
+        self._services.slot_queue.enqueue(self._waiter)
+
+    def abandon(self) -> None:
+        """End the search and free what it holds."""
+        if self._waiter is not None:
+            self._services.slot_queue.withdraw(self._waiter)
+            self._waiter = None
+        if self._prefill is not None:
+            self._prefill.abandon()
+            self._prefill = None
+        self._release()
+
+    def _release(self) -> None:
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+        if self._slot is not None:
+            self._slot.free()
+            self._slot = None
+
+    def _search_again(self) -> None:
+        self._release()
+        self.start()
+
+    def _take_slot(self, slot: DecodeSlotReservation | None) -> None:
+        self._waiter = None
+        if slot is None:
+            self._on_end(SearchFailure.NO_SLOT)
+            return
+        self._slot = slot
+        waited = self._services.clock.now() - self._admitted.arrived
+        self._call_log.write(
+            "seat",
+            "decode slot reserved",
+            member=slot.member.id,
+            waited_ms=to_milliseconds(waited),
+            reserved=self._services.view.occupancy.sum_reserved_tokens(slot.member.id),
+        )
+        # connects first, so that no prompt is computed for an engine that can't be reached
+        self._services.pool.open(slot.member.address, self._take_connection, slot)
+
+    def _take_connection(self, connection: Connection | None, slot: DecodeSlotReservation) -> None:
+        if self._slot is not slot:
+            if connection is not None:
+                connection.abort()
+            return
+        if connection is None:
+            self._call_log.write(
+                "unreachable", "engine could not be reached", member=slot.member.id
+            )
+            self._services.view.health.pause_after_failure(
+                slot.member.id, self._services.clock.now()
+            )
+            self._search_again()
+            return
+        self._connection = connection
+        if not self._services.view.takes_calls(slot.member):
+            self._search_again()
+        elif self._cache.state is CacheState.OFFERED:
+            self._finish()
+        elif self._prompt_tokens and not self._tried and not self._was_prefill_sent:
+            self._prefill = PrefillStep(
+                self._services, self._admitted, self._call_log, self._take_prefill
+            )
+            self._prefill.start(self._make_context)
+        else:
+            self._take_prefill(None)
+
+    def _take_prefill(self, cache: HeldCache | None) -> None:
+        if self._prefill is not None:
+            self._was_prefill_sent = self._prefill.was_sent
+        self._prefill = None
+        self._cache.hold(cache)
+        if self._slot is None:
+            return
+        member = self._slot.member
+        left = self._admitted.deadline - self._services.clock.now()
+        if not self._services.view.takes_calls(member) or left <= MIN_SEND_TIME:
+            self._search_again()
+            return
+        if cache is None and self._prompt_tokens and not self._services.view.may_compute(member.id):
+            # two prompts in a row would hold up the engine's streams
+            self._needs_own_prompt = True
+            self._search_again()
+            return
+        self._finish()
+
+    def _finish(self) -> None:
+        slot, self._slot = self._slot, None
+        connection, self._connection = self._connection, None
+        if slot is not None and connection is not None:
+            self._on_end(DecodePlace(slot, connection))
--- /dev/null
+++ b/src/lavenderrun/gateway/_prompt_cache.py
@@ -0,0 +1,58 @@
+"""KV cache of a stream's prompt that a prefill engine holds for a decode engine."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from typing import Final
+
+from lavenderrun.dispatch import CacheState
+from lavenderrun.gateway._call_services import CallServices
+from lavenderrun.types import HeldCache, ServiceGroup
+
+CACHE_LIFETIME_SHARE: Final = 0.7
+"""Share of the lifetime of held KV cache within which it is still offered to an engine."""
+
+CACHE_RETRY_PAUSE: Final = timedelta(milliseconds=70)
+"""Pause before held KV cache is offered to the same engine again: some tens of decode steps."""
+
+
+class PromptCache:
+    """The held KV cache of one stream.
+
+    :ivar held: where the cache is held, ``None`` without one.
+    """
+
+    def __init__(self, services: CallServices, service: ServiceGroup, arrived: datetime) -> None:
+        self._services = services
+        self._service = service
+        self._offered_until = arrived
+        self.held: HeldCache | None = None
+
+    def hold(self, cache: HeldCache | None) -> None:
+        """Keep what a prefill step returned."""
+        lifetime = self._services.view.find_export_lifetime(self._service)
+        self.held = cache
+        self._offered_until = self._services.clock.now() + lifetime * CACHE_LIFETIME_SHARE
+
+    @property
+    def state(self) -> CacheState:
+        """Whether there is a cache, and whether it may still be offered to another engine."""
+        if self.held is None:
+            return CacheState.NONE
+        is_offered = self._services.clock.now() < self._offered_until
+        return CacheState.OFFERED if is_offered else CacheState.EXPIRING
+
+    @property
+    def outlasts_pause(self) -> bool:
+        """Whether the cache may still be offered after ``CACHE_RETRY_PAUSE``."""
+        return self._services.clock.now() + CACHE_RETRY_PAUSE < self._offered_until
+
+    def note_imported(self) -> None:
+        """Forget the cache, because an engine imported it."""
+        self.held = None
+
+    def give_up(self) -> None:
+        """Ask the holder to free the cache."""
+        cache, self.held = self.held, None
+        if cache is not None:
+            self._services.free_cache(cache)
