Keep a silent engine's stream until another engine has taken it on

Callers saw: 200 and three events, then the answer broke off, when the one engine of a resumable route was silent for 1.6 s; a refusal when it was silent before the first event.

Cause: the silence timer ended a sound attempt after four times the gap objective, before another engine was known to take the stream. Without a slot, a resend or an engine that accepts the call, nothing was left. The class is a timer that takes silence for failure and gives up what works before its replacement does.

A silent attempt is kept now. dispatch/_silence.py decides when another engine is tried, from the caller's patience, the deadline, the engine's other streams, the other engines and suspensions of this process. A move reserves a slot and connects first; the silent attempt stays until the new engine answers, 300 ms at most after the send, and whichever speaks first goes on. One stream of an engine moves first.

--- a/src/lavenderrun/dispatch/_health.py
+++ b/src/lavenderrun/dispatch/_health.py
@@ -32,6 +32,7 @@
     :param mean_seconds: moving average of the time that a call, or an event, takes; zero at first.
     :param paused_until: no call is sent before this time; the first one after it is a trial.
     :param next_pause: length of the next pause.
+    :param is_silent: the pause is for silence, and ends when the server sends anything.
     :param is_on_trial: the trial, which is the first call after a pause, is running.
     """
 
@@ -40,6 +41,7 @@
     mean_seconds: float = 0.0
     paused_until: datetime | None = None
     next_pause: timedelta = FIRST_PAUSE
+    is_silent: bool = False
     is_on_trial: bool = False
 
 
@@ -99,7 +101,7 @@
         """
         health = self.find(member)
         self._record_result(health, 0.0)
-        health.paused_until, health.is_on_trial, health.next_pause = None, False, FIRST_PAUSE
+        self._end_pause(health)
         seconds = took.total_seconds()
         health.mean_seconds += (seconds - health.mean_seconds) * (
             SMOOTHING_WEIGHT if health.mean_seconds else 1.0
@@ -121,7 +123,29 @@
         self._record_result(health, 1.0)
         health.paused_until = now + health.next_pause
         health.next_pause = min(health.next_pause * 2, LONGEST_PAUSE)
-        health.is_on_trial = False
+        health.is_silent = health.is_on_trial = False
+
+    def record_silence(self, member: BackendId, now: datetime) -> None:
+        """Record a failure and pause a silent server until it sends anything.
+
+        Calls that were at the server at the same time prolong the pause no further.
+        """
+        health = self.find(member)
+        if health.paused_until is not None and now < health.paused_until:
+            self._record_result(health, 1.0)
+            return
+        self.pause_after_failure(member, now)
+        health.is_silent = True
+
+    def note_sign(self, member: BackendId) -> None:
+        """End the pause of a server that was silent and sent something."""
+        health = self.find(member)
+        if health.is_silent:
+            self._end_pause(health)
+
+    def _end_pause(self, health: BackendHealth) -> None:
+        health.paused_until, health.next_pause = None, FIRST_PAUSE
+        health.is_silent = health.is_on_trial = False
 
     def _record_result(self, health: BackendHealth, failed: float) -> None:
         health.observations += 1
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -74,6 +74,7 @@
     :param moving: engines that were ordered to change their role and take no call until they have.
     :param computations: prompts that decode engines compute themselves.
     :param rests: servers that asked this host for no calls.
+    :param silent: engines that send nothing of any stream; they take a call only without another.
     """
 
     now: datetime
@@ -86,6 +87,7 @@
     moving: Collection[BackendId] = ()
     computations: PromptComputations = field(default_factory=PromptComputations)
     rests: ServerRests = field(default_factory=ServerRests)
+    silent: Collection[BackendId] = ()
 
 
 Placement = Callable[[Sequence[Member], CallRequirements, PlacementContext], Member | None]
@@ -96,7 +98,7 @@
 def list_candidates(
     members: Iterable[Member], requirements: CallRequirements, context: PlacementContext
 ) -> list[Member]:
-    """Return the ready servers not tried yet, with paused ones only when there is no other."""
+    """Return the ready servers not tried yet, paused or silent ones only when there is no other."""
     ready = [
         member
         for member in members
@@ -106,9 +108,13 @@
         and not context.health.is_replaced(member, context.now)
         and not context.rests.is_resting(member, context.now)
     ]
-    candidates = [m for m in ready if not context.health.is_paused(m.id, context.now)]
+    candidates = [
+        m
+        for m in ready
+        if m.id not in context.silent and not context.health.is_paused(m.id, context.now)
+    ]
     if not candidates:
-        # a paused server may be back, which is better than none
+        # such a server may be back, which is better than none
         return ready
     if requirements.may_probe:
         return candidates
--- /dev/null
+++ b/src/lavenderrun/dispatch/_silence.py
@@ -0,0 +1,277 @@
+"""What the silence of a stream means, and when another engine is to take it on.
+
+A sound engine may be silent for a second or so. A silent attempt is kept, therefore, until another
+engine has taken the stream on; this module decides when that is tried.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import Enum
+from typing import Final
+
+from lavenderrun.types import BackendId
+
+MIN_PATIENCE: Final = timedelta(seconds=2)
+OBJECTIVE_PATIENCE_FACTOR: Final = 4.0
+GAP_PATIENCE_FACTOR: Final = 8.0
+"""Callers give up a silent stream after the longest of ``MIN_PATIENCE`` and these multiples of
+their objectives."""
+
+MIN_SUSPICION: Final = timedelta(seconds=1.2)
+"""Silence that says nothing about an engine."""
+
+SUSPICION_SHARE: Final = 0.5
+"""Share of the caller's patience after which one stream of a silent engine is moved."""
+
+CERTAINTY_SHARE: Final = 0.85
+"""Share of the caller's patience after which the other streams of that engine are moved too, and
+streams whose silence has another likely cause; the rest of the patience is for the move."""
+
+QUIET_SHARE: Final = 0.5
+"""Silence of an engine to all its streams that counts as silence, as a share of the suspicion."""
+
+MIN_MOVE_TIME: Final = timedelta(milliseconds=300)
+"""Time before the call's end below which no move is begun."""
+
+REVIEW_PAUSE: Final = timedelta(milliseconds=100)
+"""Pause before silence is weighed again when something else than time may change the result."""
+
+
+class SilenceVerdict(Enum):
+    """What a stream's silence is taken for."""
+
+    NOT_LONG = "not_long"
+    NO_TIME = "no_time"
+    NO_ATTEMPT = "no_attempt"
+    NO_RESEND = "no_resend"
+    ENGINE_SPEAKS = "engine_speaks"
+    SHARED = "shared"
+    OTHERS_FIRST = "others_first"
+    MOVE = "move"
+
+
+@dataclass(frozen=True)
+class SilenceDecision:
+    """What is done about a silent stream.
+
+    :param review_after: when to decide again unless the stream is moved, above zero.
+    """
+
+    verdict: SilenceVerdict
+    review_after: timedelta
+
+
+@dataclass(frozen=True)
+class EngineEvidence:
+    """What is known of a stream's engine and of the others.
+
+    :param silent: time since the engine sent anything of any stream of this host.
+    :param silent_others: other engines that are silent to all their streams of this host, or were
+        until a moment ago.
+    :param speaking_others: other engines that serve streams of this host.
+    :param moving: streams of the engine that are being moved.
+    :param moved: streams that were moved since the engine last sent anything.
+    """
+
+    silent: timedelta
+    silent_others: int = 0
+    speaking_others: int = 0
+    moving: int = 0
+    moved: int = 0
+
+
+@dataclass(frozen=True)
+class SilenceEvidence:
+    """What is known when a stream is silent.
+
+    :param silent: time since its last event or its send, without suspensions of this process.
+    :param limits: when such a silence counts.
+    :param left: time to the call's deadline.
+    :param has_attempts: the route allows another server.
+    :param has_resend: the budget allows a resend.
+    :param was_shared: most other engines were silent during this silence.
+    """
+
+    silent: timedelta
+    limits: SilenceLimits
+    left: timedelta
+    engine: EngineEvidence
+    has_attempts: bool = True
+    has_resend: bool = True
+    was_shared: bool = False
+
+
+@dataclass(frozen=True)
+class SilenceLimits:
+    """Silences that count for one stream.
+
+    :param quiet: silence of a whole engine that counts as such.
+    :param suspicion: silence after which one stream of an engine is moved.
+    :param certainty: silence after which all its streams are.
+    """
+
+    quiet: timedelta
+    suspicion: timedelta
+    certainty: timedelta
+
+
+def find_patience(objective: timedelta, gap_objective: timedelta | None) -> timedelta:
+    """Return after which silence callers give up a stream."""
+    gap = timedelta(0) if gap_objective is None else gap_objective
+    return max(MIN_PATIENCE, objective * OBJECTIVE_PATIENCE_FACTOR, gap * GAP_PATIENCE_FACTOR)
+
+
+def find_silence_limits(patience: timedelta, call_ends: timedelta) -> SilenceLimits:
+    """Return which silences count.
+
+    :param patience: silence after which the caller gives up.
+    :param call_ends: time from the begin of the silence to the call's deadline.
+    """
+    bound = min(patience, call_ends)
+    suspicion = max(MIN_SUSPICION, bound * SUSPICION_SHARE)
+    return SilenceLimits(
+        suspicion * QUIET_SHARE, suspicion, max(suspicion, bound * CERTAINTY_SHARE)
+    )
+
+
+def decide_on_silence(evidence: SilenceEvidence) -> SilenceDecision:
+    """Decide whether a silent stream is to be moved to another engine now."""
+    limits, silent = evidence.limits, evidence.silent
+    if silent < limits.suspicion:
+        return SilenceDecision(SilenceVerdict.NOT_LONG, limits.suspicion - silent)
+    obstacle = _find_obstacle(evidence)
+    if obstacle is not None:
+        return SilenceDecision(obstacle, REVIEW_PAUSE)
+    engine = evidence.engine
+    if silent >= limits.certainty:
+        # doubles: each stream that another engine took on lets one more follow at the same time
+        if engine.moving > engine.moved:
+            return SilenceDecision(SilenceVerdict.OTHERS_FIRST, REVIEW_PAUSE)
+        return SilenceDecision(SilenceVerdict.MOVE, REVIEW_PAUSE)
+    verdict = SilenceVerdict.MOVE
+    if engine.silent < limits.quiet:
+        verdict = SilenceVerdict.ENGINE_SPEAKS
+    elif evidence.was_shared or engine.silent_others > engine.speaking_others:
+        verdict = SilenceVerdict.SHARED
+    elif engine.moving or engine.moved:
+        verdict = SilenceVerdict.OTHERS_FIRST
+    return SilenceDecision(verdict, min(REVIEW_PAUSE, limits.certainty - silent))
+
+
+def _find_obstacle(evidence: SilenceEvidence) -> SilenceVerdict | None:
+    if evidence.left <= MIN_MOVE_TIME:
+        return SilenceVerdict.NO_TIME
+    if not evidence.has_attempts:
+        return SilenceVerdict.NO_ATTEMPT
+    if not evidence.has_resend:
+        return SilenceVerdict.NO_RESEND
+    return None
+
+
+def keeps_silent_engine(
+    before: timedelta, after: timedelta, other: timedelta, limits: SilenceLimits
+) -> bool:
+    """Tell whether a stream stays when the other engine has not answered while both may work.
+
+    :param before: silence of the stream's engine to all its streams when the move began.
+    :param after: its silence now.
+    :param other: silence of the other engine to all its streams.
+    """
+    has_spoken = before >= limits.quiet and after < before
+    return has_spoken or other >= limits.quiet
+
+
+@dataclass
+class _Engine:
+    last_sign: datetime
+    silence_ended: datetime | None = None
+    silence: timedelta = timedelta(0)
+    streams: int = 0
+    moving: int = 0
+    moved: int = 0
+
+
+class SilenceTracker:
+    """When each engine last sent something of any stream of this host, and what was moved."""
+
+    def __init__(self) -> None:
+        self._engines: dict[BackendId, _Engine] = {}
+        self._stalled: datetime | None = None
+
+    def begin_stream(self, member: BackendId, now: datetime) -> None:
+        """Record that a stream runs at *member* from now on."""
+        self._engines.setdefault(member, _Engine(now)).streams += 1
+
+    def end_stream(self, member: BackendId) -> None:
+        """Record that a stream runs at *member* no more."""
+        engine = self._engines[member]
+        engine.streams -= 1
+        if not engine.streams:
+            del self._engines[member]
+
+    def note_sign(self, member: BackendId, now: datetime) -> None:
+        """Record that *member* sent something of a stream."""
+        engine = self._engines.get(member)
+        if engine is None:
+            return
+        silence = self.measure_silence(engine.last_sign, now)
+        if silence >= MIN_SUSPICION * QUIET_SHARE:
+            engine.silence, engine.silence_ended = silence, now
+        engine.last_sign, engine.moved = now, 0
+
+    def note_stall(self, now: datetime) -> None:
+        """Record that this process did not run until *now*, so that it could hear nothing."""
+        self._stalled = now
+
+    def measure_silence(self, since: datetime, now: datetime) -> timedelta:
+        """Return how long this process could have heard something since *since*."""
+        return now - (since if self._stalled is None else max(since, self._stalled))
+
+    def measure_engine_silence(self, member: BackendId, now: datetime) -> timedelta:
+        """Return for how long *member* sent nothing, zero without a stream there."""
+        engine = self._engines.get(member)
+        return timedelta(0) if engine is None else self.measure_silence(engine.last_sign, now)
+
+    def list_silent(self, quiet: timedelta, now: datetime) -> set[BackendId]:
+        """Return the engines that have been silent to all their streams for at least *quiet*."""
+        return {
+            member
+            for member, engine in self._engines.items()
+            if self.measure_silence(engine.last_sign, now) >= quiet
+        }
+
+    def _list_resumed(self, quiet: timedelta, now: datetime) -> set[BackendId]:
+        """Return the engines that went on a moment ago: what held them up may hold up others."""
+        return {
+            member
+            for member, engine in self._engines.items()
+            if engine.silence >= quiet
+            and engine.silence_ended is not None
+            and now - engine.silence_ended < quiet
+        }
+
+    def begin_move(self, member: BackendId) -> None:
+        """Record that a stream of *member* is being moved."""
+        self._engines[member].moving += 1
+
+    def end_move(self, member: BackendId, *, is_moved: bool) -> None:
+        """Record the end of a move, before that of the stream at *member*."""
+        engine = self._engines[member]
+        engine.moving -= 1
+        engine.moved += is_moved
+
+    def gather_evidence(self, member: BackendId, quiet: timedelta, now: datetime) -> EngineEvidence:
+        """Return what is known of *member* and of the other engines."""
+        engine = self._engines[member]
+        silent = self.list_silent(quiet, now) | self._list_resumed(quiet, now)
+        silent.discard(member)
+        others = len(self._engines) - 1
+        return EngineEvidence(
+            self.measure_engine_silence(member, now),
+            len(silent),
+            others - len(silent),
+            engine.moving,
+            engine.moved,
+        )
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -133,6 +133,30 @@
             self._exchange.abandon()
         self._record_result("abandoned")
 
+    def hand_over(self, listener: AttemptListener) -> None:
+        """Let *listener* handle what follows."""
+        if self._listener is not None:
+            self._listener = listener
+
+    def give_up_silent(self, *, is_server_silent: bool) -> None:
+        """Close the connection, because another server has taken the call on; no event follows.
+
+        :param is_server_silent: the server is silent to other calls too.
+        """
+        if self._listener is None:
+            return
+        self._listener = None
+        self.failure = CallFailure.SILENT
+        if self._exchange is not None:
+            self._exchange.abandon()
+        self._services.suspects.record_lost_answer(self._fingerprint, self.member, None)
+        health = self._services.view.health
+        if is_server_silent:
+            health.record_silence(self.member.id, self._services.clock.now())
+        else:
+            health.record_failure(self.member.id)
+        self._record_result(CallFailure.SILENT.value)
+
     def time_out(self) -> None:
         """End an attempt whose server is silent with ``CallFailure.SILENT``."""
         self._break_off(CallFailure.SILENT)
@@ -268,8 +292,10 @@
                 lost = LostCall(self._call.id, self._suspect_parts, self._began_at, ended)
             self._services.suspects.record_lost_answer(self._fingerprint, self.member, lost)
         health = self._services.view.health
-        if reason in {CallFailure.UNREACHABLE, CallFailure.SILENT}:
+        if reason is CallFailure.UNREACHABLE:
             health.pause_after_failure(self.member.id, self._services.clock.now())
+        elif reason is CallFailure.SILENT:
+            health.record_silence(self.member.id, self._services.clock.now())
         elif reason is CallFailure.WITHDRAWN:
             health.record_no_result(self.member.id)
         else:
--- a/src/lavenderrun/gateway/_call_services.py
+++ b/src/lavenderrun/gateway/_call_services.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from random import Random
 
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotQueueService
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import BackendDialect
 from lavenderrun.gateway._stats import Stats
 from lavenderrun.gateway._suspects import SuspectsService
+from lavenderrun.gateway._suspension import SuspensionService
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.kernel import Clock
 from lavenderrun.types import CallFailure, Headers, HeldCache
@@ -25,6 +27,8 @@
     backends: BackendDialect
     stats: Stats
     suspects: SuspectsService
+    suspension: SuspensionService
+    random_source: Random
 
     def free_cache(self, cache: HeldCache) -> None:
         """Ask the holder to free KV cache that no engine will take."""
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -85,6 +85,16 @@
         self._queue.append(waiter)
         self._check_queue()
 
+    def reserve_now(
+        self, service: ServiceGroup, requirements: CallRequirements
+    ) -> DecodeSlotReservation | None:
+        """Reserve a decode slot without waiting, ``None`` when there is none."""
+        member = self._view.place(service, "decode", requirements)
+        if member is None:
+            return None
+        self._view.reserve(member.id, requirements.tokens)
+        return DecodeSlotReservation(self, member, requirements.tokens)
+
     def withdraw(self, waiter: DecodeSlotWaiter) -> None:
         """Remove a call from the queue."""
         if waiter in self._queue:
--- a/src/lavenderrun/gateway/_event_relay.py
+++ b/src/lavenderrun/gateway/_event_relay.py
@@ -15,6 +15,7 @@
     """Passes whole events on, each once.
 
     :param on_progress: called when an event with data has arrived, before it is passed on.
+    :ivar has_progressed: whether an event with data has arrived.
     :ivar is_begun: whether the answer to the caller has begun.
     """
 
@@ -33,6 +34,7 @@
         self._splitter = EventSplitter()
         self._splitter.last_id = resume_after
         self._content_type = ""
+        self.has_progressed = False
         self.is_begun = False
 
     @property
@@ -63,6 +65,7 @@
         """Pass on the whole events that *data* completes."""
         whole = self._splitter.add(data)
         if self._splitter.has_progressed:
+            self.has_progressed = True
             attempt.note_progress()
             self._timing.observe_event(self._clock.now())
             self._on_progress()
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -19,6 +19,7 @@
 from lavenderrun.gateway._stats import CALLS, REFUSALS, Stats
 from lavenderrun.gateway._stream_call import StreamCall
 from lavenderrun.gateway._suspects import SuspectsService
+from lavenderrun.gateway._suspension import SuspensionService
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.gateway._whole_call import WholeCall
 from lavenderrun.kernel import Kernel
@@ -90,7 +91,14 @@
 class GatewayRouter:
     """Finds the account and the route of a call, charges the quota and runs the call."""
 
-    needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "view", "seats", "suspects")
+    needs: ClassVar[tuple[str, ...]] = (
+        "configuration",
+        "members",
+        "view",
+        "seats",
+        "suspects",
+        "wakes",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
@@ -106,6 +114,8 @@
             kernel.find("backend_dialect", BackendDialect),
             self._stats,
             kernel.find("suspects", SuspectsService),
+            kernel.find("wakes", SuspensionService),
+            kernel.random_source,
         )
         # in order of their arrival, so that the same calls are cancelled in the same order
         self._running: dict[RunningCallBase, None] = {}
@@ -128,8 +138,9 @@
         return len(self._running)
 
     def start(self) -> None:
-        """Start to reject running calls whose prompt turns out to crash servers."""
+        """Start to watch for prompts that crash servers and for suspensions of this host."""
         self._services.suspects.watch(self._reject_crashing)
+        self._services.suspension.watch(self._note_suspension)
 
     def stop(self) -> None:
         """Cancel the calls that still run."""
@@ -239,6 +250,9 @@
         for running in list(self._running):
             running.reject_if_crashing()
 
+    def _note_suspension(self) -> None:
+        self._services.view.silence.note_stall(self._clock.now())
+
     def _forget(self, running: RunningCallBase) -> None:
         self._running.pop(running, None)
 
--- /dev/null
+++ b/src/lavenderrun/gateway/_silence_watch.py
@@ -0,0 +1,185 @@
+"""Watches the silence of one stream, and tells when it is to be moved to another engine."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import Final
+
+from lavenderrun.dispatch import (
+    REVIEW_PAUSE,
+    SilenceEvidence,
+    SilenceLimits,
+    SilenceVerdict,
+    decide_on_silence,
+    find_patience,
+    find_silence_limits,
+)
+from lavenderrun.gateway._call_log import CallLog
+from lavenderrun.gateway._call_services import CallServices
+from lavenderrun.gateway._log import to_milliseconds
+from lavenderrun.gateway._running_call import AdmittedCall
+from lavenderrun.gateway._stats import SILENCES
+from lavenderrun.kernel import Timer
+from lavenderrun.types import Member
+
+MAX_TIMER_DELAY: Final = timedelta(milliseconds=250)
+"""Delay of a timer above which this process did not run, and may not have read what has come."""
+
+JITTER_SHARE: Final = 0.5
+"""Random part added to a pause, as a share of it."""
+
+
+class SilenceWatch:
+    """Weighs the silence of a stream's present attempt.
+
+    :param count_attempts_left: returns how many more servers the stream may be sent to.
+    :param on_move: called when the stream is to be moved; :meth:`look_again` follows a failure.
+    """
+
+    def __init__(
+        self,
+        services: CallServices,
+        admitted: AdmittedCall,
+        call_log: CallLog,
+        count_attempts_left: Callable[[], int],
+        on_move: Callable[[SilenceLimits], None],
+    ) -> None:
+        self._services = services
+        self._admitted = admitted
+        self._call_log = call_log
+        self._count_attempts_left = count_attempts_left
+        self._on_move = on_move
+        self._patience = find_patience(
+            admitted.access.route.objective, admitted.access.route.gap_objective
+        )
+        self._member: Member | None = None
+        self._last_event = admitted.arrived
+        self._timer: Timer | None = None
+        self._due = admitted.arrived
+        self._verdict = SilenceVerdict.NOT_LONG
+        self._was_shared = False
+
+    def begin(self, member: Member) -> None:
+        """Watch an attempt that is sent to *member* now."""
+        self.end()
+        now = self._services.clock.now()
+        self._member, self._last_event = member, now
+        self._services.view.silence.begin_stream(member.id, now)
+        if self._admitted.access.route.is_idempotent:
+            self._schedule(self._find_limits(now).suspicion)
+
+    def note_head(self) -> None:
+        """Record that the engine began to answer."""
+        if self._member is not None:
+            self._services.view.note_sign(self._member.id)
+
+    def note_event(self) -> None:
+        """Record that an event with data has arrived."""
+        if self._member is None:
+            return
+        self._services.view.note_sign(self._member.id)
+        now = self._services.clock.now()
+        if self._verdict is not SilenceVerdict.NOT_LONG:
+            self._verdict = SilenceVerdict.NOT_LONG
+            self._count("spoke")
+            self._call_log.write(
+                "spoke",
+                "silent engine went on",
+                member=self._member.id,
+                silent_ms=to_milliseconds(now - self._last_event),
+            )
+        self._last_event, self._was_shared = now, False
+
+    def end(self) -> None:
+        """Watch no attempt."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._verdict, self._was_shared = SilenceVerdict.NOT_LONG, False
+        member, self._member = self._member, None
+        if member is not None:
+            self._services.view.silence.end_stream(member.id)
+
+    def is_engine_silent(self) -> bool:
+        """Tell whether the engine is silent to all its streams."""
+        if self._member is None:
+            return False
+        now = self._services.clock.now()
+        silent = self._services.view.silence.measure_engine_silence(self._member.id, now)
+        return silent >= self._find_limits(now).quiet
+
+    def look_again(self) -> None:
+        """Weigh the silence again after a pause."""
+        if self._member is not None and self._admitted.access.route.is_idempotent:
+            self._schedule(self._add_jitter(REVIEW_PAUSE))
+
+    def _add_jitter(self, pause: timedelta) -> timedelta:
+        return pause * (1 + JITTER_SHARE * self._services.random_source.random())
+
+    def _schedule(self, wait: timedelta) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due = self._services.clock.now() + wait
+        self._timer = self._services.clock.call_later(wait, self._weigh)
+
+    def _find_limits(self, now: datetime) -> SilenceLimits:
+        began = now - self._services.view.silence.measure_silence(self._last_event, now)
+        return find_silence_limits(self._patience, self._admitted.deadline - began)
+
+    def _weigh(self) -> None:
+        self._timer = None
+        member, now = self._member, self._services.clock.now()
+        if member is None:
+            return
+        self._services.suspension.check()
+        silence = self._services.view.silence
+        if now - self._due > MAX_TIMER_DELAY:
+            silence.note_stall(now)
+        limits = self._find_limits(now)
+        service = self._admitted.service
+        evidence = SilenceEvidence(
+            silence.measure_silence(self._last_event, now),
+            limits,
+            self._admitted.deadline - now,
+            silence.gather_evidence(member.id, limits.quiet, now),
+            has_attempts=self._count_attempts_left() > 0,
+            has_resend=self._services.view.resends.count_remaining(service, now) >= 1,
+            was_shared=self._was_shared,
+        )
+        decision = decide_on_silence(evidence)
+        if decision.verdict is SilenceVerdict.SHARED:
+            self._was_shared = True
+        if decision.verdict is not self._verdict:
+            self._verdict = decision.verdict
+            self._log(member, evidence)
+        if decision.verdict is SilenceVerdict.MOVE:
+            self._on_move(limits)
+        elif decision.verdict is SilenceVerdict.NOT_LONG:
+            self._schedule(decision.review_after)
+        else:
+            self._schedule(self._add_jitter(decision.review_after))
+
+    def _log(self, member: Member, evidence: SilenceEvidence) -> None:
+        if self._verdict is SilenceVerdict.NOT_LONG:
+            return
+        engine = evidence.engine
+        self._count(self._verdict.value)
+        self._call_log.write(
+            "silent",
+            "engine is silent",
+            member=member.id,
+            verdict=self._verdict.value,
+            silent_ms=to_milliseconds(evidence.silent),
+            suspicion_ms=to_milliseconds(evidence.limits.suspicion),
+            certainty_ms=to_milliseconds(evidence.limits.certainty),
+            left_ms=to_milliseconds(evidence.left),
+            engine_silent_ms=to_milliseconds(engine.silent),
+            silent_others=engine.silent_others,
+            speaking_others=engine.speaking_others,
+            moving=engine.moving,
+            moved=engine.moved,
+        )
+
+    def _count(self, step: str) -> None:
+        self._services.stats.count(SILENCES, self._admitted.service, step)
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -63,6 +63,18 @@
     "Resends by service, taken from the budget or denied by it.",
     ("service", "result"),
 )
+SILENCES = define_gateway_metric(
+    "lavenderrun_gateway_silences_total",
+    MetricKind.COUNTER,
+    "Steps in weighing silent streams, by service and step.",
+    ("service", "step"),
+)
+STREAM_MOVES = define_gateway_metric(
+    "lavenderrun_gateway_stream_moves_total",
+    MetricKind.COUNTER,
+    "Tries to move a stream from a silent engine, by service and how they ended.",
+    ("service", "result"),
+)
 STORE_CALLS = define_gateway_metric(
     "lavenderrun_gateway_store_calls_total",
     MetricKind.COUNTER,
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -19,7 +19,8 @@
 from lavenderrun.gateway._event_relay import EventRelay
 from lavenderrun.gateway._prompt_cache import CACHE_RETRY_PAUSE, PromptCache
 from lavenderrun.gateway._running_call import RETRY_AFTER_NO_SLOT, RunningCallBase
-from lavenderrun.gateway._silence_timer import SilenceTimer
+from lavenderrun.gateway._silence_guard import SilenceGuard
+from lavenderrun.gateway._stream_sender import StreamSender
 from lavenderrun.gateway._stream_timing import StreamTiming
 from lavenderrun.types import AnswerKind, Refusal, Step
 
@@ -55,7 +56,23 @@
             admitted.call.resume_after,
             self._note_progress,
         )
-        self._silence = SilenceTimer(services.clock, admitted.access.route, self._time_out_attempt)
+        self._sender = StreamSender(
+            services,
+            admitted.call,
+            self._call_log,
+            self._events,
+            self._tried_servers,
+            self._make_context,
+        )
+        self._silence = SilenceGuard(
+            services,
+            admitted,
+            self._call_log,
+            self._sender,
+            self._tried_servers,
+            self._take_resend,
+            self._take_moved,
+        )
         self._place: DecodePlace | None = None
         self._attempt: Attempt | None = None
         self._error_body = bytearray()
@@ -110,43 +127,35 @@
     def _send(self) -> None:
         if self._place is None:
             return
-        member, cache = self._place.member, self._cache.held
-        if member not in self._tried_servers:
-            self._tried_servers.append(member)
-        call = self._admitted.call
-        parts = () if self._has_progressed else call.shared_parts
-        attempt = Attempt(
-            self._services,
-            call,
-            member,
-            self,
-            self._call_log,
-            has_events=True,
-            suspect_parts=parts,
-        )
-        self._attempt = attempt
+        self._attempt = self._sender.make_attempt(self._place, self)
+        self._begin_attempt(self._place)
+        self._sender.send(self._attempt, self._place, self._cache.held)
+
+    def _begin_attempt(self, place: DecodePlace) -> None:
         self._events.note_break()
         self._error_body.clear()
         self._sent_at = self._services.clock.now()
-        self._call_log.write(
-            "send",
-            "sent to decode engine",
-            member=member.id,
-            cache=cache.source if cache else None,
-            resume_after=self._events.last_id,
-            attempt=len(self._tried_servers),
-            **self._services.view.describe_members(),
-        )
-        if cache is None and call.size is not None and call.size.prompt:
-            self._services.view.begin_computation(member, call.size.prompt)
-        context = self._make_context(member, cache=cache, resume_after=self._events.last_id)
-        attempt.send(context, force_new=True, unused_connection=self._place.take_connection())
-        self._silence.begin(may_move=self._attempts_left > 0)
+        self._silence.begin(place.member)
+
+    def _take_moved(self, attempt: Attempt, place: DecodePlace) -> None:
+        """Go on with the attempt at another engine."""
+        silent, self._attempt = self._attempt, attempt
+        if silent is not None:
+            self._is_outcome_unknown = True
+            silent.give_up_silent(is_server_silent=self._silence.is_engine_silent())
+        self._release_place()
+        self._place = place
+        self._cache.give_up()
+        attempt.hand_over(self)
+        self._begin_attempt(place)
+        if attempt.head is not None:
+            self.head_received(attempt)
 
     def head_received(self, attempt: Attempt) -> None:
         """Begin the answer when the engine serves the call."""
         head = attempt.head
         if head is not None and head.kind is AnswerKind.SERVED:
+            self._silence.note_head()
             self._cache.note_imported()
             if not self._events.is_begun:
                 self._observe_first_answer()
@@ -164,7 +173,7 @@
 
     def _note_progress(self) -> None:
         self._has_progressed = True
-        self._silence.note_event(may_move=self._attempts_left > 0)
+        self._silence.note_event()
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """End the answer or continue at another engine."""
@@ -182,6 +191,9 @@
             has_pause_left=self._cache.outlasts_pause,
         )
         decision = decide_after_stream_attempt(situation)
+        if decision is not StreamDecision.COMPLETE and self._silence.replace_ended():
+            return
+        self._silence.end()
         if decision in RESENDS and not self._take_resend():
             decision = decide_after_stream_attempt(replace(situation, has_resend=False))
         if decision is not StreamDecision.COMPLETE and attempt.outcome.may_have_run:
@@ -281,10 +293,6 @@
         else:
             super()._reach_deadline()
 
-    def _time_out_attempt(self) -> None:
-        if self._attempt is not None and not self._is_over:
-            self._attempt.time_out()
-
     def _may_have_run(self) -> bool:
         return self._is_outcome_unknown or (self._attempt is not None and self._attempt.sent)
 
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -7,6 +7,7 @@
 from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import (
+    MIN_SUSPICION,
     PLACEMENTS,
     CallRequirements,
     FleetOccupancy,
@@ -19,6 +20,7 @@
     Reservations,
     RoleBalancer,
     ServerRests,
+    SilenceTracker,
     estimate_computation,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -62,6 +64,7 @@
     :ivar computations: prompts that decode engines compute themselves.
     :ivar health: health of backend servers.
     :ivar rests: servers that asked this host for no calls.
+    :ivar silence: when engines last sent something of this host's streams.
     """
 
     needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "peers", "pool", "suspects")
@@ -82,6 +85,7 @@
         self.computations = PromptComputations()
         self.health = HealthTracker()
         self.rests = ServerRests()
+        self.silence = SilenceTracker()
         self._suspects = kernel.find("suspects", SuspectsService)
         self._role_changes: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._balancers: dict[ServiceGroup, RoleBalancer] = {}
@@ -211,6 +215,11 @@
         """Return when a refused caller may come back because all servers of *service* rest."""
         return self.find_rest_left(service) * (1 + RETURN_SPREAD_SHARE * self._random.random())
 
+    def note_sign(self, member: BackendId) -> None:
+        """Record that *member* sent something of a stream."""
+        self.silence.note_sign(member, self._clock.now())
+        self.health.note_sign(member)
+
     def note_departure(self, member: Member) -> None:
         """Record that *member* said it is leaving, and tell the other gateways soon."""
         if self._members.note_departures([member.incarnation]):
@@ -237,6 +246,7 @@
             moving=self.list_changing_role(now),
             computations=self.computations,
             rests=self.rests,
+            silent=self.silence.list_silent(MIN_SUSPICION, now),
         )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
--- /dev/null
+++ b/tests/dispatch/test_stream_decisions.py
@@ -0,0 +1,76 @@
+"""What follows the end of an attempt at a stream."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavenderrun.dispatch import (
+    RESENDS,
+    AttemptOutcome,
+    CacheState,
+    StreamDecision,
+    StreamSituation,
+    decide_after_stream_attempt,
+)
+from lavenderrun.types import AnswerKind, CallFailure
+
+OUTCOMES = st.builds(
+    AttemptOutcome,
+    st.booleans(),
+    st.sampled_from([None, *AnswerKind]),
+    st.sampled_from([None, *CallFailure]),
+)
+SITUATIONS = st.builds(
+    StreamSituation,
+    OUTCOMES,
+    st.booleans(),
+    st.booleans(),
+    st.booleans(),
+    st.booleans(),
+    st.booleans(),
+    st.sampled_from(CacheState),
+    st.booleans(),
+)
+REFUSALS = {StreamDecision.REFUSE_NOT_RUN, StreamDecision.REFUSE_LOST}
+
+
+@given(SITUATIONS)
+def test_nothing_is_sent_again_without_a_resend(situation: StreamSituation) -> None:
+    decision = decide_after_stream_attempt(replace(situation, has_resend=False))
+    assert decision not in RESENDS
+
+
+# an answer that had begun was followed by a refusal's head
+@given(SITUATIONS)
+def test_a_begun_answer_is_never_refused(situation: StreamSituation) -> None:
+    if situation.is_begun and situation.cache is CacheState.NONE:
+        decision = decide_after_stream_attempt(situation)
+        assert decision not in REFUSALS | {StreamDecision.PASS_FAILURE_ON}
+
+
+@given(SITUATIONS)
+def test_what_may_have_run_runs_again_only_if_the_stream_may_be_resumed(
+    situation: StreamSituation,
+) -> None:
+    decision = decide_after_stream_attempt(situation)
+    if situation.outcome.may_have_run and decision in RESENDS:
+        assert situation.is_idempotent
+        assert situation.has_attempts
+
+
+@given(SITUATIONS)
+def test_what_may_have_run_is_not_refused_as_not_run(situation: StreamSituation) -> None:
+    if situation.outcome.may_have_run:
+        decision = decide_after_stream_attempt(situation)
+        assert decision is not StreamDecision.REFUSE_NOT_RUN
+
+
+# an answer that broke off reached the caller as complete
+@given(SITUATIONS)
+def test_only_a_whole_answer_is_complete(situation: StreamSituation) -> None:
+    is_complete = decide_after_stream_attempt(situation) is StreamDecision.COMPLETE
+    is_whole = situation.outcome.failure is None and situation.ends_between_events
+    assert is_complete == (is_whole and situation.outcome.kind is AnswerKind.SERVED)
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -4,16 +4,25 @@
 
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler
 
 import pytest
-from gateway_process import Answer, Gateway, StandinPlatform
+from gateway_process import Answer, Gateway, StandinPlatform, wait_for
 from misbehaviour import fall_silent, reject
-from platform_standin import RESUMED, STREAM, SeenRequest, StandinServer
+from platform_standin import (
+    RESUMED,
+    STREAM,
+    Behaviour,
+    SeenRequest,
+    StandinServer,
+)
 
 EVENTS = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 7)]
 BEGUN = 3
 SILENCE = 1.6
+SUSPICION = 1.2
+MAX_OVERLAP = 0.4
 LONG_SILENCE = 2.4
 NO_RESENDS = {"grace-s": 8, "retry-ratio": 0, "retry-window-s": 10, "retry-slack": 0}
 
@@ -124,3 +133,72 @@
         answers = running.result()
     assert all(is_whole(answer) for answer in answers)
     assert len(list_resumed(platform)) <= 1
+
+
+class Silence:
+    """An engine that is silent until its connection is closed; notes when that is."""
+
+    def __init__(self, events: int | None = None) -> None:
+        self._events = events
+        self.closed: list[float] = []
+
+    def behave(
+        self, server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest
+    ) -> bool:
+        if self._events is not None:
+            server.stream(handler, seen, self._events)
+        with suppress(OSError):
+            handler.connection.recv(1)
+        self.closed.append(time.monotonic())
+        handler.close_connection = True
+        return True
+
+
+def answer_late(seconds: float) -> Behaviour:
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        time.sleep(seconds)
+        return False
+
+    return behave
+
+
+def choose_by_resumption(first: Behaviour, resumed: Behaviour) -> Behaviour:
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        chosen = resumed if "last-event-id" in seen.headers else first
+        return chosen(server, handler, seen)
+
+    return behave
+
+
+# a dead engine's stream went on at another one while the dead one still had it
+@pytest.mark.parametrize("resumed", [answer_late(0), answer_late(0.6)])
+def test_a_stream_leaves_a_dead_engine_which_has_it_for_300_ms_more_at_most(
+    platform: StandinPlatform, resumed: Behaviour
+) -> None:
+    dead = Silence(BEGUN)
+    for engine in add_engines(platform, "dec-1", "dec-2"):
+        engine.behave = choose_by_resumption(dead.behave, resumed)
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(RESUMED + "x"))
+    (sent,) = [
+        seen.at
+        for server in platform.servers.values()
+        for seen in server.seen
+        if "last-event-id" in seen.headers
+    ]
+    (closed,) = dead.closed
+    assert closed - sent < MAX_OVERLAP
+
+
+# the engine that was silent went on after the stream was sent to another one
+def test_a_silent_engine_that_speaks_first_goes_on_and_the_other_one_is_closed(
+    platform: StandinPlatform,
+) -> None:
+    other = Silence()
+    for engine in add_engines(platform, "dec-1", "dec-2"):
+        engine.behave = choose_by_resumption(fall_silent(BEGUN, SUSPICION + 0.15), other.behave)
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(RESUMED + "x"))
+    assert len(list_resumed(platform)) == 1
+    wait_for(lambda: other.closed, "the other engine's connection closed")
+    assert [line["result"] for line in gateway.lines("call:move")] == ["spoke"]
