Take an unread stream for no silent one

Callers that read slowly got their streams cut: while the caller does not read, the gateway does not read from the engine either, so no event arrives and the engine looked silent. The stream went to another engine, or broke.

The silence is not watched while reading is paused, and a move under way is dropped. The test, a caller that reads nothing for 2.2 s, failed before with a truncated answer and passes.

--- a/src/lavenderrun/gateway/_silence_guard.py
+++ b/src/lavenderrun/gateway/_silence_guard.py
@@ -66,6 +66,15 @@
         self._watch.note_event()
         self._drop_move(MoveResult.SPOKE)
 
+    def pause(self) -> None:
+        """Watch nothing while the answer is not read, because the caller does not read."""
+        self._drop_move(MoveResult.PAUSED)
+        self._watch.pause()
+
+    def resume(self) -> None:
+        """Go on to watch the attempt."""
+        self._watch.resume()
+
     def replace_ended(self) -> bool:
         """Let another engine that has the stream go on instead of the ended attempt.
 
--- a/src/lavenderrun/gateway/_silence_watch.py
+++ b/src/lavenderrun/gateway/_silence_watch.py
@@ -59,12 +59,13 @@
         self._due = admitted.arrived
         self._verdict = SilenceVerdict.NOT_LONG
         self._was_shared = False
+        self._paused: Member | None = None
 
     def begin(self, member: Member) -> None:
         """Watch an attempt that is sent to *member* now."""
         self.end()
         now = self._services.clock.now()
-        self._member, self._last_event = member, now
+        self._member, self._last_event, self._paused = member, now, None
         self._services.view.silence.begin_stream(member.id, now)
         if self._admitted.access.route.is_idempotent:
             self._schedule(self._find_limits(now).suspicion)
@@ -91,12 +92,24 @@
             )
         self._last_event, self._was_shared = now, False
 
+    def pause(self) -> None:
+        """Watch nothing while the answer is not read, because the caller does not read."""
+        paused = self._member
+        self.end()
+        self._paused = paused
+
+    def resume(self) -> None:
+        """Go on to watch the attempt."""
+        if self._paused is not None:
+            self.begin(self._paused)
+
     def end(self) -> None:
         """Watch no attempt."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._verdict, self._was_shared = SilenceVerdict.NOT_LONG, False
+        self._paused = None
         member, self._member = self._member, None
         if member is not None:
             self._services.view.silence.end_stream(member.id)
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -300,11 +300,13 @@
         """Stop reading from the engine, because the caller does not read."""
         if self._attempt is not None:
             self._attempt.pause()
+            self._silence.pause()
 
     def resume(self) -> None:
         """Resume reading from the engine."""
         if self._attempt is not None:
             self._attempt.resume()
+            self._silence.resume()
 
     def _release(self) -> None:
         self._silence.end()
--- a/src/lavenderrun/gateway/_stream_move.py
+++ b/src/lavenderrun/gateway/_stream_move.py
@@ -30,6 +30,7 @@
 
     MOVED = "moved"
     SPOKE = "spoke"
+    PAUSED = "paused"
     ENDED = "ended"
     NO_ROOM = "no_room"
     UNREACHABLE = "unreachable"
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -11,6 +11,8 @@
 from gateway_process import Answer, Gateway, StandinPlatform, wait_for
 from misbehaviour import fall_silent, reject
 from platform_standin import (
+    HOST,
+    KEY,
     RESUMED,
     STREAM,
     Behaviour,
@@ -202,3 +204,32 @@
     assert len(list_resumed(platform)) == 1
     wait_for(lambda: other.closed, "the other engine's connection closed")
     assert [line["result"] for line in gateway.lines("call:move")] == ["spoke"]
+
+
+# a stream that its caller did not read looked silent
+def test_a_stream_that_its_caller_does_not_read_does_not_move(platform: StandinPlatform) -> None:
+    large = b"id: 1\ndata: " + b"x" * 900_000 + b"\n\n"
+
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        server.runs.append(seen.headers["x-request-id"])
+        server.stream(handler, seen, 0)
+        for number in range(1, 25):
+            event = large.replace(b"1", b"%d" % number, 1)
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        handler.wfile.write(b"0\r\n\r\n")
+        return True
+
+    for engine in add_engines(platform, "dec-1", "dec-2"):
+        engine.behave = behave
+    gateway = platform.wait_known(platform.add_gateway())
+    connection = gateway.connect()
+    connection.request(
+        "POST",
+        RESUMED + "x",
+        b"a prompt",
+        {"Host": HOST, "X-Request-Id": "r1", "Authorization": f"Bearer {KEY}"},
+    )
+    answer = connection.getresponse()
+    time.sleep(2.2)
+    assert len(answer.read()) > 24 * 900_000
+    assert not list_resumed(platform)
