Keep the outcome of a silent engine that breaks during a move

When the silent engine broke off while another one already had the stream, the other one went on, but the call forgot that the first may have run it, and could have been refused as not run after a later rejection. A move whose new connection was not open after 300 ms replaced the silent attempt although nothing was sent.

Both are seen from reading; the new test, in which the silent engine breaks 100 ms after the send, passes before and after and guards the takeover.

--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -191,15 +191,15 @@
             has_pause_left=self._cache.outlasts_pause,
         )
         decision = decide_after_stream_attempt(situation)
+        if decision is not StreamDecision.COMPLETE and attempt.outcome.may_have_run:
+            self._is_outcome_unknown = True
+            if attempt.outcome.has_broken:
+                self._cache.give_up()
         if decision is not StreamDecision.COMPLETE and self._silence.replace_ended():
             return
         self._silence.end()
         if decision in RESENDS and not self._take_resend():
             decision = decide_after_stream_attempt(replace(situation, has_resend=False))
-        if decision is not StreamDecision.COMPLETE and attempt.outcome.may_have_run:
-            self._is_outcome_unknown = True
-            if attempt.outcome.has_broken:
-                self._cache.give_up()
         self._actions[decision](attempt)
 
     def _complete(self, attempt: Attempt) -> None:
--- a/src/lavenderrun/gateway/_stream_move.py
+++ b/src/lavenderrun/gateway/_stream_move.py
@@ -167,6 +167,9 @@
         self._timer = None
         if self._place is None:
             return
+        if not self.was_sent:
+            self._fail(MoveResult.NO_ANSWER)
+            return
         view, now = self._services.view, self._services.clock.now()
         old = view.silence.measure_engine_silence(self._silent.id, now)
         new = view.silence.measure_engine_silence(self._place.member.id, now)
@@ -201,6 +204,8 @@
 
     def _release(self) -> None:
         if self._attempt is not None:
+            if not self._attempt.sent:
+                self._tried.remove(self._attempt.member)
             self._attempt.abandon()
             self._attempt = None
         if self._place is not None:
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -18,6 +18,7 @@
     Behaviour,
     SeenRequest,
     StandinServer,
+    reset,
 )
 
 EVENTS = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 7)]
@@ -204,6 +205,31 @@
     assert len(list_resumed(platform)) == 1
     wait_for(lambda: other.closed, "the other engine's connection closed")
     assert [line["result"] for line in gateway.lines("call:move")] == ["spoke"]
+    page = gateway.get(gateway.metrics, "/metrics").body.decode()
+    assert 'lavenderrun_gateway_stream_moves_total{result="spoke",service="llm"} 1' in page
+    for step in ("move", "spoke"):
+        assert f'lavenderrun_gateway_silences_total{{service="llm",step="{step}"}} 1' in page
+
+
+def break_off_after(events: int, seconds: float) -> Behaviour:
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        server.stream(handler, seen, events)
+        time.sleep(seconds)
+        reset(handler)
+        return True
+
+    return behave
+
+
+# the silent engine broke after the send to another one, and the stream went to a third one
+def test_the_other_engine_goes_on_when_the_silent_one_breaks(platform: StandinPlatform) -> None:
+    for engine in add_engines(platform, "dec-1", "dec-2", "dec-3"):
+        engine.behave = choose_by_resumption(
+            break_off_after(BEGUN, SUSPICION + 0.1), answer_late(0.25)
+        )
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(RESUMED + "x"))
+    assert len(list_resumed(platform)) == 1
 
 
 # a stream that its caller did not read looked silent
