Repeat failed moves after growing pauses

A stream of a silent engine without another engine was tried again every 100 to 150 ms until its deadline, each time with a log line and at worst a new connection. The pause doubles up to a second with each failed move. The counters of silences and moves are asserted on the metrics page; the test of that page lists them among those that appear with their first event.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -45,7 +45,6 @@
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
 from lavenderrun.dispatch._silence import (
     MIN_SUSPICION,
-    REVIEW_PAUSE,
     EngineEvidence,
     SilenceDecision,
     SilenceEvidence,
@@ -54,6 +53,7 @@
     SilenceVerdict,
     decide_on_silence,
     find_patience,
+    find_retry_pause,
     find_silence_limits,
     keeps_silent_engine,
 )
@@ -73,7 +73,6 @@
     "MIN_SUSPICION",
     "PLACEMENTS",
     "RESENDS",
-    "REVIEW_PAUSE",
     "Access",
     "AttemptDecision",
     "AttemptOutcome",
@@ -119,6 +118,7 @@
     "digest_key",
     "estimate_computation",
     "find_patience",
+    "find_retry_pause",
     "find_silence_limits",
     "has_capacity",
     "keeps_silent_engine",
--- a/src/lavenderrun/dispatch/_silence.py
+++ b/src/lavenderrun/dispatch/_silence.py
@@ -38,6 +38,9 @@
 REVIEW_PAUSE: Final = timedelta(milliseconds=100)
 """Pause before silence is weighed again when something else than time may change the result."""
 
+LONGEST_REVIEW_PAUSE: Final = timedelta(seconds=1)
+"""Longest pause between two tries to move a stream; each failed one doubles the pause."""
+
 
 class SilenceVerdict(Enum):
     """What a stream's silence is taken for."""
@@ -183,6 +186,15 @@
     return has_spoken or other >= limits.quiet
 
 
+def find_retry_pause(failed_moves: int) -> timedelta:
+    """Return the pause after a failed move.
+
+    :param failed_moves: moves of the stream that failed before this one.
+    """
+    doublings = min(failed_moves, 10)
+    return min(REVIEW_PAUSE * (1 << doublings), LONGEST_REVIEW_PAUSE)
+
+
 @dataclass
 class _Engine:
     last_sign: datetime
--- a/src/lavenderrun/gateway/_silence_watch.py
+++ b/src/lavenderrun/gateway/_silence_watch.py
@@ -7,12 +7,12 @@
 from typing import Final
 
 from lavenderrun.dispatch import (
-    REVIEW_PAUSE,
     SilenceEvidence,
     SilenceLimits,
     SilenceVerdict,
     decide_on_silence,
     find_patience,
+    find_retry_pause,
     find_silence_limits,
 )
 from lavenderrun.gateway._call_log import CallLog
@@ -59,6 +59,7 @@
         self._due = admitted.arrived
         self._verdict = SilenceVerdict.NOT_LONG
         self._was_shared = False
+        self._failed_moves = 0
         self._paused: Member | None = None
 
     def begin(self, member: Member) -> None:
@@ -90,7 +91,7 @@
                 member=self._member.id,
                 silent_ms=to_milliseconds(now - self._last_event),
             )
-        self._last_event, self._was_shared = now, False
+        self._last_event, self._was_shared, self._failed_moves = now, False, 0
 
     def pause(self) -> None:
         """Watch nothing while the answer is not read, because the caller does not read."""
@@ -108,7 +109,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._verdict, self._was_shared = SilenceVerdict.NOT_LONG, False
+        self._verdict = SilenceVerdict.NOT_LONG
+        self._was_shared, self._failed_moves = False, 0
         self._paused = None
         member, self._member = self._member, None
         if member is not None:
@@ -123,9 +125,10 @@
         return silent >= self._find_limits(now).quiet
 
     def look_again(self) -> None:
-        """Weigh the silence again after a pause."""
+        """Weigh the silence again after a pause, which is longer after each failed move."""
         if self._member is not None and self._admitted.access.route.is_idempotent:
-            self._schedule(self._add_jitter(REVIEW_PAUSE))
+            self._schedule(self._add_jitter(find_retry_pause(self._failed_moves)))
+            self._failed_moves += 1
 
     def _add_jitter(self, pause: timedelta) -> timedelta:
         return pause * (1 + JITTER_SHARE * self._services.random_source.random())
--- a/tests/dispatch/test_silence.py
+++ b/tests/dispatch/test_silence.py
@@ -18,6 +18,7 @@
     SilenceVerdict,
     decide_on_silence,
     find_patience,
+    find_retry_pause,
     find_silence_limits,
     keeps_silent_engine,
 )
@@ -231,6 +232,14 @@
     assert health.is_paused(A, START)
 
 
+# a stream without another engine was tried ten times a second until its deadline
+def test_failed_moves_are_repeated_after_growing_pauses() -> None:
+    pauses = [find_retry_pause(failed) for failed in range(30)]
+    assert pauses == sorted(pauses)
+    assert pauses[0] == timedelta(milliseconds=100)
+    assert pauses[-1] == timedelta(seconds=1)
+
+
 def test_limits_of_a_call_that_ends_soon_are_shorter() -> None:
     soon = find_silence_limits(PATIENCE, timedelta(seconds=2))
     assert soon.certainty == timedelta(seconds=1.7)
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -439,7 +439,7 @@
     assert 'lavenderrun_gateway_calls_total{delivery="whole",outcome="answered"' in page
     assert "lavenderrun_gateway_first_answer_seconds_bucket" in page
     missing = {name for name, _ in GATEWAY_METRICS if name not in page}
-    # these appear with the first event, refusal, resend, notice or crash of a server
+    # these appear with the first event, refusal, resend, notice, silence or crash of a server
     assert missing <= {
         "lavenderrun_gateway_event_gap_seconds",
         "lavenderrun_gateway_loop_lag_seconds",
@@ -447,6 +447,8 @@
         "lavenderrun_gateway_refusals_total",
         "lavenderrun_gateway_resends_total",
         "lavenderrun_gateway_server_notices_total",
+        "lavenderrun_gateway_silences_total",
+        "lavenderrun_gateway_stream_moves_total",
         "lavenderrun_gateway_suspect_parts_total",
     }
     assert "lavenderrun_gateway_resends_left" in page
