Answer a stream at once when its only engine is lost

Callers of resumable streams got 504 no_room, "no engine had room in time", 2.5 s after the engine had ended inside the head of its answer, alone in its service. A begun stream was cut as late, and its log line gave the same wrong reason. Such a stream took a resend from the budget and queued for an engine that it had not tried, although there was none, and the end of the queue's wait was always reported as a lack of room.

A stream now moves on only when the service has a ready engine that it has not tried; otherwise it is refused as backend_lost, outcome unknown, or cut with the reason "engine lost". One that waits ends as soon as no such engine is left, and the end of its wait names the loss. An engine that changes its role counts as what it becomes.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -32,6 +32,7 @@
     Placement,
     PlacementContext,
     has_capacity,
+    has_decode_engine,
 )
 from lavenderrun.dispatch._queue_order import (
     MAX_QUEUE_WAIT,
@@ -84,6 +85,7 @@
     "digest_key",
     "estimate_computation",
     "has_capacity",
+    "has_decode_engine",
     "make_fingerprint",
     "make_sort_key",
     "misses_objective",
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -116,6 +116,23 @@
     return healthy or candidates
 
 
+def has_decode_engine(
+    members: Iterable[Member], tried: Collection[BackendId], context: PlacementContext
+) -> bool:
+    """Tell whether a service has an engine not tried yet that runs calls now or may do so soon.
+
+    An engine that changes its role counts as what it becomes; one that is full, paused or resting
+    counts.
+    """
+    return any(
+        member.state is MemberState.READY
+        and member.id not in tried
+        and (member.role is BackendRole.PREFILL) == (member.id in context.moving)
+        and not context.health.is_replaced(member, context.now)
+        for member in members
+    )
+
+
 def _compute_health_cost(member: Member, best_seconds: float, context: PlacementContext) -> float:
     cost = FAILURE_COST * context.health.get_failure_rate(member.id)
     mean_seconds = context.health.find(member.id).mean_seconds
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
 from lavenderrun.dispatch import (
@@ -104,8 +104,7 @@
         ):
             if waiter not in self._queue:
                 continue
-            rest = self._view.find_rest_left(waiter.service)
-            if now + rest - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
+            if self._is_hopeless(waiter, now):
                 self._queue.remove(waiter)
                 waiter.on_result(None)
                 continue
@@ -123,6 +122,14 @@
             waiter.on_result(DecodeSlotReservation(self, member, waiter.requirements.tokens))
         self._schedule_check()
 
+    def _is_hopeless(self, waiter: DecodeSlotWaiter, now: datetime) -> bool:
+        rest = self._view.find_rest_left(waiter.service)
+        if now + rest - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
+            return True
+        tried = waiter.requirements.tried
+        # without servers at all their rows may be late; tried ones are never called again
+        return bool(tried) and not self._view.has_decode_engine(waiter.service, tried)
+
     def _schedule_check(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -73,6 +73,7 @@
         self._is_begun = False
         self._content_type = ""
         self._is_outcome_unknown = False
+        self._loss = ""
         self._silence_timer: Timer | None = None
         self._sent_at = self._admitted.arrived
         self._timing = StreamTiming(self._services.stats, self._admitted.arrived)
@@ -155,10 +156,20 @@
 
     def _end_without_slot(self) -> None:
         if self._is_begun:
-            self._abort_answer("no engine has room to go on")
+            self._abort_answer(f"{self._loss}, no other had room in time")
+        elif self._may_have_run():
+            self._refuse(
+                Refusal.BACKEND_LOST, Step.DECODE, f"{self._loss}, no other had room in time"
+            )
         else:
             self._refuse_without_capacity("no engine had room in time", RETRY_AFTER_NO_SLOT)
 
+    def _may_move_on(self) -> bool:
+        """Return whether an engine not tried yet may run the call, and use a resend for it."""
+        tried = [member.id for member in self._tried_servers]
+        has_other = self._services.view.has_decode_engine(self._admitted.service, tried)
+        return has_other and self._attempts_left > 0 and self._take_resend()
+
     def _begin_decode(self, cache: HeldCache | None) -> None:
         if self._prefill is not None:
             self._was_prefill_sent = self._prefill.was_sent
@@ -312,7 +323,7 @@
             self._request_another_slot()
         elif self._cache is not None and attempt.outcome.kind is AnswerKind.NOT_RUN:
             self._continue_with_cache()
-        elif self._attempts_left > 0 and self._take_resend():
+        elif self._may_move_on():
             self._request_another_slot()
         elif self._is_begun:
             self._abort_answer("no engine takes the stream on")
@@ -349,12 +360,11 @@
             self._refuse_without_capacity("engine takes no calls any more")
 
     def _continue_after_failed_answer(self, attempt: Attempt) -> None:
-        self._is_outcome_unknown = True
-        route = self._admitted.access.route
-        if route.is_idempotent and self._attempts_left > 0 and self._take_resend():
+        self._is_outcome_unknown, self._loss = True, "engine failed"
+        if self._admitted.access.route.is_idempotent and self._may_move_on():
             self._request_another_slot()
         elif self._is_begun or attempt.head is None:
-            self._abort_answer("engine failed")
+            self._abort_answer(self._loss)
         else:
             head = attempt.head
             self._call_log.write("answered", "failure passed on", status=head.status)
@@ -362,19 +372,18 @@
             self._finish("failed")
 
     def _continue_after_break(self, attempt: Attempt) -> None:
-        self._is_outcome_unknown = True
+        self._is_outcome_unknown, self._loss = True, "engine lost"
         self._give_up_cache()
-        route = self._admitted.access.route
-        if route.is_idempotent and self._attempts_left > 0 and self._take_resend():
+        if self._admitted.access.route.is_idempotent and self._may_move_on():
             reason = attempt.failure.value if attempt.failure else "ended inside an event"
             self._call_log.write(
                 "resumed", "stream resumed at another engine", member=attempt.member.id, why=reason
             )
             self._resume(attempt)
         elif self._is_begun:
-            self._abort_answer("stream broke")
+            self._abort_answer(self._loss)
         else:
-            self._refuse(Refusal.BACKEND_LOST, Step.DECODE, "engine lost")
+            self._refuse(Refusal.BACKEND_LOST, Step.DECODE, self._loss)
 
     def _resume(self, attempt: Attempt) -> None:
         """Go on at another engine, once it is known whether a suspect prompt crashed this one."""
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
@@ -20,6 +20,7 @@
     RoleBalancer,
     ServerRests,
     estimate_computation,
+    has_decode_engine,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import to_milliseconds
@@ -114,6 +115,11 @@
         members = self._members.list_members(service)
         return PLACEMENTS.find(placement)(members, need, self._make_placement_context(service))
 
+    def has_decode_engine(self, service: ServiceGroup, tried: Collection[BackendId]) -> bool:
+        """Tell whether *service* has an engine not in *tried* that runs calls now or soon."""
+        members = self._members.list_members(service)
+        return has_decode_engine(members, tried, self._make_placement_context(service))
+
     def reserve(self, member: BackendId, tokens: int, *, brief: bool = False) -> None:
         """Reserve capacity for a call of *tokens* at an engine, and report it soon.
 
--- a/tests/dispatch/test_choices.py
+++ b/tests/dispatch/test_choices.py
@@ -19,6 +19,7 @@
     Reservations,
     RoleBalancer,
     decide_after_attempt,
+    has_decode_engine,
     make_sort_key,
     misses_objective,
 )
@@ -132,6 +133,23 @@
     assert place("prefill", members, CallRequirements(tokens=3000), context) is None
 
 
+def test_an_engine_that_may_still_run_a_call_is_ready_untried_and_will_decode() -> None:
+    decode, prefill = make_member("d", BackendRole.DECODE), make_member("p", BackendRole.PREFILL)
+    leaving = make_member("l", BackendRole.DECODE, state=MemberState.LEAVING)
+    context = make_context()
+    assert not has_decode_engine([prefill, leaving], [], context)
+    assert has_decode_engine([decode, prefill], [], context)
+    assert not has_decode_engine([decode, prefill], [decode.id], context)
+    context.health.pause_after_failure(decode.id, START)
+    assert has_decode_engine([decode], [], context)
+    context.moving = [decode.id, prefill.id]
+    assert not has_decode_engine([decode], [], context)
+    assert has_decode_engine([prefill], [], context)
+    context = make_context()
+    context.health.note_replaced(decode, START)
+    assert not has_decode_engine([decode], [], context)
+
+
 @given(st.lists(st.tuples(st.booleans(), st.integers(0, 5000)), max_size=60))
 def test_reservations_that_are_freed_leave_nothing(steps: list[tuple[bool, int]]) -> None:
     occupancy = FleetOccupancy()
