Pass a failed answer on when the next server refuses the connection

A caller of a safe route whose first server answered 500, and whose second one refused the connection, got no answer until the deadline of the call, and then 504. Nothing ran and nothing was waited for: after a refused connection the call searched for a third server, and when it found none it did nothing, because it had been sent before.

The call now ends as after any other attempt: the failed answer is passed on, or the call is refused with its true outcome.

--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -90,8 +90,11 @@
     def _handle_unreached(self, attempt: Attempt) -> None:
         self._unreached_servers.append(attempt.member)
         self._tried_servers.remove(attempt.member)
-        if not self._running_attempts:
-            self._send(first=not self._tried_servers)
+        if self._running_attempts or self._send(first=not self._tried_servers):
+            return
+        if self._tried_servers and not self._is_over:
+            # an earlier attempt ended without an answer that could be passed on
+            self._fail(AttemptDecision.FAIL_UNKNOWN)
 
     def _send(self, *, first: bool) -> bool:
         route = self._admitted.access.route
