Try servers that refuse connections at intervals, one call at a time

Paused servers are taken when there is no other, and a refused connection fails within a millisecond. A resumed stream also began its longest wait anew with each try, so it went on until its deadline.

UnreachedAddresses keeps for each address to which the last connection failed when it is tried again: after 50 ms, doubled up to 400 ms, with a random part, by one connection at a time. Placement leaves it out until then, so the tries of a server are bounded by the time over the pause, whatever the number of calls. A connection that succeeds, a changed row or a new server ends the wait. A plain call that waited takes only a server with a free slot, until its last search. A call is refused at once when no server may be called before its wait or its deadline ends; Retry-After covers the next try, and the reason says that no server could be reached. The longest wait of a resumed stream counts from the loss of its engine.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -36,7 +36,9 @@
 )
 from lavenderrun.dispatch._queue_order import (
     MAX_QUEUE_WAIT,
+    MIN_SERVICE_TIME,
     QueuedCall,
+    can_start,
     make_sort_key,
     misses_objective,
 )
@@ -45,11 +47,13 @@
 from lavenderrun.dispatch._rests import ServerRests
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
 from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
+from lavenderrun.dispatch._unreached import UnreachedAddresses, find_return
 
 __all__ = [
     "ASSUMED_HOSTS",
     "MAX_QUEUE_WAIT",
     "MAX_SHARED_PARTS",
+    "MIN_SERVICE_TIME",
     "PLACEMENTS",
     "Access",
     "AttemptDecision",
@@ -80,10 +84,13 @@
     "ServerRests",
     "StoredLease",
     "SuspectTracker",
+    "UnreachedAddresses",
     "authorize_call",
+    "can_start",
     "decide_after_attempt",
     "digest_key",
     "estimate_computation",
+    "find_return",
     "has_capacity",
     "has_decode_engine",
     "make_fingerprint",
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -12,6 +12,7 @@
 from lavenderrun.dispatch._health import HealthTracker
 from lavenderrun.dispatch._occupancy import FleetOccupancy
 from lavenderrun.dispatch._rests import ServerRests
+from lavenderrun.dispatch._unreached import UnreachedAddresses
 from lavenderrun.kernel import Registry
 from lavenderrun.types import BackendId, BackendRole, DataCentre, Member, MemberState
 
@@ -53,6 +54,7 @@
     :param may_probe: it may be the first call to a server after its pause.
     :param late: it misses its objective wherever it is placed.
     :param computes_prompt: the decode engine computes the prompt itself.
+    :param may_wait: it may wait for a free slot rather than in the queue of a server.
     :param first_token_due: when the first token should be out, ``None`` without an objective.
     """
 
@@ -61,6 +63,7 @@
     may_probe: bool = True
     late: bool = False
     computes_prompt: bool = False
+    may_wait: bool = False
     first_token_due: datetime | None = None
 
 
@@ -74,6 +77,7 @@
     :param moving: engines that were ordered to change their role and take no call until they have.
     :param computations: prompts that decode engines compute themselves.
     :param rests: servers that asked this host for no calls.
+    :param unreached: addresses to which the last connection failed.
     """
 
     now: datetime
@@ -86,6 +90,7 @@
     moving: Collection[BackendId] = ()
     computations: PromptComputations = field(default_factory=PromptComputations)
     rests: ServerRests = field(default_factory=ServerRests)
+    unreached: UnreachedAddresses = field(default_factory=UnreachedAddresses)
 
 
 Placement = Callable[[Sequence[Member], CallRequirements, PlacementContext], Member | None]
@@ -105,6 +110,7 @@
         and member.id not in context.moving
         and not context.health.is_replaced(member, context.now)
         and not context.rests.is_resting(member, context.now)
+        and context.unreached.find_next_try(member.address, context.now) is None
     ]
     candidates = [m for m in ready if not context.health.is_paused(m.id, context.now)]
     if not candidates:
@@ -174,6 +180,12 @@
 ) -> Member | None:
     """Choose the plain server with the lowest load plus costs of distance and poor health."""
     candidates = list_candidates(members, requirements, context)
+    if requirements.may_wait:
+        candidates = [
+            member
+            for member in candidates
+            if context.occupancy.estimate_calls(member.id, context.now) < member.slots
+        ]
     if not candidates:
         return None
 
--- a/src/lavenderrun/dispatch/_queue_order.py
+++ b/src/lavenderrun/dispatch/_queue_order.py
@@ -13,17 +13,30 @@
 """Longest wait for a decode slot; callers drop a stream that has not begun a little later."""
 
 
+MIN_SERVICE_TIME: Final = timedelta(milliseconds=30)
+"""Remaining time below which a call is not sent, because any call takes longer."""
+
+
 @dataclass(frozen=True)
 class QueuedCall:
     """A call that waits for a decode slot.
 
     :param rank: urgency, zero is first.
     :param objective: time from arrival within which its first token should be out.
+    :param deadline: time at which its answer is due, ``None`` without one.
     """
 
     rank: int
     arrived: datetime
     objective: timedelta
+    deadline: datetime | None = None
+
+
+def can_start(call: QueuedCall, earliest: datetime) -> bool:
+    """Tell whether a call that gets its decode slot at *earliest* can still be served."""
+    if earliest - call.arrived >= MAX_QUEUE_WAIT:
+        return False
+    return call.deadline is None or earliest + MIN_SERVICE_TIME < call.deadline
 
 
 def make_sort_key(call: QueuedCall, now: datetime) -> tuple[int, bool, datetime]:
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -8,9 +8,9 @@
 from typing import ClassVar, Final
 
 from lavenderrun.dispatch import (
-    MAX_QUEUE_WAIT,
     CallRequirements,
     QueuedCall,
+    can_start,
     make_sort_key,
     misses_objective,
 )
@@ -123,8 +123,7 @@
         self._schedule_check()
 
     def _is_hopeless(self, waiter: DecodeSlotWaiter, now: datetime) -> bool:
-        rest = self._view.find_rest_left(waiter.service)
-        if now + rest - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
+        if not can_start(waiter.queued_call, now + self._view.find_wait(waiter.service)):
             return True
         tried = waiter.requirements.tried
         # without servers at all their rows may be late; tried ones are never called again
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from random import Random
 from typing import Any, ClassVar, Final
 
 from twisted.internet.defer import Deferred
@@ -13,7 +14,7 @@
 from twisted.python.failure import Failure
 
 from lavenderrun.decoding import parse_address
-from lavenderrun.dispatch import ASSUMED_HOSTS
+from lavenderrun.dispatch import ASSUMED_HOSTS, UnreachedAddresses
 from lavenderrun.gateway._connection import Connection, Receiver
 from lavenderrun.gateway._ports import HttpRequest
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -170,12 +171,17 @@
 
 
 class ConnectionPool:
-    """Opens connections and keeps idle ones for reuse; it never repeats a call."""
+    """Opens connections and keeps idle ones for reuse; it never repeats a call.
+
+    :ivar unreached: addresses to which the last connection failed.
+    """
 
     needs: ClassVar[tuple[str, ...]] = ()
 
-    def __init__(self, clock: Clock, reactor: Any) -> None:
+    def __init__(self, clock: Clock, reactor: Any, random_source: Random | None = None) -> None:
         self._clock = clock
+        self._random = random_source or Random()
+        self.unreached = UnreachedAddresses()
         self._reactor = reactor
         self._idle_by_address: dict[str, _IdleConnections] = {}
         self._addresses: dict[Connection, str] = {}
@@ -244,7 +250,8 @@
         self._idle_by_address.setdefault(address, _IdleConnections()).idle_timeout = idle_timeout
 
     def forget(self, address: str) -> None:
-        """Close the idle connections to a server that is gone."""
+        """Close the idle connections to a server that is gone, and forget its failures."""
+        self.unreached.forget(address)
         idle_connections = self._idle_by_address.pop(address, None)
         for _, connection in idle_connections.entries if idle_connections is not None else ():
             connection.abort()
@@ -299,12 +306,15 @@
         host, port = parse_address(address)
         seconds = CONNECT_TIMEOUT.total_seconds()
         endpoint: Any = TCP4ClientEndpoint(self._reactor, host, port, seconds)
+        self.unreached.begin_try(address, self._clock.now())
 
         def connected(connection: Any) -> None:
             self._addresses[connection] = address
+            self.unreached.record_connection(address)
             on_opened(connection, *args)
 
         def failed(_: Failure) -> None:
+            self.unreached.record_failure(address, self._clock.now(), self._random.random())
             on_opened(None, *args)
 
         endpoint.connect(_ConnectionFactory(self)).addCallbacks(connected, failed)
@@ -315,4 +325,4 @@
     """Return the service ``pool`` on the running reactor."""
     from twisted.internet import reactor  # the daemon has installed its reactor by now
 
-    return ConnectionPool(kernel.clock, reactor)
+    return ConnectionPool(kernel.clock, reactor, kernel.random_source)
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -8,7 +8,7 @@
 from datetime import datetime, timedelta
 from typing import Final
 
-from lavenderrun.dispatch import Access
+from lavenderrun.dispatch import MIN_SERVICE_TIME, Access
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._stats import CALLS, FIRST_ANSWER, REFUSALS, RESENDS, WHOLE_ANSWER
@@ -32,8 +32,7 @@
 RETRY_AFTER_NO_SLOT: Final = timedelta(seconds=2)
 """Wait advised without a free decode slot: about the time in which a third of the slots free up."""
 
-MIN_SEND_TIME: Final = timedelta(milliseconds=30)
-"""Remaining time below which a call is not sent, because any call takes longer."""
+MIN_SEND_TIME: Final = MIN_SERVICE_TIME
 
 
 @dataclass(frozen=True)
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any, Final
 
 from lavenderrun.dispatch import CallRequirements, QueuedCall
@@ -74,6 +74,7 @@
         self._content_type = ""
         self._is_outcome_unknown = False
         self._loss = ""
+        self._moving_since: datetime | None = None
         self._silence_timer: Timer | None = None
         self._sent_at = self._admitted.arrived
         self._timing = StreamTiming(self._services.stats, self._admitted.arrived)
@@ -102,8 +103,9 @@
         arrived, rank = self._admitted.arrived, route.rank
         if self._tried_servers:
             # ahead of new calls, so that what an engine has computed is not lost
-            arrived, rank = now, RESUMED_RANK
-        queued_call = QueuedCall(rank, arrived, route.objective)
+            self._moving_since = self._moving_since or now
+            arrived, rank = self._moving_since, RESUMED_RANK
+        queued_call = QueuedCall(rank, arrived, route.objective, self._admitted.deadline)
         self._waiter = DecodeSlotWaiter(
             self._admitted.service, requirements, queued_call, self._take_slot
         )
@@ -155,14 +157,15 @@
             self._begin_decode(None)
 
     def _end_without_slot(self) -> None:
+        is_unreached = self._services.view.is_unreached(self._admitted.service)
+        reason = "could be reached" if is_unreached else "had room in time"
         if self._is_begun:
-            self._abort_answer(f"{self._loss}, no other had room in time")
+            self._abort_answer(f"{self._loss}, no other {reason}")
         elif self._may_have_run():
-            self._refuse(
-                Refusal.BACKEND_LOST, Step.DECODE, f"{self._loss}, no other had room in time"
-            )
+            detail = f"{self._loss}, no other {reason}"
+            self._refuse(Refusal.BACKEND_LOST, Step.DECODE, detail)
         else:
-            self._refuse_without_capacity("no engine had room in time", RETRY_AFTER_NO_SLOT)
+            self._refuse_without_capacity(f"no engine {reason}", RETRY_AFTER_NO_SLOT)
 
     def _may_move_on(self) -> bool:
         """Return whether an engine not tried yet may run the call, and use a resend for it."""
@@ -223,6 +226,7 @@
             suspect_parts=parts,
         )
         self._attempt = attempt
+        self._moving_since = None
         self._splitter.note_break()
         self._error_body.clear()
         self._sent_at = self._services.clock.now()
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -20,6 +20,7 @@
     RoleBalancer,
     ServerRests,
     estimate_computation,
+    find_return,
     has_decode_engine,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -44,8 +45,8 @@
 )
 
 RETURN_SPREAD_SHARE: Final = 0.5
-"""Random part added to the wait advised while all servers of a service rest, as a share of it, so
-that callers do not return all at once."""
+"""Random part added to the wait advised while no server of a service may be called, as a share of
+it, so that callers do not return all at once."""
 
 MAX_REPORTED_REST: Final = timedelta(days=1)
 """Longest time that a peer report gives for a computation: what a caller declares has no bound."""
@@ -202,20 +203,33 @@
         """Record that *member* asked this host for no calls for some time."""
         self.rests.begin(member, wait, self._clock.now(), self._random.random())
 
-    def find_rest_left(self, service: ServiceGroup) -> timedelta:
-        """Return how long all servers of *service* that could serve rest, zero if one does not."""
+    def find_wait(self, service: ServiceGroup) -> timedelta:
+        """Return how long no server of *service* may be called, zero when one may be called now."""
         now = self._clock.now()
-        servers = (
+        returns = find_return(self._list_serving(service), self.rests, self._pool.unreached, now)
+        return timedelta(0) if returns is None else returns - now
+
+    def is_unreached(self, service: ServiceGroup) -> bool:
+        """Tell whether *service* has servers and the last connection to each of them failed."""
+        servers = self._list_serving(service)
+        return bool(servers) and all(
+            self._pool.unreached.is_unreached(member.address) for member in servers
+        )
+
+    def _list_serving(self, service: ServiceGroup) -> list[Member]:
+        return [
             member
             for member in self._members.list_members(service)
             if member.state is MemberState.READY and member.role is not BackendRole.PREFILL
-        )
-        returns = self.rests.find_return(servers, now)
-        return timedelta(0) if returns is None else returns - now
+        ]
+
+    def draw_spread(self) -> float:
+        """Return a random number from 0 to 1, by which hosts and calls are spread."""
+        return self._random.random()
 
     def advise_return(self, service: ServiceGroup) -> timedelta:
-        """Return when a refused caller may come back because all servers of *service* rest."""
-        return self.find_rest_left(service) * (1 + RETURN_SPREAD_SHARE * self._random.random())
+        """Return when a refused caller may come back, zero when a server may be called now."""
+        return self.find_wait(service) * (1 + RETURN_SPREAD_SHARE * self.draw_spread())
 
     def note_departure(self, member: Member) -> None:
         """Record that *member* said it is leaving, and tell the other gateways soon."""
@@ -243,6 +257,7 @@
             moving=self.list_changing_role(now),
             computations=self.computations,
             rests=self.rests,
+            unreached=self._pool.unreached,
         )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -16,7 +16,12 @@
 """Share of the objective after which an unanswered idempotent call is sent to a second server."""
 
 NO_SERVER_PAUSE: Final = timedelta(milliseconds=40)
-"""Pause before the next search for a server when none takes calls."""
+"""Pause before the next search for a server when none takes calls: short against the objective of
+any call."""
+
+NO_SERVER_SPREAD_SHARE: Final = 0.5
+"""Random part added to the pause, as a share of it, so that the calls that wait do not all find a
+server at once."""
 
 NO_SERVER_WAIT_SHARE: Final = 0.5
 """Share of the objective for which a call waits for a server that takes calls."""
@@ -39,6 +44,7 @@
         self._running_attempts: dict[Attempt, _CollectedAnswer] = {}
         self._failed_answer: tuple[Attempt, _CollectedAnswer] | None = None
         self._unreached_servers: list[Member] = []
+        self._may_wait = False
         self._is_outcome_unknown = False
 
     def start(self) -> None:
@@ -103,12 +109,15 @@
                 self._reach_deadline()
             return False
         tried = [member.id for member in (*self._tried_servers, *self._unreached_servers)]
-        requirements = CallRequirements(tried=tried, may_probe=route.is_idempotent)
+        requirements = CallRequirements(
+            tried=tried, may_probe=route.is_idempotent, may_wait=self._may_wait
+        )
         member = self._services.view.place(self._admitted.service, "plain", requirements)
         if member is None:
             if first and not self._running_attempts:
                 self._wait_for_server()
             return False
+        self._may_wait = False
         call = self._admitted.call
         attempt = Attempt(
             self._services, call, member, self, self._call_log, suspect_parts=call.shared_parts
@@ -149,13 +158,21 @@
             self._call_log.write("hedged", "no answer yet, sent to a second backend server")
 
     def _wait_for_server(self) -> None:
-        waited = self._services.clock.now() - self._admitted.arrived
-        rest = self._services.view.find_rest_left(self._admitted.service)
-        if waited + rest > self._admitted.access.route.objective * NO_SERVER_WAIT_SHARE:
-            self._refuse_without_capacity("no backend server takes calls")
+        view, service = self._services.view, self._admitted.service
+        now = self._services.clock.now()
+        longest = self._admitted.access.route.objective * NO_SERVER_WAIT_SHARE
+        ends = min(self._admitted.arrived + longest, self._admitted.deadline - MIN_SEND_TIME)
+        if now + view.find_wait(service) > ends:
+            is_unreached = view.is_unreached(service)
+            reason = "could be reached" if is_unreached else "takes calls"
+            self._refuse_without_capacity(f"no backend server {reason}")
             return
         self._unreached_servers.clear()
-        self._schedule(NO_SERVER_PAUSE, self._send_after_wait)
+        spread = NO_SERVER_SPREAD_SHARE * self._services.view.draw_spread()
+        pause = NO_SERVER_PAUSE * (1 + spread)
+        # the last search takes a server even if it is busy
+        self._may_wait = now + pause * 2 <= ends
+        self._schedule(pause, self._send_after_wait)
 
     def _send_after_wait(self) -> None:
         if not self._is_over:
