--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -32,10 +32,13 @@
     Placement,
     PlacementContext,
     has_capacity,
+    has_decode_engine,
 )
 from lavenderrun.dispatch._queue_order import (
     MAX_QUEUE_WAIT,
+    MIN_SERVICE_TIME,
     QueuedCall,
+    can_start,
     make_sort_key,
     misses_objective,
 )
@@ -65,11 +68,13 @@
     decide_after_stream_attempt,
 )
 from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
+from lavenderrun.dispatch._unreached import UnreachedAddresses, find_return
 
 __all__ = [
     "ASSUMED_HOSTS",
     "MAX_QUEUE_WAIT",
     "MAX_SHARED_PARTS",
+    "MIN_SERVICE_TIME",
     "MIN_SUSPICION",
     "PLACEMENTS",
     "RESENDS",
@@ -111,7 +116,9 @@
     "StreamDecision",
     "StreamSituation",
     "SuspectTracker",
+    "UnreachedAddresses",
     "authorize_call",
+    "can_start",
     "decide_after_attempt",
     "decide_after_stream_attempt",
     "decide_on_silence",
@@ -119,8 +126,10 @@
     "estimate_computation",
     "find_patience",
     "find_retry_pause",
+    "find_return",
     "find_silence_limits",
     "has_capacity",
+    "has_decode_engine",
     "keeps_silent_engine",
     "make_fingerprint",
     "make_sort_key",
--- a/src/lavenderrun/dispatch/_stream_decisions.py
+++ b/src/lavenderrun/dispatch/_stream_decisions.py
@@ -53,6 +53,7 @@
     :param is_begun: the answer to the caller has begun.
     :param has_attempts: the route allows another server.
     :param has_resend: the budget allows a resend.
+    :param has_other_engine: an engine not tried yet may run the stream now or soon.
     :param has_pause_left: held KV cache outlasts a pause.
     """
 
@@ -62,9 +63,15 @@
     is_begun: bool
     has_attempts: bool
     has_resend: bool
+    has_other_engine: bool
     cache: CacheState = CacheState.NONE
     has_pause_left: bool = False
 
+    @property
+    def may_move(self) -> bool:
+        """Whether another engine may be tried."""
+        return self.has_attempts and self.has_resend and self.has_other_engine
+
 
 def decide_after_stream_attempt(situation: StreamSituation) -> StreamDecision:
     """Decide how a stream goes on; those of :data:`RESENDS` need a resend."""
@@ -74,7 +81,7 @@
         return StreamDecision.COMPLETE
     if not outcome.may_have_run:
         return _decide_after_rejection(situation)
-    may_repeat = situation.is_idempotent and situation.has_attempts and situation.has_resend
+    may_repeat = situation.is_idempotent and situation.may_move
     if outcome.failure is None and outcome.kind is AnswerKind.FAILED:
         if may_repeat:
             return StreamDecision.SEND_TO_ANOTHER
@@ -90,7 +97,7 @@
         return StreamDecision.CHOOSE_AGAIN
     if situation.cache is not CacheState.NONE and outcome.kind is AnswerKind.NOT_RUN:
         return _decide_with_cache(situation)
-    if situation.has_attempts and situation.has_resend:
+    if situation.may_move:
         return StreamDecision.SEND_TO_ANOTHER
     return StreamDecision.CUT if situation.is_begun else StreamDecision.REFUSE_NOT_RUN
 
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
 from lavenderrun.dispatch import (
-    MAX_QUEUE_WAIT,
     CallRequirements,
     QueuedCall,
+    can_start,
     make_sort_key,
     misses_objective,
 )
@@ -114,8 +114,7 @@
         ):
             if waiter not in self._queue:
                 continue
-            rest = self._view.find_rest_left(waiter.service)
-            if now + rest - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
+            if self._is_hopeless(waiter, now):
                 self._queue.remove(waiter)
                 waiter.on_result(None)
                 continue
@@ -133,6 +132,13 @@
             waiter.on_result(DecodeSlotReservation(self, member, waiter.requirements.tokens))
         self._schedule_check()
 
+    def _is_hopeless(self, waiter: DecodeSlotWaiter, now: datetime) -> bool:
+        if not can_start(waiter.queued_call, now + self._view.find_wait(waiter.service)):
+            return True
+        tried = waiter.requirements.tried
+        # without servers at all their rows may be late; tried ones are never called again
+        return bool(tried) and not self._view.has_decode_engine(waiter.service, tried)
+
     def _schedule_check(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/src/lavenderrun/gateway/_engine_search.py
+++ b/src/lavenderrun/gateway/_engine_search.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from datetime import datetime
 from enum import Enum
 from typing import Final
 
@@ -72,6 +73,7 @@
         self._prefill: PrefillStep | None = None
         self._was_prefill_sent = False
         self._needs_own_prompt = False
+        self._moving_since: datetime | None = None
 
     def start(self) -> None:
         """Search for an engine, if there is time left."""
@@ -94,8 +96,9 @@
         arrived, rank = self._admitted.arrived, route.rank
         if self._tried:
             # ahead of new calls, so that what an engine has computed is not lost
-            arrived, rank = now, RESUMED_RANK
-        queued_call = QueuedCall(rank, arrived, route.objective)
+            self._moving_since = self._moving_since or now
+            arrived, rank = self._moving_since, RESUMED_RANK
+        queued_call = QueuedCall(rank, arrived, route.objective, self._admitted.deadline)
         self._waiter = DecodeSlotWaiter(
             self._admitted.service, requirements, queued_call, self._take_slot
         )
@@ -187,6 +190,7 @@
         self._finish()
 
     def _finish(self) -> None:
+        self._moving_since = None
         slot, self._slot = self._slot, None
         connection, self._connection = self._connection, None
         if slot is not None and connection is not None:
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -77,6 +77,7 @@
         self._attempt: Attempt | None = None
         self._error_body = bytearray()
         self._is_outcome_unknown = False
+        self._loss = ""
         self._sent_at = admitted.arrived
         self._actions: Mapping[StreamDecision, Callable[[Attempt], None]] = {
             StreamDecision.COMPLETE: self._complete,
@@ -91,7 +92,7 @@
                 "engine rejected the call"
             ),
             StreamDecision.REFUSE_LOST: lambda _: self._refuse(
-                Refusal.BACKEND_LOST, Step.DECODE, "engine lost"
+                Refusal.BACKEND_LOST, Step.DECODE, self._loss
             ),
         }
 
@@ -109,10 +110,19 @@
             self._end_without_slot()
 
     def _end_without_slot(self) -> None:
+        is_unreached = self._services.view.is_unreached(self._admitted.service)
+        reason = "could be reached" if is_unreached else "had room in time"
         if self._events.is_begun:
-            self._abort_answer("no engine has room to go on")
+            self._abort_answer(f"{self._loss}, no other {reason}")
+        elif self._may_have_run():
+            detail = f"{self._loss}, no other {reason}"
+            self._refuse(Refusal.BACKEND_LOST, Step.DECODE, detail)
         else:
-            self._refuse_without_capacity("no engine had room in time", RETRY_AFTER_NO_SLOT)
+            self._refuse_without_capacity(f"no engine {reason}", RETRY_AFTER_NO_SLOT)
+
+    def _has_other_engine(self) -> bool:
+        tried = [member.id for member in self._tried_servers]
+        return self._services.view.has_decode_engine(self._admitted.service, tried)
 
     def _search_again(self) -> None:
         """Free the decode slot and search for another engine, if there is time left."""
@@ -187,12 +197,14 @@
             self._events.is_begun,
             has_attempts=self._attempts_left > 0,
             has_resend=True,
+            has_other_engine=self._has_other_engine(),
             cache=self._cache.state,
             has_pause_left=self._cache.outlasts_pause,
         )
         decision = decide_after_stream_attempt(situation)
         if decision is not StreamDecision.COMPLETE and attempt.outcome.may_have_run:
             self._is_outcome_unknown = True
+            self._loss = "engine lost" if attempt.outcome.has_broken else "engine failed"
             if attempt.outcome.has_broken:
                 self._cache.give_up()
         if decision is not StreamDecision.COMPLETE and self._silence.replace_ended():
@@ -270,10 +282,8 @@
     def _cut_after(self, attempt: Attempt) -> None:
         if not attempt.outcome.may_have_run:
             self._abort_answer("no engine takes the stream on")
-        elif attempt.outcome.has_broken:
-            self._abort_answer("stream broke")
         else:
-            self._abort_answer("engine failed")
+            self._abort_answer(self._loss)
 
     def _reject_crashing(self, release: timedelta) -> None:
         if self._events.is_begun:
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
@@ -22,6 +22,8 @@
     ServerRests,
     SilenceTracker,
     estimate_computation,
+    find_return,
+    has_decode_engine,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import to_milliseconds
@@ -45,8 +47,8 @@
 )
 
 RETURN_SPREAD_SHARE: Final = 0.5
-"""Random part added to the wait advised while all servers of a service rest, as a share of it, so
-that callers do not return all at once."""
+"""Random part added to the wait advised while no server of a service may be called, as a share of
+it, so that callers do not return all at once."""
 
 MAX_REPORTED_REST: Final = timedelta(days=1)
 """Longest time that a peer report gives for a computation: what a caller declares has no bound."""
@@ -118,6 +120,11 @@
         members = self._members.list_members(service)
         return PLACEMENTS.find(placement)(members, need, self._make_placement_context(service))
 
+    def has_decode_engine(self, service: ServiceGroup, tried: Collection[BackendId]) -> bool:
+        """Tell whether *service* has an engine not in *tried* that runs calls now or soon."""
+        members = self._members.list_members(service)
+        return has_decode_engine(members, tried, self._make_placement_context(service))
+
     def reserve(self, member: BackendId, tokens: int, *, brief: bool = False) -> None:
         """Reserve capacity for a call of *tokens* at an engine, and report it soon.
 
@@ -200,20 +207,33 @@
         """Record that *member* asked this host for no calls for some time."""
         self.rests.begin(member, wait, self._clock.now(), self._random.random())
 
-    def find_rest_left(self, service: ServiceGroup) -> timedelta:
-        """Return how long all servers of *service* that could serve rest, zero if one does not."""
+    def find_wait(self, service: ServiceGroup) -> timedelta:
+        """Return how long no server of *service* may be called, zero when one may be called now."""
         now = self._clock.now()
-        servers = (
+        returns = find_return(self._list_serving(service), self.rests, self._pool.unreached, now)
+        return timedelta(0) if returns is None else returns - now
+
+    def is_unreached(self, service: ServiceGroup) -> bool:
+        """Tell whether *service* has servers and the last connection to each of them failed."""
+        servers = self._list_serving(service)
+        return bool(servers) and all(
+            self._pool.unreached.is_unreached(member.address) for member in servers
+        )
+
+    def _list_serving(self, service: ServiceGroup) -> list[Member]:
+        return [
             member
             for member in self._members.list_members(service)
             if member.state is MemberState.READY and member.role is not BackendRole.PREFILL
-        )
-        returns = self.rests.find_return(servers, now)
-        return timedelta(0) if returns is None else returns - now
+        ]
+
+    def draw_spread(self) -> float:
+        """Return a random number from 0 to 1, by which hosts and calls are spread."""
+        return self._random.random()
 
     def advise_return(self, service: ServiceGroup) -> timedelta:
-        """Return when a refused caller may come back because all servers of *service* rest."""
-        return self.find_rest_left(service) * (1 + RETURN_SPREAD_SHARE * self._random.random())
+        """Return when a refused caller may come back, zero when a server may be called now."""
+        return self.find_wait(service) * (1 + RETURN_SPREAD_SHARE * self.draw_spread())
 
     def note_sign(self, member: BackendId) -> None:
         """Record that *member* sent something of a stream."""
@@ -247,6 +267,7 @@
             computations=self.computations,
             rests=self.rests,
             silent=self.silence.list_silent(MIN_SUSPICION, now),
+            unreached=self._pool.unreached,
         )
 
     def _apply_configuration(self, configuration: Configuration) -> None:
