End a call whose handling fails with an answer

Callers saw a closed connection, or waited for the deadline, when an unexpected error rose in the handling of their call. An error in process() left the protocol and closed the connection in silence; one in a timer, in an answer that arrived or in a check of the queue left the call as it was, with all that it held.

All that happens to a call after its start reaches it through the services that it uses, so the boundary stands there: timers, connections, the queue and tests of servers pass an error to the call, which ends with the refusal `internal`, as not run if no server was tried and as unknown otherwise, and releases what it holds. The router and the edge guard the steps before. A check of the queue goes on with the other calls.

--- a/src/lavenderrun/codecs/_api_errors.py
+++ b/src/lavenderrun/codecs/_api_errors.py
@@ -30,6 +30,7 @@
     Refusal.OUTCOME_UNKNOWN: "The request may have run; its outcome is not known.",
     Refusal.CANCELLED: "The request was cancelled.",
     Refusal.NOT_READY: "This host has no configuration yet.",
+    Refusal.INTERNAL: "This host failed unexpectedly.",
 }
 
 
--- a/src/lavenderrun/codecs/_statuses.py
+++ b/src/lavenderrun/codecs/_statuses.py
@@ -22,6 +22,7 @@
     Refusal.LEAVING: 503,
     Refusal.NO_ROOM: 503,
     Refusal.NOT_READY: 503,
+    Refusal.INTERNAL: 503,
     Refusal.DEADLINE: 504,
 }
 
--- /dev/null
+++ b/src/lavenderrun/gateway/_boundary.py
@@ -0,0 +1,172 @@
+"""The boundary around the handling of one call: unexpected errors end that call only.
+
+All that happens to a call after its start reaches it through the services that it uses: timers,
+connections, the queue for decode slots and tests of servers. The services here wrap what a call
+gives them, so that an error in it ends the call with an answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from datetime import datetime, timedelta
+from typing import Any, ParamSpec
+
+from lavenderrun.gateway._call_services import CallPool, CallServices, CallSuspects, SlotQueue
+from lavenderrun.gateway._connection import Connection, Receiver
+from lavenderrun.gateway._decode_slot_queue import DecodeSlotWaiter
+from lavenderrun.gateway._pool import Exchange
+from lavenderrun.gateway._suspects import LostCall
+from lavenderrun.kernel import Clock, Timer
+from lavenderrun.types import (
+    BackendId,
+    CallFailure,
+    Fingerprint,
+    Headers,
+    Member,
+    PartId,
+    RunningCall,
+)
+
+P = ParamSpec("P")
+
+
+class CallBoundary:
+    """Passes unexpected errors in the handling of a call to that call.
+
+    :ivar fail: called with the error.
+    """
+
+    def __init__(self) -> None:
+        self.fail: Callable[[Exception], None] = _raise
+
+    def guard(self, function: Callable[P, None]) -> Callable[P, None]:
+        """Return *function* with its errors passed to the call."""
+
+        def run(*args: P.args, **kwargs: P.kwargs) -> None:
+            try:
+                function(*args, **kwargs)
+            except Exception as error:
+                self.fail(error)
+
+        return run
+
+    def guard_services(self, services: CallServices) -> CallServices:
+        """Return *services* for a call whose errors pass this boundary."""
+        return replace(
+            services,
+            clock=_GuardedClock(services.clock, self),
+            pool=_GuardedPool(services.pool, self),
+            slot_queue=_GuardedSlotQueue(services.slot_queue, self),
+            suspects=_GuardedSuspects(services.suspects, self),
+        )
+
+
+class GuardedCall:
+    """A running call whose errors pass a boundary when its caller pauses, resumes or leaves."""
+
+    def __init__(self, running: RunningCall, boundary: CallBoundary) -> None:
+        self.cancel: Callable[[], None] = boundary.guard(running.cancel)
+        self.pause: Callable[[], None] = boundary.guard(running.pause)
+        self.resume: Callable[[], None] = boundary.guard(running.resume)
+
+
+def _raise(error: Exception) -> None:
+    raise error
+
+
+class _GuardedClock:
+    def __init__(self, clock: Clock, boundary: CallBoundary) -> None:
+        self._clock = clock
+        self._boundary = boundary
+
+    def now(self) -> datetime:
+        return self._clock.now()
+
+    def call_later(self, delay: timedelta, call: Callable[..., Any], *args: Any) -> Timer:
+        return self._clock.call_later(delay, self._boundary.guard(call), *args)
+
+
+class _GuardedReceiver:
+    def __init__(self, receiver: Receiver, boundary: CallBoundary) -> None:
+        self.head_received: Callable[[int, Headers], None] = boundary.guard(receiver.head_received)
+        self.body_received: Callable[[bytes], None] = boundary.guard(receiver.body_received)
+        self.answer_completed: Callable[[], None] = boundary.guard(receiver.answer_completed)
+        self.answer_failed: Callable[[CallFailure], None] = boundary.guard(receiver.answer_failed)
+
+
+class _GuardedPool:
+    def __init__(self, pool: CallPool, boundary: CallBoundary) -> None:
+        self._pool = pool
+        self._boundary = boundary
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        receiver: Receiver,
+        *,
+        force_new: bool = False,
+        unused_connection: Connection | None = None,
+        may_send: Callable[[], bool] = lambda: True,
+        on_error: Callable[[Exception], None] | None = None,
+    ) -> Exchange:
+        return self._pool.call(
+            address,
+            method,
+            target,
+            headers,
+            body,
+            _GuardedReceiver(receiver, self._boundary),
+            force_new=force_new,
+            unused_connection=unused_connection,
+            may_send=may_send,
+            on_error=on_error or self._boundary.fail,
+        )
+
+    def open(self, address: str, on_opened: Callable[..., None], *args: Any) -> None:
+        self._pool.open(address, self._boundary.guard(on_opened), *args)
+
+    def set_idle_timeout(self, address: str, idle_timeout: timedelta) -> None:
+        self._pool.set_idle_timeout(address, idle_timeout)
+
+
+class _GuardedSlotQueue:
+    def __init__(self, slot_queue: SlotQueue, boundary: CallBoundary) -> None:
+        self._slot_queue = slot_queue
+        self._boundary = boundary
+
+    def enqueue(self, waiter: DecodeSlotWaiter) -> None:
+        waiter.on_error = self._boundary.fail
+        self._slot_queue.enqueue(waiter)
+
+    def withdraw(self, waiter: DecodeSlotWaiter) -> None:
+        self._slot_queue.withdraw(waiter)
+
+
+class _GuardedSuspects:
+    def __init__(self, suspects: CallSuspects, boundary: CallBoundary) -> None:
+        self._suspects = suspects
+        self._boundary = boundary
+        self.calls = suspects.calls
+        self.parts = suspects.parts
+
+    def find_crashing_part(self, parts: Sequence[PartId]) -> PartId | None:
+        return self._suspects.find_crashing_part(parts)
+
+    def record_lost_answer(
+        self, fingerprint: Fingerprint, member: Member, lost: LostCall | None
+    ) -> None:
+        self._suspects.record_lost_answer(fingerprint, member, lost)
+
+    def call_when_tested(self, member: BackendId, call: Callable[[], None]) -> None:
+        self._suspects.call_when_tested(member, self._boundary.guard(call))
+
+    def record_progress(self, parts: Sequence[PartId]) -> None:
+        self._suspects.record_progress(parts)
+
+    def record_alive(self, member: Member, sent: datetime) -> None:
+        self._suspects.record_alive(member, sent)
--- a/src/lavenderrun/gateway/_call_services.py
+++ b/src/lavenderrun/gateway/_call_services.py
@@ -2,16 +2,89 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import Any, Protocol
 
-from lavenderrun.gateway._decode_slot_queue import DecodeSlotQueueService
-from lavenderrun.gateway._pool import ConnectionPool
+from lavenderrun.dispatch import CrashingParts, SuspectTracker
+from lavenderrun.gateway._connection import Connection, Receiver
+from lavenderrun.gateway._decode_slot_queue import DecodeSlotWaiter
+from lavenderrun.gateway._pool import Exchange
 from lavenderrun.gateway._ports import BackendDialect
 from lavenderrun.gateway._stats import Stats
-from lavenderrun.gateway._suspects import SuspectsService
+from lavenderrun.gateway._suspects import LostCall
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.kernel import Clock
-from lavenderrun.types import CallFailure, Headers, HeldCache
+from lavenderrun.types import (
+    BackendId,
+    CallFailure,
+    Fingerprint,
+    Headers,
+    HeldCache,
+    Member,
+    PartId,
+)
+
+
+class CallPool(Protocol):
+    """The part of the service ``pool`` that calls use."""
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        receiver: Receiver,
+        *,
+        force_new: bool = False,
+        unused_connection: Connection | None = None,
+        may_send: Callable[[], bool] = ...,
+        on_error: Callable[[Exception], None] | None = None,
+    ) -> Exchange:
+        """Send a call, as ``ConnectionPool.call``."""
+
+    def open(self, address: str, on_opened: Callable[..., None], *args: Any) -> None:
+        """Open a connection, as ``ConnectionPool.open``."""
+
+    def set_idle_timeout(self, address: str, idle_timeout: timedelta) -> None:
+        """Store how long a server keeps idle connections."""
+
+
+class SlotQueue(Protocol):
+    """The part of the service ``seats`` that calls use."""
+
+    def enqueue(self, waiter: DecodeSlotWaiter) -> None:
+        """Reserve a decode slot for the call as soon as there is one."""
+
+    def withdraw(self, waiter: DecodeSlotWaiter) -> None:
+        """Remove a call from the queue."""
+
+
+class CallSuspects(Protocol):
+    """The part of the service ``suspects`` that calls use."""
+
+    calls: SuspectTracker
+    parts: CrashingParts
+
+    def find_crashing_part(self, parts: Sequence[PartId]) -> PartId | None:
+        """Return the part because of which a call with *parts* is rejected."""
+
+    def record_lost_answer(
+        self, fingerprint: Fingerprint, member: Member, lost: LostCall | None
+    ) -> None:
+        """Count a strike for a call whose server dropped the connection."""
+
+    def call_when_tested(self, member: BackendId, call: Callable[[], None]) -> None:
+        """Call *call* when the test of a server is over."""
+
+    def record_progress(self, parts: Sequence[PartId]) -> None:
+        """Clear the parts of a call that begins to be answered."""
+
+    def record_alive(self, member: Member, sent: datetime) -> None:
+        """Drop the strikes of a server that answered."""
 
 
 @dataclass(frozen=True)
@@ -19,12 +92,12 @@
     """Services that a running call uses."""
 
     clock: Clock
-    pool: ConnectionPool
+    pool: CallPool
     view: FleetView
-    slot_queue: DecodeSlotQueueService
+    slot_queue: SlotQueue
     backends: BackendDialect
     stats: Stats
-    suspects: SuspectsService
+    suspects: CallSuspects
 
     def free_cache(self, cache: HeldCache) -> None:
         """Ask the holder to free KV cache that no engine will take."""
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -26,6 +26,7 @@
     CloseReason,
     RequestAccount,
     RequestEnd,
+    describe_error,
 )
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import (
@@ -93,6 +94,19 @@
 
     def process(self) -> None:
         """Decode the complete request and submit the call to the router."""
+        try:
+            self._decode()
+        except Exception as error:
+            log(
+                "callers:failed",
+                "callers: request failed with an unexpected error",
+                request=self.id_for_log,
+                error=describe_error(error),
+            )
+            # what runs has a boundary of its own, so the call was not sent
+            self.refuse(Refused(Refusal.INTERNAL, Outcome.NOT_RUN, Step.ADMISSION))
+
+    def _decode(self) -> None:
         if self._received_bytes > self._service.max_body_bytes:
             detail = f"body: larger than {self._service.max_body_bytes} bytes"
             self.refuse(Refused(Refusal.TOO_LARGE, Outcome.NOT_RUN, Step.ADMISSION, detail=detail))
@@ -182,7 +196,10 @@
         self.finish()
 
     def refuse(self, refused: Refused) -> None:
-        """Send a refusal of this host."""
+        """Send a refusal of this host; an answer that was begun is broken off."""
+        if self._begun:
+            self.abort()
+            return
         self.end_when_finished = RequestEnd.REFUSED
         status, headers, body = self._service.dialect.encode_refusal(self._call_id, refused)
         self.answer(status, headers, body)
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
 from lavenderrun.dispatch import (
@@ -45,6 +45,7 @@
     """A call that waits for a decode slot.
 
     :param on_result: called with the reservation, or with ``None`` when the wait was too long.
+    :ivar on_error: called with an unexpected error, which ends the wait; raised without it.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.requirements = requirements
         self.queued_call = queued_call
         self.on_result = on_result
+        self.on_error: Callable[[Exception], None] | None = None
 
 
 class DecodeSlotQueueService:
@@ -104,25 +106,34 @@
         ):
             if waiter not in self._queue:
                 continue
-            rest = self._view.find_rest_left(waiter.service)
-            if now + rest - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
-                self._queue.remove(waiter)
-                waiter.on_result(None)
-                continue
-            if waiter.service in full_services:
-                continue
-            requirements = replace(
-                waiter.requirements, late=misses_objective(waiter.queued_call, now)
-            )
-            member = self._view.place(waiter.service, "decode", requirements)
-            if member is None:
-                full_services.add(waiter.service)
-                continue
-            self._queue.remove(waiter)
-            self._view.reserve(member.id, waiter.requirements.tokens)
-            waiter.on_result(DecodeSlotReservation(self, member, waiter.requirements.tokens))
+            try:
+                self._check_waiter(waiter, now, full_services)
+            except Exception as error:
+                self.withdraw(waiter)
+                if waiter.on_error is None:
+                    raise
+                waiter.on_error(error)
         self._schedule_check()
 
+    def _check_waiter(
+        self, waiter: DecodeSlotWaiter, now: datetime, full_services: set[ServiceGroup]
+    ) -> None:
+        rest = self._view.find_rest_left(waiter.service)
+        if now + rest - waiter.queued_call.arrived >= MAX_QUEUE_WAIT:
+            self._queue.remove(waiter)
+            waiter.on_result(None)
+            return
+        if waiter.service in full_services:
+            return
+        requirements = replace(waiter.requirements, late=misses_objective(waiter.queued_call, now))
+        member = self._view.place(waiter.service, "decode", requirements)
+        if member is None:
+            full_services.add(waiter.service)
+            return
+        self._queue.remove(waiter)
+        self._view.reserve(member.id, waiter.requirements.tokens)
+        waiter.on_result(DecodeSlotReservation(self, member, waiter.requirements.tokens))
+
     def _schedule_check(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -53,11 +53,18 @@
     It releases the connection when its answer ends, because another call may use it from then on.
 
     :param may_send: tells, once a connection is open, whether the call is still to be sent.
+    :param on_error: called with an unexpected error once a connection is open; raised without it.
     """
 
-    def __init__(self, receiver: Receiver, may_send: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        receiver: Receiver,
+        may_send: Callable[[], bool],
+        on_error: Callable[[Exception], None] | None = None,
+    ) -> None:
         self._receiver: Receiver | None = receiver
         self._may_send = may_send
+        self._on_error = on_error
         self._connection: Connection | None = None
         self.sent = False
 
@@ -87,13 +94,20 @@
         self, connection: Connection | None, send: Callable[[Connection, Receiver], None]
     ) -> None:
         """Send over the new connection, or fail when it could not be opened."""
-        if connection is None:
-            self.answer_failed(CallFailure.UNREACHABLE)
-        elif not self._may_send():
-            connection.abort()
-            self.answer_failed(CallFailure.WITHDRAWN)
-        else:
-            self.send_over(connection, send)
+        try:
+            if connection is None:
+                self.answer_failed(CallFailure.UNREACHABLE)
+            elif not self._may_send():
+                connection.abort()
+                self.answer_failed(CallFailure.WITHDRAWN)
+            else:
+                self.send_over(connection, send)
+        except Exception as error:
+            if connection is not None:
+                connection.abort()
+            if self._on_error is None:
+                raise
+            self._on_error(error)
 
     def send_over(
         self, connection: Connection, send: Callable[[Connection, Receiver], None]
@@ -201,14 +215,16 @@
         force_new: bool = False,
         unused_connection: Connection | None = None,
         may_send: Callable[[], bool] = lambda: True,
+        on_error: Callable[[Exception], None] | None = None,
     ) -> Exchange:
         """Send a call to *address*; *receiver* handles its answer.
 
         :param force_new: use a new connection, because the server of an idle one may be gone.
         :param unused_connection: an unused connection by :meth:`open`; a closed one is replaced.
         :param may_send: tells, once a connection is open, whether the call is still to be sent.
+        :param on_error: called with an unexpected error once a connection is open.
         """
-        exchange = Exchange(receiver, may_send)
+        exchange = Exchange(receiver, may_send, on_error)
 
         def send(connection: Connection, to: Receiver) -> None:
             connection.send_call(method, target, headers, body, to)
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -6,6 +6,7 @@
 from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import Access, authorize_call, make_fingerprint
+from lavenderrun.gateway._boundary import CallBoundary, GuardedCall
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -21,6 +22,7 @@
 from lavenderrun.gateway._suspects import SuspectsService
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.gateway._whole_call import WholeCall
+from lavenderrun.http_server import describe_error
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import (
     CallRoute,
@@ -98,6 +100,7 @@
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._members = kernel.find("members", MembersService)
         self._stats = kernel.find("stats", Stats)
+        self._suspects = kernel.find("suspects", SuspectsService)
         self._services = CallServices(
             kernel.clock,
             kernel.find("pool", ConnectionPool),
@@ -105,7 +108,7 @@
             kernel.find("seats", DecodeSlotQueueService),
             kernel.find("backend_dialect", BackendDialect),
             self._stats,
-            kernel.find("suspects", SuspectsService),
+            self._suspects,
         )
         # in order of their arrival, so that the same calls are cancelled in the same order
         self._running: dict[RunningCallBase, None] = {}
@@ -129,7 +132,7 @@
 
     def start(self) -> None:
         """Start to reject running calls whose prompt turns out to crash servers."""
-        self._services.suspects.watch(self._reject_crashing)
+        self._suspects.watch(self._reject_crashing)
 
     def stop(self) -> None:
         """Cancel the calls that still run."""
@@ -142,6 +145,12 @@
 
     def submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
         """Admit *call*, or refuse it, and give its answer to *sink*."""
+        try:
+            return self._submit(call, sink)
+        except Exception as error:
+            return self._refuse_failed(call, sink, error)
+
+    def _submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
         arrived = self._clock.now()
         access = self._authorize(call)
         if isinstance(access, Access):
@@ -151,10 +160,14 @@
         pending = _PendingConfirmation()
 
         def decide(confirmed: bool) -> None:
-            if not pending.is_cancelled:
+            if pending.is_cancelled:
+                return
+            try:
                 pending.running = self._decide_after_refresh(
                     call, sink, arrived, confirmed=confirmed
                 )
+            except Exception as error:
+                pending.running = self._refuse_failed(call, sink, error)
 
         self._configuration.refresh().addCallback(decide)
         return pending
@@ -230,14 +243,20 @@
             **self._services.view.describe_members(),
         )
         call_class = StreamCall if route.delivery is Delivery.EVENTS else WholeCall
-        running = call_class(self._services, admitted, sink, call_log, self._forget)
+        boundary = CallBoundary()
+        services = boundary.guard_services(self._services)
+        running = call_class(services, admitted, sink, call_log, self._forget)
+        boundary.fail = running.fail
         self._running[running] = None
-        running.start()
-        return running
+        boundary.guard(running.start)()
+        return GuardedCall(running, boundary)
 
     def _reject_crashing(self) -> None:
         for running in list(self._running):
-            running.reject_if_crashing()
+            try:
+                running.reject_if_crashing()
+            except Exception as error:
+                running.fail(error)
 
     def _forget(self, running: RunningCallBase) -> None:
         self._running.pop(running, None)
@@ -248,6 +267,17 @@
         weights = [choice.weight for choice in route.services]
         return self._random.choices(route.services, weights)[0].service
 
+    def _refuse_failed(self, call: GatewayCall, sink: CallSink, error: Exception) -> RunningCall:
+        """Refuse a call whose admission failed unexpectedly; it was not sent."""
+        return self._refuse(
+            call,
+            sink,
+            Refusal.INTERNAL,
+            Step.ADMISSION,
+            NOT_READY_RETRY_AFTER,
+            error=describe_error(error),
+        )
+
     def _refuse(
         self,
         call: GatewayCall,
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from functools import partial
 from typing import Final
 
 from lavenderrun.dispatch import Access
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._stats import CALLS, FIRST_ANSWER, REFUSALS, RESENDS, WHOLE_ANSWER
+from lavenderrun.http_server import describe_error
 from lavenderrun.kernel import Timer
 from lavenderrun.types import (
     CallContext,
@@ -94,6 +96,35 @@
             self._call_log.write("cancelled", "caller is gone")
             self._finish("cancelled")
 
+    def fail(self, error: Exception) -> None:
+        """End the call after an unexpected error in its handling, and release what it holds."""
+        self._call_log.write("failed", "unexpected error", error=describe_error(error))
+        if self._is_over:
+            return
+        # a server that was tried may have run the call, whatever is known of its answer
+        outcome = Outcome.UNKNOWN if self._tried_servers else Outcome.NOT_RUN
+        refused = Refused(Refusal.INTERNAL, outcome, Step.CALL, detail="unexpected error")
+        steps: list[Callable[[], None]] = [
+            self._release,
+            partial(self._call_log.log_refusal, refused),
+            partial(
+                self._services.stats.count,
+                REFUSALS,
+                refused.refusal.value,
+                refused.step.value,
+                outcome.value,
+            ),
+            partial(self._sink.refuse, refused),
+            partial(self._finish, outcome.value),
+        ]
+        if outcome is Outcome.NOT_RUN:
+            steps.insert(0, self._refund)
+        for step in steps:
+            try:
+                step()
+            except Exception as further:
+                self._call_log.write("failed", "unexpected error", error=describe_error(further))
+
     def reject_if_crashing(self) -> None:
         """End the call if its prompt crashes servers and it has not begun to be answered."""
         if self._is_over or self._has_progressed:
--- a/src/lavenderrun/platform/_callers.py
+++ b/src/lavenderrun/platform/_callers.py
@@ -37,7 +37,11 @@
 }
 """HTTP status of refused calls that were not run; 503 for all other reasons."""
 
-OUTCOME_UNKNOWN_STATUS: Final = {Refusal.BACKEND_LOST: 502, Refusal.QUARANTINED: 502}
+OUTCOME_UNKNOWN_STATUS: Final = {
+    Refusal.BACKEND_LOST: 502,
+    Refusal.QUARANTINED: 502,
+    Refusal.INTERNAL: 502,
+}
 """HTTP status of failed calls whose outcome is unknown; 504 for all other reasons."""
 
 
--- a/src/lavenderrun/types/_refusals.py
+++ b/src/lavenderrun/types/_refusals.py
@@ -31,6 +31,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     CANCELLED = "cancelled"
     NOT_READY = "not_ready"
+    INTERNAL = "internal"
 
 
 class Refused(msgspec.Struct, frozen=True):
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -51,6 +51,8 @@
         self.errors = folder / f"{name}.err"
         self.settings.write_text(json.dumps({**self.make_settings(name, store), **changes}))
         self.popen: subprocess.Popen[bytes] | None = None
+        self.program = ROOT / "deploy" / "gateway.py"
+        self.environment: dict[str, str] = {}
 
     def make_settings(self, name: str, store: str) -> dict[str, Any]:
         return {
@@ -71,10 +73,14 @@
     def start(self) -> Gateway:
         with self.log.open("ab") as out, self.errors.open("ab") as err:
             self.popen = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy" / "gateway.py"), str(self.metrics)],
+                [sys.executable, str(self.program), str(self.metrics)],
                 stdout=out,
                 stderr=err,
-                env={**os.environ, "LAVENDERRUN_SETTINGS": str(self.settings)},
+                env={
+                    **os.environ,
+                    **self.environment,
+                    "LAVENDERRUN_SETTINGS": str(self.settings),
+                },
             )
         return self
 
@@ -192,6 +198,22 @@
         self.gateways.append(gateway)
         return gateway
 
+    def add_failing_gateway(self, method: str) -> Gateway:
+        """Start a gateway in which a method can be made to fail once by the file ``failure``.
+
+        :param method: the method's name as ``module:class.method``.
+        """
+        gateway = Gateway(self.folder, self.store.address)
+        gateway.program = Path(__file__).with_name("failing_gateway.py")
+        gateway.environment = {"FAILING_METHOD": method, "FAILURE_FILE": str(self.failure)}
+        self.gateways.append(gateway.start())
+        return gateway
+
+    @property
+    def failure(self) -> Path:
+        """The file that makes the method fail; it is gone after the failure."""
+        return self.folder / "failure"
+
     def wait_known(self, gateway: Gateway) -> Gateway:
         """Wait until the gateway is ready and has read the row of every server."""
         gateway.wait_ready()
