Refuse calls of a route whose services all have no weight

Each call of such a route closed its connection without an answer: the choice by weights raised an error, after the quota was charged. The weights say that no service gets calls, so the call is refused as not run with Retry-After before anything is charged. To choose evenly was weighed; it sends calls to services that the operator took out of use.

--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -206,6 +206,17 @@
         if part is not None:
             release = suspects.parts.find_release(part, arrived)
             return self._refuse(call, sink, Refusal.QUARANTINED, Step.ADMISSION, release, part=part)
+        route = access.route
+        service = self._choose_service(route)
+        if service is None:
+            return self._refuse(
+                call,
+                sink,
+                Refusal.NO_ROOM,
+                Step.ADMISSION,
+                NOT_READY_RETRY_AFTER,
+                route=route.name,
+            )
         cost = _find_cost(call, access.account)
         if cost and access.account is not None:
             wait = self._services.view.quotas.charge(access.account.id, cost, arrived)
@@ -216,8 +227,6 @@
                     **self._services.view.describe_peers(),
                 }
                 return self._refuse(call, sink, Refusal.OVER_RATE, Step.LIMIT, wait, **log_fields)
-        route = access.route
-        service = self._choose_service(route)
         self._services.view.resends.count_call(service, arrived)
         patience = route.timeout if call.patience is None else call.patience
         admitted = AdmittedCall(
@@ -261,11 +270,13 @@
     def _forget(self, running: RunningCallBase) -> None:
         self._running.pop(running, None)
 
-    def _choose_service(self, route: CallRoute) -> ServiceGroup:
-        if len(route.services) == 1:
-            return route.services[0].service
-        weights = [choice.weight for choice in route.services]
-        return self._random.choices(route.services, weights)[0].service
+    def _choose_service(self, route: CallRoute) -> ServiceGroup | None:
+        """Return a service by the route's weights, ``None`` when none has a weight."""
+        choices = [choice for choice in route.services if choice.weight > 0]
+        if len(choices) <= 1:
+            return choices[0].service if choices else None
+        weights = [choice.weight for choice in choices]
+        return self._random.choices(choices, weights)[0].service
 
     def _refuse_failed(self, call: GatewayCall, sink: CallSink, error: Exception) -> RunningCall:
         """Refuse a call whose admission failed unexpectedly; it was not sent."""
