Let a change of the configuration touch no request under way

Callers saw their connection close while they sent a body, or when they used it again, after the idle timeout had been lowered. Only the first part of a request restarted the idle timeout, so an upload that was longer than it was idle by definition, and a new timeout was set on all open connections at once. A lower limit for bodies held for a body whose head had been read before.

A head and a body now have limits of their own, taken when they begin: a head that of the configuration, a body the idle timeout, at least 3 s, and more time while bytes arrive, so that a body that trickles in still ends. A lower idle timeout takes effect once no caller can rely on the earlier one, and no timer closes a connection before what has arrived is read: after a suspension of the process timers run first. Idle connections close for a departure only when nothing has arrived on them.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -25,6 +25,7 @@
     LeaseWrite,
     StoredLease,
 )
+from lavenderrun.dispatch._limit_history import TimeLimitHistory
 from lavenderrun.dispatch._occupancy import FleetOccupancy, Reservations
 from lavenderrun.dispatch._placement import (
     PLACEMENTS,
@@ -79,6 +80,7 @@
     "ServerRests",
     "StoredLease",
     "SuspectTracker",
+    "TimeLimitHistory",
     "authorize_call",
     "decide_after_attempt",
     "digest_key",
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
+from datetime import datetime, timedelta
 from io import BytesIO
 from typing import Any, ClassVar, Final
 
@@ -11,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from lavenderrun.decoding import parse_address
+from lavenderrun.dispatch import TimeLimitHistory
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._pool import ConnectionPool
@@ -51,9 +53,19 @@
 """Bytes beyond the largest body that are read before the connection is closed, so that a caller
 that sends a little too much gets an answer."""
 
-DEFAULT_IDLE_SECONDS: Final = 60.0
+DEFAULT_IDLE_TIMEOUT: Final = timedelta(seconds=60)
 """Idle time after which a connection is closed, until a configuration sets another one."""
 
+MIN_BODY_TIME: Final = timedelta(seconds=3)
+"""Shortest time within which a body has to arrive, however short the idle timeout is."""
+
+MIN_BODY_RATE: Final = 1000
+"""Bytes a second at which a body may take longer than the time that any body has."""
+
+LAST_READ_TIME: Final = timedelta(milliseconds=200)
+"""Time between the end of a time limit and the close, in which bytes that have already arrived are
+read: after a pause of this process its timers run first."""
+
 
 class CallerRequest(AccountedRequest):
     """One HTTP request of a caller; its body stays in memory."""
@@ -66,6 +78,7 @@
         self._service: CallersService = channel.factory.service
         self._running: RunningCall | None = None
         self._received_bytes = 0
+        self._max_body_bytes: int = channel.max_body_bytes
         self._is_over = False
         self._call_id: RequestId | None = None
         self._begun = False
@@ -87,9 +100,9 @@
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Keep a part of the body, up to the largest size allowed."""
         self._received_bytes += len(data)
-        if self._received_bytes <= self._service.max_body_bytes:
+        if self._received_bytes <= self._max_body_bytes:
             self.content.write(data)
-        elif self._received_bytes > self._service.max_body_bytes + MAX_UNREAD_BYTES:
+        elif self._received_bytes > self._max_body_bytes + MAX_UNREAD_BYTES:
             self._abort_connection()
 
     def process(self) -> None:
@@ -100,15 +113,15 @@
             log(
                 "callers:failed",
                 "callers: request failed with an unexpected error",
-                request=self.id_for_log,
+                request=self._call_id,
                 error=describe_error(error),
             )
             # what runs has a boundary of its own, so the call was not sent
             self.refuse(Refused(Refusal.INTERNAL, Outcome.NOT_RUN, Step.ADMISSION))
 
     def _decode(self) -> None:
-        if self._received_bytes > self._service.max_body_bytes:
-            detail = f"body: larger than {self._service.max_body_bytes} bytes"
+        if self._received_bytes > self._max_body_bytes:
+            detail = f"body: larger than {self._max_body_bytes} bytes"
             self.refuse(Refused(Refusal.TOO_LARGE, Outcome.NOT_RUN, Step.ADMISSION, detail=detail))
             return
         headers = self._list_headers()
@@ -208,7 +221,7 @@
         self.setResponseCode(status)
         for name, value in headers:
             self.responseHeaders.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
-        if self._service.router.is_leaving:
+        if self._service.router.is_leaving and not self.channel.has_pipelined:
             self.channel.persistent = 0
             self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
@@ -234,30 +247,68 @@
 
 
 class CallerChannel(AccountedChannel):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    :ivar max_body_bytes: largest body of the request that is being read.
+    """
 
     requestFactory: Any = CallerRequest  # noqa: N815
     factory: CallerFactory
     transport: Any
     timeOut: Any  # noqa: N815
 
-    def __init__(self) -> None:
+    def __init__(self, service: CallersService) -> None:
         super().__init__()
+        self._service = service
         self._is_reading = False
+        self._is_last_read = False
+        self._body_due: datetime | None = None
+        self._body_bytes = 0
+        self.max_body_bytes = service.max_body_bytes
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Read a part of a request; only its first part restarts the idle timeout."""
-        if self._is_reading:
-            LineReceiver.dataReceived(self, data)
-        else:
-            self._is_reading = True
-            super().dataReceived(data)
+        """Read a part of a request; its first part begins the time limit of the head."""
+        if not self._is_reading and not self._handlingRequest:
+            self._is_reading, self._is_last_read = True, False
+            # a limit that is lowered later is for later requests
+            self.max_body_bytes = self._service.max_body_bytes
+            self.setTimeout(self._service.find_head_timeout().total_seconds())
+        self._body_bytes += len(data)
+        LineReceiver.dataReceived(self, data)
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Begin the time limit of the body, which grows while bytes arrive."""
+        super().allHeadersReceived()
+        limit = max(self._service.find_idle_timeout(), MIN_BODY_TIME)
+        self._body_due, self._body_bytes = self._service.account.clock.now() + limit, 0
+        self._is_last_read = False
+        self.setTimeout(limit.total_seconds())
 
     def allContentReceived(self) -> None:  # noqa: N802
         """Handle the request, which is complete."""
-        self._is_reading = False
+        self._is_reading, self._body_due = False, None
         super().allContentReceived()
 
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Begin the idle timeout after an answer."""
+        self._is_last_read = False
+        self._savedTimeOut = self._service.find_idle_timeout().total_seconds()
+        super().requestDone(request)
+
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close the connection unless what has arrived already is still to be read."""
+        left = timedelta(0)
+        if self._body_due is not None:
+            arrival = timedelta(seconds=self._body_bytes / MIN_BODY_RATE)
+            left = self._body_due + arrival - self._service.account.clock.now()
+        if left > timedelta(0):
+            self.setTimeout(left.total_seconds())
+        elif not self._is_last_read:
+            self._is_last_read = True
+            self.setTimeout(LAST_READ_TIME.total_seconds())
+        else:
+            super().timeoutConnection()
+
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and turn on the detection of a silent caller."""
         super().connectionMade()
@@ -269,18 +320,22 @@
         self.factory.channels.pop(self, None)
         super().connectionLost(reason)
 
-    def set_idle_timeout(self, seconds: float) -> None:
-        """Change the idle timeout, at once when the connection is idle."""
-        self.timeOut = seconds
-        self._savedTimeOut = seconds
-        if not self.requests:
-            self.setTimeout(seconds)
+    def extend_idle_timeout(self, limit: timedelta) -> None:
+        """Begin a longer idle timeout if the connection is idle."""
+        if not self._is_reading and not self._handlingRequest:
+            self._is_last_read = False
+            self.setTimeout(limit.total_seconds())
+
+    @property
+    def has_pipelined(self) -> bool:
+        """Whether a part of another request has arrived behind the one under way."""
+        return bool(self._dataBuffer)
 
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the answer that is under way."""
-        if self.requests:
+        """Close the connection now, or after the answers to what has arrived."""
+        if self.requests and not self.has_pipelined and not self._is_reading:
             self.persistent = 0
-        else:
+        elif not self.requests and not self._is_reading:
             self.note_closing(CloseReason.DEPARTURE)
             self.loseConnection()
 
@@ -297,10 +352,10 @@
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Return the channel of a new connection."""
-        channel = CallerChannel()
+        channel = CallerChannel(self.service)
         channel.factory = self
         channel.callLater = self._call_later  # type: ignore[method-assign]
-        channel.timeOut = self.service.idle_seconds
+        channel.timeOut = self.service.find_idle_timeout().total_seconds()
         return channel
 
     def log(self, request: CallerRequest) -> None:
@@ -319,7 +374,8 @@
         self.dialect = kernel.find("caller_dialect", CallerDialect)
         self.account = RequestAccount(kernel.clock)
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
-        self.idle_seconds = DEFAULT_IDLE_SECONDS
+        self._idle_timeouts = TimeLimitHistory(DEFAULT_IDLE_TIMEOUT)
+        self._head_timeouts = TimeLimitHistory(DEFAULT_IDLE_TIMEOUT)
         self._port: Any = None
         self._factory: CallerFactory | None = None
         stats = kernel.find("stats", Stats)
@@ -364,11 +420,24 @@
         for channel in list(self.channels):
             channel.close_when_idle()
 
+    def find_idle_timeout(self) -> timedelta:
+        """Return how long a connection may stay idle from now on."""
+        return self._idle_timeouts.find(self.account.clock.now())
+
+    def find_head_timeout(self) -> timedelta:
+        """Return how long a head that begins now may take."""
+        return self._head_timeouts.find(self.account.clock.now())
+
     def _configure(self, configuration: Configuration) -> None:
-        self.max_body_bytes = configuration.limits.body_bytes
-        self.idle_seconds = configuration.limits.idle_timeout.total_seconds()
-        for channel in self.channels:
-            channel.set_idle_timeout(self.idle_seconds)
+        limits, now = configuration.limits, self.account.clock.now()
+        self.max_body_bytes = limits.body_bytes
+        before = self.find_idle_timeout()
+        self._idle_timeouts.change(limits.idle_timeout, now)
+        self._head_timeouts.change(limits.head_timeout or limits.idle_timeout, now)
+        # a shorter one takes effect when a connection next becomes idle
+        if self.find_idle_timeout() > before:
+            for channel in self.channels:
+                channel.extend_idle_timeout(self.find_idle_timeout())
 
 
 @GATEWAY_SERVICES.register("callers")
--- a/src/lavenderrun/platform/_configuration.py
+++ b/src/lavenderrun/platform/_configuration.py
@@ -73,6 +73,7 @@
 class _LimitsEntry(msgspec.Struct, rename="kebab"):
     max_body_bytes: Count = 4194304
     idle_timeout_ms: Milliseconds = 15000
+    header_timeout_ms: Milliseconds | None = None
 
 
 class _AccountEntry(msgspec.Struct, rename="kebab"):
@@ -107,6 +108,9 @@
         CallerLimits(
             document.limits.max_body_bytes,
             timedelta(milliseconds=document.limits.idle_timeout_ms),
+            None
+            if document.limits.header_timeout_ms is None
+            else timedelta(milliseconds=document.limits.header_timeout_ms),
         ),
     )
 
--- a/src/lavenderrun/types/_configuration.py
+++ b/src/lavenderrun/types/_configuration.py
@@ -100,10 +100,16 @@
 
 @dataclass(frozen=True)
 class CallerLimits:
-    """Maximum size of a body in bytes, and how long a connection may stay idle."""
+    """Limits on callers.
+
+    :param body_bytes: maximum size of a body.
+    :param idle_timeout: how long a connection may stay idle.
+    :param head_timeout: how long the head of a request may take, ``None`` for the idle timeout.
+    """
 
     body_bytes: int
     idle_timeout: timedelta
+    head_timeout: timedelta | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/platform/test_configuration_changes.py
+++ b/tests/platform/test_configuration_changes.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import http.client
+import socket
+import time
 from typing import Any
 
 import pytest
-from gateway_process import Gateway, StandinPlatform, wait_for
-from platform_standin import PLAIN, StandinServer, make_config
+from gateway_process import WAIT, Gateway, StandinPlatform, wait_for
+from platform_standin import HOST, KEY, ORDERS, PLAIN, StandinServer, make_config
+
+SHORT_IDLE_MS = 500
 
 
 @pytest.fixture
@@ -23,6 +28,97 @@
     wait_for(lambda: len(gateway.lines("configuration:in_force")) > before, "version in force")
 
 
+def set_limits(platform: StandinPlatform, gateway: Gateway, **limits: int) -> None:
+    changes = {name.replace("_", "-"): value for name, value in limits.items()}
+    configure(platform, gateway, limits={**make_config(1)["limits"], **changes})
+
+
+class Caller:
+    """A connection over which a request is sent in parts."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._socket = socket.create_connection(("127.0.0.1", gateway.front), timeout=WAIT)
+
+    def send(self, data: bytes) -> None:
+        self._socket.sendall(data)
+
+    def read_status(self) -> int:
+        """Return the status of the next answer, 0 without one."""
+        response = http.client.HTTPResponse(self._socket)
+        try:
+            response.begin()
+            response.read()
+        except (OSError, http.client.HTTPException):
+            return 0
+        return response.status
+
+
+def make_head(length: int) -> bytes:
+    head = f"POST {ORDERS}1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+    head += f"X-Request-Id: r1\r\nX-Deadline-Ms: 4000\r\nContent-Length: {length}\r\n\r\n"
+    return head.encode()
+
+
+def upload(caller: Caller, seconds: float, parts: int = 10) -> None:
+    for _ in range(parts):
+        time.sleep(seconds / parts)
+        caller.send(b"x")
+
+
+# the connection was closed while the body came in: only the first part of a request restarted the
+# idle timeout
+def test_an_upload_that_makes_progress_may_take_longer_than_the_idle_timeout(
+    platform: StandinPlatform,
+) -> None:
+    limits = {**make_config(1)["limits"], "idle-timeout-ms": SHORT_IDLE_MS}
+    platform.configure(limits=limits)
+    platform.add(StandinServer("app-1", "apps"))
+    gateway = platform.wait_known(platform.add_gateway())
+    caller = Caller(gateway)
+    caller.send(make_head(10))
+    upload(caller, 1.5)
+    assert caller.read_status() == 200
+
+
+# a lower limit closed connections over which a request came in
+@pytest.mark.parametrize("sent", [0, 20, len(make_head(10)), len(make_head(10)) + 5])
+def test_a_lower_idle_timeout_cuts_no_request_that_has_begun(
+    platform: StandinPlatform, gateway: Gateway, sent: int
+) -> None:
+    request = make_head(10) + b"0123456789"
+    caller = Caller(gateway)
+    caller.send(request[:sent])
+    set_limits(platform, gateway, idle_timeout_ms=SHORT_IDLE_MS)
+    time.sleep(3 * SHORT_IDLE_MS / 1000)
+    caller.send(request[sent:])
+    assert caller.read_status() == 200
+
+
+# callers use a connection again that was idle for less than the limit that they knew
+def test_a_connection_that_was_idle_before_the_limit_was_lowered_can_still_be_used(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    caller = Caller(gateway)
+    for pause in (0, 1.2, 1.2):
+        time.sleep(pause)
+        caller.send(make_head(0))
+        assert caller.read_status() == 200
+        set_limits(platform, gateway, idle_timeout_ms=SHORT_IDLE_MS)
+
+
+# a body that was allowed when its head was read was refused at its end
+def test_a_lower_limit_for_bodies_is_for_later_requests(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    caller = Caller(gateway)
+    caller.send(make_head(10) + b"01234")
+    set_limits(platform, gateway, max_body_bytes=7)
+    caller.send(b"56789")
+    assert caller.read_status() == 200
+    caller.send(make_head(10) + b"0123456789")
+    assert caller.read_status() == 413
+
+
 def split(*weights: float) -> list[dict[str, Any]]:
     """Return routes of which the plain one is split by *weights*."""
     services = [
