Answer a call whose denial a silent store does not confirm in time

A call that would be denied waited for the store without regard to the time of its caller: with a deadline of 600 ms and a store that does not answer it was refused after 1.5 s, when its caller had left. An unexpected error in the read left it without any answer.

The wait ends after half of the caller's time, at most 1.5 s, with 503 and Retry-After; any error of the read counts as not confirmed. Two more tests show that a call keeps its route and account, and that a charge can be given back, although a new version has neither.

--- a/src/lavenderrun/gateway/_configuration.py
+++ b/src/lavenderrun/gateway/_configuration.py
@@ -15,6 +15,7 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore
 from lavenderrun.gateway._stats import DOCUMENT_VERSION, Stats
+from lavenderrun.http_server import describe_error
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import Configuration, DocumentVersion, StoreUnavailableError
 
@@ -133,6 +134,14 @@
                 error=str(error),
             )
             return False
+        except Exception as error:
+            # calls wait for the result, whatever went wrong
+            log(
+                "configuration:unconfirmed",
+                "configuration: store could not be read",
+                error=describe_error(error),
+            )
+            return False
         return True
 
 
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -52,16 +52,23 @@
 """Time after the order to stop during which new calls are still admitted."""
 
 
+MAX_CONFIRMATION_WAIT: Final = timedelta(milliseconds=1500)
+"""Longest wait for the store to confirm that a call is not allowed."""
+
+CONFIRMATION_SHARE: Final = 0.5
+"""Share of the time that the caller waits within which the store has to confirm."""
+
+
 class _PendingConfirmation:
     """A call that waits for the store to confirm that it is not allowed."""
 
     def __init__(self) -> None:
         self.running: RunningCall | None = None
-        self.is_cancelled = False
+        self.is_over = False
 
     def cancel(self) -> None:
         """Cancel the call, because the caller is gone."""
-        self.is_cancelled = True
+        self.is_over = True
         if self.running is not None:
             self.running.cancel()
 
@@ -157,11 +164,17 @@
             return self._admit(call, access, sink, arrived)
         if access is Refusal.NOT_READY:
             return self._refuse(call, sink, access, Step.ADMISSION, NOT_READY_RETRY_AFTER)
+        return self._confirm(call, sink, arrived)
+
+    def _confirm(self, call: GatewayCall, sink: CallSink, arrived: datetime) -> RunningCall:
+        """Let the store confirm that a call is not allowed, and decide anew."""
         pending = _PendingConfirmation()
 
         def decide(confirmed: bool) -> None:
-            if pending.is_cancelled:
+            if pending.is_over:
                 return
+            pending.is_over = True
+            timer.cancel()
             try:
                 pending.running = self._decide_after_refresh(
                     call, sink, arrived, confirmed=confirmed
@@ -169,6 +182,10 @@
             except Exception as error:
                 pending.running = self._refuse_failed(call, sink, error)
 
+        wait = MAX_CONFIRMATION_WAIT
+        if call.patience is not None:
+            wait = min(wait, call.patience * CONFIRMATION_SHARE)
+        timer = self._clock.call_later(wait, decide, False)
         self._configuration.refresh().addCallback(decide)
         return pending
 
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -32,10 +32,11 @@
 
 
 class StoreEndpoint:
-    """One address of the store, which can refuse all calls."""
+    """One address of the store, which can refuse all calls or answer none."""
 
     def __init__(self, store: Store) -> None:
         self.refusing = False
+        self.silent = False
         endpoint = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -52,6 +53,8 @@
 
             def _reply(self, status: int, found: dict[str, Any]) -> None:
                 body = json.dumps(found).encode()
+                while endpoint.silent:
+                    time.sleep(0.05)
                 with suppress(OSError):
                     self.send_response(status)
                     self.send_header("Content-Length", str(len(body)))
--- a/tests/platform/test_configuration_changes.py
+++ b/tests/platform/test_configuration_changes.py
@@ -4,12 +4,23 @@
 
 import http.client
 import socket
+import threading
 import time
+from http.server import BaseHTTPRequestHandler
 from typing import Any
 
 import pytest
-from gateway_process import WAIT, Gateway, StandinPlatform, wait_for
-from platform_standin import HOST, KEY, ORDERS, PLAIN, StandinServer, make_config
+from gateway_process import WAIT, Answer, Gateway, StandinPlatform, wait_for
+from misbehaviour import once
+from platform_standin import (
+    HOST,
+    KEY,
+    ORDERS,
+    PLAIN,
+    SeenRequest,
+    StandinServer,
+    make_config,
+)
 
 SHORT_IDLE_MS = 500
 
@@ -152,3 +163,56 @@
         assert gateway.call(PLAIN + "x", request=f"call-{number}").status == 200
     assert not platform.servers["app-1"].runs
     assert len(platform.servers["other-1"].runs) == 20
+
+
+def run_slowly(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+    time.sleep(1)
+    return False
+
+
+# shows that what a call was admitted with holds to its end
+def test_a_call_keeps_its_route_and_account_to_the_end(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    platform.servers["app-1"].behave = once(run_slowly)
+    answers: list[Answer] = []
+    call = threading.Thread(target=lambda: answers.append(gateway.call(ORDERS + "x")))
+    call.start()
+    wait_for(lambda: platform.servers["app-1"].seen, "sent")
+    configure(platform, gateway, routes=[], services=[], tenants=[])
+    call.join()
+    assert answers[0].status == 200
+    assert gateway.call(ORDERS + "x").status in {401, 404}
+
+
+# shows that the charge of an account that is gone can be given back
+def test_a_call_that_waits_for_a_server_is_refused_although_its_account_is_gone(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    platform.store.remove("servers", "app-1")
+    time.sleep(0.3)
+    answers: list[Answer] = []
+    call = threading.Thread(target=lambda: answers.append(gateway.call(ORDERS + "x")))
+    call.start()
+    wait_for(lambda: gateway.lines("call:admitted"), "admitted")
+    configure(platform, gateway, routes=[], services=[], tenants=[])
+    call.join()
+    assert answers[0].status == 503
+    assert not gateway.lines("call:failed")
+
+
+# the call waited for the store beyond its deadline, and its caller left without an answer
+def test_a_denial_that_a_silent_store_does_not_confirm_is_answered_before_the_deadline(
+    platform: StandinPlatform,
+) -> None:
+    platform.add(StandinServer("app-1", "apps"))
+    gateway = platform.wait_known(platform.add_gateway())
+    (endpoint,) = platform.store.endpoints
+    endpoint.silent = True
+    began = time.monotonic()
+    answer = gateway.call("/unknown/", headers={"X-Deadline-Ms": "600"})
+    took = time.monotonic() - began
+    endpoint.silent = False
+    assert took < 0.6
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
