Refuse a request that cannot be sent on as malformed

A target with bytes beyond ASCII, or a header with a vertical tab or a form feed, passed the server for callers and failed in the encoder of the call to the backend server: an unexpected error, which the boundary answers with 502 and an unknown outcome, though nothing was sent. The codec now says what is wrong, with 400.

--- a/src/lavenderrun/platform/_callers.py
+++ b/src/lavenderrun/platform/_callers.py
@@ -24,6 +24,10 @@
 )
 
 BEARER_PATTERN: Final = re.compile(r"bearer +(\S+)", re.IGNORECASE)
+TARGET_PATTERN: Final = re.compile(r"[\x21-\x7e]+")
+UNSENDABLE_PATTERN: Final = re.compile(r"[\x00\n\r\x0b\x0c]")
+"""Characters in a header with which it cannot be sent on."""
+
 SIZE_PATTERN: Final = re.compile(r"(\d{1,9}) *, *(\d{1,9})")
 PART_PATTERN: Final = re.compile(r" *([0-9a-fA-F]{1,64}):\d{1,9} *")
 
@@ -60,6 +64,10 @@
             return "X-Request-Id: is missing"
         if not host:
             return "Host: is missing"
+        if not TARGET_PATTERN.fullmatch(target):
+            return "HTTP: the target has characters that are not allowed"
+        if any(UNSENDABLE_PATTERN.search(value) for _, value in headers):
+            return "HTTP: a header has characters that are not allowed"
         deadline = header_names.find_value(headers, header_names.DEADLINE)
         patience = _read_milliseconds(deadline)
         if deadline is not None and patience is None:
