Answer a body that is far over the limit

A body that exceeded the limit by more than 1 MiB had its connection reset without an answer, and was read in whole up to there before it was refused. The refusal is now sent at the head when the length is declared, else when the limit is exceeded; up to 16 MiB more are read and discarded, so that a caller that sends first and reads then gets the answer. The new test got no answer before, and 413 now.

--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -49,9 +49,9 @@
 DEFAULT_MAX_BODY_BYTES: Final = 4 << 20
 """Largest body of a call until a configuration sets another one."""
 
-MAX_UNREAD_BYTES: Final = 1 << 20
-"""Bytes beyond the largest body that are read before the connection is closed, so that a caller
-that sends a little too much gets an answer."""
+MAX_DISCARDED_BYTES: Final = 16 << 20
+"""Bytes beyond the largest body that are read and discarded before the connection is closed: to
+close it earlier would reset it before the caller has read the answer."""
 
 DEFAULT_IDLE_TIMEOUT: Final = timedelta(seconds=60)
 """Idle time after which a connection is closed, until a configuration sets another one."""
@@ -78,6 +78,7 @@
         self._service: CallersService = channel.factory.service
         self._running: RunningCall | None = None
         self._received_bytes = 0
+        self._is_body_refused = False
         self._max_body_bytes: int = channel.max_body_bytes
         self._is_over = False
         self._call_id: RequestId | None = None
@@ -94,19 +95,27 @@
         return self._received_bytes
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Keep the body in memory whatever its length."""
+        """Keep the body in memory; refuse one whose declared size is over the limit."""
         self.content = BytesIO()
+        if length is not None and length > self._max_body_bytes:
+            self.requestHeaders.removeHeader(b"expect")
+            self._refuse_body()
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Keep a part of the body, up to the largest size allowed."""
+        """Keep a part of the body; refuse the request once the body is over the limit."""
         self._received_bytes += len(data)
-        if self._received_bytes <= self._max_body_bytes:
+        if self._received_bytes > self._max_body_bytes:
+            self._refuse_body()
+        if not self._is_body_refused:
             self.content.write(data)
-        elif self._received_bytes > self._max_body_bytes + MAX_UNREAD_BYTES:
+        elif self._received_bytes > self._max_body_bytes + MAX_DISCARDED_BYTES:
             self._abort_connection()
 
     def process(self) -> None:
         """Decode the complete request and submit the call to the router."""
+        if self._is_body_refused:
+            self.finish()
+            return
         try:
             self._decode()
         except Exception as error:
@@ -120,10 +129,6 @@
             self.refuse(Refused(Refusal.INTERNAL, Outcome.NOT_RUN, Step.ADMISSION))
 
     def _decode(self) -> None:
-        if self._received_bytes > self._max_body_bytes:
-            detail = f"body: larger than {self._max_body_bytes} bytes"
-            self.refuse(Refused(Refusal.TOO_LARGE, Outcome.NOT_RUN, Step.ADMISSION, detail=detail))
-            return
         headers = self._list_headers()
         method, target = self.method.decode("latin-1"), self.uri.decode("latin-1")
         decoded = self._service.dialect.decode_call(method, target, headers, self.content.read())
@@ -134,6 +139,23 @@
             return
         self._submit(decoded)
 
+    def _refuse_body(self) -> None:
+        """Send the refusal of a body that is still coming in."""
+        if self._is_body_refused:
+            return
+        self._is_body_refused = True
+        self.end_when_finished = RequestEnd.REFUSED
+        detail = f"body: larger than {self._max_body_bytes} bytes"
+        refused = Refused(Refusal.TOO_LARGE, Outcome.NOT_RUN, Step.ADMISSION, detail=detail)
+        status, headers, body = self._service.dialect.encode_refusal(None, refused)
+        # the channel sets these only after the body has been read
+        self.method, self.clientproto = b"POST", b"HTTP/1.1"
+        self._set_head(status, headers)
+        self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % len(body)])
+        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+        self.channel.persistent = 0
+        self.write(body)
+
     def _list_headers(self) -> Headers:
         return [
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/tests/platform/test_odd_requests.py
+++ b/tests/platform/test_odd_requests.py
@@ -68,6 +68,14 @@
     assert gateway.call(PLAIN + "x").status == 200
 
 
+# the connection was reset while the body was sent
+def test_a_body_far_over_the_limit_gets_an_answer(gateway: Gateway) -> None:
+    body = b"x" * (3 << 20)
+    with open_caller(gateway) as caller:
+        caller.sendall(make_request(ORDERS + "1", body=body))
+        assert read_status(caller) == 413
+
+
 # shows that a caller which waits for leave to send its body gets one answer
 @pytest.mark.parametrize(("length", "status"), [(10, 200), (200_000, 413)])
 def test_a_caller_that_waits_for_leave_to_send_its_body_is_answered(
