Answer requests that fail in an entry's front

Only errors of the router were turned into an answer; any other, as one in the list of models, left the protocol and closed the connection in silence. The request is the boundary now, for the fronts of callers and of operators. The new test failed with the error itself before.

--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 from uuid import uuid4
 
+from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
@@ -20,6 +21,7 @@
     CloseReason,
     RequestAccount,
     RequestEnd,
+    describe_error,
 )
 from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import FrontSettings, Outcome, Refusal, Refused, RequestId, Step
@@ -84,8 +86,26 @@
         """Pass the request to the service, or end it if it was refused already."""
         if self.answered:
             self.finish()
-        else:
+            return
+        try:
             self._handler.serve(self)
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """End the request after an unexpected error; its outcome is not known."""
+        log_message(
+            "front:failed",
+            text="front: request failed with an unexpected error",
+            request=self.id,
+            error=describe_error(error),
+        )
+        if self.startedWriting:
+            self.channel.forceAbortClient()
+        else:
+            self.clear_head()
+            refused = Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.ADMISSION)
+            self.answer_refused(refused)
 
     def read_body(self) -> bytes:
         """Return the whole body of the request."""
--- a/tests/services/test_front.py
+++ b/tests/services/test_front.py
@@ -329,6 +329,25 @@
     assert b"Traceback" not in raw
 
 
+# the connection was closed without an answer, since only the router's errors were caught
+def test_an_unexpected_error_before_the_router_is_answered_and_harms_no_later_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail(*_: Any) -> None:
+        raise RuntimeError(KEY)
+
+    caller = Caller()
+    with monkeypatch.context() as patched:
+        patched.setattr(caller.front, "_find_endpoint", fail)
+        status, error, raw = read_error(caller.send("GET", "/v1/models", headers=(AUTH,)))
+    assert (status, error["outcome"]) == (502, "unknown")
+    assert KEY.encode() not in raw
+    assert caller.front.account is not None
+    assert not sum(caller.front.account.unanswered.values())
+    caller.send("POST", "/v1/completions", COMPLETION, (AUTH,))
+    assert len(caller.router.requests) == 1
+
+
 def test_caller_that_disconnects_cancels_its_request_once() -> None:
     caller = Caller()
     caller.send("POST", "/v1/completions", STREAMED, (AUTH,))
