--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -25,6 +25,7 @@
     LeaseWrite,
     StoredLease,
 )
+from lavenderrun.dispatch._limit_history import TimeLimitHistory
 from lavenderrun.dispatch._occupancy import FleetOccupancy, Reservations
 from lavenderrun.dispatch._placement import (
     PLACEMENTS,
@@ -116,6 +117,7 @@
     "StreamDecision",
     "StreamSituation",
     "SuspectTracker",
+    "TimeLimitHistory",
     "UnreachedAddresses",
     "authorize_call",
     "can_start",
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -45,6 +45,7 @@
     """A call that waits for a decode slot.
 
     :param on_result: called with the reservation, or with ``None`` when the wait was too long.
+    :ivar on_error: called with an unexpected error, which ends the wait; raised without it.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.requirements = requirements
         self.queued_call = queued_call
         self.on_result = on_result
+        self.on_error: Callable[[Exception], None] | None = None
 
 
 class DecodeSlotQueueService:
@@ -114,24 +116,33 @@
         ):
             if waiter not in self._queue:
                 continue
-            if self._is_hopeless(waiter, now):
-                self._queue.remove(waiter)
-                waiter.on_result(None)
-                continue
-            if waiter.service in full_services:
-                continue
-            requirements = replace(
-                waiter.requirements, late=misses_objective(waiter.queued_call, now)
-            )
-            member = self._view.place(waiter.service, "decode", requirements)
-            if member is None:
-                full_services.add(waiter.service)
-                continue
-            self._queue.remove(waiter)
-            self._view.reserve(member.id, waiter.requirements.tokens)
-            waiter.on_result(DecodeSlotReservation(self, member, waiter.requirements.tokens))
+            try:
+                self._check_waiter(waiter, now, full_services)
+            except Exception as error:
+                self.withdraw(waiter)
+                if waiter.on_error is None:
+                    raise
+                waiter.on_error(error)
         self._schedule_check()
 
+    def _check_waiter(
+        self, waiter: DecodeSlotWaiter, now: datetime, full_services: set[ServiceGroup]
+    ) -> None:
+        if self._is_hopeless(waiter, now):
+            self._queue.remove(waiter)
+            waiter.on_result(None)
+            return
+        if waiter.service in full_services:
+            return
+        requirements = replace(waiter.requirements, late=misses_objective(waiter.queued_call, now))
+        member = self._view.place(waiter.service, "decode", requirements)
+        if member is None:
+            full_services.add(waiter.service)
+            return
+        self._queue.remove(waiter)
+        self._view.reserve(member.id, waiter.requirements.tokens)
+        waiter.on_result(DecodeSlotReservation(self, member, waiter.requirements.tokens))
+
     def _is_hopeless(self, waiter: DecodeSlotWaiter, now: datetime) -> bool:
         if not can_start(waiter.queued_call, now + self._view.find_wait(waiter.service)):
             return True
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -6,6 +6,7 @@
 from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import Access, authorize_call, make_fingerprint
+from lavenderrun.gateway._boundary import CallBoundary, GuardedCall
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -22,6 +23,7 @@
 from lavenderrun.gateway._suspension import SuspensionService
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.gateway._whole_call import WholeCall
+from lavenderrun.http_server import describe_error
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import (
     CallRoute,
@@ -51,16 +53,23 @@
 """Time after the order to stop during which new calls are still admitted."""
 
 
+MAX_CONFIRMATION_WAIT: Final = timedelta(milliseconds=1500)
+"""Longest wait for the store to confirm that a call is not allowed."""
+
+CONFIRMATION_SHARE: Final = 0.5
+"""Share of the time that the caller waits within which the store has to confirm."""
+
+
 class _PendingConfirmation:
     """A call that waits for the store to confirm that it is not allowed."""
 
     def __init__(self) -> None:
         self.running: RunningCall | None = None
-        self.is_cancelled = False
+        self.is_over = False
 
     def cancel(self) -> None:
         """Cancel the call, because the caller is gone."""
-        self.is_cancelled = True
+        self.is_over = True
         if self.running is not None:
             self.running.cancel()
 
@@ -106,6 +115,7 @@
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._members = kernel.find("members", MembersService)
         self._stats = kernel.find("stats", Stats)
+        self._suspects = kernel.find("suspects", SuspectsService)
         self._services = CallServices(
             kernel.clock,
             kernel.find("pool", ConnectionPool),
@@ -113,7 +123,7 @@
             kernel.find("seats", DecodeSlotQueueService),
             kernel.find("backend_dialect", BackendDialect),
             self._stats,
-            kernel.find("suspects", SuspectsService),
+            self._suspects,
             kernel.find("wakes", SuspensionService),
             kernel.random_source,
         )
@@ -139,7 +149,7 @@
 
     def start(self) -> None:
         """Start to watch for prompts that crash servers and for suspensions of this host."""
-        self._services.suspects.watch(self._reject_crashing)
+        self._suspects.watch(self._reject_crashing)
         self._services.suspension.watch(self._note_suspension)
 
     def stop(self) -> None:
@@ -153,20 +163,40 @@
 
     def submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
         """Admit *call*, or refuse it, and give its answer to *sink*."""
+        try:
+            return self._submit(call, sink)
+        except Exception as error:
+            return self._refuse_failed(call, sink, error)
+
+    def _submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
         arrived = self._clock.now()
         access = self._authorize(call)
         if isinstance(access, Access):
             return self._admit(call, access, sink, arrived)
         if access is Refusal.NOT_READY:
             return self._refuse(call, sink, access, Step.ADMISSION, NOT_READY_RETRY_AFTER)
+        return self._confirm(call, sink, arrived)
+
+    def _confirm(self, call: GatewayCall, sink: CallSink, arrived: datetime) -> RunningCall:
+        """Let the store confirm that a call is not allowed, and decide anew."""
         pending = _PendingConfirmation()
 
         def decide(confirmed: bool) -> None:
-            if not pending.is_cancelled:
+            if pending.is_over:
+                return
+            pending.is_over = True
+            timer.cancel()
+            try:
                 pending.running = self._decide_after_refresh(
                     call, sink, arrived, confirmed=confirmed
                 )
+            except Exception as error:
+                pending.running = self._refuse_failed(call, sink, error)
 
+        wait = MAX_CONFIRMATION_WAIT
+        if call.patience is not None:
+            wait = min(wait, call.patience * CONFIRMATION_SHARE)
+        timer = self._clock.call_later(wait, decide, False)
         self._configuration.refresh().addCallback(decide)
         return pending
 
@@ -204,6 +234,17 @@
         if part is not None:
             release = suspects.parts.find_release(part, arrived)
             return self._refuse(call, sink, Refusal.QUARANTINED, Step.ADMISSION, release, part=part)
+        route = access.route
+        service = self._choose_service(route)
+        if service is None:
+            return self._refuse(
+                call,
+                sink,
+                Refusal.NO_ROOM,
+                Step.ADMISSION,
+                NOT_READY_RETRY_AFTER,
+                route=route.name,
+            )
         cost = _find_cost(call, access.account)
         if cost and access.account is not None:
             wait = self._services.view.quotas.charge(access.account.id, cost, arrived)
@@ -214,8 +255,6 @@
                     **self._services.view.describe_peers(),
                 }
                 return self._refuse(call, sink, Refusal.OVER_RATE, Step.LIMIT, wait, **log_fields)
-        route = access.route
-        service = self._choose_service(route)
         self._services.view.resends.count_call(service, arrived)
         patience = route.timeout if call.patience is None else call.patience
         admitted = AdmittedCall(
@@ -241,14 +280,20 @@
             **self._services.view.describe_members(),
         )
         call_class = StreamCall if route.delivery is Delivery.EVENTS else WholeCall
-        running = call_class(self._services, admitted, sink, call_log, self._forget)
+        boundary = CallBoundary()
+        services = boundary.guard_services(self._services)
+        running = call_class(services, admitted, sink, call_log, self._forget)
+        boundary.fail = running.fail
         self._running[running] = None
-        running.start()
-        return running
+        boundary.guard(running.start)()
+        return GuardedCall(running, boundary)
 
     def _reject_crashing(self) -> None:
         for running in list(self._running):
-            running.reject_if_crashing()
+            try:
+                running.reject_if_crashing()
+            except Exception as error:
+                running.fail(error)
 
     def _note_suspension(self) -> None:
         self._services.view.silence.note_stall(self._clock.now())
@@ -256,11 +301,24 @@
     def _forget(self, running: RunningCallBase) -> None:
         self._running.pop(running, None)
 
-    def _choose_service(self, route: CallRoute) -> ServiceGroup:
-        if len(route.services) == 1:
-            return route.services[0].service
-        weights = [choice.weight for choice in route.services]
-        return self._random.choices(route.services, weights)[0].service
+    def _choose_service(self, route: CallRoute) -> ServiceGroup | None:
+        """Return a service by the route's weights, ``None`` when none has a weight."""
+        choices = [choice for choice in route.services if choice.weight > 0]
+        if len(choices) <= 1:
+            return choices[0].service if choices else None
+        weights = [choice.weight for choice in choices]
+        return self._random.choices(choices, weights)[0].service
+
+    def _refuse_failed(self, call: GatewayCall, sink: CallSink, error: Exception) -> RunningCall:
+        """Refuse a call whose admission failed unexpectedly; it was not sent."""
+        return self._refuse(
+            call,
+            sink,
+            Refusal.INTERNAL,
+            Step.ADMISSION,
+            NOT_READY_RETRY_AFTER,
+            error=describe_error(error),
+        )
 
     def _refuse(
         self,
