Take the resumption of a stream out of StreamCall

No change of behaviour. StreamCall keeps the attempt and the end of the answer; StreamResumption acts on what is decided after an attempt, and SilenceGuard on silence. The tracker of engines is a module of its own.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -49,7 +49,6 @@
     SilenceDecision,
     SilenceEvidence,
     SilenceLimits,
-    SilenceTracker,
     SilenceVerdict,
     decide_on_silence,
     find_patience,
@@ -57,6 +56,7 @@
     find_silence_limits,
     keeps_silent_engine,
 )
+from lavenderrun.dispatch._silence_tracker import SilenceTracker
 from lavenderrun.dispatch._stream_decisions import (
     RESENDS,
     CacheState,
--- a/src/lavenderrun/dispatch/_stream_decisions.py
+++ b/src/lavenderrun/dispatch/_stream_decisions.py
@@ -65,12 +65,18 @@
     cache: CacheState = CacheState.NONE
     has_pause_left: bool = False
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole stream was passed on."""
+        outcome = self.outcome
+        is_served = outcome.failure is None and outcome.kind is AnswerKind.SERVED
+        return is_served and self.ends_between_events
+
 
 def decide_after_stream_attempt(situation: StreamSituation) -> StreamDecision:
     """Decide how a stream goes on; those of :data:`RESENDS` need a resend."""
     outcome = situation.outcome
-    is_served = outcome.failure is None and outcome.kind is AnswerKind.SERVED
-    if is_served and situation.ends_between_events:
+    if situation.is_complete:
         return StreamDecision.COMPLETE
     if not outcome.may_have_run:
         return _decide_after_rejection(situation)
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -2,24 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from dataclasses import replace
 from datetime import timedelta
 from typing import Any, Final
 
-from lavenderrun.dispatch import (
-    RESENDS,
-    StreamDecision,
-    StreamSituation,
-    decide_after_stream_attempt,
-)
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._decode_place import DecodePlace
 from lavenderrun.gateway._engine_search import EngineSearch, SearchFailure, count_required_tokens
 from lavenderrun.gateway._event_relay import EventRelay
-from lavenderrun.gateway._prompt_cache import CACHE_RETRY_PAUSE, PromptCache
+from lavenderrun.gateway._prompt_cache import PromptCache
 from lavenderrun.gateway._running_call import RETRY_AFTER_NO_SLOT, RunningCallBase
 from lavenderrun.gateway._silence_guard import SilenceGuard
+from lavenderrun.gateway._stream_resumption import StreamResumption
 from lavenderrun.gateway._stream_sender import StreamSender
 from lavenderrun.gateway._stream_timing import StreamTiming
 from lavenderrun.types import AnswerKind, Refusal, Step
@@ -32,7 +25,7 @@
     """Runs a stream at one decode engine at a time.
 
     A stream that breaks is resumed at another engine after the last whole event when its route
-    allows that; the old connection is closed first.
+    allows that. One whose engine is silent stays there until another engine has taken it on.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -78,22 +71,28 @@
         self._error_body = bytearray()
         self._is_outcome_unknown = False
         self._sent_at = admitted.arrived
-        self._actions: Mapping[StreamDecision, Callable[[Attempt], None]] = {
-            StreamDecision.COMPLETE: self._complete,
-            StreamDecision.CHOOSE_AGAIN: self._choose_again,
-            StreamDecision.SEND_TO_ANOTHER: lambda _: self._search_again(),
-            StreamDecision.OFFER_CACHE_LATER: lambda _: self._send_later(),
-            StreamDecision.COMPUTE_PROMPT: lambda _: self._send_without_cache(),
-            StreamDecision.RESUME: self._resume,
-            StreamDecision.PASS_FAILURE_ON: self._pass_failure_on,
-            StreamDecision.CUT: self._cut_after,
-            StreamDecision.REFUSE_NOT_RUN: lambda _: self._refuse_without_capacity(
-                "engine rejected the call"
-            ),
-            StreamDecision.REFUSE_LOST: lambda _: self._refuse(
-                Refusal.BACKEND_LOST, Step.DECODE, "engine lost"
-            ),
-        }
+        self._resumption = StreamResumption(
+            services, admitted, self._call_log, self._events, self._cache, self
+        )
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the call has ended."""
+        return self._is_over
+
+    @property
+    def place(self) -> DecodePlace | None:
+        """The place at an engine that the stream has."""
+        return self._place
+
+    @property
+    def attempts_left(self) -> int:
+        """How many more servers the stream may be sent to."""
+        return self._attempts_left
+
+    def take_resend(self) -> bool:
+        """Use one resend of the budget; return whether there was one."""
+        return self._take_resend()
 
     def start(self) -> None:
         """Request a decode slot."""
@@ -102,7 +101,7 @@
     def _take_place(self, found: DecodePlace | SearchFailure) -> None:
         if isinstance(found, DecodePlace):
             self._place = found
-            self._send()
+            self.send()
         elif found is SearchFailure.NO_TIME:
             self._reach_deadline()
         else:
@@ -110,21 +109,23 @@
 
     def _end_without_slot(self) -> None:
         if self._events.is_begun:
-            self._abort_answer("no engine has room to go on")
+            self.cut("no engine has room to go on")
         else:
             self._refuse_without_capacity("no engine had room in time", RETRY_AFTER_NO_SLOT)
 
-    def _search_again(self) -> None:
+    def search_again(self) -> None:
         """Free the decode slot and search for another engine, if there is time left."""
-        self._release_place()
+        self.release_place()
         self._search.start()
 
-    def _release_place(self) -> None:
+    def release_place(self) -> None:
+        """Free the decode slot."""
         if self._place is not None:
             self._place.release()
             self._place = None
 
-    def _send(self) -> None:
+    def send(self) -> None:
+        """Send the stream to the engine of its place."""
         if self._place is None:
             return
         self._attempt = self._sender.make_attempt(self._place, self)
@@ -143,7 +144,7 @@
         if silent is not None:
             self._is_outcome_unknown = True
             silent.give_up_silent(is_server_silent=self._silence.is_engine_silent())
-        self._release_place()
+        self.release_place()
         self._place = place
         self._cache.give_up()
         attempt.hand_over(self)
@@ -180,29 +181,18 @@
         self._attempt = None
         if self._is_over:
             return
-        situation = StreamSituation(
-            attempt.outcome,
-            self._events.is_between_events,
-            self._admitted.access.route.is_idempotent,
-            self._events.is_begun,
-            has_attempts=self._attempts_left > 0,
-            has_resend=True,
-            cache=self._cache.state,
-            has_pause_left=self._cache.outlasts_pause,
-        )
-        decision = decide_after_stream_attempt(situation)
-        if decision is not StreamDecision.COMPLETE and attempt.outcome.may_have_run:
+        situation = self._resumption.assess(attempt)
+        if not situation.is_complete and attempt.outcome.may_have_run:
             self._is_outcome_unknown = True
             if attempt.outcome.has_broken:
                 self._cache.give_up()
-        if decision is not StreamDecision.COMPLETE and self._silence.replace_ended():
+        if not situation.is_complete and self._silence.replace_ended():
             return
         self._silence.end()
-        if decision in RESENDS and not self._take_resend():
-            decision = decide_after_stream_attempt(replace(situation, has_resend=False))
-        self._actions[decision](attempt)
+        self._resumption.continue_after(attempt, situation)
 
-    def _complete(self, attempt: Attempt) -> None:
+    def complete(self, attempt: Attempt) -> None:
+        """End the answer as complete."""
         self._call_log.write(
             "answered", "stream passed on", member=attempt.member.id, **self._timing.describe()
         )
@@ -217,71 +207,36 @@
             took = self._services.clock.now() - self._sent_at
             self._services.view.find_balancer(service).observe_decode(took, tokens / memory)
 
-    def _choose_again(self, attempt: Attempt) -> None:
+    def drop_tried(self, attempt: Attempt) -> None:
+        """Let the engine of an attempt that was not sent be chosen again."""
         self._tried_servers.remove(attempt.member)
-        self._search_again()
-
-    def _send_later(self) -> None:
-        self._schedule(CACHE_RETRY_PAUSE, self._send_again)
-
-    def _send_without_cache(self) -> None:
-        self._cache.give_up()
-        self._send()
 
-    def _send_again(self) -> None:
-        if self._is_over or self._place is None:
-            return
-        if self._services.view.takes_calls(self._place.member):
-            self._send()
-        elif self._attempts_left > 0:
-            self._search_again()
-        elif self._events.is_begun:
-            self._abort_answer("engine takes no calls any more")
-        else:
-            self._refuse_without_capacity("engine takes no calls any more")
-
-    def _pass_failure_on(self, attempt: Attempt) -> None:
+    def pass_failure_on(self, attempt: Attempt) -> None:
+        """Answer with the failure of the engine."""
         head = attempt.head
         if head is None:
-            self._abort_answer("engine failed")
+            self.cut("engine failed")
             return
         self._call_log.write("answered", "failure passed on", status=head.status)
         self._sink.answer(head.status, head.headers, bytes(self._error_body))
         self._finish("failed")
 
-    def _resume(self, attempt: Attempt) -> None:
-        """Go on at another engine, once it is known whether a suspect prompt crashed this one."""
-        reason = attempt.failure.value if attempt.failure else "ended inside an event"
-        self._call_log.write(
-            "resumed", "stream resumed at another engine", member=attempt.member.id, why=reason
-        )
-        if self._has_progressed or self._services.suspects.parts.is_sound(
-            self._admitted.call.shared_parts
-        ):
-            self._search_again()
-            return
-        self._release_place()
-        self._services.suspects.call_when_tested(attempt.member.id, self._resume_after_test)
-
-    def _resume_after_test(self) -> None:
-        if not self._is_over:
-            self._search_again()
-
-    def _cut_after(self, attempt: Attempt) -> None:
-        if not attempt.outcome.may_have_run:
-            self._abort_answer("no engine takes the stream on")
-        elif attempt.outcome.has_broken:
-            self._abort_answer("stream broke")
-        else:
-            self._abort_answer("engine failed")
+    def refuse_rejected(self, detail: str) -> None:
+        """Refuse the call, because engines rejected it."""
+        self._refuse_without_capacity(detail)
+
+    def refuse_lost(self) -> None:
+        """Refuse the call, because its engine was lost."""
+        self._refuse(Refusal.BACKEND_LOST, Step.DECODE, "engine lost")
 
     def _reject_crashing(self, release: timedelta) -> None:
         if self._events.is_begun:
-            self._abort_answer("a part of the prompt crashes servers")
+            self.cut("a part of the prompt crashes servers")
         else:
             super()._reject_crashing(release)
 
-    def _abort_answer(self, detail: str) -> None:
+    def cut(self, detail: str) -> None:
+        """End the answer as incomplete."""
         self._call_log.write("cut", "answer cut off", detail=detail, last=self._events.last_id)
         self._release()
         self._sink.abort()
@@ -289,7 +244,7 @@
 
     def _reach_deadline(self) -> None:
         if self._events.is_begun and not self._is_over:
-            self._abort_answer("deadline reached")
+            self.cut("deadline reached")
         else:
             super()._reach_deadline()
 
@@ -314,5 +269,5 @@
         if self._attempt is not None:
             self._attempt.abandon()
             self._attempt = None
-        self._release_place()
+        self.release_place()
         self._cache.give_up()
