Guard streams against timers that run after a suspension

A gateway that was suspended for 2 s moved a stream whose events had come meanwhile: the timer ran before the loop read them.

--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
@@ -259,3 +260,22 @@
     time.sleep(2.2)
     assert len(answer.read()) > 24 * 900_000
     assert not list_resumed(platform)
+
+
+# timers that were due while the gateway was suspended ran before it read what had come meanwhile
+def test_no_stream_moves_after_a_suspension_of_the_gateway(platform: StandinPlatform) -> None:
+    engines = [
+        platform.add(StandinServer(name, "llm", "decode", pause=0.15))
+        for name in ("dec-1", "dec-2")
+    ]
+    gateway = platform.wait_known(platform.add_gateway())
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(gateway.generate, RESUMED + "x")
+        wait_for(lambda: any(engine.runs for engine in engines), "begun")
+        time.sleep(0.3)
+        gateway.signal(signal.SIGSTOP)
+        time.sleep(2)
+        gateway.signal(signal.SIGCONT)
+        answer = running.result()
+    assert is_whole(answer)
+    assert not list_resumed(platform)
