Read what has come before a late hedge is sent

After a suspension of the gateway, safe calls were sent to a second server although the answer of the first one had come meanwhile: the timer ran first. Each used a resend of the budget, which real failures then lacked.

A timer of the hedge that runs more than 250 ms late waits for one turn of the loop. The test, a gateway suspended for 0.8 s, failed before and passes.

--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -35,6 +35,9 @@
 MIN_SEND_TIME: Final = timedelta(milliseconds=30)
 """Remaining time below which a call is not sent, because any call takes longer."""
 
+MAX_TIMER_DELAY: Final = timedelta(milliseconds=250)
+"""Delay of a timer above which this process did not run, and may not have read what has come."""
+
 
 @dataclass(frozen=True)
 class AdmittedCall:
--- a/src/lavenderrun/gateway/_silence_watch.py
+++ b/src/lavenderrun/gateway/_silence_watch.py
@@ -18,14 +18,11 @@
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._log import to_milliseconds
-from lavenderrun.gateway._running_call import AdmittedCall
+from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, AdmittedCall
 from lavenderrun.gateway._stats import SILENCES
 from lavenderrun.kernel import Timer
 from lavenderrun.types import Member
 
-MAX_TIMER_DELAY: Final = timedelta(milliseconds=250)
-"""Delay of a timer above which this process did not run, and may not have read what has come."""
-
 JITTER_SHARE: Final = 0.5
 """Random part added to a pause, as a share of it."""
 
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -9,7 +9,7 @@
 from lavenderrun.dispatch import AttemptDecision, CallRequirements, decide_after_attempt
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._log import to_milliseconds
-from lavenderrun.gateway._running_call import MIN_SEND_TIME, RunningCallBase
+from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, MIN_SEND_TIME, RunningCallBase
 from lavenderrun.types import Member, Refusal, Step
 
 HEDGE_AFTER_SHARE: Final = 0.6
@@ -40,6 +40,7 @@
         self._failed_answer: tuple[Attempt, _CollectedAnswer] | None = None
         self._unreached_servers: list[Member] = []
         self._is_outcome_unknown = False
+        self._hedge_due = self._admitted.arrived
 
     def start(self) -> None:
         """Send the call."""
@@ -130,13 +131,20 @@
             force_new=not route.is_idempotent or len(self._tried_servers) > 1,
         )
         if route.is_idempotent and self._attempts_left > 0:
-            self._schedule(route.objective * HEDGE_AFTER_SHARE, self._hedge)
+            wait = route.objective * HEDGE_AFTER_SHARE
+            self._hedge_due = self._services.clock.now() + wait
+            self._schedule(wait, self._hedge)
         return True
 
     def _resend(self) -> bool:
         return self._take_resend() and self._send(first=False)
 
     def _hedge(self) -> None:
+        if self._services.clock.now() - self._hedge_due > MAX_TIMER_DELAY:
+            # after a suspension of this process, what has come is read first
+            self._hedge_due = self._services.clock.now()
+            self._schedule(timedelta(0), self._hedge)
+            return
         is_silent = self._running_attempts and all(
             attempt.head is None for attempt in self._running_attempts
         )
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -14,6 +14,7 @@
 from platform_standin import (
     HOST,
     KEY,
+    PLAIN,
     RESUMED,
     STREAM,
     Behaviour,
@@ -279,3 +280,20 @@
         answer = running.result()
     assert is_whole(answer)
     assert not list_resumed(platform)
+
+
+# a call used a resend for a second server although the answer of the first one had come meanwhile
+def test_a_call_is_sent_once_though_the_gateway_is_suspended(platform: StandinPlatform) -> None:
+    servers = [platform.add(StandinServer(name, "apps")) for name in ("app-1", "app-2")]
+    for server in servers:
+        server.behave = answer_late(0.25)
+    gateway = platform.wait_known(platform.add_gateway())
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(gateway.call, PLAIN + "x")
+        wait_for(lambda: any(server.seen for server in servers), "sent")
+        gateway.signal(signal.SIGSTOP)
+        time.sleep(0.8)
+        gateway.signal(signal.SIGCONT)
+        assert running.result().status == 200
+    assert sum(len(server.seen) for server in servers) == 1
+    assert not gateway.lines("call:hedged")
