--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -36,6 +36,9 @@
 
 MIN_SEND_TIME: Final = MIN_SERVICE_TIME
 
+MAX_TIMER_DELAY: Final = timedelta(milliseconds=250)
+"""Delay of a timer above which this process did not run, and may not have read what has come."""
+
 
 @dataclass(frozen=True)
 class AdmittedCall:
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
@@ -13,6 +14,7 @@
 from platform_standin import (
     HOST,
     KEY,
+    PLAIN,
     RESUMED,
     STREAM,
     Behaviour,
@@ -259,3 +261,39 @@
     time.sleep(2.2)
     assert len(answer.read()) > 24 * 900_000
     assert not list_resumed(platform)
+
+
+# timers that were due while the gateway was suspended ran before it read what had come meanwhile
+def test_no_stream_moves_after_a_suspension_of_the_gateway(platform: StandinPlatform) -> None:
+    engines = [
+        platform.add(StandinServer(name, "llm", "decode", pause=0.15))
+        for name in ("dec-1", "dec-2")
+    ]
+    gateway = platform.wait_known(platform.add_gateway())
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(gateway.generate, RESUMED + "x")
+        wait_for(lambda: any(engine.runs for engine in engines), "begun")
+        time.sleep(0.3)
+        gateway.signal(signal.SIGSTOP)
+        time.sleep(2)
+        gateway.signal(signal.SIGCONT)
+        answer = running.result()
+    assert is_whole(answer)
+    assert not list_resumed(platform)
+
+
+# a call used a resend for a second server although the answer of the first one had come meanwhile
+def test_a_call_is_sent_once_though_the_gateway_is_suspended(platform: StandinPlatform) -> None:
+    servers = [platform.add(StandinServer(name, "apps")) for name in ("app-1", "app-2")]
+    for server in servers:
+        server.behave = answer_late(0.25)
+    gateway = platform.wait_known(platform.add_gateway())
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(gateway.call, PLAIN + "x")
+        wait_for(lambda: any(server.seen for server in servers), "sent")
+        gateway.signal(signal.SIGSTOP)
+        time.sleep(0.8)
+        gateway.signal(signal.SIGCONT)
+        assert running.result().status == 200
+    assert sum(len(server.seen) for server in servers) == 1
+    assert not gateway.lines("call:hedged")
