Answer the calls that still run at the end of the grace period

Callers whose calls outlasted the grace period of a planned stop saw their connection close without an answer, and the log said that they were gone.

Cause: the departure only stopped to wait; the router then cancelled what ran, and a cancel knew no other reason than a caller that has left.

A cancel now has a reason. At the end of the grace period each call gets its true outcome: unknown where it may have run, not run with Retry-After where it has not, and a begun stream is broken off with 'departure' in the log. Elapsed time is read from the clock that counts suspensions. Calls that wait for the store's confirmation are answered too.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -16,6 +16,7 @@
     ServerCrash,
 )
 from lavenderrun.dispatch._departures import DepartureNotices
+from lavenderrun.dispatch._grace_period import GracePeriod
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
 from lavenderrun.dispatch._leases import (
     FencingGuard,
@@ -59,6 +60,7 @@
     "DepartureNotices",
     "FencingGuard",
     "FleetOccupancy",
+    "GracePeriod",
     "HealthTracker",
     "HostIncarnation",
     "LeaseKeeper",
--- a/src/lavenderrun/gateway/_departure.py
+++ b/src/lavenderrun/gateway/_departure.py
@@ -1,14 +1,16 @@
-"""Service ``departure``: graceful shutdown that lets running calls finish."""
+"""Service ``departure``: graceful shutdown that answers every call before the process ends."""
 
 from __future__ import annotations
 
 from datetime import timedelta
 from typing import ClassVar, Final
 
+from lavenderrun.dispatch import GracePeriod
 from lavenderrun.gateway._callers import CallersService
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
+from lavenderrun.gateway._suspension import SuspensionService
 from lavenderrun.kernel import Kernel, sleep
 
 CLOSE_IDLE_AFTER: Final = timedelta(seconds=2.6)
@@ -18,8 +20,8 @@
 MIN_DURATION: Final = timedelta(seconds=3.2)
 """Shortest shutdown; serves connections that arrive before the load balancer removes this host."""
 
-EXIT_MARGIN: Final = timedelta(milliseconds=600)
-"""Part of the grace period that is kept for the exit of the process."""
+MIN_WRITE_TIME: Final = timedelta(milliseconds=100)
+"""Shortest time in which the last answers are written, also after a suspension of the host."""
 
 CHECK_INTERVAL: Final = timedelta(milliseconds=50)
 
@@ -31,39 +33,56 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
-        self._grace: timedelta = kernel.settings.bounds.grace
+        self._grace = GracePeriod(kernel.settings.bounds.grace)
         self._router = kernel.find("router", GatewayRouter)
         self._callers = kernel.find("callers", CallersService)
+        self._suspension = kernel.find("wakes", SuspensionService)
+        self._began = 0.0
 
     def start(self) -> None:
         """Do nothing; the service acts only at shutdown."""
 
     async def stop(self) -> None:
-        """Report not ready, let running calls finish, and return within the grace period."""
-        started = self._clock.now()
+        """Report not ready, let running calls finish, and answer the others in time."""
+        self._began = self._suspension.read_boot_time()
         self._router.leave()
         log(
             "departure:leaving",
             "departure: not ready, finishing running calls",
             running=self._router.running_count,
         )
+        await self._finish_calls()
+        self._router.answer_remaining()
+        await self._write_answers()
+        log("departure:done", "departure: shutdown complete", open=len(self._callers.channels))
+
+    async def _finish_calls(self) -> None:
         idle_closed = False
         while True:
-            elapsed = self._clock.now() - started
+            elapsed = self._find_elapsed()
             if elapsed >= CLOSE_IDLE_AFTER and not idle_closed:
                 idle_closed = True
                 self._callers.close_idle()
             if elapsed >= MIN_DURATION and not self._router.running_count:
-                break
-            if elapsed >= self._grace - EXIT_MARGIN:
+                return
+            if elapsed >= self._grace.answers_at:
                 log(
                     "departure:cut",
                     "departure: grace period is over",
                     running=self._router.running_count,
                 )
-                break
+                return
+            await sleep(self._clock, CHECK_INTERVAL)
+
+    async def _write_answers(self) -> None:
+        self._callers.stop()
+        until = max(self._grace.exits_at, self._find_elapsed() + MIN_WRITE_TIME)
+        while self._callers.channels and self._find_elapsed() < until:
             await sleep(self._clock, CHECK_INTERVAL)
-        log("departure:done", "departure: shutdown complete", running=self._router.running_count)
+
+    def _find_elapsed(self) -> timedelta:
+        # the clock of the timers stands still while the host is suspended, the grace period doesn't
+        return timedelta(seconds=self._suspension.read_boot_time() - self._began)
 
 
 @GATEWAY_SERVICES.register("departure")
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
@@ -15,7 +16,11 @@
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import BackendDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
-from lavenderrun.gateway._running_call import AdmittedCall, RunningCallBase
+from lavenderrun.gateway._running_call import (
+    LEAVING_RETRY_AFTER,
+    AdmittedCall,
+    RunningCallBase,
+)
 from lavenderrun.gateway._stats import CALLS, REFUSALS, Stats
 from lavenderrun.gateway._stream_call import StreamCall
 from lavenderrun.gateway._suspects import SuspectsService
@@ -25,6 +30,7 @@
 from lavenderrun.types import (
     CallRoute,
     CallSink,
+    CancelReason,
     ClientAccount,
     Delivery,
     GatewayCall,
@@ -40,9 +46,6 @@
 NOT_READY_RETRY_AFTER: Final = timedelta(milliseconds=300)
 """Wait advised to a caller while this host cannot tell whether its call is allowed."""
 
-LEAVING_RETRY_AFTER: Final = timedelta(milliseconds=50)
-"""Wait advised to a caller while this host stops: another host can serve it at once."""
-
 QUARANTINE_RETRY_AFTER: Final = timedelta(seconds=4)
 """Wait advised after a call has crashed several servers: they take some seconds to restart."""
 
@@ -51,17 +54,24 @@
 
 
 class _PendingConfirmation:
-    """A call that waits for the store to confirm that it is not allowed."""
+    """A call that waits for the store to confirm that it is not allowed.
 
-    def __init__(self) -> None:
+    :param refuse: refuses the call because this host stops.
+    """
+
+    def __init__(self, refuse: Callable[[], RunningCall]) -> None:
+        self._refuse = refuse
         self.running: RunningCall | None = None
-        self.is_cancelled = False
+        self.is_over = False
 
-    def cancel(self) -> None:
-        """Cancel the call, because the caller is gone."""
-        self.is_cancelled = True
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
+        """End the call; one whose caller is there is refused as not run."""
         if self.running is not None:
-            self.running.cancel()
+            self.running.cancel(reason)
+        elif not self.is_over:
+            self.is_over = True
+            if reason is CancelReason.DEPARTURE:
+                self._refuse()
 
     def pause(self) -> None:
         """Stop reading from backend servers, if the call runs already."""
@@ -77,7 +87,7 @@
 class _RefusedCall:
     """A call that was refused at once; nothing runs."""
 
-    def cancel(self) -> None:
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
         """Do nothing, because nothing runs."""
 
     def pause(self) -> None:
@@ -109,7 +119,9 @@
         )
         # in order of their arrival, so that the same calls are cancelled in the same order
         self._running: dict[RunningCallBase, None] = {}
+        self._pending: dict[_PendingConfirmation, None] = {}
         self._leaving_since: datetime | None = None
+        self._is_closed = False
 
     @property
     def is_ready(self) -> bool:
@@ -124,34 +136,47 @@
 
     @property
     def running_count(self) -> int:
-        """Number of calls that run."""
-        return len(self._running)
+        """Number of calls that run or wait for the store's confirmation."""
+        return len(self._running) + len(self._pending)
 
     def start(self) -> None:
         """Start to reject running calls whose prompt turns out to crash servers."""
         self._services.suspects.watch(self._reject_crashing)
 
     def stop(self) -> None:
-        """Cancel the calls that still run."""
-        for running in list(self._running):
-            running.cancel()
+        """Answer the calls that still run."""
+        self.answer_remaining()
 
     def leave(self) -> None:
         """Admit new calls for ``LEAVING_GRACE`` only; running calls continue."""
         self._leaving_since = self._clock.now()
 
+    def answer_remaining(self) -> None:
+        """Admit no more calls and answer those that have not ended with their true outcome."""
+        self._is_closed = True
+        for pending in list(self._pending):
+            pending.cancel(CancelReason.DEPARTURE)
+        self._pending.clear()
+        for running in list(self._running):
+            running.cancel(CancelReason.DEPARTURE)
+
     def submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
         """Admit *call*, or refuse it, and give its answer to *sink*."""
+        if self._is_closed:
+            return self._refuse_leaving(call, sink)
         arrived = self._clock.now()
         access = self._authorize(call)
         if isinstance(access, Access):
             return self._admit(call, access, sink, arrived)
         if access is Refusal.NOT_READY:
             return self._refuse(call, sink, access, Step.ADMISSION, NOT_READY_RETRY_AFTER)
-        pending = _PendingConfirmation()
+        pending = _PendingConfirmation(lambda: self._refuse_leaving(call, sink))
+        self._pending[pending] = None
 
         def decide(confirmed: bool) -> None:
-            if not pending.is_cancelled:
+            self._pending.pop(pending, None)
+            if not pending.is_over:
+                pending.is_over = True
                 pending.running = self._decide_after_refresh(
                     call, sink, arrived, confirmed=confirmed
                 )
@@ -182,7 +207,7 @@
         self, call: GatewayCall, access: Access, sink: CallSink, arrived: datetime
     ) -> RunningCall:
         if self._leaving_since is not None and arrived - self._leaving_since > LEAVING_GRACE:
-            return self._refuse(call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY_AFTER)
+            return self._refuse_leaving(call, sink)
         fingerprint = make_fingerprint(call, access.account.id if access.account else None)
         suspects = self._services.suspects
         if suspects.calls.is_quarantined(fingerprint, arrived):
@@ -248,6 +273,9 @@
         weights = [choice.weight for choice in route.services]
         return self._random.choices(route.services, weights)[0].service
 
+    def _refuse_leaving(self, call: GatewayCall, sink: CallSink) -> RunningCall:
+        return self._refuse(call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY_AFTER)
+
     def _refuse(
         self,
         call: GatewayCall,
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -11,11 +11,19 @@
 from lavenderrun.dispatch import Access
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
-from lavenderrun.gateway._stats import CALLS, FIRST_ANSWER, REFUSALS, RESENDS, WHOLE_ANSWER
+from lavenderrun.gateway._stats import (
+    CALLS,
+    DEPARTURE_ENDS,
+    FIRST_ANSWER,
+    REFUSALS,
+    RESENDS,
+    WHOLE_ANSWER,
+)
 from lavenderrun.kernel import Timer
 from lavenderrun.types import (
     CallContext,
     CallSink,
+    CancelReason,
     GatewayCall,
     HeldCache,
     Member,
@@ -32,6 +40,9 @@
 RETRY_AFTER_NO_SLOT: Final = timedelta(seconds=2)
 """Wait advised without a free decode slot: about the time in which a third of the slots free up."""
 
+LEAVING_RETRY_AFTER: Final = timedelta(milliseconds=50)
+"""Wait advised to a caller while this host stops: another host can serve it at once."""
+
 MIN_SEND_TIME: Final = timedelta(milliseconds=30)
 """Remaining time below which a call is not sent, because any call takes longer."""
 
@@ -72,6 +83,7 @@
         self._on_end = on_end
         self._is_over = False
         self._has_progressed = False
+        self._is_begun = False
         self._tried_servers: list[Member] = []
         left = admitted.deadline - services.clock.now()
         self._timers: list[Timer] = [services.clock.call_later(left, self._reach_deadline)]
@@ -88,11 +100,38 @@
     def _may_have_run(self) -> bool:
         """Tell whether a backend server may have begun the call."""
 
-    def cancel(self) -> None:
-        """End the call, because the caller is gone."""
-        if not self._is_over:
-            self._call_log.write("cancelled", "caller is gone")
-            self._finish("cancelled")
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
+        """End the call; one whose caller is there is answered with its true outcome."""
+        if self._is_over:
+            return
+        if reason is CancelReason.DEPARTURE:
+            self._end_at_departure()
+            return
+        self._call_log.write("cancelled", "caller is gone", reason=reason.value)
+        self._finish("cancelled")
+
+    def _end_at_departure(self) -> None:
+        reason = CancelReason.DEPARTURE.value
+        if self._is_begun:
+            self._count_departure("cut")
+            self._abort_answer(reason)
+        elif self._may_have_run():
+            self._count_departure(Outcome.UNKNOWN.value)
+            self._refuse(Refusal.LEAVING, Step.CALL, reason)
+        else:
+            self._count_departure(Outcome.NOT_RUN.value)
+            self._refuse(Refusal.LEAVING, Step.SEAT, reason, LEAVING_RETRY_AFTER)
+
+    def _count_departure(self, outcome: str) -> None:
+        delivery = self._admitted.access.route.delivery.value
+        self._services.stats.count(DEPARTURE_ENDS, self._admitted.service, delivery, outcome)
+
+    def _abort_answer(self, detail: str) -> None:
+        """Break off an answer that has begun, so that it can't look complete."""
+        self._call_log.write("cut", "answer cut off", detail=detail)
+        self._release()
+        self._sink.abort()
+        self._finish("cut")
 
     def reject_if_crashing(self) -> None:
         """End the call if its prompt crashes servers and it has not begun to be answered."""
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -39,6 +39,12 @@
     "Refusals of this host by reason, step and outcome.",
     ("reason", "step", "outcome"),
 )
+DEPARTURE_ENDS = define_gateway_metric(
+    "lavenderrun_gateway_departure_ends_total",
+    MetricKind.COUNTER,
+    "Calls that a planned stop ended, by service, delivery and what the caller got.",
+    ("service", "delivery", "outcome"),
+)
 ATTEMPTS = define_gateway_metric(
     "lavenderrun_gateway_attempts_total",
     MetricKind.COUNTER,
--- a/src/lavenderrun/types/_calls.py
+++ b/src/lavenderrun/types/_calls.py
@@ -190,11 +190,18 @@
         """Send this host's refusal."""
 
 
+class CancelReason(Enum):
+    """Why a running call is ended before its answer is complete."""
+
+    CALLER_GONE = "caller_gone"
+    DEPARTURE = "departure"
+
+
 class RunningCall(Protocol):
     """A call that a router is serving."""
 
-    def cancel(self) -> None:
-        """Cancel the call because the caller disconnected."""
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
+        """End the call; one whose caller is there is answered with its true outcome."""
 
     def pause(self) -> None:
         """Stop reading from backend servers while the caller does not take what was written."""
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -109,7 +109,7 @@
     assert answer.status == status, answer.body
     assert answer.whole
     assert json.loads(answer.body)["outcome"] == outcome
-    assert ("retry-after" in answer.headers) is (outcome == "not_run")
+    assert ("retry-after" in answer.headers) is (outcome == "not-run")
 
 
 def check_no_caller_blamed(gateway: Gateway) -> None:
@@ -170,7 +170,7 @@
     stop = Stop(gateway)
     stop.wait_until(1.2)
     waiting = Call(lambda: generate(gateway, STREAM, "second"))
-    check_refusal(waiting.wait(), 503, "not_run")
+    check_refusal(waiting.wait(), 503, "not-run")
     assert waiting.ended - stop._began < GRACE * 5 / 6 - 0.2
     assert engine.runs == ["first"]
     stop.wait_exit()
@@ -199,7 +199,7 @@
     began = time.monotonic()
     late = gateway.call(ORDERS + "x", "POST", request="late", headers=PATIENT)
     assert time.monotonic() - began < 0.5
-    check_refusal(late, 503, "not_run")
+    check_refusal(late, 503, "not-run")
     assert gateway.call(PLAIN + "x", request="short", headers=PATIENT).status == 200
     stop.wait_exit()
     assert "late" not in server.runs
