Refuse calls that can't end in the grace period at once

A call that came late in a planned stop was admitted for 3 s whatever it takes, sent on and cut at the end; one that waited for a decode slot or for the store's confirmation was kept until the end, too.

While the host leaves, a call is admitted only if that, or its deadline, fits into the time left; one that waits is refused as soon as it no longer fits. Both are not run, with a Retry-After after which another host can serve them, and the log line has the values behind the decision.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -8,6 +8,7 @@
     AttemptOutcome,
     decide_after_attempt,
 )
+from lavenderrun.dispatch._call_durations import CallDurations
 from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
 from lavenderrun.dispatch._crashing_parts import (
     MAX_SHARED_PARTS,
@@ -55,6 +56,7 @@
     "AttemptDecision",
     "AttemptOutcome",
     "BackendHealth",
+    "CallDurations",
     "CallRequirements",
     "CrashingParts",
     "DepartureNotices",
--- a/src/lavenderrun/gateway/_call_services.py
+++ b/src/lavenderrun/gateway/_call_services.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from lavenderrun.dispatch import CallDurations
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotQueueService
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import BackendDialect
@@ -25,6 +26,7 @@
     backends: BackendDialect
     stats: Stats
     suspects: SuspectsService
+    durations: CallDurations = field(default_factory=CallDurations)
 
     def free_cache(self, cache: HeldCache) -> None:
         """Ask the holder to free KV cache that no engine will take."""
--- a/src/lavenderrun/gateway/_departure.py
+++ b/src/lavenderrun/gateway/_departure.py
@@ -45,7 +45,7 @@
     async def stop(self) -> None:
         """Report not ready, let running calls finish, and answer the others in time."""
         self._began = self._suspension.read_boot_time()
-        self._router.leave()
+        self._router.leave(self._grace, self._find_elapsed)
         log(
             "departure:leaving",
             "departure: not ready, finishing running calls",
@@ -72,6 +72,7 @@
                     running=self._router.running_count,
                 )
                 return
+            self._router.refuse_late()
             await sleep(self._clock, CHECK_INTERVAL)
 
     async def _write_answers(self) -> None:
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
-from lavenderrun.dispatch import Access, authorize_call, make_fingerprint
+from lavenderrun.dispatch import Access, GracePeriod, authorize_call, make_fingerprint
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -49,8 +50,16 @@
 QUARANTINE_RETRY_AFTER: Final = timedelta(seconds=4)
 """Wait advised after a call has crashed several servers: they take some seconds to restart."""
 
-LEAVING_GRACE: Final = timedelta(seconds=3)
-"""Time after the order to stop during which new calls are still admitted."""
+CONFIRMATION_TIME: Final = timedelta(seconds=1)
+"""Time that a call is expected to take whose route the store has yet to confirm."""
+
+
+@dataclass(frozen=True)
+class _Departure:
+    """A planned stop that has begun; see :meth:`GatewayRouter.leave` for the parameters."""
+
+    grace: GracePeriod
+    read_elapsed: Callable[[], timedelta]
 
 
 class _PendingConfirmation:
@@ -120,19 +129,19 @@
         # in order of their arrival, so that the same calls are cancelled in the same order
         self._running: dict[RunningCallBase, None] = {}
         self._pending: dict[_PendingConfirmation, None] = {}
-        self._leaving_since: datetime | None = None
+        self._departure: _Departure | None = None
         self._is_closed = False
 
     @property
     def is_ready(self) -> bool:
         """Whether calls can be served: configuration and backend servers are known."""
         is_known = self._configuration.current is not None and self._members.is_known
-        return is_known and self._leaving_since is None
+        return is_known and self._departure is None
 
     @property
     def is_leaving(self) -> bool:
         """Whether this host was ordered to stop."""
-        return self._leaving_since is not None
+        return self._departure is not None
 
     @property
     def running_count(self) -> int:
@@ -147,18 +156,34 @@
         """Answer the calls that still run."""
         self.answer_remaining()
 
-    def leave(self) -> None:
-        """Admit new calls for ``LEAVING_GRACE`` only; running calls continue."""
-        self._leaving_since = self._clock.now()
+    def leave(self, grace: GracePeriod, read_elapsed: Callable[[], timedelta]) -> None:
+        """Admit only calls that can end in the grace period; running calls continue.
+
+        :param read_elapsed: returns the time since the order to stop.
+        """
+        self._departure = _Departure(grace, read_elapsed)
+
+    def refuse_late(self) -> None:
+        """Refuse calls that wait and can't end in the grace period any more."""
+        if self._departure is None:
+            return
+        grace, elapsed = self._departure.grace, self._departure.read_elapsed()
+        if not grace.can_end(elapsed, CONFIRMATION_TIME, CONFIRMATION_TIME):
+            self._refuse_pending()
+        for running in list(self._running):
+            running.refuse_if_late(elapsed, grace)
 
     def answer_remaining(self) -> None:
         """Admit no more calls and answer those that have not ended with their true outcome."""
         self._is_closed = True
+        self._refuse_pending()
+        for running in list(self._running):
+            running.cancel(CancelReason.DEPARTURE)
+
+    def _refuse_pending(self) -> None:
         for pending in list(self._pending):
             pending.cancel(CancelReason.DEPARTURE)
         self._pending.clear()
-        for running in list(self._running):
-            running.cancel(CancelReason.DEPARTURE)
 
     def submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
         """Admit *call*, or refuse it, and give its answer to *sink*."""
@@ -206,8 +231,18 @@
     def _admit(
         self, call: GatewayCall, access: Access, sink: CallSink, arrived: datetime
     ) -> RunningCall:
-        if self._leaving_since is not None and arrived - self._leaving_since > LEAVING_GRACE:
-            return self._refuse_leaving(call, sink)
+        patience = access.route.timeout if call.patience is None else call.patience
+        deadline = arrived + min(patience, access.route.timeout)
+        if self._departure is not None:
+            elapsed = self._departure.read_elapsed()
+            duration = self._services.durations.estimate(access.route, call.size)
+            if not self._departure.grace.may_admit(elapsed, duration, deadline - arrived):
+                return self._refuse_leaving(
+                    call,
+                    sink,
+                    leaving_ms=to_milliseconds(elapsed),
+                    expected_ms=to_milliseconds(duration),
+                )
         fingerprint = make_fingerprint(call, access.account.id if access.account else None)
         suspects = self._services.suspects
         if suspects.calls.is_quarantined(fingerprint, arrived):
@@ -231,14 +266,13 @@
         route = access.route
         service = self._choose_service(route)
         self._services.view.resends.count_call(service, arrived)
-        patience = route.timeout if call.patience is None else call.patience
         admitted = AdmittedCall(
             call,
             access,
             service,
             cost,
             arrived,
-            arrived + min(patience, route.timeout),
+            deadline,
             arrived + patience,
         )
         call_log = CallLog(call, fingerprint)
@@ -273,8 +307,10 @@
         weights = [choice.weight for choice in route.services]
         return self._random.choices(route.services, weights)[0].service
 
-    def _refuse_leaving(self, call: GatewayCall, sink: CallSink) -> RunningCall:
-        return self._refuse(call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY_AFTER)
+    def _refuse_leaving(self, call: GatewayCall, sink: CallSink, **log_fields: Any) -> RunningCall:
+        return self._refuse(
+            call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY_AFTER, **log_fields
+        )
 
     def _refuse(
         self,
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -8,7 +8,7 @@
 from datetime import datetime, timedelta
 from typing import Final
 
-from lavenderrun.dispatch import Access
+from lavenderrun.dispatch import Access, GracePeriod
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._stats import (
@@ -133,6 +133,22 @@
         self._sink.abort()
         self._finish("cut")
 
+    def refuse_if_late(self, elapsed: timedelta, grace: GracePeriod) -> None:
+        """Refuse a call that waits if it can't end in the grace period any more.
+
+        :param elapsed: time since this host was ordered to stop.
+        """
+        if self._is_over or not self._is_waiting():
+            return
+        route = self._admitted.access.route
+        duration = self._services.durations.estimate(route, self._admitted.call.size)
+        if not grace.can_end(elapsed, duration, self._time_left()):
+            self._end_at_departure()
+
+    def _is_waiting(self) -> bool:
+        """Tell whether nothing has begun on the call, at this host or at a backend server."""
+        return not self._may_have_run()
+
     def reject_if_crashing(self) -> None:
         """End the call if its prompt crashes servers and it has not begun to be answered."""
         if self._is_over or self._has_progressed:
@@ -199,6 +215,7 @@
         if self._is_over:
             return
         if self._may_have_run():
+            self._observe_duration()
             self._refuse(Refusal.OUTCOME_UNKNOWN, Step.CALL, "deadline reached")
         else:
             self._refuse(Refusal.DEADLINE, Step.SEAT, "deadline reached")
@@ -234,9 +251,16 @@
         delivery = self._admitted.access.route.delivery.value
         self._services.stats.observe(FIRST_ANSWER, took, delivery)
 
+    def _observe_duration(self) -> None:
+        took = self._services.clock.now() - self._admitted.arrived
+        route = self._admitted.access.route
+        self._services.durations.observe(route, self._admitted.call.size, took)
+
     def _finish(self, outcome: str) -> None:
         if self._is_over:
             return
+        if outcome == "answered":
+            self._observe_duration()
         self._is_over = True
         for timer in self._timers:
             timer.cancel()
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -425,6 +425,9 @@
         if self._attempt is not None and not self._is_over:
             self._attempt.time_out()
 
+    def _is_waiting(self) -> bool:
+        return self._waiter is not None and super()._is_waiting()
+
     def _may_have_run(self) -> bool:
         return self._is_outcome_unknown or (self._attempt is not None and self._attempt.sent)
 
