Answer requests on open connections when the process ends

At the end of a planned stop callers saw their connection closed or reset without an answer when their request was half read, when it sat unread in an idle connection or behind another request, or when the connection waited in the backlog of the port.

Cause: only calls in the router counted as work.

The stop now waits for requests that are being read, and refuses those that are incomplete at the end (not run, with Retry-After); it then closes its half of the connection, since a close with unread bytes would reset it before the answer is read. Connections with unread bytes are not idle. A request behind another one is served before the connection closes. Before the port closes, a socket filter drops new handshakes, those under way complete, and the whole backlog is accepted.

--- a/src/lavenderrun/dispatch/_grace_period.py
+++ b/src/lavenderrun/dispatch/_grace_period.py
@@ -10,7 +10,7 @@
 """Time after the order to stop during which calls are admitted: connections still arrive until the
 load balancer has removed the host."""
 
-ANSWER_SHARE: Final = 0.1
+ANSWER_SHARE: Final = 1 / 8
 """Share of the grace period at its end in which no call runs any more."""
 
 MIN_ANSWER_TIME: Final = timedelta(milliseconds=300)
@@ -19,7 +19,7 @@
 MAX_ANSWER_TIME: Final = timedelta(seconds=1)
 """Longest time in which answers are written and the process ends."""
 
-EXIT_SHARE: Final = 1 / 3
+EXIT_SHARE: Final = 0.5
 """Share of the time for answers that is kept for the exit of the process."""
 
 
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import ServerFactory, connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
-from twisted.web.http import HTTPChannel, Request
+from twisted.web.http import RESPONSES, HTTPChannel, Request
 
 from lavenderrun.decoding import parse_address
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -18,7 +18,8 @@
 from lavenderrun.gateway._ports import CallerDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
-from lavenderrun.gateway._sockets import set_socket_options
+from lavenderrun.gateway._running_call import LEAVING_RETRY_AFTER
+from lavenderrun.gateway._sockets import has_unread_bytes, set_socket_options, stop_accepting
 from lavenderrun.gateway._stats import OPEN_CONNECTIONS, Stats
 from lavenderrun.kernel import Kernel
 from lavenderrun.types import (
@@ -51,6 +52,7 @@
     """One HTTP request of a caller; its body stays in memory."""
 
     content: Any
+    channel: Any
     defaultContentType: Any = None  # noqa: N815
 
     def __init__(self, channel: Any, queued: object = False) -> None:
@@ -166,7 +168,7 @@
         self.setResponseCode(status)
         for name, value in headers:
             self.responseHeaders.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
-        if self._service.router.is_leaving:
+        if self._service.router.is_leaving and not self.channel.has_next_request:
             self.channel.persistent = 0
             self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
@@ -191,6 +193,17 @@
         """Do nothing: ``CallerRequest.connectionLost`` cancels the call."""
 
 
+def encode_answer(status: int, headers: Headers, body: bytes) -> bytes:
+    """Return the bytes of an answer after which the connection is closed."""
+    lines = [
+        f"HTTP/1.1 {status} {RESPONSES[status].decode()}",
+        *(f"{name}: {value}" for name, value in headers),
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    ]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
 class CallerChannel(HTTPChannel):
     """One connection of a caller."""
 
@@ -202,9 +215,12 @@
     def __init__(self) -> None:
         super().__init__()
         self._is_reading = False
+        self._is_discarding = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read a part of a request; only its first part restarts the idle timeout."""
+        if self._is_discarding:
+            return
         if self._is_reading:
             LineReceiver.dataReceived(self, data)
         else:
@@ -234,13 +250,31 @@
         if not self.requests:
             self.setTimeout(seconds)
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request has been read."""
+        return not self._handlingRequest and bool(self.requests or self._buffer)
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether a part of the next request was sent before the answer to the current one."""
+        return bool(self._dataBuffer)
+
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the answer that is under way."""
+        """Close the connection now, or after the answer to what has been sent by now."""
         if self.requests:
-            self.persistent = 0
-        else:
+            self.persistent = int(self.has_next_request)
+        elif not self._buffer and not has_unread_bytes(self.transport):
             self.loseConnection()
 
+    def refuse_unread(self, answer: bytes) -> None:
+        """Answer a request that was read in part; the rest of it is discarded."""
+        if self.is_reading and not self._is_discarding:
+            self._is_discarding = True
+            self.transport.write(answer)
+            # a close while the caller still sends would reset the connection before it has read
+            self.transport.loseWriteConnection()
+
 
 class CallerFactory(ServerFactory):
     """Makes a channel for each connection of a caller."""
@@ -305,12 +339,35 @@
         log("callers:listening", "callers: listening", address=self._listen)
         self._configuration.watch(self._configure)
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has been read in part."""
+        return any(channel.is_reading for channel in self.channels)
+
     def stop(self) -> None:
         """Accept no more connections and close those that are left."""
-        if self._port is not None:
-            self._port.stopListening()
+        self.stop_listening()
         self.close_idle()
 
+    def stop_listening(self) -> None:
+        """Accept the connections that wait, and no more."""
+        port, self._port = self._port, None
+        if port is not None:
+            stop_accepting(port)
+
+    def refuse_unread(self) -> None:
+        """Refuse the requests that were read in part."""
+        refused = Refused(
+            Refusal.LEAVING,
+            Outcome.NOT_RUN,
+            Step.ADMISSION,
+            retry_after=LEAVING_RETRY_AFTER,
+            detail="request not complete",
+        )
+        answer = encode_answer(*self.dialect.encode_refusal(None, refused))
+        for channel in list(self.channels):
+            channel.refuse_unread(answer)
+
     def close_idle(self) -> None:
         """Close each connection now, or after the answer that is under way."""
         for channel in list(self.channels):
--- a/src/lavenderrun/gateway/_departure.py
+++ b/src/lavenderrun/gateway/_departure.py
@@ -23,6 +23,9 @@
 MIN_WRITE_TIME: Final = timedelta(milliseconds=100)
 """Shortest time in which the last answers are written, also after a suspension of the host."""
 
+LAST_READ_TIME: Final = timedelta(milliseconds=300)
+"""Time in which requests on the last accepted connections are read and refused."""
+
 CHECK_INTERVAL: Final = timedelta(milliseconds=50)
 
 
@@ -63,7 +66,7 @@
             if elapsed >= CLOSE_IDLE_AFTER and not idle_closed:
                 idle_closed = True
                 self._callers.close_idle()
-            if elapsed >= MIN_DURATION and not self._router.running_count:
+            if elapsed >= MIN_DURATION and not self._is_busy():
                 return
             if elapsed >= self._grace.answers_at:
                 log(
@@ -75,8 +78,15 @@
             self._router.refuse_late()
             await sleep(self._clock, CHECK_INTERVAL)
 
+    def _is_busy(self) -> bool:
+        return bool(self._router.running_count) or self._callers.is_reading
+
     async def _write_answers(self) -> None:
-        self._callers.stop()
+        self._callers.stop_listening()
+        left = max(timedelta(0), self._grace.exits_at - self._find_elapsed())
+        await sleep(self._clock, min(LAST_READ_TIME, left / 2))
+        self._callers.refuse_unread()
+        self._callers.close_idle()
         until = max(self._grace.exits_at, self._find_elapsed() + MIN_WRITE_TIME)
         while self._callers.channels and self._find_elapsed() < until:
             await sleep(self._clock, CHECK_INTERVAL)
--- a/src/lavenderrun/gateway/_sockets.py
+++ b/src/lavenderrun/gateway/_sockets.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import ctypes
 import socket
+import struct
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any, Final
 
@@ -14,6 +17,23 @@
 MAX_UNACKNOWLEDGED_TIME: Final = timedelta(seconds=3)
 """Longest time that sent data may stay unacknowledged before the connection is closed."""
 
+MAX_ACCEPTS: Final = 1024
+"""Connections that are accepted before a port is closed; more than its backlog."""
+
+HANDSHAKE_TIME: Final = timedelta(milliseconds=10)
+"""Time in which handshakes that have begun are completed before a port is closed."""
+
+SO_ATTACH_FILTER: Final = 26
+
+DROP_SYN: Final = (
+    (0x30, 0, 0, 13),  # load the byte with the TCP flags
+    (0x54, 0, 0, 0x02),  # keep the SYN flag
+    (0x15, 0, 1, 0x02),  # skip the next instruction without it
+    (0x06, 0, 0, 0),  # drop the segment
+    (0x06, 0, 0, 0xFFFFFFFF),  # keep the segment
+)
+"""Socket filter that drops segments with the SYN flag, as classic BPF instructions."""
+
 OPTIONS: Final = (
     ("TCP_KEEPIDLE", int(KEEPALIVE_IDLE.total_seconds())),
     ("TCP_KEEPINTVL", int(KEEPALIVE_INTERVAL.total_seconds())),
@@ -31,3 +51,38 @@
         option = getattr(socket, name, None)
         if option is not None:
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def has_unread_bytes(transport: Any) -> bool:
+    """Tell whether bytes have arrived on a connected transport that were not read yet."""
+    try:
+        return bool(transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
+def stop_accepting(port: Any) -> None:
+    """Close a listening port after the connections that wait in its backlog are accepted."""
+
+    def close() -> None:
+        port.numberAccepts = MAX_ACCEPTS
+        port.doRead()
+        # the port closes in the next iteration of the loop, and resets what has come until then
+        port.reactor.callLater(0, port.doRead)
+        port.stopListening()
+
+    _drop_handshakes(port.socket)
+    port.reactor.callLater(HANDSHAKE_TIME.total_seconds(), close)
+
+
+def _drop_handshakes(listening: socket.socket) -> None:
+    """Let the kernel drop new handshakes; callers repeat them, but can't repeat a request."""
+    instructions = ctypes.create_string_buffer(b"".join(map(_encode_instruction, DROP_SYN)))
+    program = struct.pack("HL", len(DROP_SYN), ctypes.addressof(instructions))
+    # only Linux has it; elsewhere a connection may still come between the last accept and the close
+    with suppress(OSError):
+        listening.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
+def _encode_instruction(instruction: tuple[int, int, int, int]) -> bytes:
+    return struct.pack("HBBI", *instruction)
