Answer requests that outlast the drain of an entry

Callers whose requests ran longer than the drain of their entry (120 s) saw the connection reset, and the log counted them as disconnected callers.

Cause: the end of the drain aborted all connections; the sinks took that for a caller that had left and cancelled the request.

At the end of the drain each request is now refused as leaving, with the outcome that its run knows: not run before an attempt or a decode has begun, else unknown; a stream ends with an error event. Connections are aborted one second later, so a caller that reads nothing holds up nothing.

Before: 4 new cases in tests/services/test_front.py failed (no bytes of an answer, or a stream that just ceases). After: they pass. A call that outlasts the drain of an agent was already refused as unknown by its entry; a test now holds that.

--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 from functools import partial
 from typing import ClassVar
 
@@ -43,6 +44,9 @@
 
 ApiEndpoint = Callable[["FrontService", FrontRequest], None]
 
+ANSWER_TIME = timedelta(seconds=1)
+"""Time after the drain in which the last answers are written before connections are aborted."""
+
 API_ENDPOINTS: Registry[ApiEndpoint] = Registry("endpoint")
 
 
@@ -58,6 +62,7 @@
         self._drain_done: Deferred[None] | None = None
         self._factory: FrontFactory | None = None
         self._listener: Listener | None = None
+        self._sinks: dict[Sink, None] = {}
 
     @property
     def router(self) -> Router:
@@ -88,14 +93,23 @@
         log_message("front:listening", text="front: listening for callers", address=address)
 
     def stop(self) -> Deferred[None]:
-        """Stop accepting connections, let requests finish, and abort after ``settings.drain``."""
+        """Stop accepting connections and let requests finish, for ``settings.drain``."""
         drain_done = self._drain_done = Deferred()
         if self._listener is not None:
             self._listener.close()
         channels = self._list_channels()
         log_message("front:draining", text="front: closing connections", open=len(channels))
-        limit = self._kernel.clock.call_later(self.settings.drain, self._abort_remaining)
-        drain_done.addBoth(lambda _: limit.cancel())
+        clock = self._kernel.clock
+        limits = (
+            clock.call_later(self.settings.drain, self._answer_remaining),
+            clock.call_later(self.settings.drain + ANSWER_TIME, self._abort_remaining),
+        )
+
+        def cancel_limits(_: object) -> None:
+            for limit in limits:
+                limit.cancel()
+
+        drain_done.addBoth(cancel_limits)
         for channel in channels:
             channel.close_when_idle()
         self._check_drained()
@@ -200,6 +214,8 @@
         return sink
 
     def _submit(self, sink: Sink, submit: Callable[[], RequestHandle]) -> None:
+        self._sinks[sink] = None
+        sink.notify_end(lambda: self._sinks.pop(sink, None))
         try:
             sink.attach(submit())
         except Exception as error:
@@ -242,9 +258,19 @@
         if drain_done is not None and not drain_done.called and not self._list_channels():
             drain_done.callback(None)
 
+    def _answer_remaining(self) -> None:
+        log_message(
+            "front:drain_over",
+            text="front: drain limit passed, answering the requests that still run",
+            running=len(self._sinks),
+        )
+        for sink in list(self._sinks):
+            sink.end_at_departure()
+
     def _abort_remaining(self) -> None:
-        log_message("front:drain_over", text="front: drain limit passed, open connections aborted")
-        for channel in self._list_channels():
+        channels = self._list_channels()
+        log_message("front:aborting", text="front: open connections aborted", open=len(channels))
+        for channel in channels:
             channel.abort()
 
     def _list_channels(self) -> list[FrontChannel]:
--- a/src/lavenderrun/services/_front_sinks.py
+++ b/src/lavenderrun/services/_front_sinks.py
@@ -2,14 +2,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from datetime import timedelta
+
 from eliot import log_message
 
 from lavenderrun.codecs import DONE_EVENT, AnswerCodec, encode_error_event
 from lavenderrun.kernel import Clock
 from lavenderrun.services._front_http import FrontRequest
 from lavenderrun.services._front_output import CallerOutput
-from lavenderrun.types import FinishReason, FrontSettings, PausableHandle, Refused, RequestHandle
-
+from lavenderrun.types import (
+    FinishReason,
+    FrontSettings,
+    Outcome,
+    PausableHandle,
+    Refusal,
+    Refused,
+    RequestHandle,
+    Step,
+    TracedHandle,
+)
+
+LEAVING_RETRY_AFTER = timedelta(milliseconds=50)
+"""Wait advised to a caller while this host stops: another host can serve it at once."""
 EVENT_STREAM = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
 
 
@@ -24,6 +39,10 @@
             request, settings, clock, on_lost=self._cancel_request, on_pause=self._set_slow
         )
 
+    def notify_end(self, call: Callable[[], object]) -> None:
+        """Run *call* once when the answer is complete or the connection is lost."""
+        self._request.notifyFinish().addBoth(lambda _: call()).addErrback(lambda _: None)
+
     def attach(self, handle: RequestHandle) -> None:
         """Set the handle to cancel when the caller disconnects."""
         self._handle = handle
@@ -48,6 +67,21 @@
             self._request.clear_head()
             self._request.answer_refused(refused)
 
+    def end_at_departure(self) -> None:
+        """Answer a request that outlasts the drain with its true outcome, and cancel it."""
+        if self._ended:
+            return
+        handle = self._handle
+        outcome = handle.find_outcome() if isinstance(handle, TracedHandle) else Outcome.UNKNOWN
+        retry_after = LEAVING_RETRY_AFTER if outcome is Outcome.NOT_RUN else None
+        detail = "the drain of this host is over"
+        self._request.close_after_answer()
+        self.refuse(
+            Refused(Refusal.LEAVING, outcome, Step.CALL, retry_after=retry_after, detail=detail)
+        )
+        if handle is not None:
+            handle.cancel()
+
     def _end_incomplete(self, refused: Refused) -> None:
         self._output.close_incomplete()
 
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -187,6 +187,12 @@
             self._cancel_attempt()
             self._refuse(Refused(refusal, Outcome.NOT_RUN, Step.ADMISSION))
 
+    def find_outcome(self) -> Outcome:
+        """Return the outcome to report if the request were refused now."""
+        if self.state in STATES_BEFORE_DECODE and not self._answer.offset:
+            return self._history.outcome
+        return Outcome.UNKNOWN
+
     def cancel(self) -> None:
         """Cancel the request because its caller is gone, and free all that is held for it."""
         if self.state is RunState.DONE:
--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -63,6 +63,9 @@
     DONE = "done"
 
 
+STATES_BEFORE_ATTEMPT = (CallState.CHARGING, CallState.CLAIMING, CallState.WAITING)
+
+
 class PlainCall:
     """A call that ends in exactly one of reply, refusal and cancel.
 
@@ -118,6 +121,12 @@
         self._charging = charging
         charging.addCallbacks(self._handle_charge, self._fail_charge)
 
+    def find_outcome(self) -> Outcome:
+        """Return the outcome to report if the call were refused now."""
+        if self.state in STATES_BEFORE_ATTEMPT and not self._may_have_run:
+            return Outcome.NOT_RUN
+        return Outcome.UNKNOWN
+
     def cancel(self) -> None:
         """Cancel the call because its caller has disconnected.
 
@@ -147,7 +156,7 @@
 
     def withdraw(self, refusal: Refusal) -> None:
         """Refuse the call unless it has started."""
-        if self.state in (CallState.CHARGING, CallState.CLAIMING, CallState.WAITING):
+        if self.state in STATES_BEFORE_ATTEMPT:
             self._refuse(self._make_refused(refusal, Outcome.NOT_RUN))
         elif self._attempt is not None and self._attempt.state is AttemptState.SENT:
             self._withdraw_refusal = refusal
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -207,6 +207,7 @@
     PlainRequest,
     ReplySink,
     RequestHandle,
+    TracedHandle,
 )
 from ._revisions import (
     Change,
@@ -456,6 +457,7 @@
     "TokenSink",
     "TokensGranted",
     "TokensReturned",
+    "TracedHandle",
     "Transport",
     "WeightedService",
     "event",
--- a/src/lavenderrun/types/_requests.py
+++ b/src/lavenderrun/types/_requests.py
@@ -16,7 +16,7 @@
     RequestId,
 )
 from lavenderrun.types._refusals import Refused
-from lavenderrun.types._states import FinishReason
+from lavenderrun.types._states import FinishReason, Outcome
 
 
 @dataclass(frozen=True)
@@ -120,6 +120,17 @@
         """Cancel the request of a caller that disconnected; nothing more reaches the sink."""
 
 
+@runtime_checkable
+class TracedHandle(Protocol):
+    """Handle of a request whose outcome is known while it runs."""
+
+    def cancel(self) -> None:
+        """Cancel the request of a caller that disconnected; nothing more reaches the sink."""
+
+    def find_outcome(self) -> Outcome:
+        """Return the outcome to report if the request were refused now."""
+
+
 @runtime_checkable
 class PausableHandle(Protocol):
     """Handle of a request whose answer can be paused while the caller reads slowly."""
--- a/tests/services/test_front.py
+++ b/tests/services/test_front.py
@@ -38,6 +38,10 @@
     def __init__(self) -> None:
         self.cancelled = 0
         self.paces: list[bool] = []
+        self.outcome = Outcome.UNKNOWN
+
+    def find_outcome(self) -> Outcome:
+        return self.outcome
 
     def cancel(self) -> None:
         self.cancelled += 1
@@ -523,3 +527,47 @@
     answer = caller.send_raw(head + COMPLETION.encode())
     if not caller.router.requests and answer:
         assert int(answer.split()[1]) in (400, 401)
+
+
+# requests that outlasted the drain had their connections aborted, and counted as callers gone
+@pytest.mark.parametrize(
+    ("outcome", "status"), [(Outcome.UNKNOWN, 502), (Outcome.NOT_RUN, 503)], ids=str
+)
+def test_a_request_that_outlasts_the_drain_is_answered_with_its_outcome(
+    outcome: Outcome, status: int
+) -> None:
+    caller = Caller()
+    caller.send("POST", "/v1/completions", COMPLETION, (AUTH,))
+    caller.router.handles[0].outcome = outcome
+    caller.front.stop()
+    caller.reactor.advance(120.5)
+    answered, error, head = read_error(caller.transport.value())
+    assert (answered, error["code"], error["outcome"]) == (status, "leaving", outcome.value)
+    assert b"connection: close" in head.lower()
+    assert caller.transport.disconnecting
+    assert not caller.aborted
+    assert caller.router.handles[0].cancelled == 1
+
+
+# the events of a stream that was cut by the end of the drain just ceased
+def test_a_stream_that_outlasts_the_drain_ends_with_an_error_event() -> None:
+    caller = Caller()
+    caller.send("POST", "/v1/completions", STREAMED, (AUTH,))
+    caller.router.sinks[0].put_tokens(["wire"])
+    caller.front.stop()
+    caller.reactor.advance(120.5)
+    assert b'"leaving"' in caller.transport.value()
+    assert b"[DONE]" not in caller.transport.value()
+    assert caller.transport.disconnecting
+
+
+def test_a_caller_that_does_not_read_does_not_hold_up_the_end_of_the_drain() -> None:
+    caller = Caller()
+    caller.send("POST", "/v1/completions", COMPLETION, (AUTH,))
+    fired: list[Any] = []
+    caller.front.stop().addCallback(fired.append)
+    caller.reactor.advance(120)
+    assert not fired
+    caller.reactor.advance(2)
+    assert caller.aborted
+    assert fired
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -169,6 +169,15 @@
     assert stopped == [None]
 
 
+def test_the_outcome_of_a_running_request_is_known_at_any_time() -> None:
+    fleet = Fleet()
+    handle, sink = fleet.submit(LONG, 400)
+    assert handle.find_outcome() is Outcome.NOT_RUN
+    fleet.run(0.5)
+    assert sink.tokens
+    assert handle.find_outcome() is Outcome.UNKNOWN
+
+
 def test_requests_wait_while_the_host_cannot_tell_whether_keys_are_valid() -> None:
     fleet = Fleet()
     fleet.admission.refusal = Refusal.NOT_READY
--- a/tests/services/test_plain_path.py
+++ b/tests/services/test_plain_path.py
@@ -6,6 +6,7 @@
 import pytest
 from fleet import MemoryRecord
 from plain_fleet import PlainFleet
+from twisted.internet.defer import Deferred
 
 from lavenderrun.types import BackendRun, Outcome, Refusal, RequestFinished
 
@@ -361,6 +362,34 @@
     assert count_runs(fleet) == 6
 
 
+# a call that outlasts the drain of its agent must not be left without an answer
+def test_a_call_that_outlasts_the_drain_of_its_agent_is_refused_as_unknown() -> None:
+    fleet = PlainFleet(agents=1, max_running=1, patience=timedelta(seconds=300))
+    fleet.faults["a1"].reply_delay = timedelta(seconds=200)
+    _, begun = fleet.submit("POST", "/orders/1/confirm")
+    fleet.run(0.1)
+    stops: list[Any] = []
+    Deferred.fromCoroutine(fleet.hosts["a1"].stop()).addCallback(stops.append)
+    fleet.run(119)
+    assert not stops
+    assert not begun.ends
+    fleet.run(6)
+    assert stops
+    assert begun.refused.outcome is Outcome.UNKNOWN
+
+
+def test_the_outcome_of_a_running_call_is_known_at_any_time() -> None:
+    fleet = PlainFleet(agents=0)
+    handle, _ = fleet.submit("POST", "/orders/1/confirm")
+    fleet.run(0.1)
+    assert handle.find_outcome() is Outcome.NOT_RUN
+    fleet = PlainFleet(agents=1)
+    fleet.faults["a1"].reply_delay = timedelta(seconds=1)
+    handle, _ = fleet.submit("POST", "/orders/1/confirm")
+    fleet.run(0.1)
+    assert handle.find_outcome() is Outcome.UNKNOWN
+
+
 def test_slow_caller_makes_the_agent_pause() -> None:
     fleet = PlainFleet(agents=1)
     handle, reply = fleet.submit("PUT", "/echo", body=b"x" * 1_000_000)
