--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -8,6 +8,7 @@
     AttemptOutcome,
     decide_after_attempt,
 )
+from lavenderrun.dispatch._call_durations import CallDurations
 from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
 from lavenderrun.dispatch._crashing_parts import (
     MAX_SHARED_PARTS,
@@ -16,6 +17,7 @@
     ServerCrash,
 )
 from lavenderrun.dispatch._departures import DepartureNotices
+from lavenderrun.dispatch._grace_period import GracePeriod
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
 from lavenderrun.dispatch._leases import (
     FencingGuard,
@@ -84,12 +86,14 @@
     "AttemptOutcome",
     "BackendHealth",
     "CacheState",
+    "CallDurations",
     "CallRequirements",
     "CrashingParts",
     "DepartureNotices",
     "EngineEvidence",
     "FencingGuard",
     "FleetOccupancy",
+    "GracePeriod",
     "HealthTracker",
     "HostIncarnation",
     "LeaseKeeper",
--- a/src/lavenderrun/gateway/_boundary.py
+++ b/src/lavenderrun/gateway/_boundary.py
@@ -22,6 +22,7 @@
 from lavenderrun.types import (
     BackendId,
     CallFailure,
+    CancelReason,
     Fingerprint,
     Headers,
     Member,
@@ -68,10 +69,14 @@
     """A running call whose errors pass a boundary when its caller pauses, resumes or leaves."""
 
     def __init__(self, running: RunningCall, boundary: CallBoundary) -> None:
-        self.cancel: Callable[[], None] = boundary.guard(running.cancel)
+        self._cancel = boundary.guard(running.cancel)
         self.pause: Callable[[], None] = boundary.guard(running.pause)
         self.resume: Callable[[], None] = boundary.guard(running.resume)
 
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
+        """End the call, as ``RunningCall.cancel``."""
+        self._cancel(reason)
+
 
 def _raise(error: Exception) -> None:
     raise error
--- a/src/lavenderrun/gateway/_call_services.py
+++ b/src/lavenderrun/gateway/_call_services.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
 from typing import Any, Protocol
 
-from lavenderrun.dispatch import CallRequirements, CrashingParts, SuspectTracker
+from lavenderrun.dispatch import CallDurations, CallRequirements, CrashingParts, SuspectTracker
 from lavenderrun.gateway._connection import Connection, Receiver
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation, DecodeSlotWaiter
 from lavenderrun.gateway._pool import Exchange
@@ -108,6 +108,7 @@
     suspects: CallSuspects
     suspension: SuspensionService
     random_source: Random
+    durations: CallDurations = field(default_factory=CallDurations)
 
     def free_cache(self, cache: HeldCache) -> None:
         """Ask the holder to free KV cache that no engine will take."""
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
+from twisted.web.http import RESPONSES
 
 from lavenderrun.decoding import parse_address
 from lavenderrun.dispatch import TimeLimitHistory
@@ -19,7 +20,8 @@
 from lavenderrun.gateway._ports import CallerDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._router import GatewayRouter
-from lavenderrun.gateway._sockets import set_socket_options
+from lavenderrun.gateway._running_call import LEAVING_RETRY_AFTER
+from lavenderrun.gateway._sockets import has_unread_bytes, set_socket_options, stop_accepting
 from lavenderrun.gateway._stats import OPEN_CONNECTIONS, PARTIAL, REQUESTS, UNANSWERED, Stats
 from lavenderrun.http_server import (
     AccountedChannel,
@@ -268,6 +270,17 @@
         """Do nothing: ``CallerRequest.connectionLost`` cancels the call."""
 
 
+def encode_answer(status: int, headers: Headers, body: bytes) -> bytes:
+    """Return the bytes of an answer after which the connection is closed."""
+    lines = [
+        f"HTTP/1.1 {status} {RESPONSES[status].decode()}",
+        *(f"{name}: {value}" for name, value in headers),
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    ]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
 class CallerChannel(AccountedChannel):
     """One connection of a caller.
 
@@ -284,12 +297,15 @@
         self._service = service
         self._is_reading = False
         self._is_last_read = False
+        self._is_discarding = False
         self._body_due: datetime | None = None
         self._body_bytes = 0
         self.max_body_bytes = service.max_body_bytes
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read a part of a request; its first part begins the time limit of the head."""
+        if self._is_discarding:
+            return
         if not self._is_reading and not self._handlingRequest:
             self._is_reading, self._is_last_read = True, False
             # a limit that is lowered later is for later requests
@@ -348,6 +364,11 @@
             self._is_last_read = False
             self.setTimeout(limit.total_seconds())
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has been read in part."""
+        return self._is_reading
+
     @property
     def has_pipelined(self) -> bool:
         """Whether a part of another request has arrived behind the one under way."""
@@ -357,10 +378,19 @@
         """Close the connection now, or after the answers to what has arrived."""
         if self.requests and not self.has_pipelined and not self._is_reading:
             self.persistent = 0
-        elif not self.requests and not self._is_reading:
+        elif not (self.requests or self._is_reading or has_unread_bytes(self.transport)):
             self.note_closing(CloseReason.DEPARTURE)
             self.loseConnection()
 
+    def refuse_unread(self, answer: bytes) -> None:
+        """Answer a request that was read in part; the rest of it is discarded."""
+        if self._is_reading and not self._is_discarding:
+            self._is_discarding = True
+            self.note_closing(CloseReason.DEPARTURE)
+            self.transport.write(answer)
+            # a close while the caller still sends would reset the connection before it has read
+            self.transport.loseWriteConnection()
+
 
 class CallerFactory(AccountedFactory):
     """Makes a channel for each connection of a caller."""
@@ -430,13 +460,36 @@
         log("callers:listening", "callers: listening", address=self._listen)
         self._configuration.watch(self._configure)
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has been read in part."""
+        return any(channel.is_reading for channel in self.channels)
+
     def stop(self) -> None:
         """Accept no more connections and close those that are left."""
-        if self._port is not None:
-            self._port.stopListening()
+        self.stop_listening()
         self.account.is_leaving = True
         self.close_idle()
 
+    def stop_listening(self) -> None:
+        """Accept the connections that wait, and no more."""
+        port, self._port = self._port, None
+        if port is not None:
+            stop_accepting(port)
+
+    def refuse_unread(self) -> None:
+        """Refuse the requests that were read in part."""
+        refused = Refused(
+            Refusal.LEAVING,
+            Outcome.NOT_RUN,
+            Step.ADMISSION,
+            retry_after=LEAVING_RETRY_AFTER,
+            detail="request not complete",
+        )
+        answer = encode_answer(*self.dialect.encode_refusal(None, refused))
+        for channel in list(self.channels):
+            channel.refuse_unread(answer)
+
     def close_idle(self) -> None:
         """Close each connection now, or after the answer that is under way."""
         for channel in list(self.channels):
--- a/src/lavenderrun/gateway/_engine_search.py
+++ b/src/lavenderrun/gateway/_engine_search.py
@@ -75,6 +75,11 @@
         self._needs_own_prompt = False
         self._moving_since: datetime | None = None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the search waits for a decode slot."""
+        return self._waiter is not None
+
     def start(self) -> None:
         """Search for an engine, if there is time left."""
         if self._admitted.deadline - self._services.clock.now() <= MIN_SEND_TIME:
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
-from lavenderrun.dispatch import Access, authorize_call, make_fingerprint
+from lavenderrun.dispatch import Access, GracePeriod, authorize_call, make_fingerprint
 from lavenderrun.gateway._boundary import CallBoundary, GuardedCall
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
@@ -16,7 +18,11 @@
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import BackendDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
-from lavenderrun.gateway._running_call import AdmittedCall, RunningCallBase
+from lavenderrun.gateway._running_call import (
+    LEAVING_RETRY_AFTER,
+    AdmittedCall,
+    RunningCallBase,
+)
 from lavenderrun.gateway._stats import CALLS, REFUSALS, Stats
 from lavenderrun.gateway._stream_call import StreamCall
 from lavenderrun.gateway._suspects import SuspectsService
@@ -28,6 +34,7 @@
 from lavenderrun.types import (
     CallRoute,
     CallSink,
+    CancelReason,
     ClientAccount,
     Delivery,
     GatewayCall,
@@ -43,14 +50,19 @@
 NOT_READY_RETRY_AFTER: Final = timedelta(milliseconds=300)
 """Wait advised to a caller while this host cannot tell whether its call is allowed."""
 
-LEAVING_RETRY_AFTER: Final = timedelta(milliseconds=50)
-"""Wait advised to a caller while this host stops: another host can serve it at once."""
-
 QUARANTINE_RETRY_AFTER: Final = timedelta(seconds=4)
 """Wait advised after a call has crashed several servers: they take some seconds to restart."""
 
-LEAVING_GRACE: Final = timedelta(seconds=3)
-"""Time after the order to stop during which new calls are still admitted."""
+CONFIRMATION_TIME: Final = timedelta(seconds=1)
+"""Time that a call is expected to take whose route the store has yet to confirm."""
+
+
+@dataclass(frozen=True)
+class _Departure:
+    """A planned stop that has begun; see :meth:`GatewayRouter.leave` for the parameters."""
+
+    grace: GracePeriod
+    read_elapsed: Callable[[], timedelta]
 
 
 MAX_CONFIRMATION_WAIT: Final = timedelta(milliseconds=1500)
@@ -61,17 +73,24 @@
 
 
 class _PendingConfirmation:
-    """A call that waits for the store to confirm that it is not allowed."""
+    """A call that waits for the store to confirm that it is not allowed.
+
+    :param refuse: refuses the call because this host stops.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, refuse: Callable[[], RunningCall]) -> None:
+        self._refuse = refuse
         self.running: RunningCall | None = None
         self.is_over = False
 
-    def cancel(self) -> None:
-        """Cancel the call, because the caller is gone."""
-        self.is_over = True
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
+        """End the call; one whose caller is there is refused as not run."""
         if self.running is not None:
-            self.running.cancel()
+            self.running.cancel(reason)
+        elif not self.is_over:
+            self.is_over = True
+            if reason is CancelReason.DEPARTURE:
+                self._refuse()
 
     def pause(self) -> None:
         """Stop reading from backend servers, if the call runs already."""
@@ -87,7 +106,7 @@
 class _RefusedCall:
     """A call that was refused at once; nothing runs."""
 
-    def cancel(self) -> None:
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
         """Do nothing, because nothing runs."""
 
     def pause(self) -> None:
@@ -129,23 +148,25 @@
         )
         # in order of their arrival, so that the same calls are cancelled in the same order
         self._running: dict[RunningCallBase, None] = {}
-        self._leaving_since: datetime | None = None
+        self._pending: dict[_PendingConfirmation, None] = {}
+        self._departure: _Departure | None = None
+        self._is_closed = False
 
     @property
     def is_ready(self) -> bool:
         """Whether calls can be served: configuration and backend servers are known."""
         is_known = self._configuration.current is not None and self._members.is_known
-        return is_known and self._leaving_since is None
+        return is_known and self._departure is None
 
     @property
     def is_leaving(self) -> bool:
         """Whether this host was ordered to stop."""
-        return self._leaving_since is not None
+        return self._departure is not None
 
     @property
     def running_count(self) -> int:
-        """Number of calls that run."""
-        return len(self._running)
+        """Number of calls that run or wait for the store's confirmation."""
+        return len(self._running) + len(self._pending)
 
     def start(self) -> None:
         """Start to watch for prompts that crash servers and for suspensions of this host."""
@@ -153,13 +174,35 @@
         self._services.suspension.watch(self._note_suspension)
 
     def stop(self) -> None:
-        """Cancel the calls that still run."""
-        for running in list(self._running):
-            running.cancel()
-
-    def leave(self) -> None:
-        """Admit new calls for ``LEAVING_GRACE`` only; running calls continue."""
-        self._leaving_since = self._clock.now()
+        """Answer the calls that still run."""
+        self.answer_remaining()
+
+    def leave(self, grace: GracePeriod, read_elapsed: Callable[[], timedelta]) -> None:
+        """Admit only calls that can end in the grace period; running calls continue.
+
+        :param read_elapsed: returns the time since the order to stop.
+        """
+        self._departure = _Departure(grace, read_elapsed)
+
+    def refuse_late(self) -> None:
+        """Refuse calls that wait and can't end in the grace period any more."""
+        if self._departure is None:
+            return
+        grace, elapsed = self._departure.grace, self._departure.read_elapsed()
+        if not grace.can_end(elapsed, CONFIRMATION_TIME, CONFIRMATION_TIME):
+            self._refuse_pending()
+        self._for_each_call(lambda running: running.refuse_if_late(elapsed, grace))
+
+    def answer_remaining(self) -> None:
+        """Admit no more calls and answer those that have not ended with their true outcome."""
+        self._is_closed = True
+        self._refuse_pending()
+        self._for_each_call(lambda running: running.cancel(CancelReason.DEPARTURE))
+
+    def _refuse_pending(self) -> None:
+        for pending in list(self._pending):
+            pending.cancel(CancelReason.DEPARTURE)
+        self._pending.clear()
 
     def submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
         """Admit *call*, or refuse it, and give its answer to *sink*."""
@@ -169,6 +212,8 @@
             return self._refuse_failed(call, sink, error)
 
     def _submit(self, call: GatewayCall, sink: CallSink) -> RunningCall:
+        if self._is_closed:
+            return self._refuse_leaving(call, sink)
         arrived = self._clock.now()
         access = self._authorize(call)
         if isinstance(access, Access):
@@ -179,9 +224,11 @@
 
     def _confirm(self, call: GatewayCall, sink: CallSink, arrived: datetime) -> RunningCall:
         """Let the store confirm that a call is not allowed, and decide anew."""
-        pending = _PendingConfirmation()
+        pending = _PendingConfirmation(lambda: self._refuse_leaving(call, sink))
+        self._pending[pending] = None
 
         def decide(confirmed: bool) -> None:
+            self._pending.pop(pending, None)
             if pending.is_over:
                 return
             pending.is_over = True
@@ -222,8 +269,18 @@
     def _admit(
         self, call: GatewayCall, access: Access, sink: CallSink, arrived: datetime
     ) -> RunningCall:
-        if self._leaving_since is not None and arrived - self._leaving_since > LEAVING_GRACE:
-            return self._refuse(call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY_AFTER)
+        patience = access.route.timeout if call.patience is None else call.patience
+        deadline = arrived + min(patience, access.route.timeout)
+        if self._departure is not None:
+            elapsed = self._departure.read_elapsed()
+            duration = self._services.durations.estimate(access.route, call.size)
+            if not self._departure.grace.may_admit(elapsed, duration, deadline - arrived):
+                return self._refuse_leaving(
+                    call,
+                    sink,
+                    leaving_ms=to_milliseconds(elapsed),
+                    expected_ms=to_milliseconds(duration),
+                )
         fingerprint = make_fingerprint(call, access.account.id if access.account else None)
         suspects = self._services.suspects
         if suspects.calls.is_quarantined(fingerprint, arrived):
@@ -256,14 +313,13 @@
                 }
                 return self._refuse(call, sink, Refusal.OVER_RATE, Step.LIMIT, wait, **log_fields)
         self._services.view.resends.count_call(service, arrived)
-        patience = route.timeout if call.patience is None else call.patience
         admitted = AdmittedCall(
             call,
             access,
             service,
             cost,
             arrived,
-            arrived + min(patience, route.timeout),
+            deadline,
             arrived + patience,
         )
         call_log = CallLog(call, fingerprint)
@@ -289,9 +345,13 @@
         return GuardedCall(running, boundary)
 
     def _reject_crashing(self) -> None:
+        self._for_each_call(lambda running: running.reject_if_crashing())
+
+    def _for_each_call(self, act: Callable[[RunningCallBase], None]) -> None:
+        """Apply *act* to each running call; an unexpected error ends that call only."""
         for running in list(self._running):
             try:
-                running.reject_if_crashing()
+                act(running)
             except Exception as error:
                 running.fail(error)
 
@@ -320,6 +380,11 @@
             error=describe_error(error),
         )
 
+    def _refuse_leaving(self, call: GatewayCall, sink: CallSink, **log_fields: Any) -> RunningCall:
+        return self._refuse(
+            call, sink, Refusal.LEAVING, Step.ADMISSION, LEAVING_RETRY_AFTER, **log_fields
+        )
+
     def _refuse(
         self,
         call: GatewayCall,
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -9,15 +9,23 @@
 from functools import partial
 from typing import Final
 
-from lavenderrun.dispatch import MIN_SERVICE_TIME, Access
+from lavenderrun.dispatch import MIN_SERVICE_TIME, Access, GracePeriod
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
-from lavenderrun.gateway._stats import CALLS, FIRST_ANSWER, REFUSALS, RESENDS, WHOLE_ANSWER
+from lavenderrun.gateway._stats import (
+    CALLS,
+    DEPARTURE_ENDS,
+    FIRST_ANSWER,
+    REFUSALS,
+    RESENDS,
+    WHOLE_ANSWER,
+)
 from lavenderrun.http_server import describe_error
 from lavenderrun.kernel import Timer
 from lavenderrun.types import (
     CallContext,
     CallSink,
+    CancelReason,
     GatewayCall,
     HeldCache,
     Member,
@@ -34,6 +42,9 @@
 RETRY_AFTER_NO_SLOT: Final = timedelta(seconds=2)
 """Wait advised without a free decode slot: about the time in which a third of the slots free up."""
 
+LEAVING_RETRY_AFTER: Final = timedelta(milliseconds=50)
+"""Wait advised to a caller while this host stops: another host can serve it at once."""
+
 MIN_SEND_TIME: Final = MIN_SERVICE_TIME
 
 MAX_TIMER_DELAY: Final = timedelta(milliseconds=250)
@@ -92,11 +103,58 @@
     def _may_have_run(self) -> bool:
         """Tell whether a backend server may have begun the call."""
 
-    def cancel(self) -> None:
-        """End the call, because the caller is gone."""
-        if not self._is_over:
-            self._call_log.write("cancelled", "caller is gone")
-            self._finish("cancelled")
+    def cancel(self, reason: CancelReason = CancelReason.CALLER_GONE) -> None:
+        """End the call; one whose caller is there is answered with its true outcome."""
+        if self._is_over:
+            return
+        if reason is CancelReason.DEPARTURE:
+            self._end_at_departure()
+            return
+        self._call_log.write("cancelled", "caller is gone", reason=reason.value)
+        self._finish("cancelled")
+
+    def _end_at_departure(self) -> None:
+        reason = CancelReason.DEPARTURE.value
+        if self._is_begun():
+            self._count_departure("cut")
+            self.cut(reason)
+        elif self._may_have_run():
+            self._count_departure(Outcome.UNKNOWN.value)
+            self._refuse(Refusal.LEAVING, Step.CALL, reason)
+        else:
+            self._count_departure(Outcome.NOT_RUN.value)
+            self._refuse(Refusal.LEAVING, Step.SEAT, reason, LEAVING_RETRY_AFTER)
+
+    def _count_departure(self, outcome: str) -> None:
+        delivery = self._admitted.access.route.delivery.value
+        self._services.stats.count(DEPARTURE_ENDS, self._admitted.service, delivery, outcome)
+
+    def _is_begun(self) -> bool:
+        """Tell whether a part of the answer has been passed on."""
+        return False
+
+    def cut(self, detail: str) -> None:
+        """Break off an answer that has begun, so that it can't look complete."""
+        self._call_log.write("cut", "answer cut off", detail=detail)
+        self._release()
+        self._sink.abort()
+        self._finish("cut")
+
+    def refuse_if_late(self, elapsed: timedelta, grace: GracePeriod) -> None:
+        """Refuse a call that waits if it can't end in the grace period any more.
+
+        :param elapsed: time since this host was ordered to stop.
+        """
+        if self._is_over or not self._is_waiting():
+            return
+        route = self._admitted.access.route
+        duration = self._services.durations.estimate(route, self._admitted.call.size)
+        if not grace.can_end(elapsed, duration, self._time_left()):
+            self._end_at_departure()
+
+    def _is_waiting(self) -> bool:
+        """Tell whether nothing has begun on the call, at this host or at a backend server."""
+        return not self._may_have_run()
 
     def fail(self, error: Exception) -> None:
         """End the call after an unexpected error in its handling, and release what it holds."""
@@ -193,6 +251,7 @@
         if self._is_over:
             return
         if self._may_have_run():
+            self._observe_duration()
             self._refuse(Refusal.OUTCOME_UNKNOWN, Step.CALL, "deadline reached")
         else:
             self._refuse(Refusal.DEADLINE, Step.SEAT, "deadline reached")
@@ -228,9 +287,16 @@
         delivery = self._admitted.access.route.delivery.value
         self._services.stats.observe(FIRST_ANSWER, took, delivery)
 
+    def _observe_duration(self) -> None:
+        took = self._services.clock.now() - self._admitted.arrived
+        route = self._admitted.access.route
+        self._services.durations.observe(route, self._admitted.call.size, took)
+
     def _finish(self, outcome: str) -> None:
         if self._is_over:
             return
+        if outcome == "answered":
+            self._observe_duration()
         self._is_over = True
         for timer in self._timers:
             timer.cancel()
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -261,6 +261,12 @@
         else:
             super()._reach_deadline()
 
+    def _is_begun(self) -> bool:
+        return self._events.is_begun
+
+    def _is_waiting(self) -> bool:
+        return self._search.is_waiting and super()._is_waiting()
+
     def _may_have_run(self) -> bool:
         return self._is_outcome_unknown or (self._attempt is not None and self._attempt.sent)
 
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -8,6 +8,7 @@
     CallContext,
     CallFailure,
     CallSink,
+    CancelReason,
     DeclaredSize,
     GatewayCall,
     Headers,
@@ -206,6 +207,7 @@
     PlainRequest,
     ReplySink,
     RequestHandle,
+    TracedHandle,
 )
 from ._revisions import (
     Change,
@@ -293,6 +295,7 @@
     "CallerRefused",
     "CallerSent",
     "Cancel",
+    "CancelReason",
     "Change",
     "Charge",
     "Claim",
@@ -454,6 +457,7 @@
     "TokenSink",
     "TokensGranted",
     "TokensReturned",
+    "TracedHandle",
     "Transport",
     "WeightedService",
     "event",
