Let the stand-in tell a new connection from an earlier one

test_an_earlier_answer_on_a_kept_connection_is_not_believed[500-without an id] failed once beside load: a 500 was passed on. The stand-in remembered earlier calls by id(handler), which a later handler may have again, and wrote the earlier answer on a new connection. There nothing tells it from the proper one, so the gateway is right to pass it on.

The new test fails with the old key.

--- a/tests/platform/test_kept_connections.py
+++ b/tests/platform/test_kept_connections.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import http.client
 import time
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
+from weakref import WeakKeyDictionary
 
 import pytest
-from gateway_process import Gateway, StandinPlatform
+from gateway_process import WAIT, Gateway, StandinPlatform
 from platform_standin import ORDERS, PLAIN, SeenRequest, StandinServer
 
 REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n"
@@ -28,12 +30,13 @@
     def __post_init__(self) -> None:
         super().__post_init__()
         self.running: list[str] = []
-        self._last: dict[int, str] = {}
+        # an id() of a handler that is gone may be that of a later one
+        self._last: WeakKeyDictionary[BaseHTTPRequestHandler, str] = WeakKeyDictionary()
 
     def run(self, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> None:
         request = seen.headers["x-request-id"]
-        last = self._last.get(id(handler))
-        self._last[id(handler)] = request
+        last = self._last.get(handler)
+        self._last[handler] = request
         if last is None:
             super().run(handler, seen)
             return
@@ -43,6 +46,21 @@
         super().run(handler, seen)
 
 
+# a handler's id() may be that of an earlier one, so an answer was repeated on a new connection,
+# where nothing tells it from the proper one
+def test_the_server_repeats_no_answer_on_a_new_connection() -> None:
+    server = RepeatingServer("app-1", "apps")
+    server.earlier = lambda last: b""
+    for number in range(100):
+        connection = http.client.HTTPConnection(server.address, timeout=WAIT)
+        headers = {"X-Request-Id": f"r{number}", "X-Expect-Instance": server.id}
+        connection.request("GET", PLAIN + "x", headers=headers)
+        assert connection.getresponse().read()
+        connection.close()
+    server.close()
+    assert not server.running
+
+
 def make_servers(
     platform: StandinPlatform, form: bytes, *, with_id: bool
 ) -> tuple[Gateway, list[RepeatingServer]]:
