End a request of an entry whose handling fails with an answer

An unexpected error in a message, a link's change, a timer or a charge left the request of an entry as it was: it hung until its caller left, and the requests behind it in the same loop were not told of the link.

Each step in the handling of a request runs in run_guarded, which logs the error and ends that request as unknown, with its attempt cancelled and its charge settled. The five new cases fail without the change and pass with it. The timers of a PlainAttempt are not guarded yet.

--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 from msgspec import structs
@@ -27,6 +28,7 @@
 )
 from lavenderrun.services._model_answer import ModelAnswer
 from lavenderrun.services._model_charge import RequestCharge
+from lavenderrun.services._run_boundary import run_guarded
 from lavenderrun.types import (
     AdmittedModel,
     AnswerBegun,
@@ -142,7 +144,12 @@
             self._request_slot()
             return
         tokens = self._prompt_tokens + self._max_tokens
-        self._charge.begin(account, tokens, self.admitted.route.patience, self._handle_charge)
+        self._charge.begin(
+            account,
+            tokens,
+            self.admitted.route.patience,
+            partial(run_guarded, self, self._handle_charge),
+        )
 
     def handle_message(self, link: Link, message: Message) -> None:
         """Handle an agent's message; messages of earlier attempts are ignored."""
@@ -195,6 +202,16 @@
         self._router.events.emit(RequestCancelled(self.request.request))
         self._end()
 
+    def fail(self) -> None:
+        """End the request after an unexpected error, and free all that is held for it."""
+        if self.state is RunState.DONE:
+            return
+        refused = Refused(Refusal.OUTCOME_UNKNOWN, Outcome.UNKNOWN, Step.SEAT)
+        try:
+            self._cancel_attempt()
+        finally:
+            self._refuse(refused)
+
     def _handle_charge(self, refused: Refused | None) -> None:
         if self.state is RunState.DONE:
             return
@@ -280,7 +297,9 @@
         self._probe = self._router.quarantine.begin_probe(
             self.admitted.fingerprint, self.request.request
         )
-        self._probe.addCallbacks(lambda _: self._request_slot(), lambda failure: None)
+        self._probe.addCallbacks(
+            lambda _: run_guarded(self, self._request_slot), lambda failure: None
+        )
 
     def _order_prefill(self, promise: SeatPromised) -> None:
         assert self._decode_link is not None
@@ -499,4 +518,4 @@
 
     def _set_timer(self, delay: timedelta, call: Callable[..., None], *args: object) -> None:
         self._timer.cancel()
-        self._timer = self._router.clock.call_later(delay, call, *args)
+        self._timer = self._router.clock.call_later(delay, run_guarded, self, call, *args)
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -12,6 +12,7 @@
 from lavenderrun.services._drain import Drain
 from lavenderrun.services._event_emitter import EventEmitter
 from lavenderrun.services._model_request import ModelRun
+from lavenderrun.services._run_boundary import run_guarded
 from lavenderrun.types import (
     AccountId,
     Admission,
@@ -119,28 +120,28 @@
         run = ModelRun(self, request, admitted, sink)
         self._runs[request.request] = run
         self.retry_budget.note_first_try(admitted.account, self.clock.now())
-        run.begin()
+        run_guarded(run, run.begin)
         return run
 
     def _handle_message(self, link: Link, message: Message) -> None:
         run = self._runs.get(message.request)  # type: ignore[attr-defined]
         if run is not None:
-            run.handle_message(link, message)
+            run_guarded(run, run.handle_message, link, message)
 
     def _handle_link_up(self, link: Link) -> None:
         self.chooser.add_agent(link)
         for run in list(self._runs.values()):
-            run.handle_link_up(link)
+            run_guarded(run, run.handle_link_up, link)
 
     def _handle_link_down(self, link: Link) -> None:
         self.chooser.remove_agent(link)
         for run in list(self._runs.values()):
-            run.handle_link_down(link)
+            run_guarded(run, run.handle_link_down, link)
 
     def _refuse_withdrawn(self) -> None:
         for run in list(self._runs.values()):
             if self.find_refusal(run) is Refusal.UNKNOWN_KEY:
-                run.refuse_unstarted(Refusal.UNKNOWN_KEY)
+                run_guarded(run, run.refuse_unstarted, Refusal.UNKNOWN_KEY)
 
     def _apply_document(self, document: Document) -> None:
         self.retry_budget.share = document.retry_share
--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -17,6 +17,7 @@
 from lavenderrun.services._plain_claim import PlainClaim
 from lavenderrun.services._plain_reply import NullSink, ReplyAssembler
 from lavenderrun.services._plain_sending import send_call
+from lavenderrun.services._run_boundary import run_guarded
 from lavenderrun.types import (
     AdmittedPlain,
     AnswerBegun,
@@ -116,7 +117,10 @@
             return
         charging = router.limits.charge(admitted.account, 1.0, 0.0, admitted.route.patience)
         self._charging = charging
-        charging.addCallbacks(self._handle_charge, self._fail_charge)
+        charging.addCallbacks(
+            partial(run_guarded, self, self._handle_charge),
+            partial(run_guarded, self, self._fail_charge),
+        )
 
     def cancel(self) -> None:
         """Cancel the call because its caller has disconnected.
@@ -153,6 +157,17 @@
             self._withdraw_refusal = refusal
             self._attempt.request_revoke(RevokeReason.WITHDRAWN)
 
+    def fail(self) -> None:
+        """End the call after an unexpected error; its attempt is cancelled."""
+        if self.state is CallState.DONE:
+            return
+        self._may_have_run = True
+        try:
+            if self._attempt is not None:
+                self._attempt.cancel()
+        finally:
+            self.refuse_as_unknown("unexpected error")
+
     def handle_link_up(self, link: Link) -> None:
         """Pass a new link to the attempt."""
         if self._attempt is not None:
@@ -209,7 +224,9 @@
             return
         self.state = CallState.CLAIMING
         self._claim.acquire(number, link).addCallbacks(
-            self._handle_claim, self._fail_claim, callbackArgs=(self._claim, link, number)
+            partial(run_guarded, self, self._handle_claim),
+            partial(run_guarded, self, self._fail_claim),
+            callbackArgs=(self._claim, link, number),
         )
 
     def _handle_claim(
@@ -400,4 +417,4 @@
 
     def _set_timer(self, delay: timedelta, call: Callable[..., None], *args: object) -> None:
         self._timer.cancel()
-        self._timer = self._router.clock.call_later(delay, call, *args)
+        self._timer = self._router.clock.call_later(delay, run_guarded, self, call, *args)
--- a/src/lavenderrun/services/_plain_router.py
+++ b/src/lavenderrun/services/_plain_router.py
@@ -17,6 +17,7 @@
 from lavenderrun.services._plain_attempt import CallMessage
 from lavenderrun.services._plain_call import PlainCall
 from lavenderrun.services._plain_claim import PlainClaim
+from lavenderrun.services._run_boundary import run_guarded
 from lavenderrun.types import (
     Admission,
     AdmittedPlain,
@@ -110,7 +111,7 @@
         self._calls[call] = None
         self.add_follower(request.request, call)
         self.retry_budget.note_first_try(admitted.account, self.clock.now())
-        call.begin()
+        run_guarded(call, call.begin)
         return call
 
     def choose_agent(
@@ -169,23 +170,23 @@
 
     def _handle_message(self, link: Link, message: CallMessage) -> None:
         for call in list(self._followers.get(message.request, ())):
-            call.handle_message(link, message)
+            run_guarded(call, call.handle_message, link, message)
 
     def _handle_link_up(self, link: Link) -> None:
         self._chooser.add_agent(link)
         for call in list(self._calls):
-            call.handle_link_up(link)
+            run_guarded(call, call.handle_link_up, link)
 
     def _handle_link_down(self, link: Link) -> None:
         self._chooser.remove_agent(link)
         for call in list(self._calls):
-            call.handle_link_down(link)
+            run_guarded(call, call.handle_link_down, link)
 
     def _withdraw_refused(self) -> None:
         for call in list(self._calls):
             refusal = self._admission.find_refusal(call.admitted)
             if refusal is not None:
-                call.withdraw(refusal)
+                run_guarded(call, call.withdraw, refusal)
 
     def _apply_document(self, document: Document) -> None:
         self.retry_budget.share = document.retry_share
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -5,6 +5,7 @@
 import pytest
 from fleet import MODEL, Fleet, RecordingSink
 
+from lavenderrun.services._model_request import ModelRun
 from lavenderrun.standins import expected_tokens
 from lavenderrun.types import (
     BackendRun,
@@ -74,6 +75,28 @@
     assert fleet.limits.charged_tokens <= long_requests
 
 
+# the request hung, or its caller waited for its patience
+@pytest.mark.parametrize("method", ["_order_prefill", "_start_decode", "_handle_frame"])
+def test_a_request_whose_handling_fails_is_refused_and_frees_everything(
+    monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    def fail(*_: object) -> None:
+        raise RuntimeError
+
+    fleet = Fleet()
+    with monkeypatch.context() as patched:
+        patched.setattr(ModelRun, method, fail)
+        _, sink = fleet.submit(PROMPT)
+        fleet.run(1)
+    [refused] = sink.ends
+    assert isinstance(refused, Refused)
+    assert refused.outcome is Outcome.UNKNOWN
+    _, later = fleet.submit(PROMPT)
+    fleet.run(5)
+    assert_whole(later, PROMPT, 40)
+    assert fleet.count_held() == 0
+
+
 def test_cancelled_request_frees_its_slot_and_memory() -> None:
     for after in (0.0, 0.004, 0.01, 0.02, 0.5):
         fleet = Fleet()
--- a/tests/services/test_plain_path.py
+++ b/tests/services/test_plain_path.py
@@ -7,6 +7,7 @@
 from fleet import MemoryRecord
 from plain_fleet import PlainFleet
 
+from lavenderrun.services._plain_call import PlainCall
 from lavenderrun.types import BackendRun, Outcome, Refusal, RequestFinished
 
 # calls that must not run twice: confirming an order and publishing a layout
@@ -67,6 +68,26 @@
     assert fleet.count_jobs() == 0
 
 
+# the call hung until its caller left
+@pytest.mark.parametrize("method", ["_start_attempt", "complete_attempt"])
+def test_a_call_whose_handling_fails_is_refused_and_frees_everything(
+    monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    def fail(*_: object) -> None:
+        raise RuntimeError
+
+    fleet = PlainFleet()
+    with monkeypatch.context() as patched:
+        patched.setattr(PlainCall, method, fail)
+        _, reply = fleet.submit("GET", "/orders/7")
+        fleet.run(1)
+    assert reply.refused.outcome is Outcome.UNKNOWN
+    _, later = fleet.submit("GET", "/orders/8")
+    fleet.run(2)
+    assert later.is_whole
+    assert fleet.count_jobs() == 0
+
+
 def test_idempotent_calls_are_not_repeated_beyond_the_budget() -> None:
     fleet = PlainFleet()
     for faults in fleet.faults.values():
