--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -146,7 +146,8 @@
     @property
     def running_count(self) -> int:
         """Number of calls that run or wait for the store's confirmation."""
-        return len(self._running) + len(self._pending)
+        pending_count = sum(not pending.is_over for pending in self._pending)
+        return len(self._running) + pending_count
 
     def start(self) -> None:
         """Start to reject running calls whose prompt turns out to crash servers."""
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -390,3 +390,27 @@
     assert found.count(b"HTTP/1.1 200 ") == 3
     assert found.count(b"Connection: close") == 1
     stop.wait_exit()
+
+
+# a call that waited for the store to confirm its refusal did not count as running
+def test_a_call_that_waits_for_the_store_is_refused_as_not_run_before_the_end(
+    platform: StandinPlatform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    platform.add(StandinServer("app-1", "apps"))
+    gateway = start_gateway(platform)
+    answer_store = platform.store.answer
+    is_silent = threading.Event()
+
+    def answer(*given: Any) -> tuple[int, dict[str, Any]]:
+        if is_silent.is_set():
+            time.sleep(3.0)
+        return answer_store(*given)
+
+    monkeypatch.setattr(platform.store, "answer", answer)
+    stop = Stop(gateway)
+    stop.wait_until(2.4)
+    is_silent.set()
+    refused = gateway.call(PLAIN + "x", key="unknown", headers=PATIENT)
+    assert stop.elapsed < GRACE * 5 / 6 - 0.2
+    check_refusal(refused, 503, "not-run")
+    assert json.loads(refused.body)["error"] == "leaving"
