Give the notice of dropped log lines a timestamp

Readers that sort the lines of several gateways by time put the notice at the beginning, for it was the only line without a timestamp: it is not written through the logging library. It now has the time of the line that follows it.

The test failed before with KeyError: 'timestamp' and passes now.

--- a/src/lavenderrun/gateway/_log.py
+++ b/src/lavenderrun/gateway/_log.py
@@ -66,14 +66,16 @@
 
     def write(self, message: dict[str, Any]) -> None:
         """Write one line, or drop it when the rate is exceeded or the reader is slow."""
-        if not (self._take_allowance() and self._report_dropped() and self._write_line(message)):
+        if not (self._take_allowance() and self._report_dropped(message) and self._write_line(message)):
             self.dropped += 1
             self._unreported += 1
 
-    def _report_dropped(self) -> bool:
+    def _report_dropped(self, before: dict[str, Any]) -> bool:
+        """Write how many lines were dropped, with the time of the line that follows."""
         if not self._unreported:
             return True
         notice = {
+            "timestamp": before.get("timestamp", self._clock.now().timestamp()),
             "message_type": "log:dropped",
             "text": "log: lines dropped",
             "n": self._unreported,
--- a/tests/gateway/test_log.py
+++ b/tests/gateway/test_log.py
@@ -63,6 +63,23 @@
     os.close(writing)
 
 
+# the notice had no timestamp, so whoever sorts the lines by time put it elsewhere
+def test_the_notice_of_dropped_lines_has_the_time_of_the_line_after_it() -> None:
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, 1031, 1 << 20)
+    time = FakeTime()
+    log = make_log(time, writing)
+    for _ in range(2001):
+        log.write({"timestamp": 7.0})
+    time.advance(1)
+    log.write({"timestamp": 8.5, "n": 1})
+    notice, last = read_lines(reading)[-2:]
+    assert (notice["message_type"], notice["n"], notice["timestamp"]) == ("log:dropped", 1, 8.5)
+    assert last["n"] == 1
+    os.close(reading)
+    os.close(writing)
+
+
 def test_a_closed_reader_raises_nothing() -> None:
     reading, writing = os.pipe()
     os.close(reading)
