Drop the log lines of whole calls rather than lines in the middle

When a gateway wrote more than its rate of log lines, lines were dropped as they came: what the log told of a call lacked lines in the middle, and failures and refusals were lost with the rest. A test that waited for the line of a refusal beside calls that were tried in a busy loop never saw it.

LineSelection decides by what a line is: while less than half of the burst is left, the lines of calls that begin then are dropped together, so that those under way can be told to their end. Failed attempts, refusals, further sends, cut answers and the lines of the host are written as long as the rate allows, and say how many lines of their call are missing. A call that loses a line to a slow reader loses the rest of its ordinary lines too.

The test of 1,000 calls at once failed before: nothing of a failed call after the burst was written.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -25,6 +25,7 @@
     LeaseWrite,
     StoredLease,
 )
+from lavenderrun.dispatch._line_selection import LineSelection, LineTraits
 from lavenderrun.dispatch._occupancy import FleetOccupancy, Reservations
 from lavenderrun.dispatch._placement import (
     PLACEMENTS,
@@ -69,6 +70,8 @@
     "LeaseKeeper",
     "LeaseTerms",
     "LeaseWrite",
+    "LineSelection",
+    "LineTraits",
     "PartReport",
     "Placement",
     "PlacementContext",
--- a/src/lavenderrun/gateway/_log.py
+++ b/src/lavenderrun/gateway/_log.py
@@ -5,11 +5,14 @@
 import json
 import os
 import select
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import Any, Final
 
 from eliot import add_destinations, log_message
 
+from lavenderrun.dispatch import LineSelection
+from lavenderrun.gateway._log_traits import find_traits
 from lavenderrun.kernel import Clock
 
 MILLISECOND: Final = timedelta(milliseconds=1)
@@ -46,6 +49,9 @@
 class BoundedLog:
     """Writes log lines to a file descriptor; drops and counts those that exceed the rate or block.
 
+    :class:`LineSelection` chooses the lines that are dropped. A line of a call that lacks earlier
+    ones says how many.
+
     :param descriptor: the file descriptor to write to.
     :ivar dropped: lines dropped since the start.
     """
@@ -55,8 +61,7 @@
         self._descriptor = descriptor
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
-        self._allowed_lines = float(MAX_LINES_AT_ONCE)
-        self._refilled = clock.now()
+        self._selection = LineSelection(MAX_LINES_PER_SECOND, MAX_LINES_AT_ONCE, clock.now())
         self.dropped = 0
         self._unreported = 0
 
@@ -66,11 +71,22 @@
 
     def write(self, message: dict[str, Any]) -> None:
         """Write one line, or drop it when the rate is exceeded or the reader is slow."""
-        if not (self._take_allowance() and self._report_dropped(message) and self._write_line(message)):
-            self.dropped += 1
-            self._unreported += 1
-
-    def _report_dropped(self, before: dict[str, Any]) -> bool:
+        traits = find_traits(message)
+        if not self._selection.take(traits, self._clock.now()):
+            self._count_dropped()
+        else:
+            missing = self._selection.count_dropped(traits.call)
+            line = {**message, "call_lines_dropped": missing} if missing else message
+            if not (self._report_dropped(line) and self._write_line(line)):
+                self._selection.note_dropped(traits)
+                self._count_dropped()
+        self._selection.forget(traits)
+
+    def _count_dropped(self) -> None:
+        self.dropped += 1
+        self._unreported += 1
+
+    def _report_dropped(self, before: Mapping[str, Any]) -> bool:
         """Write how many lines were dropped, with the time of the line that follows."""
         if not self._unreported:
             return True
@@ -85,19 +101,7 @@
         self._unreported = 0
         return True
 
-    def _take_allowance(self) -> bool:
-        now = self._clock.now()
-        elapsed = (now - self._refilled).total_seconds()
-        self._allowed_lines = min(
-            MAX_LINES_AT_ONCE, self._allowed_lines + elapsed * MAX_LINES_PER_SECOND
-        )
-        self._refilled = now
-        if self._allowed_lines < 1:
-            return False
-        self._allowed_lines -= 1
-        return True
-
-    def _write_line(self, message: dict[str, Any]) -> bool:
+    def _write_line(self, message: Mapping[str, Any]) -> bool:
         line = json.dumps(message, default=str, separators=(",", ":")).encode()[
             : MAX_LINE_BYTES - 1
         ]
