Say in explain how a call ended

For an id that ended without a whole answer, explain printed its lines and left the reader to guess: a cut stream, a caller that left and a host that closed the connection had to be told apart by single words, and a request that was not read whole had no end at all. Requests of entries were told as lost, for explain looked for message types that the record never writes.

--- a/src/lavenderrun/commands/_explain.py
+++ b/src/lavenderrun/commands/_explain.py
@@ -11,17 +11,13 @@
 from typing import Any, Final
 
 from lavenderrun.commands._base import COMMANDS
+from lavenderrun.commands._call_end import CallEnd, find_end
 
 HIDDEN: Final = frozenset(
     {"text", "message_type", "timestamp", "task_uuid", "task_level", "request", "log"}
 )
 """Fields that a printed line leaves out or shows before the list of fields."""
 
-ENDS: Final = frozenset(
-    {"call:answered", "call:refused", "call:cut", "call:cancelled", "record:RequestFinished"}
-)
-"""Message types of lines that say how a call ended."""
-
 SUSPECTS_PREFIX: Final = '"suspects:'
 """What each line about suspect calls and parts of prompts contains."""
 
@@ -126,5 +122,22 @@
     began = float(found[0].get("timestamp", 0))
     yield f"call {request}, first seen {datetime.fromtimestamp(began, UTC).isoformat()}"
     yield from (format_line(line, began) for line in found)
-    if not any(line.get("message_type") in ENDS for line in found):
-        yield "no line tells how it ended: the process ended first, or its lines were dropped"
+    yield from format_ends(found)
+
+
+def format_ends(found: list[dict[str, Any]]) -> Iterator[str]:
+    """Yield how the call ended, for each log that tells it, and how many of its lines it lacks."""
+    own = [line for line in found if "call" not in line]
+    ends = {
+        name: find_end(line for line in own if line["log"] == name)
+        for name in dict.fromkeys(line["log"] for line in own)
+    }
+    for name, ended in ends.items():
+        if ended.end is not CallEnd.UNKNOWN:
+            yield f"ended in {name}: {ended.end.value}  {ended.detail}".rstrip()
+    if all(ended.end is CallEnd.UNKNOWN for ended in ends.values()):
+        yield CallEnd.UNKNOWN.value
+    for name in ends:
+        dropped = max(line.get("call_lines_dropped", 0) for line in own if line["log"] == name)
+        if dropped:
+            yield f"lacks lines in {name}: {dropped} were dropped"
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -26,12 +26,13 @@
     first = write(tmp_path / "one.log", make(10.5, "answered", member="s1"), make(9.0, "x", "b"))
     second = write(tmp_path / "two.log", make(10.0, "admitted", configuration=7))
     assert main(["explain", "a", first, second]) == 0
-    head, *lines = capsys.readouterr().out.splitlines()
+    head, *lines, end = capsys.readouterr().out.splitlines()
     assert head.startswith("call a, first seen 1970-01-01T00:00:10")
     assert [line.split("  ")[1:] for line in (text.strip() for text in lines)] == [
         ["two.log", "call: admitted", "configuration=7"],
         ["one.log", "call: answered", "member=s1"],
     ]
+    assert end == "ended in one.log: the whole answer was passed on"
     assert main(["explain", "a", "--json", first]) == 0
     assert json.loads(capsys.readouterr().out)["member"] == "s1"
 
@@ -46,3 +47,19 @@
     assert "in none of 1 logs" in capsys.readouterr().err
     assert main(["explain", "a", str(tmp_path / "none.log")]) == 2
     assert "can not be read" in capsys.readouterr().err
+
+
+# the end of a request without a whole answer had to be guessed from its lines
+def test_each_log_that_knows_the_end_tells_it_with_the_lines_that_it_lacks(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    first = write(tmp_path / "one.log", make(1.0, "cut", detail="engine lost", last="2"))
+    refused = make(2.0, "refused", reason="no_room", outcome="not-run", call_lines_dropped=3)
+    second = write(tmp_path / "two.log", refused)
+    third = write(tmp_path / "three.log", make(3.0, "send"))
+    assert main(["explain", "a", first, second, third]) == 0
+    assert capsys.readouterr().out.splitlines()[-3:] == [
+        "ended in one.log: broken off after its answer had begun  detail=engine lost last=2",
+        "ended in two.log: refused  reason=no_room outcome=not-run",
+        "lacks lines in two.log: 3 were dropped",
+    ]
