Cut the head of whichever engine is called first

The test waited for a certain one of two equal engines to be called and failed when all four calls went to the other one, which happened once. Whichever engine is called first now cuts its head, and both must have run the call once.

--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -7,7 +7,7 @@
 
 import pytest
 from gateway_process import Answer, Gateway, StandinPlatform
-from misbehaviour import break_after
+from misbehaviour import break_after, once
 from platform_standin import (
     ORDERS,
     PLAIN,
@@ -111,12 +111,14 @@
 ) -> None:
     platform.add(StandinServer("dec-2", "llm", "decode"))
     platform.wait_known(gateway)
-    platform.servers["dec-1"].behave = cut(CUTS["before the blank line"], with_reset=False)
-    for number in range(4):
-        answer = gateway.generate(RESUMED + "x", request=f"s{number}")
-        assert (answer.status, answer.whole) == (200, True)
-        assert answer.body.count(b"data: piece") == 6
-    assert platform.servers["dec-1"].runs
+    cut_first = once(cut(CUTS["before the blank line"], with_reset=False))
+    for name in ("dec-1", "dec-2"):
+        platform.servers[name].behave = cut_first
+    answer = gateway.generate(RESUMED + "x")
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.body.count(b"data: piece") == 6
+    runs = [platform.servers[name].runs for name in ("dec-1", "dec-2")]
+    assert runs == [["r1"], ["r1"]]
 
 
 # the log said that no engine had room, although the only one was lost
