--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -28,6 +28,7 @@
     StoredLease,
 )
 from lavenderrun.dispatch._limit_history import TimeLimitHistory
+from lavenderrun.dispatch._line_selection import LineSelection, LineTraits
 from lavenderrun.dispatch._occupancy import FleetOccupancy, Reservations
 from lavenderrun.dispatch._placement import (
     PLACEMENTS,
@@ -99,6 +100,8 @@
     "LeaseKeeper",
     "LeaseTerms",
     "LeaseWrite",
+    "LineSelection",
+    "LineTraits",
     "PartReport",
     "Placement",
     "PlacementContext",
