Account for each request of the soak from its caller's side

The soak took a closed connection and a begun answer that broke off as they came, so it could not see a request that ended without an answer. Each request now needs a whole answer, a refusal, or an allowed reason: its engine broke off, the timeout, a SIGKILL, a close that crossed it unread, or the last sixth of the grace period for a begun answer. A new family of faults breaks nothing: silences of servers and the store, suspensions, slow uploads, changes of the configuration, planned stops with long work; their series overlap.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -39,6 +39,8 @@
             self.body = response.read()
         except http.client.IncompleteRead as cut:
             self.whole, self.body = False, cut.partial
+        except ConnectionError:
+            self.whole, self.body = False, b""
 
 
 class Gateway:
@@ -106,27 +108,39 @@
         *,
         key: str | None = KEY,
         request: str = "r1",
-        body: bytes = b"",
+        body: bytes | Iterable[bytes] = b"",
         headers: dict[str, str] | None = None,
         connection: http.client.HTTPConnection | None = None,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> Answer:
+        """Call the gateway.
+
+        :param body: body, or its parts, each sent when it is due.
+        :param on_sent: called when the whole request is sent.
+        """
         given = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "4000"}
         if key is not None:
             given["Authorization"] = f"Bearer {key}"
         own = connection or self.connect()
         try:
             own.request(method, path, body or None, {**given, **(headers or {})})
+            on_sent()
             return Answer(own.getresponse())
         finally:
             if connection is None:
                 own.close()
 
     def generate(
-        self, path: str, parts: Sequence[str] = ("ab",), body: bytes = b"a prompt", **given: Any
+        self,
+        path: str,
+        parts: Sequence[str] = ("ab",),
+        body: bytes | Iterable[bytes] = b"a prompt",
+        headers: dict[str, str] | None = None,
+        **given: Any,
     ) -> Answer:
         prefix = ",".join(f"{part}:100" for part in parts)
         sizes = {"X-Model": "m", "X-Token-Count": "100,50", "X-Prefix-Hash": prefix}
-        return self.call(path, "POST", body=body, headers=sizes, **given)
+        return self.call(path, "POST", body=body, headers={**sizes, **(headers or {})}, **given)
 
     def lines(self, kind: str = "") -> list[dict[str, Any]]:
         found = [json.loads(line) for line in self.log.read_text().splitlines()]
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -193,6 +193,7 @@
     :param notices: headers in all its answers that say something about the server.
     :param deadly_parts: parts of prompts on which it crashes when it begins to answer.
     :param on_crash: called then; lets the server crash.
+    :param names_request: its events name the request that they answer.
     """
 
     id: str
@@ -204,11 +205,13 @@
     notices: list[tuple[str, str]] = field(default_factory=list)
     deadly_parts: set[str] = field(default_factory=set)
     on_crash: Callable[[StandinServer], None] | None = None
+    names_request: bool = False
     seen: list[SeenRequest] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         server = self
+        self._silent_until = 0.0
         self._connections: set[socket.socket] = set()
 
         class Handler(BaseHTTPRequestHandler):
@@ -283,10 +286,19 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing for some time; connections stay open and answers go on where they were."""
+        self._silent_until = max(self._silent_until, time.monotonic() + seconds)
+
+    def _wait_while_silent(self) -> None:
+        while (left := self._silent_until - time.monotonic()) > 0:
+            time.sleep(left)
+
     def serve(self, handler: BaseHTTPRequestHandler) -> None:
         headers = {name.lower(): value for name, value in handler.headers.items()}
         seen = SeenRequest(handler.command, handler.path, headers, read_all(handler))
         self.seen.append(seen)
+        self._wait_while_silent()
         with suppress(OSError):
             if handler.path == "/api/order" or handler.path.startswith("/api/kv-handle/"):
                 self.reply(handler, 200, b"", [])
@@ -313,6 +325,7 @@
             self.on_crash(self)
             return
         self.stream(handler, seen, self.events)
+        self._wait_while_silent()
         handler.wfile.write(b"0\r\n\r\n")
 
     def sign(self, request: str) -> list[tuple[str, str]]:
@@ -325,11 +338,17 @@
         for name, value in (*self.sign(seen.headers["x-request-id"]), *self.notices):
             handler.send_header(name, value)
         handler.end_headers()
-        self.write_events(handler, int(seen.headers.get("last-event-id", "0")) + 1, until)
+        first, request = int(seen.headers.get("last-event-id", "0")) + 1, ""
+        if self.names_request:
+            request = seen.headers["x-request-id"]
+        self.write_events(handler, first, until, request)
 
-    def write_events(self, handler: BaseHTTPRequestHandler, first: int, last: int) -> None:
+    def write_events(
+        self, handler: BaseHTTPRequestHandler, first: int, last: int, request: str = ""
+    ) -> None:
         for number in range(first, last + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            self._wait_while_silent()
+            event = make_event(number, request)
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             time.sleep(self.pause)
 
@@ -348,6 +367,11 @@
         handler.wfile.write(body)
 
 
+def make_event(number: int, request: str = "") -> bytes:
+    """Return an event of a stream, which may name its request."""
+    return f"id: {number}\ndata: {request or 'piece'} {number}\n\n".encode()
+
+
 def reset(handler: BaseHTTPRequestHandler) -> None:
     """Close a connection with a reset."""
     linger = b"\1\0\0\0\0\0\0\0"
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 import threading
+import time
 from contextlib import suppress
 from enum import Enum
 
@@ -13,7 +15,8 @@
 class ProxyMode(Enum):
     """How a proxy treats its connections.
 
-    RESET resets all connections; NO_ANSWERS drops what the target sends; SILENT drops everything.
+    RESET resets all connections; NO_ANSWERS drops what the target sends; SILENT drops everything;
+    HELD delivers everything when it ends.
     """
 
     OPEN = "open"
@@ -21,9 +24,14 @@
     RESET = "reset"
     NO_ANSWERS = "no_answers"
     SILENT = "silent"
+    HELD = "held"
 
 
+BREAKING_MODES = frozenset({ProxyMode.RESET, ProxyMode.NO_ANSWERS, ProxyMode.SILENT})
+"""Modes in which answers are lost."""
+
 DELAY_SECONDS = 0.15
+HELD_CHECK_SECONDS = 0.02
 CHUNK_BYTES = 65536
 # SO_LINGER with a timeout of zero: a close resets the connection
 LINGER_ZERO = struct.pack("ii", 1, 0)
@@ -36,6 +44,7 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self.mode = ProxyMode.OPEN
+        self._breaks: list[tuple[float, float]] = []
         self._loop = asyncio.new_event_loop()
         self._writers: set[asyncio.StreamWriter] = set()
         self._ready = threading.Event()
@@ -44,12 +53,22 @@
         self._ready.wait(5)
 
     def set(self, mode: ProxyMode) -> None:
+        now = time.monotonic()
+        if self._breaks and self._breaks[-1][1] == math.inf:
+            self._breaks[-1] = (self._breaks[-1][0], now)
+        if mode in BREAKING_MODES:
+            self._breaks.append((now, math.inf))
         self.mode = mode
         if mode is ProxyMode.RESET:
             self._loop.call_soon_threadsafe(self._reset_all)
 
+    def has_broken(self, first: float, last: float) -> bool:
+        """Tell whether answers were lost within a time."""
+        return any(began <= last and first <= ended for began, ended in self._breaks)
+
     def crash(self) -> None:
         """Close the listening socket and all connections, as the end of the target would."""
+        self._breaks.insert(0, (time.monotonic(), time.monotonic()))
         self._loop.call_soon_threadsafe(self._close_all)
 
     def start_again(self) -> None:
@@ -118,6 +137,8 @@
                 await asyncio.sleep(DELAY_SECONDS)
             if self.mode is ProxyMode.SILENT or (answers and self.mode is ProxyMode.NO_ANSWERS):
                 continue
+            while self.mode is ProxyMode.HELD:
+                await asyncio.sleep(HELD_CHECK_SECONDS)
             writer.write(data)
             await writer.drain()
         with suppress(OSError):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,10 +15,12 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler
 from pathlib import Path as File
+from typing import Any
 
 sys.path.insert(0, str(File(__file__).parents[1] / "platform"))
 sys.path.insert(0, str(File(__file__).parent))
@@ -26,8 +28,35 @@
 from deadly_parts import DeadlyParts
 from gateway_process import Answer, Gateway, StandinPlatform
 from notices import Notices
-from platform_standin import KEY, ORDERS, PLAIN, RESUMED, STREAM, StandinServer
+from platform_standin import (
+    KEY,
+    ORDERS,
+    PLAIN,
+    RESUMED,
+    STREAM,
+    SeenRequest,
+    StandinServer,
+    make_event,
+)
 from proxy import Proxy, ProxyMode
+from request_ends import RequestEnds, SentRequest, tell
+from silences import (
+    SILENCES,
+    UPLOAD_SECONDS,
+    Operator,
+    change_gap_objective,
+    change_idle_timeout,
+    change_quota,
+    change_routes,
+    change_weights,
+    drain_engine,
+    send_slowly,
+    silence_engine,
+    silence_engines,
+    silence_plain_server,
+    start_later,
+    stop_gateway_with_long_work,
+)
 
 CALLER_COUNT = 6
 START_BATCH = 4
@@ -40,7 +69,17 @@
 KINDS = (PLAIN, ORDERS, STREAM, RESUMED)
 NOT_RUN = {429, 503}
 COMMON = "c0ffee"
-EVENTS = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 7))
+GRACE_SECONDS = 8.0
+SHORT_GRACE_SECONDS = 5.0
+PATIENCE_SECONDS = 9.0
+EVENT_PAUSE_SECONDS = 0.1
+UPLOAD_SHARE = 0.15
+UPLOAD_BYTES = 1000
+BOUNDS = {
+    "retry-ratio": 0.2,
+    "retry-window-s": 10,
+    "retry-slack": 58,
+}
 
 
 @dataclass
@@ -60,7 +99,11 @@
     """One soak run with one seed.
 
     :param hosts: number of gateways.
-    :param faults: the faults to inject, ``None`` for all.
+    :param faults: the faults to inject, ``None`` for those that break something.
+    :ivar spoken_until: until when each server that fell silent last says nothing.
+    :ivar leaving: gateways that are being stopped.
+    :ivar draining: the engine that drains.
+    :ivar long_work: how long plain servers work on a call, in seconds.
     """
 
     def __init__(
@@ -72,24 +115,35 @@
     ) -> None:
         self.hosts = hosts
         self._faults = FAULTS if faults is None else faults
+        self._is_patient = any(fault in SILENCES for fault in self._faults)
+        self.patience = PATIENCE_SECONDS if self._is_patient else 4.0
         self.random_source = random.Random(seed)
         self.seed = seed
         self.platform = StandinPlatform(folder)
-        self.platform.configure()
+        self.operator = Operator(self.random_source)
+        self.ends = RequestEnds(SHORT_GRACE_SECONDS if self._is_patient else GRACE_SECONDS)
+        self.operator.write(self)
+        self.spoken_until: dict[str, float] = {}
+        self.leaving: set[Gateway] = set()
+        self.long_work = 0.0
+        self.draining: StandinServer | None = None
         self.proxies: dict[str, Proxy] = {}
         self.starts: Counter[str] = Counter()
         for name, service, stage in (
             ("app-1", "apps", None),
             ("app-2", "apps", None),
+            ("app-3", "apps-b", None),
             ("pre-1", "llm", "prefill"),
             ("dec-1", "llm", "decode"),
             ("dec-2", "llm", "decode"),
         ):
-            server = StandinServer(name, service, stage)
+            server = StandinServer(name, service, stage, names_request=True)
+            if self._is_patient:
+                server.pause, server.behave = EVENT_PAUSE_SECONDS, self._work
             self.platform.servers[name] = server
             server.on_crash = self._crash_server
             self.proxies[name] = Proxy(server.address)
-            self._announce(server)
+            self.announce(server)
         self.store_proxy = Proxy(self.platform.store.address)
         self.proxies["store"] = self.store_proxy
         self.gateways: list[Gateway] = []
@@ -98,10 +152,12 @@
         self.deadly = DeadlyParts()
         self._down: set[str] = set()
         self._restarts: list[threading.Timer] = []
+        self._pending: list[threading.Timer] = []
+        self._crash_count = 0
         self.stopping = threading.Event()
         self.injected: list[str] = []
 
-    def _announce(self, server: StandinServer, state: str = "ready") -> None:
+    def announce(self, server: StandinServer, state: str = "ready") -> None:
         address = self.proxies[server.id].address
         entry = server.entry(addr=address, state=state, born=self.starts[server.id])
         self.platform.store.put("servers", server.id, entry)
@@ -115,10 +171,20 @@
         self.deadly.note_crash(server)
         self.notices.disturb(server.id)
         self.proxies[server.id].crash()
-        down = random.Random(len(self._restarts)).uniform(*DOWN_SECONDS)
-        restart = threading.Timer(down, self._restart_server, args=(server,))
-        self._restarts.append(restart)
-        restart.start()
+        down = random.Random(self._crash_count).uniform(*DOWN_SECONDS)
+        self._crash_count += 1
+        self._restarts.append(start_later(down, lambda: self._restart_server(server)))
+
+    def run_later(self, seconds: float, act: Callable[[], None]) -> None:
+        """Run *act* after *seconds*, before the repair at the end of the run."""
+        self._pending.append(start_later(seconds, act))
+
+    def _work(
+        self, server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest
+    ) -> bool:
+        if server.stage is None:
+            time.sleep(self.long_work)
+        return False
 
     def _restart_server(self, server: StandinServer) -> None:
         self.proxies[server.id].start_again()
@@ -126,13 +192,16 @@
         self.notices.disturb(server.id)
         self.notices.end_departure(server)
         self.starts[server.id] += 1
-        self._announce(server)
+        self.announce(server)
 
     def run(self, seconds: float) -> list[str]:
         """Inject faults for *seconds*, check recovery and answers, and return the failed checks."""
         try:
             for name in (f"front-{number + 1}" for number in range(self.hosts)):
-                gateway = Gateway(self.platform.folder, self.store_proxy.address, name).start()
+                bounds = {**BOUNDS, "grace-s": self.ends.grace}
+                gateway = Gateway(
+                    self.platform.folder, self.store_proxy.address, name, bounds=bounds
+                ).start()
                 self.platform.gateways.append(gateway)
                 self.gateways.append(gateway)
                 if len(self.gateways) % START_BATCH == 0:
@@ -151,9 +220,9 @@
             self._check()
         finally:
             self.stopping.set()
-            for restart in self._restarts:
-                restart.cancel()
-                restart.join()
+            for timer in (*self._restarts, *self._pending):
+                timer.cancel()
+                timer.join()
             self.platform.close()
             for proxy in self.proxies.values():
                 proxy.close()
@@ -165,7 +234,7 @@
 
     def _call(self, number: int) -> None:
         random_source = random.Random(self.seed * 1000 + number)
-        connections: dict[int, http.client.HTTPConnection] = {}
+        connections: dict[int, tuple[http.client.HTTPConnection, float | None]] = {}
         count = 0
         while not self.stopping.is_set():
             count += 1
@@ -175,46 +244,102 @@
             part = self.deadly.current
             if part and kind in (STREAM, RESUMED) and random_source.random() < DEADLY_SHARE:
                 request += f"-{part}"
-            connection = connections.pop(index, None) or gateway.connect()
+            kept = connections.pop(index, None)
+            connection, idle_since = (gateway.connect(), None) if kept is None else kept
             self.notices.note_sent(request, index)
-            try:
-                answer = self._send(gateway, kind, request, connection)
-                self.notices.note_answer(request, answer)
-            except (OSError, http.client.HTTPException):
-                connection.close()
-                self.outcomes.add(request, None)
+            seconds = random_source.uniform(*UPLOAD_SECONDS)
+            is_slow = self._is_patient and random_source.random() < UPLOAD_SHARE
+            answer = self._exchange(
+                gateway,
+                kind,
+                request,
+                connection,
+                idle_since=idle_since,
+                upload=seconds if is_slow else 0.0,
+            )
+            if answer is None:
                 time.sleep(0.05)
                 continue
-            self.outcomes.add(request, answer)
+            self.notices.note_answer(request, answer)
             if answer.whole and answer.headers.get("connection") != "close":
-                connections[index] = connection
+                connections[index] = (connection, time.monotonic())
             time.sleep(random_source.random() * 0.05)
 
+    def _exchange(
+        self,
+        gateway: Gateway,
+        kind: str,
+        request: str,
+        connection: http.client.HTTPConnection,
+        idle_since: float | None = None,
+        upload: float = 0.0,
+    ) -> Answer | None:
+        """Send a request and record its end; return the answer, ``None`` without one."""
+        answer, sent = None, None
+        try:
+            if connection.sock is None:
+                connection.connect()
+            sent = self.ends.begin(request, self.gateways.index(gateway), idle_since)
+            answer = self._send(gateway, kind, request, connection, sent, upload)
+            sent.answer = answer
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            if sent is not None:
+                sent.error = type(error).__name__
+        if sent is not None:
+            sent.ended = time.monotonic()
+        self.outcomes.add(request, answer)
+        return answer
+
     def _send(
-        self, gateway: Gateway, kind: str, request: str, connection: http.client.HTTPConnection
+        self,
+        gateway: Gateway,
+        kind: str,
+        request: str,
+        connection: http.client.HTTPConnection,
+        sent: SentRequest,
+        upload: float,
     ) -> Answer:
+        def note_sent() -> None:
+            sent.sent = time.monotonic()
+
+        headers = {"X-Deadline-Ms": str(round(self.patience * 1000))}
+        given: dict[str, Any] = {
+            "request": request,
+            "connection": connection,
+            "on_sent": note_sent,
+            "headers": headers,
+        }
+        body: bytes | Iterator[bytes] = request.encode()
+        if upload and kind != PLAIN:
+            body = send_slowly(bytes(UPLOAD_BYTES), upload)
+            headers["Content-Length"] = str(UPLOAD_BYTES)
         if kind in (STREAM, RESUMED):
             part = request.rpartition("-")[2]
             parts = (COMMON, part, "f0") if part.startswith("dead") else (COMMON, "e0")
-            body = request.encode()
-            return gateway.generate(kind + "x", parts, body, request=request, connection=connection)
-        method, body = ("POST", b"order") if kind == ORDERS else ("GET", b"")
-        return gateway.call(kind + "x", method, request=request, body=body, connection=connection)
+            return gateway.generate(kind + "x", parts, body, **given)
+        if kind == ORDERS:
+            return gateway.call(kind + "x", "POST", body=body, **given)
+        return gateway.call(kind + "x", **given)
 
     def _inject_faults(self, until: float) -> None:
         while time.monotonic() < until:
             fault = self.random_source.choice(self._faults)
-            self.injected.append(fault.__name__)
+            self.injected.append(f"{tell(time.monotonic())} {fault.__name__}")
             fault(self)
             time.sleep(self.random_source.uniform(0.05, 0.8))
 
     def _repair_all(self) -> None:
+        for timer in self._pending:
+            timer.join()
         self.deadly.end()
+        self.operator = Operator(self.random_source)
+        self.operator.write(self)
         for proxy in self.proxies.values():
             proxy.set(ProxyMode.OPEN)
         for server in self.platform.servers.values():
             server.behave = None
-            self._start_server_anew(server)
+            self.start_server_anew(server)
         for gateway in self.gateways:
             with suppress(ProcessLookupError):
                 gateway.signal(signal.SIGCONT)
@@ -225,10 +350,10 @@
             gateway.start()
             self.excuse(gateway)
 
-    def _start_server_anew(self, server: StandinServer) -> None:
+    def start_server_anew(self, server: StandinServer) -> None:
         if self.notices.end_departure(server):
             self.starts[server.id] += 1
-        self._announce(server)
+        self.announce(server)
 
     def excuse(self, gateway: Gateway) -> None:
         """Record that a gateway is restarted or suspended, and so knows less than it was told."""
@@ -248,15 +373,10 @@
             attempt += 1
             request = f"{kind.strip('/')}-r-{gateway.settings.stem}-{attempt}"
             connection = gateway.connect()
-            try:
-                answer = self._send(gateway, kind, request, connection)
-                self.outcomes.add(request, answer)
-                if answer.status == 200 and answer.whole:
-                    return True
-            except (OSError, http.client.HTTPException):
-                self.outcomes.add(request, None)
-            finally:
-                connection.close()
+            answer = self._exchange(gateway, kind, request, connection)
+            connection.close()
+            if answer is not None and answer.status == 200 and answer.whole:
+                return True
             time.sleep(0.1)
         return False
 
@@ -269,6 +389,7 @@
             if answer is not None:
                 self._check_status(kind, request, answer, runs[request])
         self._check_servers()
+        self.outcomes.failures.extend(self.ends.check(self.platform.servers, self.proxies))
         servers = list(self.platform.servers.values())
         self.outcomes.failures.extend(self.notices.check(servers))
         self.outcomes.failures.extend(self.deadly.check(servers, self.notices))
@@ -294,13 +415,16 @@
         if answer.headers.get("x-request-id") != request:
             self.outcomes.failures.append(f"answer to another call: {request}")
         if kind in (STREAM, RESUMED):
-            good = answer.body == EVENTS if answer.whole else EVENTS.startswith(answer.body)
+            events = b"".join(make_event(number, request) for number in range(1, 7))
+            good = answer.body == events if answer.whole else events.startswith(answer.body)
         else:
             good = answer.whole and answer.body.startswith(b"body of app-")
         if not good:
             self.outcomes.failures.append(f"spoiled answer: {request} {answer.body!r}")
 
 
+BREAKING_FAULT_MODES = [mode for mode in ProxyMode if mode is not ProxyMode.HELD]
+
 FaultAction = Callable[[Soak], None]
 FAULTS: list[FaultAction] = []
 
@@ -317,7 +441,7 @@
     name = soak.random_source.choice(sorted(soak.proxies))
     proxy = soak.proxies[name]
     soak.notices.disturb(name)
-    proxy.set(soak.random_source.choice(list(ProxyMode)))
+    proxy.set(soak.random_source.choice(BREAKING_FAULT_MODES))
 
 
 @fault
@@ -333,9 +457,11 @@
     """Suspend a gateway process for up to two seconds."""
     gateway = soak.random_source.choice(soak.gateways)
     soak.excuse(gateway)
+    began = time.monotonic()
     gateway.signal(signal.SIGSTOP)
     time.sleep(soak.random_source.uniform(0.1, 2.0))
     gateway.signal(signal.SIGCONT)
+    soak.ends.note_freeze(soak.gateways.index(gateway), began)
     soak.excuse(gateway)
 
 
@@ -344,6 +470,7 @@
     """Kill a gateway and restart it."""
     gateway = soak.random_source.choice(soak.gateways)
     soak.excuse(gateway)
+    soak.ends.note_kill(soak.gateways.index(gateway))
     gateway.close()
     time.sleep(soak.random_source.uniform(0.0, 0.5))
     soak._restart_if_dead(gateway)
@@ -355,10 +482,12 @@
     gateway = soak.random_source.choice(soak.gateways)
     # a process that does not listen yet has no calls to finish and may be ended by the signal
     was_up = gateway.ask_ready() != 0
+    began = time.monotonic()
     gateway.signal(signal.SIGTERM)
     assert gateway.popen is not None
     if gateway.popen.wait(15) != 0 and was_up:
         soak.outcomes.failures.append("a planned stop ended with an error")
+    soak.ends.note_stop(soak.gateways.index(gateway), began)
     soak._restart_if_dead(gateway)
 
 
@@ -371,14 +500,14 @@
 @fault
 def change_configuration(soak: Soak) -> None:
     """Publish a new version of the same configuration."""
-    soak.platform.configure()
+    soak.operator.write(soak)
 
 
 @fault
 def announce_server(soak: Soak) -> None:
     """Announce a random server as draining, or as ready."""
     server = soak.random_source.choice(sorted(soak.platform.servers.values(), key=lambda w: w.id))
-    soak._announce(server, soak.random_source.choice(["ready", "draining"]))
+    soak.announce(server, soak.random_source.choice(["ready", "draining"]))
 
 
 @fault
@@ -387,7 +516,7 @@
     servers = soak.platform.servers
     leaving = [server for server in servers.values() if server.notices]
     if leaving and soak.random_source.random() < RESTART_SHARE:
-        soak._start_server_anew(leaving[0])
+        soak.start_server_anew(leaving[0])
         return
     soak.notices.begin_departure(soak.random_source.choice(list(servers.values())))
 
@@ -417,6 +546,17 @@
     soak.platform.store.forget_history()
 
 
+FAULT_FAMILIES: dict[str, Sequence[FaultAction]] = {
+    "breaks": FAULTS,
+    "silences": [*SILENCES, reload_gateway],
+    "engines": [silence_engine, silence_engines, drain_engine, change_gap_objective],
+    "uploads": [change_idle_timeout, change_quota, change_routes],
+    "grace": [stop_gateway_with_long_work, silence_plain_server],
+    "weights": [change_weights, silence_plain_server],
+    "all": [*FAULTS, *SILENCES],
+}
+
+
 def run_seed(
     seed: int,
     seconds: float,
@@ -427,6 +567,7 @@
     """Run one seed; return the failed checks and the number of calls by status."""
     soak = Soak(seed, folder, hosts, faults)
     failures = soak.run(seconds)
+    (folder / "faults.txt").write_text("\n".join(soak.injected))
     statuses = Counter(
         "cut" if answer is None or not answer.whole else str(answer.status)
         for answer in soak.outcomes.answers.values()
@@ -439,13 +580,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-5", metavar="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--faults", default="breaks", choices=sorted(FAULT_FAMILIES))
     parser.add_argument("--hosts", type=int, default=2, help="number of gateways")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         folder = File(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        failures, statuses = run_seed(seed, args.seconds, folder, args.hosts)
+        failures, statuses = run_seed(
+            seed, args.seconds, folder, args.hosts, FAULT_FAMILIES[args.faults]
+        )
         failed += bool(failures)
         outcomes = {"seed": seed, "faults": failures[:10], "ends": statuses, "logs": str(folder)}
         print(json.dumps(outcomes), flush=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from soak import change_configuration, forget_history, reload_gateway, run_seed, taint_prompts
+from soak import (
+    FAULT_FAMILIES,
+    change_configuration,
+    forget_history,
+    reload_gateway,
+    run_seed,
+    taint_prompts,
+)
 
 # seeds 10, 30, 32: a signal during the start of a gateway ended it with an error
 # seeds 47, 64, 67: connection resets counted as crashes, and a valid call was refused for a minute
@@ -26,3 +33,17 @@
     failures, statuses = run_seed(seed, 16.0, tmp_path, faults=faults)
     assert not failures
     assert statuses["200"] > 20
+
+
+# 4, 6: a resumable stream was broken off when its engine was silent for over a second
+# 3, 5, 7: an upload was cut when the idle timeout had been lowered
+# 2, 5: plain calls and orders at a server got no answer at the end of the grace period
+# 11: calls of a route whose services all have weight 0 got no answer
+@pytest.mark.parametrize(
+    ("faults", "seed"),
+    [("engines", 4), ("uploads", 5), ("grace", 2), ("weights", 11), ("silences", 7)],
+)
+def test_every_request_is_answered(tmp_path: Path, faults: str, seed: int) -> None:
+    failures, statuses = run_seed(seed, 10.0, tmp_path, faults=FAULT_FAMILIES[faults])
+    assert not failures
+    assert statuses["200"] > 20
