Tell a silent engine from one that ends in the soak's account

A begun answer that was cut at its timeout was allowed whatever its engine did, so a stream that the gateway had given up while its engine was only silent passed. The timeout is now a reason only if the engine could not have sent the rest in the time in which it spoke. One engine may drain while the others fall silent, so that a stream that is given up finds no other.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -32,6 +32,7 @@
 
 class Answer:
     def __init__(self, response: http.client.HTTPResponse) -> None:
+        self.begun = time.monotonic()
         self.status = response.status
         self.headers = {name.lower(): value for name, value in response.getheaders()}
         self.whole = True
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -212,6 +212,7 @@
     def __post_init__(self) -> None:
         server = self
         self._silent_until = 0.0
+        self.silences: list[tuple[float, float]] = []
         self._connections: set[socket.socket] = set()
 
         class Handler(BaseHTTPRequestHandler):
@@ -288,7 +289,9 @@
 
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some time; connections stay open and answers go on where they were."""
-        self._silent_until = max(self._silent_until, time.monotonic() + seconds)
+        now = time.monotonic()
+        self._silent_until = max(self._silent_until, now + seconds)
+        self.silences.append((now, self._silent_until))
 
     def _wait_while_silent(self) -> None:
         while (left := self._silent_until - time.monotonic()) > 0:
--- a/tests/soak/request_ends.py
+++ b/tests/soak/request_ends.py
@@ -61,6 +61,7 @@
 class RequestEnds:
     """Records requests and what may end them without a whole answer.
 
+    :param stream_seconds: time within which an engine that is not silent sends a whole stream.
     :ivar kills: per gateway, when it was killed.
     :ivar freezes: per gateway, when it was suspended and resumed.
     :ivar stops: per gateway, when it was ordered to stop and when its process was gone.
@@ -69,6 +70,7 @@
     """
 
     grace: float
+    stream_seconds: float
     timeouts: list[tuple[float, float]] = field(default_factory=list)
     idle_timeouts: list[tuple[float, float]] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -112,7 +114,10 @@
                 continue
             backends = seen_by.get(name, set())
             if request.answer is not None:
-                is_allowed = self._may_break_off(request, [proxies[each] for each in backends])
+                stamp = request.answer.headers.get("x-server-stamp", "")
+                first = servers.get(stamp.removeprefix("stamp-"))
+                paths = [proxies[each] for each in backends]
+                is_allowed = self._may_break_off(request, first, paths)
             elif request.sent is None and self._lies_in(self.stops, request):
                 is_allowed = True
             else:
@@ -154,12 +159,14 @@
         )
         return may_close and (is_frozen or request.ended - request.last_byte <= LOSS_SLACK_SECONDS)
 
-    def _may_break_off(self, request: SentRequest, proxies: list[Proxy]) -> bool:
+    def _may_break_off(
+        self, request: SentRequest, first: StandinServer | None, paths: list[Proxy]
+    ) -> bool:
         assert request.sent is not None
-        if any(proxy.has_broken(request.sent, request.ended) for proxy in proxies):
+        if any(path.has_broken(request.sent, request.ended) for path in paths):
             return True
         if request.ended - request.sent >= _find_shortest(self.timeouts, request.sent):
-            return True
+            return first is not None and self._measure_speech(request, first) < self.stream_seconds
         return any(
             request.sent <= began + LEAVING_SECONDS
             and request.ended >= began + self.grace * LAST_SHARE_OF_GRACE
@@ -167,6 +174,14 @@
             if request.sent <= ended
         )
 
+    def _measure_speech(self, request: SentRequest, server: StandinServer) -> float:
+        """Return for how long a server could send to the gateway since the answer began."""
+        assert request.answer is not None
+        begun, ended = request.answer.begun, request.ended
+        pauses = [*server.silences, *self.freezes.get(request.gateway, [])]
+        paused = sum(max(0.0, min(last, ended) - max(first, begun)) for first, last in pauses)
+        return ended - begun - paused
+
 
 def _find_shortest(timeouts: list[tuple[float, float]], moment: float) -> float:
     """Return the shortest timeout that may have been in force at a moment."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -72,7 +72,11 @@
 GRACE_SECONDS = 8.0
 SHORT_GRACE_SECONDS = 5.0
 PATIENCE_SECONDS = 9.0
-EVENT_PAUSE_SECONDS = 0.1
+EVENT_PAUSE_SECONDS = 0.15
+PACED_STREAM_SECONDS = 1.4
+"""Time for a stream with pauses of ``EVENT_PAUSE_SECONDS``."""
+DELAYED_STREAM_SECONDS = 2.0
+"""Time for a stream over a proxy that delays each part."""
 UPLOAD_SHARE = 0.15
 UPLOAD_BYTES = 1000
 BOUNDS = {
@@ -121,7 +125,11 @@
         self.seed = seed
         self.platform = StandinPlatform(folder)
         self.operator = Operator(self.random_source)
-        self.ends = RequestEnds(SHORT_GRACE_SECONDS if self._is_patient else GRACE_SECONDS)
+        self.ends = (
+            RequestEnds(SHORT_GRACE_SECONDS, PACED_STREAM_SECONDS)
+            if self._is_patient
+            else RequestEnds(GRACE_SECONDS, DELAYED_STREAM_SECONDS)
+        )
         self.operator.write(self)
         self.spoken_until: dict[str, float] = {}
         self.leaving: set[Gateway] = set()
@@ -549,7 +557,7 @@
 FAULT_FAMILIES: dict[str, Sequence[FaultAction]] = {
     "breaks": FAULTS,
     "silences": [*SILENCES, reload_gateway],
-    "engines": [silence_engine, silence_engines, drain_engine, change_gap_objective],
+    "engines": [silence_engine, silence_engines, drain_engine, drain_engine, change_gap_objective],
     "uploads": [change_idle_timeout, change_quota, change_routes],
     "grace": [stop_gateway_with_long_work, silence_plain_server],
     "weights": [change_weights, silence_plain_server],
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -35,13 +35,13 @@
     assert statuses["200"] > 20
 
 
-# 4, 6: a resumable stream was broken off when its engine was silent for over a second
-# 3, 5, 7: an upload was cut when the idle timeout had been lowered
-# 2, 5: plain calls and orders at a server got no answer at the end of the grace period
+# 9: resumable streams were broken off when their engine was silent for over a second
+# 5, 7: an upload was cut when the idle timeout had been lowered
+# 2: plain calls and orders at a server got no answer at the end of the grace period
 # 11: calls of a route whose services all have weight 0 got no answer
 @pytest.mark.parametrize(
     ("faults", "seed"),
-    [("engines", 4), ("uploads", 5), ("grace", 2), ("weights", 11), ("silences", 7)],
+    [("engines", 9), ("uploads", 5), ("grace", 2), ("weights", 11), ("silences", 7)],
 )
 def test_every_request_is_answered(tmp_path: Path, faults: str, seed: int) -> None:
     failures, statuses = run_seed(seed, 10.0, tmp_path, faults=FAULT_FAMILIES[faults])
