--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -106,6 +106,7 @@
     :param faults: the faults to inject, ``None`` for those that break something.
     :ivar spoken_until: until when each server that fell silent last says nothing.
     :ivar leaving: gateways that are being stopped.
+    :ivar frozen: gateways that are suspended.
     :ivar draining: the engine that drains.
     :ivar long_work: how long plain servers work on a call, in seconds.
     """
@@ -133,6 +134,7 @@
         self.operator.write(self)
         self.spoken_until: dict[str, float] = {}
         self.leaving: set[Gateway] = set()
+        self.frozen: set[Gateway] = set()
         self.long_work = 0.0
         self.draining: StandinServer | None = None
         self.proxies: dict[str, Proxy] = {}
@@ -398,6 +400,9 @@
                 self._check_status(kind, request, answer, runs[request])
         self._check_servers()
         self.outcomes.failures.extend(self.ends.check(self.platform.servers, self.proxies))
+        for gateway in self.gateways:
+            for line in gateway.list_unanswered():
+                self.outcomes.failures.append(f"logged as unanswered: {line}")
         servers = list(self.platform.servers.values())
         self.outcomes.failures.extend(self.notices.check(servers))
         self.outcomes.failures.extend(self.deadly.check(servers, self.notices))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+import signal
+import time
 from pathlib import Path
 
 import pytest
+from gateway_process import StandinPlatform
 
 from soak import (
     FAULT_FAMILIES,
@@ -47,3 +50,14 @@
     failures, statuses = run_seed(seed, 10.0, tmp_path, faults=FAULT_FAMILIES[faults])
     assert not failures
     assert statuses["200"] > 20
+
+
+# silences 6: a signal to reload ended a gateway that had finished its stop with an error
+def test_a_reload_while_a_stopped_gateway_exits_is_no_error(platform: StandinPlatform) -> None:
+    gateway = platform.add_gateway().wait_ready()
+    assert gateway.popen is not None
+    gateway.signal(signal.SIGTERM)
+    while gateway.popen.poll() is None:
+        gateway.signal(signal.SIGHUP)
+        time.sleep(0.001)
+    assert gateway.popen.returncode == 0
