--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -158,6 +158,7 @@
 )
 from ._observed_events import (
     BackendReceived,
+    CallerBegan,
     CallerFinished,
     CallerGone,
     CallerRefused,
@@ -289,6 +290,7 @@
     "CallFailure",
     "CallRoute",
     "CallSink",
+    "CallerBegan",
     "CallerFinished",
     "CallerGone",
     "CallerLimits",
