Pace calls to a store that answers at once without changes

A follower of a table called the store again as fast as it answered, when the answer had no changes and was not delayed, or when the history of changes was gone each time the table had been read whole. Each store that is behind, or whose history is short, was loaded so by all gateways. Only failed calls had a pause; nothing bounded answers that come at once and help nothing.

Calls for changes that were answered without any begin at least 100 ms apart. The first whole read after the history is gone follows at once; further ones after the pauses of failed calls, until changes were read.

--- a/src/lavenderrun/gateway/_follower.py
+++ b/src/lavenderrun/gateway/_follower.py
@@ -23,6 +23,10 @@
 MAX_RETRY_PAUSE: Final = timedelta(milliseconds=500)
 """Bounds of the pause after a failed call, which doubles each time and has jitter."""
 
+MIN_EMPTY_INTERVAL: Final = timedelta(milliseconds=100)
+"""Shortest time between calls for changes of which the first was answered without any: a store may
+be behind, or not delay its answer."""
+
 MAX_OUTAGE_WAIT: Final = timedelta(seconds=1.6)
 """Longest wait of a follower that leaves it to another one to find out when the store is back."""
 
@@ -63,6 +67,7 @@
         self._version: int | None = None
         self._answered: datetime | None = None
         self._retry_pause = FIRST_RETRY_PAUSE
+        self._whole_read_pause = timedelta(0)
         self._reading: Deferred[None] | None = None
 
     @property
@@ -109,8 +114,8 @@
             try:
                 if self._version is None:
                     await self._read_all()
-                elif await self._read_changes(self._choose_wait()) and self._find_pause is not None:
-                    await sleep(self._clock, self._find_pause())
+                else:
+                    await self._follow_changes()
                 self._retry_pause = FIRST_RETRY_PAUSE
             except HistoryGoneError:
                 log(
@@ -119,10 +124,24 @@
                     table=self._table,
                 )
                 self._version = None
+                await self._pause_before_whole_read()
             except (StoreUnavailableError, StoreRefusal):
                 # RowStore logs when the store is lost
                 await self._pause_before_retry()
 
+    async def _follow_changes(self) -> None:
+        called = self._clock.now()
+        has_changes = await self._read_changes(self._choose_wait())
+        self._whole_read_pause = timedelta(0)
+        if not has_changes:
+            pause = called + MIN_EMPTY_INTERVAL - self._clock.now()
+        elif self._find_pause is not None:
+            pause = self._find_pause()
+        else:
+            return
+        if pause > timedelta(0):
+            await sleep(self._clock, pause)
+
     async def _read_all(self) -> None:
         page = await self._rows.read(self._table)
         self._version, self._answered = page.version, self._clock.now()
@@ -166,6 +185,13 @@
         # a store that is back must not delay the answer that tells so
         return timedelta(0) if self._rows.state is StoreState.LOST else CHANGES_WAIT
 
+    async def _pause_before_whole_read(self) -> None:
+        """Pause unless changes were read since the last whole read."""
+        pause, least = self._whole_read_pause, FIRST_RETRY_PAUSE
+        self._whole_read_pause = min(max(pause * 2, least), MAX_RETRY_PAUSE)
+        if pause:
+            await sleep(self._clock, pause * (0.5 + self._random.random()))
+
     async def _pause_before_retry(self) -> None:
         if not self._rows.claim_probe(self):
             await self._rows.wait_until_reached(MAX_OUTAGE_WAIT)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -71,6 +71,27 @@
     assert follower.version == 5
 
 
+# the table was read whole again as fast as the store answered
+def test_whole_reads_back_off_while_the_change_history_is_gone_each_time() -> None:
+    fixture = StoreFixture()
+    for _ in range(300):
+        fixture.answer(5)
+        fixture.answer(0, status=410)
+    start_follower(fixture)
+    fixture.pass_time(10)
+    assert 20 <= len(fixture.pool.calls) <= 80
+
+
+# a store that answered at once, without changes, was called again without a pause
+def test_answers_at_once_without_changes_are_not_asked_for_in_a_busy_loop() -> None:
+    fixture = StoreFixture()
+    for _ in range(600):
+        fixture.answer(5)
+    start_follower(fixture)
+    fixture.pass_time(10)
+    assert 50 <= len(fixture.pool.calls) <= 102
+
+
 def test_calls_to_an_unavailable_store_back_off() -> None:
     fixture = StoreFixture()
     fixture.pool.answers.extend([None] * 100)
