Bound one sample of the prefill speed

A sample now counts for at most four times the average; an engine that is really slower reaches its figure within some prompts.

--- a/src/lavenderrun/decisions/_estimates.py
+++ b/src/lavenderrun/decisions/_estimates.py
@@ -6,6 +6,9 @@
 INITIAL_PREFILL_TOKENS_PER_SECOND = 10_000.0
 PREFILL_BASE_SECONDS = 0.01
 DECODE_STEP_SECONDS = 0.02
+MAX_SAMPLE_FACTOR = 4.0
+"""Largest sample, as a multiple of the average, so that an engine that was silent for a moment is
+not taken for a slow one."""
 
 
 class MovingAverage:
@@ -42,7 +45,8 @@
         """
         fresh = tokens - cached
         if fresh > 0:
-            self._per_token.add(max(0.0, seconds - PREFILL_BASE_SECONDS) / fresh)
+            sample = max(0.0, seconds - PREFILL_BASE_SECONDS) / fresh
+            self._per_token.add(min(sample, self._per_token.value * MAX_SAMPLE_FACTOR))
 
     def estimate(self, tokens: int, cached: int = 0) -> float:
         """Return the expected seconds of a prefill.
--- a/tests/decisions/test_estimates.py
+++ b/tests/decisions/test_estimates.py
@@ -67,3 +67,13 @@
             lengths.note_end(RouteName(name), 8)
     assert lengths.estimate_length(RouteName("c"), 4096) < 20
     assert lengths.estimate_length(RouteName("a"), 4096) == pytest.approx(200, rel=0.01)
+
+
+# a silent second during a short prompt kept the engine without prompts until the end of the run
+def test_one_silent_prefill_does_not_make_an_engine_slow() -> None:
+    estimator = PrefillTimeEstimator()
+    for _ in range(20):
+        estimator.add(1000, 0, 0.06)
+    before = estimator.estimate(1000)
+    estimator.add(20, 0, 1.7)
+    assert estimator.estimate(1000) < 2 * before
