Ignore a reload signal while the process exits

A SIGHUP after the loop had ended killed a gateway that had finished its stop with an error: the interpreter resets handlers on its way out. The test, known red so far, passes with it.

--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -111,4 +111,7 @@
         sys.stderr.write(f"{path}: {error}\n")
         return EXIT_INVALID_SETTINGS
     signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(daemon.reload))
-    return run_until_signal(loop, daemon.start, daemon.stop)
+    code = run_until_signal(loop, daemon.start, daemon.stop)
+    # the interpreter resets other handlers on its way out, and a reload would end it with an error
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    return code
