Bound the wait for the store at the end of a planned stop

The wait is bounded by 200 ms; others forget a host that does not report. The test failed before: over 1 s from the last answer to the end.

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -73,6 +73,10 @@
 REMOVED_AFTER: Final = timedelta(seconds=10)
 """Silence after which a host's row is removed; a host that is still alive writes it again."""
 
+ROW_REMOVAL_TIMEOUT: Final = timedelta(milliseconds=200)
+"""Longest wait for the removal of the own row at a planned stop; the others forget the row of a host
+that does not report by themselves."""
+
 ANNOUNCE_RETRY_PAUSE: Final = timedelta(milliseconds=500)
 """Pause before another attempt to write this host's row."""
 
@@ -203,7 +207,8 @@
         if self._announcement is not None:
             self._announcement.cancel()
         try:
-            await self._rows.write(self._table, [RowWrite(self._host, None)])
+            row = RowWrite(self._host, None)
+            await self._rows.write(self._table, [row], ROW_REMOVAL_TIMEOUT)
         except (StoreUnavailableError, StoreRefusal) as error:
             log("peers:entry_left", "peers: own row not removed", error=str(error))
         if self._port is not None:
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -106,14 +106,17 @@
         call = self.dialect.encode_feed(table, after, wait)
         return await self._call("feed", call, wait + ANSWER_TIMEOUT)
 
-    async def write(self, table: str, writes: Collection[RowWrite]) -> int:
+    async def write(
+        self, table: str, writes: Collection[RowWrite], timeout: timedelta = ANSWER_TIMEOUT
+    ) -> int:
         """Write rows in one transaction and return the version that it made.
 
+        :param timeout: longest wait for the answer.
         :raises StoreUnavailableError: when the store does not answer or its answer is malformed.
         :raises RowConflictError: when a row does not have the expected version.
         :raises StoreRefusal: when the store refuses the call.
         """
-        page = await self._call("write", self.dialect.encode_write(table, writes), ANSWER_TIMEOUT)
+        page = await self._call("write", self.dialect.encode_write(table, writes), timeout)
         return page.version
 
     def claim_probe(self, caller: object) -> bool:
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -414,3 +414,22 @@
     assert stop.elapsed < GRACE * 5 / 6 - 0.2
     check_refusal(refused, 503, "not-run")
     assert json.loads(refused.body)["error"] == "leaving"
+
+
+# the process waited for the store after its last answer, beyond the end of its grace period
+def test_a_silent_store_does_not_hold_up_the_exit(
+    platform: StandinPlatform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway = start_gateway(platform)
+    answer_store = platform.store.answer
+
+    def answer(*given: Any) -> tuple[int, dict[str, Any]]:
+        time.sleep(3.0)
+        return answer_store(*given)
+
+    Stop(gateway)
+    monkeypatch.setattr(platform.store, "answer", answer)
+    assert gateway.popen is not None
+    gateway.popen.wait(WAIT)
+    (done,), (stopped,) = gateway.lines("departure:done"), gateway.lines("daemon:stopped")
+    assert stopped["timestamp"] - done["timestamp"] < 1.0
