Keep a silent engine whose successor rejects the stream

A stream moved on suspicion was cut although its engine was sound: the other engine rejected it, but only the head of the rejection had come when the overlap of 300 ms ended, so it counted as an answer that is still due and replaced the silent engine. Any head that does not serve the stream now ends the move at once. Found by review; the test failed before.

--- a/src/lavenderrun/gateway/_stream_move.py
+++ b/src/lavenderrun/gateway/_stream_move.py
@@ -149,9 +149,11 @@
         self._sender.send(self._attempt, place, None)
 
     def head_received(self, attempt: Attempt) -> None:
-        """Let the new engine go on when it serves the stream."""
+        """Let the new engine go on if it serves the stream, else keep the silent one."""
         if attempt.head is not None and attempt.head.kind is AnswerKind.SERVED:
             self.take_over()
+        else:
+            self._fail(MoveResult.REJECTED)
 
     def body_received(self, attempt: Attempt, data: bytes) -> None:
         """Ignore the body of a rejection."""
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -297,3 +297,24 @@
         assert running.result().status == 200
     assert sum(len(server.seen) for server in servers) == 1
     assert not gateway.lines("call:hedged")
+
+
+def reject_with_late_body(
+    server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest
+) -> bool:
+    head = f"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: {seen.headers['x-request-id']}"
+    handler.wfile.write(f"{head}\r\nContent-Length: 4\r\n\r\nab".encode())
+    time.sleep(2 * MAX_OVERLAP)
+    with suppress(OSError):
+        handler.wfile.write(b"cd")
+    return True
+
+
+# a rejection whose body was late took the stream from the silent engine, and the answer was cut
+def test_a_rejection_by_the_other_engine_does_not_take_the_stream(
+    platform: StandinPlatform,
+) -> None:
+    for engine in add_engines(platform, "dec-1", "dec-2"):
+        engine.behave = choose_by_resumption(fall_silent(BEGUN, SILENCE), reject_with_late_body)
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(RESUMED + "x"))
