Let a stream return to a silent engine when the next one fails

A stream was cut though its engine was sound: it had moved from the silent engine at the end of the overlap, and the other one rejected or dropped it after that, with no third engine or attempt left. The engine that was left may be chosen again until the new one serves the stream; it is the same server, so the route's attempts are kept. It costs a resend. Found by review; both cases of the test failed before.

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -74,8 +74,8 @@
 """Silence after which a host's row is removed; a host that is still alive writes it again."""
 
 ROW_REMOVAL_TIMEOUT: Final = timedelta(milliseconds=200)
-"""Longest wait for the removal of the own row at a planned stop; the others forget the row of a host
-that does not report by themselves."""
+"""Longest wait for the removal of the own row at a planned stop; the others remove the row of a
+host that does not report."""
 
 ANNOUNCE_RETRY_PAUSE: Final = timedelta(milliseconds=500)
 """Pause before another attempt to write this host's row."""
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -15,7 +15,7 @@
 from lavenderrun.gateway._stream_resumption import StreamResumption
 from lavenderrun.gateway._stream_sender import StreamSender
 from lavenderrun.gateway._stream_timing import StreamTiming
-from lavenderrun.types import AnswerKind, Refusal, Step
+from lavenderrun.types import AnswerKind, Member, Refusal, Step
 
 MAX_ERROR_BYTES: Final = 1 << 20
 """Largest answer of an engine that does not serve the call."""
@@ -71,6 +71,7 @@
         self._error_body = bytearray()
         self._is_outcome_unknown = False
         self.loss = ""
+        self._left_silent: Member | None = None
         self._sent_at = admitted.arrived
         self._resumption = StreamResumption(
             services, admitted, self._call_log, self._events, self._cache, self
@@ -155,6 +156,7 @@
         silent, self._attempt = self._attempt, attempt
         if silent is not None:
             self._is_outcome_unknown = True
+            self._left_silent = silent.member
             silent.give_up_silent(is_server_silent=self._silence.is_engine_silent())
         self.release_place()
         self._place = place
@@ -168,6 +170,7 @@
         """Begin the answer when the engine serves the call."""
         head = attempt.head
         if head is not None and head.kind is AnswerKind.SERVED:
+            self._left_silent = None
             self._silence.note_head()
             self._cache.note_imported()
             if not self._events.is_begun:
@@ -193,6 +196,7 @@
         self._attempt = None
         if self._is_over:
             return
+        self._allow_return()
         situation = self._resumption.assess(attempt)
         if not situation.is_complete and attempt.outcome.may_have_run:
             self._is_outcome_unknown = True
@@ -204,6 +208,12 @@
         self._silence.end()
         self._resumption.continue_after(attempt, situation)
 
+    def _allow_return(self) -> None:
+        """Let a silent engine be chosen again if the one after it did not serve the stream."""
+        left, self._left_silent = self._left_silent, None
+        if left is not None and left in self._tried_servers:
+            self._tried_servers.remove(left)
+
     def complete(self, attempt: Attempt) -> None:
         """End the answer as complete."""
         self._call_log.write(
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -10,7 +10,7 @@
 
 import pytest
 from gateway_process import Answer, Gateway, StandinPlatform, wait_for
-from misbehaviour import fall_silent, reject
+from misbehaviour import fall_silent, once, reject
 from platform_standin import (
     HOST,
     KEY,
@@ -318,3 +318,27 @@
         engine.behave = choose_by_resumption(fall_silent(BEGUN, SILENCE), reject_with_late_body)
     gateway = platform.wait_known(platform.add_gateway())
     assert is_whole(gateway.generate(RESUMED + "x"))
+
+
+def end_late(*, is_rejected: bool) -> Behaviour:
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        time.sleep(MAX_OVERLAP)
+        if is_rejected:
+            return reject(server, handler, seen)
+        reset(handler)
+        return True
+
+    return once(behave)
+
+
+# the engine after a silent one ended without an answer, and the answer was cut without a way back
+@pytest.mark.parametrize("is_rejected", [True, False])
+def test_a_stream_returns_to_the_silent_engine_when_the_other_one_fails(
+    platform: StandinPlatform, is_rejected: bool
+) -> None:
+    resumed = end_late(is_rejected=is_rejected)
+    for engine in add_engines(platform, "dec-1", "dec-2"):
+        engine.behave = choose_by_resumption(fall_silent(BEGUN, SILENCE), resumed)
+    gateway = platform.wait_known(platform.add_gateway())
+    assert is_whole(gateway.generate(RESUMED + "x"))
+    assert len(list_resumed(platform)) == 2
