Answer a request that came behind a running one during a stop

A whole request on a kept connection got no answer: idle connections are closed 2.6 s after SIGTERM, one with an answer under way is marked to close after it, and a request that came behind it in that time was dropped. The mark is taken back when something has come; the answer to that request says that the connection closes. Found by review; the test failed before.

--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -298,6 +298,7 @@
         self._is_reading = False
         self._is_last_read = False
         self._is_discarding = False
+        self._closes_after_answer = False
         self._body_due: datetime | None = None
         self._body_bytes = 0
         self.max_body_bytes = service.max_body_bytes
@@ -331,6 +332,9 @@
         """Begin the idle timeout after an answer."""
         self._is_last_read = False
         self._savedTimeOut = self._service.find_idle_timeout().total_seconds()
+        if self._closes_after_answer and self.has_pipelined:
+            # the answer to the request that has come meanwhile says that the connection closes
+            self.persistent, self._closes_after_answer = 1, False
         super().requestDone(request)
 
     def timeoutConnection(self) -> None:  # noqa: N802
@@ -377,7 +381,7 @@
     def close_when_idle(self) -> None:
         """Close the connection now, or after the answers to what has arrived."""
         if self.requests and not self.has_pipelined and not self._is_reading:
-            self.persistent = 0
+            self.persistent, self._closes_after_answer = 0, True
         elif not (self.requests or self._is_reading or has_unread_bytes(self.transport)):
             self.note_closing(CloseReason.DEPARTURE)
             self.loseConnection()
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -433,3 +433,30 @@
     gateway.popen.wait(WAIT)
     (done,), (stopped,) = gateway.lines("departure:done"), gateway.lines("daemon:stopped")
     assert stopped["timestamp"] - done["timestamp"] < 1.0
+
+
+def read_to_end(connection: socket.socket) -> bytes:
+    connection.settimeout(WAIT)
+    parts = []
+    while part := connection.recv(65536):
+        parts.append(part)
+    return b"".join(parts)
+
+
+# the connection closed after the first answer, though a whole second request had come
+def test_a_request_that_comes_behind_a_running_one_during_a_stop_is_answered(
+    platform: StandinPlatform,
+) -> None:
+    server = platform.add(StandinServer("app-1", "apps"))
+    server.behave = delay(4.0)
+    gateway = start_gateway(platform, 8.0)
+    head = HEAD[:-2] + "X-Deadline-Ms: 20000\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", gateway.front)) as connection:
+        connection.sendall(head.encode())
+        time.sleep(0.5)
+        stop = Stop(gateway)
+        stop.wait_until(2.9)
+        connection.sendall(head.replace("raw", "raw-2").encode())
+        answers = read_to_end(connection)
+    assert answers.count(b"HTTP/1.1 ") == 2
+    assert answers.count(b"Connection: close") == 1
