Write no second answer to an upload that was refused at once

A caller whose body was over the limit read its 413 and then a 503: at the end of the grace period every request that was read in part is refused, also one whose answer had been written. Found by review; the test failed before.

--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -391,7 +391,8 @@
         if self._is_reading and not self._is_discarding:
             self._is_discarding = True
             self.note_closing(CloseReason.DEPARTURE)
-            self.transport.write(answer)
+            if not any(request.startedWriting for request in self.requests):
+                self.transport.write(answer)
             # a close while the caller still sends would reset the connection before it has read
             self.transport.loseWriteConnection()
 
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -460,3 +460,15 @@
         answers = read_to_end(connection)
     assert answers.count(b"HTTP/1.1 ") == 2
     assert answers.count(b"Connection: close") == 1
+
+
+# a body over the limit was refused at once, and a second answer followed at the end of the stop
+def test_a_refused_upload_gets_one_answer_at_the_end_of_the_grace_period(
+    platform: StandinPlatform,
+) -> None:
+    gateway = start_gateway(platform)
+    head = HEAD.replace("GET", "POST")[:-2] + f"Content-Length: {5 << 20}\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", gateway.front)) as connection:
+        Stop(gateway)
+        connection.sendall(head.encode() + b"a part")
+        assert read_to_end(connection).count(b"HTTP/1.1 ") == 1
