End a call also when its release fails

A call whose release raised stayed among the running calls, and a planned stop waited for it to the end of its grace period. Found by review; the test failed before.

--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -300,9 +300,11 @@
         self._is_over = True
         for timer in self._timers:
             timer.cancel()
-        self._release()
-        took = self._services.clock.now() - self._admitted.arrived
-        delivery = self._admitted.access.route.delivery.value
-        self._services.stats.count(CALLS, self._admitted.service, delivery, outcome)
-        self._services.stats.observe(WHOLE_ANSWER, took, delivery)
-        self._on_end(self)
+        try:
+            self._release()
+        finally:
+            took = self._services.clock.now() - self._admitted.arrived
+            delivery = self._admitted.access.route.delivery.value
+            self._services.stats.count(CALLS, self._admitted.service, delivery, outcome)
+            self._services.stats.observe(WHOLE_ANSWER, took, delivery)
+            self._on_end(self)
