--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -11,7 +11,8 @@
 from twisted.internet.task import Clock as FakeReactor
 from twisted.internet.testing import StringTransport
 
-from lavenderrun.gateway._callers import MIN_BODY_TIME, CallerFactory, CallersService
+from lavenderrun.gateway._caller_channel import MIN_BODY_TIME, CallerFactory
+from lavenderrun.gateway._callers import CallersService
 from lavenderrun.gateway._stats import Stats
 from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import CallerLimits, GatewayCall, Headers, Refused, RequestId
