Excuse a request of the soak by when its connection was opened

The connection counted as open since the caller's thread had noted the answer before, which beside load was after the kill. A connection that was opened before the kill belongs to the killed process; idle times and suspensions are checked as before.

--- a/tests/soak/request_ends.py
+++ b/tests/soak/request_ends.py
@@ -32,6 +32,7 @@
 class SentRequest:
     """A request from its first byte on.
 
+    :param opened: when its connection was opened.
     :param rested: for how long its connection had been idle, 0 for a new one.
     :ivar sent: when it was sent whole, ``None`` before.
     :ivar ended: when the caller had its answer or an error.
@@ -40,6 +41,7 @@
 
     gateway: int
     began: float
+    opened: float
     rested: float = 0.0
     sent: float | None = None
     ended: float = float("inf")
@@ -48,7 +50,7 @@
 
     @property
     def idle_since(self) -> float:
-        """When its connection was last known to be open."""
+        """When its caller had the answer before, or opened the connection."""
         return self.began - self.rested
 
     @property
@@ -79,13 +81,16 @@
     freezes: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
     stops: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
 
-    def begin(self, request: str, gateway: int, idle_since: float | None) -> SentRequest:
+    def begin(
+        self, request: str, gateway: int, opened: float, idle_since: float | None
+    ) -> SentRequest:
         """Record that a caller sends the first byte of a request on an open connection.
 
+        :param opened: when the connection was opened.
         :param idle_since: when the answer before ended on the connection, ``None`` on a new one.
         """
         now = time.monotonic()
-        found = SentRequest(gateway, now, 0.0 if idle_since is None else now - idle_since)
+        found = SentRequest(gateway, now, opened, 0.0 if idle_since is None else now - idle_since)
         with self.lock:
             self.requests[request] = found
         return found
@@ -137,8 +142,7 @@
 
     def _was_killed(self, request: SentRequest) -> bool:
         return any(
-            request.idle_since <= kill <= request.ended
-            for kill in self.kills.get(request.gateway, [])
+            request.opened <= kill <= request.ended for kill in self.kills.get(request.gateway, [])
         )
 
     def _lies_in(self, spans: dict[int, list[tuple[float, float]]], request: SentRequest) -> bool:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 import tempfile
 import threading
 import time
+import weakref
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
@@ -136,6 +137,9 @@
         self.leaving: set[Gateway] = set()
         self.frozen: set[Gateway] = set()
         self.long_work = 0.0
+        self._opened: weakref.WeakKeyDictionary[http.client.HTTPConnection, float] = (
+            weakref.WeakKeyDictionary()
+        )
         self.draining: StandinServer | None = None
         self.proxies: dict[str, Proxy] = {}
         self.starts: Counter[str] = Counter()
@@ -289,7 +293,9 @@
         try:
             if connection.sock is None:
                 connection.connect()
-            sent = self.ends.begin(request, self.gateways.index(gateway), idle_since)
+                self._opened[connection] = time.monotonic()
+            index, opened = self.gateways.index(gateway), self._opened[connection]
+            sent = self.ends.begin(request, index, opened, idle_since)
             answer = self._send(gateway, kind, request, connection, sent, upload)
             sent.answer = answer
         except (OSError, http.client.HTTPException) as error:
