--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -20,4 +20,8 @@
 from lavenderrun.daemons import run_gateway  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(run_gateway(Path(os.environ["LAVENDERRUN_SETTINGS"]), metrics_port=int(sys.argv[1])))
+    code = run_gateway(Path(os.environ["LAVENDERRUN_SETTINGS"]), metrics_port=int(sys.argv[1]))
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # all is closed; the interpreter's own teardown would outlast the grace period on a busy host
+    os._exit(code)
