--- a/tests/soak/request_ends.py
+++ b/tests/soak/request_ends.py
@@ -64,7 +64,7 @@
     """Records requests and what may end them without a whole answer.
 
     :param stream_seconds: time within which an engine that is not silent sends a whole stream.
-    :ivar kills: per gateway, when it was killed.
+    :ivar kills: per gateway, when it was killed and when its process was gone.
     :ivar freezes: per gateway, when it was suspended and resumed.
     :ivar stops: per gateway, when it was ordered to stop and when its process was gone.
     :ivar timeouts: when each timeout of the routes was configured, and the timeout in seconds.
@@ -77,7 +77,7 @@
     idle_timeouts: list[tuple[float, float]] = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
     requests: dict[str, SentRequest] = field(default_factory=dict)
-    kills: dict[int, list[float]] = field(default_factory=dict)
+    kills: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
     freezes: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
     stops: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
 
@@ -95,8 +95,8 @@
             self.requests[request] = found
         return found
 
-    def note_kill(self, gateway: int) -> None:
-        self.kills.setdefault(gateway, []).append(time.monotonic())
+    def note_kill(self, gateway: int, began: float) -> None:
+        self.kills.setdefault(gateway, []).append((began, time.monotonic()))
 
     def note_freeze(self, gateway: int, began: float) -> None:
         self.freezes.setdefault(gateway, []).append((began, time.monotonic()))
@@ -142,7 +142,8 @@
 
     def _was_killed(self, request: SentRequest) -> bool:
         return any(
-            request.opened <= kill <= request.ended for kill in self.kills.get(request.gateway, [])
+            began <= request.ended and request.opened <= gone
+            for began, gone in self.kills.get(request.gateway, [])
         )
 
     def _lies_in(self, spans: dict[int, list[tuple[float, float]]], request: SentRequest) -> bool:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -489,8 +489,9 @@
     """Kill a gateway and restart it."""
     gateway = soak.random_source.choice(soak.gateways)
     soak.excuse(gateway)
-    soak.ends.note_kill(soak.gateways.index(gateway))
+    began = time.monotonic()
     gateway.close()
+    soak.ends.note_kill(soak.gateways.index(gateway), began)
     time.sleep(soak.random_source.uniform(0.0, 0.5))
     soak._restart_if_dead(gateway)
 
