--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -232,7 +232,7 @@
     gateway.signal(signal.SIGTERM)
     try:
         status = gateway.popen.wait(soak.ends.grace)
-        if status:
+        if status and not (status == -signal.SIGKILL and gateway in soak.killed):
             soak.outcomes.failures.append(f"a planned stop ended with {status}")
     except subprocess.TimeoutExpired:
         soak.outcomes.failures.append("a planned stop lasted longer than its grace period")
@@ -242,6 +242,7 @@
     gateway.start()
     soak.excuse(gateway)
     soak.leaving.discard(gateway)
+    soak.killed.discard(gateway)
 
 
 def start_later(seconds: float, act: Callable[[], None]) -> threading.Timer:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -107,6 +107,7 @@
     :param faults: the faults to inject, ``None`` for those that break something.
     :ivar spoken_until: until when each server that fell silent last says nothing.
     :ivar leaving: gateways that are being stopped.
+    :ivar killed: those among them that were killed meanwhile.
     :ivar frozen: gateways that are suspended.
     :ivar draining: the engine that drains.
     :ivar long_work: how long plain servers work on a call, in seconds.
@@ -135,6 +136,7 @@
         self.operator.write(self)
         self.spoken_until: dict[str, float] = {}
         self.leaving: set[Gateway] = set()
+        self.killed: set[Gateway] = set()
         self.frozen: set[Gateway] = set()
         self.long_work = 0.0
         self._opened: weakref.WeakKeyDictionary[http.client.HTTPConnection, float] = (
@@ -490,10 +492,14 @@
     gateway = soak.random_source.choice(soak.gateways)
     soak.excuse(gateway)
     began = time.monotonic()
+    is_leaving = gateway in soak.leaving
+    if is_leaving:
+        soak.killed.add(gateway)
     gateway.close()
     soak.ends.note_kill(soak.gateways.index(gateway), began)
     time.sleep(soak.random_source.uniform(0.0, 0.5))
-    soak._restart_if_dead(gateway)
+    if not is_leaving:
+        soak._restart_if_dead(gateway)
 
 
 @fault
