--- a/tests/platform/test_configuration_changes.py
+++ b/tests/platform/test_configuration_changes.py
@@ -53,6 +53,11 @@
     def send(self, data: bytes) -> None:
         self._socket.sendall(data)
 
+    def send_head(self, length: int) -> None:
+        """Send a head and wait until the gateway has read it and asks for the body."""
+        self.send(make_head(length)[:-2] + b"Expect: 100-continue\r\n\r\n")
+        assert self._socket.recv(100).startswith(b"HTTP/1.1 100 ")
+
     def read_status(self) -> int:
         """Return the status of the next answer, 0 without one."""
         response = http.client.HTTPResponse(self._socket)
@@ -122,9 +127,9 @@
     platform: StandinPlatform, gateway: Gateway
 ) -> None:
     caller = Caller(gateway)
-    caller.send(make_head(10) + b"01234")
+    caller.send_head(10)
     set_limits(platform, gateway, max_body_bytes=7)
-    caller.send(b"56789")
+    caller.send(b"0123456789")
     assert caller.read_status() == 200
     caller.send(make_head(10) + b"0123456789")
     assert caller.read_status() == 413
