--- a/tests/platform/test_unexpected_errors.py
+++ b/tests/platform/test_unexpected_errors.py
@@ -29,8 +29,8 @@
     PREFIX + "_attempt:Attempt.answer_completed",
 ]
 STREAM_ONLY = [
-    PREFIX + "_stream_call:StreamCall._take_slot",
-    PREFIX + "_stream_call:StreamCall._take_connection",
+    PREFIX + "_engine_search:EngineSearch._take_slot",
+    PREFIX + "_engine_search:EngineSearch._take_connection",
     PREFIX + "_view:FleetView.takes_calls",
     PREFIX + "_prefill:PrefillStep.attempt_ended",
     PREFIX + "_stream_call:StreamCall.attempt_ended",
