Cut a begun answer in one place

StreamCall repeated the cut of the base class to add the id of the last event to its log line; a call now says how far its answer has come, and the base class cuts.

--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -135,11 +135,15 @@
 
     def cut(self, detail: str) -> None:
         """Break off an answer that has begun, so that it can't look complete."""
-        self._call_log.write("cut", "answer cut off", detail=detail)
+        self._call_log.write("cut", "answer cut off", detail=detail, **self._describe_progress())
         self._release()
         self._sink.abort()
         self._finish("cut")
 
+    def _describe_progress(self) -> dict[str, str | None]:
+        """Return the fields of a log line that say how far the answer has come."""
+        return {}
+
     def refuse_if_late(self, elapsed: timedelta, grace: GracePeriod) -> None:
         """Refuse a call that waits if it can't end in the grace period any more.
 
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -258,12 +258,8 @@
         else:
             super()._reject_crashing(release)
 
-    def cut(self, detail: str) -> None:
-        """End the answer as incomplete."""
-        self._call_log.write("cut", "answer cut off", detail=detail, last=self._events.last_id)
-        self._release()
-        self._sink.abort()
-        self._finish("cut")
+    def _describe_progress(self) -> dict[str, str | None]:
+        return {"last": self._events.last_id}
 
     def _reach_deadline(self) -> None:
         if self._events.is_begun and not self._is_over:
