End the checked rest of a server when it starts anew in the soak

Its trace: app-1 asked for a rest of 3 s at 468.06, the repair at the end of the run started it anew at 469.84 with a new run in its row, and all five calls arrived between 469.90 and 470.30. The rest belongs to the run that asked for it, so these calls are allowed. The check held them against the old run.

The checked time now ends when the server starts anew; calls before that count as they did.

--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -134,6 +134,9 @@
         if call is None:
             return
         begin, end = rest.at + REACTION_SECONDS, rest.at + rest.seconds
+        # a server that has started anew has asked for no rest
+        starts = [start for _, start in self.departures.get(server.id, []) if start > rest.at]
+        end = min([end, *starts])
         late = [
             request
             for request, at in self._list_seen(server)
