Let the search for free ports of the tests find no port twice

Two gateways of one soak drew the same port: the search closes its sockets before the processes bind, so a second search could find the port again. The last 2,048 ports found are left out. The test found duplicates among 2,000 ports before, and finds none now.

--- a/tests/platform/free_ports.py
+++ b/tests/platform/free_ports.py
@@ -5,6 +5,7 @@
 import os
 import random
 import socket
+from collections import deque
 from contextlib import ExitStack
 from typing import Final
 
@@ -13,18 +14,23 @@
 that none of those takes a port between the search and the start of the process that uses it."""
 
 _RANDOM_SOURCE: Final = random.Random(os.getpid())
+_recent: Final[deque[int]] = deque(maxlen=2048)
+"""Ports found last: their processes may not have bound them yet."""
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address."""
+    """Return free ports of the loopback address, other ones at each call."""
     with ExitStack() as stack:
         ports: list[int] = []
         while len(ports) < count:
             port = _RANDOM_SOURCE.choice(PORTS)
+            if port in _recent:
+                continue
             candidate = stack.enter_context(socket.socket())
             try:
                 candidate.bind(("127.0.0.1", port))
             except OSError:
                 continue
             ports.append(port)
+            _recent.append(port)
         return ports
