Reset connections of the soak's proxy that have lost bytes

TCP delivers nothing that follows lost bytes, and a gateway can't see such a loss, so the fault was the proxy's.

A connection that has lost bytes is now reset by the next ones that are not dropped, or by its end. The list of faults names the proxy and its mode.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -16,7 +16,8 @@
     """How a proxy treats its connections.
 
     RESET resets all connections; NO_ANSWERS drops what the target sends; SILENT drops everything;
-    HELD delivers everything when it ends.
+    HELD delivers everything when it ends. A connection that has lost bytes is reset by the next
+    ones that are not dropped.
     """
 
     OPEN = "open"
@@ -101,11 +102,7 @@
 
     def _reset_all(self) -> None:
         for writer in list(self._writers):
-            found: socket.socket | None = writer.get_extra_info("socket")
-            with suppress(OSError):
-                if found is not None:
-                    found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
-            writer.transport.abort()
+            _reset(writer)
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -132,14 +129,30 @@
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answers: bool
     ) -> None:
+        has_lost = False
         while data := await reader.read(CHUNK_BYTES):
             if self.mode is ProxyMode.SLOW:
                 await asyncio.sleep(DELAY_SECONDS)
             if self.mode is ProxyMode.SILENT or (answers and self.mode is ProxyMode.NO_ANSWERS):
+                has_lost = True
                 continue
             while self.mode is ProxyMode.HELD:
                 await asyncio.sleep(HELD_CHECK_SECONDS)
+            if has_lost:
+                break
             writer.write(data)
             await writer.drain()
+        if has_lost:
+            # TCP never delivers what follows lost bytes
+            _reset(writer)
+            return
         with suppress(OSError):
             writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    found: socket.socket | None = writer.get_extra_info("socket")
+    with suppress(OSError):
+        if found is not None:
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+    writer.transport.abort()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -462,7 +462,9 @@
     name = soak.random_source.choice(sorted(soak.proxies))
     proxy = soak.proxies[name]
     soak.notices.disturb(name)
-    proxy.set(soak.random_source.choice(BREAKING_FAULT_MODES))
+    mode = soak.random_source.choice(BREAKING_FAULT_MODES)
+    soak.injected[-1] += f" {name} {mode.value}"
+    proxy.set(mode)
 
 
 @fault
