Ask all gateways of a soak at the same time whether they serve again

Their logs: front-1 to front-7 answered each first call, 1.9 s a gateway because of two streams with pauses, and the 12 s in which all must serve again were over before front-8 was asked.

Up to 16 gateways are asked at the same time, with the same 12 s for all.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 import weakref
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler
@@ -62,6 +63,8 @@
 CALLER_COUNT = 6
 START_BATCH = 4
 RECOVERY_SECONDS = 12.0
+RECOVERY_CALLERS = 16
+"""Gateways that are asked at the same time: one is asked for two seconds if streams have pauses."""
 RESTART_SHARE = 0.5
 DEADLY_SHARE = 0.25
 UNTAINT_SHARE = 0.15
@@ -379,11 +382,16 @@
 
     def _check_recovery(self) -> None:
         until = time.monotonic() + RECOVERY_SECONDS
-        for gateway in self.gateways:
-            for kind in KINDS:
-                if not self._recovers(gateway, kind, until):
-                    name = gateway.settings.stem
-                    self.outcomes.failures.append(f"not served again: {kind} at {name}")
+        with ThreadPoolExecutor(RECOVERY_CALLERS) as callers:
+            for failures in callers.map(lambda g: self._check_recovered(g, until), self.gateways):
+                self.outcomes.failures.extend(failures)
+
+    def _check_recovered(self, gateway: Gateway, until: float) -> list[str]:
+        return [
+            f"not served again: {kind} at {gateway.settings.stem}"
+            for kind in KINDS
+            if not self._recovers(gateway, kind, until)
+        ]
 
     def _recovers(self, gateway: Gateway, kind: str, until: float) -> bool:
         attempt = 0
