Answer callers that close their writing side after a whole request

Cause: the end of a caller's data was taken for the caller's end, so its calls were cancelled and the connection closed without an answer.

Change: the connection stays until all requests that were read whole are answered. A caller that is gone sends the same, so a probe (100 Continue, four at most) and the socket's error tell the two apart; a begun answer is its own probe. The code is shared with entries; over TLS the library passes no half-close on.

--- a/src/lavenderrun/http_server/_requests.py
+++ b/src/lavenderrun/http_server/_requests.py
@@ -6,12 +6,15 @@
 from typing import Any, Final
 
 from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel, Request
+from zope.interface import implementer
 
 from lavenderrun.http_server._account import CloseReason, RequestAccount, RequestEnd
 from lavenderrun.http_server._errors import describe_error
+from lavenderrun.http_server._half_closed import HalfClosedWatch
 
 OVERDUE_AFTER: Final = timedelta(milliseconds=500)
 """Time after the deadline of a request from which its caller has left for want of an answer."""
@@ -90,12 +93,17 @@
         return is_late and not self.startedWriting
 
 
+@implementer(IHalfCloseableProtocol)
 class AccountedChannel(HTTPChannel):
-    """A connection of callers that knows why it is closed."""
+    """A connection of callers that knows why it is closed.
+
+    A caller that closes its writing side gets the answers to its whole requests.
+    """
 
     factory: AccountedFactory
     transport: Any
     _closing: CloseReason | None = None
+    _half_closed: HalfClosedWatch | None = None
 
     def note_closing(self, reason: CloseReason) -> None:
         """Note why this host closes the connection; the first reason stays."""
@@ -130,8 +138,40 @@
         self.note_closing(CloseReason.ABORT)
         super().forceAbortClient()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Keep the connection until the requests that were read whole are answered."""
+        if not self._handlingRequest:
+            self.note_closing(CloseReason.CALLER)
+            self.transport.loseConnection()
+        elif self._half_closed is None:
+            clock = self.factory.account.clock
+            self._half_closed = HalfClosedWatch(
+                clock, self.transport, self._send_probe, self._note_gone
+            )
+            self._half_closed.start()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: what is still read is discarded."""
+
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Close the connection after the last answer to a caller that can send nothing more."""
+        super().requestDone(request)
+        if self._half_closed is not None and not self._handlingRequest:
+            self.readConnectionLost()
+
+    def _send_probe(self) -> None:
+        for request in self.requests[:1]:
+            if request.clientproto == b"HTTP/1.1" and not request.startedWriting:
+                self._send100Continue()
+
+    def _note_gone(self) -> None:
+        self.note_closing(CloseReason.CALLER)
+        self.transport.abortConnection()
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """End the requests on this connection."""
+        if self._half_closed is not None:
+            self._half_closed.stop()
         unread = sum(map(len, self._dataBuffer))
         if unread:
             # pipelined behind a request that was under way
