Keep the order of engines' roles where it is in a short silence

Cause: a gateway that did not report for a second no longer counted, and the next one by name claimed the lease of roles at once when the stored one had expired or none was stored. It weighs the roles by other calls, and the first one then waits 5 s to have the lease back.

Change: the lease is claimed after 3 s of silence at the earliest; its row is looked at from the first second on, so that a row that another host renewed is taken over no later than before.

Measured: the test of tests/gateway/test_roles.py fails before (one order after 1.2 s) and passes after; no run over sockets.

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -136,6 +136,11 @@
         self.since = since
         self.last_report: datetime | None = None
 
+    @property
+    def last_heard(self) -> datetime:
+        """When it last reported, or when it became known."""
+        return self.last_report or self.since
+
 
 class _ReportProtocol(DatagramProtocol):
     def __init__(self, handler: Callable[[bytes], None]) -> None:
@@ -242,9 +247,15 @@
         peer = self._peers.get(host)
         return None if peer is None else f"{peer.address[0]}:{peer.address[1]}"
 
-    def is_first_by_name(self) -> bool:
-        """Tell whether this host's name sorts before those of all gateways that report."""
-        return all(self._host < host for host in self._list_reporting())
+    def is_first_by_name(self, silence: timedelta | None = None) -> bool:
+        """Tell whether this host's name sorts before those of all gateways that report.
+
+        :param silence: after which a host no longer counts, ``lost_after`` by default.
+        """
+        if silence is None:
+            return all(self._host < host for host in self._list_reporting())
+        since = self._clock.now() - silence
+        return all(self._host < h for h, p in self._peers.items() if p.last_heard > since)
 
     def replace_rows(self, rows: Sequence[RowChange]) -> None:
         """Apply all rows of the table, as ``TableListener`` requires."""
@@ -336,7 +347,7 @@
             if peer.last_report is not None and now - peer.last_report >= lost_after:
                 log("peers:lost", "peers: host stopped reporting", peer=host)
                 peer.since, peer.last_report = peer.last_report, None
-            if now - (peer.last_report or peer.since) > REMOVED_AFTER:
+            if now - peer.last_heard > REMOVED_AFTER:
                 self._remove_row(host, peer, now)
 
     def _send(self, data: bytes, peer: _PeerState) -> None:
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -65,6 +65,10 @@
 UNCONFIRMED_ORDER_LIFETIME: Final = timedelta(seconds=15)
 """How long an order may still be executed by an engine that has not confirmed it."""
 
+TAKEOVER_SILENCE: Final = timedelta(seconds=3)
+"""Silence of the gateway that orders engines after which another one may claim the lease: a silence
+of a second is no end, and two gateways weigh the roles by different calls."""
+
 LEASE_RETRY_PAUSE: Final = timedelta(seconds=2)
 """Pause after a failed call to the store, as each call has a cost."""
 
@@ -207,6 +211,8 @@
                 StoredLease(row.version, decode_lease(row.value)) if row else StoredLease(0, None)
             )
             self._keeper.observe(stored, self._clock.now())
+            if not self._peers.is_first_by_name(TAKEOVER_SILENCE):
+                return None
             write = self._keeper.plan_write(self._clock.now())
             if write is not None:
                 await self._write_lease(write)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -12,12 +12,14 @@
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.gateway._peers import PeersService
+from lavenderrun.gateway._peers import PeerReport, PeersService
 from lavenderrun.gateway._ports import RowChange, RowWrite
 from lavenderrun.gateway._rows import StoreState
-from lavenderrun.types import BackendId, HostId, Member
+from lavenderrun.types import BackendId, BootId, DocumentVersion, HostId, Member
 
 LARGE_FLEET = 350
+BOOT = BootId("b")
+VERSION = DocumentVersion(1)
 CONFIG: dict[str, Any] = {"routes": [], "services": [], "limits": {}, "tenants": []}
 
 
@@ -282,6 +284,19 @@
     assert reports.sent <= 12 * 67
 
 
+def test_a_host_goes_first_by_name_only_after_the_silence_that_is_asked_for() -> None:
+    fixture, peers, _ = start_peers(2)
+    peers._host = HostId("h2")
+    peers._tick()
+    peers._take_datagram(msgspec.msgpack.encode(PeerReport(HostId("h1"), BOOT, VERSION, {}, {})))
+    silence = timedelta(seconds=3)
+    found = []
+    for _ in range(4):
+        found.append((peers.is_first_by_name(), peers.is_first_by_name(silence)))
+        fixture.pass_time(1.2)
+    assert found == [(False, False), (True, False), (True, False), (True, True)]
+
+
 def test_one_follower_finds_out_when_the_store_is_back_for_all() -> None:
     fixture = StoreFixture()
     fixture.pool.answers.extend([None] * 300)
--- a/tests/gateway/test_roles.py
+++ b/tests/gateway/test_roles.py
@@ -79,7 +79,12 @@
 
 
 class Fixture:
-    def __init__(self) -> None:
+    """A host that orders one change of roles.
+
+    :param silence: for how long hosts whose names come before it have been silent.
+    """
+
+    def __init__(self, silence: float = 60.0) -> None:
         self.time = FakeTime()
         self.boot_time = 0.0
         clock = ReactorClock(self.time, START, zero=0.0)
@@ -89,8 +94,11 @@
         watched = SimpleNamespace(follower=follower, watch=lambda _handler: None)
         for name in ("configuration", "members"):
             kernel.provide(name, watched)
+        others_silent = timedelta(seconds=silence)
         peers = SimpleNamespace(
-            follower=follower, boot=BootId("b1"), is_first_by_name=lambda: False
+            follower=follower,
+            boot=BootId("b1"),
+            is_first_by_name=lambda silence=None: silence is not None and silence <= others_silent,
         )
         kernel.provide("peers", peers)
         kernel.provide("stats", SimpleNamespace(observe=lambda *_: None))
@@ -130,6 +138,14 @@
     assert (order["op"], order["fence"], order["expected"]) == ("stage", 1, 3)
 
 
+# a gateway that did not report for a second lost the lease, and another one ordered engines
+def test_a_short_silence_of_the_gateway_that_orders_engines_is_no_hand_over() -> None:
+    for silence, orders in ((1.2, 0), (3.5, 1)):
+        fixture = Fixture(silence)
+        fixture.answer_report()
+        assert len(fixture.engine.orders) == orders
+
+
 def test_no_order_is_sent_when_the_lease_ended_while_the_report_was_read() -> None:
     fixture = Fixture()
     for _ in range(20):
