Give back what a silent gateway did not use of a quota

Cause: from a second of silence on, a gateway is assumed to use its equal share of every account, and what was assumed too high stayed charged. A silence of 1.7 s of an idle gateway, or a suspension of this one, whose first call comes before the reports that have arrived meanwhile, cost the account at a full rate; its callers were refused.

Change: what was withheld for a silent gateway is given back by its next report of the same run, less what it reports. A bucket that is full again is owed nothing, so a silence never gives more than it took.

A property test compares with a ledger that heard all reports; no run over sockets.

--- a/src/lavenderrun/dispatch/_quota.py
+++ b/src/lavenderrun/dispatch/_quota.py
@@ -3,13 +3,15 @@
 Each host keeps a copy of one token bucket for each account. It subtracts its own charges at once
 and those of other hosts when their peer reports arrive. A host whose reports stop is assumed to
 use an equal share of the rate, so that both sides of a network partition together stay within it.
+What it did not use is given back with its next report.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from itertools import takewhile
 from typing import Final
 
 from lavenderrun.types import AccountId, AccountQuota, BootId, HostId
@@ -41,12 +43,14 @@
     :param last_report: time of its last peer report.
     :param used: units charged by account, as of that report.
     :param estimated: units that it is assumed to have used since, by account.
+    :param withheld: those among them that the bucket lacks now; a full bucket lacks none.
     """
 
     boot: BootId
     last_report: datetime
     used: dict[AccountId, float]
     estimated: dict[AccountId, float] = field(default_factory=dict)
+    withheld: dict[AccountId, float] = field(default_factory=dict)
 
 
 class QuotaLedger:
@@ -107,15 +111,18 @@
         if peer is None or peer.boot != boot:
             # its earlier use is unknown or already estimated
             return
-        for account, units in used.items():
+        # what was withheld for an account that the host never charged is given back, too
+        for account in {**used, **peer.withheld}:
+            units = used.get(account, peer.used.get(account, 0.0))
             if units == peer.used.get(account) and account not in peer.estimated:
                 continue
             bucket = self._refill(account, now)
             if bucket is not None:
                 reported = units - peer.used.get(account, 0.0)
                 estimated = peer.estimated.get(account, 0.0)
-                # less than before is a refund; what was estimated too high stays charged
-                charged = max(0.0, reported - estimated) if estimated else reported
+                # less than before is a refund, and so is what was estimated too high
+                unused = max(0.0, peer.withheld.get(account, 0.0) - reported)
+                charged = max(0.0, reported - estimated) - unused if estimated else reported
                 bucket.level = min(bucket.quota.burst, bucket.level - charged)
 
     def charge(self, account: AccountId, cost: float, now: datetime) -> timedelta | None:
@@ -156,15 +163,27 @@
         elapsed = (now - bucket.updated).total_seconds()
         gained = elapsed * bucket.quota.rate
         peer_rate = bucket.quota.rate / (len(self._peers) + 1)
-        for peer in self._peers.values():
+        silent = list(takewhile(lambda p: self._is_silent(p, now), self._peers.values()))
+        for peer in silent:
             silent_since = peer.last_report + self._peer_timeout
-            if silent_since >= now:
-                break
             silent_seconds = (now - max(silent_since, bucket.updated)).total_seconds()
             taken = min(silent_seconds, elapsed) * peer_rate
             gained -= taken
-            peer.estimated[account] = peer.estimated.get(account, 0.0) + taken
+            for sums in (peer.estimated, peer.withheld):
+                sums[account] = sums.get(account, 0.0) + taken
         floor = -MAX_DEBT.total_seconds() * bucket.quota.rate
         bucket.level = min(bucket.quota.burst, max(floor, bucket.level) + gained)
         bucket.updated = now
+        _bound_withheld(silent, account, bucket.quota.burst - bucket.level)
         return bucket
+
+    def _is_silent(self, peer: _PeerUsage, now: datetime) -> bool:
+        return peer.last_report + self._peer_timeout < now
+
+
+def _bound_withheld(silent: Sequence[_PeerUsage], account: AccountId, lacking: float) -> None:
+    """Reduce what was withheld for silent hosts to what the bucket lacks."""
+    withheld = sum(peer.withheld[account] for peer in silent)
+    if withheld > lacking:
+        for peer in silent:
+            peer.withheld[account] *= lacking / withheld
