Estimate the fixed part of a stream's duration apart from its tokens

Cause: `CallDurations` took the whole duration of a stream for each token of its likely output, so the time to the first event grew with the output. After short streams long ones were refused near the end of a grace period that could have ended, and after long streams short ones were taken that could not.

A call without an event says nothing about tokens.

Not covered: the time to the first event counts waits for a decode slot and does not depend on the length of the prompt.

--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -294,7 +294,12 @@
     def _observe_duration(self) -> None:
         took = self._services.clock.now() - self._admitted.arrived
         route = self._admitted.access.route
-        self._services.durations.observe(route, self._admitted.call.size, took)
+        size, first_event = self._admitted.call.size, self._find_first_event()
+        self._services.durations.observe(route, size, took, first_event)
+
+    def _find_first_event(self) -> timedelta | None:
+        """Return the time to the first event, ``None`` without one."""
+        return None
 
     def _finish(self, outcome: str) -> None:
         if self._is_over:
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -223,6 +223,9 @@
         self._sink.finish()
         self._finish("answered")
 
+    def _find_first_event(self) -> timedelta | None:
+        return self._timing.first_delay
+
     def _observe_decode(self) -> None:
         service, tokens = self._admitted.service, count_required_tokens(self._admitted)
         memory = self._services.view.find_memory(service)
