Answer a call once when the check of its refusal fails at once

Cause: `GatewayRouter._confirm` arms a timer, then asks the store. When that raised at once, the call was answered as failed, but the timer stayed and answered it once more, and the call counted as pending.

Change: the timer is cancelled and the call is no longer pending before the error goes on.

--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -245,7 +245,14 @@
         if call.patience is not None:
             wait = min(wait, call.patience * CONFIRMATION_SHARE)
         timer = self._clock.call_later(wait, decide, False)
-        self._configuration.refresh().addCallback(decide)
+        try:
+            self._configuration.refresh().addCallback(decide)
+        except Exception:
+            # the caller of this method answers, so nothing else may
+            pending.is_over = True
+            self._pending.pop(pending, None)
+            timer.cancel()
+            raise
         return pending
 
     def _authorize(self, call: GatewayCall) -> Access | Refusal:
