Let a dropped move that was sent leave the outcome unknown

Cause: while a stream moves, two engines have it. A move that was dropped after its send was forgotten, so when the silent engine, which stayed, rejected the stream as not run, its caller was told the same, although the other engine may have run it.

Change: `StreamMove` tells the call when it leaves an engine that may have run the stream. One that rejects it leaves the outcome as it is.

--- a/src/lavenderrun/gateway/_silence_guard.py
+++ b/src/lavenderrun/gateway/_silence_guard.py
@@ -21,6 +21,7 @@
 
     :param tried: servers that the stream was sent to.
     :param take_resend: uses one resend of the budget, returns whether there was one.
+    :param note_unknown: called when another engine may have run the stream and is left.
     :param on_moved: called with the attempt that replaces the silent one.
     """
 
@@ -32,6 +33,7 @@
         sender: StreamSender,
         tried: list[Member],
         take_resend: Callable[[], bool],
+        note_unknown: Callable[[], None],
         on_moved: Callable[[Attempt, DecodePlace], None],
     ) -> None:
         self._services = services
@@ -40,6 +42,7 @@
         self._sender = sender
         self._tried = tried
         self._take_resend = take_resend
+        self._note_unknown = note_unknown
         self._on_moved = on_moved
         self._member: Member | None = None
         self._watch = SilenceWatch(
@@ -108,6 +111,7 @@
             self._tried,
             limits,
             self._take_resend,
+            self._note_unknown,
             self._take_moved,
             self._keep_silent,
         )
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -64,6 +64,7 @@
             self._sender,
             self._tried_servers,
             self._take_resend,
+            self._note_unknown,
             self._take_moved,
         )
         self._place: DecodePlace | None = None
@@ -151,6 +152,9 @@
         self._sent_at = self._services.clock.now()
         self._silence.begin(place.member)
 
+    def _note_unknown(self) -> None:
+        self._is_outcome_unknown = True
+
     def _take_moved(self, attempt: Attempt, place: DecodePlace) -> None:
         """Go on with the attempt at another engine."""
         silent, self._attempt = self._attempt, attempt
--- a/src/lavenderrun/gateway/_stream_move.py
+++ b/src/lavenderrun/gateway/_stream_move.py
@@ -49,6 +49,7 @@
     :param silent: the silent engine.
     :param tried: servers that the stream was sent to.
     :param take_resend: uses one resend of the budget, returns whether there was one.
+    :param note_unknown: called when a new engine that may have run the stream is left.
     :param on_taken: called when the new attempt replaces the silent one.
     :param on_failed: called when the silent attempt stays.
     """
@@ -63,6 +64,7 @@
         tried: list[Member],
         limits: SilenceLimits,
         take_resend: Callable[[], bool],
+        note_unknown: Callable[[], None],
         on_taken: Callable[[Attempt, DecodePlace], None],
         on_failed: Callable[[], None],
     ) -> None:
@@ -74,6 +76,7 @@
         self._tried = tried
         self._limits = limits
         self._take_resend = take_resend
+        self._note_unknown = note_unknown
         self._on_taken = on_taken
         self._on_failed = on_failed
         self._is_over = False
@@ -160,11 +163,16 @@
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Keep the silent attempt, because the new engine does not take the stream on."""
-        if not attempt.sent:
-            self._tried.remove(attempt.member)
         self._attempt = None
+        self._leave(attempt)
         self._fail(MoveResult.REJECTED)
 
+    def _leave(self, attempt: Attempt) -> None:
+        if not attempt.sent:
+            self._tried.remove(attempt.member)
+        elif attempt.outcome.may_have_run:
+            self._note_unknown()
+
     def _end_overlap(self) -> None:
         self._timer = None
         if self._place is None:
@@ -205,11 +213,10 @@
         )
 
     def _release(self) -> None:
-        if self._attempt is not None:
-            if not self._attempt.sent:
-                self._tried.remove(self._attempt.member)
-            self._attempt.abandon()
-            self._attempt = None
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            self._leave(attempt)
+            attempt.abandon()
         if self._place is not None:
             self._place.release()
             self._place = None
