Read what has come before a late timer ends a move

Cause: when this process did not run for a moment, the timer at the end of the overlap of two engines ran before it read what they had sent meanwhile, and gave the new engine up for a silence that was its own. The timer also looked only at the place, not at whether the move was over.

Change: a timer that comes late notes the stall, lets 20 ms pass to read, and decides then. It does nothing for a move that is over.

--- a/src/lavenderrun/gateway/_stream_move.py
+++ b/src/lavenderrun/gateway/_stream_move.py
@@ -15,7 +15,7 @@
 from lavenderrun.gateway._decode_place import DecodePlace
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation
 from lavenderrun.gateway._engine_search import count_required_tokens
-from lavenderrun.gateway._running_call import AdmittedCall
+from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, AdmittedCall
 from lavenderrun.gateway._stats import STREAM_MOVES
 from lavenderrun.gateway._stream_sender import StreamSender
 from lavenderrun.kernel import Timer
@@ -24,6 +24,9 @@
 MAX_OVERLAP: Final = timedelta(milliseconds=300)
 """Longest time for which two engines have the stream at once."""
 
+LATE_READ_TIME: Final = timedelta(milliseconds=20)
+"""Time in which what came while this process did not run is read."""
+
 
 class MoveResult(Enum):
     """How a try to move a stream ended."""
@@ -86,6 +89,7 @@
         self._place: DecodePlace | None = None
         self._attempt: Attempt | None = None
         self._timer: Timer | None = None
+        self._due = admitted.arrived
 
     @property
     def was_sent(self) -> bool:
@@ -146,7 +150,7 @@
 
     def _send(self, place: DecodePlace) -> None:
         self._attempt = self._sender.make_attempt(place, self)
-        self._timer = self._services.clock.call_later(MAX_OVERLAP, self._end_overlap)
+        self._schedule_end(MAX_OVERLAP)
         self._new_engine = place.member
         self._services.view.silence.begin_stream(place.member.id, self._services.clock.now())
         self._sender.send(self._attempt, place, None)
@@ -173,14 +177,25 @@
         elif attempt.outcome.may_have_run:
             self._note_unknown()
 
+    def _schedule_end(self, wait: timedelta) -> None:
+        self._due = self._services.clock.now() + wait
+        self._timer = self._services.clock.call_later(wait, self._end_overlap)
+
     def _end_overlap(self) -> None:
         self._timer = None
-        if self._place is None:
+        if self._is_over or self._place is None:
+            return
+        now = self._services.clock.now()
+        if now - self._due > MAX_TIMER_DELAY:
+            # this process did not run, so what has come is read first
+            self._services.view.silence.note_stall(now)
+            self._silent_before = timedelta(0)
+            self._schedule_end(LATE_READ_TIME)
             return
         if not self.was_sent:
             self._fail(MoveResult.NO_ANSWER)
             return
-        view, now = self._services.view, self._services.clock.now()
+        view = self._services.view
         old = view.silence.measure_engine_silence(self._silent.id, now)
         new = view.silence.measure_engine_silence(self._place.member.id, now)
         if keeps_silent_engine(self._silent_before, old, new, self._limits):
--- a/tests/gateway/test_stream_move.py
+++ b/tests/gateway/test_stream_move.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import Clock as FakeReactor
 
 from lavenderrun.dispatch import AttemptOutcome, SilenceTracker, find_silence_limits
-from lavenderrun.gateway._stream_move import MAX_OVERLAP, MoveResult, StreamMove
+from lavenderrun.gateway._stream_move import LATE_READ_TIME, MAX_OVERLAP, MoveResult, StreamMove
 from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import AnswerKind, BackendId
 
@@ -93,3 +93,39 @@
     sent.move.head_received(sent.attempt)
     assert sent.on_taken.call_count == 1
     assert not sent.note_unknown.called
+
+
+def test_the_other_engine_takes_the_stream_at_the_end_of_the_overlap() -> None:
+    sent = Move()
+    sent.reactor.advance(OVERLAP)
+    assert sent.on_taken.call_count == 1
+
+
+# the move ended before what had come from the two engines was read
+def test_what_came_while_this_process_did_not_run_is_read_before_the_overlap_ends() -> None:
+    sent = Move()
+    sent.reactor.advance(OVERLAP + 1)
+    assert not sent.on_taken.called
+    assert not sent.on_failed.called
+    sent.move.abandon(MoveResult.SPOKE)
+    sent.reactor.advance(1)
+    assert not sent.on_taken.called
+
+
+def test_an_overlap_ends_although_this_process_did_not_run_for_a_moment() -> None:
+    sent = Move()
+    sent.reactor.advance(OVERLAP + 1)
+    sent.reactor.advance(LATE_READ_TIME.total_seconds())
+    assert sent.on_taken.call_count == 1
+
+
+@pytest.mark.parametrize("result", list(MoveResult))
+def test_the_overlap_ends_no_move_that_is_over(result: MoveResult) -> None:
+    sent = Move()
+    sent.attempt.abandon.side_effect = RuntimeError
+    with pytest.raises(RuntimeError):
+        sent.move.abandon(result)
+    sent.services.clock.call_later(timedelta(0), sent.move._end_overlap)
+    sent.reactor.advance(OVERLAP)
+    assert not sent.on_taken.called
+    assert not sent.on_failed.called
