Do not count a suspension of a host as silence of its peers

Cause: links measured silence by the clock, so a suspended entry took the time in which it did not run for silence of its peers, and on resume closed links whose messages it had not read yet. Its peers had closed the others; it sent new calls over them before it read the closes, up to four times in one turn of the loop, and answered backend_lost once the retry budget was used.

A call that may be repeated pauses a moment when its link is lost, and waits for the retry budget until its patience ends, as model requests do.

--- a/src/lavenderrun/daemons/_service_lists.py
+++ b/src/lavenderrun/daemons/_service_lists.py
@@ -5,6 +5,7 @@
 from lavenderrun.types import BackendRole
 
 ENTRY_SERVICES = (
+    "wakes",
     "transport",
     "links",
     "record",
@@ -32,7 +33,7 @@
     BackendRole.PLAIN: ("plain", "plain_agent"),
 }
 
-AGENT_SERVICES = ("transport", "links", "record", "document")
+AGENT_SERVICES = ("wakes", "transport", "links", "record", "document")
 
 
 def list_agent_services(role: BackendRole) -> tuple[str, ...]:
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -91,6 +91,7 @@
 from lavenderrun.decisions._recent_sends import RecentSends
 from lavenderrun.decisions._retry_budget import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
+from lavenderrun.decisions._run_time import ALIVE_INTERVAL, RunTime
 from lavenderrun.decisions._slice_holders import SliceHolders
 from lavenderrun.decisions._tokens import estimate_tokens
 from lavenderrun.decisions._tombstones import Tombstones
@@ -105,6 +106,7 @@
 )
 
 __all__ = [
+    "ALIVE_INTERVAL",
     "INVARIANT_CHECKS",
     "LIMIT_POLICIES",
     "MAX_CRASHES",
@@ -177,6 +179,7 @@
     "RejectionReason",
     "RetryBudget",
     "RetryDecision",
+    "RunTime",
     "SliceHolders",
     "StaleRowDetector",
     "StartDecode",
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -39,6 +39,7 @@
 from lavenderrun.services._store import STORE_DIALECTS, StoreClient, StoreCounters
 from lavenderrun.services._store_http import HttpStore
 from lavenderrun.services._transport_grpc import GrpcTransport
+from lavenderrun.services._wakes import WakesService
 
 __all__ = [
     "ADMIN_ENDPOINTS",
@@ -78,6 +79,7 @@
     "RouterService",
     "StoreClient",
     "StoreCounters",
+    "WakesService",
     "check_readiness",
     "check_tls_files",
 ]
--- a/src/lavenderrun/services/_links.py
+++ b/src/lavenderrun/services/_links.py
@@ -11,6 +11,7 @@
 from lavenderrun.codecs import WireCodec
 from lavenderrun.kernel import SERVICES, Clock, Kernel, Timer
 from lavenderrun.services._peer_link import LinkState, PeerLink
+from lavenderrun.services._wakes import WakesService
 from lavenderrun.types import (
     DocumentVersion,
     Heartbeat,
@@ -33,12 +34,15 @@
 class LinksService:
     """Implements ``Links``: passes messages between peers and the services of this host."""
 
-    needs: ClassVar[tuple[str, ...]] = ("transport",)
+    needs: ClassVar[tuple[str, ...]] = ("transport", "wakes")
 
-    def __init__(self, clock: Clock, hello: Hello, transport: Transport) -> None:
+    def __init__(
+        self, clock: Clock, hello: Hello, transport: Transport, wakes: WakesService
+    ) -> None:
         self._clock = clock
         self._hello = hello
         self._transport = transport
+        self._wakes = wakes
         self._codec = WireCodec()
         self._handlers: dict[type[Message], list[Callable[[Any, Any], None]]] = {}
         self._watchers: list[tuple[Callable[[Link], None], Callable[[Link], None]]] = []
@@ -56,6 +60,7 @@
 
     def start(self) -> Any:
         """Accept links at this host's address."""
+        self._wakes.watch(self._announce_wake)
         return self._transport.listen(self._accept_pipe)
 
     def stop(self) -> None:
@@ -146,6 +151,10 @@
         """Return the load of the backend server beside this host, ``None`` without one."""
         return self._measure_load() if self._measure_load else None
 
+    def measure_run_time(self) -> timedelta:
+        """Return the time that this process ran, without suspensions."""
+        return self._wakes.measure_run_time()
+
     def is_stopping(self) -> bool:
         """Tell whether this host accepts no new work."""
         return self._leaving or self._drained
@@ -187,6 +196,11 @@
             for handler in self._handlers.get(type(message), ()):
                 handler(link, message)
 
+    def _announce_wake(self) -> None:
+        # peers have heard nothing for as long, and may be about to close
+        for link in list(self._live_links.values()):
+            link.announce()
+
     def _accept_pipe(self, pipe: Pipe) -> PipeHandler:
         return self._open_link(pipe, "")
 
@@ -236,6 +250,7 @@
 
 @SERVICES.register("links")
 def make_links(kernel: Kernel) -> LinksService:
-    """Make the service from the settings' greeting and the ``transport`` service."""
+    """Make the service from the settings' greeting, ``transport`` and ``wakes``."""
     transport = kernel.find("transport", Transport)
-    return LinksService(kernel.clock, kernel.settings.hello(), transport)
+    wakes = kernel.find("wakes", WakesService)
+    return LinksService(kernel.clock, kernel.settings.hello(), transport, wakes)
--- a/src/lavenderrun/services/_peer_link.py
+++ b/src/lavenderrun/services/_peer_link.py
@@ -48,6 +48,9 @@
     def find_own_load(self) -> LoadReport | None:
         """Return the load of the backend server beside this host, ``None`` without one."""
 
+    def measure_run_time(self) -> timedelta:
+        """Return the time that this process ran, without suspensions."""
+
     def is_stopping(self) -> bool:
         """Tell whether this host accepts no new work."""
 
@@ -68,7 +71,8 @@
 
     Any traffic is a sign of life. A link in use sends a heartbeat every :data:`BUSY_INTERVAL`, an
     idle one every :data:`IDLE_INTERVAL`. Each heartbeat states the time until the next one, so that
-    the peer can tell when silence means that the link is lost.
+    the peer can tell when silence means that the link is lost. Time in which this process was
+    suspended is no silence of the peer, so deadlines are in the time that it ran.
     """
 
     def __init__(
@@ -87,7 +91,7 @@
         self._flushing = False
         self._peer_interval = BUSY_INTERVAL
         self._last_used_at = clock.now()
-        self._deadline = self._last_used_at + GREETING_TIMEOUT
+        self._deadline = owner.measure_run_time() + GREETING_TIMEOUT
         self._silence_timer = clock.call_later(GREETING_TIMEOUT, self._check_silence)
         self._heartbeat_timer = clock.call_later(BUSY_INTERVAL, self._send_heartbeat)
         self._enqueue(owner.make_greeting())
@@ -115,7 +119,7 @@
         if not isinstance(message, BACKGROUND_MESSAGES):
             now = self._clock.now()
             if now - self._last_used_at > IDLE_AFTER:
-                self._leave_idle(now)
+                self._leave_idle()
             self._last_used_at = now
         self._enqueue(message)
         return True
@@ -157,14 +161,14 @@
         self._pipe.close()
         self._owner.remove_link(self, reason)
 
-    def _leave_idle(self, now: datetime) -> None:
+    def _leave_idle(self) -> None:
         # tell an idle peer to answer with busy heartbeats, so that a lost link is noticed soon
         self._enqueue(
             Heartbeat(BUSY_INTERVAL, self._owner.is_stopping(), self._owner.find_own_load())
         )
         self._heartbeat_timer.cancel()
         self._heartbeat_timer = self._clock.call_later(BUSY_INTERVAL, self._send_heartbeat)
-        self._set_deadline(now + BUSY_INTERVAL * SILENCE_FACTOR)
+        self._set_deadline(BUSY_INTERVAL * SILENCE_FACTOR)
 
     def _enqueue(self, message: Message) -> None:
         self._queue.append(message)
@@ -205,7 +209,7 @@
                 self._last_used_at = now
                 interval = interval or BUSY_INTERVAL
         if interval is not None:
-            self._set_deadline(now + interval * SILENCE_FACTOR)
+            self._set_deadline(interval * SILENCE_FACTOR)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: datetime) -> None:
         self.leaving = heartbeat.leaving
@@ -218,7 +222,8 @@
             self._last_used_at = now
             self.announce()
 
-    def _set_deadline(self, deadline: datetime) -> None:
+    def _set_deadline(self, silence: timedelta) -> None:
+        deadline = self._owner.measure_run_time() + silence
         sooner = deadline < self._deadline
         self._deadline = deadline
         if sooner:
@@ -226,7 +231,7 @@
             self._check_silence()
 
     def _check_silence(self) -> None:
-        remaining = self._deadline - self._clock.now()
+        remaining = self._deadline - self._owner.measure_run_time()
         if remaining <= timedelta(0):
             self.close("silent")
             return
--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -48,6 +48,8 @@
 MAX_ATTEMPTS = 4
 REPLY_MARGIN = timedelta(seconds=1)
 MEAN_RETRY_PAUSE = timedelta(milliseconds=100)
+RETRY_BUDGET_PAUSE = timedelta(milliseconds=300)
+"""Mean pause before the retry budget is asked again."""
 ZERO = timedelta(0)
 
 
@@ -330,8 +332,11 @@
             self._try_elsewhere(refused)
 
     def lose_attempt(self) -> None:
-        """Resend the call, which may be repeated, within the retry budget."""
-        self._retry(self._make_refused(Refusal.BACKEND_LOST, Outcome.UNKNOWN))
+        """Resend the call, which may be repeated, as soon as the retry budget allows it."""
+        self._may_have_run = True
+        # other links often close in the same moment
+        refused = self._make_refused(Refusal.BACKEND_LOST, Outcome.UNKNOWN)
+        self._wait_before_retry(MEAN_RETRY_PAUSE, refused)
 
     def note_not_started(self, reason: RevokeReason) -> None:
         """Retry or refuse, by the reason of the revoke, after an attempt that never started."""
@@ -368,6 +373,21 @@
         else:
             self._refuse(refused)
 
+    def _retry_within_budget(self, refused: Refused) -> None:
+        """Resend the call now, or wait for the retry budget until the patience ends."""
+        now = self._router.clock.now()
+        if self._router.retry_budget.allow_retry(self.admitted.account, now):
+            self._try_elsewhere(refused)
+        elif self._attempts >= MAX_ATTEMPTS or self._find_patience_left() <= ZERO:
+            self._refuse(refused)
+        else:
+            self._wait_before_retry(RETRY_BUDGET_PAUSE, refused)
+
+    def _wait_before_retry(self, mean_pause: timedelta, refused: Refused) -> None:
+        self.state = CallState.WAITING
+        pause = mean_pause * self._router.random_source.uniform(0.5, 1.5)
+        self._set_timer(pause, self._retry_within_budget, refused)
+
     def _try_elsewhere(self, refused: Refused) -> None:
         """Start an attempt at another agent, or refuse the call.
 
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -184,7 +184,7 @@
             kernel.add(name, part)
         kernel.add("limits", self.limits)
         kernel.provide("store", MemoryStore(self.clock, self.table, self.table_faults))
-        kernel.build(["links", "quarantine", "model_router"])
+        kernel.build(["wakes", "links", "quarantine", "model_router"])
         Deferred.fromCoroutine(kernel.start())
         self.entries[host] = kernel
         links = kernel.find("links", LinksService)
@@ -213,7 +213,7 @@
         role = BackendRole.PREFILL if host.startswith("p") else BackendRole.DECODE
         kernel = self.make_kernel(host, HostRole.AGENT, role)
         kernel.provide("engine", self.engines[host])
-        kernel.build(["links", f"{role.value}_agent", "departure"])
+        kernel.build(["wakes", "links", f"{role.value}_agent", "departure"])
         Deferred.fromCoroutine(kernel.start())
         self.agents[host] = kernel
 
--- a/tests/services/hosts.py
+++ b/tests/services/hosts.py
@@ -12,7 +12,7 @@
 
 from lavenderrun.decisions import digest_key
 from lavenderrun.kernel import ReactorClock
-from lavenderrun.services import AdmissionService, DocumentService, LinksService
+from lavenderrun.services import AdmissionService, DocumentService, LinksService, WakesService
 from lavenderrun.standins import MemoryNetwork, MemoryStore, TableCore, TableFaults
 from lavenderrun.types import (
     Account,
@@ -117,7 +117,8 @@
         backend = None if entry else BackendId(name)
         boot = BootId(f"{name}@{self.reactor.seconds()}")
         hello = Hello(HostId(name), boot, role, TALCA, backend, address=name)
-        links = LinksService(self.clock, hello, self.network.transport(name))
+        wakes = WakesService(self.clock)
+        links = LinksService(self.clock, hello, self.network.transport(name), wakes)
         faults = TableFaults(timeout=timedelta(seconds=1))
         store = MemoryStore(self.clock, self.core, faults) if entry else None
         random_source = random.Random(boot)
@@ -127,7 +128,7 @@
         host = Host(name, links, document, AdmissionService(self.clock, document), faults)
         document.watch(lambda _: host.versions.append(document.version))
         self.hosts[name] = host
-        for service in (links, document, host.admission):
+        for service in (wakes, links, document, host.admission):
             service.start()
         if entry:
             links.set_peers(self.agents)
--- a/tests/services/plain_fleet.py
+++ b/tests/services/plain_fleet.py
@@ -145,7 +145,7 @@
     def start_agent(self, host: str) -> None:
         kernel = self._make_kernel(host, HostRole.AGENT, BackendRole.PLAIN)
         kernel.provide("plain", MemoryPlain(self.clock, self.core, self.faults[host]))
-        kernel.build(["links", "plain_agent"])
+        kernel.build(["wakes", "links", "plain_agent"])
         Deferred.fromCoroutine(kernel.start())
 
     def start_entry(self, host: str) -> None:
@@ -155,7 +155,7 @@
         kernel.add("limits", CountingLimits())
         store = MemoryStore(self.clock, self.table, self.table_faults[host])
         kernel.provide("store", store)
-        kernel.build(["links", "plain_router"])
+        kernel.build(["wakes", "links", "plain_router"])
         Deferred.fromCoroutine(kernel.start())
         self.find_links(host).set_peers(self.addresses)
         self.routers[host] = kernel.find("plain_router", PlainRouterService)
--- a/tests/services/test_admin.py
+++ b/tests/services/test_admin.py
@@ -34,7 +34,17 @@
 KEYS = {"ana": "marker-ana", "luis": "marker-luis"}
 RATE = {"requests_per_second": 5, "request_burst": 5, "tokens_per_second": 9, "token_burst": 9}
 DOCUMENT = {"accounts": [{"id": "gruas", "rate": RATE}], "retry_share": 0.1}
-SERVICES = ("links", "record", "document", "limits", "quarantine", "membership", "metrics", "admin")
+SERVICES = (
+    "wakes",
+    "links",
+    "record",
+    "document",
+    "limits",
+    "quarantine",
+    "membership",
+    "metrics",
+    "admin",
+)
 
 
 class AdminFleet:
--- a/tests/services/test_links.py
+++ b/tests/services/test_links.py
@@ -3,10 +3,11 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
+import pytest
 from twisted.internet.task import Clock as FakeReactor
 
 from lavenderrun.kernel import ReactorClock
-from lavenderrun.services import LinksService
+from lavenderrun.services import LinksService, WakesService
 from lavenderrun.standins import MemoryNetwork
 from lavenderrun.types import (
     AttemptId,
@@ -42,7 +43,9 @@
 
     def make(self, host: str, role: HostRole, boot: str = "b1") -> LinksService:
         hello = Hello(HostId(host), BootId(boot), role, DataCentre("talca"), address=host)
-        return LinksService(self.clock, hello, self.network.transport(host))
+        wakes = WakesService(self.clock)
+        wakes.start()
+        return LinksService(self.clock, hello, self.network.transport(host), wakes)
 
     def note_down(self, link: Any) -> None:
         self.downs[link.peer.host] = self.reactor.seconds()
@@ -80,6 +83,37 @@
     assert pair.received == [CANCEL]
 
 
+@pytest.mark.parametrize("seconds", [1.9, 30.0])
+def test_a_suspension_of_this_process_is_no_silence_of_its_peers(seconds: float) -> None:
+    pair = LinkedPair()
+    pair.run(1)
+    # one step: nothing runs and nothing is read meanwhile
+    pair.reactor.advance(seconds)
+    pair.run(3)
+    assert pair.downs == {}
+
+
+def test_silence_after_a_suspension_is_detected_within_two_seconds() -> None:
+    pair = LinkedPair()
+    pair.run(1)
+    pair.reactor.advance(30)
+    pair.run(0.1)
+    pair.silence()
+    pair.link_to_agent().send(CANCEL)
+    pair.run(2.0)
+    assert "agent-1" in pair.downs
+
+
+def test_peers_hear_of_a_host_at_once_after_its_suspension() -> None:
+    pair = LinkedPair()
+    pair.run(20)
+    heard: list[Any] = []
+    pair.network.deliver_later = lambda pipe, call, *args: heard.append(pipe)  # type: ignore[method-assign]
+    pair.reactor.advance(0.9)
+    pair.run(0.01)
+    assert heard
+
+
 def test_idle_link_that_went_silent_is_detected_within_two_seconds_of_use() -> None:
     pair = LinkedPair()
     pair.run(60, step=0.1)
--- a/tests/services/test_order_path.py
+++ b/tests/services/test_order_path.py
@@ -120,7 +120,7 @@
         self.workers[name] = StubWorker()
         kernel.add("engine", engine)
         kernel.add("decode_agent", self.workers[name])
-        kernel.build(["links", "order_agent"])
+        kernel.build(["wakes", "links", "order_agent"])
         Deferred.fromCoroutine(kernel.start())
         return kernel
 
@@ -132,7 +132,7 @@
         source.put(self.document)
         kernel.provide("store", store)
         kernel.add("document", source)
-        kernel.build(["links", "leases", "orders"])
+        kernel.build(["wakes", "links", "leases", "orders"])
         Deferred.fromCoroutine(kernel.start())
         links: Any = kernel.find("links", object)
         links.set_peers(list(self.agents))
--- a/tests/services/test_plain_path.py
+++ b/tests/services/test_plain_path.py
@@ -99,6 +99,36 @@
     assert sum(fleet.core.calls.values()) <= 50 * 1.2
 
 
+def close_links(fleet: PlainFleet) -> None:
+    for agent in fleet.addresses:
+        for link in list(fleet.find_links(agent).list_live()):
+            link.close("silent")
+
+
+def test_calls_after_a_suspension_are_not_sent_over_links_that_the_agents_closed() -> None:
+    fleet = PlainFleet()
+    fleet.run(0.4)
+    close_links(fleet)
+    # the entry does not run for a while, and then takes the calls before it reads the closes
+    fleet.reactor.rightNow += 1.6
+    replies = [fleet.submit("GET", f"/orders/{n}")[1] for n in range(12)]
+    fleet.run(3)
+    assert all(reply.is_whole for reply in replies)
+    assert fleet.count_jobs() == 0
+
+
+def test_idempotent_calls_whose_links_close_wait_for_the_budget_and_are_resent() -> None:
+    fleet = PlainFleet(agents=4)
+    for faults in fleet.faults.values():
+        faults.reply_delay = timedelta(seconds=0.5)
+    replies = [fleet.submit("GET", f"/orders/{n}")[1] for n in range(5)]
+    fleet.run(0.1)
+    close_links(fleet)
+    fleet.run(6)
+    assert all(reply.is_whole for reply in replies)
+    assert fleet.count_jobs() == 0
+
+
 def test_reply_cut_in_the_middle_is_refused_and_never_repeated() -> None:
     fleet = PlainFleet()
     for faults in fleet.faults.values():
