Check what servers ask of hosts over recorded events

Whether a host leaves a leaving server alone, and keeps the time for which a server asked for no calls, was checked by the soak only, on its own record.

Two invariants now judge recorded events, from what servers and callers see: no call reaches a server more than 2 s after its host passed on an answer in which the server said that it leaves, and at most two calls of a host reach a server between half a second after a rejection with a time and the end of that time. Rejected calls count as calls that reached the server. A new start of the server ends what it asked for; a restart or freeze of the host excuses it until it is told again. The soak keeps its own check, which also knows disturbed paths.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
+from lavenderrun.decisions import _invariants_notices as _invariants_notices
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
 from lavenderrun.decisions._admission import AdmissionIndex, find_shared_parts
 from lavenderrun.decisions._answer_assembly import AnswerAssembly, AnswerProgress
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -158,6 +158,8 @@
 )
 from ._observed_events import (
     BackendReceived,
+    BackendRejected,
+    BackendStarted,
     CallerBegan,
     CallerFinished,
     CallerGone,
@@ -165,8 +167,10 @@
     CallerSent,
     DocumentAccepted,
     HostLost,
+    HostResumed,
     HostStarted,
     HostStopped,
+    LeavingPassedOn,
     MemoryHeld,
 )
 from ._order_messages import (
@@ -278,9 +282,11 @@
     "BackendId",
     "BackendLoad",
     "BackendReceived",
+    "BackendRejected",
     "BackendRole",
     "BackendRun",
     "BackendSettings",
+    "BackendStarted",
     "BackendTask",
     "Batch",
     "BootId",
@@ -346,6 +352,7 @@
     "HostId",
     "HostLeaving",
     "HostLost",
+    "HostResumed",
     "HostRole",
     "HostSettings",
     "HostStarted",
@@ -359,6 +366,7 @@
     "LeaseName",
     "LeaseRow",
     "Leases",
+    "LeavingPassedOn",
     "Limits",
     "Link",
     "LinkRate",
--- a/src/lavenderrun/types/_observed_events.py
+++ b/src/lavenderrun/types/_observed_events.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 from lavenderrun.types._document import Document
 from lavenderrun.types._events import EventData, RequestEventData, event
 from lavenderrun.types._ids import (
@@ -72,6 +74,31 @@
     saw_key: bool = False
 
 
+@event("backend_rejected")
+class BackendRejected(RequestEventData, tag="backend_rejected", frozen=True):
+    """A backend server rejected a call of the emitting host, which did not run.
+
+    :param rest: how long the server wants no calls of that host.
+    """
+
+    backend: BackendId
+    rest: timedelta = timedelta(0)
+
+
+@event("backend_started")
+class BackendStarted(EventData, tag="backend_started", frozen=True):
+    """A backend server started anew; what its earlier run asked for is void."""
+
+    backend: BackendId
+
+
+@event("leaving_passed_on")
+class LeavingPassedOn(RequestEventData, tag="leaving_passed_on", frozen=True):
+    """A caller received, through the emitting host, an answer of a server that said it leaves."""
+
+    backend: BackendId
+
+
 @event("memory_held")
 class MemoryHeld(EventData, tag="memory_held", frozen=True):
     """Memory that a backend server or host still held at the end of a run."""
@@ -95,6 +122,11 @@
     """A planned stop is complete."""
 
 
+@event("host_resumed")
+class HostResumed(EventData, tag="host_resumed", frozen=True):
+    """A host runs again after it was suspended."""
+
+
 @event("document_accepted")
 class DocumentAccepted(EventData, tag="document_accepted", frozen=True):
     """The table service accepted a document."""
--- a/src/lavenderrun/types/_states.py
+++ b/src/lavenderrun/types/_states.py
@@ -76,6 +76,8 @@
     NOT_RUN_TRUE = "not_run_true"
     AT_MOST_ONCE = "at_most_once"
     LEAVING_NO_WORK = "leaving_no_work"
+    LEAVING_SERVER_LEFT_ALONE = "leaving_server_left_alone"
+    REST_KEPT = "rest_kept"
     STOP_CUTS_NONE = "stop_cuts_none"
     DOCUMENT_MONOTONE = "document_monotone"
     BEGUN_NOT_CUT = "begun_not_cut"
--- a/tests/decisions/test_invariants.py
+++ b/tests/decisions/test_invariants.py
@@ -12,7 +12,9 @@
     BackendEnded,
     BackendId,
     BackendReceived,
+    BackendRejected,
     BackendRun,
+    BackendStarted,
     CallerBegan,
     CallerFinished,
     CallerGone,
@@ -27,11 +29,13 @@
     HostId,
     HostLeaving,
     HostLost,
+    HostResumed,
     HostStarted,
     HostStopped,
     IdempotencyKey,
     Invariant,
     KeyDigest,
+    LeavingPassedOn,
     MemoryHeld,
     Outcome,
     Rate,
@@ -50,6 +54,7 @@
 )
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
+SECOND = timedelta(seconds=1)
 OWNER, OTHER = AccountId("plant"), AccountId("mine")
 R, S = RequestId("r"), RequestId("s")
 ONE, B = AttemptId(1), BackendId("b")
@@ -92,6 +97,13 @@
     (20, "d", MemoryHeld("b", 0)),
 )
 
+REST = BackendRejected(R, B, 5 * SECOND)
+
+
+def make_calls(*times: float, host: str = "e") -> list[tuple[float, str, EventData]]:
+    return [(at, host, BackendReceived(RequestId(f"call at {at}"), B)) for at in times]
+
+
 BROKEN: list[tuple[Invariant, list[Event]]] = [
     (Invariant.NO_MEMORY_HELD, make_events((0, "d", MemoryHeld("b", 3)))),
     (
@@ -201,6 +213,15 @@
             (0, "d", HostLeaving()), (4, "d", BackendReceived(R, B)), (5, "d", HostStopped())
         ),
     ),
+    (
+        Invariant.LEAVING_SERVER_LEFT_ALONE,
+        make_events((0, "e", LeavingPassedOn(R, B)), (2.1, "e", BackendReceived(S, B))),
+    ),
+    (Invariant.REST_KEPT, make_events((0, "e", REST), *make_calls(0.6, 1.0, 4.9))),
+    (
+        Invariant.REST_KEPT,
+        make_events(*((at, "e", BackendRejected(R, B, at * SECOND)) for at in (5, 6, 7, 8))),
+    ),
     (
         Invariant.STOP_CUTS_NONE,
         make_events(
@@ -264,3 +285,42 @@
     )
     assert check_record(soon) == []
     assert [v.invariant for v in check_record(late)] == [Invariant.RATE_KEPT]
+
+
+# what excuses a host, or shows that the server asked another host or has started anew
+ALLOWED: dict[str, list[tuple[float, str, EventData]]] = {
+    "in time": [],
+    "freeze": [(0.3, "e", HostResumed())],
+    "restart": [(0.2, "e", HostLost()), (0.3, "e", HostStarted())],
+    "new run": [(0.3, "platform", BackendStarted(B))],
+    "another server": [],
+    "another host": [],
+}
+
+
+@pytest.mark.parametrize("excuse", ALLOWED)
+def test_calls_that_a_notice_does_not_forbid(excuse: str) -> None:
+    late = [] if excuse == "in time" else make_calls(2.1, 2.2, 2.3)
+    server = BackendId("c") if excuse == "another server" else B
+    host = "f" if excuse == "another host" else "e"
+    record = make_events(
+        (0, host, LeavingPassedOn(R, server)),
+        (0.1, host, BackendRejected(S, server, 5 * SECOND)),
+        *ALLOWED[excuse],
+        *make_calls(0.35, 0.4, 0.45, 1.0, 1.9),
+        *late,
+    )
+    assert check_record(record) == []
+
+
+def test_an_excuse_ends_with_the_next_notice() -> None:
+    record = make_events(
+        (0, "e", LeavingPassedOn(R, B)),
+        (1, "e", HostResumed()),
+        (2, "e", LeavingPassedOn(R, B)),
+        (2, "e", REST),
+        *make_calls(3.0, 4.1, 5.0, 6.0),
+    )
+    found = [violation.invariant for violation in check_record(record)]
+    assert found.count(Invariant.LEAVING_SERVER_LEFT_ALONE) == 3
+    assert found.count(Invariant.REST_KEPT) == 1
