Say how old a server's notice is and which host was told

When a call was refused because servers leave or want no calls, the log did not tell which servers, since when, or whether this host had read the notice itself or heard of it from another host.

A notice now keeps when it was heard and the host that was told; a rest keeps when it was asked for. The line of a changed server names the host that was told, and the age of the notice, when the server's own word decided.

--- a/src/lavenderrun/commands/_explain.py
+++ b/src/lavenderrun/commands/_explain.py
@@ -5,7 +5,7 @@
 import json
 import sys
 from argparse import ArgumentParser, Namespace
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any, Final
@@ -14,7 +14,7 @@
 from lavenderrun.commands._call_end import CallEnd, find_end
 
 HIDDEN: Final = frozenset(
-    {"text", "message_type", "timestamp", "task_uuid", "task_level", "request", "log"}
+    {"text", "message_type", "timestamp", "task_uuid", "task_level", "request", "log", "notices"}
 )
 """Fields that a printed line leaves out or shows before the list of fields."""
 
@@ -56,6 +56,18 @@
     return found if isinstance(found, dict) else {}
 
 
+def format_notices(line: Mapping[str, Any]) -> Iterator[str]:
+    """Yield what each backend server that wanted no calls had said, to whom and when."""
+    for notice in line.get("notices") or ():
+        if notice.get("left_ms") is None:
+            said = "said it is leaving"
+        else:
+            said = f"asked for no calls, {notice['left_ms']} ms left"
+        yield f"{'':14}{notice.get('member')} {said}; told to {notice.get('told_by')} " + (
+            f"{notice.get('age_ms')} ms before"
+        )
+
+
 def format_line(line: dict[str, Any], began: float) -> str:
     """Return a line as text: milliseconds since *began*, log, message and fields.
 
@@ -121,7 +133,9 @@
 def _format_lines(request: str, found: list[dict[str, Any]]) -> Iterator[str]:
     began = float(found[0].get("timestamp", 0))
     yield f"call {request}, first seen {datetime.fromtimestamp(began, UTC).isoformat()}"
-    yield from (format_line(line, began) for line in found)
+    for line in found:
+        yield format_line(line, began)
+        yield from format_notices(line)
     yield from format_ends(found)
 
 
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -16,7 +16,7 @@
     PartReport,
     ServerCrash,
 )
-from lavenderrun.dispatch._departures import DepartureNotices
+from lavenderrun.dispatch._departures import DepartureNotice, DepartureNotices
 from lavenderrun.dispatch._grace_period import GracePeriod
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
 from lavenderrun.dispatch._leases import (
@@ -29,6 +29,7 @@
 )
 from lavenderrun.dispatch._limit_history import TimeLimitHistory
 from lavenderrun.dispatch._line_selection import LineSelection, LineTraits
+from lavenderrun.dispatch._notices import NoticeKind, ServerNotice, list_notices
 from lavenderrun.dispatch._occupancy import FleetOccupancy, Reservations
 from lavenderrun.dispatch._placement import (
     PLACEMENTS,
@@ -90,6 +91,7 @@
     "CallDurations",
     "CallRequirements",
     "CrashingParts",
+    "DepartureNotice",
     "DepartureNotices",
     "EngineEvidence",
     "FencingGuard",
@@ -102,6 +104,7 @@
     "LeaseWrite",
     "LineSelection",
     "LineTraits",
+    "NoticeKind",
     "PartReport",
     "Placement",
     "PlacementContext",
@@ -114,6 +117,7 @@
     "RoleChange",
     "RouteIndex",
     "ServerCrash",
+    "ServerNotice",
     "ServerRests",
     "SilenceDecision",
     "SilenceEvidence",
@@ -140,6 +144,7 @@
     "has_capacity",
     "has_decode_engine",
     "keeps_silent_engine",
+    "list_notices",
     "make_fingerprint",
     "make_sort_key",
     "misses_objective",
--- a/src/lavenderrun/dispatch/_departures.py
+++ b/src/lavenderrun/dispatch/_departures.py
@@ -3,15 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from datetime import datetime
 from typing import Final
 
-from lavenderrun.types import BackendId, Incarnation, Member, MemberState
+from lavenderrun.types import BackendId, HostId, Incarnation, Member, MemberState
 
 MAX_NOTICES: Final = 1024
 """Notices that are kept; the oldest are of servers that are long gone."""
 
 
+@dataclass(frozen=True)
+class DepartureNotice:
+    """From whom and when this host heard that a server is leaving.
+
+    :param told_by: the host that had the answer in which the server said so.
+    """
+
+    told_by: HostId
+    heard: datetime
+
+
 class DepartureNotices:
     """Servers' own notices that they leave, which hold beside their rows in the store.
 
@@ -20,13 +32,13 @@
 
     def __init__(self) -> None:
         # in order of their arrival
-        self._noticed: dict[Incarnation, None] = {}
+        self._noticed: dict[Incarnation, DepartureNotice] = {}
         self._ahead_of_rows: dict[BackendId, Incarnation] = {}
 
-    def record(self, incarnations: Iterable[Incarnation]) -> bool:
+    def record(self, incarnations: Iterable[Incarnation], notice: DepartureNotice) -> bool:
         """Record servers that said they leave; return whether any is new."""
         new = [incarnation for incarnation in incarnations if incarnation not in self._noticed]
-        self._noticed.update(dict.fromkeys(new))
+        self._noticed.update(dict.fromkeys(new, notice))
         while len(self._noticed) > MAX_NOTICES:
             del self._noticed[next(iter(self._noticed))]
         return bool(new)
@@ -42,6 +54,11 @@
         self._ahead_of_rows[row.id] = incarnation
         return replace(row, state=MemberState.LEAVING)
 
+    def find(self, member: Member) -> DepartureNotice | None:
+        """Return the first notice of this run of a server, ``None`` without one."""
+        # the digest in an incarnation is computed only when any server said so
+        return self._noticed.get(member.incarnation) if self._noticed else None
+
     def forget_row(self, member: BackendId) -> None:
         """Record that the server has no row any more."""
         self._ahead_of_rows.pop(member, None)
--- a/src/lavenderrun/dispatch/_rests.py
+++ b/src/lavenderrun/dispatch/_rests.py
@@ -22,14 +22,16 @@
 
 
 @dataclass
-class _Rest:
+class ServerRest:
     """The rest of one run of a server.
 
+    :param asked: when the server last asked for it.
     :param ends: when the server may be called again.
     :param returns: when this host calls it again, at or after that.
     :param is_on_trial: the first call after the rest is under way.
     """
 
+    asked: datetime
     ends: datetime
     returns: datetime
     is_on_trial: bool = False
@@ -44,7 +46,7 @@
 
     def __init__(self) -> None:
         # in order of their begin
-        self._rests: dict[Incarnation, _Rest] = {}
+        self._rests: dict[Incarnation, ServerRest] = {}
 
     def begin(self, member: Member, wait: timedelta, now: datetime, spread: float) -> None:
         """Record that *member* wants no calls for *wait*.
@@ -55,7 +57,7 @@
         old = self._rests.pop(member.incarnation, None)
         ends = now + granted if old is None else max(old.ends, now + granted)
         delay = min((ends - now) * SPREAD_SHARE, MAX_SPREAD) * spread
-        self._rests[member.incarnation] = _Rest(ends, ends + delay)
+        self._rests[member.incarnation] = ServerRest(now, ends, ends + delay)
         while len(self._rests) > MAX_RESTS:
             del self._rests[next(iter(self._rests))]
 
@@ -100,6 +102,10 @@
             returns.append(rest.returns)
         return min(returns, default=None)
 
-    def _find(self, member: Member) -> _Rest | None:
+    def find(self, member: Member, now: datetime) -> ServerRest | None:
+        """Return the rest because of which *member* is left out now, ``None`` without one."""
+        return self._find(member) if self.is_resting(member, now) else None
+
+    def _find(self, member: Member) -> ServerRest | None:
         # the digest in an incarnation is computed only when any server rests
         return self._rests.get(member.incarnation) if self._rests else None
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
-from typing import ClassVar, Final
+from typing import Any, ClassVar, Final
 
-from lavenderrun.dispatch import DepartureNotices
+from lavenderrun.dispatch import DepartureNotice, DepartureNotices
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._ports import RowChange
@@ -14,7 +14,7 @@
 from lavenderrun.gateway._rows import RowStore
 from lavenderrun.gateway._stats import MEMBERS, Stats
 from lavenderrun.kernel import Kernel, Timer
-from lavenderrun.types import BackendId, Incarnation, Member, MemberState, ServiceGroup
+from lavenderrun.types import BackendId, HostId, Incarnation, Member, MemberState, ServiceGroup
 
 RETURN_GRACE: Final = timedelta(seconds=2)
 """How long a row that expired during a store outage may take to return after it."""
@@ -111,18 +111,24 @@
         """Return the services that have at least one backend server."""
         return list(self._services)
 
-    def note_departures(self, incarnations: Iterable[Incarnation]) -> bool:
+    def note_departures(self, incarnations: Iterable[Incarnation], told_by: HostId) -> bool:
         """Record servers that said they are leaving, which take no new call from now on.
 
+        :param told_by: the host that had the answers in which they said so.
         :return: whether any of them had not said so before.
         """
-        if not self._departures.record(incarnations):
+        notice = DepartureNotice(told_by, self._clock.now())
+        if not self._departures.record(incarnations, notice):
             return False
         ready = [member for member in self._members.values() if member.state is MemberState.READY]
         for member in ready:
             self._set_member(member.id, self._departures.apply(member))
         return True
 
+    def find_departure(self, member: Member) -> DepartureNotice | None:
+        """Return the notice by which *member* said it is leaving, ``None`` without one."""
+        return self._departures.find(member)
+
     def list_departures(self) -> Sequence[Incarnation]:
         """Return the servers that said they are leaving while their rows don't say so."""
         return self._departures.list_ahead_of_rows()
@@ -207,11 +213,20 @@
                 state=member.state.value if member else "gone",
                 role=member.role.value if member else "",
                 service=member.service if member else "",
+                **self._describe_departure(member),
                 row_version=self.follower.version,
             )
         for watcher in self._watchers:
             watcher(old, member)
 
+    def _describe_departure(self, member: Member | None) -> dict[str, Any]:
+        """Return the fields of a log line that say who told that a server leaves, and when."""
+        notice = self._departures.find(member) if member is not None else None
+        if notice is None:
+            return {}
+        age = self._clock.now() - notice.heard
+        return {"told_by": notice.told_by, "notice_age_ms": to_milliseconds(age)}
+
     def _count_states(self) -> dict[tuple[str, ...], float]:
         states = [member.state for member in self._members.values()]
         counts: dict[tuple[str, ...], float] = {("unreadable",): float(len(self._unreadable))}
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -278,6 +278,9 @@
     def _refuse_without_capacity(
         self, detail: str, retry_after: timedelta = RETRY_AFTER_NO_SERVER
     ) -> None:
+        notices = self._services.view.describe_notices(self._admitted.service)
+        if notices:
+            self._call_log.write("notices", "backend servers want no calls", notices=notices)
         rest = self._services.view.advise_return(self._admitted.service)
         self._refuse(Refusal.NO_ROOM, Step.SEAT, detail, max(retry_after, rest))
 
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection, Mapping
 from datetime import datetime, timedelta
+from itertools import islice
 from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import (
@@ -24,9 +25,10 @@
     estimate_computation,
     find_return,
     has_decode_engine,
+    list_notices,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
-from lavenderrun.gateway._log import to_milliseconds
+from lavenderrun.gateway._log import MAX_LOGGED_IDS, to_milliseconds
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._peers import PeerReport, PeersService
 from lavenderrun.gateway._pool import ConnectionPool
@@ -242,9 +244,29 @@
 
     def note_departure(self, member: Member) -> None:
         """Record that *member* said it is leaving, and tell the other gateways soon."""
-        if self._members.note_departures([member.incarnation]):
+        if self._members.note_departures([member.incarnation], self._host):
             self._peers.report_soon()
 
+    def describe_notices(self, service: ServiceGroup) -> list[dict[str, Any]]:
+        """Return, for a log line, which servers of *service* want no calls, and who told so."""
+        notices = list_notices(
+            self._members.list_members(service),
+            self._members.find_departure,
+            self.rests,
+            self._host,
+            self._clock.now(),
+        )
+        return [
+            {
+                "member": notice.member,
+                "says": notice.kind.value,
+                "told_by": notice.told_by,
+                "age_ms": to_milliseconds(notice.age),
+                "left_ms": None if notice.left is None else to_milliseconds(notice.left),
+            }
+            for notice in islice(notices, MAX_LOGGED_IDS)
+        ]
+
     def _find_engine_configuration(self, service: ServiceGroup) -> EngineConfiguration | None:
         configuration = self._configuration.current
         service_configuration = (
@@ -326,7 +348,7 @@
         self._suspects.apply_part_report(report.host, parts)
         rests = {m: timedelta(seconds=seconds) for m, seconds in report.computing.items()}
         self.computations.apply_peer_report(report.host, rests, now)
-        self._members.note_departures(report.leaving)
+        self._members.note_departures(report.leaving, report.host)
         for member, role in report.moving.items():
             self._role_changes.setdefault(member, (role, now + MAX_ROLE_CHANGE_TIME))
 
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -63,3 +63,17 @@
         "ended in two.log: refused  reason=no_room outcome=not-run",
         "lacks lines in two.log: 3 were dropped",
     ]
+
+
+def test_servers_that_wanted_no_calls_are_named_with_the_age_and_the_source_of_their_notice(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    leaving = {"member": "s1", "says": "leaving", "told_by": "front-2", "age_ms": 1250}
+    rest = {"member": "s2", "says": "rest", "told_by": "front-1", "age_ms": 400, "left_ms": 600}
+    line = make(1.0, "notices", notices=[{**leaving, "left_ms": None}, rest])
+    assert main(["explain", "a", write(tmp_path / "front-1.log", line)]) == 0
+    assert [text.strip() for text in capsys.readouterr().out.splitlines()[1:4]] == [
+        "0.0 ms  front-1.log  call: notices",
+        "s1 said it is leaving; told to front-2 1250 ms before",
+        "s2 asked for no calls, 600 ms left; told to front-1 400 ms before",
+    ]
--- a/tests/dispatch/test_rests.py
+++ b/tests/dispatch/test_rests.py
@@ -9,7 +9,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lavenderrun.dispatch import PLACEMENTS, CallRequirements, PlacementContext, ServerRests
+from lavenderrun.dispatch import (
+    PLACEMENTS,
+    CallRequirements,
+    DepartureNotice,
+    NoticeKind,
+    PlacementContext,
+    ServerNotice,
+    ServerRests,
+    list_notices,
+)
 from lavenderrun.dispatch import FleetOccupancy as Occupancy
 from lavenderrun.dispatch import HealthTracker as Health
 from lavenderrun.dispatch._rests import MAX_REST, MAX_RESTS, MAX_SPREAD
@@ -17,6 +26,7 @@
     BackendId,
     BackendRole,
     DataCentre,
+    HostId,
     Member,
     MemberState,
     ServiceGroup,
@@ -24,7 +34,8 @@
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 HERE = DataCentre("here")
-REST = timedelta(seconds=5)
+SECOND = timedelta(seconds=1)
+REST = 5 * SECOND
 
 
 def make_server(name: str = "a", started: int = 1) -> Member:
@@ -99,6 +110,23 @@
     assert rests.find_return([], START) is None
 
 
+def test_a_notice_has_its_age_who_told_it_and_what_is_left_of_a_rest() -> None:
+    rests, left, rested = ServerRests(), make_server("a"), make_server("b")
+    rests.begin(rested, REST, at(1), spread=0)
+    told = {"a": DepartureNotice(HostId("other"), START)}
+
+    def find(seconds: float) -> list[ServerNotice]:
+        servers = [left, rested, make_server("c")]
+        return list(
+            list_notices(servers, lambda m: told.get(m.id), rests, HostId("this"), at(seconds))
+        )
+
+    departure = ServerNotice(left.id, NoticeKind.LEAVING, HostId("other"), 3 * SECOND)
+    rest = ServerNotice(rested.id, NoticeKind.REST, HostId("this"), 2 * SECOND, 3 * SECOND)
+    assert find(3) == [departure, rest]
+    assert [notice.kind for notice in find(6.1)] == [NoticeKind.LEAVING]
+
+
 @given(
     st.lists(
         st.tuples(st.floats(0, 3), st.sampled_from(["rest", "send", "taken", "failed"])),
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -11,7 +11,7 @@
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._ports import RowChange
-from lavenderrun.types import BackendId, Incarnation, MemberState
+from lavenderrun.types import BackendId, HostId, Incarnation, MemberState
 
 DRAIN_SECONDS = 2.0
 CONTACT_SECONDS = 3.0
@@ -104,9 +104,9 @@
     host = Host()
     server = host.members.find(BackendId("a"))
     assert server is not None
-    host.members.note_departures([server.incarnation])
+    host.members.note_departures([server.incarnation], HostId("here"))
     assert host.members.list_departures() == [server.incarnation]
-    host.members.note_departures([Incarnation("another")])
+    host.members.note_departures([Incarnation("another")], HostId("here"))
     host.lose_store(3, silent=False)
     host.fixture.pass_time(CONTACT_SECONDS + 1)
     host.store.put(SERVERS, "a", SERVER_ROW)
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -15,6 +15,7 @@
 REACTION_SECONDS = 0.5
 MAX_REQUESTS_IN_REST = 2
 LEAVING = ("Server-Leaving", "1")
+MAX_AGE_MS = 60_000
 LEAVERS = ("app-1", "pre-1", "dec-1")
 
 
@@ -91,6 +92,8 @@
         lambda: any(line["state"] == "leaving" for line in other.lines("members:changed")),
         "notice heard",
     )
+    heard = next(line for line in other.lines("members:changed") if line["state"] == "leaving")
+    assert heard["told_by"] == "front-1"
     for number in range(9):
         assert other.call(PLAIN + "x", request=f"o{number}").status == 200
     assert len(server.seen) == 1
@@ -104,6 +107,11 @@
     answers = [gateway.call(PLAIN + "x", request=f"a{number}") for number in range(5)]
     assert [answer.status for answer in answers] == [200, 200, 200, 503, 503]
     assert float(answers[-1].headers["retry-after"]) > 0
+    notices = gateway.lines("call:notices")[-1]["notices"]
+    assert {(each["member"], each["says"], each["told_by"]) for each in notices} == {
+        (f"app-{number}", "leaving", "front-1") for number in (1, 2, 3)
+    }
+    assert all(0 <= each["age_ms"] < MAX_AGE_MS for each in notices)
     platform.add(StandinServer("app-4", "apps"))
     platform.wait_known(gateway)
     assert gateway.call(PLAIN + "x", request="new").status == 200
