Start a gateway of the soak once when two faults ended it

One process stayed behind when the soak ended, and the other could not listen.

The start is now taken by one of them.

--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -239,7 +239,7 @@
         gateway.close()
     soak.ends.note_stop(soak.gateways.index(gateway), began)
     soak.long_work = 0.0
-    gateway.start()
+    soak.start_if_dead(gateway)
     soak.excuse(gateway)
     soak.leaving.discard(gateway)
     soak.killed.discard(gateway)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -173,6 +173,7 @@
         self._restarts: list[threading.Timer] = []
         self._pending: list[threading.Timer] = []
         self._crash_count = 0
+        self._starting = threading.Lock()
         self.stopping = threading.Event()
         self.injected: list[str] = []
 
@@ -364,12 +365,14 @@
         for gateway in self.gateways:
             with suppress(ProcessLookupError):
                 gateway.signal(signal.SIGCONT)
-            self._restart_if_dead(gateway)
+            self.start_if_dead(gateway)
 
-    def _restart_if_dead(self, gateway: Gateway) -> None:
-        if gateway.popen is None or gateway.popen.poll() is not None:
-            gateway.start()
-            self.excuse(gateway)
+    def start_if_dead(self, gateway: Gateway) -> None:
+        """Start a gateway whose process has ended, once if several faults ended it."""
+        with self._starting:
+            if gateway.popen is None or gateway.popen.poll() is not None:
+                gateway.start()
+                self.excuse(gateway)
 
     def start_server_anew(self, server: StandinServer) -> None:
         if self.notices.end_departure(server):
@@ -509,7 +512,7 @@
     soak.ends.note_kill(soak.gateways.index(gateway), began)
     time.sleep(soak.random_source.uniform(0.0, 0.5))
     if not is_leaving:
-        soak._restart_if_dead(gateway)
+        soak.start_if_dead(gateway)
 
 
 @fault
@@ -524,7 +527,7 @@
     if gateway.popen.wait(15) != 0 and was_up:
         soak.outcomes.failures.append("a planned stop ended with an error")
     soak.ends.note_stop(soak.gateways.index(gateway), began)
-    soak._restart_if_dead(gateway)
+    soak.start_if_dead(gateway)
 
 
 @fault
