Look for ports of the tests that are free for UDP too

Gateways receive peer reports over UDP, and the search bound TCP only, so it found ports at which another gateway received reports. The case of the test for UDP failed before.

--- a/tests/platform/free_ports.py
+++ b/tests/platform/free_ports.py
@@ -19,16 +19,17 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address, other ones at each call."""
+    """Return ports of the loopback address free for TCP and UDP, other ones at each call."""
     with ExitStack() as stack:
         ports: list[int] = []
         while len(ports) < count:
             port = _RANDOM_SOURCE.choice(PORTS)
             if port in _recent:
                 continue
-            candidate = stack.enter_context(socket.socket())
             try:
-                candidate.bind(("127.0.0.1", port))
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    candidate = stack.enter_context(socket.socket(type=kind))
+                    candidate.bind(("127.0.0.1", port))
             except OSError:
                 continue
             ports.append(port)
--- a/tests/platform/test_free_ports.py
+++ b/tests/platform/test_free_ports.py
@@ -1,5 +1,9 @@
 from __future__ import annotations
 
+import socket
+
+import free_ports
+import pytest
 from free_ports import PORTS, find_ports
 
 CALLS = 500
@@ -10,3 +14,18 @@
     ports = [port for _ in range(CALLS) for port in find_ports(4)]
     assert len(set(ports)) == len(ports)
     assert set(ports) <= set(PORTS)
+
+
+# gateways receive peer reports over UDP
+@pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
+def test_a_port_in_use_is_not_found(
+    monkeypatch: pytest.MonkeyPatch, kind: socket.SocketKind
+) -> None:
+    free, taken = find_ports(2)
+    monkeypatch.setattr(free_ports, "PORTS", [free, taken])
+    monkeypatch.setattr(free_ports, "_recent", [])
+    with socket.socket(type=kind) as holder:
+        holder.bind(("127.0.0.1", taken))
+        for _ in range(20):
+            assert find_ports(1) == [free]
+            free_ports._recent.clear()
