Weigh a silent prefill as a silent stream

Cause: a prefill that took longer than 0.8 s, and twice the time expected, was given up, its engine was paused, and a decode engine computed the prompt. One silence of a second of a sound prefill engine so had all its prompts computed twice, also when all prefill engines were silent at once.

Change: `PrefillStep` uses `SilenceWatch` with a tracker for prefill engines in place of its own timer. Below 1.2 s and twice the time expected nothing moves, then one prompt of an engine that is silent to all, and none when most others are silent too; from the certainty on all. Until then the prefill is kept while the decode engine of its slot computes another prompt. The watch is told its tracker, whether it may move and whether the budget allows a resend.

Not done: the prefill is not kept until the decode engine has answered.

--- a/src/lavenderrun/dispatch/_silence.py
+++ b/src/lavenderrun/dispatch/_silence.py
@@ -27,6 +27,9 @@
 """Share of the caller's patience after which the other streams of that engine are moved too, and
 streams whose silence has another likely cause; the rest of the patience is for the move."""
 
+EXPECTED_FACTOR: Final = 2.0
+"""Silence that counts, as a multiple of the time expected until an engine sends something."""
+
 QUIET_SHARE: Final = 0.5
 """Silence of an engine to all its streams that counts as silence, as a share of the suspicion."""
 
@@ -124,14 +127,17 @@
     return max(MIN_PATIENCE, objective * OBJECTIVE_PATIENCE_FACTOR, gap * GAP_PATIENCE_FACTOR)
 
 
-def find_silence_limits(patience: timedelta, call_ends: timedelta) -> SilenceLimits:
+def find_silence_limits(
+    patience: timedelta, call_ends: timedelta, expected: timedelta = timedelta(0)
+) -> SilenceLimits:
     """Return which silences count.
 
     :param patience: silence after which the caller gives up.
     :param call_ends: time from the begin of the silence to the call's deadline.
+    :param expected: time expected until the engine sends something, as for a prefill.
     """
     bound = min(patience, call_ends)
-    suspicion = max(MIN_SUSPICION, bound * SUSPICION_SHARE)
+    suspicion = max(MIN_SUSPICION, bound * SUSPICION_SHARE, expected * EXPECTED_FACTOR)
     return SilenceLimits(
         suspicion * QUIET_SHARE, suspicion, max(suspicion, bound * CERTAINTY_SHARE)
     )
--- a/src/lavenderrun/gateway/_engine_search.py
+++ b/src/lavenderrun/gateway/_engine_search.py
@@ -169,7 +169,11 @@
             self._finish()
         elif self._prompt_tokens and not self._tried and not self._was_prefill_sent:
             self._prefill = PrefillStep(
-                self._services, self._admitted, self._call_log, self._take_prefill
+                self._services,
+                self._admitted,
+                self._call_log,
+                lambda: self._services.view.may_compute(slot.member.id),
+                self._take_prefill,
             )
             self._prefill.start(self._make_context)
         else:
--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -6,20 +6,14 @@
 from datetime import timedelta
 from typing import Final, Protocol
 
-from lavenderrun.dispatch import CallRequirements
+from lavenderrun.dispatch import CallRequirements, SilenceLimits
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._running_call import AdmittedCall
-from lavenderrun.kernel import Timer
+from lavenderrun.gateway._silence_watch import SilenceWatch
 from lavenderrun.types import AnswerKind, CallContext, HeldCache, Member
 
-MIN_PREFILL_TIMEOUT: Final = timedelta(milliseconds=800)
-"""Shortest wait for a prefill before it counts as lost."""
-
-PREFILL_TIMEOUT_FACTOR: Final = 2.0
-"""Longest wait for a prefill, as a multiple of the time expected for it and those before it."""
-
 MAX_PREFILL_ANSWER_BYTES: Final = 64 << 10
 """Largest answer of a prefill engine, which names the KV cache."""
 
@@ -34,6 +28,10 @@
 class PrefillStep:
     """Has a prefill engine compute the prompt; after a failure the decode engine does it.
 
+    A silent prefill is kept until the decode engine may compute the prompt, or until the silence is
+    certain.
+
+    :param may_compute: tells whether the decode engine may compute the prompt now.
     :param on_done: called once with the held KV cache, or ``None`` without one.
     :ivar was_sent: whether the prompt was sent to a prefill engine.
     """
@@ -43,6 +41,7 @@
         services: CallServices,
         admitted: AdmittedCall,
         call_log: CallLog,
+        may_compute: Callable[[], bool],
         on_done: Callable[[HeldCache | None], None],
     ) -> None:
         self._services = services
@@ -52,7 +51,17 @@
         self._attempt: Attempt | None = None
         self._body = bytearray()
         self._tokens = admitted.call.size.prompt if admitted.call.size else 0
-        self._timer: Timer | None = None
+        self._may_compute = may_compute
+        self._watch = SilenceWatch(
+            services,
+            admitted,
+            call_log,
+            services.view.prefill_silence,
+            lambda: 1,
+            lambda: True,
+            self._leave_silent,
+            may_move=True,
+        )
         self._was_engine_free = False
         self.was_sent = False
         self._began_at = services.clock.now()
@@ -74,8 +83,7 @@
         self._attempt = Attempt(self._services, self._admitted.call, member, self, self._call_log)
         speed = self._services.view.find_balancer(self._admitted.service).prefill_speed
         expected = timedelta(seconds=(queued + self._tokens) / speed)
-        timeout = max(MIN_PREFILL_TIMEOUT, expected * PREFILL_TIMEOUT_FACTOR)
-        self._timer = self._services.clock.call_later(timeout, self._attempt.time_out)
+        self._watch.begin(member, expected)
         self._attempt.send(make_context(member, prefill_only=True), force_new=True)
 
     def abandon(self) -> None:
@@ -97,6 +105,8 @@
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Pass on the held KV cache, or ``None`` when the prefill failed."""
+        if attempt.head is not None:
+            self._watch.note_head()
         self._release_engine()
         if attempt.failure is None and attempt.head and attempt.head.kind is AnswerKind.SERVED:
             if self._was_engine_free:
@@ -113,9 +123,23 @@
                 )
             self._finish(None)
 
+    def _leave_silent(self, limits: SilenceLimits) -> None:
+        """Let a decode engine compute the prompt instead of the silent engine."""
+        attempt, tracker = self._attempt, self._services.view.prefill_silence
+        if attempt is None:
+            return
+        silent = tracker.measure_silence(self._began_at, self._services.clock.now())
+        if silent < limits.certainty and not self._may_compute():
+            self._watch.look_again()
+            return
+        tracker.begin_move(attempt.member.id)
+        tracker.end_move(attempt.member.id, is_moved=True)
+        attempt.give_up_silent(is_server_silent=self._watch.is_engine_silent())
+        self._release_engine()
+        self._finish(None)
+
     def _release_engine(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        self._watch.end()
         if self._attempt is not None:
             self._services.view.free(self._attempt.member.id, self._tokens, brief=True)
             self._attempt = None
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -364,7 +364,7 @@
                 running.fail(error)
 
     def _note_suspension(self) -> None:
-        self._services.view.silence.note_stall(self._clock.now())
+        self._services.view.note_stall()
 
     def _forget(self, running: RunningCallBase) -> None:
         self._running.pop(running, None)
--- a/src/lavenderrun/gateway/_silence_guard.py
+++ b/src/lavenderrun/gateway/_silence_guard.py
@@ -49,8 +49,11 @@
             services,
             admitted,
             call_log,
+            services.view.silence,
             lambda: admitted.access.route.attempts - len(tried),
+            self._has_resend,
             self._begin_move,
+            may_move=admitted.access.route.is_idempotent,
         )
         self._move: StreamMove | None = None
 
@@ -99,6 +102,10 @@
             self._move = None
         self._watch.end()
 
+    def _has_resend(self) -> bool:
+        resends, now = self._services.view.resends, self._services.clock.now()
+        return resends.count_remaining(self._admitted.service, now) >= 1
+
     def _begin_move(self, limits: SilenceLimits) -> None:
         if self._member is None:
             return
--- a/src/lavenderrun/gateway/_silence_watch.py
+++ b/src/lavenderrun/gateway/_silence_watch.py
@@ -9,6 +9,7 @@
 from lavenderrun.dispatch import (
     SilenceEvidence,
     SilenceLimits,
+    SilenceTracker,
     SilenceVerdict,
     decide_on_silence,
     find_patience,
@@ -28,9 +29,12 @@
 
 
 class SilenceWatch:
-    """Weighs the silence of a stream's present attempt.
+    """Weighs the silence of a stream's present attempt, or of its prefill.
 
+    :param tracker: what is known of the engines that may serve it.
+    :param may_move: whether it may be moved at all.
     :param count_attempts_left: returns how many more servers the stream may be sent to.
+    :param has_resend: tells whether the budget allows a resend.
     :param on_move: called when the stream is to be moved; :meth:`look_again` follows a failure.
     """
 
@@ -39,13 +43,21 @@
         services: CallServices,
         admitted: AdmittedCall,
         call_log: CallLog,
+        tracker: SilenceTracker,
         count_attempts_left: Callable[[], int],
+        has_resend: Callable[[], bool],
         on_move: Callable[[SilenceLimits], None],
+        *,
+        may_move: bool,
     ) -> None:
         self._services = services
         self._admitted = admitted
         self._call_log = call_log
+        self._tracker = tracker
         self._count_attempts_left = count_attempts_left
+        self._has_resend = has_resend
+        self._may_move = may_move
+        self._expected = timedelta(0)
         self._on_move = on_move
         self._patience = find_patience(
             admitted.access.route.objective, admitted.access.route.gap_objective
@@ -59,25 +71,33 @@
         self._failed_moves = 0
         self._paused: Member | None = None
 
-    def begin(self, member: Member) -> None:
-        """Watch an attempt that is sent to *member* now."""
+    def begin(self, member: Member, expected: timedelta = timedelta(0)) -> None:
+        """Watch an attempt that is sent to *member* now.
+
+        :param expected: time expected until it sends something.
+        """
         self.end()
+        self._expected = expected
         now = self._services.clock.now()
         self._member, self._last_event, self._paused = member, now, None
-        self._services.view.silence.begin_stream(member.id, now)
-        if self._admitted.access.route.is_idempotent:
+        self._tracker.begin_stream(member.id, now)
+        if self._may_move:
             self._schedule(self._find_limits(now).suspicion)
 
     def note_head(self) -> None:
         """Record that the engine began to answer."""
         if self._member is not None:
-            self._services.view.note_sign(self._member.id)
+            self._note_sign(self._member)
+
+    def _note_sign(self, member: Member) -> None:
+        self._tracker.note_sign(member.id, self._services.clock.now())
+        self._services.view.health.note_sign(member.id)
 
     def note_event(self) -> None:
         """Record that an event with data has arrived."""
         if self._member is None:
             return
-        self._services.view.note_sign(self._member.id)
+        self._note_sign(self._member)
         now = self._services.clock.now()
         if self._verdict is not SilenceVerdict.NOT_LONG:
             self._verdict = SilenceVerdict.NOT_LONG
@@ -111,19 +131,19 @@
         self._paused = None
         member, self._member = self._member, None
         if member is not None:
-            self._services.view.silence.end_stream(member.id)
+            self._tracker.end_stream(member.id)
 
     def is_engine_silent(self) -> bool:
         """Tell whether the engine is silent to all its streams."""
         if self._member is None:
             return False
         now = self._services.clock.now()
-        silent = self._services.view.silence.measure_engine_silence(self._member.id, now)
+        silent = self._tracker.measure_engine_silence(self._member.id, now)
         return silent >= self._find_limits(now).quiet
 
     def look_again(self) -> None:
         """Weigh the silence again after a pause, which is longer after each failed move."""
-        if self._member is not None and self._admitted.access.route.is_idempotent:
+        if self._member is not None and self._may_move:
             self._schedule(self._add_jitter(find_retry_pause(self._failed_moves)))
             self._failed_moves += 1
 
@@ -137,8 +157,8 @@
         self._timer = self._services.clock.call_later(wait, self._weigh)
 
     def _find_limits(self, now: datetime) -> SilenceLimits:
-        began = now - self._services.view.silence.measure_silence(self._last_event, now)
-        return find_silence_limits(self._patience, self._admitted.deadline - began)
+        began = now - self._tracker.measure_silence(self._last_event, now)
+        return find_silence_limits(self._patience, self._admitted.deadline - began, self._expected)
 
     def _weigh(self) -> None:
         self._timer = None
@@ -146,18 +166,17 @@
         if member is None:
             return
         self._services.suspension.check()
-        silence = self._services.view.silence
+        silence = self._tracker
         if now - self._due > MAX_TIMER_DELAY:
             silence.note_stall(now)
         limits = self._find_limits(now)
-        service = self._admitted.service
         evidence = SilenceEvidence(
             silence.measure_silence(self._last_event, now),
             limits,
             self._admitted.deadline - now,
             silence.gather_evidence(member.id, limits.quiet, now),
             has_attempts=self._count_attempts_left() > 0,
-            has_resend=self._services.view.resends.count_remaining(service, now) >= 1,
+            has_resend=self._has_resend(),
             was_shared=self._was_shared,
         )
         decision = decide_on_silence(evidence)
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -67,6 +67,7 @@
     :ivar health: health of backend servers.
     :ivar rests: servers that asked this host for no calls.
     :ivar silence: when engines last sent something of this host's streams.
+    :ivar prefill_silence: when prefill engines last answered this host, a stream for each prefill.
     """
 
     needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "peers", "pool", "suspects")
@@ -88,6 +89,7 @@
         self.health = HealthTracker()
         self.rests = ServerRests()
         self.silence = SilenceTracker()
+        self.prefill_silence = SilenceTracker()
         self._suspects = kernel.find("suspects", SuspectsService)
         self._role_changes: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._balancers: dict[ServiceGroup, RoleBalancer] = {}
@@ -235,10 +237,11 @@
         """Return when a refused caller may come back, zero when a server may be called now."""
         return self.find_wait(service) * (1 + RETURN_SPREAD_SHARE * self.draw_spread())
 
-    def note_sign(self, member: BackendId) -> None:
-        """Record that *member* sent something of a stream."""
-        self.silence.note_sign(member, self._clock.now())
-        self.health.note_sign(member)
+    def note_stall(self) -> None:
+        """Record that this process did not run until now, so that it could hear nothing."""
+        now = self._clock.now()
+        for tracker in (self.silence, self.prefill_silence):
+            tracker.note_stall(now)
 
     def note_departure(self, member: Member) -> None:
         """Record that *member* said it is leaving, and tell the other gateways soon."""
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -140,6 +140,45 @@
     assert len(list_resumed(platform)) <= 1
 
 
+def run_prefills(
+    platform: StandinPlatform, prefill_engines: int, calls: int
+) -> tuple[Gateway, list[StandinServer], list[Answer]]:
+    """Run streams while each prefill engine is silent once, for a moment."""
+    engines = [
+        platform.add(StandinServer(f"pre-{number}", "llm", "prefill"))
+        for number in range(prefill_engines)
+    ]
+    decodes = add_engines(platform, "dec-1", "dec-2", "dec-3", "dec-4")
+    gateway = platform.wait_known(platform.add_gateway())
+    for engine in engines:
+        engine.fall_silent(SILENCE)
+    answers = run_streams(gateway, calls)
+    assert all(is_whole(answer) for answer in answers)
+    return gateway, decodes, answers
+
+
+def count_computed(decodes: list[StandinServer]) -> int:
+    """Return how many prompts decode engines computed themselves."""
+    return sum("x-kv-source" not in seen.headers for each in decodes for seen in each.seen)
+
+
+# each prompt at a prefill engine that was silent for a second was computed again
+def test_the_prompts_at_a_silent_prefill_engine_are_not_all_computed_again(
+    platform: StandinPlatform,
+) -> None:
+    gateway, decodes, _ = run_prefills(platform, 1, 4)
+    assert count_computed(decodes) <= 1
+    assert [line["member"] for line in gateway.lines("call:silent") if line["verdict"] == "move"]
+
+
+# prompts were computed again though all prefill engines were silent: the path was, not they
+def test_no_prompt_is_computed_again_when_two_prefill_engines_are_silent_at_once(
+    platform: StandinPlatform,
+) -> None:
+    _, decodes, _ = run_prefills(platform, 2, 4)
+    assert not count_computed(decodes)
+
+
 class Silence:
     """An engine that is silent until its connection is closed; notes when that is."""
 
