Take a suspension of this process out of its peers' silences

Cause: after a suspension, or a busy loop, a gateway's own timer comes before the reports that have arrived meanwhile. It took its peers for lost, and after 10 s removed their rows: each of them then drops out of the others' shares until its row is read again.

Change: the delay of that timer is taken out of the silences of all peers.

Measured: the test of tests/gateway/test_followers.py on a fake clock fails before (no peer reports after 1.5 s of suspension) and passes after; peers that stay silent count as lost after a further second and are removed after 10 s. No run over sockets.

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -70,6 +70,10 @@
 MAX_HOSTS_READ_PAUSE: Final = timedelta(seconds=2)
 """Longest such pause: reports of a new host are ignored until its row is read."""
 
+MAX_DELAY: Final = timedelta(milliseconds=250)
+"""Delay of this host's own timer from which its process was suspended or busy: what the others sent
+meanwhile is not read yet, so that time is no silence of theirs."""
+
 REMOVED_AFTER: Final = timedelta(seconds=10)
 """Silence after which a host's row is removed; a host that is still alive writes it again."""
 
@@ -141,6 +145,12 @@
         """When it last reported, or when it became known."""
         return self.last_report or self.since
 
+    def excuse(self, delay: timedelta, now: datetime) -> None:
+        """Take some time out of its silence."""
+        self.since = min(self.since + delay, now)
+        if self.last_report is not None:
+            self.last_report = min(self.last_report + delay, now)
+
 
 class _ReportProtocol(DatagramProtocol):
     def __init__(self, handler: Callable[[bytes], None]) -> None:
@@ -176,6 +186,7 @@
         self._announcement: Deferred[None] | None = None
         self._row_version = 0
         self._last_sent: datetime = kernel.clock.now()
+        self._tick_due: datetime = kernel.clock.now()
         self.boot = BootId(uuid4().hex[:12])
         self.make_report: Callable[[], PeerReport] = lambda: PeerReport(
             self._host, self.boot, DocumentVersion(0), {}, {}
@@ -201,6 +212,7 @@
         self._port = loop.listenUDP(port, self._report_protocol, interface=host)
         self.follower.start()
         self._announce()
+        self._tick_due = self._clock.now()
         self._tick()
 
     async def stop(self) -> None:
@@ -336,11 +348,17 @@
                 self._send(data, peer)
 
     def _tick(self) -> None:
+        now = self._clock.now()
+        delay = now - self._tick_due
+        if delay > MAX_DELAY:
+            for peer in self._peers.values():
+                peer.excuse(delay, now)
         # an early report postpones the regular one
         due = self._last_sent + self.report_interval
         if self._clock.now() >= due or self.count_hosts() <= MAX_HOSTS_AT_REPORT_INTERVAL:
             self._report()
             due = self._clock.now() + self.report_interval
+        self._tick_due = due
         self._timer = self._clock.call_later(due - self._clock.now(), self._tick)
         now, lost_after = self._clock.now(), self.lost_after
         for host, peer in list(self._peers.items()):
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -297,6 +297,29 @@
     assert found == [(False, False), (True, False), (True, False), (True, True)]
 
 
+# a suspended host took its own suspension for the others' silence and removed their rows
+def test_a_suspension_of_this_host_is_no_silence_of_the_others() -> None:
+    fixture, peers, _ = start_peers(3)
+    removed: list[str] = []
+
+    async def write(_table: str, rows: Sequence[RowWrite]) -> int:
+        removed.extend(row.key for row in rows)
+        return 1
+
+    fixture.rows.write = write  # type: ignore[assignment]
+    peers._tick()
+    for host in ("h1", "h2"):
+        report = PeerReport(HostId(host), BOOT, VERSION, {}, {})
+        peers._take_datagram(msgspec.msgpack.encode(report))
+    for seconds in (1.5, 12.0):
+        fixture.time.advance(seconds)
+        assert (peers.count_reporting(), removed) == (2, [])
+    fixture.pass_time(1.2)
+    assert peers.count_reporting() == 0
+    fixture.pass_time(9.5)
+    assert sorted(removed) == ["h1", "h2"]
+
+
 def test_one_follower_finds_out_when_the_store_is_back_for_all() -> None:
     fixture = StoreFixture()
     fixture.pool.answers.extend([None] * 300)
