Show two faults that remain of silent servers and of the slot queue

A second test of the queue holds what a mend may not lose: the resumed stream gets the next slot of an engine that it may take. A property test holds the limits of a prefill's silence.

--- a/tests/dispatch/test_silence.py
+++ b/tests/dispatch/test_silence.py
@@ -113,6 +113,18 @@
         assert limits.certainty < min(patience, call_ends)
 
 
+# a prefill engine that read a long prompt was given up, as one that is silent
+@given(seconds(10), seconds(20), seconds(20))
+def test_twice_the_time_expected_is_no_silence(
+    patience: timedelta, call_ends: timedelta, expected: timedelta
+) -> None:
+    limits = find_silence_limits(patience, call_ends, expected)
+    assert limits.suspicion >= expected * 2
+    assert expected <= limits.quiet < limits.suspicion <= limits.certainty
+    usual = find_silence_limits(patience, call_ends)
+    assert limits.suspicion == max(usual.suspicion, expected * 2)
+
+
 def test_callers_give_up_after_the_longest_of_the_three_times() -> None:
     assert find_patience(timedelta(seconds=0.1), None) == timedelta(seconds=2)
     assert find_patience(timedelta(seconds=0.9), timedelta(seconds=0.3)) == PATIENCE
--- /dev/null
+++ b/tests/gateway/test_decode_slot_queue.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import MagicMock
+
+from twisted.internet.task import Clock as FakeReactor
+
+from lavenderrun.dispatch import CallRequirements, QueuedCall
+from lavenderrun.gateway._decode_slot_queue import (
+    DecodeSlotQueueService,
+    DecodeSlotReservation,
+    DecodeSlotWaiter,
+)
+from lavenderrun.kernel import ReactorClock
+from lavenderrun.types import BackendId, ServiceGroup
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+FREE, FULL = BackendId("free"), BackendId("full")
+LLM = ServiceGroup("llm")
+RESUMED_RANK, NEW_RANK = -1, 0
+
+
+class Queue:
+    """The queue before one engine with a free slot and one without."""
+
+    def __init__(self) -> None:
+        self.reactor, self.served = FakeReactor(), list[str]()
+        self.free_slots = {FREE: 1, FULL: 0}
+        view = MagicMock()
+        view.find_wait.return_value = timedelta(0)
+        view.place = self.place
+        found = {"view": view, "stats": MagicMock()}
+        kernel: Any = SimpleNamespace(
+            clock=ReactorClock(self.reactor, NOW, zero=0.0), find=lambda name, _: found[name]
+        )
+        self.service = DecodeSlotQueueService(kernel)
+
+    def place(self, _service: ServiceGroup, _placement: str, need: CallRequirements) -> Any:
+        for member, slots in self.free_slots.items():
+            if slots and member not in need.tried:
+                self.free_slots[member] -= 1
+                return SimpleNamespace(id=member)
+        return None
+
+    def enqueue(self, name: str, rank: int, *tried: BackendId) -> None:
+        def take(slot: DecodeSlotReservation | None) -> None:
+            self.served.append(name if slot else f"{name} refused")
+
+        queued_call = QueuedCall(rank, NOW, timedelta(seconds=1))
+        need = CallRequirements(tokens=1, tried=tried)
+        self.service.enqueue(DecodeSlotWaiter(LLM, need, queued_call, take))
+
+
+def test_a_resumed_stream_that_waits_for_another_engine_holds_up_no_new_one() -> None:
+    queue = Queue()
+    queue.enqueue("resumed", RESUMED_RANK, FREE)
+    queue.enqueue("new", NEW_RANK)
+    assert queue.served == ["new"]
+
+
+def test_a_resumed_stream_gets_the_next_slot_of_another_engine_first() -> None:
+    queue = Queue()
+    queue.free_slots[FREE] = 0
+    queue.enqueue("resumed", RESUMED_RANK, FREE)
+    queue.enqueue("new", NEW_RANK)
+    assert not queue.served
+    queue.free_slots[FULL] = 1
+    queue.reactor.advance(0.05)
+    assert queue.served == ["resumed"]
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -338,6 +338,21 @@
     assert not gateway.lines("call:hedged")
 
 
+# second servers were asked though all were silent: the path was, not they
+def test_no_call_is_sent_twice_when_all_servers_of_its_service_are_silent_at_once(
+    platform: StandinPlatform,
+) -> None:
+    servers = [platform.add(StandinServer(name, "apps")) for name in ("app-1", "app-2")]
+    gateway = platform.wait_known(platform.add_gateway())
+    for server in servers:
+        server.fall_silent(1)
+    with ThreadPoolExecutor(4) as pool:
+        names = [f"r{number}" for number in range(4)]
+        answers = list(pool.map(lambda name: gateway.call(PLAIN + "x", request=name), names))
+    assert [answer.status for answer in answers] == [200] * 4
+    assert sum(len(server.seen) for server in servers) == 4
+
+
 def reject_with_late_body(
     server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest
 ) -> bool:
