Give no new work to an agent that has missed a heartbeat

Cause: an agent whose link was silent got new calls until the link was lost, after 1.5 s; each of them waited with it and started again elsewhere.

Change: weigh_link_silence (no I/O) tells a quiet link from a lost one; `links` tells whether a peer may take work: not when it leaves, is quiet, or when this host has just been suspended. The link and its calls stay as they were.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -41,6 +41,7 @@
 from lavenderrun.decisions._keys import grant_key, withdraw_key
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._link_budget import LinkBudget
+from lavenderrun.decisions._link_silence import LinkSilence, find_link_patience, weigh_link_silence
 from lavenderrun.decisions._membership import StaleRowDetector, choose_peer_addresses
 from lavenderrun.decisions._orders import BlockedOrder, OrderPlanner, PlannedOrder
 from lavenderrun.decisions._output_lengths import OutputLengths
@@ -146,6 +147,7 @@
     "LeaseTerms",
     "LeaseWrite",
     "LinkBudget",
+    "LinkSilence",
     "ModelRole",
     "MovingAverage",
     "OrderPlanner",
@@ -200,6 +202,7 @@
     "estimate_tokens",
     "find_backoff",
     "find_changes",
+    "find_link_patience",
     "find_plain_route",
     "find_probe_coordinator",
     "find_shared_parts",
@@ -209,5 +212,6 @@
     "make_rate_slice_ids",
     "may_dispatch",
     "trusts_not_started",
+    "weigh_link_silence",
     "withdraw_key",
 ]
--- a/src/lavenderrun/services/_agent_chooser.py
+++ b/src/lavenderrun/services/_agent_chooser.py
@@ -26,7 +26,6 @@
 from lavenderrun.kernel import Kernel
 from lavenderrun.services._event_emitter import EventEmitter
 from lavenderrun.services._policies import PolicyNames
-from lavenderrun.services._wakes import WakesService
 from lavenderrun.types import (
     BackendRole,
     DataCentre,
@@ -89,7 +88,6 @@
         self._clock = kernel.clock
         self._random = kernel.random_source
         self._links = kernel.find("links", Links)
-        self._wakes = kernel.find("wakes", WakesService)
         self._events = EventEmitter.from_kernel(kernel)
         self._place = PLACEMENTS.find(policies.placement)
         self._place_prefill = PREFILL_PLACEMENTS.find(policies.prefill)
@@ -234,8 +232,7 @@
         if fresh is not None and fresh[1] is load:
             load = fresh[0]
         sent, work = self._recent_sends.find_unreported(host, load, self._clock.now())
-        # after a suspension the agent may have closed its link, which is not read yet
-        refuses = self._links.is_leaving(host) or self._wakes.is_settling()
+        refuses = not self._links.may_take_work(host)
         return Candidate(host, centre, load, refuses, sent, work)
 
     def _report_choice(self, request: RequestId, choice: Choice, role: str) -> None:
--- a/src/lavenderrun/services/_links.py
+++ b/src/lavenderrun/services/_links.py
@@ -97,6 +97,14 @@
         link = self._live_links.get(host)
         return link is None or link.leaving
 
+    def may_take_work(self, host: HostId) -> bool:
+        """Tell whether new work may be sent to *host*: no sign says that it would be lost."""
+        link = self._live_links.get(host)
+        if link is None or link.leaving or link.is_quiet:
+            return False
+        # after a suspension of this host the peer may have closed the link, which is not read yet
+        return not self._wakes.is_settling()
+
     def set_peers(self, addresses: Collection[str]) -> None:
         """Dial these addresses and redial them when lost; drop those no longer listed."""
         for address in [dialled for dialled in self._dialled if dialled not in addresses]:
--- a/src/lavenderrun/services/_peer_link.py
+++ b/src/lavenderrun/services/_peer_link.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from lavenderrun.codecs import WireCodec, WireError
+from lavenderrun.decisions import LinkSilence, find_link_patience, weigh_link_silence
 from lavenderrun.kernel import Clock
 from lavenderrun.types import (
     DocumentState,
@@ -23,7 +24,6 @@
 IDLE_INTERVAL = timedelta(seconds=5)
 IDLE_AFTER = timedelta(seconds=5)
 GREETING_TIMEOUT = timedelta(seconds=2)
-SILENCE_FACTOR = 3
 BACKGROUND_MESSAGES = (DocumentStateRequest, DocumentState)
 """Messages that don't keep a link busy: when one is lost, another peer is asked."""
 
@@ -91,7 +91,8 @@
         self._flushing = False
         self._peer_interval = BUSY_INTERVAL
         self._last_used_at = clock.now()
-        self._deadline = owner.measure_run_time() + GREETING_TIMEOUT
+        self._heard_at = owner.measure_run_time()
+        self._promised = BUSY_INTERVAL
         self._silence_timer = clock.call_later(GREETING_TIMEOUT, self._check_silence)
         self._heartbeat_timer = clock.call_later(BUSY_INTERVAL, self._send_heartbeat)
         self._enqueue(owner.make_greeting())
@@ -112,6 +113,12 @@
         """The state of this link."""
         return self._state
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the peer has missed a heartbeat, so that it may be lost."""
+        silence = self._owner.measure_run_time() - self._heard_at
+        return weigh_link_silence(silence, self._promised) is not LinkSilence.NONE
+
     def send(self, message: Message) -> bool:
         """Queue a message for the next batch; return whether the link was still open."""
         if self._state is LinkState.CLOSED:
@@ -168,7 +175,7 @@
         )
         self._heartbeat_timer.cancel()
         self._heartbeat_timer = self._clock.call_later(BUSY_INTERVAL, self._send_heartbeat)
-        self._set_deadline(BUSY_INTERVAL * SILENCE_FACTOR)
+        self._expect_sign(BUSY_INTERVAL)
 
     def _enqueue(self, message: Message) -> None:
         self._queue.append(message)
@@ -209,7 +216,7 @@
                 self._last_used_at = now
                 interval = interval or BUSY_INTERVAL
         if interval is not None:
-            self._set_deadline(interval * SILENCE_FACTOR)
+            self._expect_sign(interval)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, now: datetime) -> None:
         self.leaving = heartbeat.leaving
@@ -222,17 +229,18 @@
             self._last_used_at = now
             self.announce()
 
-    def _set_deadline(self, silence: timedelta) -> None:
-        deadline = self._owner.measure_run_time() + silence
-        sooner = deadline < self._deadline
-        self._deadline = deadline
+    def _expect_sign(self, interval: timedelta) -> None:
+        before = self._heard_at + find_link_patience(self._promised)
+        self._heard_at, self._promised = self._owner.measure_run_time(), interval
+        sooner = self._heard_at + find_link_patience(interval) < before
         if sooner:
             self._silence_timer.cancel()
             self._check_silence()
 
     def _check_silence(self) -> None:
-        remaining = self._deadline - self._owner.measure_run_time()
-        if remaining <= timedelta(0):
+        silence = self._owner.measure_run_time() - self._heard_at
+        if weigh_link_silence(silence, self._promised) is LinkSilence.LOST:
             self.close("silent")
             return
+        remaining = find_link_patience(self._promised) - silence
         self._silence_timer = self._clock.call_later(remaining, self._check_silence)
--- a/src/lavenderrun/types/_interfaces.py
+++ b/src/lavenderrun/types/_interfaces.py
@@ -100,6 +100,9 @@
     def is_leaving(self, host: HostId) -> bool:
         """Tell whether *host* accepts no new work."""
 
+    def may_take_work(self, host: HostId) -> bool:
+        """Tell whether new work may be sent to *host*: no sign says that it would be lost."""
+
 
 class Pipe(Protocol):
     """Ordered channel of byte messages to one peer, opened by a transport for ``links``."""
--- a/tests/services/test_links.py
+++ b/tests/services/test_links.py
@@ -93,6 +93,24 @@
     assert pair.downs == {}
 
 
+def test_a_peer_that_missed_a_heartbeat_gets_no_new_work_and_keeps_its_link() -> None:
+    pair = LinkedPair()
+    pair.run(0.9)
+    agent = HostId("agent-1")
+    assert pair.entry.may_take_work(agent)
+    pair.silence()
+    pair.run(1.3)
+    assert not pair.entry.may_take_work(agent)
+    for pipe in pair.network.pipes:
+        pipe.silent = False
+    # as after a suspension, both sides speak at once
+    pair.agent.announce_draining(drained=False)
+    pair.entry.announce_draining(drained=False)
+    pair.run(0.6)
+    assert pair.entry.may_take_work(agent)
+    assert pair.downs == {}
+
+
 def test_silence_after_a_suspension_is_detected_within_two_seconds() -> None:
     pair = LinkedPair()
     pair.run(1)
