Let an error in a timer of a plain attempt end its call only

Cause: the timers of PlainAttempt ran outside the boundary of the call, so an unexpected error went to the loop and the call stayed without an answer.

Change: GuardedClock passes errors in timers to the call, which is refused with an unknown outcome and cancelled at its agent.

Measured: the new test, for GET and POST, failed before with the error in the loop and passes; tests/services, tests/decisions, layers and pages pass. The handlers, timers and callbacks of agents still have no boundary.

--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -17,7 +17,7 @@
 from lavenderrun.services._plain_claim import PlainClaim
 from lavenderrun.services._plain_reply import NullSink, ReplyAssembler
 from lavenderrun.services._plain_sending import send_call
-from lavenderrun.services._run_boundary import run_guarded
+from lavenderrun.services._run_boundary import GuardedClock, run_guarded
 from lavenderrun.types import (
     AdmittedPlain,
     AnswerBegun,
@@ -304,7 +304,7 @@
             self.followed.append(request)
             self._router.add_follower(request, self)
         key = (request, number)
-        clock = self._router.clock
+        clock = GuardedClock(self._router.clock, self)
         attempt = PlainAttempt(
             self, clock, self._reply, key, host, boot, at_most_once=self._at_most_once
         )
--- a/tests/services/test_plain_path.py
+++ b/tests/services/test_plain_path.py
@@ -8,6 +8,7 @@
 from plain_fleet import PlainFleet
 from twisted.internet.defer import Deferred
 
+from lavenderrun.services._plain_attempt import PlainAttempt
 from lavenderrun.services._plain_call import PlainCall
 from lavenderrun.types import BackendRun, Outcome, Refusal, RequestFinished
 
@@ -89,6 +90,24 @@
     assert fleet.count_jobs() == 0
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_an_error_in_a_timer_of_an_attempt_ends_its_call_only(
+    monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    def fail(*_: object) -> None:
+        raise RuntimeError
+
+    fleet = PlainFleet(patience=timedelta(seconds=1))
+    for faults in fleet.faults.values():
+        faults.reply_delay = timedelta(seconds=4)
+    monkeypatch.setattr(PlainAttempt, "request_revoke", fail)
+    _, reply = fleet.submit(method, "/orders/7/confirm")
+    fleet.run(3)
+    assert reply.refused.outcome is Outcome.UNKNOWN
+    fleet.run(4)
+    assert fleet.count_jobs() == 0
+
+
 def test_idempotent_calls_are_not_repeated_beyond_the_budget() -> None:
     fleet = PlainFleet()
     for faults in fleet.faults.values():
