Play silences between gateways and half-closed callers in the soak

silence_peers drops a gateway's reports, or cuts its UDP path in both directions, or suspends a process, for 0.6 to 1.7 s, in series and overlapping, with a change of the configuration meanwhile. Reports pass a forwarder whose address the stand-in store puts into the gateways' rows. One caller in ten of the patient families closes its writing side after its request.

--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -74,9 +74,13 @@
 
 
 class Store:
-    """The table service: rows with versions, delayed change requests and transactions."""
+    """The table service: rows with versions, delayed change requests and transactions.
+
+    :ivar translate: changes what a client writes, by table, key and value.
+    """
 
     def __init__(self) -> None:
+        self.translate: Callable[[str, str, bytes], bytes] = lambda _table, _key, raw: raw
         self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
         self.version = 0
         self.history_from = 0
@@ -136,7 +140,8 @@
             if row["ver"] != (version if raw is not None else 0):
                 return 412, {"rows": [], "ver": self.version}
         for row in wanted["writes"]:
-            self._write(row["table"], row["key"], base64.b64decode(row["value"]))
+            raw = base64.b64decode(row["value"])
+            self._write(row["table"], row["key"], self.translate(row["table"], row["key"], raw))
         for row in wanted["deletes"]:
             self._write(row["table"], row["key"], None)
         return 200, {"ver": self.version, "now-ms": 1}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 import json
 import random
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -58,6 +59,7 @@
     start_later,
     stop_gateway_with_long_work,
 )
+from silent_peers import PeerPaths, silence_peers
 
 CALLER_COUNT = 6
 START_BATCH = 4
@@ -79,6 +81,7 @@
 DELAYED_STREAM_SECONDS = 2.0
 """Time for a stream over a proxy that delays each part."""
 UPLOAD_SHARE = 0.15
+HALF_CLOSED_SHARE = 0.1
 UPLOAD_BYTES = 1000
 BOUNDS = {
     "retry-ratio": 0.2,
@@ -162,6 +165,7 @@
             self.announce(server)
         self.store_proxy = Proxy(self.platform.store.address)
         self.proxies["store"] = self.store_proxy
+        self.peer_paths = PeerPaths(self.platform.store)
         self.gateways: list[Gateway] = []
         self.outcomes = Outcomes()
         self.notices = Notices()
@@ -217,7 +221,9 @@
                 bounds = {**BOUNDS, "grace-s": self.ends.grace}
                 gateway = Gateway(
                     self.platform.folder, self.store_proxy.address, name, bounds=bounds
-                ).start()
+                )
+                self.peer_paths.add(gateway.peers)
+                gateway.start()
                 self.platform.gateways.append(gateway)
                 self.gateways.append(gateway)
                 if len(self.gateways) % START_BATCH == 0:
@@ -240,6 +246,7 @@
                 timer.cancel()
                 timer.join()
             self.platform.close()
+            self.peer_paths.close()
             for proxy in self.proxies.values():
                 proxy.close()
         return self.outcomes.failures
@@ -265,6 +272,7 @@
             self.notices.note_sent(request, index)
             seconds = random_source.uniform(*UPLOAD_SECONDS)
             is_slow = self._is_patient and random_source.random() < UPLOAD_SHARE
+            half_closes = self._is_patient and random_source.random() < HALF_CLOSED_SHARE
             answer = self._exchange(
                 gateway,
                 kind,
@@ -272,12 +280,14 @@
                 connection,
                 idle_since=idle_since,
                 upload=seconds if is_slow else 0.0,
+                half_closes=half_closes,
             )
             if answer is None:
                 time.sleep(0.05)
                 continue
             self.notices.note_answer(request, answer)
-            if answer.whole and answer.headers.get("connection") != "close":
+            may_keep = answer.headers.get("connection") != "close" and not half_closes
+            if answer.whole and may_keep:
                 connections[index] = (connection, time.monotonic())
             time.sleep(random_source.random() * 0.05)
 
@@ -289,8 +299,13 @@
         connection: http.client.HTTPConnection,
         idle_since: float | None = None,
         upload: float = 0.0,
+        *,
+        half_closes: bool = False,
     ) -> Answer | None:
-        """Send a request and record its end; return the answer, ``None`` without one."""
+        """Send a request and record its end; return the answer, ``None`` without one.
+
+        :param half_closes: whether the caller closes its writing side after the request.
+        """
         answer, sent = None, None
         try:
             if connection.sock is None:
@@ -298,7 +313,9 @@
                 self._opened[connection] = time.monotonic()
             index, opened = self.gateways.index(gateway), self._opened[connection]
             sent = self.ends.begin(request, index, opened, idle_since)
-            answer = self._send(gateway, kind, request, connection, sent, upload)
+            answer = self._send(
+                gateway, kind, request, connection, sent, upload, half_closes=half_closes
+            )
             sent.answer = answer
         except (OSError, http.client.HTTPException) as error:
             connection.close()
@@ -317,9 +334,14 @@
         connection: http.client.HTTPConnection,
         sent: SentRequest,
         upload: float,
+        *,
+        half_closes: bool,
     ) -> Answer:
         def note_sent() -> None:
             sent.sent = time.monotonic()
+            if half_closes:
+                with suppress(OSError):  # reset meanwhile
+                    connection.sock.shutdown(socket.SHUT_WR)
 
         headers = {"X-Deadline-Ms": str(round(self.patience * 1000))}
         given: dict[str, Any] = {
@@ -579,6 +601,7 @@
     "uploads": [change_idle_timeout, change_quota, change_routes],
     "grace": [stop_gateway_with_long_work, silence_plain_server],
     "weights": [change_weights, silence_plain_server],
+    "peers": [silence_peers, silence_engine, change_routes],
     "all": [*FAULTS, *SILENCES],
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -43,9 +43,17 @@
 # 7: a gateway with an unfinished upload was not gone at the end of its grace period
 # 2: plain calls and orders at a server got no answer at the end of the grace period
 # 11: calls of a route whose services all have weight 0 got no answer
+# 831: callers that closed their writing side after a request got no answer
 @pytest.mark.parametrize(
     ("faults", "seed"),
-    [("engines", 9), ("uploads", 5), ("grace", 2), ("weights", 11), ("silences", 7)],
+    [
+        ("engines", 9),
+        ("uploads", 5),
+        ("grace", 2),
+        ("weights", 11),
+        ("silences", 7),
+        ("peers", 831),
+    ],
 )
 def test_every_request_is_answered(tmp_path: Path, faults: str, seed: int) -> None:
     failures, statuses = run_seed(seed, 10.0, tmp_path, faults=FAULT_FAMILIES[faults])
