--- a/src/lavenderrun/gateway/__init__.py
+++ b/src/lavenderrun/gateway/__init__.py
@@ -8,6 +8,7 @@
 from lavenderrun.gateway import _roles as _roles
 from lavenderrun.gateway import _suspension as _suspension
 from lavenderrun.gateway._log import BoundedLog, log
+from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import (
     BackendDialect,
     CallerDialect,
@@ -32,6 +33,7 @@
     "BackendDialect",
     "BoundedLog",
     "CallerDialect",
+    "ConnectionPool",
     "EngineReport",
     "HistoryGoneError",
     "HttpRequest",
