Play gateways before leaving and resting servers in the bench

No scenario of the bench had servers that leave by their answers only, or that reject calls with a time; the bench ran entries and agents, which know neither. Whether many hosts return at once after such a time was tested on the policy alone.

A second kind of plan runs the gateway's own services from the router to the connection pool on a fake clock, with HTTP servers in memory; the stand-in of the plain service learns both behaviours.

--- a/src/lavenderrun/bench/__init__.py
+++ b/src/lavenderrun/bench/__init__.py
@@ -4,6 +4,7 @@
 
 from lavenderrun.bench import _scenarios_faults as _scenarios_faults
 from lavenderrun.bench import _scenarios_load as _scenarios_load
+from lavenderrun.bench import _scenarios_notices as _scenarios_notices
 from lavenderrun.bench import _scenarios_operators as _scenarios_operators
 from lavenderrun.bench import _scenarios_silences as _scenarios_silences
 from lavenderrun.bench._deployments import DEPLOYMENTS, Deployment, make_key_digest
--- a/src/lavenderrun/bench/_scenarios.py
+++ b/src/lavenderrun/bench/_scenarios.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Any, Protocol
 
 from lavenderrun.bench._deployments import DEPLOYMENTS, PEAK_LOAD, Deployment
 from lavenderrun.bench._fleet import Fleet
@@ -17,6 +18,11 @@
 """Time after the last answer within which all memory must be released."""
 
 
+RECOVERY_FROM_SECONDS = 5.0
+RECOVERY_UNTIL_SECONDS = 10.0
+"""Start and end, in seconds after the fault, of the time in which recovery is measured."""
+
+
 def _do_nothing(fleet: Fleet) -> None:
     del fleet
 
@@ -48,12 +54,43 @@
     fault_at: float | None = None
     fault_until: float | None = None
 
-
-SCENARIOS: Registry[Callable[[], Plan]] = Registry("scenario")
-
-RECOVERY_FROM_SECONDS = 5.0
-RECOVERY_UNTIL_SECONDS = 10.0
-"""Start and end, in seconds after the fault, of the time in which recovery is measured."""
+    def run(self, name: str, seed: int, policies: dict[str, str] | None) -> Result:
+        """Run the entries and agents of the deployment under the load and its faults."""
+        fleet = Fleet(self.deployment, seed, policies)
+        fleet.start()
+        self.script(fleet)
+        workload = Workload(
+            self.deployment,
+            seed,
+            load=self.load,
+            shape=self.shape,
+            max_factor=self.max_factor,
+            must_be_refused=self.must_be_refused,
+        )
+        fleet.run(workload, self.seconds, self.drain)
+        fleet.finish(SETTLE_SECONDS)
+        extra = {}
+        if self.fault_at is not None:
+            seen = fleet.observations.all
+            before = compute_goodput(seen, 0.0, self.fault_at)
+            since = self.fault_at if self.fault_until is None else self.fault_until
+            start, end = since + RECOVERY_FROM_SECONDS, since + RECOVERY_UNTIL_SECONDS
+            extra["recovery"] = compute_goodput(seen, start, end) / before if before else 0.0
+        measures, violations = measure_run(fleet, name, self.seconds, extra)
+        return Result(measures, violations, fleet)
+
+
+class ScenarioPlan(Protocol):
+    """What a scenario runs."""
+
+    def run(self, name: str, seed: int, policies: dict[str, str] | None) -> Result:
+        """Run the scenario and return its result.
+
+        :param policies: policy name by the part of the router that it configures.
+        """
+
+
+SCENARIOS: Registry[Callable[[], ScenarioPlan]] = Registry("scenario")
 
 
 @dataclass(frozen=True)
@@ -62,7 +99,7 @@
 
     measures: Measures
     violations: list[Violation]
-    fleet: Fleet
+    fleet: Any
 
 
 def run_scenario(name: str, seed: int, policies: dict[str, str] | None = None) -> Result:
@@ -71,29 +108,7 @@
     :param policies: policy name by the part of the router that it configures.
     :raises UnknownNameError: no scenario of that name is registered.
     """
-    plan = SCENARIOS.find(name)()
-    fleet = Fleet(plan.deployment, seed, policies)
-    fleet.start()
-    plan.script(fleet)
-    workload = Workload(
-        plan.deployment,
-        seed,
-        load=plan.load,
-        shape=plan.shape,
-        max_factor=plan.max_factor,
-        must_be_refused=plan.must_be_refused,
-    )
-    fleet.run(workload, plan.seconds, plan.drain)
-    fleet.finish(SETTLE_SECONDS)
-    extra = {}
-    if plan.fault_at is not None:
-        seen = fleet.observations.all
-        before = compute_goodput(seen, 0.0, plan.fault_at)
-        since = plan.fault_at if plan.fault_until is None else plan.fault_until
-        start, end = since + RECOVERY_FROM_SECONDS, since + RECOVERY_UNTIL_SECONDS
-        extra["recovery"] = compute_goodput(seen, start, end) / before if before else 0.0
-    measures, violations = measure_run(fleet, name, plan.seconds, extra)
-    return Result(measures, violations, fleet)
+    return SCENARIOS.find(name)().run(name, seed, policies)
 
 
 def make_deployment(name: str, **changes: object) -> Deployment:
--- a/src/lavenderrun/standins/__init__.py
+++ b/src/lavenderrun/standins/__init__.py
@@ -8,7 +8,15 @@
 from lavenderrun.standins._engine_speed import EngineLoad, EngineSpeed
 from lavenderrun.standins._fabric import KV_BYTES_PER_TOKEN, Fabric
 from lavenderrun.standins._memory_transport import MemoryNetwork, MemoryPipe, MemoryTransport
-from lavenderrun.standins._plain import MemoryPlain, PlainCore, PlainFaults, PlainResource
+from lavenderrun.standins._plain import (
+    LEAVING_HEADER,
+    REJECTED,
+    REST_HEADER,
+    MemoryPlain,
+    PlainCore,
+    PlainFaults,
+    PlainResource,
+)
 from lavenderrun.standins._table import MemoryStore, TableCore, TableFaults
 from lavenderrun.standins._table_http import TableResource, make_table_resource
 from lavenderrun.standins._text import (
@@ -21,9 +29,12 @@
 
 __all__ = [
     "KV_BYTES_PER_TOKEN",
+    "LEAVING_HEADER",
     "MEAN_TOKENS",
     "POISON_DECODE",
     "POISON_PREFILL",
+    "REJECTED",
+    "REST_HEADER",
     "CacheChange",
     "CacheEvent",
     "EngineLoad",
--- a/src/lavenderrun/standins/_plain.py
+++ b/src/lavenderrun/standins/_plain.py
@@ -19,6 +19,10 @@
 
 JSON_HEADERS = [("Content-Type", "application/json")]
 
+LEAVING_HEADER = "Standin-Leaving"
+REST_HEADER = "Standin-Rest"
+REJECTED = 503
+
 _ORDER = re.compile(r"/orders/(?P<name>[^/?]+)(?P<confirm>/confirm)?")
 _LAYOUT = re.compile(r"/layouts/(?P<name>[^/?]+)(?P<publish>/publish)?")
 
@@ -34,6 +38,8 @@
     :param die_midway: number of calls whose connection breaks in the middle of the body.
     :param refuse: number of calls whose connection is refused.
     :param hang: number of calls that never run and never end.
+    :param leaving: each answer says that the server leaves.
+    :param rest: each call is rejected, and the answer asks for none for this long.
     """
 
     delay: timedelta = timedelta(milliseconds=2)
@@ -43,6 +49,8 @@
     die_midway: int = 0
     refuse: int = 0
     hang: int = 0
+    leaving: bool = False
+    rest: timedelta | None = None
 
     def take(self, name: str) -> bool:
         """Tell whether the fault *name* applies to the current call, and count it down."""
@@ -178,6 +186,8 @@
         self._done: Deferred[None] = Deferred()
         self._slow = False
         self._held: Callable[[], None] | None = None
+        # whether a call is rejected is decided when it arrives
+        self._rest = backend.faults.rest
         backend.running += 1
         self._schedule(backend.faults.delay, self._execute)
 
@@ -208,6 +218,9 @@
 
     def _execute(self) -> None:
         faults = self._backend.faults
+        if self._rest is not None:
+            self._reply(PlainReply(REJECTED, b""))
+            return
         if faults.take("hang"):
             return
         if faults.take("refuse"):
@@ -224,7 +237,8 @@
 
     def _reply(self, reply: PlainReply) -> None:
         size = len(reply.body)
-        self._sink.put_head(reply.status, [*JSON_HEADERS, ("Content-Length", str(size))])
+        headers = [*JSON_HEADERS, ("Content-Length", str(size)), *self._make_notices()]
+        self._sink.put_head(reply.status, headers)
         midway = self._backend.faults.take("die_midway")
         if size:
             self._sink.put_body(reply.body[: size // 2])
@@ -235,6 +249,13 @@
         else:
             self._finish(reply)
 
+    def _make_notices(self) -> list[tuple[str, str]]:
+        """Return the headers by which an answer says what the server wants."""
+        notices = [(LEAVING_HEADER, "1")] if self._backend.faults.leaving else []
+        if self._rest is not None:
+            notices.append((REST_HEADER, str(self._rest.total_seconds())))
+        return notices
+
     def _finish(self, reply: PlainReply) -> None:
         if reply.body:
             self._sink.put_body(reply.body[len(reply.body) // 2 :])
