Answer all pipelined requests of a caller that half-closes

Found in review. A caller sent several whole requests and closed its writing side. When the first was answered and the second at once after it, the connection closed while the others were still being read from the buffer: they got neither an answer nor a refusal, and counted as partial. A connection with more than 64 KiB of an answer unsent did not close after it, because the transport was closed without unregistering its producer.

The connection closes only when no buffered request is left, and by the channel's own close.

--- a/src/lavenderrun/http_server/_requests.py
+++ b/src/lavenderrun/http_server/_requests.py
@@ -142,7 +142,7 @@
         """Keep the connection until the requests that were read whole are answered."""
         if not self._handlingRequest:
             self.note_closing(CloseReason.CALLER)
-            self.transport.loseConnection()
+            self.loseConnection()
         elif self._half_closed is None:
             clock = self.factory.account.clock
             self._half_closed = HalfClosedWatch(
@@ -156,7 +156,9 @@
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Close the connection after the last answer to a caller that can send nothing more."""
         super().requestDone(request)
-        if self._half_closed is not None and not self._handlingRequest:
+        # a request may be answered while those behind it are still read from the buffer
+        is_idle = not self._handlingRequest and not self._busyReceiving
+        if self._half_closed is not None and is_idle:
             self.readConnectionLost()
 
     def _send_probe(self) -> None:
