Close connections with the last answer of a leaving gateway after calls with a body

Answers to calls with a body never said `Connection: close` during a planned stop, and the connection stayed open; a request that crossed its end got no answer. The end of a body leaves an empty part in the buffer of what has arrived, and the gateway took it for another request. What arrived behind a request without a body is in the line buffer, which was not looked at.

Only bytes count now, in both buffers.

--- a/src/lavenderrun/gateway/_caller_channel.py
+++ b/src/lavenderrun/gateway/_caller_channel.py
@@ -146,7 +146,8 @@
     @property
     def has_pipelined(self) -> bool:
         """Whether a part of another request has arrived behind the one under way."""
-        return bool(self._dataBuffer)
+        # the end of a body leaves an empty part behind
+        return any(self._dataBuffer) or bool(self._buffer)
 
     def close_when_idle(self) -> None:
         """Close the connection now, or after the answers to what has arrived."""
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.task import Clock as FakeReactor
@@ -175,3 +176,54 @@
     assert not host.transport.disconnecting
     host.send(HEAD % 0)
     assert host.router.calls == [b""]
+
+
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = HEAD % 3 + b"abc"
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+LEAVING_LIMITS = CallerLimits(1000, timedelta(seconds=10), None)
+
+
+class SlowRouter(Router):
+    """Answers no call by itself."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sinks: list[Any] = []
+
+    def submit(self, _call: GatewayCall, sink: Any) -> None:
+        self.sinks.append(sink)
+
+
+# answers to requests with a body left the connection open, and its next request was cut
+@pytest.mark.parametrize("request_", [GET, POST, CHUNKED], ids=["get", "post", "chunked"])
+@pytest.mark.parametrize("closes_idle", [False, True])
+def test_an_answer_of_a_leaving_gateway_says_that_it_closes(
+    request_: bytes, closes_idle: bool
+) -> None:
+    host = Host(LEAVING_LIMITS)
+    router: Any = SlowRouter()
+    host.service.router = router
+    host.send(request_)
+    router.is_leaving = True
+    if closes_idle:
+        host.channel.close_when_idle()
+    router.sinks[0].answer(200, [], b"ok")
+    assert b"connection: close" in host.transport.value().lower()
+    assert host.transport.disconnecting
+
+
+# the answer to the last of several requests with a body left the connection open
+@pytest.mark.parametrize("request_", [GET, POST, CHUNKED], ids=["get", "post", "chunked"])
+def test_a_leaving_gateway_answers_what_has_arrived_behind_a_request(request_: bytes) -> None:
+    host = Host(LEAVING_LIMITS)
+    router: Any = SlowRouter()
+    host.service.router = router
+    host.send(request_ + request_)
+    router.is_leaving = True
+    host.channel.close_when_idle()
+    for number in range(2):
+        router.sinks[number].answer(200, [], b"ok")
+    assert host.transport.value().count(b"HTTP/1.1 200") == 2
+    assert host.transport.value().lower().count(b"connection: close") == 1
+    assert host.transport.disconnecting
