Weigh the silence of long prefills, too

Found in review. For a prompt that is expected to take over 0.7 s, the silence that is certain began with the one that is suspected, so nothing was weighed: one pause of a second moved all prompts of the engine, and a prefill left an engine that spoke to others.

The certainty comes as long after the suspicion as it does for a stream.

--- a/src/lavenderrun/dispatch/_silence.py
+++ b/src/lavenderrun/dispatch/_silence.py
@@ -137,10 +137,11 @@
     :param expected: time expected until the engine sends something, as for a prefill.
     """
     bound = min(patience, call_ends)
-    suspicion = max(MIN_SUSPICION, bound * SUSPICION_SHARE, expected * EXPECTED_FACTOR)
-    return SilenceLimits(
-        suspicion * QUIET_SHARE, suspicion, max(suspicion, bound * CERTAINTY_SHARE)
-    )
+    shortest = max(MIN_SUSPICION, bound * SUSPICION_SHARE)
+    suspicion = max(shortest, expected * EXPECTED_FACTOR)
+    # as long after the suspicion as without a time expected
+    certainty = suspicion + max(timedelta(0), bound * CERTAINTY_SHARE - shortest)
+    return SilenceLimits(suspicion * QUIET_SHARE, suspicion, certainty)
 
 
 def decide_on_silence(evidence: SilenceEvidence) -> SilenceDecision:
--- a/tests/dispatch/test_silence.py
+++ b/tests/dispatch/test_silence.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -257,3 +258,29 @@
     assert soon.certainty == timedelta(seconds=1.7)
     expected = SilenceLimits(*(timedelta(seconds=value) for value in (0.9, 1.8, 3.06)))
     assert expected == LIMITS
+
+
+SHORT_PATIENCE = find_patience(timedelta(seconds=0.5), timedelta(seconds=0.2))
+
+
+def decide_on_prefill(expected: float, silent: float, engine: EngineEvidence) -> SilenceVerdict:
+    limits = find_silence_limits(SHORT_PATIENCE, timedelta(seconds=20), timedelta(seconds=expected))
+    evidence = SilenceEvidence(timedelta(seconds=silent), limits, timedelta(seconds=10), engine)
+    return decide_on_silence(evidence).verdict
+
+
+# all prompts of an engine left it in a pause of a second if they took over 0.7 s to compute
+@pytest.mark.parametrize("expected", [0.1, 0.5, 0.6, 0.75, 0.95, 3.0])
+def test_a_pause_of_a_second_moves_one_prefill_at_most(expected: float) -> None:
+    silent = expected + 0.99
+    engine = EngineEvidence(timedelta(seconds=silent), moved=1)
+    assert decide_on_prefill(expected, silent, engine) is not SilenceVerdict.MOVE
+
+
+@pytest.mark.parametrize("expected", [0.1, 0.5, 0.9, 3.0])
+def test_a_prefill_is_kept_at_first_for_what_is_known_of_the_engines(expected: float) -> None:
+    silent = max(MIN_SUSPICION.total_seconds(), 2 * expected) + 0.01
+    speaks = EngineEvidence(timedelta(seconds=0.01))
+    assert decide_on_prefill(expected, silent, speaks) is SilenceVerdict.ENGINE_SPEAKS
+    shared = EngineEvidence(timedelta(seconds=silent), silent_others=3)
+    assert decide_on_prefill(expected, silent, shared) is SilenceVerdict.SHARED
