Give back no units of a quota that a forgiven debt had contained

What was withheld for a silent gateway is given back by its next report. If the debt of the account was over its bound meanwhile, the rest of the debt is forgiven, units that were withheld among it, and giving these back gave more than reports at the right time would have.

What is withheld shrinks by what is forgiven, and so does the definition in the tests. The case of a debt of 900 units failed before.

--- a/src/lavenderrun/dispatch/_quota.py
+++ b/src/lavenderrun/dispatch/_quota.py
@@ -43,7 +43,8 @@
     :param last_report: time of its last peer report.
     :param used: units charged by account, as of that report.
     :param estimated: units that it is assumed to have used since, by account.
-    :param withheld: those among them that the bucket lacks now; a full bucket lacks none.
+    :param withheld: those among them that the bucket lacks now; a full bucket lacks none, and a
+        forgiven debt is lacking no more.
     """
 
     boot: BootId
@@ -172,18 +173,21 @@
             for sums in (peer.estimated, peer.withheld):
                 sums[account] = sums.get(account, 0.0) + taken
         floor = -MAX_DEBT.total_seconds() * bucket.quota.rate
+        forgiven = max(0.0, floor - bucket.level)
         bucket.level = min(bucket.quota.burst, max(floor, bucket.level) + gained)
         bucket.updated = now
-        _bound_withheld(silent, account, bucket.quota.burst - bucket.level)
+        withheld = sum(peer.withheld[account] for peer in silent)
+        lacking = bucket.quota.burst - bucket.level
+        _bound_withheld(silent, account, min(lacking, max(0.0, withheld - forgiven)))
         return bucket
 
     def _is_silent(self, peer: _PeerUsage, now: datetime) -> bool:
         return peer.last_report + self._peer_timeout < now
 
 
-def _bound_withheld(silent: Sequence[_PeerUsage], account: AccountId, lacking: float) -> None:
-    """Reduce what was withheld for silent hosts to what the bucket lacks."""
+def _bound_withheld(silent: Sequence[_PeerUsage], account: AccountId, most: float) -> None:
+    """Reduce what was withheld for silent hosts to *most* units together."""
     withheld = sum(peer.withheld[account] for peer in silent)
-    if withheld > lacking:
+    if withheld > most:
         for peer in silent:
-            peer.withheld[account] *= lacking / withheld
+            peer.withheld[account] *= most / withheld
--- a/tests/dispatch/test_quota.py
+++ b/tests/dispatch/test_quota.py
@@ -131,11 +131,14 @@
                 gained -= taken
                 self.estimated[host] += taken
                 self.withheld[host] += taken
-        self.level = min(QUOTA.burst, max(-4 * QUOTA.rate, self.level) + gained)
+        floor = -4 * QUOTA.rate
+        forgiven = max(0.0, floor - self.level)
+        self.level = min(QUOTA.burst, max(floor, self.level) + gained)
         self.updated = now
-        withheld, lacking = sum(self.withheld.values()), QUOTA.burst - self.level
-        if withheld > lacking:
-            self.withheld = {h: w * lacking / withheld for h, w in self.withheld.items()}
+        withheld = sum(self.withheld.values())
+        most = min(QUOTA.burst - self.level, max(0.0, withheld - forgiven))
+        if withheld > most:
+            self.withheld = {h: w * most / withheld for h, w in self.withheld.items()}
 
     def report(self, host: HostId, boot: str, used: float, now: datetime) -> None:
         self.refill(now)
@@ -238,6 +241,26 @@
     assert silent.list_remaining(now)[ACCOUNT] <= told.list_remaining(now)[ACCOUNT] + 1e-6
 
 
+def remain_after_silence(debt: float, *, is_silent: bool) -> float:
+    """Return what remains after a silence of 3 s of an idle host beside one that reports *debt*."""
+    ledger = make_ledger(others=2)
+    for step in range(17):
+        if step == 4:
+            ledger.charge(ACCOUNT, 200, at(1))
+        used = {ACCOUNT: debt if step >= 11 else 0.0}
+        ledger.apply_peer_report(HostId("h0"), BOOT, used, at(step / 4))
+        if not is_silent or not 4 <= step < 16:
+            ledger.apply_peer_report(HostId("h1"), BOOT, {}, at(step / 4))
+    return ledger.list_remaining(at(4))[ACCOUNT]
+
+
+# units that a forgiven debt had contained were given back
+@pytest.mark.parametrize("debt", [120.0, 900.0])
+def test_a_silence_gives_no_more_than_reports_would(debt: float) -> None:
+    silent = remain_after_silence(debt, is_silent=True)
+    assert silent <= remain_after_silence(debt, is_silent=False) + 1e-6
+
+
 def test_a_refund_at_one_host_is_credited_at_the_others() -> None:
     ledger = make_ledger(others=1)
     ledger.apply_peer_report(HostId("h0"), BOOT, {}, START)
