Observe streams without a declared size apart

After streams of a declared size, one without was expected to end at its first event, and so was taken late in a grace period and cut; after streams without, the whole duration counted as the time to the first event, and streams that could have ended were refused.

The two kinds of a route have averages of their own. The test failed before; tests of durations pass.

--- a/src/lavenderrun/dispatch/_call_durations.py
+++ b/src/lavenderrun/dispatch/_call_durations.py
@@ -59,11 +59,12 @@
     """Moving averages of the durations of calls, by route.
 
     The duration of a stream has a fixed part, to its first event, and one for each further token of
-    its likely output, if the caller declares one.
+    its likely output, if the caller declares one. Streams without a declared size are kept apart:
+    their duration is a whole.
     """
 
     def __init__(self) -> None:
-        self._routes: dict[str, _RouteDurations] = {}
+        self._routes: dict[tuple[str, bool], _RouteDurations] = {}
 
     def observe(
         self,
@@ -78,11 +79,10 @@
         """
         tokens = _count_further_tokens(route, size)
         fixed = took if first_event is None or not tokens else min(first_event, took)
-        known = self._routes.get(route.name)
+        key = _make_key(route, size)
+        known = self._routes.get(key)
         if known is None:
-            known = self._routes[route.name] = _RouteDurations(
-                _Average.begin(fixed.total_seconds())
-            )
+            known = self._routes[key] = _RouteDurations(_Average.begin(fixed.total_seconds()))
             if len(self._routes) > MAX_ROUTES:
                 del self._routes[next(iter(self._routes))]
         else:
@@ -97,7 +97,7 @@
 
     def estimate(self, route: CallRoute, size: DeclaredSize | None) -> timedelta:
         """Return the time within which a call can be expected to end."""
-        known, tokens = self._routes.get(route.name), _count_further_tokens(route, size)
+        known, tokens = self._routes.get(_make_key(route, size)), _count_further_tokens(route, size)
         fixed = route.objective * UNKNOWN_FACTOR
         if known is not None:
             fixed = timedelta(seconds=known.fixed.upper)
@@ -108,6 +108,10 @@
         return fixed + (route.gap_objective or timedelta(0)) * tokens
 
 
+def _make_key(route: CallRoute, size: DeclaredSize | None) -> tuple[str, bool]:
+    return route.name, route.delivery is Delivery.EVENTS and size is not None
+
+
 def _count_further_tokens(route: CallRoute, size: DeclaredSize | None) -> int:
     """Return how many tokens a stream is likely to have after its first event."""
     if route.delivery is not Delivery.EVENTS or size is None:
--- a/tests/dispatch/test_call_durations.py
+++ b/tests/dispatch/test_call_durations.py
@@ -94,6 +94,18 @@
     assert estimate / SECOND == pytest.approx(3, rel=0.01)
 
 
+# streams of an undeclared size were taken at the end of a grace period as if they had one event,
+# and streams of a declared one were refused
+def test_streams_with_and_without_a_declared_size_are_observed_apart() -> None:
+    durations, route = CallDurations(), make_route(delivery=Delivery.EVENTS)
+    size = DeclaredSize(100, 200, 200)
+    for _ in range(30):
+        durations.observe(route, size, SECOND * 2, SECOND / 5)
+        durations.observe(route, None, SECOND * 10, SECOND / 5)
+    assert durations.estimate(route, None) / SECOND == pytest.approx(10, rel=0.01)
+    assert durations.estimate(route, size) / SECOND == pytest.approx(2, rel=0.01)
+
+
 def test_routes_are_observed_apart() -> None:
     durations = CallDurations()
     durations.observe(make_route("long"), None, SECOND * 10)
