Let stand-in servers of the tests listen at ports that nobody else is given

Stand-ins listened at ports that the system chose, and gives to the next process that asks.

They take ports below that range now.

--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -14,6 +14,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from free_ports import find_ports
+
 STREAM, RESUMED, PLAIN, ORDERS = "/gen/", "/again/", "/look/", "/order/"
 HOST = "front.example"
 KEY, OTHER_KEY = "key-of-talleres", "key-of-molinos"
@@ -248,7 +250,8 @@
                 server.serve(self)
 
         self._handler = Handler
-        self._listen(0)
+        # a port that other processes on this machine take while nothing listens would answer
+        self._listen(*find_ports(1))
 
     def _listen(self, port: int) -> None:
         self._server = _Server(("127.0.0.1", port), self._handler)
--- a/tests/platform/test_free_ports.py
+++ b/tests/platform/test_free_ports.py
@@ -5,6 +5,7 @@
 import free_ports
 import pytest
 from free_ports import PORTS, find_ports
+from platform_standin import StandinServer
 
 CALLS = 500
 
@@ -29,3 +30,10 @@
         for _ in range(20):
             assert find_ports(1) == [free]
             free_ports._recent.clear()
+
+
+# a stand-in of another test run took the port of one that had stopped, and answered its calls
+def test_stand_ins_keep_to_ports_that_the_system_gives_to_nobody() -> None:
+    server = StandinServer("app-1", "apps")
+    server.close()
+    assert int(server.address.rpartition(":")[2]) in PORTS
