Let gateways and entries guard timers by one clock

The boundary of a gateway's call and that of an entry's call each had a clock of their own that runs timers inside the boundary, line for line the same. The kernel has it once now, and takes what guards a function.

--- a/src/lavenderrun/gateway/_boundary.py
+++ b/src/lavenderrun/gateway/_boundary.py
@@ -18,7 +18,7 @@
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation, DecodeSlotWaiter
 from lavenderrun.gateway._pool import Exchange
 from lavenderrun.gateway._suspects import LostCall
-from lavenderrun.kernel import Clock, Timer
+from lavenderrun.kernel import GuardedClock
 from lavenderrun.types import (
     BackendId,
     CallFailure,
@@ -58,7 +58,7 @@
         """Return *services* for a call whose errors pass this boundary."""
         return replace(
             services,
-            clock=_GuardedClock(services.clock, self),
+            clock=GuardedClock(services.clock, self.guard),
             pool=_GuardedPool(services.pool, self),
             slot_queue=_GuardedSlotQueue(services.slot_queue, self),
             suspects=_GuardedSuspects(services.suspects, self),
@@ -82,18 +82,6 @@
     raise error
 
 
-class _GuardedClock:
-    def __init__(self, clock: Clock, boundary: CallBoundary) -> None:
-        self._clock = clock
-        self._boundary = boundary
-
-    def now(self) -> datetime:
-        return self._clock.now()
-
-    def call_later(self, delay: timedelta, call: Callable[..., Any], *args: Any) -> Timer:
-        return self._clock.call_later(delay, self._boundary.guard(call), *args)
-
-
 class _GuardedReceiver:
     def __init__(self, receiver: Receiver, boundary: CallBoundary) -> None:
         self.head_received: Callable[[int, Headers], None] = boundary.guard(receiver.head_received)
--- a/src/lavenderrun/kernel/__init__.py
+++ b/src/lavenderrun/kernel/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lavenderrun.kernel._clock import Clock, ReactorClock, Timer, sleep
+from lavenderrun.kernel._clock import Clock, GuardedClock, ReactorClock, Timer, sleep
 from lavenderrun.kernel._errors import KernelError, ServiceStartError, UnknownServiceError
 from lavenderrun.kernel._kernel import SERVICES, Kernel, Service, ServiceFactory
 from lavenderrun.kernel._registry import Registry, UnknownNameError
@@ -10,6 +10,7 @@
 __all__ = [
     "SERVICES",
     "Clock",
+    "GuardedClock",
     "Kernel",
     "KernelError",
     "ReactorClock",
--- a/src/lavenderrun/kernel/_clock.py
+++ b/src/lavenderrun/kernel/_clock.py
@@ -36,6 +36,27 @@
         """Run *call* after *delay* on the event loop."""
 
 
+class GuardedClock:
+    """A clock for the parts of one call, whose errors in timers are handled by *guard*.
+
+    :param guard: returns a function with its errors handled.
+    """
+
+    def __init__(
+        self, clock: Clock, guard: Callable[[Callable[..., Any]], Callable[..., Any]]
+    ) -> None:
+        self._clock = clock
+        self._guard = guard
+
+    def now(self) -> datetime:
+        """Return the current time."""
+        return self._clock.now()
+
+    def call_later(self, delay: timedelta, call: Callable[..., Any], *args: Any) -> Timer:
+        """Run *call* after *delay*, guarded."""
+        return self._clock.call_later(delay, self._guard(call), *args)
+
+
 def sleep(clock: Clock, delay: timedelta) -> Deferred[None]:
     """Return a deferred that fires after *delay*; cancelling it cancels the timer."""
     done: Deferred[None] = Deferred(lambda _: timer.cancel())
--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -13,11 +13,12 @@
 from twisted.python.failure import Failure
 
 from lavenderrun.decisions import ClaimResult
+from lavenderrun.kernel import GuardedClock
 from lavenderrun.services._plain_attempt import AttemptState, PlainAttempt, RevokeReason
 from lavenderrun.services._plain_claim import PlainClaim
 from lavenderrun.services._plain_reply import NullSink, ReplyAssembler
 from lavenderrun.services._plain_sending import send_call
-from lavenderrun.services._run_boundary import GuardedClock, run_guarded
+from lavenderrun.services._run_boundary import run_guarded
 from lavenderrun.types import (
     AdmittedPlain,
     AnswerBegun,
@@ -304,7 +305,7 @@
             self.followed.append(request)
             self._router.add_follower(request, self)
         key = (request, number)
-        clock = GuardedClock(self._router.clock, self)
+        clock = GuardedClock(self._router.clock, partial(partial, run_guarded, self))
         attempt = PlainAttempt(
             self, clock, self._reply, key, host, boot, at_most_once=self._at_most_once
         )
--- a/src/lavenderrun/services/_run_boundary.py
+++ b/src/lavenderrun/services/_run_boundary.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from datetime import datetime, timedelta
 from typing import Any, Protocol
 
 from eliot import log_message
 
 from lavenderrun.http_server import describe_error
-from lavenderrun.kernel import Clock, Timer
 from lavenderrun.types import ModelRequest, PlainRequest
 
 
@@ -36,19 +34,3 @@
             error=describe_error(error),
         )
         run.fail()
-
-
-class GuardedClock:
-    """A clock for the parts of one request: errors in their timers end that request only."""
-
-    def __init__(self, clock: Clock, run: FailingRun) -> None:
-        self._clock = clock
-        self._run = run
-
-    def now(self) -> datetime:
-        """Return the current time."""
-        return self._clock.now()
-
-    def call_later(self, delay: timedelta, call: Callable[..., Any], *args: Any) -> Timer:
-        """Run *call* after *delay* inside the boundary of the request."""
-        return self._clock.call_later(delay, run_guarded, self._run, call, *args)
