Let orders of roles end on all gateways at the same time

What callers saw: `no_room`, "no engine had room in time", from all gateways for as long as they ran, though engines were idle.

Cause: a gateway that hears in a peer report that an engine changes its role left the engine alone for 10 s from then on, and told the others of it in its own reports. When the time of the first one had ended, the report of the second began it anew, and so on. Only a row with the new role ended it. An engine that crashes between order and new role, or does not carry it out, got no call any more; a gateway that started anew heard of it the same way.

Change: an order is known by the run of the engine, the fencing number and the sequence under which it was accepted. Reports carry the time that is left of it; an order that is known, ended or not, is not begun again. Orders of an earlier run of an engine don't count.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -50,6 +50,7 @@
 from lavenderrun.dispatch._quota import QuotaLedger
 from lavenderrun.dispatch._resends import ASSUMED_HOSTS, ResendBudget
 from lavenderrun.dispatch._rests import ServerRests
+from lavenderrun.dispatch._role_orders import MAX_ROLE_CHANGE_TIME, RoleOrder, RoleOrders
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
 from lavenderrun.dispatch._silence import (
     MIN_SUSPICION,
@@ -78,6 +79,7 @@
 __all__ = [
     "ASSUMED_HOSTS",
     "MAX_QUEUE_WAIT",
+    "MAX_ROLE_CHANGE_TIME",
     "MAX_SHARED_PARTS",
     "MIN_SERVICE_TIME",
     "MIN_SUSPICION",
@@ -115,6 +117,8 @@
     "Reservations",
     "RoleBalancer",
     "RoleChange",
+    "RoleOrder",
+    "RoleOrders",
     "RouteIndex",
     "ServerCrash",
     "ServerNotice",
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -92,7 +92,8 @@
     :param version: version of the configuration in force.
     :param used: units charged since the start, by account.
     :param reserved: reserved calls and tokens, by backend server.
-    :param moving: engines that accepted a role change, with their new role.
+    :param moving: engines that accepted a role change, with their new role; for gateways that don't
+        read ``ordered``.
     :param broken: server incarnations that a call may have crashed, by the call's fingerprint.
     :param computing: how much longer, in seconds, decode engines are busy with prompts that they
         compute themselves.
@@ -100,6 +101,8 @@
     :param crashing: server incarnations that ended under parts of prompts, with the seconds since
         a call with the part was sent there and since its connection closed.
     :param answered: parts of prompts that were answered, with the seconds since then.
+    :param ordered: engines that accepted a role change: their run, new role, fencing number and
+        sequence of the order, and how much longer, in seconds, the change is expected.
     """
 
     host: HostId
@@ -113,6 +116,7 @@
     leaving: Sequence[Incarnation] = ()
     crashing: Mapping[PartId, Sequence[tuple[Incarnation, Seconds, Seconds]]] = {}
     answered: Mapping[PartId, Seconds] = {}
+    ordered: Mapping[BackendId, tuple[Incarnation, BackendRole, Count, Count, Seconds]] = {}
 
 
 class _GatewayRow(msgspec.Struct):
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -16,6 +16,7 @@
     LeaseWrite,
     RoleBalancer,
     RoleChange,
+    RoleOrder,
     StoredLease,
 )
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -192,7 +193,8 @@
             result=result.value,
         )
         if result is OrderResult.ACCEPTED:
-            self._view.note_role_change(member.id, change.role)
+            order = RoleOrder(member.id, member.incarnation, change.role, fencing, report.sequence)
+            self._view.note_role_order(order)
         if result in {OrderResult.REJECTED, OrderResult.FENCED}:
             self._pending.pop(member.id, None)
         if result is OrderResult.FENCED:
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -8,6 +8,7 @@
 from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import (
+    MAX_ROLE_CHANGE_TIME,
     MIN_SUSPICION,
     PLACEMENTS,
     CallRequirements,
@@ -20,6 +21,8 @@
     ResendBudget,
     Reservations,
     RoleBalancer,
+    RoleOrder,
+    RoleOrders,
     ServerRests,
     SilenceTracker,
     estimate_computation,
@@ -41,6 +44,7 @@
     BackendRole,
     Configuration,
     EngineConfiguration,
+    FencingNumber,
     GatewayBounds,
     HostId,
     Member,
@@ -55,9 +59,6 @@
 MAX_REPORTED_REST: Final = timedelta(days=1)
 """Longest time that a peer report gives for a computation: what a caller declares has no bound."""
 
-MAX_ROLE_CHANGE_TIME: Final = timedelta(seconds=10)
-"""Time after which an ordered role change is no longer expected."""
-
 
 class FleetView:
     """Combines peer reports, rows of backend servers and this host's own observations.
@@ -68,6 +69,7 @@
     :ivar computations: prompts that decode engines compute themselves.
     :ivar health: health of backend servers.
     :ivar rests: servers that asked this host for no calls.
+    :ivar role_orders: orders to change their role that engines accepted.
     :ivar silence: when engines last sent something of this host's streams.
     :ivar prefill_silence: when prefill engines last answered this host, a stream for each prefill.
     """
@@ -90,10 +92,10 @@
         self.computations = PromptComputations()
         self.health = HealthTracker()
         self.rests = ServerRests()
+        self.role_orders = RoleOrders()
         self.silence = SilenceTracker()
         self.prefill_silence = SilenceTracker()
         self._suspects = kernel.find("suspects", SuspectsService)
-        self._role_changes: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._balancers: dict[ServiceGroup, RoleBalancer] = {}
         stats = kernel.find("stats", Stats)
         stats.register_reader(QUOTA_USED, lambda: _label_by_key(self.quotas.used))
@@ -182,18 +184,14 @@
         engine = self._find_engine_configuration(service)
         return timedelta(0) if engine is None else engine.export_lifetime
 
-    def note_role_change(self, member: BackendId, role: BackendRole) -> None:
+    def note_role_order(self, order: RoleOrder) -> None:
         """Record that an engine accepted the order to change its role."""
-        self._role_changes[member] = (role, self._clock.now() + MAX_ROLE_CHANGE_TIME)
+        self.role_orders.record(order, MAX_ROLE_CHANGE_TIME, self._clock.now())
         self._peers.report_soon()
 
-    def list_changing_role(self, now: datetime) -> set[BackendId]:
-        """Return the engines that are changing their role."""
-        for key, (role, until) in list(self._role_changes.items()):
-            member = self._members.find(key)
-            if now >= until or member is None or member.role is role:
-                del self._role_changes[key]
-        return set(self._role_changes)
+    def list_role_orders(self) -> Mapping[RoleOrder, timedelta]:
+        """Return the orders that engines still have to carry out, and how long that is expected."""
+        return self.role_orders.list_pending(self._members.find, self._clock.now())
 
     def find_ready(self, member: Member) -> Member | None:
         """Return the current state of *member*, ``None`` when it restarted or takes no new work."""
@@ -288,7 +286,7 @@
             self._random,
             memory_tokens=self.find_memory(service),
             prefill_speed=self.find_balancer(service).prefill_speed,
-            moving=self.list_changing_role(now),
+            moving={order.member for order in self.list_role_orders()},
             computations=self.computations,
             rests=self.rests,
             silent=self.silence.list_silent(MIN_SUSPICION, now),
@@ -321,6 +319,7 @@
     def _make_report(self) -> PeerReport:
         now = self._clock.now()
         parts = self._suspects.make_part_report()
+        orders = self.list_role_orders()
         return PeerReport(
             self._host,
             self._peers.boot,
@@ -330,7 +329,7 @@
                 member: (row.calls, row.tokens)
                 for member, row in self.occupancy.own_reservations.items()
             },
-            {member: role for member, (role, _) in self._role_changes.items()},
+            {order.member: order.role for order in orders},
             self._suspects.calls.list_suspects(now),
             {
                 member: min(rest, MAX_REPORTED_REST).total_seconds()
@@ -339,6 +338,16 @@
             self._members.list_departures(),
             parts.crashes,
             parts.answered,
+            {
+                order.member: (
+                    order.incarnation,
+                    order.role,
+                    order.fencing,
+                    order.sequence,
+                    left.total_seconds(),
+                )
+                for order, left in orders.items()
+            },
         )
 
     def _apply_peer_report(self, report: PeerReport) -> None:
@@ -352,8 +361,9 @@
         rests = {m: timedelta(seconds=seconds) for m, seconds in report.computing.items()}
         self.computations.apply_peer_report(report.host, rests, now)
         self._members.note_departures(report.leaving, report.host)
-        for member, role in report.moving.items():
-            self._role_changes.setdefault(member, (role, now + MAX_ROLE_CHANGE_TIME))
+        for member, (incarnation, role, fencing, sequence, left) in report.ordered.items():
+            order = RoleOrder(member, incarnation, role, FencingNumber(fencing), sequence)
+            self.role_orders.record(order, timedelta(seconds=left), now)
 
     def _count_ejected(self) -> dict[tuple[str, ...], float]:
         now = self._clock.now()
--- /dev/null
+++ b/tests/gateway/test_role_reports.py
@@ -0,0 +1,141 @@
+"""What gateways tell each other about engines that were ordered to another role."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from datetime import UTC, datetime, timedelta
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import MagicMock
+
+import msgspec
+from twisted.internet.task import Clock as FakeReactor
+
+from lavenderrun.dispatch import CallRequirements, RoleOrder
+from lavenderrun.gateway._peers import decode_report
+from lavenderrun.gateway._view import FleetView
+from lavenderrun.kernel import ReactorClock
+from lavenderrun.types import (
+    BackendId,
+    BackendRole,
+    BootId,
+    DataCentre,
+    FencingNumber,
+    HostId,
+    Member,
+    MemberState,
+    ServiceGroup,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+ENGINE = Member(
+    BackendId("e1"),
+    ServiceGroup("s"),
+    "127.0.0.1:1",
+    DataCentre("here"),
+    BackendRole.DECODE,
+    64,
+    MemberState.READY,
+    timedelta(0),
+    1,
+)
+REPORT_SECONDS = 0.25
+
+
+class Host:
+    """A gateway's view of one engine."""
+
+    def __init__(self, name: str, reactor: FakeReactor) -> None:
+        self.row = ENGINE
+        members = MagicMock(host_count=2)
+        members.find = lambda _: self.row
+        members.list_members = lambda _: [self.row]
+        members.list_departures.return_value = ()
+        suspects = MagicMock()
+        suspects.calls.list_suspects.return_value = {}
+        suspects.make_part_report.return_value = SimpleNamespace(crashes={}, answered={})
+        pool = MagicMock()
+        pool.unreached.find_next_try.return_value = None
+        configuration = SimpleNamespace(watch=lambda _: None, current=None, version=1)
+        peers = MagicMock(boot=BootId(f"boot of {name}"))
+        services = {
+            "configuration": configuration,
+            "members": members,
+            "peers": peers,
+            "pool": pool,
+            "stats": MagicMock(),
+            "suspects": suspects,
+        }
+        bounds = SimpleNamespace(
+            retry_ratio=0.2, retry_reserve=10, retry_window=timedelta(seconds=10)
+        )
+        kernel: Any = SimpleNamespace(
+            clock=ReactorClock(reactor, START, zero=0.0),
+            random_source=Random(1),
+            settings=SimpleNamespace(
+                host=HostId(name), data_centre=DataCentre("here"), bounds=bounds
+            ),
+            find=lambda name, _: services[name],
+        )
+        self.view = FleetView(kernel)
+
+    def report_to(self, other: Host) -> None:
+        report = decode_report(msgspec.msgpack.encode(self.view._make_report()))
+        assert report is not None
+        other.view._apply_peer_report(report)
+
+    def takes_engine(self) -> bool:
+        return self.view.place(ENGINE.service, "decode", CallRequirements()) is not None
+
+
+class Fixture:
+    """Two gateways that report to each other; the first one has ordered the engine."""
+
+    def __init__(self) -> None:
+        self.reactor = FakeReactor()
+        self.hosts = [Host("h1", self.reactor), Host("h2", self.reactor)]
+        order = RoleOrder(ENGINE.id, ENGINE.incarnation, BackendRole.PREFILL, FencingNumber(1), 0)
+        self.hosts[0].view.note_role_order(order)
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / REPORT_SECONDS)):
+            first, second = self.hosts
+            self.reactor.advance(REPORT_SECONDS / 2)
+            first.report_to(second)
+            self.reactor.advance(REPORT_SECONDS / 2)
+            second.report_to(first)
+            self.list_takers()  # calls come all the time
+
+    def list_takers(self) -> list[bool]:
+        return [host.takes_engine() for host in self.hosts]
+
+
+# soak seed 30: an engine that accepted an order and did not carry it out got no call for as long as
+# two gateways told each other of it
+def test_an_engine_that_does_not_change_its_role_is_called_again_by_all() -> None:
+    fixture = Fixture()
+    fixture.advance(9)
+    assert fixture.list_takers() == [False, False]
+    fixture.advance(2)
+    assert fixture.list_takers() == [True, True]
+
+
+# an engine that crashed between its order and its new role got no call in its next run
+def test_an_engine_that_starts_anew_has_no_order() -> None:
+    fixture = Fixture()
+    fixture.advance(1)
+    for host in fixture.hosts:
+        host.row = replace(ENGINE, started=2)
+    fixture.advance(1)
+    assert fixture.list_takers() == [True, True]
+
+
+def test_a_gateway_that_starts_anew_leaves_the_engine_alone_for_the_rest() -> None:
+    fixture = Fixture()
+    fixture.advance(4)
+    fixture.hosts[0] = Host("h1", fixture.reactor)
+    fixture.advance(1)
+    assert fixture.list_takers() == [False, False]
+    fixture.advance(6)
+    assert fixture.list_takers() == [True, True]
--- a/tests/gateway/test_roles.py
+++ b/tests/gateway/test_roles.py
@@ -106,7 +106,7 @@
         kernel.provide("pool", self.engine)
         self.engine_takes_calls = True
         view = SimpleNamespace(
-            note_role_change=lambda *_: None, takes_calls=lambda _: self.engine_takes_calls
+            note_role_order=lambda _: None, takes_calls=lambda _: self.engine_takes_calls
         )
         kernel.provide("view", view)
         kernel.provide("backend_dialect", PlatformBackends())
