Count engines that another gateway ordered as what they become

What callers saw: streams found no decode engine after the lease to order engines had changed hands; all engines of a service but none prefilled.

Cause: the balance of roles knew only the orders of its own gateway. The next holder of the lease saw the ordered engine in its old role by the row, and ordered another one.

Change: pending orders of all gateways, which peer reports bring, count in the plan, beside the own ones that aren't confirmed.

test_an_engine_that_another_gateway_ordered_counts_as_what_it_becomes failed before (the second engine was ordered) and passes now.

--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -151,7 +151,9 @@
             ordered = self._pending.get(member.id)
             if ordered is not None and (member.role is ordered[0] or now >= ordered[1]):
                 del self._pending[member.id]
-        pending = {member: ordered[0] for member, ordered in self._pending.items()}
+        # the holder of the lease before may have ordered some
+        pending = {order.member: order.role for order in self._view.list_role_orders()}
+        pending.update({member: ordered[0] for member, ordered in self._pending.items()})
         load = {m.id: self._view.occupancy.sum_reserved_tokens(m.id) for m in members}
         return balancer.plan_change(members, pending, load, now)
 
--- a/tests/gateway/test_roles.py
+++ b/tests/gateway/test_roles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 from random import Random
 from types import SimpleNamespace
@@ -11,7 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as FakeTime
 
-from lavenderrun.dispatch import RoleBalancer, RoleChange
+from lavenderrun.dispatch import RoleBalancer, RoleChange, RoleOrder
 from lavenderrun.gateway import HttpRequest
 from lavenderrun.gateway._ports import RowPage
 from lavenderrun.gateway._roles import RolesService
@@ -23,6 +24,7 @@
     BackendRole,
     BootId,
     DataCentre,
+    FencingNumber,
     Member,
     MemberState,
     ServiceGroup,
@@ -89,11 +91,13 @@
         self.boot_time = 0.0
         clock = ReactorClock(self.time, START, zero=0.0)
         kernel = Kernel(clock, SimpleNamespace(host="h1"), Random(1))
+        self.engines = [ENGINE]
         self.engine = Engine()
         follower = SimpleNamespace(restart=lambda: None)
         watched = SimpleNamespace(follower=follower, watch=lambda _handler: None)
-        for name in ("configuration", "members"):
-            kernel.provide(name, watched)
+        kernel.provide("configuration", watched)
+        members = SimpleNamespace(**vars(watched), list_members=lambda _: self.engines)
+        kernel.provide("members", members)
         others_silent = timedelta(seconds=silence)
         peers = SimpleNamespace(
             follower=follower,
@@ -105,8 +109,12 @@
         kernel.provide("rows", Rows())
         kernel.provide("pool", self.engine)
         self.engine_takes_calls = True
+        self.orders_of_others: list[RoleOrder] = []
         view = SimpleNamespace(
-            note_role_order=lambda _: None, takes_calls=lambda _: self.engine_takes_calls
+            note_role_order=lambda _: None,
+            list_role_orders=lambda: self.orders_of_others,
+            occupancy=SimpleNamespace(sum_reserved_tokens=lambda _: 0),
+            takes_calls=lambda _: self.engine_takes_calls,
         )
         kernel.provide("view", view)
         kernel.provide("backend_dialect", PlatformBackends())
@@ -178,3 +186,18 @@
     fixture.suspension.check()
     fixture.answer_report()
     assert len(fixture.engine.orders) == 1
+
+
+# soak seed 30: the next holder of the lease ordered the other decode engine to prefill as well, and
+# streams found no engine
+def test_an_engine_that_another_gateway_ordered_counts_as_what_it_becomes() -> None:
+    fixture = Fixture()
+    fixture.engines = [replace(ENGINE, id=BackendId(name)) for name in ("e1", "e2")]
+    plan = fixture.roles._plan_change(ENGINE.service, RoleBalancer())
+    assert plan is not None
+    assert plan.role is BackendRole.PREFILL
+    ordered = plan.member
+    fixture.orders_of_others = [
+        RoleOrder(ordered.id, ordered.incarnation, plan.role, FencingNumber(1), 0)
+    ]
+    assert fixture.roles._plan_change(ENGINE.service, RoleBalancer()) is None
