Let verdicts on requests that crash servers end after their time

What callers saw: a call that had crashed three servers once was refused as quarantined for ever, on all entries, also after the servers had been mended, unless an operator released it.

Entries read the stored verdicts each minute and counted the strikes as new; entries whose link came up told each other all strikes as if they had just happened. No entry deleted a row, and a later verdict on the same fingerprint was not written, for the write expected no row.

Change: strikes that are passed on carry the age of the newest crash, rows the time at which they were written. Who reads a row whose time is over deletes it. A strike counts with those before it if it follows them within their time. A verdict replaces an older row. Rows of earlier releases get a time when they are first read.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -75,6 +75,7 @@
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
 from lavenderrun.decisions._quarantine import (
+    GUILTY_MEMORY,
     MAX_CRASHES,
     ProbeLeases,
     Quarantine,
@@ -109,6 +110,7 @@
 
 __all__ = [
     "ALIVE_INTERVAL",
+    "GUILTY_MEMORY",
     "INVARIANT_CHECKS",
     "LIMIT_POLICIES",
     "MAX_CRASHES",
--- a/src/lavenderrun/decisions/_quarantine.py
+++ b/src/lavenderrun/decisions/_quarantine.py
@@ -12,6 +12,8 @@
 from datetime import datetime, timedelta
 from hashlib import blake2b
 
+import msgspec
+
 from lavenderrun.types import Fingerprint, HostId, QuarantineVerdict, RequestId, Strike, Suspect
 
 MAX_CRASHES = 3
@@ -30,9 +32,19 @@
 class _StrikeRecord:
     """Strikes of one fingerprint, by request and attempt."""
 
-    def __init__(self) -> None:
+    def __init__(self, last_strike_at: datetime) -> None:
         self.strikes: dict[tuple[str, int], Strike] = {}
-        self.last_strike_at: datetime | None = None
+        self.last_strike_at = last_strike_at
+
+    @property
+    def is_guilty(self) -> bool:
+        """Whether the strikes are as many as it takes to refuse the fingerprint."""
+        return len(self.strikes) >= MAX_CRASHES
+
+    def is_outdated(self, now: datetime) -> bool:
+        """Tell whether the strikes no longer count at *now*."""
+        memory = GUILTY_MEMORY if self.is_guilty else SUSPECT_MEMORY
+        return now - self.last_strike_at > memory
 
 
 class Quarantine:
@@ -46,13 +58,19 @@
         self._records: OrderedDict[Fingerprint, _StrikeRecord] = OrderedDict()
 
     def add_strike(self, strike: Strike, now: datetime) -> bool:
-        """Record a strike; return whether it is new."""
-        record = self._records.setdefault(strike.fingerprint, _StrikeRecord())
+        """Record a strike; return whether it is new.
+
+        Strikes on which the record has become too old when this one happens no longer count.
+        """
+        happened = now - strike.age
+        record = self._records.get(strike.fingerprint)
+        if record is None or record.is_outdated(happened):
+            record = self._records[strike.fingerprint] = _StrikeRecord(happened)
         key = (strike.request, strike.attempt)
         new = key not in record.strikes
         if new:
-            record.strikes[key] = strike
-            record.last_strike_at = now
+            record.strikes[key] = msgspec.structs.replace(strike, age=timedelta(0))
+            record.last_strike_at = max(record.last_strike_at, happened)
         self._records.move_to_end(strike.fingerprint)
         while len(self._records) > MAX_RECORDS:
             self._records.popitem(last=False)
@@ -63,15 +81,11 @@
         return self._records.pop(fingerprint, None) is not None
 
     def find_verdict(self, fingerprint: Fingerprint, now: datetime) -> QuarantineVerdict:
-        """Return the verdict on *fingerprint*; drop its strikes once they are too old."""
+        """Return the verdict on *fingerprint*; it is clear once its strikes are too old."""
         record = self._records.get(fingerprint)
-        if record is None or record.last_strike_at is None:
+        if record is None or record.is_outdated(now):
             return QuarantineVerdict.CLEAR
-        guilty = len(record.strikes) >= MAX_CRASHES
-        if now - record.last_strike_at > (GUILTY_MEMORY if guilty else SUSPECT_MEMORY):
-            self.drop_strikes(fingerprint)
-            return QuarantineVerdict.CLEAR
-        return QuarantineVerdict.GUILTY if guilty else QuarantineVerdict.SUSPECT
+        return QuarantineVerdict.GUILTY if record.is_guilty else QuarantineVerdict.SUSPECT
 
     def find_suspect_limit(self, fingerprint: Fingerprint, now: datetime) -> int:
         """Return the most suspects that may share a backend server, *fingerprint* included.
@@ -91,9 +105,22 @@
         record = self._records.get(fingerprint)
         return [] if record is None else list(record.strikes.values())
 
-    def list_strikes(self) -> list[Strike]:
-        """Return the strikes of all fingerprints."""
-        return [strike for name in self._records for strike in self.find_strikes(name)]
+    def list_strikes(self, now: datetime) -> list[Strike]:
+        """Return the strikes of all fingerprints that count, with the age of the newest one."""
+        return [
+            strike
+            for name, record in self._records.items()
+            if not record.is_outdated(now)
+            for strike in self.list_aged_strikes(name, now)
+        ]
+
+    def list_aged_strikes(self, fingerprint: Fingerprint, now: datetime) -> list[Strike]:
+        """Return the strikes of *fingerprint*, each with the age of the newest one."""
+        record = self._records.get(fingerprint)
+        if record is None:
+            return []
+        age = now - record.last_strike_at
+        return [msgspec.structs.replace(strike, age=age) for strike in record.strikes.values()]
 
     def list_suspects(self, now: datetime) -> list[Suspect]:
         """Return all fingerprints that are suspect or guilty."""
--- a/src/lavenderrun/services/_quarantine.py
+++ b/src/lavenderrun/services/_quarantine.py
@@ -6,11 +6,17 @@
 from datetime import datetime, timedelta
 from typing import Any, ClassVar
 
+import msgspec
 from eliot import log_message
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from lavenderrun.codecs import RowCodec, RowError
-from lavenderrun.decisions import ProbeLeases, Quarantine, find_probe_coordinator
+from lavenderrun.decisions import (
+    GUILTY_MEMORY,
+    ProbeLeases,
+    Quarantine,
+    find_probe_coordinator,
+)
 from lavenderrun.dispatch import CrashingParts, PartReport, ServerCrash
 from lavenderrun.kernel import SERVICES, Kernel, Timer
 from lavenderrun.types import (
@@ -34,6 +40,7 @@
     StepError,
     Store,
     StoreConflictError,
+    StoredRow,
     StoreThrottledError,
     StoreUnavailableError,
     Strike,
@@ -178,7 +185,7 @@
 
     def _send_known_strikes(self, link: Link) -> None:
         if link.peer.role is HostRole.ENTRY:
-            for strike in self._quarantine.list_strikes():
+            for strike in self._quarantine.list_strikes(self._clock.now()):
                 link.send(strike)
             evidence = self._make_part_evidence()
             if evidence.crashes or evidence.answered:
@@ -271,9 +278,17 @@
     # store
 
     async def _store_verdict(self, fingerprint: Fingerprint) -> None:
-        row = self._codec.encode(QuarantineRow(self._quarantine.find_strikes(fingerprint)))
+        now = self._clock.now()
+        strikes = self._quarantine.list_aged_strikes(fingerprint, now)
+        value = self._codec.encode(QuarantineRow(strikes, now))
         try:
-            await self._store.put(TABLE, fingerprint, row, expect=0)
+            try:
+                await self._store.put(TABLE, fingerprint, value, expect=0)
+            except StoreConflictError as conflict:
+                # an older verdict; if another entry is faster its row says the same
+                if conflict.current is not None:
+                    version = conflict.current.version
+                    await self._store.put(TABLE, fingerprint, value, expect=version)
         except STORE_ERRORS as error:
             self._log_store_error(error)
 
@@ -303,12 +318,32 @@
                     "quarantine:row", text="quarantine: unreadable row skipped", error=str(error)
                 )
                 continue
-            for strike in stored.strikes:
-                self._quarantine.add_strike(strike, self._clock.now())
+            await self._apply_row(row, stored)
         if not self._stopped:
             pause = READ_INTERVAL * self._random.uniform(0.75, 1.25)
             self._timer = self._clock.call_later(pause, self._begin_read)
 
+    async def _apply_row(self, row: StoredRow, stored: QuarantineRow) -> None:
+        """Add the strikes of a row, with their age; delete it once they no longer count."""
+        now = self._clock.now()
+        written = now if stored.written is None else stored.written
+        # the clock of the entry that wrote it may be ahead
+        age = max(timedelta(0), now - written)
+        strikes = [msgspec.structs.replace(each, age=each.age + age) for each in stored.strikes]
+        for strike in strikes:
+            self._quarantine.add_strike(strike, now)
+        try:
+            if all(strike.age > GUILTY_MEMORY for strike in strikes):
+                await self._store.delete(TABLE, row.key, expect=row.version)
+            elif stored.written is None:
+                value = self._codec.encode(QuarantineRow(stored.strikes, now))
+                await self._store.put(TABLE, row.key, value, expect=row.version)
+        except StoreConflictError:
+            # another entry was faster
+            return
+        except STORE_ERRORS as error:
+            self._log_store_error(error)
+
     def _log_store_error(self, error: Exception) -> None:
         log_message(
             "quarantine:store",
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from datetime import datetime
+from datetime import datetime, timedelta
 from enum import Enum
 from typing import Protocol
 
@@ -48,6 +48,7 @@
     """A backend server crashed while it ran an attempt; entries send this to one another.
 
     :param had_begun: the attempt had begun to be answered, so another one is more likely the cause.
+    :param age: time since the newest crash under the fingerprint, when the strike is passed on.
     """
 
     fingerprint: Fingerprint
@@ -56,6 +57,7 @@
     account: AccountId | None
     route: RouteName
     had_begun: bool = False
+    age: timedelta = timedelta(0)
 
 
 @message("acquitted")
--- a/src/lavenderrun/types/_rows.py
+++ b/src/lavenderrun/types/_rows.py
@@ -57,6 +57,11 @@
 
 
 class QuarantineRow(msgspec.Struct, frozen=True):
-    """The strikes of a guilty fingerprint."""
+    """The strikes of a guilty fingerprint.
+
+    :param written: when the row was written, by the clock of its entry; ``None`` in rows of earlier
+        releases.
+    """
 
     strikes: list[Strike]
+    written: datetime | None = None
