Count no rest against a gateway that did not hear of it in the soak

Trace: pre-1 answered nothing from 10:22:51.2 to 10:22:54.76, while all other servers answered. Both calls had been sent before 10:22:52.4 by front-1, which was killed at 10:22:52.467. pre-1 rejected them 2.4 s later, over connections that had ended with that process; front-1's next run (10:22:54.7) was never told. The check excused restarts of a gateway only from one second before the rejection on.

That one server alone stood still for 3.5 s is the machine: a process that sleeps and is bound to one processor was not run for 7.1 s at 10:24:03 under the same load, and the kernel reported a stuck worker pool at 10:21:12.

Change: a gateway that was restarted or suspended after it had sent the rejected call is excused, and so is one that had closed that connection before an answer began, by its line of the attempt. A rejection that the gateway received counts as before; four cases in test_notices.py, two of which the check took for late calls before.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -157,6 +157,14 @@
         """Return the log lines of requests that were read whole and ended without an answer."""
         return self.lines("requests:unanswered")
 
+    def list_given_up(self) -> set[tuple[str, str]]:
+        """Return requests and servers whose connections all ended before an answer began."""
+        begun: dict[tuple[str, str], bool] = {}
+        for line in self.lines("call:attempt"):
+            attempt = (line["request"], line["member"])
+            begun[attempt] = begun.get(attempt, False) or line["status"] is not None
+        return {attempt for attempt, has_begun in begun.items() if not has_begun}
+
     def signal(self, number: int) -> None:
         assert self.popen is not None
         self.popen.send_signal(number)
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -4,7 +4,7 @@
 
 import threading
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler
 
@@ -104,17 +104,24 @@
 
         server.behave = behave
 
-    def check(self, servers: list[StandinServer], proxies: Mapping[str, Proxy]) -> Iterator[str]:
+    def check(
+        self,
+        servers: list[StandinServer],
+        proxies: Mapping[str, Proxy],
+        given_up: Collection[tuple[str, str]] = (),
+    ) -> Iterator[str]:
         """Yield each call that reached a server against what it had said.
 
         :param proxies: the paths to the servers, by their ids.
+        :param given_up: requests and ids of servers whose answer their gateway did not wait for.
         """
         for server in servers:
             for began, ended in self.departures.get(server.id, []):
                 yield from self._check_departure(server, began, ended)
             for rest in self.rests.get(server.id, []):
-                # a rejection that was lost on its way has told nothing
-                if not proxies[server.id].has_broken(rest.at, rest.at + REACTION_SECONDS):
+                # a rejection that was lost on its way, or came too late, has told nothing
+                is_lost = proxies[server.id].has_broken(rest.at, rest.at + REACTION_SECONDS)
+                if not is_lost and (rest.request, server.id) not in given_up:
                     yield from self._check_rest(server, rest)
 
     def _list_seen(self, server: StandinServer) -> list[tuple[str, float]]:
@@ -148,8 +155,11 @@
             for request, at in self._list_seen(server)
             if begin < at < end and self.calls[request].gateway == call.gateway
         ]
-        moments = [*self.excuses.get(call.gateway, []), *self.disturbances.get(server.id, [])]
-        if len(late) > MAX_REQUESTS_IN_REST and not _lies_between(moments, rest.at - 1, end):
+        disturbed = _lies_between(self.disturbances.get(server.id, []), rest.at - 1, end)
+        # a gateway that was restarted after it had sent the call heard nothing of its answer
+        since = min(rest.at - 1, call.sent)
+        excused = _lies_between(self.excuses.get(call.gateway, []), since, end)
+        if len(late) > MAX_REQUESTS_IN_REST and not disturbed and not excused:
             yield f"{len(late)} calls reached {server.id} in its rest after {rest.request}: {late}"
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -445,7 +445,8 @@
             for line in gateway.list_unanswered():
                 self.outcomes.failures.append(f"logged as unanswered: {line}")
         servers = list(self.platform.servers.values())
-        self.outcomes.failures.extend(self.notices.check(servers, self.proxies))
+        given_up = {attempt for gateway in self.gateways for attempt in gateway.list_given_up()}
+        self.outcomes.failures.extend(self.notices.check(servers, self.proxies, given_up))
         self.outcomes.failures.extend(self.deadly.check(servers, self.notices))
 
     def _check_status(self, kind: str, request: str, answer: Answer, runs: int) -> None:
--- a/tests/soak/test_notices.py
+++ b/tests/soak/test_notices.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import pytest
-from notices import Notices, Rest
+from notices import Notices, Rest, SentCall
 from platform_standin import SeenRequest, StandinServer
 
 REST_SECONDS = 3
@@ -33,12 +33,26 @@
 
 
 def check_calls(
-    server: StandinServer, at: float, *, starts_anew: bool = False, path: Path = OPEN
+    server: StandinServer,
+    at: float,
+    *,
+    starts_anew: bool = False,
+    path: Path = OPEN,
+    waited: float = 0.0,
+    restarted: float | None = None,
+    gave_up: bool = False,
 ) -> list[str]:
-    """Check three calls that reach a server *at* seconds after it asked for no calls."""
+    """Check three calls that reach a server *at* seconds after it asked for no calls.
+
+    :param waited: for how long the call had been sent that it rejected.
+    :param restarted: how long before the rejection the gateway was restarted.
+    :param gave_up: whether the gateway had closed the connection of that call.
+    """
     notices = Notices()
     proxy: Any = path
-    notices.note_sent("rejected", 0)
+    notices.calls["rejected"] = SentCall(0, 100.0 - waited)
+    if restarted is not None:
+        notices.excuses[0] = [100.0 - restarted]
     notices.rests["app-1"] = [Rest("rejected", 100.0, REST_SECONDS)]
     if starts_anew:
         notices.departures["app-1"] = [[90.0, 100.0 + SECONDS_TO_NEW_START]]
@@ -46,7 +60,8 @@
         notices.note_sent(f"late-{number}", 0)
         headers = {"x-request-id": f"late-{number}"}
         server.seen.append(SeenRequest("GET", "/look/x", headers, b"", 100.0 + at))
-    failures = notices.check([server], {"app-1": proxy})
+    given_up = {("rejected", "app-1")} if gave_up else set()
+    failures = notices.check([server], {"app-1": proxy}, given_up)
     return [failure for failure in failures if "in its rest" in failure]
 
 
@@ -70,3 +85,16 @@
     server: StandinServer, began: float, ended: float, is_late: bool
 ) -> None:
     assert bool(check_calls(server, 1.0, path=Path(began, ended))) is is_late
+
+
+# soak seed 67: the server's thread did not run for 3.5 s; meanwhile the gateway was killed, and the
+# other one gave its calls up
+@pytest.mark.parametrize(
+    ("restarted", "gave_up", "is_late"),
+    [(None, False, True), (1.8, False, False), (3.5, False, True), (None, True, False)],
+)
+def test_a_rejection_that_comes_after_its_gateway_has_gone_asks_for_nothing(
+    server: StandinServer, restarted: float | None, gave_up: bool, is_late: bool
+) -> None:
+    found = check_calls(server, 1.0, waited=3.4, restarted=restarted, gave_up=gave_up)
+    assert bool(found) is is_late
