Release a lease also when a renewal is under way

A host that stopped while its renewal of a lease was on its way to the store planned no release, and the reply made it the holder again. No other host could claim the lease before it had expired, 17 s later; orders waited meanwhile.

A released keeper plans no write and is not made the holder by a reply; the service waits for the write under way and frees the row then.

--- a/src/lavenderrun/dispatch/_leases.py
+++ b/src/lavenderrun/dispatch/_leases.py
@@ -67,6 +67,7 @@
         self._valid_from: datetime | None = None
         self._last_read: datetime | None = None
         self._is_writing = False
+        self._is_released = False
 
     def find_fencing_number(self, now: datetime) -> FencingNumber | None:
         """Return the fencing number, ``None`` unless this host holds the lease at *now*."""
@@ -106,7 +107,7 @@
         :meth:`note_no_reply`; until then no other write is planned.
         """
         stored = self._stored
-        if self._is_writing or stored is None:
+        if self._is_writing or self._is_released or stored is None:
             return None
         if self.find_fencing_number(now) is not None:
             assert self._valid_from is not None
@@ -124,15 +125,18 @@
         return self._prepare_write(stored, FencingNumber(last + 1), now)
 
     def plan_release(self, now: datetime) -> LeaseWrite | None:
-        """Give the lease up at once and return the write that frees the row.
+        """Give the lease up for good and return the write that frees the row.
 
-        :returns: ``None`` when the lease is not held or another write is pending.
+        :returns: ``None`` when the row is not known to be this host's or another write is pending;
+            ask again after that one.
         """
-        fencing, stored = self.find_fencing_number(now), self._stored
-        self._fencing = None
-        if fencing is None or stored is None or self._is_writing:
+        self._fencing, self._is_released = None, True
+        stored = self._stored
+        if self._is_writing or stored is None or stored.row is None:
+            return None
+        if not self._is_own(stored.row):
             return None
-        return LeaseWrite(stored.version, LeaseRow(NO_HOST, NO_BOOT, fencing), now)
+        return LeaseWrite(stored.version, LeaseRow(NO_HOST, NO_BOOT, stored.row.fencing), now)
 
     def confirm(self, write: LeaseWrite, version: int, now: datetime) -> None:
         """Record that the store accepted the write.
@@ -141,7 +145,7 @@
         """
         self._is_writing = False
         self.observe(StoredLease(version, write.row), now)
-        if self._is_own(write.row):
+        if self._is_own(write.row) and not self._is_released:
             self._fencing, self._valid_from = write.row.fencing, write.sent
 
     def note_conflict(self, current: StoredLease, now: datetime) -> None:
--- a/src/lavenderrun/services/_leases.py
+++ b/src/lavenderrun/services/_leases.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import Any, ClassVar
+from typing import ClassVar
 
 from eliot import log_message
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import Deferred, DeferredList, succeed
 from twisted.python.failure import Failure
 
 from lavenderrun.codecs import LEASE_TABLE, RowCodec, RowError
@@ -40,6 +40,7 @@
         self._own_incarnation = HostIncarnation(hello.host, hello.boot)
         self._keepers: dict[LeaseName, LeaseKeeper] = {}
         self._was_held: dict[LeaseName, bool] = {}
+        self._writes: dict[LeaseName, Deferred[None]] = {}
         self._timer: Timer | None = None
 
     def start(self) -> None:
@@ -50,13 +51,17 @@
         """Release all leases, so that another host need not wait until they expire."""
         if self._timer is not None:
             self._timer.cancel()
-        now = self._clock.now()
-        writes = []
+        releases = []
         for name, keeper in self._keepers.items():
-            write = keeper.plan_release(now)
-            if write is not None:
-                writes.append(self._send_write(name, keeper, write))
-        return DeferredList(writes, consumeErrors=True).addCallback(lambda _: None)
+            keeper.plan_release(self._clock.now())
+            # a write that is under way may still renew the lease
+            writing = self._writes.get(name, succeed(None))
+            releases.append(writing.addCallback(self._release, name, keeper))
+        return DeferredList(releases, consumeErrors=True).addCallback(lambda _: None)
+
+    def _release(self, _: None, name: LeaseName, keeper: LeaseKeeper) -> Deferred[None] | None:
+        write = keeper.plan_release(self._clock.now())
+        return None if write is None else self._send_write(name, keeper, write)
 
     def compete(self, name: LeaseName) -> None:
         """Try to acquire a lease, and to keep it, from now on."""
@@ -81,7 +86,7 @@
             reading.addCallbacks(self._handle_row, lambda _: None, (name, keeper))
         write = keeper.plan_write(now)
         if write is not None:
-            self._send_write(name, keeper, write)
+            self._writes[name] = self._send_write(name, keeper, write)
 
     def _handle_row(self, row: StoredRow | None, name: LeaseName, keeper: LeaseKeeper) -> None:
         stored = self._decode(name, row)
@@ -89,7 +94,9 @@
             keeper.observe(stored, self._clock.now())
             self._send_due_calls(name, keeper)
 
-    def _send_write(self, name: LeaseName, keeper: LeaseKeeper, write: LeaseWrite) -> Deferred[Any]:
+    def _send_write(
+        self, name: LeaseName, keeper: LeaseKeeper, write: LeaseWrite
+    ) -> Deferred[None]:
         value = self._codec.encode(write.row)
         writing = self._store.put(LEASE_TABLE, name, value, expect=write.expect)
         return writing.addCallbacks(
--- a/tests/decisions/test_fencing.py
+++ b/tests/decisions/test_fencing.py
@@ -89,6 +89,23 @@
     assert second.find_fencing_number(at(1)) == 2
 
 
+# the reply to a renewal that was under way made a stopping host the holder again
+def test_a_renewal_under_way_does_not_bring_a_released_lease_back() -> None:
+    row = Row()
+    keeper = LeaseKeeper(PEERS[0], TERMS)
+    step(keeper, row, START)
+    renewal = keeper.plan_write(at(6))
+    assert renewal is not None
+    assert keeper.plan_release(at(6)) is None
+    assert row.put(renewal)
+    keeper.confirm(renewal, row.stored.version, at(6.1))
+    assert keeper.find_fencing_number(at(6.1)) is None
+    release = keeper.plan_release(at(6.1))
+    assert release is not None
+    assert row.put(release)
+    assert keeper.plan_write(at(30)) is None
+
+
 @given(
     st.lists(
         st.tuples(
