Begin no order while an engine loads an adapter

Operators saw an order end as done, and the engine as ready, while it was still loading a model. While it loads an adapter an engine stays ready, and the state alone decided whether a further order was begun; the second order took the place of the first, whose end then ended the second.

An agent is busy from the begin of an order to its end. The new test saw both orders executed at once before.

--- a/src/lavenderrun/services/_order_agent.py
+++ b/src/lavenderrun/services/_order_agent.py
@@ -99,7 +99,8 @@
         if last is not None and (last.number, last.fencing) == (order.number, order.fencing):
             link.send(OrderAnswer(order.number, self._outcome, self._detail))
             return
-        if self._state is not ServingState.READY:
+        if self._outcome is OrderOutcome.BEGUN:
+            # the engine stays ready while it loads an adapter
             link.send(OrderAnswer(order.number, OrderOutcome.BUSY))
             return
         self._log("orders:begun", "orders: order begun", order)
--- a/tests/services/test_order_path.py
+++ b/tests/services/test_order_path.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from limit_fleet import FakeDocument, PausedStore, StubService
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
 from lavenderrun.bench._network import BenchNetwork
@@ -232,6 +233,23 @@
     assert len(harness.executed()) == 1
 
 
+# a second order began while the engine loaded an adapter, and the end of the first one was taken
+# for the end of both
+def test_an_order_is_not_begun_while_an_adapter_is_loaded() -> None:
+    harness = OrderHarness(make_document(0))
+    harness.run(20)
+    adapter = replace(make_order(1, 5), kind=OrderKind.LOAD_ADAPTER, adapter="a")
+    harness.find_link("e0", "d0").send(adapter)
+    harness.run(1)
+    harness.find_link("e0", "d0").send(make_order(2, 5))
+    harness.run(1)
+    assert harness.executed() == [adapter]
+    harness.run(3)
+    harness.find_link("e0", "d0").send(make_order(2, 5))
+    harness.run(1)
+    assert harness.executed() == [adapter, make_order(2, 5)]
+
+
 def test_store_outage_ends_the_lease_and_no_order_is_sent() -> None:
     harness = OrderHarness(make_document(0))
     harness.run(20)
