Log that a request found no prefill agent

A request for which no prefill agent fits waits and tries again until its patience ends; its log told of the chosen decode agents only, so an operator could not see what it lacked. The choice returned before its line was written. The new test failed before; the line has a text of its own, which nothing could write until now.

--- a/src/lavenderrun/services/_agent_chooser.py
+++ b/src/lavenderrun/services/_agent_chooser.py
@@ -187,6 +187,8 @@
         choice = self._place_prefill(pool, requirements, self._random)
         link = None if choice.chosen is None else self._links.find(choice.chosen)
         if link is None:
+            if not dry_run:
+                self._report_choice(demand.request, choice, "prefill")
             return None
         seconds = self._prefill_times.estimate(demand.tokens, int(cached.get(link.peer.host, 0.0)))
         direction = (link.peer.data_centre, target)
--- a/tests/services/test_model_path.py
+++ b/tests/services/test_model_path.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from typing import Any
 
 import pytest
+from eliot import add_destinations, remove_destination
 from fleet import MODEL, Fleet, RecordingSink
 
 from lavenderrun.services._model_request import ModelRun
@@ -287,3 +289,20 @@
     for prompt, sink in zip(prompts, sinks, strict=True):
         assert_whole(sink, prompt, 60)
     assert fleet.count_held() == 0
+
+
+# requests waited for a prefill agent until their patience ended, and no line told what they lacked
+def test_a_request_that_finds_no_prefill_agent_says_so_in_the_log() -> None:
+    fleet = Fleet()
+    fleet.kill_agent("p1")
+    fleet.run(5)
+    lines: list[dict[str, Any]] = []
+    take = lines.append
+    add_destinations(take)
+    try:
+        fleet.submit()
+        fleet.run(1)
+    finally:
+        remove_destination(take)
+    chosen = [line for line in lines if line["message_type"] == "placement:chosen"]
+    assert "placement: no prefill agent" in {line["text"] for line in chosen}
