Let new streams take the slots that a waiting one may not

Callers saw new streams wait, and be refused at the end of their wait, behind a resumed stream, though a slot was free that the resumed one could not take: it had been sent to that engine before.

The queue for decode slots took a failed placement for a full service and asked for nothing more in that round. The placement of a resumed stream leaves out the engines it was sent to, so its failure says nothing about these.

Now a call without a place keeps the engines that it may take from those behind it; they may take the engines that every call ahead was sent to. A placement without these engines would have told that the service is not full, but would then let small calls take the memory, little by little, that a large resumed stream waits for at another engine. The restriction is applied after the choice between sound and paused engines, so that no call goes to a paused engine while the sound ones are only kept or full.

--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -51,6 +51,7 @@
 
     :param tokens: KV cache that it will fill; zero for plain calls.
     :param tried: backend servers that it was sent to before.
+    :param allowed: decode engines whose capacity no call ahead of it waits for, ``None`` for any.
     :param may_probe: it may be the first call to a server after its pause.
     :param late: it misses its objective wherever it is placed.
     :param computes_prompt: the decode engine computes the prompt itself.
@@ -60,6 +61,7 @@
 
     tokens: int = 0
     tried: Collection[BackendId] = ()
+    allowed: Collection[BackendId] | None = None
     may_probe: bool = True
     late: bool = False
     computes_prompt: bool = False
@@ -237,10 +239,11 @@
 ) -> Member | None:
     """Choose the decode engine with the fewest reserved tokens, ``None`` if none has capacity."""
     engines = [m for m in members if m.role is not BackendRole.PREFILL]
+    allowed = requirements.allowed
     candidates = [
         m
         for m in list_candidates(engines, requirements, context)
-        if has_capacity(m, requirements, context)
+        if (allowed is None or m.id in allowed) and has_capacity(m, requirements, context)
     ]
     if not candidates:
         return None
--- a/src/lavenderrun/gateway/_decode_slot_queue.py
+++ b/src/lavenderrun/gateway/_decode_slot_queue.py
@@ -110,14 +110,14 @@
 
     def _check_queue(self) -> None:
         now = self._clock.now()
-        full_services: set[ServiceGroup] = set()
+        passed_over: dict[ServiceGroup, frozenset[BackendId]] = {}
         for waiter in sorted(
             self._queue, key=lambda waiter: make_sort_key(waiter.queued_call, now)
         ):
             if waiter not in self._queue:
                 continue
             try:
-                self._check_waiter(waiter, now, full_services)
+                self._check_waiter(waiter, now, passed_over)
             except Exception as error:
                 self.withdraw(waiter)
                 if waiter.on_error is None:
@@ -126,18 +126,28 @@
         self._schedule_check()
 
     def _check_waiter(
-        self, waiter: DecodeSlotWaiter, now: datetime, full_services: set[ServiceGroup]
+        self,
+        waiter: DecodeSlotWaiter,
+        now: datetime,
+        passed_over: dict[ServiceGroup, frozenset[BackendId]],
     ) -> None:
+        """Reserve a slot that no call ahead waits for.
+
+        :param passed_over: engines that no call ahead may take, of each service with such calls.
+        """
         if self._is_hopeless(waiter, now):
             self._queue.remove(waiter)
             waiter.on_result(None)
             return
-        if waiter.service in full_services:
-            return
-        requirements = replace(waiter.requirements, late=misses_objective(waiter.queued_call, now))
-        member = self._view.place(waiter.service, "decode", requirements)
+        tried, allowed = frozenset(waiter.requirements.tried), passed_over.get(waiter.service)
+        member = None
+        if allowed is None or allowed - tried:
+            requirements = replace(
+                waiter.requirements, allowed=allowed, late=misses_objective(waiter.queued_call, now)
+            )
+            member = self._view.place(waiter.service, "decode", requirements)
         if member is None:
-            full_services.add(waiter.service)
+            passed_over[waiter.service] = tried if allowed is None else allowed & tried
             return
         self._queue.remove(waiter)
         self._view.reserve(member.id, waiter.requirements.tokens)
--- a/tests/dispatch/test_choices.py
+++ b/tests/dispatch/test_choices.py
@@ -120,6 +120,17 @@
     assert place("decode", members, CallRequirements(tokens=5000), context) == "d1"
 
 
+# a call was placed at a paused engine because the only sound one was kept for another call
+def test_a_call_that_may_take_only_a_paused_engine_is_not_placed_while_a_sound_one_is_full() -> (
+    None
+):
+    members = [make_member("d1", BackendRole.DECODE), make_member("d2", BackendRole.DECODE)]
+    context = make_context()
+    context.health.pause_after_failure(members[0].id, START)
+    assert place("decode", members, CallRequirements(allowed={members[0].id}), context) is None
+    assert place("decode", members, CallRequirements(allowed={members[1].id}), context) == "d2"
+
+
 def test_prompts_skip_prefill_engines_with_long_queues_or_a_pending_role_change() -> None:
     members = [make_member("p1", BackendRole.PREFILL)]
     context = make_context()
--- a/tests/gateway/test_decode_slot_queue.py
+++ b/tests/gateway/test_decode_slot_queue.py
@@ -39,20 +39,22 @@
 
     def place(self, _service: ServiceGroup, _placement: str, need: CallRequirements) -> Any:
         for member, slots in self.free_slots.items():
-            if slots and member not in need.tried:
-                self.free_slots[member] -= 1
+            is_allowed = need.allowed is None or member in need.allowed
+            if is_allowed and slots >= need.tokens and member not in need.tried:
+                self.free_slots[member] -= need.tokens
                 return SimpleNamespace(id=member)
         return None
 
-    def enqueue(self, name: str, rank: int, *tried: BackendId) -> None:
+    def enqueue(self, name: str, rank: int, *tried: BackendId, tokens: int = 1) -> None:
         def take(slot: DecodeSlotReservation | None) -> None:
             self.served.append(name if slot else f"{name} refused")
 
         queued_call = QueuedCall(rank, NOW, timedelta(seconds=1))
-        need = CallRequirements(tokens=1, tried=tried)
+        need = CallRequirements(tokens=tokens, tried=tried)
         self.service.enqueue(DecodeSlotWaiter(LLM, need, queued_call, take))
 
 
+# new streams waited behind a resumed one for a slot that it could not take
 def test_a_resumed_stream_that_waits_for_another_engine_holds_up_no_new_one() -> None:
     queue = Queue()
     queue.enqueue("resumed", RESUMED_RANK, FREE)
@@ -69,3 +71,24 @@
     queue.free_slots[FULL] = 1
     queue.reactor.advance(0.05)
     assert queue.served == ["resumed"]
+
+
+# smaller calls took the room that a large one waited for, each time that a little of it was free
+def test_new_streams_do_not_take_the_room_that_a_resumed_stream_waits_for() -> None:
+    queue = Queue()
+    queue.free_slots.update({FREE: 0, FULL: 1})
+    queue.enqueue("resumed", RESUMED_RANK, FREE, tokens=2)
+    queue.enqueue("new", NEW_RANK)
+    assert not queue.served
+    queue.free_slots[FULL] = 2
+    queue.reactor.advance(0.05)
+    assert queue.served == ["resumed"]
+
+
+def test_streams_that_were_sent_to_different_engines_wait_for_each_of_them() -> None:
+    queue = Queue()
+    queue.free_slots.update({FREE: 1, FULL: 1})
+    queue.enqueue("first", RESUMED_RANK, FREE, tokens=2)
+    queue.enqueue("second", RESUMED_RANK, FULL, tokens=2)
+    queue.enqueue("new", NEW_RANK)
+    assert not queue.served
