Hedge no call while all its service's servers are silent

Callers' safe calls were sent to a second server after 60% of their objective, whatever the other servers did. When the servers of a service were silent at once, because of the path, this host or something that they share, each call was sent twice at no gain, and the budget of resends was used up when it was needed after the silence.

The hedge looked at its own call only. Now a pure tracker for each service knows which servers are silent to all calls of this host and which have been heard a moment ago, and a decision of its own keeps a call where it is while another server is silent and none is heard. One server that answers is proof that a second one has a gain, so calls at a lost rack are sent on as before, and the second server is never one that is silent itself. A server that goes on after a silence is no proof, since the others are about to. Once the silence is certain, one call at a time tries another server, so that calls at servers that died at once do not wait for their deadline.

The weighing lives in CallHedge, beside WholeCall. A call for which the budget denies a hedge asks no more, as before.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -9,6 +9,12 @@
     decide_after_attempt,
 )
 from lavenderrun.dispatch._call_durations import CallDurations
+from lavenderrun.dispatch._call_silence import (
+    CallSilence,
+    HedgeVerdict,
+    ServiceSilence,
+    decide_on_hedge,
+)
 from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
 from lavenderrun.dispatch._crashing_parts import (
     MAX_SHARED_PARTS,
@@ -53,6 +59,8 @@
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
 from lavenderrun.dispatch._silence import (
     MIN_SUSPICION,
+    QUIET_SHARE,
+    REVIEW_PAUSE,
     EngineEvidence,
     SilenceDecision,
     SilenceEvidence,
@@ -82,7 +90,9 @@
     "MIN_SERVICE_TIME",
     "MIN_SUSPICION",
     "PLACEMENTS",
+    "QUIET_SHARE",
     "RESENDS",
+    "REVIEW_PAUSE",
     "Access",
     "AttemptDecision",
     "AttemptOutcome",
@@ -90,6 +100,7 @@
     "CacheState",
     "CallDurations",
     "CallRequirements",
+    "CallSilence",
     "CrashingParts",
     "DepartureNotice",
     "DepartureNotices",
@@ -98,6 +109,7 @@
     "FleetOccupancy",
     "GracePeriod",
     "HealthTracker",
+    "HedgeVerdict",
     "HostIncarnation",
     "LeaseKeeper",
     "LeaseTerms",
@@ -119,6 +131,7 @@
     "ServerCrash",
     "ServerNotice",
     "ServerRests",
+    "ServiceSilence",
     "SilenceDecision",
     "SilenceEvidence",
     "SilenceLimits",
@@ -134,6 +147,7 @@
     "can_start",
     "decide_after_attempt",
     "decide_after_stream_attempt",
+    "decide_on_hedge",
     "decide_on_silence",
     "digest_key",
     "estimate_computation",
--- /dev/null
+++ b/src/lavenderrun/dispatch/_call_silence.py
@@ -0,0 +1,145 @@
+"""What the silence of whole calls means, and when a second server is asked.
+
+When several servers of a service are silent at once and none is heard, the path, this host or what
+the servers share is the cause. A second server then does the work again at no gain.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import Enum
+
+from lavenderrun.dispatch._silence import EXPECTED_FACTOR
+from lavenderrun.types import BackendId
+
+
+class HedgeVerdict(Enum):
+    """What the silence of a call is taken for."""
+
+    SHARED = "shared"
+    TRIAL = "trial"
+    HEDGE = "hedge"
+
+
+@dataclass(frozen=True)
+class ServiceSilence:
+    """What is known of the servers of one service.
+
+    :param silent: servers that are silent to all calls of this host.
+    :param speaking: servers that sent something a moment ago, and not after a silence.
+    :param trials: calls that were sent to a second server although the silence was shared.
+    """
+
+    silent: frozenset[BackendId] = frozenset()
+    speaking: frozenset[BackendId] = frozenset()
+    trials: int = 0
+
+
+def decide_on_hedge(
+    known: ServiceSilence, server: BackendId, waited: timedelta, certainty: timedelta
+) -> HedgeVerdict:
+    """Decide whether a call without an answer is sent to a second server.
+
+    :param server: the server that has the call.
+    :param waited: time since the call was sent.
+    :param certainty: silence after which one call tries another server in any case.
+    """
+    if known.speaking or not known.silent - {server}:
+        return HedgeVerdict.HEDGE
+    if waited >= certainty and not known.trials:
+        return HedgeVerdict.TRIAL
+    return HedgeVerdict.SHARED
+
+
+@dataclass
+class _Server:
+    since: datetime
+    expected: timedelta = timedelta(0)
+    running: int = 0
+    heard: datetime | None = None
+    resumed: datetime | None = None
+    silence: timedelta = timedelta(0)
+
+    def is_resumed(self, quiet: timedelta, now: datetime) -> bool:
+        """Tell whether a silence ended a moment ago, as that of others may end, too."""
+        return self.resumed is not None and self.silence >= quiet and now - self.resumed < quiet
+
+
+class CallSilence:
+    """When the servers of one service last sent something of whole calls of this host."""
+
+    def __init__(self) -> None:
+        self._servers: dict[BackendId, _Server] = {}
+        self._stalled: datetime | None = None
+        self._trials = 0
+
+    def begin_call(self, member: BackendId, expected: timedelta, now: datetime) -> None:
+        """Record that a call is sent to *member*.
+
+        :param expected: time that an answer usually takes.
+        """
+        server = self._servers.setdefault(member, _Server(now))
+        if not server.running:
+            server.since = now
+        server.running += 1
+        server.expected = expected
+
+    def end_call(self, member: BackendId) -> None:
+        """Record that a call is at *member* no more."""
+        server = self._servers[member]
+        server.running -= 1
+        if not server.running and server.heard is None:
+            del self._servers[member]
+
+    def note_sign(self, member: BackendId, now: datetime) -> None:
+        """Record that *member* sent something of a running call."""
+        server = self._servers[member]
+        silence = self.measure_silence(server.since, now)
+        is_outdated = server.resumed is None or now - server.resumed >= server.silence
+        if silence >= server.expected * EXPECTED_FACTOR and (
+            is_outdated or silence >= server.silence
+        ):
+            server.silence, server.resumed = silence, now
+        server.since = server.heard = now
+
+    def forget(self, member: BackendId) -> None:
+        """Drop what was heard of a server that is gone or was restarted."""
+        server = self._servers.get(member)
+        if server is not None and server.running:
+            server.heard = server.resumed = None
+        elif server is not None:
+            del self._servers[member]
+
+    def note_stall(self, now: datetime) -> None:
+        """Record that this process did not run until *now*, so that it could hear nothing."""
+        self._stalled = now
+
+    def measure_silence(self, since: datetime, now: datetime) -> timedelta:
+        """Return how long this process could have heard something since *since*."""
+        return now - (since if self._stalled is None else max(since, self._stalled))
+
+    def begin_trial(self) -> None:
+        """Record that a call tries another server although the silence is shared."""
+        self._trials += 1
+
+    def end_trial(self) -> None:
+        """Record the end of such a call."""
+        self._trials -= 1
+
+    def gather(self, quiet: timedelta, now: datetime) -> ServiceSilence:
+        """Return which servers are silent and which speak.
+
+        :param quiet: silence that counts for a server whose answers usually take less.
+        """
+        silent, speaking = set(), set()
+        for member, server in list(self._servers.items()):
+            least = max(quiet, server.expected * EXPECTED_FACTOR)
+            is_heard = server.heard is not None and now - server.heard < quiet
+            if server.running and self.measure_silence(server.since, now) >= least:
+                silent.add(member)
+            elif is_heard and not server.is_resumed(quiet, now):
+                speaking.add(member)
+            elif not server.running and not is_heard:
+                del self._servers[member]
+        return ServiceSilence(frozenset(silent), frozenset(speaking), self._trials)
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -90,7 +90,7 @@
 SILENCES = define_gateway_metric(
     "lavenderrun_gateway_silences_total",
     MetricKind.COUNTER,
-    "Steps in weighing silent streams, by service and step.",
+    "Steps in weighing silent streams and calls, by service and step.",
     ("service", "step"),
 )
 STREAM_MOVES = define_gateway_metric(
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -11,6 +11,7 @@
     MIN_SUSPICION,
     PLACEMENTS,
     CallRequirements,
+    CallSilence,
     FleetOccupancy,
     HealthTracker,
     PartReport,
@@ -95,6 +96,7 @@
         self._suspects = kernel.find("suspects", SuspectsService)
         self._role_changes: dict[BackendId, tuple[BackendRole, datetime]] = {}
         self._balancers: dict[ServiceGroup, RoleBalancer] = {}
+        self._call_silence: dict[ServiceGroup, CallSilence] = {}
         stats = kernel.find("stats", Stats)
         stats.register_reader(QUOTA_USED, lambda: _label_by_key(self.quotas.used))
         stats.register_reader(
@@ -160,6 +162,10 @@
         """Return the role balancer of a model service."""
         return self._balancers.setdefault(service, RoleBalancer())
 
+    def find_call_silence(self, service: ServiceGroup) -> CallSilence:
+        """Return when the servers of a plain service last sent something to this host."""
+        return self._call_silence.setdefault(service, CallSilence())
+
     def find_memory(self, service: ServiceGroup) -> int:
         """Return how many tokens of KV cache an engine of *service* holds, zero when unknown."""
         engine = self._find_engine_configuration(service)
@@ -244,6 +250,8 @@
         now = self._clock.now()
         for tracker in (self.silence, self.prefill_silence):
             tracker.note_stall(now)
+        for calls in self._call_silence.values():
+            calls.note_stall(now)
 
     def note_departure(self, member: Member) -> None:
         """Record that *member* said it is leaving, and tell the other gateways soon."""
@@ -309,6 +317,7 @@
         if new is None or new.started != old.started or new.address != old.address:
             self.health.forget(old.id)
             self.computations.forget(old.id)
+            self.find_call_silence(old.service).forget(old.id)
             self._pool.forget(old.address)
 
     def _note_host_change(self, hosts: dict[HostId, datetime]) -> None:
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any, Final
 
 from lavenderrun.dispatch import AttemptDecision, CallRequirements, decide_after_attempt
 from lavenderrun.gateway._attempt import Attempt
+from lavenderrun.gateway._call_hedge import CallHedge
 from lavenderrun.gateway._log import to_milliseconds
-from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, MIN_SEND_TIME, RunningCallBase
-from lavenderrun.types import Member, Refusal, Step
-
-HEDGE_AFTER_SHARE: Final = 0.6
-"""Share of the objective after which an unanswered idempotent call is sent to a second server."""
+from lavenderrun.gateway._running_call import MIN_SEND_TIME, RunningCallBase
+from lavenderrun.types import BackendId, Member, Refusal, Step
 
 NO_SERVER_PAUSE: Final = timedelta(milliseconds=40)
 """Pause before the next search for a server when none takes calls: short against the objective of
@@ -46,7 +45,13 @@
         self._unreached_servers: list[Member] = []
         self._may_wait = False
         self._is_outcome_unknown = False
-        self._hedge_due = self._admitted.arrived
+        self._hedge = CallHedge(
+            self._services,
+            self._admitted,
+            self._call_log,
+            self._is_unanswered,
+            self._send_to_second,
+        )
 
     def start(self) -> None:
         """Send the call."""
@@ -59,10 +64,12 @@
         """Do nothing, because nothing was paused."""
 
     def head_received(self, attempt: Attempt) -> None:
-        """Do nothing: the head is passed on with the whole answer."""
+        """Record a sign of the server; the head is passed on with the whole answer."""
+        self._hedge.note_sign(attempt.member)
 
     def body_received(self, attempt: Attempt, data: bytes) -> None:
         """Keep a part of the body."""
+        self._hedge.note_sign(attempt.member)
         answer = self._running_attempts[attempt]
         answer.body += data
         if len(answer.body) > MAX_ANSWER_BYTES:
@@ -72,7 +79,7 @@
     def attempt_ended(self, attempt: Attempt) -> None:
         """Pass the answer on, send the call again or refuse it."""
         answer = self._running_attempts.pop(attempt)
-        self._services.view.occupancy.free(attempt.member.id, 0)
+        self._free_server(attempt)
         if self._is_over:
             return
         if not attempt.sent:
@@ -104,20 +111,30 @@
             self._fail(AttemptDecision.FAIL_UNKNOWN)
 
     def _send(self, *, first: bool) -> bool:
-        route = self._admitted.access.route
         if self._time_left() <= MIN_SEND_TIME:
             if not self._running_attempts:
                 self._reach_deadline()
             return False
-        tried = [member.id for member in (*self._tried_servers, *self._unreached_servers)]
-        requirements = CallRequirements(
-            tried=tried, may_probe=route.is_idempotent, may_wait=self._may_wait
-        )
-        member = self._services.view.place(self._admitted.service, "plain", requirements)
+        member = self._find_server()
         if member is None:
             if first and not self._running_attempts:
                 self._wait_for_server()
             return False
+        self._send_to(member)
+        return True
+
+    def _find_server(self, silent: Collection[BackendId] = ()) -> Member | None:
+        """Return a server that was not tried, and none of *silent*."""
+        tried = [member.id for member in (*self._tried_servers, *self._unreached_servers)]
+        requirements = CallRequirements(
+            tried=[*tried, *silent],
+            may_probe=self._admitted.access.route.is_idempotent,
+            may_wait=self._may_wait,
+        )
+        return self._services.view.place(self._admitted.service, "plain", requirements)
+
+    def _send_to(self, member: Member) -> None:
+        route = self._admitted.access.route
         self._may_wait = False
         call = self._admitted.call
         attempt = Attempt(
@@ -125,6 +142,7 @@
         )
         self._running_attempts[attempt] = _CollectedAnswer()
         self._services.view.occupancy.reserve(member.id, 0)
+        self._hedge.begin(member)
         self._tried_servers.append(member)
         self._call_log.write(
             "send",
@@ -143,27 +161,27 @@
             force_new=not route.is_idempotent or len(self._tried_servers) > 1,
         )
         if route.is_idempotent and self._attempts_left > 0:
-            wait = route.objective * HEDGE_AFTER_SHARE
-            self._hedge_due = self._services.clock.now() + wait
-            self._schedule(wait, self._hedge)
-        return True
+            self._hedge.watch()
 
     def _resend(self) -> bool:
         return self._take_resend() and self._send(first=False)
 
-    def _hedge(self) -> None:
-        if self._services.clock.now() - self._hedge_due > MAX_TIMER_DELAY:
-            # after a suspension of this process, what has come is read first
-            self._hedge_due = self._services.clock.now()
-            self._schedule(timedelta(0), self._hedge)
-            return
+    def _is_unanswered(self) -> bool:
+        """Tell whether the call is silent and may be sent to a second server."""
         is_silent = self._running_attempts and all(
             attempt.head is None for attempt in self._running_attempts
         )
-        if self._is_over or not is_silent or self._attempts_left <= 0:
-            return
-        if self._resend():
+        has_time = self._time_left() > MIN_SEND_TIME
+        return bool(not self._is_over and is_silent and self._attempts_left > 0 and has_time)
+
+    def _send_to_second(self, silent: Collection[BackendId]) -> bool:
+        member = self._find_server(silent)
+        if member is None:
+            return False
+        if self._take_resend():
+            self._send_to(member)
             self._call_log.write("hedged", "no answer yet, sent to a second backend server")
+        return True
 
     def _wait_for_server(self) -> None:
         view, service = self._services.view, self._admitted.service
@@ -210,7 +228,12 @@
         return self._is_outcome_unknown or any(attempt.sent for attempt in self._running_attempts)
 
     def _release(self) -> None:
+        self._hedge.release()
         for attempt in list(self._running_attempts):
             attempt.abandon()
-            self._services.view.occupancy.free(attempt.member.id, 0)
+            self._free_server(attempt)
         self._running_attempts.clear()
+
+    def _free_server(self, attempt: Attempt) -> None:
+        self._services.view.occupancy.free(attempt.member.id, 0)
+        self._hedge.end(attempt.member)
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -353,6 +353,18 @@
     assert sum(len(server.seen) for server in servers) == 4
 
 
+def test_a_call_at_the_only_silent_server_is_sent_to_a_second_one(
+    platform: StandinPlatform,
+) -> None:
+    servers = [platform.add(StandinServer(name, "apps")) for name in ("app-1", "app-2")]
+    gateway = platform.wait_known(platform.add_gateway())
+    servers[0].fall_silent(1)
+    answers = [gateway.call(PLAIN + "x", request=f"r{number}") for number in range(4)]
+    assert [answer.status for answer in answers] == [200] * 4
+    assert gateway.lines("call:hedged")
+    assert not gateway.lines("call:silent")
+
+
 def reject_with_late_body(
     server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest
 ) -> bool:
