Let a stopping entry answer requests behind the one under way

Callers saw: two requests sent on one connection of an entry, the first still running when the entry was stopped. The first was answered, then the connection was closed; the second had arrived whole and got nothing. A connection whose next request had arrived in part, or waited unread in its socket, was closed as idle.

Cause: FrontChannel.close_when_idle made the connection end after the answer under way and looked neither at what was buffered behind it nor at the socket. Gateways did, in code of their own.

Change: the gateway's way (what counts as being read, what has come behind, when to close, and the header that says so) moves to the channel and the request that gateways and entries share; a channel of a gateway keeps only its time limits. Whether a request is being read in part now follows from the parser's own state, so that a stray line break does not count. An answer of a leaving entry or of its operators' API says that the connection closes unless another request waits behind it. Once the drain is over, such a request is refused as leaving, not run.

--- a/src/lavenderrun/gateway/_caller_channel.py
+++ b/src/lavenderrun/gateway/_caller_channel.py
@@ -12,7 +12,7 @@
 from twisted.web.http import RESPONSES
 
 from lavenderrun.gateway._caller_request import CallerRequest
-from lavenderrun.gateway._sockets import has_unread_bytes, set_socket_options
+from lavenderrun.gateway._sockets import set_socket_options
 from lavenderrun.http_server import AccountedChannel, AccountedFactory, CloseReason, RequestAccount
 from lavenderrun.types import Headers
 
@@ -65,10 +65,8 @@
     def __init__(self, service: ConnectionLimits) -> None:
         super().__init__()
         self._service = service
-        self._is_reading = False
+        self._has_limits = False
         self._is_last_read = False
-        self._is_discarding = False
-        self._closes_after_answer = False
         self._body_due: datetime | None = None
         self._body_bytes = 0
         self.max_body_bytes = service.max_body_bytes
@@ -77,8 +75,8 @@
         """Read a part of a request; its first part begins the time limit of the head."""
         if self._is_discarding:
             return
-        if not self._is_reading and not self._handlingRequest:
-            self._is_reading, self._is_last_read = True, False
+        if not self._has_limits and not self._handlingRequest:
+            self._has_limits, self._is_last_read = True, False
             # a limit that is lowered later is for later requests
             self.max_body_bytes = self._service.max_body_bytes
             self.setTimeout(self._service.find_head_timeout().total_seconds())
@@ -95,16 +93,13 @@
 
     def allContentReceived(self) -> None:  # noqa: N802
         """Handle the request, which is complete."""
-        self._is_reading, self._body_due = False, None
+        self._has_limits, self._body_due = False, None
         super().allContentReceived()
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Begin the idle timeout after an answer."""
         self._is_last_read = False
         self._savedTimeOut = self._service.find_idle_timeout().total_seconds()
-        if self._closes_after_answer and self.has_pipelined:
-            # the answer to the request that has come meanwhile says that the connection closes
-            self.persistent, self._closes_after_answer = 1, False
         super().requestDone(request)
 
     def timeoutConnection(self) -> None:  # noqa: N802
@@ -134,32 +129,13 @@
 
     def extend_idle_timeout(self, limit: timedelta) -> None:
         """Begin a longer idle timeout if the connection is idle."""
-        if not self._is_reading and not self._handlingRequest:
+        if not self._has_limits and not self._handlingRequest:
             self._is_last_read = False
             self.setTimeout(limit.total_seconds())
 
-    @property
-    def is_reading(self) -> bool:
-        """Whether a request has been read in part."""
-        return self._is_reading
-
-    @property
-    def has_pipelined(self) -> bool:
-        """Whether a part of another request has arrived behind the one under way."""
-        # the end of a body leaves an empty part behind
-        return any(self._dataBuffer) or bool(self._buffer)
-
-    def close_when_idle(self) -> None:
-        """Close the connection now, or after the answers to what has arrived."""
-        if self.requests and not self.has_pipelined and not self._is_reading:
-            self.persistent, self._closes_after_answer = 0, True
-        elif not (self.requests or self._is_reading or has_unread_bytes(self.transport)):
-            self.note_closing(CloseReason.DEPARTURE)
-            self.loseConnection()
-
     def refuse_unread(self, answer: bytes) -> None:
         """Answer a request that was read in part; the rest of it is discarded."""
-        if self._is_reading and not self._is_discarding:
+        if self.is_reading and not self._is_discarding:
             self._is_discarding = True
             self.note_closing(CloseReason.DEPARTURE)
             if not any(request.startedWriting for request in self.requests):
--- a/src/lavenderrun/gateway/_caller_request.py
+++ b/src/lavenderrun/gateway/_caller_request.py
@@ -126,8 +126,7 @@
         self.method, self.clientproto = b"POST", b"HTTP/1.1"
         self._set_head(status, headers)
         self.responseHeaders.setRawHeaders(b"Content-Length", [b"%d" % len(body)])
-        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-        self.channel.persistent = 0
+        self.close_after_answer()
         self.write(body)
 
     def _list_headers(self) -> Headers:
@@ -217,9 +216,8 @@
         self.setResponseCode(status)
         for name, value in headers:
             self.responseHeaders.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
-        if self._service.router.is_leaving and not self.channel.has_pipelined:
-            self.channel.persistent = 0
-            self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+        if self._service.router.is_leaving:
+            self.close_if_last()
 
 
 class _FlowControl:
--- a/src/lavenderrun/gateway/_sockets.py
+++ b/src/lavenderrun/gateway/_sockets.py
@@ -53,14 +53,6 @@
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-def has_unread_bytes(transport: Any) -> bool:
-    """Tell whether bytes have arrived on a connected transport that were not read yet."""
-    try:
-        return bool(transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        return False
-
-
 def stop_accepting(port: Any) -> None:
     """Close a listening port after the connections that wait in its backlog are accepted."""
 
--- a/src/lavenderrun/http_server/__init__.py
+++ b/src/lavenderrun/http_server/__init__.py
@@ -5,6 +5,7 @@
 from lavenderrun.http_server._account import CloseReason, RequestAccount, RequestEnd
 from lavenderrun.http_server._errors import describe_error
 from lavenderrun.http_server._requests import AccountedChannel, AccountedFactory, AccountedRequest
+from lavenderrun.http_server._unread import has_unread_bytes
 
 __all__ = [
     "AccountedChannel",
@@ -14,4 +15,5 @@
     "RequestAccount",
     "RequestEnd",
     "describe_error",
+    "has_unread_bytes",
 ]
--- a/src/lavenderrun/http_server/_requests.py
+++ b/src/lavenderrun/http_server/_requests.py
@@ -15,6 +15,7 @@
 from lavenderrun.http_server._account import CloseReason, RequestAccount, RequestEnd
 from lavenderrun.http_server._errors import describe_error
 from lavenderrun.http_server._half_closed import HalfClosedWatch
+from lavenderrun.http_server._unread import has_unread_bytes
 
 OVERDUE_AFTER: Final = timedelta(milliseconds=500)
 """Time after the deadline of a request from which its caller has left for want of an answer."""
@@ -57,6 +58,16 @@
         self.record_end(self.end_when_finished)
         super().finish()
 
+    def close_after_answer(self) -> None:
+        """Say in the head of this answer that the connection closes after it."""
+        self.channel.persistent = 0
+        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+
+    def close_if_last(self) -> None:
+        """Close the connection after this answer unless another request has arrived behind it."""
+        if not self.channel.has_pipelined:
+            self.close_after_answer()
+
     def record_end(self, end: RequestEnd) -> None:
         """Record how the request ended; a second call does nothing."""
         if not self._is_recorded:
@@ -104,6 +115,8 @@
     transport: Any
     _closing: CloseReason | None = None
     _half_closed: HalfClosedWatch | None = None
+    _closes_after_answer = False
+    _is_discarding = False
 
     def note_closing(self, reason: CloseReason) -> None:
         """Note why this host closes the connection; the first reason stays."""
@@ -123,6 +136,33 @@
             return CloseReason.ERROR
         return CloseReason.DEPARTURE if self.factory.account.is_leaving else CloseReason.CALLER
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has been read in part."""
+        # a request that was read whole is under way until it is taken out of the list
+        has_part = bool(self.requests) or bool(self._buffer)
+        return has_part and not self._handlingRequest and self._closing is None
+
+    @property
+    def has_pipelined(self) -> bool:
+        """Whether a part of another request has arrived behind the one under way."""
+        # the end of a body leaves an empty part behind
+        return any(self._dataBuffer) or bool(self._buffer)
+
+    def close_when_idle(self) -> None:
+        """Close the connection now, or after the answers to what has arrived."""
+        if self.requests and not self.has_pipelined and not self.is_reading:
+            if self.persistent:
+                self.persistent, self._closes_after_answer = 0, True
+        elif not (self.requests or self.is_reading or has_unread_bytes(self.transport)):
+            self.note_closing(CloseReason.DEPARTURE)
+            self.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read a part of a request."""
+        if not self._is_discarding:
+            super().dataReceived(data)
+
     def timeoutConnection(self) -> None:  # noqa: N802
         """Close an idle connection."""
         self.note_closing(CloseReason.IDLE_TIMEOUT)
@@ -154,7 +194,10 @@
         """Do nothing: what is still read is discarded."""
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
-        """Close the connection after the last answer to a caller that can send nothing more."""
+        """Close the connection after the last answer to what has arrived, if it is to close."""
+        if self._closes_after_answer and self.has_pipelined:
+            # the answer to the request that has come meanwhile says that the connection closes
+            self.persistent, self._closes_after_answer = 1, False
         super().requestDone(request)
         # a request may be answered while those behind it are still read from the buffer
         is_idle = not self._handlingRequest and not self._busyReceiving
--- a/src/lavenderrun/services/_admin.py
+++ b/src/lavenderrun/services/_admin.py
@@ -83,8 +83,10 @@
         """Stop accepting connections and close each open one as soon as it is idle."""
         if self._listener is not None:
             self._listener.close()
-        for channel in list(self._factory.channels) if self._factory else []:
-            channel.close_when_idle()
+        if self._factory is not None:
+            self._factory.account.is_leaving = True
+            for channel in list(self._factory.channels):
+                channel.close_when_idle()
 
     def serve(self, request: FrontRequest) -> None:
         """Answer a call; every failure is answered with a status and an error code."""
--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -26,7 +26,15 @@
 from lavenderrun.http_server import CloseReason, RequestAccount, describe_error
 from lavenderrun.kernel import SERVICES, Kernel, Registry
 from lavenderrun.services._front_http import FrontChannel, FrontFactory, FrontRequest
-from lavenderrun.services._front_sinks import PlainSink, Sink, StreamSink, WholeSink
+from lavenderrun.services._front_sinks import (
+    DRAIN_OVER,
+    LEAVING_RETRY_AFTER,
+    PlainSink,
+    Sink,
+    StreamSink,
+    WholeSink,
+    log_refusal,
+)
 from lavenderrun.services._listener import Listener
 from lavenderrun.types import (
     Admission,
@@ -61,6 +69,7 @@
         self.settings: FrontSettings = kernel.settings.front
         self._kernel = kernel
         self._drain_done: Deferred[None] | None = None
+        self._is_drain_over = False
         self._factory: FrontFactory | None = None
         self._listener: Listener | None = None
         self._sinks: dict[Sink, None] = {}
@@ -125,8 +134,9 @@
 
     def serve(self, request: FrontRequest) -> None:
         """Answer a request; a malformed one gets an error answer that names the field."""
-        if self._drain_done is not None:
-            request.close_after_answer()
+        if self._is_drain_over:
+            self._refuse_leaving(request)
+            return
         try:
             self._find_endpoint(request)(self, request)
         except ApiError as error:
@@ -139,6 +149,17 @@
             )
             request.answer_refused(error.to_refused(), error.field)
 
+    def _refuse_leaving(self, request: FrontRequest) -> None:
+        refused = Refused(
+            Refusal.LEAVING,
+            Outcome.NOT_RUN,
+            Step.ADMISSION,
+            retry_after=LEAVING_RETRY_AFTER,
+            detail=DRAIN_OVER,
+        )
+        log_refusal(request.id, refused)
+        request.answer_refused(refused)
+
     def serve_model(self, request: FrontRequest, parse: Callable[[bytes], ModelCall]) -> None:
         """Parse a model request with *parse* and submit it to the router."""
         key = _read_key(request)
@@ -271,6 +292,7 @@
             text="front: drain limit passed, answering the requests that still run",
             running=len(self._sinks),
         )
+        self._is_drain_over = True
         for sink in list(self._sinks):
             sink.end_at_departure()
 
--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -133,18 +133,16 @@
             raw = value.encode("latin-1", "replace")
             self.responseHeaders.addRawHeader(name.encode("latin-1", "replace"), raw)
         self.responseHeaders.setRawHeaders(REQUEST_ID_HEADER, [self.id])
+        if self.channel.factory.account.is_leaving:
+            self.close_if_last()
 
     def clear_head(self) -> None:
         """Remove the headers that were set for an answer but not sent yet."""
+        closes = self.responseHeaders.hasHeader(b"Connection")
         self.responseHeaders = Headers()
-        if not self.channel.persistent:
+        if closes:
             self.close_after_answer()
 
-    def close_after_answer(self) -> None:
-        """Close the connection after this answer."""
-        self.channel.persistent = 0
-        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-
     def answer(self, status: int, body: bytes, headers: list[tuple[str, str]]) -> None:
         """Send a complete answer with a JSON body."""
         framing = [("Content-Type", JSON_CONTENT_TYPE), ("Content-Length", str(len(body)))]
@@ -198,14 +196,6 @@
         """Close the connection at once, without sending what is buffered."""
         self.forceAbortClient()
 
-    def close_when_idle(self) -> None:
-        """Close now, or after the current answer if there is one."""
-        if self.requests:
-            self.persistent = 0
-        else:
-            self.note_closing(CloseReason.DEPARTURE)
-            self.loseConnection()
-
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         self.note_closing(CloseReason.BAD_REQUEST)
         detail = "HTTP: the request line or a header is malformed."
--- a/src/lavenderrun/services/_front_sinks.py
+++ b/src/lavenderrun/services/_front_sinks.py
@@ -20,15 +20,30 @@
     Refusal,
     Refused,
     RequestHandle,
+    RequestId,
     Step,
     TracedHandle,
 )
 
 LEAVING_RETRY_AFTER = timedelta(milliseconds=50)
 """Wait advised to a caller while this host stops: another host can serve it at once."""
+DRAIN_OVER = "the drain of this host is over"
 EVENT_STREAM = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
 
 
+def log_refusal(request: RequestId, refused: Refused) -> None:
+    """Log that a request is refused."""
+    log_message(
+        "front:refused",
+        text="front: request refused",
+        request=request,
+        refusal=refused.refusal.value,
+        outcome=refused.outcome.value,
+        step=refused.step.value,
+        peer=refused.peer,
+    )
+
+
 class Sink:
     """Base of the sinks: one HTTP request, its output and the handle that cancels it."""
 
@@ -52,15 +67,7 @@
         """Send a refusal; an answer that has begun is ended visibly incomplete."""
         if self._ended:
             return
-        log_message(
-            "front:refused",
-            text="front: request refused",
-            request=self._request.id,
-            refusal=refused.refusal.value,
-            outcome=refused.outcome.value,
-            step=refused.step.value,
-            peer=refused.peer,
-        )
+        log_refusal(self._request.id, refused)
         self._ended = True
         if self._request.startedWriting:
             self._end_incomplete(refused)
@@ -75,10 +82,8 @@
         handle = self._handle
         outcome = handle.find_outcome() if isinstance(handle, TracedHandle) else Outcome.UNKNOWN
         retry_after = LEAVING_RETRY_AFTER if outcome is Outcome.NOT_RUN else None
-        detail = "the drain of this host is over"
-        self._request.close_after_answer()
         self.refuse(
-            Refused(Refusal.LEAVING, outcome, Step.CALL, retry_after=retry_after, detail=detail)
+            Refused(Refusal.LEAVING, outcome, Step.CALL, retry_after=retry_after, detail=DRAIN_OVER)
         )
         if handle is not None:
             handle.cancel()
--- a/tests/services/test_front.py
+++ b/tests/services/test_front.py
@@ -106,6 +106,7 @@
     """One caller's connection to the front service, over a string transport."""
 
     def __init__(self, *, document: Document | None = None, **settings: Any) -> None:
+        self.unread = b""
         self.reactor = FakeReactor()
         self.clock = ReactorClock(self.reactor, datetime(2026, 1, 1, tzinfo=UTC), zero=0.0)
         kernel = Kernel(self.clock, SimpleNamespace(front=FrontSettings(**settings)))
@@ -121,10 +122,19 @@
         self.channel: Any = self.factory.buildProtocol(None)
         transport: Any = StringTransport()
         self.transport = transport
+        transport.getHandle = self.make_socket
         transport.abortConnection = self.abort
         self.aborted = False
         self.channel.makeConnection(self.transport)
 
+    def make_socket(self) -> Any:
+        def recv(*_: int) -> bytes:
+            if not self.unread:
+                raise BlockingIOError
+            return self.unread
+
+        return SimpleNamespace(recv=recv)
+
     def abort(self) -> None:
         self.aborted = True
         self.channel.connectionLost(Failure(ConnectionLost()))
@@ -590,3 +600,67 @@
     caller.reactor.advance(2)
     assert caller.aborted
     assert fired
+
+
+GET = f"GET /orders/7 HTTP/1.1\r\nHost: front\r\n{AUTH}\r\n\r\n".encode()
+POST = GET.replace(b"GET", b"POST").replace(b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\nabc")
+SIZED = [("Content-Length", "2")]
+
+
+def answer_plain(sink: Any) -> None:
+    sink.put_head(200, SIZED)
+    sink.put_body(b"ok")
+    sink.finish()
+
+
+# the entry closed the connection after the answer under way and dropped what had come behind it
+@pytest.mark.parametrize("request_", [GET, POST], ids=["get", "post"])
+@pytest.mark.parametrize("comes_late", [False, True], ids=["before the stop", "after it"])
+def test_a_stopping_entry_answers_a_request_that_came_behind_the_one_under_way(
+    request_: bytes, comes_late: bool
+) -> None:
+    caller = Caller()
+    caller.send_raw(request_ if comes_late else request_ + request_)
+    caller.front.stop()
+    if comes_late:
+        caller.channel.dataReceived(request_)
+    for number in range(2):
+        answer_plain(caller.router.sinks[number])
+    value = caller.transport.value()
+    assert value.count(b"HTTP/1.1 200 OK") == 2
+    assert value.lower().count(b"connection: close") == 1
+    assert value.lower().rindex(b"connection: close") > value.index(b"ok")
+    assert caller.transport.disconnecting
+
+
+# the request behind was dropped, or was passed on and cut when its connection was aborted
+def test_at_the_end_of_the_drain_a_request_behind_the_one_under_way_is_refused_as_not_run() -> None:
+    caller = Caller()
+    caller.send_raw(GET + GET)
+    caller.front.stop()
+    caller.reactor.advance(120.1)
+    first, second = caller.transport.value().split(b"HTTP/1.1 ")[1:]
+    assert b'"leaving","outcome":"unknown"' in first
+    assert b"connection: close" not in first.lower()
+    assert b'"leaving","outcome":"not-run"' in second
+    assert b"connection: close" in second.lower()
+    assert len(caller.router.requests) == 1
+    assert caller.transport.disconnecting
+    assert caller.front.account is not None
+    assert not caller.front.account.partial.total()
+
+
+# a connection with a part of a request, in this process or in its socket, counted as idle
+@pytest.mark.parametrize("in_socket", [False, True])
+def test_a_stopping_entry_answers_a_request_that_has_arrived_in_part(in_socket: bool) -> None:
+    caller = Caller()
+    if in_socket:
+        caller.unread = GET
+    else:
+        caller.send_raw(GET[:9])
+    caller.front.stop()
+    assert not caller.transport.disconnecting
+    caller.channel.dataReceived(GET if in_socket else GET[9:])
+    answer_plain(caller.router.sinks[0])
+    assert b"connection: close" in caller.transport.value().lower()
+    assert caller.transport.disconnecting
