Refuse requests that are half read at the end of an entry's drain

Callers saw: a request whose body was still coming in when the drain of an entry ended got a reset connection instead of an answer, though nothing of it had run.

Cause: the end of the drain answered what had been passed to the router and aborted all other connections a second later.

Change: the refusal of a request that is read in part, which gateways had, moves to the channel that entries share, and an entry calls it at the end of its drain: 503 leaving, not run, with the request's id. The rest of the request is discarded, as a close while the caller still sends would reset the connection before it has read the answer. Over TCP only the writing side is closed; TLS says that it ends and reads on by itself. Connections that are idle by then are closed at once, and one that this host closes already is not closed again.

--- a/src/lavenderrun/gateway/_caller_channel.py
+++ b/src/lavenderrun/gateway/_caller_channel.py
@@ -13,7 +13,7 @@
 
 from lavenderrun.gateway._caller_request import CallerRequest
 from lavenderrun.gateway._sockets import set_socket_options
-from lavenderrun.http_server import AccountedChannel, AccountedFactory, CloseReason, RequestAccount
+from lavenderrun.http_server import AccountedChannel, AccountedFactory, RequestAccount
 from lavenderrun.types import Headers
 
 MIN_BODY_TIME: Final = timedelta(seconds=3)
@@ -133,16 +133,6 @@
             self._is_last_read = False
             self.setTimeout(limit.total_seconds())
 
-    def refuse_unread(self, answer: bytes) -> None:
-        """Answer a request that was read in part; the rest of it is discarded."""
-        if self.is_reading and not self._is_discarding:
-            self._is_discarding = True
-            self.note_closing(CloseReason.DEPARTURE)
-            if not any(request.startedWriting for request in self.requests):
-                self.transport.write(answer)
-            # a close while the caller still sends would reset the connection before it has read
-            self.transport.loseWriteConnection()
-
 
 class CallerFactory(AccountedFactory):
     """Makes a channel for each connection of a caller."""
--- a/src/lavenderrun/http_server/_requests.py
+++ b/src/lavenderrun/http_server/_requests.py
@@ -151,6 +151,8 @@
 
     def close_when_idle(self) -> None:
         """Close the connection now, or after the answers to what has arrived."""
+        if self._closing is not None:
+            return
         if self.requests and not self.has_pipelined and not self.is_reading:
             if self.persistent:
                 self.persistent, self._closes_after_answer = 0, True
@@ -158,6 +160,21 @@
             self.note_closing(CloseReason.DEPARTURE)
             self.loseConnection()
 
+    def refuse_unread(self, answer: bytes) -> None:
+        """Answer a request that was read in part; the rest of it is discarded."""
+        if not self.is_reading or self._is_discarding:
+            return
+        self._is_discarding = True
+        self.note_closing(CloseReason.DEPARTURE)
+        if not any(request.startedWriting for request in self.requests):
+            self.transport.write(answer)
+        # a close while the caller still sends would reset the connection before it has read
+        if self.isSecure():
+            # TLS reads on after its own end until the caller's
+            self.loseConnection()
+        else:
+            self.transport.loseWriteConnection()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read a part of a request."""
         if not self._is_discarding:
--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -25,10 +25,14 @@
 from lavenderrun.decisions import estimate_tokens, find_plain_route
 from lavenderrun.http_server import CloseReason, RequestAccount, describe_error
 from lavenderrun.kernel import SERVICES, Kernel, Registry
-from lavenderrun.services._front_http import FrontChannel, FrontFactory, FrontRequest
+from lavenderrun.services._front_http import (
+    LEAVING_RETRY_AFTER,
+    FrontChannel,
+    FrontFactory,
+    FrontRequest,
+)
 from lavenderrun.services._front_sinks import (
     DRAIN_OVER,
-    LEAVING_RETRY_AFTER,
     PlainSink,
     Sink,
     StreamSink,
@@ -295,6 +299,9 @@
         self._is_drain_over = True
         for sink in list(self._sinks):
             sink.end_at_departure()
+        for channel in self._list_channels():
+            channel.refuse_incomplete()
+            channel.close_when_idle()
 
     def _abort_remaining(self) -> None:
         channels = self._list_channels()
--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 from io import BytesIO
 from typing import Any, Protocol
 from uuid import uuid4
@@ -31,6 +32,8 @@
 MAX_DISCARDED_BODIES = 4
 REQUEST_ID_HEADER = "X-Request-Id"
 JSON_CONTENT_TYPE = "application/json"
+LEAVING_RETRY_AFTER = timedelta(milliseconds=50)
+"""Wait advised to a caller while this host stops: another host can serve it at once."""
 
 
 class RequestHandler(Protocol):
@@ -200,17 +203,36 @@
         self.note_closing(CloseReason.BAD_REQUEST)
         detail = "HTTP: the request line or a header is malformed."
         refused = Refused(Refusal.BAD_REQUEST, Outcome.NOT_RUN, Step.ADMISSION, detail=detail)
-        body = encode_error(refused)
-        head = [
-            "HTTP/1.1 400 Bad Request",
-            f"Content-Type: {JSON_CONTENT_TYPE}",
-            f"Content-Length: {len(body)}",
-            "Connection: close",
-            *(f"{name}: {value}" for name, value in list_error_headers(refused)),
-        ]
-        self.transport.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+        self.transport.write(_encode_last_answer("400 Bad Request", refused))
         self.loseConnection()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that was read in part, because this host leaves."""
+        detail = "the request was not complete when the drain of this host was over"
+        refused = Refused(
+            Refusal.LEAVING,
+            Outcome.NOT_RUN,
+            Step.ADMISSION,
+            retry_after=LEAVING_RETRY_AFTER,
+            detail=detail,
+        )
+        request_ids = [request.id for request in self.requests]
+        self.refuse_unread(_encode_last_answer("503 Service Unavailable", refused, *request_ids))
+
+
+def _encode_last_answer(status: str, refused: Refused, *request_ids: RequestId) -> bytes:
+    """Return the bytes of a refusal after which the connection is closed."""
+    body = encode_error(refused)
+    headers = [
+        ("Content-Type", JSON_CONTENT_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+        *((REQUEST_ID_HEADER, request_id) for request_id in request_ids),
+        *list_error_headers(refused),
+    ]
+    lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
 
 class FrontFactory(AccountedFactory):
     """Makes the channels of new connections.
--- a/src/lavenderrun/services/_front_sinks.py
+++ b/src/lavenderrun/services/_front_sinks.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from datetime import timedelta
 
 from eliot import log_message
 
 from lavenderrun.codecs import DONE_EVENT, AnswerCodec, encode_error_event
 from lavenderrun.http_server import RequestEnd
 from lavenderrun.kernel import Clock
-from lavenderrun.services._front_http import FrontRequest
+from lavenderrun.services._front_http import LEAVING_RETRY_AFTER, FrontRequest
 from lavenderrun.services._front_output import CallerOutput
 from lavenderrun.types import (
     FinishReason,
@@ -25,8 +24,6 @@
     TracedHandle,
 )
 
-LEAVING_RETRY_AFTER = timedelta(milliseconds=50)
-"""Wait advised to a caller while this host stops: another host can serve it at once."""
 DRAIN_OVER = "the drain of this host is over"
 EVENT_STREAM = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
 
