--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from datetime import timedelta
 from io import BytesIO
 from typing import Any, Protocol
 from uuid import uuid4
@@ -31,6 +32,8 @@
 MAX_DISCARDED_BODIES = 4
 REQUEST_ID_HEADER = "X-Request-Id"
 JSON_CONTENT_TYPE = "application/json"
+LEAVING_RETRY_AFTER = timedelta(milliseconds=50)
+"""Wait advised to a caller while this host stops: another host can serve it at once."""
 
 
 class RequestHandler(Protocol):
@@ -133,18 +136,16 @@
             raw = value.encode("latin-1", "replace")
             self.responseHeaders.addRawHeader(name.encode("latin-1", "replace"), raw)
         self.responseHeaders.setRawHeaders(REQUEST_ID_HEADER, [self.id])
+        if self.channel.factory.account.is_leaving:
+            self.close_if_last()
 
     def clear_head(self) -> None:
         """Remove the headers that were set for an answer but not sent yet."""
+        closes = self.responseHeaders.hasHeader(b"Connection")
         self.responseHeaders = Headers()
-        if not self.channel.persistent:
+        if closes:
             self.close_after_answer()
 
-    def close_after_answer(self) -> None:
-        """Close the connection after this answer."""
-        self.channel.persistent = 0
-        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-
     def answer(self, status: int, body: bytes, headers: list[tuple[str, str]]) -> None:
         """Send a complete answer with a JSON body."""
         framing = [("Content-Type", JSON_CONTENT_TYPE), ("Content-Length", str(len(body)))]
@@ -198,29 +199,40 @@
         """Close the connection at once, without sending what is buffered."""
         self.forceAbortClient()
 
-    def close_when_idle(self) -> None:
-        """Close now, or after the current answer if there is one."""
-        if self.requests:
-            self.persistent = 0
-        else:
-            self.note_closing(CloseReason.DEPARTURE)
-            self.loseConnection()
-
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         self.note_closing(CloseReason.BAD_REQUEST)
         detail = "HTTP: the request line or a header is malformed."
         refused = Refused(Refusal.BAD_REQUEST, Outcome.NOT_RUN, Step.ADMISSION, detail=detail)
-        body = encode_error(refused)
-        head = [
-            "HTTP/1.1 400 Bad Request",
-            f"Content-Type: {JSON_CONTENT_TYPE}",
-            f"Content-Length: {len(body)}",
-            "Connection: close",
-            *(f"{name}: {value}" for name, value in list_error_headers(refused)),
-        ]
-        self.transport.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+        self.transport.write(_encode_last_answer("400 Bad Request", refused))
         self.loseConnection()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that was read in part, because this host leaves."""
+        detail = "the request was not complete when the drain of this host was over"
+        refused = Refused(
+            Refusal.LEAVING,
+            Outcome.NOT_RUN,
+            Step.ADMISSION,
+            retry_after=LEAVING_RETRY_AFTER,
+            detail=detail,
+        )
+        request_ids = [request.id for request in self.requests]
+        self.refuse_unread(_encode_last_answer("503 Service Unavailable", refused, *request_ids))
+
+
+def _encode_last_answer(status: str, refused: Refused, *request_ids: RequestId) -> bytes:
+    """Return the bytes of a refusal after which the connection is closed."""
+    body = encode_error(refused)
+    headers = [
+        ("Content-Type", JSON_CONTENT_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+        *((REQUEST_ID_HEADER, request_id) for request_id in request_ids),
+        *list_error_headers(refused),
+    ]
+    lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
 
 class FrontFactory(AccountedFactory):
     """Makes the channels of new connections.
