Give back the quota withheld for a gateway that had ended

Callers of an account near its rate were refused for longer than they should be after a gateway ended and was started again: from one second of silence on, the others withhold its equal share of the rate, and a report with another boot id ended the estimate without giving anything back.

Cause: a new process does not know what the one before used, so its counter settles nothing that was withheld for the one before. To give all of it back would be wrong too, as a gateway that is only cut off goes on using its share.

Silent peers are now connected to once a second, at the address where they serve their peers. A refused connection shows that no process runs there any more; a suspended process accepts and a broken path times out. From that moment on the process before uses nothing, so the first report of the new one tells exactly what the host used since: what was withheld from then on and not used is given back, what was used beyond it is charged. What was withheld before, or for a gateway that never refused a connection, stays charged, so that the limit holds. If the same process reports after all, its counter counts as before.

Evidence: with note_end without effect, as before, five cases of test_a_host_that_restarts_while_silent_is_charged_only_what_it_used_since_its_end fail; they pass now. A property test compares with a ledger that hears every report.

--- a/src/lavenderrun/dispatch/_quota.py
+++ b/src/lavenderrun/dispatch/_quota.py
@@ -3,7 +3,8 @@
 Each host keeps a copy of one token bucket for each account. It subtracts its own charges at once
 and those of other hosts when their peer reports arrive. A host whose reports stop is assumed to
 use an equal share of the rate, so that both sides of a network partition together stay within it.
-What it did not use is given back with its next report.
+What it did not use is given back with its next report. A new process of the host does not know what
+the one before used, so only what was withheld since that one is known to have ended is given back.
 """
 
 from __future__ import annotations
@@ -45,6 +46,8 @@
     :param estimated: units that it is assumed to have used since, by account.
     :param withheld: those among them that the bucket lacks now; a full bucket lacks none, and a
         forgiven debt is lacking no more.
+    :param estimated_to_end: what was estimated until its process was known to have ended, ``None``
+        while it may still run. What was withheld until then is no longer in ``withheld``.
     """
 
     boot: BootId
@@ -52,6 +55,15 @@
     used: dict[AccountId, float]
     estimated: dict[AccountId, float] = field(default_factory=dict)
     withheld: dict[AccountId, float] = field(default_factory=dict)
+    estimated_to_end: dict[AccountId, float] | None = None
+
+    def begin_process(self) -> None:
+        """Count from zero what a new process reports, after the one before has ended."""
+        ended = self.estimated_to_end or {}
+        self.used = {}
+        self.estimated = {
+            account: units - ended.get(account, 0.0) for account, units in self.estimated.items()
+        }
 
 
 class QuotaLedger:
@@ -109,9 +121,13 @@
                 self._refill(account, now)
         self._peers.pop(host, None)
         self._peers[host] = _PeerUsage(boot, now, dict(used))
-        if peer is None or peer.boot != boot:
-            # its earlier use is unknown or already estimated
+        if peer is None:
             return
+        if peer.boot != boot:
+            if not peer.boot or peer.estimated_to_end is None:
+                # its earlier use is unknown or already estimated
+                return
+            peer.begin_process()
         # what was withheld for an account that the host never charged is given back, too
         for account in {**used, **peer.withheld}:
             units = used.get(account, peer.used.get(account, 0.0))
@@ -126,6 +142,20 @@
                 charged = max(0.0, reported - estimated) - unused if estimated else reported
                 bucket.level = min(bucket.quota.burst, bucket.level - charged)
 
+    def note_end(self, host: HostId, now: datetime) -> None:
+        """Record that the process of a silent host is known to have ended by *now*.
+
+        What it may have used before stays charged. A share is withheld on, as another process may
+        have started; its first report tells exactly what the host used since *now*.
+        """
+        peer = self._peers.get(host)
+        if peer is None or peer.estimated_to_end is not None:
+            return
+        for account in self._buckets:
+            self._refill(account, now)
+        peer.estimated_to_end = dict(peer.estimated)
+        peer.withheld = dict.fromkeys(peer.withheld, 0.0)
+
     def charge(self, account: AccountId, cost: float, now: datetime) -> timedelta | None:
         """Take *cost* units from the account's bucket.
 
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -26,6 +26,7 @@
 )
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log
+from lavenderrun.gateway._peer_probe import PeerProbe
 from lavenderrun.gateway._ports import RowChange, RowWrite, StoreRefusal
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore
@@ -167,6 +168,8 @@
     :ivar make_report: makes this host's peer report; set by the service ``view``.
     :ivar on_hosts_changed: called when rows of gateways change, with all other hosts and since when
         each has been known or silent; set by the service ``view``.
+    :ivar on_process_ended: called with a silent host whose process is known to have ended; set by
+        the service ``view``.
     :ivar follower: reads the table of gateways.
     """
 
@@ -193,6 +196,8 @@
         )
         self._watchers: list[Callable[[PeerReport], None]] = []
         self.on_hosts_changed: Callable[[dict[HostId, datetime]], None] = lambda _hosts: None
+        self.on_process_ended: Callable[[HostId], None] = lambda _host: None
+        self._probe: PeerProbe | None = None
         self.follower = TableFollower(
             self._rows,
             self._table,
@@ -209,6 +214,7 @@
 
         loop: Any = reactor
         host, port = parse_address(self._address)
+        self._probe = PeerProbe(loop, self._clock, self._note_process_end)
         self._port = loop.listenUDP(port, self._report_protocol, interface=host)
         self.follower.start()
         self._announce()
@@ -367,6 +373,16 @@
                 peer.since, peer.last_report = peer.last_report, None
             if now - peer.last_heard > REMOVED_AFTER:
                 self._remove_row(host, peer, now)
+        if self._probe is not None:
+            self._probe.probe(self._list_silent(now))
+
+    def _list_silent(self, now: datetime) -> list[tuple[HostId, tuple[str, int]]]:
+        silent_from = now - self.lost_after
+        return [(h, p.address) for h, p in self._peers.items() if p.last_heard <= silent_from]
+
+    def _note_process_end(self, host: HostId) -> None:
+        log("peers:ended", "peers: process of a silent host has ended", peer=host)
+        self.on_process_ended(host)
 
     def _send(self, data: bytes, peer: _PeerState) -> None:
         transport: Any = self._report_protocol.transport
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -112,6 +112,7 @@
         self._peers.make_report = self._make_report
         self._peers.watch(self._apply_peer_report)
         self._peers.on_hosts_changed = self._note_host_change
+        self._peers.on_process_ended = self._note_process_end
 
     def stop(self) -> None:
         """Do nothing, because this service has no timers."""
@@ -318,6 +319,9 @@
         self._pool.set_host_count(len(hosts) + 1)
         self._members.host_count = len(hosts) + 1
 
+    def _note_process_end(self, host: HostId) -> None:
+        self.quotas.note_end(host, self._clock.now())
+
     def _make_report(self) -> PeerReport:
         now = self._clock.now()
         parts = self._suspects.make_part_report()
--- a/tests/dispatch/test_quota.py
+++ b/tests/dispatch/test_quota.py
@@ -267,3 +267,74 @@
     ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 150.0}, START)
     ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 0.0}, START)
     assert ledger.charge(ACCOUNT, 200, START) is None
+
+
+def restart_silent_host(used: float, *, ends_at: float | None) -> float:
+    """Return what remains when a host reports after a silence of 2.5 s, as a new process.
+
+    The bucket is empty at 1 s, from when on 50 of 100 units a second are withheld.
+
+    :param used: units that the new process has charged.
+    :param ends_at: when the process before is known to have ended, ``None`` for never.
+    """
+    ledger = make_ledger(others=1)
+    ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 900.0}, START)
+    ledger.charge(ACCOUNT, 200, START)
+    ledger.charge(ACCOUNT, 100, at(1))
+    if ends_at is not None:
+        ledger.note_end(HostId("h0"), at(ends_at))
+    ledger.apply_peer_report(HostId("h0"), BootId("b2"), {ACCOUNT: used}, at(2.5))
+    return ledger.list_remaining(at(2.5))[ACCOUNT]
+
+
+# what was withheld for a host that restarted while it was silent stayed charged
+@pytest.mark.parametrize(
+    ("used", "ends_at", "remaining"),
+    [(0, 1.0, 150), (60, 1.0, 90), (100, 1.0, 50), (0, 1.5, 125), (60, 1.5, 65)],
+)
+def test_a_host_that_restarts_while_silent_is_charged_only_what_it_used_since_its_end(
+    used: float, ends_at: float, remaining: float
+) -> None:
+    assert restart_silent_host(used, ends_at=ends_at) == pytest.approx(remaining)
+
+
+# the process before may have used its share, and nobody can tell any more
+def test_what_a_restarted_host_may_have_used_before_its_end_stays_charged() -> None:
+    assert restart_silent_host(0, ends_at=None) == pytest.approx(75)
+    assert restart_silent_host(0, ends_at=2.5) == pytest.approx(75)
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 80), st.integers(0, 900)), min_size=1, max_size=30),
+    st.integers(1000, 4000),
+)
+def test_a_restart_gives_back_no_more_than_reports_would_have_left(
+    steps: list[tuple[int, int]], ended_ms: int
+) -> None:
+    silent, told = make_ledger(others=1), make_ledger(others=1)
+    for ledger in (silent, told):
+        ledger.apply_peer_report(HostId("h0"), BOOT, {}, START)
+    end = at(ended_ms / 1000)
+    silent.note_end(HostId("h0"), end)
+    told.apply_peer_report(HostId("h0"), BOOT, {}, end)
+    now, used = end, 0.0
+    for cost, wait in steps:
+        # the new process charges at most its share of the rate, and reports to one ledger only
+        used += min(cost, wait / 1000 * QUOTA.rate / 2)
+        told.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: used}, now)
+        now += timedelta(milliseconds=wait)
+        if silent.list_remaining(now)[ACCOUNT] >= cost:
+            silent.charge(ACCOUNT, cost, now)
+            told.charge(ACCOUNT, cost, now)
+    silent.apply_peer_report(HostId("h0"), BootId("b2"), {ACCOUNT: used}, now)
+    assert silent.list_remaining(now)[ACCOUNT] <= told.list_remaining(now)[ACCOUNT] + 1e-6
+
+
+def test_a_host_that_goes_on_after_all_is_charged_no_more_than_it_used() -> None:
+    ledger = make_ledger(others=1)
+    ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 900.0}, START)
+    ledger.charge(ACCOUNT, 200, START)
+    ledger.note_end(HostId("h0"), at(1.2))
+    ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 920.0}, at(1.4))
+    # earned 140, withheld 10 until 1.2 s and 10 until 1.4 s, which covers what it used
+    assert ledger.list_remaining(at(1.4))[ACCOUNT] == pytest.approx(120)
