Take a retry from the budget only when an attempt follows

Callers of plain services that may be repeated were refused sooner than the budget of retries asks for: a call whose last attempt had failed or whose link was lost took one more retry before it was refused, and that retry was missing to other calls.

Cause: the budget was asked first, and whether attempts, patience and a caller were left was checked after. Both paths, a failed attempt and a lost link, now check that first, in one place.

--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -368,19 +368,17 @@
     def _retry(self, refused: Refused) -> None:
         """Resend the call, which may be repeated, though the last attempt may have run."""
         self._may_have_run = True
-        now = self._router.clock.now()
-        if self._router.retry_budget.allow_retry(self.admitted.account, now):
+        if self._may_try_again() and self._take_retry():
             self._try_elsewhere(refused)
         else:
             self._refuse(refused)
 
     def _retry_within_budget(self, refused: Refused) -> None:
         """Resend the call now, or wait for the retry budget until the patience ends."""
-        now = self._router.clock.now()
-        if self._router.retry_budget.allow_retry(self.admitted.account, now):
-            self._try_elsewhere(refused)
-        elif self._attempts >= MAX_ATTEMPTS or self._find_patience_left() <= ZERO:
+        if not self._may_try_again():
             self._refuse(refused)
+        elif self._take_retry():
+            self._try_elsewhere(refused)
         else:
             self._wait_before_retry(RETRY_BUDGET_PAUSE, refused)
 
@@ -396,14 +394,19 @@
         """
         if self._attempt is not None:
             self._tried_hosts.add(self._attempt.host)
-        if (
-            self._attempts >= MAX_ATTEMPTS
-            or self._find_patience_left() <= ZERO
-            or self._caller_gone
-        ):
-            self._refuse(refused)
-        else:
+        if self._may_try_again():
             self._start_attempt()
+        else:
+            self._refuse(refused)
+
+    def _may_try_again(self) -> bool:
+        has_attempts_left = self._attempts < MAX_ATTEMPTS
+        return has_attempts_left and self._find_patience_left() > ZERO and not self._caller_gone
+
+    def _take_retry(self) -> bool:
+        """Take a retry from the budget, if it has one; an attempt must follow."""
+        now = self._router.clock.now()
+        return self._router.retry_budget.allow_retry(self.admitted.account, now)
 
     # end of the call
 
--- a/tests/services/test_plain_path.py
+++ b/tests/services/test_plain_path.py
@@ -8,8 +8,10 @@
 from plain_fleet import PlainFleet
 from twisted.internet.defer import Deferred
 
+from lavenderrun.services import _plain_call
 from lavenderrun.services._plain_attempt import PlainAttempt
 from lavenderrun.services._plain_call import PlainCall
+from lavenderrun.services._plain_sending import send_call
 from lavenderrun.types import BackendRun, Outcome, Refusal, RequestFinished
 
 # calls that must not run twice: confirming an order and publishing a layout
@@ -148,6 +150,50 @@
     assert fleet.count_jobs() == 0
 
 
+class RetryCounter:
+    """Counts the sends of calls by an entry and the retries that its budget grants."""
+
+    def __init__(self, fleet: PlainFleet, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.sent = 0
+        self.granted = 0
+        self._send = send_call
+        monkeypatch.setattr(_plain_call, "send_call", self._count_send)
+        budget = fleet.routers["e1"].retry_budget
+        self._allow = budget.allow_retry
+        monkeypatch.setattr(budget, "allow_retry", self._count_retry)
+
+    def _count_send(self, *args: Any) -> bool:
+        self.sent += 1
+        return self._send(*args)
+
+    def _count_retry(self, *args: Any) -> bool:
+        is_granted = self._allow(*args)
+        self.granted += is_granted
+        return is_granted
+
+
+# a call without attempts left took a retry that other calls could have used
+@pytest.mark.parametrize("is_link_lost", [True, False])
+def test_a_call_that_is_not_sent_again_takes_no_retry_of_the_budget(
+    monkeypatch: pytest.MonkeyPatch, *, is_link_lost: bool
+) -> None:
+    fleet = PlainFleet(agents=5)
+    counter = RetryCounter(fleet, monkeypatch)
+    for faults in fleet.faults.values():
+        faults.reply_delay = timedelta(seconds=3)
+        if not is_link_lost:
+            faults.die_after = 10_000
+    _, reply = fleet.submit("GET", "/orders/7")
+    for _ in range(8):
+        fleet.run(0.5)
+        if is_link_lost:
+            close_links(fleet)
+    fleet.run(3)
+    assert reply.refused.outcome is Outcome.UNKNOWN
+    assert counter.sent == _plain_call.MAX_ATTEMPTS
+    assert counter.granted == counter.sent - 1
+
+
 def test_reply_cut_in_the_middle_is_refused_and_never_repeated() -> None:
     fleet = PlainFleet()
     for faults in fleet.faults.values():
