Count lateness that goes on as running, not as suspensions

A process whose loop was more than 500 ms late in each turn, under load, noticed dead peers many times too late: entries and agents kept calls on dead links, gateways kept rows and shares of silent gateways. Such a gateway also restarted its followers of the store in each turn, so it read no answer any more.

Cause: each late turn counted as a suspension, which excuses the silence of peers and makes pending calls to the store suspect.

SuspensionSeries counts late turns that follow each other without a second of punctual ones. The first four count as suspensions, as before; further ones count as time in which the process ran. A peer that seems silent in a late turn is judged after what came meanwhile is read: without that, turns that are late by more than a link's patience would close sound links. A suspension that the clocks show counts at any time.

Not changed: SilenceTracker, which weighs engines, still takes each late timer of a stream for a stall.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -93,7 +93,7 @@
 from lavenderrun.decisions._recent_sends import RecentSends
 from lavenderrun.decisions._retry_budget import RetryBudget
 from lavenderrun.decisions._routes import find_plain_route
-from lavenderrun.decisions._run_time import ALIVE_INTERVAL, RunTime
+from lavenderrun.decisions._run_time import ALIVE_INTERVAL, SETTLE_TIME, RunTime
 from lavenderrun.decisions._slice_holders import SliceHolders
 from lavenderrun.decisions._tokens import estimate_tokens
 from lavenderrun.decisions._tombstones import Tombstones
@@ -116,6 +116,7 @@
     "PREFILL_PLACEMENTS",
     "PROMISE_POLICIES",
     "QUEUE_POLICIES",
+    "SETTLE_TIME",
     "AdmissionIndex",
     "AnswerAssembly",
     "AnswerProgress",
--- a/src/lavenderrun/decisions/_run_time.py
+++ b/src/lavenderrun/decisions/_run_time.py
@@ -1,10 +1,15 @@
-"""Time that a process ran: the time in which it was suspended does not count."""
+"""Time that a process ran: the time in which it was suspended does not count.
+
+Lateness that goes on is no suspension, see :class:`SuspensionSeries`.
+"""
 
 from __future__ import annotations
 
 from datetime import datetime, timedelta
 from typing import Final
 
+from lavenderrun.dispatch import SuspensionSeries
+
 ALIVE_INTERVAL: Final = timedelta(milliseconds=250)
 """Longest time between two signs of life of a process that runs."""
 
@@ -25,12 +30,19 @@
         self._alive_at = now
         self._elapsed = timedelta(0)
         self._settled_at = now
+        self._read_at = now
+        self._series = SuspensionSeries()
 
     def note_alive(self, now: datetime) -> timedelta:
         """Record that this process runs at *now*; return how long it was suspended before."""
         since = now - self._alive_at
         self._alive_at = now
         if since < ALIVE_INTERVAL + MIN_SUSPENSION:
+            self._elapsed += since
+            self._series.note_run(since)
+            return timedelta(0)
+        self._read_at = now + SETTLE_TIME
+        if not self._series.note_late_turn():
             self._elapsed += since
             return timedelta(0)
         self._elapsed += ALIVE_INTERVAL
@@ -44,3 +56,7 @@
     def is_settling(self) -> bool:
         """Tell whether a suspension has ended so recently that connections may be closed unread."""
         return self._alive_at < self._settled_at
+
+    def has_unread(self) -> bool:
+        """Tell whether this process was late, so that what peers sent may not be read yet."""
+        return self._alive_at < self._read_at
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -73,16 +73,23 @@
     decide_after_stream_attempt,
 )
 from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
+from lavenderrun.dispatch._suspension_series import (
+    MAX_SUSPENSIONS,
+    SERIES_END,
+    SuspensionSeries,
+)
 from lavenderrun.dispatch._unreached import UnreachedAddresses, find_return
 
 __all__ = [
     "ASSUMED_HOSTS",
     "MAX_QUEUE_WAIT",
     "MAX_SHARED_PARTS",
+    "MAX_SUSPENSIONS",
     "MIN_SERVICE_TIME",
     "MIN_SUSPICION",
     "PLACEMENTS",
     "RESENDS",
+    "SERIES_END",
     "Access",
     "AttemptDecision",
     "AttemptOutcome",
@@ -128,6 +135,7 @@
     "StreamDecision",
     "StreamSituation",
     "SuspectTracker",
+    "SuspensionSeries",
     "TimeLimitHistory",
     "UnreachedAddresses",
     "authorize_call",
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -24,6 +24,7 @@
     decode_msgpack,
     parse_address,
 )
+from lavenderrun.dispatch import SuspensionSeries
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._peer_probe import PeerProbe
@@ -75,6 +76,9 @@
 """Delay of this host's own timer from which its process was suspended or busy: what the others sent
 meanwhile is not read yet, so that time is no silence of theirs."""
 
+LATE_READ_TIME: Final = timedelta(milliseconds=50)
+"""Time after such a delay in which what the others sent meanwhile is read."""
+
 REMOVED_AFTER: Final = timedelta(seconds=10)
 """Silence after which a host's row is removed; a host that is still alive writes it again."""
 
@@ -190,6 +194,9 @@
         self._row_version = 0
         self._last_sent: datetime = kernel.clock.now()
         self._tick_due: datetime = kernel.clock.now()
+        self._ticked: datetime = kernel.clock.now()
+        self._suspensions = SuspensionSeries()
+        self._silence_timer: Timer | None = None
         self.boot = BootId(uuid4().hex[:12])
         self.make_report: Callable[[], PeerReport] = lambda: PeerReport(
             self._host, self.boot, DocumentVersion(0), {}, {}
@@ -223,7 +230,7 @@
 
     async def stop(self) -> None:
         """Stop reporting and remove this host's row."""
-        for timer in (self._timer, self._early_timer):
+        for timer in (self._timer, self._early_timer, self._silence_timer):
             if timer is not None:
                 timer.cancel()
         self.follower.stop()
@@ -356,9 +363,12 @@
     def _tick(self) -> None:
         now = self._clock.now()
         delay = now - self._tick_due
-        if delay > MAX_DELAY:
+        if delay <= MAX_DELAY:
+            self._suspensions.note_run(now - self._ticked)
+        elif self._suspensions.note_late_turn():
             for peer in self._peers.values():
                 peer.excuse(delay, now)
+        self._ticked = now
         # an early report postpones the regular one
         due = self._last_sent + self.report_interval
         if self._clock.now() >= due or self.count_hosts() <= MAX_HOSTS_AT_REPORT_INTERVAL:
@@ -366,7 +376,16 @@
             due = self._clock.now() + self.report_interval
         self._tick_due = due
         self._timer = self._clock.call_later(due - self._clock.now(), self._tick)
-        now, lost_after = self._clock.now(), self.lost_after
+        if delay <= MAX_DELAY:
+            self._check_silences(self._clock.now())
+            return
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+        self._silence_timer = self._clock.call_later(LATE_READ_TIME, self._check_silences, now)
+
+    def _check_silences(self, now: datetime) -> None:
+        """Find the hosts that were silent at *now*, by all that has been read since."""
+        lost_after = self.lost_after
         for host, peer in list(self._peers.items()):
             if peer.last_report is not None and now - peer.last_report >= lost_after:
                 log("peers:lost", "peers: host stopped reporting", peer=host)
--- a/src/lavenderrun/gateway/_suspension.py
+++ b/src/lavenderrun/gateway/_suspension.py
@@ -7,6 +7,7 @@
 from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
+from lavenderrun.dispatch import SuspensionSeries
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._members import MembersService
@@ -27,7 +28,8 @@
     """Detects suspensions: CLOCK_BOOTTIME advances during them, the clock of the timers doesn't.
 
     After a suspension it closes idle connections and repeats pending calls to the store, as their
-    connections may be dead. It also measures the lag of the event loop.
+    connections may be dead. A loop that goes on to be late is busy, not suspended. It also measures
+    the lag of the event loop.
 
     :ivar read_boot_time: returns the seconds since the host's start, suspensions included.
     """
@@ -47,6 +49,7 @@
         self._due: datetime = self._clock.now()
         self._boot_time = 0.0
         self._checked: datetime = self._clock.now()
+        self._series = SuspensionSeries()
         self._watchers: list[Callable[[], None]] = []
         self.read_boot_time: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
 
@@ -77,10 +80,15 @@
     def check(self) -> None:
         """Compare the clocks now, for an action that must not follow a suspension unnoticed."""
         boot_time, now = self.read_boot_time(), self._clock.now()
-        expected = min(now - self._checked, CHECK_INTERVAL)
-        suspended = timedelta(seconds=boot_time - self._boot_time) - expected
+        elapsed, passed = now - self._checked, timedelta(seconds=boot_time - self._boot_time)
+        suspended = passed - min(elapsed, CHECK_INTERVAL)
         self._boot_time, self._checked = boot_time, now
         if suspended <= MIN_SUSPENSION:
+            self._series.note_run(elapsed)
+            return
+        is_host_suspended = passed - elapsed > MIN_SUSPENSION
+        # restarted in each late turn, the followers would never read an answer
+        if not self._series.note_late_turn() and not is_host_suspended:
             return
         log("wakes:woken", "wakes: host was suspended", gap_ms=to_milliseconds(suspended))
         self._pool.close_idle()
--- a/src/lavenderrun/services/_links.py
+++ b/src/lavenderrun/services/_links.py
@@ -163,6 +163,10 @@
         """Return the time that this process ran, without suspensions."""
         return self._wakes.measure_run_time()
 
+    def has_unread(self) -> bool:
+        """Tell whether this process was late, so that what peers sent may not be read yet."""
+        return self._wakes.has_unread()
+
     def is_stopping(self) -> bool:
         """Tell whether this host accepts no new work."""
         return self._leaving or self._drained
--- a/src/lavenderrun/services/_peer_link.py
+++ b/src/lavenderrun/services/_peer_link.py
@@ -7,7 +7,12 @@
 from typing import Protocol
 
 from lavenderrun.codecs import WireCodec, WireError
-from lavenderrun.decisions import LinkSilence, find_link_patience, weigh_link_silence
+from lavenderrun.decisions import (
+    SETTLE_TIME,
+    LinkSilence,
+    find_link_patience,
+    weigh_link_silence,
+)
 from lavenderrun.kernel import Clock
 from lavenderrun.types import (
     DocumentState,
@@ -51,6 +56,9 @@
     def measure_run_time(self) -> timedelta:
         """Return the time that this process ran, without suspensions."""
 
+    def has_unread(self) -> bool:
+        """Tell whether this process was late, so that what peers sent may not be read yet."""
+
     def is_stopping(self) -> bool:
         """Tell whether this host accepts no new work."""
 
@@ -93,6 +101,7 @@
         self._last_used_at = clock.now()
         self._heard_at = owner.measure_run_time()
         self._promised = BUSY_INTERVAL
+        self._is_suspect = False
         self._silence_timer = clock.call_later(GREETING_TIMEOUT, self._check_silence)
         self._heartbeat_timer = clock.call_later(BUSY_INTERVAL, self._send_heartbeat)
         self._enqueue(owner.make_greeting())
@@ -230,6 +239,7 @@
             self.announce()
 
     def _expect_sign(self, interval: timedelta) -> None:
+        self._is_suspect = False
         before = self._heard_at + find_link_patience(self._promised)
         self._heard_at, self._promised = self._owner.measure_run_time(), interval
         sooner = self._heard_at + find_link_patience(interval) < before
@@ -240,7 +250,21 @@
     def _check_silence(self) -> None:
         silence = self._owner.measure_run_time() - self._heard_at
         if weigh_link_silence(silence, self._promised) is LinkSilence.LOST:
-            self.close("silent")
+            self._suspect()
             return
         remaining = find_link_patience(self._promised) - silence
         self._silence_timer = self._clock.call_later(remaining, self._check_silence)
+
+    def _suspect(self) -> None:
+        if not self._owner.has_unread():
+            self.close("silent")
+            return
+        # a sign of the peer may have come while this process was late
+        self._is_suspect = True
+        self._silence_timer = self._clock.call_later(SETTLE_TIME, self._confirm_silence)
+
+    def _confirm_silence(self) -> None:
+        if self._is_suspect:
+            self.close("silent")
+        else:
+            self._check_silence()
--- a/src/lavenderrun/services/_wakes.py
+++ b/src/lavenderrun/services/_wakes.py
@@ -50,6 +50,11 @@
         self._note_alive()
         return self._run_time.is_settling()
 
+    def has_unread(self) -> bool:
+        """Tell whether this process was late, so that what peers sent may not be read yet."""
+        self._note_alive()
+        return self._run_time.has_unread()
+
     def _note_regularly(self) -> None:
         self._timer = self._clock.call_later(ALIVE_INTERVAL, self._note_regularly)
         self._note_alive()
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -1,18 +1,20 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Sequence
 from datetime import timedelta
 from typing import Any
 
 import msgspec
+import pytest
 from eliot import add_destinations, remove_destination
 from store_fixture import SERVER_ROW, STEP_SECONDS, BreakingStore, StoreFixture, make_row
 
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.gateway._peers import PeerReport, PeersService
+from lavenderrun.gateway._peers import REMOVED_AFTER, PeerReport, PeersService
 from lavenderrun.gateway._ports import RowChange, RowWrite
 from lavenderrun.gateway._rows import StoreState
 from lavenderrun.types import BackendId, BootId, DocumentVersion, HostId, Member
@@ -320,6 +322,38 @@
     assert sorted(removed) == ["h1", "h2"]
 
 
+# each late turn of a busy loop counted as a suspension, so silent peers were noticed late or never
+@pytest.mark.parametrize("seconds", [0.6, 1.4])
+def test_a_loop_that_is_always_late_notices_silent_peers_and_keeps_sound_ones(
+    seconds: float,
+) -> None:
+    fixture, peers, _ = start_peers(3)
+    removed: list[str] = []
+    lines: list[dict[str, Any]] = []
+
+    async def write(_table: str, rows: Sequence[RowWrite]) -> int:
+        removed.extend(row.key for row in rows)
+        return 1
+
+    def report(host: str) -> None:
+        sent = PeerReport(HostId(host), BOOT, VERSION, {}, {})
+        peers._take_datagram(msgspec.msgpack.encode(sent))
+
+    fixture.rows.write = write  # type: ignore[assignment]
+    peers._tick()
+    report("h2")
+    add_destinations(lines.append)
+    try:
+        for _ in range(math.ceil((REMOVED_AFTER.total_seconds() + 6 * seconds) / seconds)):
+            # the timers run late, then what has come is read
+            fixture.time.advance(seconds)
+            report("h1")
+    finally:
+        remove_destination(lines.append)
+    assert {line["peer"] for line in lines if line["message_type"] == "peers:lost"} == {"h2"}
+    assert set(removed) == {"h2"}
+
+
 def test_one_follower_finds_out_when_the_store_is_back_for_all() -> None:
     fixture = StoreFixture()
     fixture.pool.answers.extend([None] * 300)
--- a/tests/services/test_links.py
+++ b/tests/services/test_links.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import math
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -122,6 +123,44 @@
     assert "agent-1" in pair.downs
 
 
+class LateLoop:
+    """Runs a busy pair whose loop is late in each turn: first timers run, then all is read."""
+
+    def __init__(self, pair: LinkedPair, seconds: float) -> None:
+        self._pair = pair
+        self._seconds = seconds
+        self._sent: list[Any] = []
+        pair.network.deliver_later = lambda pipe, call, *args: self._sent.append(  # type: ignore[method-assign]
+            (pipe, call, args)
+        )
+
+    def turn(self) -> None:
+        link = self._pair.entry.find(HostId("agent-1"))
+        if link is not None:
+            link.send(CANCEL)
+        self._pair.reactor.advance(self._seconds)
+        sent, self._sent = self._sent, []
+        for pipe, call, args in sent:
+            if not pipe.silent:
+                call(*args)
+
+
+# each late turn of a busy loop counted as a suspension, so silent peers were noticed late or never
+@pytest.mark.parametrize("seconds", [0.7, 1.4, 3.0])
+def test_a_loop_that_is_always_late_notices_silent_peers_and_keeps_sound_ones(
+    seconds: float,
+) -> None:
+    pair = LinkedPair()
+    loop = LateLoop(pair, seconds)
+    for _ in range(20):
+        loop.turn()
+    assert pair.downs == {}
+    pair.silence()
+    for _ in range(math.ceil(1.5 / seconds) + 2):
+        loop.turn()
+    assert set(pair.downs) == {"agent-1", "entry-1"}
+
+
 def test_peers_hear_of_a_host_at_once_after_its_suspension() -> None:
     pair = LinkedPair()
     pair.run(20)
