--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -82,6 +82,11 @@
     decide_after_stream_attempt,
 )
 from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
+from lavenderrun.dispatch._suspension_series import (
+    MAX_SUSPENSIONS,
+    SERIES_END,
+    SuspensionSeries,
+)
 from lavenderrun.dispatch._unreached import UnreachedAddresses, find_return
 
 __all__ = [
@@ -89,12 +94,14 @@
     "MAX_QUEUE_WAIT",
     "MAX_ROLE_CHANGE_TIME",
     "MAX_SHARED_PARTS",
+    "MAX_SUSPENSIONS",
     "MIN_SERVICE_TIME",
     "MIN_SUSPICION",
     "PLACEMENTS",
     "QUIET_SHARE",
     "RESENDS",
     "REVIEW_PAUSE",
+    "SERIES_END",
     "Access",
     "AttemptDecision",
     "AttemptOutcome",
@@ -145,6 +152,7 @@
     "StreamDecision",
     "StreamSituation",
     "SuspectTracker",
+    "SuspensionSeries",
     "TimeLimitHistory",
     "UnreachedAddresses",
     "authorize_call",
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -24,8 +24,10 @@
     decode_msgpack,
     parse_address,
 )
+from lavenderrun.dispatch import SuspensionSeries
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log
+from lavenderrun.gateway._peer_probe import PeerProbe
 from lavenderrun.gateway._ports import RowChange, RowWrite, StoreRefusal
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore
@@ -74,6 +76,9 @@
 """Delay of this host's own timer from which its process was suspended or busy: what the others sent
 meanwhile is not read yet, so that time is no silence of theirs."""
 
+LATE_READ_TIME: Final = timedelta(milliseconds=50)
+"""Time after such a delay in which what the others sent meanwhile is read."""
+
 REMOVED_AFTER: Final = timedelta(seconds=10)
 """Silence after which a host's row is removed; a host that is still alive writes it again."""
 
@@ -171,6 +176,8 @@
     :ivar make_report: makes this host's peer report; set by the service ``view``.
     :ivar on_hosts_changed: called when rows of gateways change, with all other hosts and since when
         each has been known or silent; set by the service ``view``.
+    :ivar on_process_ended: called with a silent host whose process is known to have ended; set by
+        the service ``view``.
     :ivar follower: reads the table of gateways.
     """
 
@@ -191,12 +198,17 @@
         self._row_version = 0
         self._last_sent: datetime = kernel.clock.now()
         self._tick_due: datetime = kernel.clock.now()
+        self._ticked: datetime = kernel.clock.now()
+        self._suspensions = SuspensionSeries()
+        self._silence_timer: Timer | None = None
         self.boot = BootId(uuid4().hex[:12])
         self.make_report: Callable[[], PeerReport] = lambda: PeerReport(
             self._host, self.boot, DocumentVersion(0), {}, {}
         )
         self._watchers: list[Callable[[PeerReport], None]] = []
         self.on_hosts_changed: Callable[[dict[HostId, datetime]], None] = lambda _hosts: None
+        self.on_process_ended: Callable[[HostId], None] = lambda _host: None
+        self._probe: PeerProbe | None = None
         self.follower = TableFollower(
             self._rows,
             self._table,
@@ -213,6 +225,7 @@
 
         loop: Any = reactor
         host, port = parse_address(self._address)
+        self._probe = PeerProbe(loop, self._clock, self._note_process_end)
         self._port = loop.listenUDP(port, self._report_protocol, interface=host)
         self.follower.start()
         self._announce()
@@ -221,7 +234,7 @@
 
     async def stop(self) -> None:
         """Stop reporting and remove this host's row."""
-        for timer in (self._timer, self._early_timer):
+        for timer in (self._timer, self._early_timer, self._silence_timer):
             if timer is not None:
                 timer.cancel()
         self.follower.stop()
@@ -354,9 +367,12 @@
     def _tick(self) -> None:
         now = self._clock.now()
         delay = now - self._tick_due
-        if delay > MAX_DELAY:
+        if delay <= MAX_DELAY:
+            self._suspensions.note_run(now - self._ticked)
+        elif self._suspensions.note_late_turn():
             for peer in self._peers.values():
                 peer.excuse(delay, now)
+        self._ticked = now
         # an early report postpones the regular one
         due = self._last_sent + self.report_interval
         if self._clock.now() >= due or self.count_hosts() <= MAX_HOSTS_AT_REPORT_INTERVAL:
@@ -364,13 +380,32 @@
             due = self._clock.now() + self.report_interval
         self._tick_due = due
         self._timer = self._clock.call_later(due - self._clock.now(), self._tick)
-        now, lost_after = self._clock.now(), self.lost_after
+        if delay <= MAX_DELAY:
+            self._check_silences(self._clock.now())
+            return
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+        self._silence_timer = self._clock.call_later(LATE_READ_TIME, self._check_silences, now)
+
+    def _check_silences(self, now: datetime) -> None:
+        """Find the hosts that were silent at *now*, by all that has been read since."""
+        lost_after = self.lost_after
         for host, peer in list(self._peers.items()):
             if peer.last_report is not None and now - peer.last_report >= lost_after:
                 log("peers:lost", "peers: host stopped reporting", peer=host)
                 peer.since, peer.last_report = peer.last_report, None
             if now - peer.last_heard > REMOVED_AFTER:
                 self._remove_row(host, peer, now)
+        if self._probe is not None:
+            self._probe.probe(self._list_silent(now))
+
+    def _list_silent(self, now: datetime) -> list[tuple[HostId, tuple[str, int]]]:
+        silent_from = now - self.lost_after
+        return [(h, p.address) for h, p in self._peers.items() if p.last_heard <= silent_from]
+
+    def _note_process_end(self, host: HostId) -> None:
+        log("peers:ended", "peers: process of a silent host has ended", peer=host)
+        self.on_process_ended(host)
 
     def _send(self, data: bytes, peer: _PeerState) -> None:
         transport: Any = self._report_protocol.transport
