--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -22,6 +22,7 @@
     PartReport,
     ServerCrash,
 )
+from lavenderrun.dispatch._crashing_texts import CrashingTexts, TextReport
 from lavenderrun.dispatch._departures import DepartureNotice, DepartureNotices
 from lavenderrun.dispatch._grace_period import GracePeriod
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
@@ -111,6 +112,7 @@
     "CallRequirements",
     "CallSilence",
     "CrashingParts",
+    "CrashingTexts",
     "DepartureNotice",
     "DepartureNotices",
     "EngineEvidence",
@@ -153,6 +155,7 @@
     "StreamSituation",
     "SuspectTracker",
     "SuspensionSeries",
+    "TextReport",
     "TimeLimitHistory",
     "UnreachedAddresses",
     "authorize_call",
