End calls that fail unexpectedly at an agent with their true outcome

Callers saw: when an agent met an unexpected error in the handling of a message about a call, the call waited for a time-out of its entry, its decode slot or its place at the plain server was lost until the agent was started anew, the messages of other calls behind it in the batch were dropped, and the task that read the link ended, so that the link was closed as silent. An order whose execution raised left its agent drained.

Cause: agents had no boundary around the work on one call.

Change: JobBoundary is around all work of the plain, decode and prefill agents on a call: handlers of messages, actions of the schedulers, the end of the work and each part of its output. An error ends the call: the agent makes sure that it never starts and says not run, or says unknown where it has started or where its revocation failed; slot, KV blocks, export and place are freed. A call that may run once goes on when only a message about it failed, so that its reply can still be asked for; a reply that lost a part is not kept. Each such end is an event with the id, a log line and a counter. A failed order is answered as failed and frees its agent. LinksService runs each handler by itself, logs and counts what it raises, so that other messages, handlers and the link go on.

--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -30,6 +30,7 @@
 from lavenderrun.services._decode_job import DecodeJob
 from lavenderrun.services._drain import Drain
 from lavenderrun.services._event_emitter import EventEmitter
+from lavenderrun.services._job_boundary import JobBoundary
 from lavenderrun.services._movable_timer import MovableTimer
 from lavenderrun.services._policies import PolicyNames
 from lavenderrun.types import (
@@ -90,15 +91,17 @@
         )
         self._jobs: dict[JobKey, DecodeJob] = {}
         self._timer = MovableTimer(kernel.clock, self._tick)
+        self._boundary = JobBoundary(self._events, self._backend, self._fail_job)
 
     def start(self) -> None:
         """Subscribe to the messages of entries and report load."""
-        self._links.subscribe(Reserve, self._handle_reserve)
-        self._links.subscribe(Start, self._handle_start)
-        self._links.subscribe(Cancel, self._handle_cancel)
-        self._links.subscribe(Revoke, self._handle_revoke)
-        self._links.subscribe(Ack, self._handle_ack)
-        self._links.subscribe(Resume, self._handle_resume)
+        guard = self._boundary.guard
+        self._links.subscribe(Reserve, guard(self._handle_reserve))
+        self._links.subscribe(Start, guard(self._handle_start))
+        self._links.subscribe(Cancel, guard(self._handle_cancel))
+        self._links.subscribe(Revoke, guard(self._handle_revoke))
+        self._links.subscribe(Ack, guard(self._handle_ack))
+        self._links.subscribe(Resume, guard(self._handle_resume))
         self._links.watch(lambda link: None, self._handle_link_down)
         self._links.bind_load(self._scheduler.load)
 
@@ -185,7 +188,7 @@
         for action in actions:
             job = self._jobs.get(action.key)
             if job is not None:
-                self._apply_action(action, job)
+                self._boundary.run(action.key, self._apply_action, action, job)
         self._timer.set(self._scheduler.next_tick(self._clock.now()))
         self._drain.finish_if_idle()
 
@@ -241,11 +244,16 @@
             start.handle,
             start.source,
             max_tokens=start.max_tokens,
-            sink=job.take_tokens,
-        )
-        job.task.done.addCallbacks(
-            self._finish, self._fail, callbackArgs=(key, job), errbackArgs=(key, job)
+            sink=partial(self._boundary.run, key, job.take_tokens),
         )
+        job.task.done.addBoth(self._end_task, key, job)
+
+    def _end_task(self, result: Failure | None, key: JobKey, job: DecodeJob) -> None:
+        job.task = None
+        if isinstance(result, Failure):
+            self._boundary.run(key, self._fail, result, key, job)
+        else:
+            self._boundary.run(key, self._finish, result, key, job)
 
     def _record_first_tokens(self, job: DecodeJob, start: Start, began: datetime) -> None:
         self._breaker.record_success()
@@ -263,25 +271,51 @@
         self._free_slot(key, job, whole=whole)
 
     def _fail(self, failure: Failure, key: JobKey, job: DecodeJob) -> None:
-        if self._jobs.pop(key, None) is job:
-            crashed = isinstance(failure.value, BackendCrashError)
-            if crashed:
-                self._events.emit(BackendCrashed(self._backend, [job.reserve.fingerprint]))
+        if self._jobs.get(key) is job:
             error = failure.value
-            self._handle_backend_failure(error)
+            crashed = isinstance(error, BackendCrashError)
             step = error.step if isinstance(error, StepError) else Step.DECODE
             started = step is not Step.TRANSFER and not isinstance(error, BackendDownError)
             outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
             refused = Refused(Refusal.BACKEND_LOST, outcome, step)
             job.link.send(AttemptFailed(*key, refused, started=started, crashed=crashed))
+            del self._jobs[key]
+            if crashed:
+                self._events.emit(BackendCrashed(self._backend, [job.reserve.fingerprint]))
+            self._handle_backend_failure(error)
         self._free_slot(key, job, whole=False)
 
     def _free_slot(self, key: JobKey, job: DecodeJob, *, whole: bool) -> None:
-        job.task = None
         self._events.emit(BackendEnded(*key, self._backend))
         self._events.emit(SeatFreed(*key, self._backend))
         self._apply(self._scheduler.end(key, self._clock.now(), whole=whole))
 
+    def _fail_job(self, key: JobKey, link: Link | None) -> None:
+        """End an attempt after an unexpected error, and free what it holds."""
+        job = self._jobs.pop(key, None)
+        started, actions = self._scheduler.revoke(key, self._clock.now())
+        if link is None and job is not None:
+            link = job.link
+        if link is not None:
+            outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
+            step = Step.DECODE if started else Step.SEAT
+            refused = Refused(Refusal.INTERNAL, outcome, step, self._backend)
+            link.send(AttemptFailed(*key, refused, started=started))
+        if job is not None:
+            self._free_job(key, job, started=started)
+        elif self._scheduler.find_state(key) is not None:
+            actions = self._scheduler.end(key, self._clock.now(), whole=False)
+        self._apply(actions)
+
+    def _free_job(self, key: JobKey, job: DecodeJob, *, started: bool) -> None:
+        job.cancel_timer()
+        if job.task is not None:
+            job.task.cancel()
+        elif self._scheduler.find_state(key) is not None:
+            self._free_slot(key, job, whole=False)
+        elif job.has_slot and not started:
+            self._events.emit(SeatFreed(*key, self._backend))
+
     # output
 
     def _handle_ack(self, _link: Link, ack: Ack) -> None:
--- a/src/lavenderrun/services/_links.py
+++ b/src/lavenderrun/services/_links.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from lavenderrun.codecs import WireCodec
+from lavenderrun.http_server import describe_error
 from lavenderrun.kernel import SERVICES, Clock, Kernel, Timer
 from lavenderrun.services._peer_link import LinkState, PeerLink
 from lavenderrun.services._wakes import WakesService
@@ -32,13 +33,17 @@
 
 
 class LinksService:
-    """Implements ``Links``: passes messages between peers and the services of this host."""
+    """Implements ``Links``: passes messages between peers and the services of this host.
+
+    :ivar failed_messages: messages whose handling ended by an unexpected error.
+    """
 
     needs: ClassVar[tuple[str, ...]] = ("transport", "wakes")
 
     def __init__(
         self, clock: Clock, hello: Hello, transport: Transport, wakes: WakesService
     ) -> None:
+        self.failed_messages = 0
         self._clock = clock
         self._hello = hello
         self._transport = transport
@@ -177,7 +182,7 @@
         self._redial_delays.pop(link.address, None)
         self._log("links:up", "links: peer is up", link, "")
         for up, _ in self._watchers:
-            up(link)
+            self._run_handler(link, None, up, link)
 
     def remove_link(self, link: PeerLink, reason: str) -> None:
         """Remove a closed link and schedule the redial."""
@@ -190,19 +195,36 @@
         if link.was_live:
             self._log("links:down", "links: peer is down", link, reason)
             for _, down in self._watchers:
-                down(link)
+                self._run_handler(link, None, down, link)
 
     def dispatch_batch(
         self, link: PeerLink, version: DocumentVersion, messages: list[Message]
     ) -> None:
         """Pass each message of a batch to its subscribers."""
         if self._note_version is not None:
-            self._note_version(version, link)
+            self._run_handler(link, None, self._note_version, version, link)
         for message in messages:
             if isinstance(message, Heartbeat) or link.state is LinkState.CLOSED:
                 continue
             for handler in self._handlers.get(type(message), ()):
-                handler(link, message)
+                self._run_handler(link, message, handler, link, message)
+
+    def _run_handler(
+        self, link: PeerLink, message: Message | None, handler: Callable[..., None], *args: Any
+    ) -> None:
+        """Run a handler of what came over a link, so that its errors don't hit other handlers."""
+        try:
+            handler(*args)
+        except Exception as error:
+            self.failed_messages += 1
+            log_message(
+                "links:failed",
+                text="links: handler failed with an unexpected error",
+                kind=type(message).__name__ if message is not None else "link",
+                request=getattr(message, "request", None),
+                peer=link.peer.host,
+                error=describe_error(error),
+            )
 
     def _announce_wake(self) -> None:
         # peers have heard nothing for as long, and may be about to close
--- a/src/lavenderrun/services/_metrics_events.py
+++ b/src/lavenderrun/services/_metrics_events.py
@@ -19,6 +19,7 @@
     RequestRefused,
     TokensGranted,
     TokensReturned,
+    WorkFailed,
 )
 
 NO_ROUTE = "none"
@@ -62,6 +63,12 @@
     "Times that the backend server beside this agent died.",
     ("backend",),
 )
+WORK_FAILURES = define_metric(
+    "lavenderrun_agent_failures_total",
+    MetricKind.COUNTER,
+    "Calls that an unexpected error in this agent ended.",
+    ("backend",),
+)
 RATE_TOKENS = define_metric(
     "lavenderrun_rate_tokens_total",
     MetricKind.COUNTER,
@@ -151,6 +158,12 @@
     metrics.values.add(BACKEND_CRASHES, 1, data.backend)
 
 
+@register_observer(WorkFailed)
+def count_work_failure(metrics: MetricsService, _event: Event, data: WorkFailed) -> None:
+    """Count a call that an unexpected error ended."""
+    metrics.values.add(WORK_FAILURES, 1, data.backend)
+
+
 @register_observer(TokensGranted)
 def count_granted(metrics: MetricsService, _event: Event, data: TokensGranted) -> None:
     """Count the tokens and requests that a client account was charged."""
--- a/src/lavenderrun/services/_metrics_states.py
+++ b/src/lavenderrun/services/_metrics_states.py
@@ -57,6 +57,16 @@
     return {(role,): number for role, number in roles.items()}
 
 
+@register_reader(
+    "lavenderrun_failed_messages_total",
+    "Messages of other daemons whose handling ended by an unexpected error.",
+    kind=MetricKind.COUNTER,
+)
+def read_failed_messages(kernel: Kernel) -> Readings:
+    """Return the number of messages whose handling failed."""
+    return {(): kernel.find("links", LinksService).failed_messages}
+
+
 @register_reader(
     "lavenderrun_seats",
     "Seats of backend servers, own or as last heard: all, taken, and requests queued.",
--- a/src/lavenderrun/services/_order_agent.py
+++ b/src/lavenderrun/services/_order_agent.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import ClassVar, Protocol
 
@@ -13,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from lavenderrun.decisions import FencingGuard
+from lavenderrun.http_server import describe_error
 from lavenderrun.kernel import SERVICES, Kernel, Timer
 from lavenderrun.types import (
     BackendRole,
@@ -91,6 +93,12 @@
         self._send_report(link)
 
     def _handle_order(self, link: Link, order: Order) -> None:
+        try:
+            self._take_order(link, order)
+        except Exception as error:
+            self._fail_unexpectedly(order, error, link)
+
+    def _take_order(self, link: Link, order: Order) -> None:
         if not self._fencing_guard.accept(order.fencing):
             self._log("orders:fenced", "orders: order refused, its fencing number is old", order)
             link.send(OrderAnswer(order.number, OrderOutcome.FENCED))
@@ -114,7 +122,9 @@
     def _wait_for_jobs(self, order: Order) -> None:
         """Execute the order once all jobs have ended, unless a later lease holder took over."""
         if self._count_jobs() > 0:
-            timer = self._clock.call_later(DRAIN_POLL_INTERVAL, self._wait_for_jobs, order)
+            timer = self._clock.call_later(
+                DRAIN_POLL_INTERVAL, self._run_step, order, self._wait_for_jobs, order
+            )
             self._timers["drain"] = timer
         elif self._fencing_guard.highest != order.fencing:
             self._end(order, OrderOutcome.FENCED, "a later lease holder took over")
@@ -125,9 +135,12 @@
         if order.kind is not OrderKind.LOAD_ADAPTER:
             self._change_state(ServingState.LOADING)
         done = self._engine.execute(order)
-        done.addCallbacks(self._finish, self._fail, (order,), {}, (order,))
+        done.addCallbacks(
+            lambda _: self._run_step(order, self._finish, order),
+            lambda failure: self._run_step(order, self._fail, failure, order),
+        )
 
-    def _finish(self, _: None, order: Order) -> None:
+    def _finish(self, order: Order) -> None:
         loaded = self._loaded
         if order.kind is OrderKind.LOAD_MODEL:
             self._loaded = LoadedModel(order.model, order.revision, [], loaded.role)
@@ -141,6 +154,28 @@
     def _fail(self, failure: Failure, order: Order) -> None:
         self._end(order, OrderOutcome.FAILED, failure.getErrorMessage())
 
+    def _run_step(self, order: Order, step: Callable[..., None], *args: object) -> None:
+        try:
+            step(*args)
+        except Exception as error:
+            self._fail_unexpectedly(order, error, None)
+
+    def _fail_unexpectedly(self, order: Order, error: Exception, link: Link | None) -> None:
+        """End an order after an unexpected error; what is loaded then is read from the engine."""
+        detail = describe_error(error)
+        is_begun = self._order is order and self._outcome is OrderOutcome.BEGUN
+        log_message(
+            "orders:unexpected",
+            text="orders: order failed with an unexpected error",
+            backend=self._hello.backend,
+            number=order.number,
+            error=detail,
+        )
+        if is_begun:
+            self._end(order, OrderOutcome.FAILED, detail)
+        elif link is not None:
+            link.send(OrderAnswer(order.number, OrderOutcome.FAILED, detail))
+
     def _end(self, order: Order, outcome: OrderOutcome, detail: str) -> None:
         self._outcome, self._detail = outcome, detail
         self._log(f"orders:{outcome.value}", f"orders: order {outcome.value}", order)
--- a/src/lavenderrun/services/_plain_agent.py
+++ b/src/lavenderrun/services/_plain_agent.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from functools import partial
 from typing import ClassVar
 
 from eliot import log_message
@@ -12,6 +14,7 @@
 from lavenderrun.kernel import SERVICES, Kernel, Timer
 from lavenderrun.services._drain import Drain
 from lavenderrun.services._event_emitter import EventEmitter
+from lavenderrun.services._job_boundary import GuardedReplySink, JobBoundary
 from lavenderrun.services._kept_replies import KeptReplies
 from lavenderrun.services._movable_timer import MovableTimer
 from lavenderrun.services._plain_job import JobState, PlainJob
@@ -76,15 +79,17 @@
         self._body_bytes = 0
         self._deadline_timer = MovableTimer(kernel.clock, self._start_queued)
         self._drain = Drain(kernel.clock, self._is_busy)
+        self._boundary = JobBoundary(self._events, self._backend, self._fail_call)
 
     def start(self) -> None:
         """Subscribe to entries' messages and links, and report load."""
-        self._links.subscribe(Call, self._handle_call)
-        self._links.subscribe(CallBody, self._handle_body)
-        self._links.subscribe(Ack, self._handle_ack)
-        self._links.subscribe(Resume, self._handle_resume)
-        self._links.subscribe(Revoke, self._handle_revoke)
-        self._links.subscribe(Cancel, self._handle_cancel)
+        guard = self._boundary.guard
+        self._links.subscribe(Call, guard(self._handle_call))
+        self._links.subscribe(CallBody, guard(self._handle_body))
+        self._links.subscribe(Ack, guard(self._handle_ack))
+        self._links.subscribe(Resume, guard(self._handle_resume))
+        self._links.subscribe(Revoke, guard(self._handle_revoke, self._fail_revoke))
+        self._links.subscribe(Cancel, guard(self._handle_cancel))
         self._links.watch(lambda link: None, self._handle_link_down)
         self._links.bind_load(self.load)
 
@@ -166,7 +171,7 @@
             waiting = self._queue.pop(now)
             if waiting is None:
                 break
-            self._start_call(self._jobs[waiting.key])
+            self._boundary.run(waiting.key, self._start_call, self._jobs[waiting.key])
         self._deadline_timer.set(self._queue.next_deadline())
 
     def _refuse_late(self, key: JobKey) -> None:
@@ -194,21 +199,43 @@
             queued=len(self._queue),
         )
         body = self._release_body(job)
-        running = self._plain.call(call.request, call.method, call.target, call.headers, body, job)
+        sink = GuardedReplySink(job, partial(self._run_reply_step, job))
+        try:
+            running = self._plain.call(
+                call.request, call.method, call.target, call.headers, body, sink
+            )
+        except Exception:
+            self._free_place(job, now)
+            raise
         job.running = running
-        running.done.addBoth(lambda _: self._end_running(job, now))
+        running.done.addBoth(lambda _: self._boundary.run(job.key, self._end_running, job, now))
+
+    def _run_reply_step(self, job: PlainJob, step: Callable[..., None], *args: object) -> None:
+        def run() -> None:
+            job.is_sound = False
+            step(*args)
+            job.is_sound = True
+
+        # nothing is added to a reply that lacks a part
+        if job.is_sound:
+            self._boundary.run(job.key, run)
 
     def _release_body(self, job: PlainJob) -> bytes:
         self._body_bytes -= job.body_bytes
         return job.release_body()
 
-    def _end_running(self, job: PlainJob, started_at: object) -> None:
+    def _end_running(self, job: PlainJob, started_at: datetime) -> None:
+        try:
+            self._free_place(job, started_at)
+        finally:
+            self._start_queued()
+            self._drain.finish_if_idle()
+
+    def _free_place(self, job: PlainJob, started_at: datetime) -> None:
         self._running -= 1
-        self._cost.add((self._clock.now() - started_at).total_seconds())  # type: ignore[operator]
-        self._events.emit(BackendEnded(*job.key, self._backend))
         job.running = None
-        self._start_queued()
-        self._drain.finish_if_idle()
+        self._cost.add((self._clock.now() - started_at).total_seconds())
+        self._events.emit(BackendEnded(*job.key, self._backend))
 
     def _handle_reply_end(self, job: PlainJob) -> None:
         now, refused = self._clock.now(), job.refused
@@ -286,14 +313,40 @@
     def _handle_link_down(self, link: Link) -> None:
         jobs = [*self._jobs.values(), *self._kept_replies.list_jobs()]
         for job in [job for job in jobs if job.link is link]:
-            job.detach()
-            if job.state in (JobState.RECEIVING, JobState.QUEUED):
-                self._drop(job)
-            elif job.state is JobState.RUNNING and not job.is_at_most_once:
-                self._set_timer(job.key, RECONNECT_TIMEOUT, self._drop_key)
+            self._boundary.run(job.key, self._detach, job)
+
+    def _detach(self, job: PlainJob) -> None:
+        job.detach()
+        if job.state in (JobState.RECEIVING, JobState.QUEUED):
+            self._drop(job)
+        elif job.state is JobState.RUNNING and not job.is_at_most_once:
+            self._set_timer(job.key, RECONNECT_TIMEOUT, self._drop_key)
 
     # end of calls
 
+    def _fail_call(self, key: JobKey, link: Link | None) -> None:
+        """End a call after an unexpected error; the entry learns whether it may have begun."""
+        self._end_failed(key, link, started=self._history.revoke(key, self._clock.now()))
+
+    def _fail_revoke(self, key: JobKey, link: Link | None) -> None:
+        """End a call whose revocation failed, so that no one relies on it."""
+        self._end_failed(key, link, started=True)
+
+    def _end_failed(self, key: JobKey, link: Link | None, *, started: bool) -> None:
+        job = self._find(key)
+        if link is None and job is not None:
+            link = job.link
+        if link is not None:
+            self._send_failure(link, key, Refusal.INTERNAL, started=started)
+        if job is None:
+            return
+        # what a later try may ask for is kept if it is whole
+        has_begun = job.running is not None or job.state is JobState.ENDED
+        if job.is_at_most_once and job.is_sound and has_begun:
+            job.detach()
+        else:
+            self._drop(job)
+
     def _send_failure(self, link: Link, key: JobKey, refusal: Refusal, *, started: bool) -> None:
         outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
         refused = Refused(refusal, outcome, Step.CALL, self._backend, RETRY_AFTER)
--- a/src/lavenderrun/services/_plain_job.py
+++ b/src/lavenderrun/services/_plain_job.py
@@ -38,6 +38,7 @@
 class PlainJob:
     """A call on its agent, and the ``ReplySink`` for its reply from the backend server.
 
+    :ivar is_sound: whether each part of the reply was kept and sent without an unexpected error.
     :ivar kept_bytes: bytes of the reply that were held when the call finished.
     :param link: link to the entry, ``None`` once detached.
     :param on_end: called once, at the end of the reply or its refusal.
@@ -51,6 +52,7 @@
         self.running: BackendTask | None = None
         self.refused: Refused | None = None
         self.is_whole = False
+        self.is_sound = True
         self.kept_bytes = 0
         self._on_end = on_end
         self._body = [call.body]
--- a/src/lavenderrun/services/_prefill_agent.py
+++ b/src/lavenderrun/services/_prefill_agent.py
@@ -25,6 +25,7 @@
 from lavenderrun.services._circuit_breaker import BackendCircuitBreaker
 from lavenderrun.services._drain import Drain
 from lavenderrun.services._event_emitter import EventEmitter
+from lavenderrun.services._job_boundary import JobBoundary
 from lavenderrun.services._movable_timer import MovableTimer
 from lavenderrun.services._policies import PolicyNames
 from lavenderrun.types import (
@@ -87,11 +88,12 @@
         )
         self._jobs: dict[JobKey, PrefillJob] = {}
         self._timer = MovableTimer(kernel.clock, self._tick)
+        self._boundary = JobBoundary(self._events, self._backend, self._fail_job)
 
     def start(self) -> None:
         """Subscribe to the messages of entries and report load."""
-        self._links.subscribe(Prefill, self._handle_prefill)
-        self._links.subscribe(Cancel, self._handle_cancel)
+        self._links.subscribe(Prefill, self._boundary.guard(self._handle_prefill))
+        self._links.subscribe(Cancel, self._boundary.guard(self._handle_cancel))
         self._links.watch(lambda link: None, self._handle_link_down)
         self._links.bind_load(self.load)
 
@@ -157,7 +159,7 @@
         for action in actions:
             job = self._jobs.get(action.key)
             if job is not None:
-                self._apply_action(action, job)
+                self._boundary.run(action.key, self._apply_action, action, job)
         self._timer.set(self._scheduler.next_tick())
         self._drain.finish_if_idle()
 
@@ -184,9 +186,14 @@
         self._events.emit(PrefillStarted(*key, self._backend, prefill.tokens))
         job.started_at = self._clock.now()
         job.result = self._engine.prefill(prefill.request, prefill.model, prefill.text)
-        job.result.addCallbacks(
-            self._finish, self._fail, callbackArgs=(key, job), errbackArgs=(key, job)
-        )
+        job.result.addBoth(self._end_prefill, key, job)
+
+    def _end_prefill(self, result: Export | Failure, key: JobKey, job: PrefillJob) -> None:
+        job.result = None
+        if isinstance(result, Failure):
+            self._boundary.run(key, self._fail, result, key, job)
+        else:
+            self._boundary.run(key, self._finish, result, key, job)
 
     def _finish(self, export: Export, key: JobKey, job: PrefillJob) -> None:
         self._breaker.record_success()
@@ -215,11 +222,11 @@
     def _fail(self, failure: Failure, key: JobKey, job: PrefillJob) -> None:
         if self._jobs.get(key) is not job or isinstance(failure.value, CancelledError):
             return
-        del self._jobs[key]
         crashed = isinstance(failure.value, BackendCrashError)
-        self._breaker.record_failure(failure.value)
         refused = Refused(Refusal.BACKEND_LOST, Outcome.UNKNOWN, Step.PREFILL)
         job.link.send(AttemptFailed(*key, refused, started=False, crashed=crashed))
+        del self._jobs[key]
+        self._breaker.record_failure(failure.value)
         self._apply(self._scheduler.fail(key, self._clock.now()))
 
     def _handle_cancel(self, _link: Link, cancel: Cancel) -> None:
@@ -228,7 +235,24 @@
     def _handle_link_down(self, link: Link) -> None:
         for key in [key for key, job in self._jobs.items() if job.link is link]:
             if self._jobs[key].export is None:
-                self._cancel_job(key)
+                self._boundary.run(key, self._cancel_job, key)
+
+    def _fail_job(self, key: JobKey, link: Link | None) -> None:
+        """End a prefill after an unexpected error, and free what it holds."""
+        job = self._jobs.pop(key, None)
+        if link is None and job is not None:
+            link = job.link
+        if link is not None:
+            started = job is None or job.started_at is not None
+            outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
+            refused = Refused(Refusal.INTERNAL, outcome, Step.PREFILL, self._backend)
+            link.send(AttemptFailed(*key, refused, started=False))
+        if job is not None and job.result is not None:
+            job.result.cancel()
+        if job is not None and job.export is not None:
+            self._engine.release(job.export.handle)
+            self._events.emit(ExportFreed(*key, self._backend))
+        self._apply(self._scheduler.cancel(key, self._clock.now()))
 
     def _cancel_job(self, key: JobKey) -> None:
         self._apply(self._scheduler.cancel(key, self._clock.now()))
--- a/src/lavenderrun/services/_record.py
+++ b/src/lavenderrun/services/_record.py
@@ -34,6 +34,7 @@
     SeatTaken,
     TokensGranted,
     TokensReturned,
+    WorkFailed,
 )
 
 LOG_TEXTS: dict[type[EventData], str] = {
@@ -54,6 +55,7 @@
     BackendRun: "backend: work submitted",
     BackendEnded: "backend: work ended",
     BackendCrashed: "backend: crashed",
+    WorkFailed: "agent: call failed with an unexpected error",
     TokensGranted: "limits: account charged",
     TokensReturned: "limits: unused tokens returned",
     DocumentInForce: "document: version in force",
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -67,6 +67,7 @@
     SeatTaken,
     TokensGranted,
     TokensReturned,
+    WorkFailed,
     event,
 )
 from ._gateway_settings import (
@@ -470,6 +471,7 @@
     "TracedHandle",
     "Transport",
     "WeightedService",
+    "WorkFailed",
     "event",
     "message",
 ]
--- a/src/lavenderrun/types/_events.py
+++ b/src/lavenderrun/types/_events.py
@@ -170,6 +170,16 @@
     fingerprints: list[Fingerprint]
 
 
+@event("work_failed")
+class WorkFailed(AttemptEventData, tag="work_failed", frozen=True):
+    """An unexpected error ended an agent's work on an attempt.
+
+    :param error: type and place of the error, without its text.
+    """
+
+    error: str
+
+
 @event("export_held")
 class ExportHeld(AttemptEventData, tag="export_held", frozen=True):
     """An engine holds exported KV cache for a request."""
--- a/tests/services/test_links.py
+++ b/tests/services/test_links.py
@@ -194,3 +194,40 @@
     # 30 requests, and a heartbeat each way every five seconds
     assert len(sent) <= 30 + 2 * 7
     assert pair.downs == {}
+
+
+# an error in one handler dropped the other messages of its batch, and the link was read no more
+def test_an_unexpected_error_in_a_handler_hits_no_other_message_and_no_other_handler() -> None:
+    pair = LinkedPair()
+    first = Cancel(RequestId("r0"), AttemptId(1))
+
+    def fail(_link: Link, message: Cancel) -> None:
+        if message == first:
+            raise RuntimeError
+
+    pair.agent._handlers[Cancel].insert(0, fail)
+    for message in (first, CANCEL):
+        pair.link_to_agent().send(message)
+    pair.run(0.1)
+    assert pair.received == [first, CANCEL]
+    assert pair.agent.failed_messages == 1
+    pair.link_to_agent().send(CANCEL)
+    pair.run(5)
+    assert pair.received == [first, CANCEL, CANCEL]
+    assert pair.downs == {}
+
+
+def test_an_unexpected_error_in_a_watcher_of_links_hits_no_other_watcher() -> None:
+    pair = LinkedPair()
+
+    def fail(_link: Link) -> None:
+        raise RuntimeError
+
+    pair.agent._watchers.insert(0, (fail, fail))
+    pair.silence()
+    pair.run(2.5)
+    assert set(pair.downs) == {"agent-1", "entry-1"}
+    assert pair.agent.failed_messages == 2
+    pair.link_to_agent().send(CANCEL)
+    pair.run(0.1)
+    assert pair.received == [CANCEL]
