Refuse requests with a text inside their lines that crashes servers

What callers saw: unlike requests that share a text inside a line, or in their only one, each ended as many backend servers as they have attempts (three), with the streams that ran there. None was refused before it ran.

Cause: entries take the lines of a prompt but the last for its parts, so a text that lies inside a line, or in the last one, is part of no evidence.

Change: a crash keeps the words and pairs of adjacent words of requests that had not begun to be answered; an answer takes its own out of all crashes of requests sent before. A text in three separate crashes, or in five if it was ever answered or servers crash without it in between, is identified. A request is refused only if it has all that these crashes have in common, so a template around the text refuses no sound request. Entries send crashes and cleared texts over their links; the new service crashing_texts holds this and the evidence by lines, which moved there from the quarantine unchanged.

Evidence: the new tests in tests/services/test_quarantine.py failed before (18 crashes against 8, and no refusal at an entry that starts later), and pass.

--- a/src/lavenderrun/daemons/_service_lists.py
+++ b/src/lavenderrun/daemons/_service_lists.py
@@ -14,6 +14,7 @@
     "admission",
     "limits",
     "quarantine",
+    "crashing_texts",
     "membership",
     "model_router",
     "plain_router",
--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -5,7 +5,7 @@
 from lavenderrun.decisions import _invariants_fleet as _invariants_fleet
 from lavenderrun.decisions import _invariants_notices as _invariants_notices
 from lavenderrun.decisions import _invariants_requests as _invariants_requests
-from lavenderrun.decisions._admission import AdmissionIndex, find_shared_parts
+from lavenderrun.decisions._admission import AdmissionIndex
 from lavenderrun.decisions._answer_assembly import AnswerAssembly, AnswerProgress
 from lavenderrun.decisions._assignment import Assignment, ModelRole, assign
 from lavenderrun.decisions._attempt_history import AttemptHistory, RetryDecision, find_backoff
@@ -74,6 +74,7 @@
     StartPrefill,
 )
 from lavenderrun.decisions._promises import PROMISE_POLICIES, PromisePolicy
+from lavenderrun.decisions._prompt_texts import SharedTexts, find_texts
 from lavenderrun.decisions._quarantine import (
     MAX_CRASHES,
     ProbeLeases,
@@ -183,6 +184,7 @@
     "RetryBudget",
     "RetryDecision",
     "RunTime",
+    "SharedTexts",
     "SliceHolders",
     "StaleRowDetector",
     "StartDecode",
@@ -206,7 +208,7 @@
     "find_link_patience",
     "find_plain_route",
     "find_probe_coordinator",
-    "find_shared_parts",
+    "find_texts",
     "grant_key",
     "has_majority",
     "hash_blocks",
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -16,6 +16,7 @@
     PartReport,
     ServerCrash,
 )
+from lavenderrun.dispatch._crashing_texts import CrashingTexts, TextReport
 from lavenderrun.dispatch._departures import DepartureNotice, DepartureNotices
 from lavenderrun.dispatch._grace_period import GracePeriod
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
@@ -91,6 +92,7 @@
     "CallDurations",
     "CallRequirements",
     "CrashingParts",
+    "CrashingTexts",
     "DepartureNotice",
     "DepartureNotices",
     "EngineEvidence",
@@ -128,6 +130,7 @@
     "StreamDecision",
     "StreamSituation",
     "SuspectTracker",
+    "TextReport",
     "TimeLimitHistory",
     "UnreachedAddresses",
     "authorize_call",
--- a/src/lavenderrun/dispatch/_crashing_parts.py
+++ b/src/lavenderrun/dispatch/_crashing_parts.py
@@ -187,13 +187,13 @@
         return PartReport(
             {
                 part: [
-                    (crash.server, _to_age(crash.sent, now), _to_age(crash.ended, now))
+                    (crash.server, to_age(crash.sent, now), to_age(crash.ended, now))
                     for crash in self._list_crashes(part, now)
                 ]
                 for part in suspects
             },
             {
-                part: _to_age(self._answered[part], now)
+                part: to_age(self._answered[part], now)
                 for part in (*self._list_cleared(now), *suspects)
                 if part in self._answered
             },
@@ -205,17 +205,17 @@
         Entries beyond the bounds of a report, or with times that cannot be, are left out.
         """
         for part, age in list(report.answered.items())[: 2 * MAX_REPORTED_PARTS]:
-            if _is_id(part) and _is_age(age):
+            if is_id(part) and is_age(age):
                 answered = now - timedelta(seconds=age)
                 if answered > self._answered.get(part, answered - MIN_RESTART_TIME):
                     self._keep_newest(self._answered, part, answered, MAX_ANSWERED_PARTS)
                 self._drop_crashes_before(part, answered)
         is_new = False
         for part, crashes in list(report.crashes.items())[:MAX_REPORTED_PARTS]:
-            if not _is_id(part):
+            if not is_id(part):
                 continue
             for server, sent, ended in crashes[:MAX_CRASHES_OF_PART]:
-                if _is_id(server) and _is_age(sent) and _is_age(ended) and ended <= sent:
+                if is_id(server) and is_age(sent) and is_age(ended) and ended <= sent:
                     crash = ServerCrash(
                         server, now - timedelta(seconds=sent), now - timedelta(seconds=ended)
                     )
@@ -292,13 +292,16 @@
     return count
 
 
-def _to_age(time: datetime, now: datetime) -> float:
+def to_age(time: datetime, now: datetime) -> float:
+    """Return the seconds that have passed since *time*."""
     return round(max(timedelta(0), now - time).total_seconds(), 3)
 
 
-def _is_age(seconds: float) -> bool:
+def is_age(seconds: float) -> bool:
+    """Tell whether a reported age is one that evidence may have."""
     return 0 <= seconds <= MAX_EVIDENCE_AGE.total_seconds()
 
 
-def _is_id(text: str) -> bool:
+def is_id(text: str) -> bool:
+    """Tell whether a reported id has a length that ids may have."""
     return 0 < len(text) <= MAX_PART_LENGTH
--- a/src/lavenderrun/services/__init__.py
+++ b/src/lavenderrun/services/__init__.py
@@ -10,6 +10,7 @@
 from lavenderrun.services._admin_endpoints import ADMIN_ENDPOINTS
 from lavenderrun.services._admission import AdmissionService
 from lavenderrun.services._certificates import CertificateError
+from lavenderrun.services._crashing_texts import CrashingTextsService
 from lavenderrun.services._decode_agent import DecodeAgent
 from lavenderrun.services._departure import DepartureAnnouncer
 from lavenderrun.services._document import DocumentService
@@ -51,6 +52,7 @@
     "AdmissionService",
     "BytesBody",
     "CertificateError",
+    "CrashingTextsService",
     "DecodeAgent",
     "DepartureAnnouncer",
     "DocumentService",
--- /dev/null
+++ b/src/lavenderrun/services/_crashing_texts.py
@@ -0,0 +1,150 @@
+"""Service ``crashing_texts``: lines and texts of prompts that crash backend servers."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import ClassVar
+
+from eliot import log_message
+
+from lavenderrun.dispatch import (
+    CrashingParts,
+    CrashingTexts,
+    PartReport,
+    ServerCrash,
+    TextReport,
+)
+from lavenderrun.kernel import SERVICES, Kernel
+from lavenderrun.types import (
+    AttemptId,
+    HostId,
+    HostRole,
+    Incarnation,
+    Link,
+    Links,
+    PartEvidence,
+    PromptTexts,
+    RequestId,
+    TextEvidence,
+    TextId,
+)
+
+MAX_LOST_LENGTH = 64
+"""Length of the name of a lost attempt: entries take no longer ones from one another."""
+
+
+class CrashingTextsService:
+    """Collects crashes and answers of requests by the lines and texts of their prompts.
+
+    Entries send their evidence to one another over their links.
+    """
+
+    needs: ClassVar[tuple[str, ...]] = ("links",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._clock = kernel.clock
+        self._links = kernel.find("links", Links)
+        self._host: HostId = kernel.settings.hello().host
+        self._parts = CrashingParts()
+        self._texts = CrashingTexts()
+        self._refused_texts: set[TextId] = set()
+
+    def start(self) -> None:
+        """Subscribe to the evidence of other entries."""
+        self._links.subscribe(PartEvidence, self._handle_part_evidence)
+        self._links.subscribe(TextEvidence, self._handle_text_evidence)
+        self._links.watch(self._send_evidence, lambda link: None)
+
+    def stop(self) -> None:
+        """Do nothing: no call of this service waits."""
+
+    def is_crashing(self, prompt: PromptTexts) -> bool:
+        """Tell whether a request is refused because of a line or text of its prompt."""
+        now = self._clock.now()
+        if self._parts.find_crashing(prompt.lines, now) is not None:
+            return True
+        if not self._texts.has_suspects(now):
+            return False
+        text = self._texts.find_crashing(prompt.texts, now)
+        if text is not None and text not in self._refused_texts:
+            self._refused_texts.add(text)
+            log_message(
+                "quarantine:text",
+                text="quarantine: requests with a text in their prompts are refused",
+                host=self._host,
+                digest=f"{text:x}",
+                crashes=self._texts.count_crashes(text),
+            )
+        return text is not None
+
+    def record_crash(
+        self, prompt: PromptTexts, request: RequestId, attempt: AttemptId, sent: datetime
+    ) -> None:
+        """Record that a backend server crashed before it began to answer, and tell the others."""
+        now = self._clock.now()
+        # attempts that one crash ended ran at the same time, and so count once
+        lost = Incarnation(f"{attempt}/{request}"[:MAX_LOST_LENGTH])
+        crash = ServerCrash(lost, sent, now)
+        if self._parts.record_crash(prompt.lines, crash):
+            self._send_to_entries(self._make_part_evidence())
+            self._log_crashing_parts()
+        if self._texts.record_crash(prompt.texts, crash, now):
+            self._send_to_entries(_make_evidence(self._texts.make_crash_report(lost, now)))
+
+    def record_answer(self, prompt: PromptTexts) -> None:
+        """Record that a request with *prompt* begins to be answered, and tell the others."""
+        now = self._clock.now()
+        if self._parts.record_answer(prompt.lines, now):
+            self._send_to_entries(self._make_part_evidence())
+        if self._texts.needs_answer(now):
+            cleared = self._texts.record_answer(prompt.texts, now)
+            self._refused_texts.difference_update(cleared)
+            if cleared:
+                self._send_to_entries(TextEvidence([], dict.fromkeys(cleared, 0.0)))
+
+    def _send_evidence(self, link: Link) -> None:
+        if link.peer.role is HostRole.ENTRY:
+            evidence = self._make_part_evidence()
+            if evidence.crashes or evidence.answered:
+                link.send(evidence)
+            now = self._clock.now()
+            if self._texts.has_suspects(now):
+                link.send(_make_evidence(self._texts.make_report(now)))
+
+    def _send_to_entries(self, message: PartEvidence | TextEvidence) -> None:
+        for link in self._links.list_live():
+            if link.peer.role is HostRole.ENTRY:
+                link.send(message)
+
+    def _make_part_evidence(self) -> PartEvidence:
+        report = self._parts.make_report(self._clock.now())
+        return PartEvidence(report.crashes, report.answered)
+
+    def _handle_part_evidence(self, _link: Link, evidence: PartEvidence) -> None:
+        report = PartReport(evidence.crashes, evidence.answered)
+        if self._parts.apply_report(report, self._clock.now()):
+            self._log_crashing_parts()
+
+    def _handle_text_evidence(self, _link: Link, evidence: TextEvidence) -> None:
+        report = TextReport(evidence.crashes, evidence.answered)
+        self._texts.apply_report(report, self._clock.now())
+
+    def _log_crashing_parts(self) -> None:
+        crashing = self._parts.list_crashing(self._clock.now())
+        if crashing:
+            log_message(
+                "quarantine:part",
+                text="quarantine: requests with parts of their prompts are refused",
+                host=self._host,
+                parts=list(crashing),
+            )
+
+
+def _make_evidence(report: TextReport) -> TextEvidence:
+    return TextEvidence(report.crashes, report.answered)
+
+
+@SERVICES.register("crashing_texts")
+def make_crashing_texts(kernel: Kernel) -> CrashingTextsService:
+    """Make the service ``crashing_texts``."""
+    return CrashingTextsService(kernel)
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -14,9 +14,9 @@
 from lavenderrun.decisions import (
     AttemptHistory,
     RetryDecision,
+    SharedTexts,
     estimate_tokens,
     find_backoff,
-    find_shared_parts,
     hash_blocks,
 )
 from lavenderrun.services._agent_chooser import Demand
@@ -124,7 +124,7 @@
         self._last_frame_at = request.arrived
         self._probe: Deferred[None] | None = None
         route = admitted.route
-        self._parts = find_shared_parts(request.prompt)
+        self._texts = SharedTexts(request.prompt)
         self._sent_at = request.arrived
         self._history = AttemptHistory(request.arrived, route.patience, route.repeatability)
         self._timer = router.clock.call_later(timedelta(0), lambda: None)
@@ -237,7 +237,7 @@
         if not self._check_admission():
             return
         verdict = self._router.quarantine.find_verdict(self.admitted.fingerprint)
-        is_crashing = self._router.quarantine.find_crashing_part(self._parts) is not None
+        is_crashing = self._router.crashing_texts.is_crashing(self._texts)
         if verdict is QuarantineVerdict.GUILTY or (is_crashing and not self._answer.offset):
             self._refuse(self._make_refusal(Refusal.QUARANTINED))
             return
@@ -371,7 +371,7 @@
             self._record_transfer(frame.imported)
         if is_first and progress.tokens:
             self._router.events.emit(AnswerBegun(self.request.request))
-            self._router.quarantine.record_part_answer(self._parts)
+            self._router.crashing_texts.record_answer(self._texts)
         if progress.finish is not None:
             self._finish(progress.finish)
             return
@@ -417,8 +417,8 @@
                 )
             )
             if not self._answer.offset:
-                self._router.quarantine.record_part_crash(
-                    self._parts, self.request.request, self._attempt, self._sent_at
+                self._router.crashing_texts.record_crash(
+                    self._texts, self.request.request, self._attempt, self._sent_at
                 )
         self._fail_attempt(host, refused, started=failed.started or failed.crashed)
 
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -19,6 +19,7 @@
     AdmittedModel,
     AnswerSink,
     AttemptFailed,
+    CrashingTextKeeper,
     Document,
     DocumentSource,
     Frame,
@@ -57,6 +58,7 @@
         "admission",
         "limits",
         "quarantine",
+        "crashing_texts",
         "record",
     )
 
@@ -66,6 +68,7 @@
         self.links = kernel.find("links", Links)
         self.limits = kernel.find("limits", Limits)
         self.quarantine = kernel.find("quarantine", QuarantineKeeper)
+        self.crashing_texts = kernel.find("crashing_texts", CrashingTextKeeper)
         self.events = EventEmitter.from_kernel(kernel)
         self.chooser = AgentChooser(kernel)
         self.retry_budget = RetryBudget(Document().retry_share, RESERVED_RETRIES)
--- a/src/lavenderrun/services/_quarantine.py
+++ b/src/lavenderrun/services/_quarantine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from datetime import datetime, timedelta
+from datetime import timedelta
 from typing import Any, ClassVar
 
 from eliot import log_message
@@ -11,19 +11,14 @@
 
 from lavenderrun.codecs import RowCodec, RowError
 from lavenderrun.decisions import ProbeLeases, Quarantine, find_probe_coordinator
-from lavenderrun.dispatch import CrashingParts, PartReport, ServerCrash
 from lavenderrun.kernel import SERVICES, Kernel, Timer
 from lavenderrun.types import (
     Acquitted,
-    AttemptId,
     Fingerprint,
     HostId,
     HostRole,
-    Incarnation,
     Link,
     Links,
-    PartEvidence,
-    PartId,
     ProbeAnswer,
     ProbeEnd,
     ProbeRequest,
@@ -45,8 +40,6 @@
 """Mean time after which a probe that is not granted is requested again."""
 READ_INTERVAL = timedelta(seconds=60)
 """Mean time between two reads of the stored rows."""
-MAX_LOST_LENGTH = 64
-"""Length of the name of a lost attempt: entries take no longer ones from one another."""
 
 STORE_ERRORS = (StoreUnavailableError, StoreThrottledError, StoreConflictError)
 
@@ -69,7 +62,6 @@
         self._store = kernel.find("store", Store)
         self._host: HostId = kernel.settings.hello().host
         self._quarantine = Quarantine()
-        self._parts = CrashingParts()
         self._probes = ProbeLeases()
         self._codec = RowCodec(TABLE)
         self._pending_probes: dict[ProbeKey, tuple[Deferred[None], Timer]] = {}
@@ -80,7 +72,6 @@
         """Subscribe to the messages of other entries and read the stored rows."""
         self._links.subscribe(Strike, self._handle_strike)
         self._links.subscribe(Acquitted, lambda _, note: self._drop_strikes(note.fingerprint))
-        self._links.subscribe(PartEvidence, self._handle_part_evidence)
         self._links.subscribe(ProbeRequest, self._handle_probe_request)
         self._links.subscribe(ProbeAnswer, self._handle_probe_answer)
         self._links.subscribe(
@@ -172,7 +163,7 @@
                 fingerprint=fingerprint,
             )
 
-    def _send_to_entries(self, message: Strike | Acquitted | ProbeEnd | PartEvidence) -> None:
+    def _send_to_entries(self, message: Strike | Acquitted | ProbeEnd) -> None:
         for link in self._list_entry_links():
             link.send(message)
 
@@ -180,54 +171,10 @@
         if link.peer.role is HostRole.ENTRY:
             for strike in self._quarantine.list_strikes():
                 link.send(strike)
-            evidence = self._make_part_evidence()
-            if evidence.crashes or evidence.answered:
-                link.send(evidence)
 
     def _list_entry_links(self) -> list[Link]:
         return [link for link in self._links.list_live() if link.peer.role is HostRole.ENTRY]
 
-    # parts of prompts
-
-    def find_crashing_part(self, parts: Sequence[PartId]) -> PartId | None:
-        """Return the part because of which a request is refused, ``None`` without one."""
-        return self._parts.find_crashing(parts, self._clock.now())
-
-    def record_part_crash(
-        self, parts: Sequence[PartId], request: RequestId, attempt: AttemptId, sent: datetime
-    ) -> None:
-        """Record that a backend server crashed before it began to answer, and tell the others."""
-        now = self._clock.now()
-        # attempts that one crash ended ran at the same time, and so count once
-        lost = Incarnation(f"{attempt}/{request}"[:MAX_LOST_LENGTH])
-        if self._parts.record_crash(parts, ServerCrash(lost, sent, now)):
-            self._send_to_entries(self._make_part_evidence())
-            self._log_crashing_parts()
-
-    def record_part_answer(self, parts: Sequence[PartId]) -> None:
-        """Record that a request with *parts* begins to be answered, and tell the other entries."""
-        if self._parts.record_answer(parts, self._clock.now()):
-            self._send_to_entries(self._make_part_evidence())
-
-    def _make_part_evidence(self) -> PartEvidence:
-        report = self._parts.make_report(self._clock.now())
-        return PartEvidence(report.crashes, report.answered)
-
-    def _handle_part_evidence(self, _link: Link, evidence: PartEvidence) -> None:
-        report = PartReport(evidence.crashes, evidence.answered)
-        if self._parts.apply_report(report, self._clock.now()):
-            self._log_crashing_parts()
-
-    def _log_crashing_parts(self) -> None:
-        crashing = self._parts.list_crashing(self._clock.now())
-        if crashing:
-            log_message(
-                "quarantine:part",
-                text="quarantine: requests with parts of their prompts are refused",
-                host=self._host,
-                parts=list(crashing),
-            )
-
     # probes
 
     def _request_probe(self, key: ProbeKey) -> None:
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -92,6 +92,7 @@
     RequestId,
     RouteName,
     ServiceGroup,
+    TextId,
 )
 from ._interfaces import (
     Admission,
@@ -185,14 +186,17 @@
 )
 from ._quarantine import (
     Acquitted,
+    CrashingTextKeeper,
     PartEvidence,
     ProbeAnswer,
     ProbeEnd,
     ProbeRequest,
+    PromptTexts,
     QuarantineKeeper,
     QuarantineVerdict,
     Strike,
     Suspect,
+    TextEvidence,
 )
 from ._rate_slices import NO_BOOT, NO_HOST, RateSliceId, RateSliceRow
 from ._refusals import (
@@ -309,6 +313,7 @@
     "Claim",
     "ClientAccount",
     "Configuration",
+    "CrashingTextKeeper",
     "DaemonSettings",
     "DataCentre",
     "DeclaredSize",
@@ -410,6 +415,7 @@
     "ProbeAnswer",
     "ProbeEnd",
     "ProbeRequest",
+    "PromptTexts",
     "QuarantineKeeper",
     "QuarantineRow",
     "QuarantineVerdict",
@@ -464,6 +470,8 @@
     "Submitted",
     "Suspect",
     "Targets",
+    "TextEvidence",
+    "TextId",
     "TokenSink",
     "TokensGranted",
     "TokensReturned",
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from datetime import datetime
 from enum import Enum
 from typing import Protocol
@@ -18,6 +18,7 @@
     PartId,
     RequestId,
     RouteName,
+    TextId,
 )
 from lavenderrun.types._messages import Message, message
 
@@ -102,6 +103,31 @@
     answered: Mapping[PartId, float]
 
 
+@message("text_evidence")
+class TextEvidence(Message, tag="text_evidence", frozen=True):
+    """What an entry knows of texts inside prompts that may crash backend servers.
+
+    :param crashes: the lost attempts, each with the seconds since it was sent and since it was
+        lost, and the texts that may be the cause.
+    :param answered: texts with which a request began to be answered, with the seconds since.
+    """
+
+    crashes: Sequence[tuple[Incarnation, float, float, Sequence[TextId]]]
+    answered: Mapping[TextId, float]
+
+
+class PromptTexts(Protocol):
+    """What prompts may share: whole lines, and texts anywhere in them."""
+
+    @property
+    def lines(self) -> Sequence[PartId]:
+        """Return the lines of the prompt but the last."""
+
+    @property
+    def texts(self) -> Collection[TextId]:
+        """Return the short texts of the prompt."""
+
+
 class QuarantineKeeper(Protocol):
     """Service ``quarantine``: strikes and verdicts over the whole fleet."""
 
@@ -117,20 +143,6 @@
     def clear_strikes(self, fingerprint: Fingerprint) -> None:
         """Delete the strikes of a fingerprint that ran to its end, on all entries."""
 
-    def find_crashing_part(self, parts: Sequence[PartId]) -> PartId | None:
-        """Return the part because of which a request is refused, ``None`` without one."""
-
-    def record_part_crash(
-        self, parts: Sequence[PartId], request: RequestId, attempt: AttemptId, sent: datetime
-    ) -> None:
-        """Record that a backend server crashed before it began to answer a request.
-
-        :param sent: when the attempt was sent to it.
-        """
-
-    def record_part_answer(self, parts: Sequence[PartId]) -> None:
-        """Record that a request with *parts* begins to be answered."""
-
     def begin_probe(self, fingerprint: Fingerprint, request: RequestId) -> Deferred[None]:
         """Fire once this request may run alone; cancel the deferred to give up."""
 
@@ -142,3 +154,21 @@
 
     def release(self, fingerprint: Fingerprint) -> Deferred[None]:
         """Delete the strikes by an operator's order; fails when the store cannot be reached."""
+
+
+class CrashingTextKeeper(Protocol):
+    """Service ``crashing_texts``: lines and texts of prompts that crash backend servers."""
+
+    def is_crashing(self, prompt: PromptTexts) -> bool:
+        """Tell whether a request is refused because of a line or text of its prompt."""
+
+    def record_crash(
+        self, prompt: PromptTexts, request: RequestId, attempt: AttemptId, sent: datetime
+    ) -> None:
+        """Record that a backend server crashed before it began to answer a request.
+
+        :param sent: when the attempt was sent to it.
+        """
+
+    def record_answer(self, prompt: PromptTexts) -> None:
+        """Record that a request with *prompt* begins to be answered."""
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -184,7 +184,7 @@
             kernel.add(name, part)
         kernel.add("limits", self.limits)
         kernel.provide("store", MemoryStore(self.clock, self.table, self.table_faults))
-        kernel.build(["wakes", "links", "quarantine", "model_router"])
+        kernel.build(["wakes", "links", "quarantine", "crashing_texts", "model_router"])
         Deferred.fromCoroutine(kernel.start())
         self.entries[host] = kernel
         links = kernel.find("links", LinksService)
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -57,6 +57,38 @@
     assert isinstance(sound.ends[0], FinishReason)
 
 
+# the parts of these prompts were their lines: 18 servers crashed, and no request was refused
+@pytest.mark.parametrize("poison", [POISON_DECODE, POISON_PREFILL, f"of lot {POISON_DECODE} coil"])
+def test_a_crashing_text_inside_the_lines_of_unlike_requests_crashes_few_servers(
+    poison: str,
+) -> None:
+    fleet = Fleet(decoders=2, entries=2)
+    for number in range(6):
+        prompt = f"certificate {number} of the morning {poison} shift, heat {number}"
+        _, sink = fleet.submit(prompt, entry=f"e{1 + number % 2}")
+        fleet.run(40)
+    assert count_crashes(fleet) <= MAX_CRASHES_OF_LINE
+    assert assert_quarantined(sink).outcome is Outcome.NOT_RUN
+    for entry in fleet.entries:
+        _, sound = fleet.submit("certificate 7 of the morning shift, heat 7", entry=entry)
+        fleet.run(10)
+        assert isinstance(sound.ends[0], FinishReason)
+
+
+def test_an_entry_that_starts_later_learns_of_the_text_from_another() -> None:
+    fleet = Fleet(decoders=2)
+    for number in range(4):
+        fleet.submit(f"certificate {number} {POISON_DECODE} shift {number}")
+        fleet.run(40)
+    crashes = count_crashes(fleet)
+    fleet.start_entry("f1")
+    fleet.run(1)
+    _, again = fleet.submit(f"certificate 9 {POISON_DECODE} shift 9", entry="f1")
+    fleet.run(1)
+    assert assert_quarantined(again).outcome is Outcome.NOT_RUN
+    assert count_crashes(fleet) == crashes
+
+
 def test_an_entry_that_starts_later_learns_of_the_line_from_another() -> None:
     fleet = Fleet(decoders=2)
     for number in range(3):
