Keep connections and tasks in the order in which they began

Two sets of objects were left; both are dicts now, and a check of the layers finds others: it named exactly these two before.

--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -186,7 +186,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Start the idle timeout, and TCP keepalive to detect callers that are gone."""
         super().connectionMade()
-        self.factory.channels.add(self)
+        self.factory.channels[self] = None
         if hasattr(self.transport, "setTcpKeepAlive"):
             self.transport.setTcpKeepAlive(1)
 
@@ -244,7 +244,7 @@
     def __init__(self, handler: RequestHandler, reactor: IReactorTime) -> None:
         super().__init__(RequestAccount(ReactorClock.starting_now(reactor)))
         self.handler = handler
-        self.channels: set[FrontChannel] = set()
+        self.channels: dict[FrontChannel, None] = {}
         self.on_empty: Callable[[], None] = lambda: None
         self._reactor = reactor
 
@@ -258,7 +258,7 @@
 
     def remove_channel(self, channel: FrontChannel) -> None:
         """Remove a closed channel; call ``on_empty`` if it was the last."""
-        self.channels.discard(channel)
+        self.channels.pop(channel, None)
         if not self.channels:
             self.on_empty()
 
--- a/src/lavenderrun/services/_transport_grpc.py
+++ b/src/lavenderrun/services/_transport_grpc.py
@@ -103,7 +103,7 @@
         self._server_credentials = server_credentials
         self._channel_credentials = channel_credentials
         self._server: Any = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self._accept: Callable[[Pipe], PipeHandler] | None = None
 
     def start(self) -> None:
@@ -176,12 +176,12 @@
 
     def _start_task(self, coroutine: Any) -> asyncio.Task[None]:
         task: asyncio.Task[None] = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._finish_task)
         return task
 
     def _finish_task(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and (error := task.exception()) is not None:
             log_message(
                 "transport:failed", text="transport: stream failed", error=type(error).__name__
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,10 +6,13 @@
 import sys
 import tomllib
 from collections.abc import Iterable
+from enum import Enum
 from pathlib import Path
 
 import pytest
 
+from lavenderrun import types
+
 SOURCE = Path(__file__).parents[1] / "src" / "lavenderrun"
 IO_LIBRARIES = {"asyncio", "eliot", "grpc", "http", "io", "os", "pathlib", "random", "socket"}
 IO_LIBRARIES |= {"subprocess", "threading", "time", "urllib", "aioprometheus"}
@@ -43,6 +46,30 @@
             assert not private or name.startswith(own), f"{path} imports {name}"
 
 
+def find_object_sets(path: Path) -> list[str]:
+    """Return the annotations of sets whose members are neither ids, enums nor strings."""
+    values = {"str", "int", "frozenset", "tuple"}
+    for name in types.__all__:
+        kind = getattr(types, name)
+        if not isinstance(kind, type) or issubclass(kind, Enum):
+            values.add(name)
+    found = []
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.AnnAssign) and isinstance(node.annotation, ast.Subscript):
+            kind, member = node.annotation.value, node.annotation.slice
+            if ast.unparse(kind) in {"set", "WeakSet", "weakref.WeakSet"}:
+                name = ast.unparse(member).partition("[")[0]
+                if name not in values:
+                    found.append(ast.unparse(node.annotation))
+    return found
+
+
+# connections were closed in the order of their addresses in memory, another one in each run
+def test_objects_are_kept_in_containers_with_an_order() -> None:
+    found = {str(path): find_object_sets(path) for path in SOURCE.rglob("*.py")}
+    assert {path: sets for path, sets in found.items() if sets} == {}
+
+
 def test_dispatch_imports_no_io_library() -> None:
     for path in (SOURCE / "dispatch").glob("*.py"):
         roots = {name.split(".")[0] for name in imported(path)}
