Apply the bounds of the settings on SIGHUP and at a planned stop

What callers saw: no answer, a closed connection. A gateway answers what it still runs shortly before the end of its grace period, and went by the period that was set when it started. Made shorter meanwhile, with or without a signal, the platform killed it first. Budgets of resends and the pace of reading rows went by the old bounds, too.

Cause: SIGHUP read the settings, logged what had changed and applied nothing; services copied the bounds when they were built.

Change: a service `bounds` holds those in force and tells who watches; resends counted before a change stay counted. A planned stop reads the settings once more.

--- a/src/lavenderrun/bench/_gateway_fleet.py
+++ b/src/lavenderrun/bench/_gateway_fleet.py
@@ -79,6 +79,7 @@
 )
 GATEWAY_NAMES: Final = (
     "stats",
+    "bounds",
     "rows",
     "configuration",
     "members",
--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -9,13 +9,21 @@
 from typing import Any, Final
 
 from lavenderrun.daemons._signals import run_until_signal
-from lavenderrun.gateway import GATEWAY_SERVICES, LINES_DROPPED, BoundedLog, Stats, log
+from lavenderrun.gateway import (
+    GATEWAY_SERVICES,
+    LINES_DROPPED,
+    BoundedLog,
+    BoundsService,
+    Stats,
+    log,
+)
 from lavenderrun.kernel import Clock, Kernel, ReactorClock
 from lavenderrun.platform import SettingsError, read_platform_settings
 from lavenderrun.types import GatewaySettings
 
 GATEWAY_SERVICE_NAMES: Final = (
     "stats",
+    "bounds",
     "store_dialect",
     "caller_dialect",
     "backend_dialect",
@@ -68,11 +76,16 @@
 
     async def stop(self) -> None:
         """Stop as planned: drain, then stop all services."""
+        # settings may change without a signal, and the grace period is theirs
+        self.reload()
         await self.kernel.stop()
         log("daemon:stopped", "daemon: stopped", host=self._settings.host)
 
     def reload(self) -> None:
-        """Read the settings again and log which fields changed; addresses apply after a restart."""
+        """Read the settings again, apply the bounds, and log which fields changed.
+
+        Addresses apply after a restart.
+        """
         try:
             found = self._read_settings()
         except (OSError, SettingsError) as error:
@@ -84,6 +97,7 @@
             if getattr(found, name) != getattr(self._settings, name)
         ]
         self._settings = found
+        self.kernel.find("bounds", BoundsService).apply(found.bounds)
         log("daemon:reloaded", "daemon: settings reloaded", changed=changed)
 
 
--- a/src/lavenderrun/dispatch/_resends.py
+++ b/src/lavenderrun/dispatch/_resends.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import Final
 
-from lavenderrun.types import ServiceGroup
+from lavenderrun.types import GatewayBounds, ServiceGroup
 
 SHARED_RESERVE_FRACTION: Final = 0.8
 """Fraction of the reserve that known hosts share; the rest covers hosts not known yet."""
@@ -31,19 +31,19 @@
 class ResendBudget:
     """Limits the resends of each service by this host.
 
-    :param ratio: resends allowed for each call within the window.
-    :param reserve: further resends allowed in one window, summed over all hosts.
-    :param window: length of the sliding window.
+    :param bounds: resends as a share of the calls in a window, its length, and the reserve beyond.
     """
 
-    def __init__(self, ratio: float, reserve: float, window: timedelta) -> None:
-        self._ratio = ratio
-        self._reserve = reserve
-        self._window = window
+    def __init__(self, bounds: GatewayBounds) -> None:
+        self._bounds = bounds
         self._hosts = ASSUMED_HOSTS
         self._calls: dict[ServiceGroup, _SlidingWindow] = {}
         self._resends: dict[ServiceGroup, _SlidingWindow] = {}
 
+    def apply_bounds(self, bounds: GatewayBounds) -> None:
+        """Allow resends by other bounds from now on; what was counted stays counted."""
+        self._bounds = bounds
+
     def set_host_count(self, hosts: int) -> None:
         """Set how many hosts share the reserve."""
         self._hosts = max(1, hosts)
@@ -54,11 +54,11 @@
 
     def count_remaining(self, service: ServiceGroup, now: datetime) -> float:
         """Return how many resends of *service* are left in the current window."""
-        since = now - self._window
+        since = now - self._bounds.retry_window
         calls = self._calls.setdefault(service, _SlidingWindow()).count(since)
         resends = self._resends.setdefault(service, _SlidingWindow()).count(since)
-        own_reserve = self._reserve * SHARED_RESERVE_FRACTION / self._hosts
-        return self._ratio * calls + own_reserve - resends
+        own_reserve = self._bounds.retry_reserve * SHARED_RESERVE_FRACTION / self._hosts
+        return self._bounds.retry_ratio * calls + own_reserve - resends
 
     def list_remaining(self, now: datetime) -> dict[ServiceGroup, float]:
         """Return how many resends are left for each service that had calls."""
--- a/src/lavenderrun/gateway/__init__.py
+++ b/src/lavenderrun/gateway/__init__.py
@@ -7,6 +7,7 @@
 from lavenderrun.gateway import _pages as _pages
 from lavenderrun.gateway import _roles as _roles
 from lavenderrun.gateway import _suspension as _suspension
+from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._log import BoundedLog, log
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import (
@@ -32,6 +33,7 @@
     "LINES_DROPPED",
     "BackendDialect",
     "BoundedLog",
+    "BoundsService",
     "CallerDialect",
     "ConnectionPool",
     "EngineReport",
--- a/src/lavenderrun/gateway/_departure.py
+++ b/src/lavenderrun/gateway/_departure.py
@@ -6,6 +6,7 @@
 from typing import ClassVar, Final
 
 from lavenderrun.dispatch import GracePeriod
+from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._callers import CallersService
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -32,11 +33,12 @@
 class DepartureService:
     """Delays the shutdown until calls have ended; starts last, so it stops first."""
 
-    needs: ClassVar[tuple[str, ...]] = ("callers", "pages", "wakes")
+    needs: ClassVar[tuple[str, ...]] = ("bounds", "callers", "pages", "wakes")
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
-        self._grace = GracePeriod(kernel.settings.bounds.grace)
+        self._bounds = kernel.find("bounds", BoundsService)
+        self._grace = GracePeriod(self._bounds.current.grace)
         self._router = kernel.find("router", GatewayRouter)
         self._callers = kernel.find("callers", CallersService)
         self._suspension = kernel.find("wakes", SuspensionService)
@@ -48,6 +50,7 @@
     async def stop(self) -> None:
         """Report not ready, let running calls finish, and answer the others in time."""
         self._began = self._suspension.read_boot_time()
+        self._grace = GracePeriod(self._bounds.current.grace)
         self._router.leave(self._grace, self._find_elapsed)
         log(
             "departure:leaving",
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -7,6 +7,7 @@
 from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import DepartureNotice, DepartureNotices
+from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._ports import RowChange
@@ -43,7 +44,7 @@
     :ivar host_count: number of gateways that follow the rows; set by the service ``view``.
     """
 
-    needs: ClassVar[tuple[str, ...]] = ("rows",)
+    needs: ClassVar[tuple[str, ...]] = ("bounds", "rows")
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
@@ -55,7 +56,7 @@
         self._watchers: list[MemberWatcher] = []
         self._unreadable: dict[str, None] = {}
         self.host_count = 1
-        self._max_pause = kernel.settings.bounds.drain * MAX_PAUSE_SHARE
+        self._bounds = kernel.find("bounds", BoundsService)
         table = self._rows.dialect.members_table
         self.follower = TableFollower(
             self._rows,
@@ -63,10 +64,14 @@
             self,
             kernel.clock,
             kernel.random_source,
-            lambda: min(CHANGES_READ_PAUSE * self.host_count, self._max_pause),
+            self._find_read_pause,
         )
         kernel.find("stats", Stats).register_reader(MEMBERS, self._count_states)
 
+    def _find_read_pause(self) -> timedelta:
+        longest = self._bounds.current.drain * MAX_PAUSE_SHARE
+        return min(CHANGES_READ_PAUSE * self.host_count, longest)
+
     @property
     def is_known(self) -> bool:
         """Whether the rows of backend servers have been read since the start."""
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -31,6 +31,7 @@
     has_decode_engine,
     list_notices,
 )
+from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import MAX_LOGGED_IDS, to_milliseconds
 from lavenderrun.gateway._members import MembersService
@@ -46,7 +47,6 @@
     Configuration,
     EngineConfiguration,
     FencingNumber,
-    GatewayBounds,
     HostId,
     Member,
     MemberState,
@@ -75,10 +75,16 @@
     :ivar prefill_silence: when prefill engines last answered this host, a stream for each prefill.
     """
 
-    needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "peers", "pool", "suspects")
+    needs: ClassVar[tuple[str, ...]] = (
+        "bounds",
+        "configuration",
+        "members",
+        "peers",
+        "pool",
+        "suspects",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
-        bounds: GatewayBounds = kernel.settings.bounds
         self._clock = kernel.clock
         self._random = kernel.random_source
         self._host: HostId = kernel.settings.host
@@ -88,7 +94,8 @@
         self._peers = kernel.find("peers", PeersService)
         self._pool = kernel.find("pool", ConnectionPool)
         self.quotas = QuotaLedger()
-        self.resends = ResendBudget(bounds.retry_ratio, bounds.retry_reserve, bounds.retry_window)
+        self._bounds = kernel.find("bounds", BoundsService)
+        self.resends = ResendBudget(self._bounds.current)
         self.occupancy = FleetOccupancy()
         self.computations = PromptComputations()
         self.health = HealthTracker()
@@ -111,6 +118,7 @@
 
     def start(self) -> None:
         """Start to watch configuration, backend servers and peers."""
+        self._bounds.watch(self.resends.apply_bounds)
         self._configuration.watch(self._apply_configuration)
         self._members.watch(self._note_member_change)
         self._peers.make_report = self._make_report
--- a/tests/dispatch/test_budget_and_health.py
+++ b/tests/dispatch/test_budget_and_health.py
@@ -3,7 +3,7 @@
 from datetime import UTC, datetime, timedelta
 
 from lavenderrun.dispatch import HealthTracker, ResendBudget
-from lavenderrun.types import BackendId
+from lavenderrun.types import BackendId, GatewayBounds
 from lavenderrun.types import ServiceGroup as Group
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
@@ -16,8 +16,18 @@
     return START + timedelta(seconds=seconds)
 
 
+def make_bounds(reserve: float) -> GatewayBounds:
+    return GatewayBounds(
+        grace=timedelta(seconds=8),
+        drain=timedelta(seconds=2),
+        retry_ratio=0.2,
+        retry_window=timedelta(seconds=10),
+        retry_reserve=reserve,
+    )
+
+
 def test_resends_are_a_share_of_calls_and_a_part_of_the_reserve() -> None:
-    budget = ResendBudget(0.2, 50, timedelta(seconds=10))
+    budget = ResendBudget(make_bounds(reserve=50))
     budget.set_host_count(5)
     for _ in range(10):
         budget.count_call(SERVICE, START)
@@ -29,11 +39,21 @@
 
 def test_hosts_that_do_not_know_each_other_stay_within_the_reserve_together() -> None:
     hosts = 8
-    budgets = [ResendBudget(0.2, 58, timedelta(seconds=10)) for _ in range(hosts)]
+    budgets = [ResendBudget(make_bounds(reserve=58)) for _ in range(hosts)]
     taken = sum(budget.take(SERVICE, START) for budget in budgets for _ in range(60))
     assert taken <= 58
 
 
+def test_resends_taken_before_a_change_of_the_bounds_count_after_it() -> None:
+    budget = ResendBudget(make_bounds(reserve=50))
+    budget.set_host_count(5)
+    assert [budget.take(SERVICE, START) for _ in range(5)] == [True] * 5
+    budget.apply_bounds(make_bounds(reserve=25))
+    assert not budget.take(SERVICE, START)
+    budget.apply_bounds(make_bounds(reserve=50))
+    assert [budget.take(SERVICE, START) for _ in range(4)] == [True, True, True, False]
+
+
 def test_an_unreachable_server_is_paused_and_then_probed_by_one_call() -> None:
     health = HealthTracker()
     health.pause_after_failure(SERVER, START)
--- a/tests/gateway/store_fixture.py
+++ b/tests/gateway/store_fixture.py
@@ -68,7 +68,7 @@
         self.pool = pool or Pool()
         self.kernel.provide("pool", self.pool)
         self.kernel.provide("store_dialect", TableDialect("127.0.0.1:9"))
-        self.kernel.build(["stats", "rows"], GATEWAY_SERVICES)
+        self.kernel.build(["stats", "bounds", "rows"], GATEWAY_SERVICES)
         self.rows = self.kernel.find("rows", RowStore)
 
     def pass_time(self, seconds: float) -> None:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as FakeReactor
 
+from lavenderrun.gateway import BoundsService
 from lavenderrun.gateway._departure import DepartureService
 from lavenderrun.kernel import Kernel, ReactorClock
 
@@ -55,6 +56,7 @@
         kernel = Kernel(clock, SimpleNamespace(bounds=bounds))
         self.router = FakeRouter(self.reactor, running)
         self.callers = FakeCallers()
+        kernel.provide("bounds", BoundsService(kernel))
         kernel.provide("router", self.router)
         kernel.provide("callers", self.callers)
         read = lambda: self.reactor.seconds() + self.suspended  # noqa: E731
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -10,6 +10,7 @@
 from unittest.mock import MagicMock
 
 import msgspec
+from store_fixture import BOUNDS
 from twisted.internet.task import Clock as FakeReactor
 
 from lavenderrun.dispatch import CallRequirements, RoleOrder
@@ -60,6 +61,7 @@
         configuration = SimpleNamespace(watch=lambda _: None, current=None, version=1)
         peers = MagicMock(boot=BootId(f"boot of {name}"))
         services = {
+            "bounds": SimpleNamespace(current=BOUNDS, watch=lambda _: None),
             "configuration": configuration,
             "members": members,
             "peers": peers,
@@ -67,15 +69,10 @@
             "stats": MagicMock(),
             "suspects": suspects,
         }
-        bounds = SimpleNamespace(
-            retry_ratio=0.2, retry_reserve=10, retry_window=timedelta(seconds=10)
-        )
         kernel: Any = SimpleNamespace(
             clock=ReactorClock(reactor, START, zero=0.0),
             random_source=Random(1),
-            settings=SimpleNamespace(
-                host=HostId(name), data_centre=DataCentre("here"), bounds=bounds
-            ),
+            settings=SimpleNamespace(host=HostId(name), data_centre=DataCentre("here")),
             find=lambda name, _: services[name],
         )
         self.view = FleetView(kernel)
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -140,6 +140,26 @@
     check_no_caller_blamed(gateway)
 
 
+# a gateway went by the grace period that was set when it started, and was killed before it answered
+@pytest.mark.parametrize("is_signalled", [True, False])
+def test_a_stop_goes_by_the_grace_period_that_is_set_then(
+    platform: StandinPlatform, is_signalled: bool
+) -> None:
+    platform.add(StandinServer("app-1", "apps", behave=delay(7.0)))
+    gateway = start_gateway(platform, 20.0)
+    call = Call(partial(gateway.call, PLAIN + "x", request="r1", headers=PATIENT))
+    wait_for(lambda: gateway.lines("call:send"), "call sent")
+    settings = json.loads(gateway.settings.read_text())
+    settings["bounds"]["grace-s"] = 4
+    gateway.settings.write_text(json.dumps(settings))
+    if is_signalled:
+        gateway.signal(signal.SIGHUP)
+        wait_for(lambda: gateway.lines("daemon:reloaded"), "reload")
+    stop = Stop(gateway)
+    assert stop.wait_exit() < 4.0
+    check_refusal(call.wait(), 504, "unknown")
+
+
 # issue 33, way 4: the log said that the caller of a cut stream was gone
 def test_a_stream_that_outlasts_the_grace_period_is_broken_off_with_the_reason_logged(
     platform: StandinPlatform,
