Make and apply peer reports in a service of their own

`_view.py` had 417 lines and two jobs: to answer what is known of the fleet, and to translate it to and from peer reports. The service `reports` does the latter; the view has 354 lines. Behaviour as before: tests of gateways, of layers, end to end and the scenarios of notices pass (207 tests).

--- a/src/lavenderrun/bench/_gateway_fleet.py
+++ b/src/lavenderrun/bench/_gateway_fleet.py
@@ -85,6 +85,7 @@
     "members",
     "suspects",
     "view",
+    "reports",
     "seats",
     "wakes",
     "router",
--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -34,6 +34,7 @@
     "peers",
     "suspects",
     "view",
+    "reports",
     "second_hand",
     "seats",
     "wakes",
--- a/src/lavenderrun/gateway/__init__.py
+++ b/src/lavenderrun/gateway/__init__.py
@@ -4,6 +4,7 @@
 
 from lavenderrun.gateway import _callers as _callers
 from lavenderrun.gateway import _departure as _departure
+from lavenderrun.gateway import _fleet_reports as _fleet_reports
 from lavenderrun.gateway import _pages as _pages
 from lavenderrun.gateway import _roles as _roles
 from lavenderrun.gateway import _suspension as _suspension
--- /dev/null
+++ b/src/lavenderrun/gateway/_fleet_reports.py
@@ -0,0 +1,100 @@
+"""Service ``reports``: what this gateway tells the others of the fleet, and learns from them."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import ClassVar, Final
+
+from lavenderrun.dispatch import PartReport, Reservations, RoleOrder
+from lavenderrun.gateway._configuration import ConfigurationService
+from lavenderrun.gateway._members import MembersService
+from lavenderrun.gateway._peers import PeerReport, PeersService
+from lavenderrun.gateway._registry import GATEWAY_SERVICES
+from lavenderrun.gateway._suspects import SuspectsService
+from lavenderrun.gateway._view import FleetView
+from lavenderrun.kernel import Kernel
+from lavenderrun.types import FencingNumber, HostId
+
+MAX_REPORTED_REST: Final = timedelta(days=1)
+"""Longest time that a peer report gives for a computation: what a caller declares has no bound."""
+
+
+class FleetReportsService:
+    """Makes this host's peer reports and applies those of the others to the view."""
+
+    needs: ClassVar[tuple[str, ...]] = ("configuration", "members", "peers", "suspects", "view")
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._clock = kernel.clock
+        self._host: HostId = kernel.settings.host
+        self._configuration = kernel.find("configuration", ConfigurationService)
+        self._members = kernel.find("members", MembersService)
+        self._peers = kernel.find("peers", PeersService)
+        self._suspects = kernel.find("suspects", SuspectsService)
+        self._view = kernel.find("view", FleetView)
+
+    def start(self) -> None:
+        """Start to report and to take reports."""
+        self._peers.make_report = self.make_report
+        self._peers.watch(self.apply_report)
+
+    def stop(self) -> None:
+        """Do nothing: the service ``peers`` sends and receives."""
+
+    def make_report(self) -> PeerReport:
+        """Return what the other gateways are told now."""
+        now = self._clock.now()
+        parts = self._suspects.make_part_report()
+        orders = self._view.list_role_orders()
+        return PeerReport(
+            self._host,
+            self._peers.boot,
+            self._configuration.version,
+            self._view.quotas.used,
+            {
+                member: (row.calls, row.tokens)
+                for member, row in self._view.occupancy.own_reservations.items()
+            },
+            {order.member: order.role for order in orders},
+            self._suspects.calls.list_suspects(now),
+            {
+                member: min(rest, MAX_REPORTED_REST).total_seconds()
+                for member, rest in self._view.computations.list_remaining(now).items()
+            },
+            self._members.list_departures(),
+            parts.crashes,
+            parts.answered,
+            {
+                order.member: (
+                    order.incarnation,
+                    order.role,
+                    order.fencing,
+                    order.sequence,
+                    left.total_seconds(),
+                )
+                for order, left in orders.items()
+            },
+        )
+
+    def apply_report(self, report: PeerReport) -> None:
+        """Apply what another gateway tells."""
+        now = self._clock.now()
+        view = self._view
+        view.quotas.apply_peer_report(report.host, report.boot, report.used, now)
+        reserved = {member: Reservations(*row) for member, row in report.reserved.items()}
+        view.occupancy.apply_peer_report(report.host, reserved, now)
+        self._suspects.calls.apply_peer_report(report.host, report.broken, now)
+        parts = PartReport(report.crashing, report.answered)
+        self._suspects.apply_part_report(report.host, parts)
+        rests = {m: timedelta(seconds=seconds) for m, seconds in report.computing.items()}
+        view.computations.apply_peer_report(report.host, rests, now)
+        self._members.note_departures(report.leaving, report.host)
+        for member, (incarnation, role, fencing, sequence, left) in report.ordered.items():
+            order = RoleOrder(member, incarnation, role, FencingNumber(fencing), sequence)
+            view.role_orders.record(order, timedelta(seconds=left), now)
+
+
+@GATEWAY_SERVICES.register("reports")
+def make_reports(kernel: Kernel) -> FleetReportsService:
+    """Make the service ``reports``."""
+    return FleetReportsService(kernel)
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -173,9 +173,9 @@
     """Keeps track of the other gateways and exchanges peer reports with them.
 
     :ivar boot: id of the current run of this host's process.
-    :ivar make_report: makes this host's peer report; set by the service ``view``.
+    :ivar make_report: makes this host's peer report; set by the service ``reports``.
     :ivar on_hosts_changed: called when rows of gateways change, with all other hosts and since when
-        each has been known or silent; set by the service ``view``.
+        each has been known or silent; set by the service ``reports``.
     :ivar on_process_ended: called with a silent host whose process is known to have ended; set by
         the service ``view``.
     :ivar follower: reads the table of gateways.
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -15,12 +15,10 @@
     CallSilence,
     FleetOccupancy,
     HealthTracker,
-    PartReport,
     PlacementContext,
     PromptComputations,
     QuotaLedger,
     ResendBudget,
-    Reservations,
     RoleBalancer,
     RoleOrder,
     RoleOrders,
@@ -35,7 +33,7 @@
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import MAX_LOGGED_IDS, to_milliseconds
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.gateway._peers import PeerReport, PeersService
+from lavenderrun.gateway._peers import PeersService
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._stats import EJECTED, QUOTA_LEFT, QUOTA_USED, RESENDS_LEFT, Stats
@@ -46,7 +44,6 @@
     BackendRole,
     Configuration,
     EngineConfiguration,
-    FencingNumber,
     HostId,
     Member,
     MemberState,
@@ -57,13 +54,12 @@
 """Random part added to the wait advised while no server of a service may be called, as a share of
 it, so that callers do not return all at once."""
 
-MAX_REPORTED_REST: Final = timedelta(days=1)
-"""Longest time that a peer report gives for a computation: what a caller declares has no bound."""
-
 
 class FleetView:
     """Combines peer reports, rows of backend servers and this host's own observations.
 
+    The service ``reports`` brings the peer reports.
+
     :ivar quotas: fleet-wide quotas of client accounts.
     :ivar resends: this host's retry budget.
     :ivar occupancy: reservations and reported loads at backend servers.
@@ -121,8 +117,6 @@
         self._bounds.watch(self.resends.apply_bounds)
         self._configuration.watch(self._apply_configuration)
         self._members.watch(self._note_member_change)
-        self._peers.make_report = self._make_report
-        self._peers.watch(self._apply_peer_report)
         self._peers.on_hosts_changed = self._note_host_change
         self._peers.on_process_ended = self._note_process_end
 
@@ -337,55 +331,6 @@
     def _note_process_end(self, host: HostId) -> None:
         self.quotas.note_end(host, self._clock.now())
 
-    def _make_report(self) -> PeerReport:
-        now = self._clock.now()
-        parts = self._suspects.make_part_report()
-        orders = self.list_role_orders()
-        return PeerReport(
-            self._host,
-            self._peers.boot,
-            self._configuration.version,
-            self.quotas.used,
-            {
-                member: (row.calls, row.tokens)
-                for member, row in self.occupancy.own_reservations.items()
-            },
-            {order.member: order.role for order in orders},
-            self._suspects.calls.list_suspects(now),
-            {
-                member: min(rest, MAX_REPORTED_REST).total_seconds()
-                for member, rest in self.computations.list_remaining(now).items()
-            },
-            self._members.list_departures(),
-            parts.crashes,
-            parts.answered,
-            {
-                order.member: (
-                    order.incarnation,
-                    order.role,
-                    order.fencing,
-                    order.sequence,
-                    left.total_seconds(),
-                )
-                for order, left in orders.items()
-            },
-        )
-
-    def _apply_peer_report(self, report: PeerReport) -> None:
-        now = self._clock.now()
-        self.quotas.apply_peer_report(report.host, report.boot, report.used, now)
-        reserved = {member: Reservations(*row) for member, row in report.reserved.items()}
-        self.occupancy.apply_peer_report(report.host, reserved, now)
-        self._suspects.calls.apply_peer_report(report.host, report.broken, now)
-        parts = PartReport(report.crashing, report.answered)
-        self._suspects.apply_part_report(report.host, parts)
-        rests = {m: timedelta(seconds=seconds) for m, seconds in report.computing.items()}
-        self.computations.apply_peer_report(report.host, rests, now)
-        self._members.note_departures(report.leaving, report.host)
-        for member, (incarnation, role, fencing, sequence, left) in report.ordered.items():
-            order = RoleOrder(member, incarnation, role, FencingNumber(fencing), sequence)
-            self.role_orders.record(order, timedelta(seconds=left), now)
-
     def _count_ejected(self) -> dict[tuple[str, ...], float]:
         now = self._clock.now()
         counts = {}
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -14,6 +14,7 @@
 from twisted.internet.task import Clock as FakeReactor
 
 from lavenderrun.dispatch import CallRequirements, RoleOrder
+from lavenderrun.gateway._fleet_reports import FleetReportsService
 from lavenderrun.gateway._peers import decode_report
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.kernel import ReactorClock
@@ -60,7 +61,7 @@
         pool.unreached.find_next_try.return_value = None
         configuration = SimpleNamespace(watch=lambda _: None, current=None, version=1)
         peers = MagicMock(boot=BootId(f"boot of {name}"))
-        services = {
+        services: dict[str, Any] = {
             "bounds": SimpleNamespace(current=BOUNDS, watch=lambda _: None),
             "configuration": configuration,
             "members": members,
@@ -75,12 +76,13 @@
             settings=SimpleNamespace(host=HostId(name), data_centre=DataCentre("here")),
             find=lambda name, _: services[name],
         )
-        self.view = FleetView(kernel)
+        self.view = services["view"] = FleetView(kernel)
+        self.reports = FleetReportsService(kernel)
 
     def report_to(self, other: Host) -> None:
-        report = decode_report(msgspec.msgpack.encode(self.view._make_report()))
+        report = decode_report(msgspec.msgpack.encode(self.reports.make_report()))
         assert report is not None
-        other.view._apply_peer_report(report)
+        other.reports.apply_report(report)
 
     def takes_engine(self) -> bool:
         return self.view.place(ENGINE.service, "decode", CallRequirements()) is not None
