Keep a silent prefill until another engine took the prompt on

At the certainty all prompts of a silent prefill engine left it at once, to be computed by decode engines, and where the decode engine with the reserved slot could not compute just then, the slot was given up. Callers saw first tokens late, and streams at those decode engines slower, for a silence that might have ended a moment later.

The prefill step began and ended a move in one step, so that the tracker saw no move under way and its bound, as many moves as have been taken on and one more, never applied.

A move of a prompt lasts now until the other engine has answered. The step asks another prefill engine first, beside the silent one, and whichever answers first goes on. Without one the decode engine gets the prompt as soon as it may compute, and the move lasts until it has answered; what the silent engine returns meanwhile is offered if the decode engine rejects the stream, else freed. Until then the silent run and the decode slot are kept, also at the certainty. One run at a prefill engine (PrefillRun), a move (PrefillMove) and the step are three modules; how a move ends is shared with streams.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -58,6 +58,7 @@
 from lavenderrun.dispatch._rests import ServerRests
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
 from lavenderrun.dispatch._silence import (
+    EXPECTED_FACTOR,
     MIN_SUSPICION,
     QUIET_SHARE,
     REVIEW_PAUSE,
@@ -85,6 +86,7 @@
 
 __all__ = [
     "ASSUMED_HOSTS",
+    "EXPECTED_FACTOR",
     "MAX_QUEUE_WAIT",
     "MAX_SHARED_PARTS",
     "MIN_SERVICE_TIME",
--- a/src/lavenderrun/gateway/_engine_search.py
+++ b/src/lavenderrun/gateway/_engine_search.py
@@ -14,7 +14,8 @@
 from lavenderrun.gateway._decode_place import DecodePlace
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation, DecodeSlotWaiter
 from lavenderrun.gateway._log import to_milliseconds
-from lavenderrun.gateway._prefill import CallContextFactory, PrefillStep
+from lavenderrun.gateway._prefill import PrefillStep
+from lavenderrun.gateway._prefill_run import CallContextFactory
 from lavenderrun.gateway._prompt_cache import PromptCache
 from lavenderrun.gateway._running_call import MIN_SEND_TIME, AdmittedCall
 from lavenderrun.types import DeclaredSize, HeldCache, Member
@@ -180,10 +181,12 @@
             self._take_prefill(None)
 
     def _take_prefill(self, cache: HeldCache | None) -> None:
-        if self._prefill is not None:
-            self._was_prefill_sent = self._prefill.was_sent
-        self._prefill = None
+        prefill, self._prefill = self._prefill, None
         self._cache.hold(cache)
+        if prefill is not None:
+            self._was_prefill_sent = prefill.was_sent
+            if prefill.is_left:
+                self._cache.expect(prefill)
         if self._slot is None:
             return
         member = self._slot.member
--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -3,37 +3,32 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from datetime import timedelta
-from typing import Final, Protocol
+from datetime import datetime
 
 from lavenderrun.dispatch import CallRequirements, SilenceLimits
-from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
+from lavenderrun.gateway._move_result import MoveResult
+from lavenderrun.gateway._prefill_move import PrefillMove, record_move
+from lavenderrun.gateway._prefill_run import CallContextFactory, PrefillRun
 from lavenderrun.gateway._running_call import AdmittedCall
 from lavenderrun.gateway._silence_watch import SilenceWatch
-from lavenderrun.types import AnswerKind, CallContext, HeldCache, Member
-
-MAX_PREFILL_ANSWER_BYTES: Final = 64 << 10
-"""Largest answer of a prefill engine, which names the KV cache."""
-
-
-class CallContextFactory(Protocol):
-    """Returns the context in which a streamed call is sent to an engine."""
-
-    def __call__(self, member: Member, *, prefill_only: bool) -> CallContext:
-        """Return the context for a send to *member*."""
+from lavenderrun.types import BackendId, HeldCache, Member
 
 
 class PrefillStep:
     """Has a prefill engine compute the prompt; after a failure the decode engine does it.
 
-    A silent prefill is kept until the decode engine may compute the prompt, or until the silence is
-    certain.
+    A silent run is kept, and the decode slot with it, until another engine has taken the prompt on:
+    a prefill engine once it has answered, or the decode engine once it has. Without another prefill
+    engine the decode engine gets the prompt as soon as it may compute; the run is then *left*, and
+    goes on until :meth:`end_left`.
 
     :param may_compute: tells whether the decode engine may compute the prompt now.
     :param on_done: called once with the held KV cache, or ``None`` without one.
     :ivar was_sent: whether the prompt was sent to a prefill engine.
+    :ivar is_left: whether the decode engine computes the prompt while the silent run goes on.
+    :ivar on_late: called with what a run that was left returned after all.
     """
 
     def __init__(
@@ -47,11 +42,12 @@
         self._services = services
         self._admitted = admitted
         self._call_log = call_log
-        self._on_done: Callable[[HeldCache | None], None] | None = on_done
-        self._attempt: Attempt | None = None
-        self._body = bytearray()
-        self._tokens = admitted.call.size.prompt if admitted.call.size else 0
         self._may_compute = may_compute
+        self._on_done: Callable[[HeldCache | None], None] | None = on_done
+        self._make_context: CallContextFactory | None = None
+        self._run: PrefillRun | None = None
+        self._move: PrefillMove | None = None
+        self._tried: list[Member] = []
         self._watch = SilenceWatch(
             services,
             admitted,
@@ -59,90 +55,138 @@
             services.view.prefill_silence,
             lambda: 1,
             lambda: True,
-            self._leave_silent,
+            self._move_silent,
             may_move=True,
         )
-        self._was_engine_free = False
         self.was_sent = False
-        self._began_at = services.clock.now()
+        self.is_left = False
+        self.on_late: Callable[[HeldCache | None], None] | None = None
 
     def start(self, make_context: CallContextFactory) -> None:
         """Send the prompt to the prefill engine with the shortest queue."""
-        due = self._admitted.arrived + self._admitted.access.route.objective
-        requirements = CallRequirements(tokens=self._tokens, first_token_due=due)
-        member = self._services.view.place(self._admitted.service, "prefill", requirements)
+        self._make_context = make_context
+        member = self._find_engine()
         if member is None:
             self._call_log.write("prefill_skipped", "no prefill engine takes calls")
             self._finish(None)
             return
-        queued = self._services.view.occupancy.sum_reserved_tokens(member.id)
-        self._was_engine_free = not queued
-        self._began_at = self._services.clock.now()
-        self._services.view.reserve(member.id, self._tokens, brief=True)
+        self._tried.append(member)
         self.was_sent = True
-        self._attempt = Attempt(self._services, self._admitted.call, member, self, self._call_log)
-        speed = self._services.view.find_balancer(self._admitted.service).prefill_speed
-        expected = timedelta(seconds=(queued + self._tokens) / speed)
-        self._watch.begin(member, expected)
-        self._attempt.send(make_context(member, prefill_only=True), force_new=True)
+        self._run = PrefillRun(
+            self._services, self._admitted, self._call_log, member, self._take_end
+        )
+        self._watch.begin(member, self._run.expected)
+        self._run.send(make_context)
 
     def abandon(self) -> None:
-        """Cancel the step; the engine drops its work."""
+        """Cancel the step; the engines drop their work."""
         self._on_done = None
-        if self._attempt is not None:
-            self._attempt.abandon()
-            self._release_engine()
-
-    def head_received(self, attempt: Attempt) -> None:
-        """Do nothing: the head is examined at the end of the attempt."""
-
-    def body_received(self, attempt: Attempt, data: bytes) -> None:
-        """Keep a part of the body."""
-        self._body += data
-        if len(self._body) > MAX_PREFILL_ANSWER_BYTES:
-            self._body.clear()
-            attempt.reject_oversized("prefill answer", MAX_PREFILL_ANSWER_BYTES)
-
-    def attempt_ended(self, attempt: Attempt) -> None:
-        """Pass on the held KV cache, or ``None`` when the prefill failed."""
-        if attempt.head is not None:
-            self._watch.note_head()
-        self._release_engine()
-        if attempt.failure is None and attempt.head and attempt.head.kind is AnswerKind.SERVED:
-            if self._was_engine_free:
-                balancer = self._services.view.find_balancer(self._admitted.service)
-                took = self._services.clock.now() - self._began_at
-                balancer.observe_prefill(took, self._tokens)
-            body = bytes(self._body)
-            self._finish(self._services.backends.decode_export(attempt.member.address, body))
+        self._drop_move(MoveResult.ENDED)
+        if self.is_left:
+            self.end_left(is_taken=False)
+        elif self._run is not None:
+            self._run.abandon()
+            self._end_run()
+
+    def end_left(self, *, is_taken: bool) -> None:
+        """End a run that was left.
+
+        :param is_taken: the decode engine has answered, so that it took the prompt on.
+        """
+        run = self._run
+        if not self.is_left or run is None:
+            return
+        self._end_leave(run, MoveResult.MOVED if is_taken else MoveResult.ENDED)
+        if is_taken:
+            run.give_up_silent(is_engine_silent=self._watch.is_engine_silent())
         else:
-            if attempt.outcome.kind is AnswerKind.NOT_RUN:
-                # the engine is full or is changing its role
-                self._services.view.health.pause_after_failure(
-                    attempt.member.id, self._services.clock.now()
-                )
-            self._finish(None)
+            run.abandon()
+        self._end_run()
+
+    def _find_engine(self, silent: frozenset[BackendId] = frozenset()) -> Member | None:
+        """Return a prefill engine that was not tried and is none of *silent*."""
+        size = self._admitted.call.size
+        requirements = CallRequirements(
+            tokens=size.prompt if size else 0,
+            tried=silent | {member.id for member in self._tried},
+            first_token_due=self._due,
+        )
+        return self._services.view.place(self._admitted.service, "prefill", requirements)
 
-    def _leave_silent(self, limits: SilenceLimits) -> None:
-        """Let a decode engine compute the prompt instead of the silent engine."""
-        attempt, tracker = self._attempt, self._services.view.prefill_silence
-        if attempt is None:
+    @property
+    def _due(self) -> datetime:
+        return self._admitted.arrived + self._admitted.access.route.objective
+
+    def _take_end(self, run: PrefillRun) -> None:
+        """Pass on the held KV cache, or go on without it when the prefill failed."""
+        if run.has_head:
+            self._watch.note_head()
+        if self.is_left:
+            self._end_leave(run, MoveResult.SPOKE if run.cache else MoveResult.ENDED)
+            self._end_run()
+            if self.on_late is not None:
+                self.on_late(run.cache)
             return
-        silent = tracker.measure_silence(self._began_at, self._services.clock.now())
-        if silent < limits.certainty and not self._may_compute():
-            self._watch.look_again()
+        if run.cache is None and self._move is not None:
+            # the other engine goes on as the only one
+            self._run = self._move.take_over(self._take_end)
+            self._move = None
+            self._watch.begin(self._run.member, self._run.expected)
             return
-        tracker.begin_move(attempt.member.id)
-        tracker.end_move(attempt.member.id, is_moved=True)
-        attempt.give_up_silent(is_server_silent=self._watch.is_engine_silent())
-        self._release_engine()
-        self._finish(None)
-
-    def _release_engine(self) -> None:
+        self._drop_move(MoveResult.SPOKE if run.has_head else MoveResult.ENDED)
+        self._end_run()
+        self._finish(run.cache)
+
+    def _move_silent(self, limits: SilenceLimits) -> None:
+        """Let another prefill engine compute the prompt, or the decode engine without one."""
+        run, make_context = self._run, self._make_context
+        if run is None or make_context is None:
+            return
+        tracker, now = self._services.view.prefill_silence, self._services.clock.now()
+        member = self._find_engine(frozenset(tracker.list_silent(limits.quiet, now)))
+        if member is not None and not self._services.view.health.is_paused(member.id, now):
+            self._tried.append(member)
+            self._move = PrefillMove(
+                self._services,
+                self._admitted,
+                self._call_log,
+                run.member,
+                member,
+                self._take_moved,
+                self._keep_silent,
+            )
+            self._move.start(make_context)
+        elif self._may_compute():
+            tracker.begin_move(run.member.id)
+            self.is_left = True
+            self._finish(None)
+        else:
+            self._watch.look_again(has_failed=False)
+
+    def _take_moved(self, cache: HeldCache) -> None:
+        """Give up the silent run, because the other engine has answered."""
+        self._move = None
+        if self._run is not None:
+            self._run.give_up_silent(is_engine_silent=self._watch.is_engine_silent())
+        self._end_run()
+        self._finish(cache)
+
+    def _keep_silent(self) -> None:
+        self._move = None
+        self._watch.look_again()
+
+    def _drop_move(self, result: MoveResult) -> None:
+        move, self._move = self._move, None
+        if move is not None:
+            move.abandon(result)
+
+    def _end_leave(self, run: PrefillRun, result: MoveResult) -> None:
+        self.is_left = False
+        record_move(self._services, self._admitted, self._call_log, run.member, None, result)
+
+    def _end_run(self) -> None:
+        self._run = None
         self._watch.end()
-        if self._attempt is not None:
-            self._services.view.free(self._attempt.member.id, self._tokens, brief=True)
-            self._attempt = None
 
     def _finish(self, cache: HeldCache | None) -> None:
         on_done, self._on_done = self._on_done, None
--- a/src/lavenderrun/gateway/_prompt_cache.py
+++ b/src/lavenderrun/gateway/_prompt_cache.py
@@ -7,6 +7,7 @@
 
 from lavenderrun.dispatch import CacheState
 from lavenderrun.gateway._call_services import CallServices
+from lavenderrun.gateway._prefill import PrefillStep
 from lavenderrun.types import HeldCache, ServiceGroup
 
 CACHE_LIFETIME_SHARE: Final = 0.7
@@ -26,6 +27,8 @@
         self._services = services
         self._service = service
         self._offered_until = arrived
+        self._offered: HeldCache | None = None
+        self._late: PrefillStep | None = None
         self.held: HeldCache | None = None
 
     def hold(self, cache: HeldCache | None) -> None:
@@ -47,12 +50,36 @@
         """Whether the cache may still be offered after ``CACHE_RETRY_PAUSE``."""
         return self._services.clock.now() + CACHE_RETRY_PAUSE < self._offered_until
 
-    def note_imported(self) -> None:
-        """Forget the cache, because an engine imported it."""
-        self.held = None
+    def expect(self, late: PrefillStep) -> None:
+        """Keep a silent prefill until an engine that computes the prompt has answered."""
+        self._late = late
+        late.on_late = self._take_late
+
+    def _take_late(self, cache: HeldCache | None) -> None:
+        self._late = None
+        if cache is not None:
+            self.hold(cache)
+
+    def _end_late(self, *, is_taken: bool) -> None:
+        late, self._late = self._late, None
+        if late is not None:
+            late.end_left(is_taken=is_taken)
+
+    def offer(self) -> HeldCache | None:
+        """Return the cache for a send to an engine, ``None`` without one."""
+        self._offered = self.held
+        return self.held
+
+    def note_answered(self) -> None:
+        """Forget the cache, because an engine imported it or has computed the prompt itself."""
+        self._end_late(is_taken=True)
+        if self.held is self._offered:
+            self.held = None
+        self.give_up()
 
     def give_up(self) -> None:
         """Ask the holder to free the cache."""
+        self._end_late(is_taken=False)
         cache, self.held = self.held, None
         if cache is not None:
             self._services.free_cache(cache)
--- a/src/lavenderrun/gateway/_silence_guard.py
+++ b/src/lavenderrun/gateway/_silence_guard.py
@@ -9,9 +9,10 @@
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._decode_place import DecodePlace
+from lavenderrun.gateway._move_result import MoveResult
 from lavenderrun.gateway._running_call import AdmittedCall
 from lavenderrun.gateway._silence_watch import SilenceWatch
-from lavenderrun.gateway._stream_move import MoveResult, StreamMove
+from lavenderrun.gateway._stream_move import StreamMove
 from lavenderrun.gateway._stream_sender import StreamSender
 from lavenderrun.types import Member
 
--- a/src/lavenderrun/gateway/_silence_watch.py
+++ b/src/lavenderrun/gateway/_silence_watch.py
@@ -141,11 +141,11 @@
         silent = self._tracker.measure_engine_silence(self._member.id, now)
         return silent >= self._find_limits(now).quiet
 
-    def look_again(self) -> None:
+    def look_again(self, *, has_failed: bool = True) -> None:
         """Weigh the silence again after a pause, which is longer after each failed move."""
         if self._member is not None and self._may_move:
             self._schedule(self._add_jitter(find_retry_pause(self._failed_moves)))
-            self._failed_moves += 1
+            self._failed_moves += has_failed
 
     def _add_jitter(self, pause: timedelta) -> timedelta:
         return pause * (1 + JITTER_SHARE * self._services.random_source.random())
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -96,7 +96,7 @@
 STREAM_MOVES = define_gateway_metric(
     "lavenderrun_gateway_stream_moves_total",
     MetricKind.COUNTER,
-    "Tries to move a stream from a silent engine, by service and how they ended.",
+    "Tries to move a stream or its prompt from a silent engine, by service and how they ended.",
     ("service", "result"),
 )
 STORE_CALLS = define_gateway_metric(
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -144,7 +144,7 @@
             return
         self._attempt = self._sender.make_attempt(self._place, self)
         self._begin_attempt(self._place)
-        self._sender.send(self._attempt, self._place, self._cache.held)
+        self._sender.send(self._attempt, self._place, self._cache.offer())
 
     def _begin_attempt(self, place: DecodePlace) -> None:
         self._events.note_break()
@@ -176,7 +176,7 @@
         if head is not None and head.kind is AnswerKind.SERVED:
             self._left_silent = None
             self._silence.note_head()
-            self._cache.note_imported()
+            self._cache.note_answered()
             if not self._events.is_begun:
                 self._observe_first_answer()
             self._events.take_head(attempt, head)
--- a/src/lavenderrun/gateway/_stream_move.py
+++ b/src/lavenderrun/gateway/_stream_move.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from enum import Enum
 from typing import Final
 
 from lavenderrun.dispatch import CallRequirements, SilenceLimits, keeps_silent_engine
@@ -15,6 +14,7 @@
 from lavenderrun.gateway._decode_place import DecodePlace
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation
 from lavenderrun.gateway._engine_search import count_required_tokens
+from lavenderrun.gateway._move_result import LATE_READ_TIME, MoveResult
 from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, AdmittedCall
 from lavenderrun.gateway._stats import STREAM_MOVES
 from lavenderrun.gateway._stream_sender import StreamSender
@@ -24,24 +24,6 @@
 MAX_OVERLAP: Final = timedelta(milliseconds=300)
 """Longest time for which two engines have the stream at once."""
 
-LATE_READ_TIME: Final = timedelta(milliseconds=20)
-"""Time in which what came while this process did not run is read."""
-
-
-class MoveResult(Enum):
-    """How a try to move a stream ended."""
-
-    MOVED = "moved"
-    SPOKE = "spoke"
-    PAUSED = "paused"
-    ENDED = "ended"
-    NO_ROOM = "no_room"
-    UNREACHABLE = "unreachable"
-    TAKES_NO_CALLS = "takes_no_calls"
-    NO_RESEND = "no_resend"
-    REJECTED = "rejected"
-    NO_ANSWER = "no_answer"
-
 
 class StreamMove:
     """One try to move a stream; the silent attempt stays until another engine answers.
--- /dev/null
+++ b/tests/gateway/test_prompt_cache.py
@@ -0,0 +1,44 @@
+"""Which KV cache a stream offers, and when it is freed."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from unittest.mock import MagicMock
+
+from lavenderrun.dispatch import CacheState
+from lavenderrun.gateway._prompt_cache import PromptCache
+from lavenderrun.types import ExportHandle, HeldCache, ServiceGroup
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+HELD = HeldCache("pre-1", ExportHandle("h1"))
+
+
+def make_cache() -> tuple[PromptCache, MagicMock, MagicMock]:
+    """Return a cache, its services, and a silent prefill that it expects."""
+    services, late = MagicMock(), MagicMock()
+    services.clock.now.return_value = NOW
+    services.view.find_export_lifetime.return_value = timedelta(seconds=1)
+    cache = PromptCache(services, ServiceGroup("llm"), NOW)
+    cache.hold(None)
+    cache.expect(late)
+    return cache, services, late
+
+
+# what a silent prefill engine had computed was dropped before another engine had answered
+def test_a_late_cache_is_offered_until_an_engine_has_answered() -> None:
+    cache, services, late = make_cache()
+    assert cache.offer() is None
+    late.on_late(HELD)
+    assert cache.state is CacheState.OFFERED
+    assert cache.offer() is HELD
+    cache.note_answered()
+    assert cache.held is None
+    services.free_cache.assert_not_called()
+
+
+def test_a_late_cache_is_freed_when_the_engine_has_computed_the_prompt() -> None:
+    cache, services, late = make_cache()
+    cache.offer()
+    late.on_late(HELD)
+    cache.note_answered()
+    services.free_cache.assert_called_once_with(HELD)
--- a/tests/gateway/test_stream_move.py
+++ b/tests/gateway/test_stream_move.py
@@ -11,7 +11,8 @@
 from twisted.internet.task import Clock as FakeReactor
 
 from lavenderrun.dispatch import AttemptOutcome, SilenceTracker, find_silence_limits
-from lavenderrun.gateway._stream_move import LATE_READ_TIME, MAX_OVERLAP, MoveResult, StreamMove
+from lavenderrun.gateway._move_result import LATE_READ_TIME, MoveResult
+from lavenderrun.gateway._stream_move import MAX_OVERLAP, StreamMove
 from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import AnswerKind, BackendId
 
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -157,9 +157,14 @@
     return gateway, decodes, answers
 
 
-def count_computed(decodes: list[StandinServer]) -> int:
-    """Return how many prompts decode engines computed themselves."""
-    return sum("x-kv-source" not in seen.headers for each in decodes for seen in each.seen)
+def list_computed(decodes: list[StandinServer]) -> list[SeenRequest]:
+    """Return the prompts that decode engines computed themselves; reports are none."""
+    seen = [request for engine in decodes for request in engine.seen]
+    return [
+        request
+        for request in sorted(seen, key=lambda request: request.at)
+        if "x-kv-source" not in request.headers and not request.path.startswith("/api/")
+    ]
 
 
 # each prompt at a prefill engine that was silent for a second was computed again
@@ -167,7 +172,7 @@
     platform: StandinPlatform,
 ) -> None:
     gateway, decodes, _ = run_prefills(platform, 1, 4)
-    assert count_computed(decodes) <= 1
+    assert len(list_computed(decodes)) <= 1
     assert [line["member"] for line in gateway.lines("call:silent") if line["verdict"] == "move"]
 
 
@@ -176,7 +181,42 @@
     platform: StandinPlatform,
 ) -> None:
     _, decodes, _ = run_prefills(platform, 2, 4)
-    assert not count_computed(decodes)
+    assert not list_computed(decodes)
+
+
+# the decode engine computed a prompt though another prefill engine was free
+def test_another_prefill_engine_takes_on_the_prompt_of_a_silent_one(
+    platform: StandinPlatform,
+) -> None:
+    (decode,) = add_engines(platform, "dec-1")
+    silent = platform.add(StandinServer("pre-1", "llm", "prefill"))
+    gateway = platform.wait_known(platform.add_gateway())
+    silent.fall_silent(6)
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(gateway.generate, RESUMED + "x")
+        wait_for(lambda: silent.seen, "sent")
+        platform.add(StandinServer("pre-2", "llm", "prefill"))
+        assert is_whole(running.result())
+    assert not list_computed([decode])
+    (move,) = gateway.lines("call:move")
+    assert (move["silent"], move["member"], move["result"]) == ("pre-1", "pre-2", "moved")
+
+
+# all prompts of a silent prefill engine left it at once, at the certainty
+def test_the_prompts_of_a_dead_prefill_engine_leave_it_as_decode_engines_take_them_on(
+    platform: StandinPlatform,
+) -> None:
+    silent = platform.add(StandinServer("pre-1", "llm", "prefill"))
+    decodes = add_engines(platform, "dec-1", "dec-2", "dec-3", "dec-4")
+    late = 0.8
+    for engine in decodes:
+        engine.behave = answer_late(late)
+    gateway = platform.wait_known(platform.add_gateway())
+    silent.fall_silent(6)
+    assert all(is_whole(answer) for answer in run_streams(gateway, 3))
+    first, second, _ = list_computed(decodes)
+    assert second.at - first.at >= late
+    assert len(gateway.lines("call:seat")) == 3
 
 
 class Silence:
--- a/tests/platform/test_unexpected_errors.py
+++ b/tests/platform/test_unexpected_errors.py
@@ -32,7 +32,7 @@
     PREFIX + "_engine_search:EngineSearch._take_slot",
     PREFIX + "_engine_search:EngineSearch._take_connection",
     PREFIX + "_view:FleetView.takes_calls",
-    PREFIX + "_prefill:PrefillStep.attempt_ended",
+    PREFIX + "_prefill_run:PrefillRun.attempt_ended",
     PREFIX + "_stream_call:StreamCall.attempt_ended",
 ]
 
