Offer held KV cache again to the only decode engine

Callers of a resumable route got 503 no_room, "had room in time", at once when the only decode engine rejected the hand-over of the KV cache for a moment, though its prompt was computed and the cache was held. On a route that allows one server the same stream was served.

After such a rejection the stream was sent to another engine whenever the route allowed another server, without regard to whether there was one; the search then ended at once for lack of an engine that was not tried. All other decisions ask for an engine, a resend and an attempt together.

The cache goes to another engine now only if there is one. Else the same engine is asked again after the pause, while the cache is held, and computes the prompt after that, as on the other route.

--- a/src/lavenderrun/dispatch/_stream_decisions.py
+++ b/src/lavenderrun/dispatch/_stream_decisions.py
@@ -112,7 +112,7 @@
     """Offer held KV cache again: the engine lacks memory just now, or the cache is gone."""
     if not situation.has_resend:
         return StreamDecision.REFUSE_NOT_RUN
-    if situation.cache is CacheState.OFFERED and situation.has_attempts:
+    if situation.cache is CacheState.OFFERED and situation.may_move:
         return StreamDecision.SEND_TO_ANOTHER
     if situation.has_pause_left:
         return StreamDecision.OFFER_CACHE_LATER
--- a/tests/dispatch/test_stream_decisions.py
+++ b/tests/dispatch/test_stream_decisions.py
@@ -68,6 +68,21 @@
         assert decision is not StreamDecision.REFUSE_NOT_RUN
 
 
+# a stream was refused at once, because there was no other engine to take its cache
+@given(SITUATIONS)
+def test_held_cache_is_offered_again_to_an_engine_that_rejects_it_and_is_the_only_one(
+    situation: StreamSituation,
+) -> None:
+    rejected = AttemptOutcome(sent=True, kind=AnswerKind.NOT_RUN)
+    held = replace(
+        situation, outcome=rejected, cache=CacheState.OFFERED, has_pause_left=True, has_resend=True
+    )
+    only = replace(held, has_other_engine=False)
+    assert decide_after_stream_attempt(only) is StreamDecision.OFFER_CACHE_LATER
+    others = replace(held, has_other_engine=True, has_attempts=True)
+    assert decide_after_stream_attempt(others) is StreamDecision.SEND_TO_ANOTHER
+
+
 # an answer that broke off reached the caller as complete
 @given(SITUATIONS)
 def test_only_a_whole_answer_is_complete(situation: StreamSituation) -> None:
