--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -60,6 +60,7 @@
 from lavenderrun.dispatch._role_orders import MAX_ROLE_CHANGE_TIME, RoleOrder, RoleOrders
 from lavenderrun.dispatch._roles import RoleBalancer, RoleChange
 from lavenderrun.dispatch._silence import (
+    EXPECTED_FACTOR,
     MIN_SUSPICION,
     QUIET_SHARE,
     REVIEW_PAUSE,
@@ -92,6 +93,7 @@
 
 __all__ = [
     "ASSUMED_HOSTS",
+    "EXPECTED_FACTOR",
     "MAX_QUEUE_WAIT",
     "MAX_ROLE_CHANGE_TIME",
     "MAX_SHARED_PARTS",
