Suspect no begun request of a crash beside one that had not begun

Cause: a crash was a strike against every request on the engine. One that had begun to be answered was let off the first time only, though engines crash on a request before its first token and another one there had not begun.

Change: the decode agent tells with a crash how many other attempts there had not begun to be answered. With any, the strike of a begun request is explained: it makes no suspect. Five strikes in all still make a request guilty, for one that crashes its engine later in its answer.

The new tests in tests/services/test_quarantine.py and tests/decisions/test_strikes.py failed before: the stream was listed as a suspect. What remains is the wait behind suspects.

--- a/src/lavenderrun/bench/_scenarios_operators.py
+++ b/src/lavenderrun/bench/_scenarios_operators.py
@@ -67,6 +67,12 @@
     return _plan_poison(lambda number: f"{POISON_DECODE}\ncertificate of heat {number}")
 
 
+@SCENARIOS.register("crashing-texts")
+def plan_crashing_texts() -> Plan:
+    """Unlike requests share a text inside a line of their prompts that crashes every engine."""
+    return _plan_poison(lambda number: f"certificate {number} of {POISON_DECODE} heat {number}")
+
+
 def _plan_poison(make_prompt: Callable[[int], str]) -> Plan:
     def script(fleet: Fleet) -> None:
         for number in range(POISON_ATTEMPTS):
--- a/src/lavenderrun/decisions/_quarantine.py
+++ b/src/lavenderrun/decisions/_quarantine.py
@@ -15,6 +15,8 @@
 from lavenderrun.types import Fingerprint, HostId, QuarantineVerdict, RequestId, Strike, Suspect
 
 MAX_CRASHES = 3
+MAX_EXPLAINED_CRASHES = 5
+"""Crashes for which another request is the more likely cause that make a request guilty, too."""
 SUSPECT_LIMITS = {1: 4, 2: 1}
 """Most suspects that share a backend server, by number of strikes.
 
@@ -67,11 +69,14 @@
         record = self._records.get(fingerprint)
         if record is None or record.last_strike_at is None:
             return QuarantineVerdict.CLEAR
-        guilty = len(record.strikes) >= MAX_CRASHES
+        counted = sum(not strike.is_explained for strike in record.strikes.values())
+        guilty = counted >= MAX_CRASHES or len(record.strikes) >= MAX_EXPLAINED_CRASHES
         if now - record.last_strike_at > (GUILTY_MEMORY if guilty else SUSPECT_MEMORY):
             self.drop_strikes(fingerprint)
             return QuarantineVerdict.CLEAR
-        return QuarantineVerdict.GUILTY if guilty else QuarantineVerdict.SUSPECT
+        if guilty:
+            return QuarantineVerdict.GUILTY
+        return QuarantineVerdict.SUSPECT if counted else QuarantineVerdict.CLEAR
 
     def find_suspect_limit(self, fingerprint: Fingerprint, now: datetime) -> int:
         """Return the most suspects that may share a backend server, *fingerprint* included.
@@ -80,7 +85,7 @@
         """
         if self.find_verdict(fingerprint, now) is not QuarantineVerdict.SUSPECT:
             return 0
-        strikes = self.find_strikes(fingerprint)
+        strikes = [each for each in self.find_strikes(fingerprint) if not each.is_explained]
         if len(strikes) == 1 and strikes[0].had_begun:
             # most crash their server before they begin; a second crash limits this one too
             return 0
--- a/src/lavenderrun/services/_decode_agent.py
+++ b/src/lavenderrun/services/_decode_agent.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import ClassVar
 
+from msgspec import structs
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
@@ -66,6 +67,8 @@
 LEAVING_REFUSAL = Refused(Refusal.LEAVING, Outcome.NOT_RUN, Step.SEAT)
 FIRST_TOKEN_TIME = timedelta(milliseconds=200)
 """Expected time from the start of a decode to the caller's first token, with a margin."""
+CRASH_SPREAD = timedelta(seconds=1)
+"""Longest time between the ends of attempts that one crash ends; a restart takes longer."""
 
 
 class DecodeAgent:
@@ -90,6 +93,8 @@
         )
         self._jobs: dict[JobKey, DecodeJob] = {}
         self._timer = MovableTimer(kernel.clock, self._tick)
+        self._crashed_at: datetime | None = None
+        self._unanswered: frozenset[JobKey] = frozenset()
 
     def start(self) -> None:
         """Subscribe to the messages of entries and report load."""
@@ -273,9 +278,27 @@
             started = step is not Step.TRANSFER and not isinstance(error, BackendDownError)
             outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
             refused = Refused(Refusal.BACKEND_LOST, outcome, step)
-            job.link.send(AttemptFailed(*key, refused, started=started, crashed=crashed))
+            failed = AttemptFailed(*key, refused, started=started, crashed=crashed)
+            if crashed:
+                others = self._find_unanswered(key, job) - {key}
+                failed = structs.replace(failed, others_unanswered=len(others))
+            job.link.send(failed)
         self._free_slot(key, job, whole=False)
 
+    def _find_unanswered(self, key: JobKey, job: DecodeJob) -> frozenset[JobKey]:
+        """Return the attempts that ran when the engine crashed and had not begun to be answered."""
+        now = self._clock.now()
+        if self._crashed_at is None or now - self._crashed_at > CRASH_SPREAD:
+            # the first of the attempts that one crash ends
+            running = {**self._jobs, key: job}
+            self._unanswered = frozenset(
+                other
+                for other, each in running.items()
+                if each.task is not None and each.is_unanswered
+            )
+            self._crashed_at = now
+        return self._unanswered
+
     def _free_slot(self, key: JobKey, job: DecodeJob, *, whole: bool) -> None:
         job.task = None
         self._events.emit(BackendEnded(*key, self._backend))
--- a/src/lavenderrun/services/_decode_job.py
+++ b/src/lavenderrun/services/_decode_job.py
@@ -29,6 +29,7 @@
         self.import_time: timedelta | None = None
         self._timer: Timer | None = None
         self._has_begun = False
+        self._has_output = False
         self._on_progress: Callable[[int], None] = _ignore_progress
         self._start_offset = 0
         self._kept_tokens: list[str] = []
@@ -41,6 +42,11 @@
         """Whether the engine has generated the whole answer."""
         return self._finish is not None
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the decode was started and has no output yet."""
+        return self._has_begun and not self._has_output
+
     @property
     def is_acked(self) -> bool:
         """Whether the entry has acknowledged the whole answer; its end counts as one more token."""
@@ -62,6 +68,7 @@
         if self.on_first_tokens is not None:
             self.on_first_tokens()
             self.on_first_tokens = None
+        self._has_output = True
         self._kept_tokens += tokens
         self._finish = finish
         self._on_progress(offset + len(tokens))
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -414,6 +414,7 @@
                     self.admitted.account,
                     self.admitted.route.name,
                     had_begun=self._answer.offset > self._offset_before,
+                    others_unanswered=failed.others_unanswered,
                 )
             )
             if not self._answer.offset:
--- a/src/lavenderrun/services/_quarantine.py
+++ b/src/lavenderrun/services/_quarantine.py
@@ -149,6 +149,8 @@
             account=strike.account,
             route=strike.route,
             verdict=verdict.value,
+            had_begun=strike.had_begun,
+            others_unanswered=strike.others_unanswered,
         )
         if verdict is QuarantineVerdict.GUILTY:
             ensureDeferred(self._store_verdict(strike.fingerprint))
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -259,6 +259,7 @@
 
     :param started: the backend server may have started it.
     :param crashed: the backend server crashed while it ran it.
+    :param others_unanswered: how many other attempts that it ran had not begun to be answered.
     """
 
     request: RequestId
@@ -266,6 +267,7 @@
     refused: Refused
     started: bool
     crashed: bool = False
+    others_unanswered: int = 0
 
 
 @message("call")
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -49,6 +49,7 @@
     """A backend server crashed while it ran an attempt; entries send this to one another.
 
     :param had_begun: the attempt had begun to be answered, so another one is more likely the cause.
+    :param others_unanswered: how many other attempts on the server had not begun to be answered.
     """
 
     fingerprint: Fingerprint
@@ -57,6 +58,12 @@
     account: AccountId | None
     route: RouteName
     had_begun: bool = False
+    others_unanswered: int = 0
+
+    @property
+    def is_explained(self) -> bool:
+        """Whether an attempt on the same server is a more likely cause of its crash."""
+        return self.had_begun and self.others_unanswered > 0
 
 
 @message("acquitted")
--- a/tests/decisions/test_strikes.py
+++ b/tests/decisions/test_strikes.py
@@ -19,7 +19,9 @@
 PRINT = Fingerprint("f")
 
 
-def strike(quarantine: Quarantine, number: int, *, had_begun: bool) -> None:
+def strike(
+    quarantine: Quarantine, number: int, *, had_begun: bool, others_unanswered: int = 0
+) -> None:
     quarantine.add_strike(
         Strike(
             PRINT,
@@ -28,6 +30,7 @@
             AccountId("a"),
             RouteName("orders"),
             had_begun=had_begun,
+            others_unanswered=others_unanswered,
         ),
         NOW,
     )
@@ -54,3 +57,22 @@
     for number in range(3):
         strike(quarantine, number, had_begun=True)
     assert quarantine.find_verdict(PRINT, NOW) is QuarantineVerdict.GUILTY
+
+
+# streams that lost their server twice to another request waited for one of their own, up to 27 s
+def test_a_request_that_had_begun_is_no_suspect_beside_one_that_had_not() -> None:
+    quarantine = Quarantine()
+    for number in range(4):
+        strike(quarantine, number, had_begun=True, others_unanswered=1)
+        assert quarantine.find_verdict(PRINT, NOW) is QuarantineVerdict.CLEAR
+        assert quarantine.find_suspect_limit(PRINT, NOW) == 0
+        assert quarantine.list_suspects(NOW) == []
+    strike(quarantine, 4, had_begun=True, others_unanswered=1)
+    assert quarantine.find_verdict(PRINT, NOW) is QuarantineVerdict.GUILTY
+
+
+def test_a_request_that_had_not_begun_is_a_suspect_beside_others_that_had_not() -> None:
+    quarantine = Quarantine()
+    for number in range(3):
+        strike(quarantine, number, had_begun=False, others_unanswered=3)
+    assert quarantine.find_verdict(PRINT, NOW) is QuarantineVerdict.GUILTY
--- a/tests/services/test_quarantine.py
+++ b/tests/services/test_quarantine.py
@@ -128,6 +128,25 @@
         }
 
 
+# the stream had begun, and the request that crashes the engine had not
+def test_a_stream_that_loses_its_server_to_another_request_is_no_suspect() -> None:
+    fleet = Fleet(entries=2)
+    prompt = "heat record"
+    _, innocent = fleet.submit(prompt, 400)
+    fleet.run(0.3)
+    assert innocent.tokens
+    fleet.submit(f"coil {POISON_DECODE}", entry="e2")
+    while not count_crashes(fleet):
+        fleet.run(0.005)
+    fleet.run(0.05)
+    assert not innocent.ends
+    for entry in fleet.entries:
+        suspects = find_quarantine(fleet, entry).list_suspects()
+        assert [each.fingerprint for each in suspects] == [f"gruas:coil {POISON_DECODE}"]
+    fleet.run(30)
+    assert innocent.tokens == expected_tokens(prompt, 400)
+
+
 def test_entry_that_starts_later_reads_guilty_fingerprints_from_the_store() -> None:
     fleet = Fleet(decoders=2)
     fleet.submit(f"coil {POISON_DECODE}")
