--- a/src/lavenderrun/decisions/_quarantine.py
+++ b/src/lavenderrun/decisions/_quarantine.py
@@ -41,6 +41,11 @@
         """Whether the strikes are as many as it takes to refuse the fingerprint."""
         return len(self.strikes) >= MAX_CRASHES
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the fingerprint is the likely cause of any crash."""
+        return any(not strike.is_explained for strike in self.strikes.values())
+
     def is_outdated(self, now: datetime) -> bool:
         """Tell whether the strikes no longer count at *now*."""
         memory = GUILTY_MEMORY if self.is_guilty else SUSPECT_MEMORY
@@ -85,7 +90,9 @@
         record = self._records.get(fingerprint)
         if record is None or record.is_outdated(now):
             return QuarantineVerdict.CLEAR
-        return QuarantineVerdict.GUILTY if record.is_guilty else QuarantineVerdict.SUSPECT
+        if record.is_guilty:
+            return QuarantineVerdict.GUILTY
+        return QuarantineVerdict.SUSPECT if record.is_suspect else QuarantineVerdict.CLEAR
 
     def find_suspect_limit(self, fingerprint: Fingerprint, now: datetime) -> int:
         """Return the most suspects that may share a backend server, *fingerprint* included.
@@ -94,7 +101,7 @@
         """
         if self.find_verdict(fingerprint, now) is not QuarantineVerdict.SUSPECT:
             return 0
-        strikes = self.find_strikes(fingerprint)
+        strikes = [each for each in self.find_strikes(fingerprint) if not each.is_explained]
         if len(strikes) == 1 and strikes[0].had_begun:
             # most crash their server before they begin; a second crash limits this one too
             return 0
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -50,6 +50,7 @@
 
     :param had_begun: the attempt had begun to be answered, so another one is more likely the cause.
     :param age: time since the newest crash under the fingerprint, when the strike is passed on.
+    :param others_unanswered: how many other attempts on the server had not begun to be answered.
     """
 
     fingerprint: Fingerprint
@@ -59,6 +60,12 @@
     route: RouteName
     had_begun: bool = False
     age: timedelta = timedelta(0)
+    others_unanswered: int = 0
+
+    @property
+    def is_explained(self) -> bool:
+        """Whether an attempt on the same server is a more likely cause of its crash."""
+        return self.had_begun and self.others_unanswered > 0
 
 
 @message("acquitted")
