Keep links open through a silence of 1.25 s of a sound peer

A sound host that said nothing for a second, from just before it would have sent a heartbeat, lost its links: its decodes had to be resumed and calls that may not be repeated settled over new ones.

Cause: a link was lost after three intervals without a sign, 1.5 s when busy, and the wait for the heartbeat is a third of that.

A link is now lost after three intervals and at least 1.25 s more than one, 1.75 s when busy, still within the 2 s in which a dead link must be found. After 1.5 s, as before, requests without a decode and calls that may be repeated and have no reply go elsewhere; the new meaning SILENT tells.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -42,7 +42,12 @@
 from lavenderrun.decisions._keys import grant_key, withdraw_key
 from lavenderrun.decisions._limit_policies import LIMIT_POLICIES
 from lavenderrun.decisions._link_budget import LinkBudget
-from lavenderrun.decisions._link_silence import LinkSilence, find_link_patience, weigh_link_silence
+from lavenderrun.decisions._link_silence import (
+    LinkSilence,
+    find_link_patience,
+    find_silent_after,
+    weigh_link_silence,
+)
 from lavenderrun.decisions._membership import StaleRowDetector, choose_peer_addresses
 from lavenderrun.decisions._orders import BlockedOrder, OrderPlanner, PlannedOrder
 from lavenderrun.decisions._output_lengths import OutputLengths
@@ -208,6 +213,7 @@
     "find_plain_route",
     "find_probe_coordinator",
     "find_shared_parts",
+    "find_silent_after",
     "grant_key",
     "has_majority",
     "hash_blocks",
--- a/src/lavenderrun/services/_links.py
+++ b/src/lavenderrun/services/_links.py
@@ -46,6 +46,7 @@
         self._codec = WireCodec()
         self._handlers: dict[type[Message], list[Callable[[Any, Any], None]]] = {}
         self._watchers: list[tuple[Callable[[Link], None], Callable[[Link], None]]] = []
+        self._silence_watchers: list[Callable[[Link], None]] = []
         self._live_links: dict[HostId, PeerLink] = {}
         self._open_links: dict[PeerLink, None] = {}
         self._dialled: dict[str, PeerLink | None] = {}
@@ -79,6 +80,10 @@
         """Call *up* after the greeting on a new link and *down* when a link is lost or silent."""
         self._watchers.append((up, down))
 
+    def watch_silence(self, silent: Callable[[Link], None]) -> None:
+        """Call *silent* when the peer of a link may be lost; the link stays open for a while."""
+        self._silence_watchers.append(silent)
+
     def find(self, host: HostId) -> Link | None:
         """Return the live link to *host*, ``None`` without one."""
         return self._live_links.get(host)
@@ -196,6 +201,12 @@
             for _, down in self._watchers:
                 down(link)
 
+    def note_silent(self, link: PeerLink) -> None:
+        """Tell the watchers that the peer of a live link may be lost."""
+        if link.was_live:
+            for silent in self._silence_watchers:
+                silent(link)
+
     def dispatch_batch(
         self, link: PeerLink, version: DocumentVersion, messages: list[Message]
     ) -> None:
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -184,9 +184,16 @@
         if link is self._decode_link and self.state is RunState.DECODING:
             self.state = RunState.RESUMING
             self._set_timer(RESUME_TIMEOUT, self._handle_lost_agent, link)
-        elif self.state in (RunState.RESERVING, RunState.PREFILLING) and (
-            link is self._decode_link or link is self._prefill_link
-        ):
+        else:
+            self._fail_unstarted(link)
+
+    def handle_link_silence(self, link: Link) -> None:
+        """Leave an agent that may be lost, unless it runs the decode."""
+        self._fail_unstarted(link)
+
+    def _fail_unstarted(self, link: Link) -> None:
+        is_unstarted = self.state in (RunState.RESERVING, RunState.PREFILLING)
+        if is_unstarted and (link is self._decode_link or link is self._prefill_link):
             self._fail_attempt(link.peer.host, self._make_refusal(Refusal.BACKEND_LOST, link))
 
     def refuse_unstarted(self, refusal: Refusal) -> None:
--- a/src/lavenderrun/services/_model_router.py
+++ b/src/lavenderrun/services/_model_router.py
@@ -80,6 +80,7 @@
         for kind in (SeatPromised, Prefilled, Frame, AttemptFailed):
             self.links.subscribe(kind, self._handle_message)
         self.links.watch(self._handle_link_up, self._handle_link_down)
+        self.links.watch_silence(self._handle_link_silence)
         self._admission.watch(self._refuse_withdrawn)
         self._document.watch(self._apply_document)
 
@@ -133,6 +134,10 @@
         for run in list(self._runs.values()):
             run_guarded(run, run.handle_link_up, link)
 
+    def _handle_link_silence(self, link: Link) -> None:
+        for run in list(self._runs.values()):
+            run_guarded(run, run.handle_link_silence, link)
+
     def _handle_link_down(self, link: Link) -> None:
         self.chooser.remove_agent(link)
         for run in list(self._runs.values()):
--- a/src/lavenderrun/services/_peer_link.py
+++ b/src/lavenderrun/services/_peer_link.py
@@ -11,6 +11,7 @@
     SETTLE_TIME,
     LinkSilence,
     find_link_patience,
+    find_silent_after,
     weigh_link_silence,
 )
 from lavenderrun.kernel import Clock
@@ -68,6 +69,9 @@
     def remove_link(self, link: PeerLink, reason: str) -> None:
         """Handle the end of a link."""
 
+    def note_silent(self, link: PeerLink) -> None:
+        """Handle a peer that may be lost; its link stays open."""
+
     def dispatch_batch(
         self, link: PeerLink, version: DocumentVersion, messages: list[Message]
     ) -> None:
@@ -101,6 +105,7 @@
         self._last_used_at = clock.now()
         self._heard_at = owner.measure_run_time()
         self._promised = BUSY_INTERVAL
+        self._is_silent = False
         self._is_suspect = False
         self._silence_timer = clock.call_later(GREETING_TIMEOUT, self._check_silence)
         self._heartbeat_timer = clock.call_later(BUSY_INTERVAL, self._send_heartbeat)
@@ -239,7 +244,7 @@
             self.announce()
 
     def _expect_sign(self, interval: timedelta) -> None:
-        self._is_suspect = False
+        self._is_silent = self._is_suspect = False
         before = self._heard_at + find_link_patience(self._promised)
         self._heard_at, self._promised = self._owner.measure_run_time(), interval
         sooner = self._heard_at + find_link_patience(interval) < before
@@ -249,11 +254,17 @@
 
     def _check_silence(self) -> None:
         silence = self._owner.measure_run_time() - self._heard_at
-        if weigh_link_silence(silence, self._promised) is LinkSilence.LOST:
+        meaning = weigh_link_silence(silence, self._promised)
+        if meaning is LinkSilence.LOST:
             self._suspect()
             return
-        remaining = find_link_patience(self._promised) - silence
-        self._silence_timer = self._clock.call_later(remaining, self._check_silence)
+        limit = find_silent_after(self._promised)
+        if meaning is LinkSilence.SILENT:
+            limit = find_link_patience(self._promised)
+        self._silence_timer = self._clock.call_later(limit - silence, self._check_silence)
+        if meaning is LinkSilence.SILENT and not self._is_silent and not self._owner.has_unread():
+            self._is_silent = True
+            self._owner.note_silent(self)
 
     def _suspect(self) -> None:
         if not self._owner.has_unread():
--- a/src/lavenderrun/services/_plain_attempt.py
+++ b/src/lavenderrun/services/_plain_attempt.py
@@ -185,6 +185,13 @@
             self.close()
             self._owner.lose_attempt()
 
+    def handle_link_silence(self, link: Link) -> None:
+        """Leave an agent that may be lost, if the call may be repeated and has no reply yet."""
+        is_waiting = self.state is AttemptState.SENT and self._reason is None
+        if link is self.link and is_waiting and not self._at_most_once and not self._reply.has_head:
+            self.cancel()
+            self._owner.lose_attempt()
+
     def handle_message(self, link: Link, message: CallMessage) -> None:
         """Handle a message of an agent."""
         key = (message.request, message.attempt)
--- a/src/lavenderrun/services/_plain_call.py
+++ b/src/lavenderrun/services/_plain_call.py
@@ -190,6 +190,11 @@
         if self._attempt is not None:
             self._attempt.handle_link_down(link)
 
+    def handle_link_silence(self, link: Link) -> None:
+        """Tell the attempt that the peer of a link may be lost."""
+        if self._attempt is not None:
+            self._attempt.handle_link_silence(link)
+
     def handle_message(self, link: Link, message: CallMessage) -> None:
         """Pass a message of an agent to the attempt."""
         if self._attempt is not None:
--- a/src/lavenderrun/services/_plain_router.py
+++ b/src/lavenderrun/services/_plain_router.py
@@ -86,6 +86,7 @@
         self.links.subscribe(AttemptFailed, self._handle_message)
         self.links.subscribe(Revoked, self._handle_message)
         self.links.watch(self._handle_link_up, self._handle_link_down)
+        self.links.watch_silence(self._handle_link_silence)
         self._admission.watch(self._withdraw_refused)
         self._document.watch(self._apply_document)
 
@@ -177,6 +178,10 @@
         for call in list(self._calls):
             run_guarded(call, call.handle_link_up, link)
 
+    def _handle_link_silence(self, link: Link) -> None:
+        for call in list(self._calls):
+            run_guarded(call, call.handle_link_silence, link)
+
     def _handle_link_down(self, link: Link) -> None:
         self._chooser.remove_agent(link)
         for call in list(self._calls):
--- a/src/lavenderrun/types/_interfaces.py
+++ b/src/lavenderrun/types/_interfaces.py
@@ -63,6 +63,9 @@
     def watch(self, up: Callable[[Link], None], down: Callable[[Link], None]) -> None:
         """Call *up* after the greeting on a new link and *down* when a link is lost or silent."""
 
+    def watch_silence(self, silent: Callable[[Link], None]) -> None:
+        """Call *silent* when the peer of a link may be lost; the link stays open for a while."""
+
     def find(self, host: HostId) -> Link | None:
         """Return the live link to *host*, ``None`` without one."""
 
--- a/tests/services/test_plain_path.py
+++ b/tests/services/test_plain_path.py
@@ -194,6 +194,27 @@
     assert counter.granted == counter.sent - 1
 
 
+@pytest.mark.parametrize(("method", "moves"), [("GET", True), ("POST", False)])
+def test_a_call_that_may_be_repeated_leaves_an_agent_that_may_be_lost(
+    method: str, *, moves: bool
+) -> None:
+    fleet = PlainFleet()
+    fleet.run(2)
+    for faults in fleet.faults.values():
+        faults.reply_delay = timedelta(seconds=4)
+    fleet.submit(method, "/orders/7/confirm")
+    fleet.run(0.4)
+    first = find_running_agent(fleet)
+    fleet.drop_traffic("e1", first)
+    silent: list[str] = []
+    fleet.find_links("e1").watch_silence(lambda link: silent.append(link.peer.host))
+    fleet.run(1.6)
+    assert silent == [first]
+    # the link is still open
+    assert fleet.find_links("e1").find(first) is not None
+    assert (find_running_agent(fleet) != first) is moves
+
+
 def test_reply_cut_in_the_middle_is_refused_and_never_repeated() -> None:
     fleet = PlainFleet()
     for faults in fleet.faults.values():
