Keep servers whose rows vanish while the store answers late

Sound backend servers vanished from a gateway for a while when the store answered late: their heartbeats came late as well, so their rows expired, and calls were refused or sent to fewer servers. Only rows that were missing after an outage, in which calls failed, were kept.

AnswerPace tells from the answers to this host whether they come in time: 300 ms after the expected moment is late, changes that arrive while the store waits for them tell nothing, and neither does a call without an answer. While answers are late, and for 2 s after they come in time again, a server without a row is kept; while they stay late for 5 s and at most one more check, so that a server that is gone does not stay. A server that is kept stays kept when an outage follows.

The stand-in store of the gateway tests left a feed unanswered for ever; it now answers without changes when the wait ends, as the platform's does. No test of it has changed otherwise.

Not covered: a store that is late for servers only, seen by no answer to this host.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lavenderrun.dispatch._access import Access, RouteIndex, authorize_call, digest_key
+from lavenderrun.dispatch._answer_pace import AnswerPace
 from lavenderrun.dispatch._attempt_decisions import (
     AttemptDecision,
     AttemptOutcome,
@@ -91,6 +92,7 @@
     "RESENDS",
     "SERIES_END",
     "Access",
+    "AnswerPace",
     "AttemptDecision",
     "AttemptOutcome",
     "BackendHealth",
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
 from lavenderrun.dispatch import DepartureNotice, DepartureNotices
@@ -11,7 +11,7 @@
 from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._ports import RowChange
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
-from lavenderrun.gateway._rows import RowStore
+from lavenderrun.gateway._rows import RowStore, StoreState
 from lavenderrun.gateway._stats import MEMBERS, Stats
 from lavenderrun.kernel import Kernel, Timer
 from lavenderrun.types import BackendId, HostId, Incarnation, Member, MemberState, ServiceGroup
@@ -19,6 +19,10 @@
 RETURN_GRACE: Final = timedelta(seconds=2)
 """How long a row that expired during a store outage may take to return after it."""
 
+MAX_KEPT: Final = timedelta(seconds=5)
+"""How long a server without a row is kept while the store answers, but late: a sound server writes
+its row again in that time."""
+
 CHANGES_READ_PAUSE: Final = timedelta(milliseconds=15)
 """Pause after changes of rows, for each gateway: servers that start change their rows with each
 heartbeat, and all gateways read all changes."""
@@ -35,9 +39,9 @@
 class MembersService:
     """Follows the rows of backend servers.
 
-    A server whose row vanished around a store outage is kept until it has had time to register
-    again. One that said, here or at another gateway, that it is leaving is leaving whatever its row
-    says.
+    A server whose row vanished around a store outage, or while the store answers late, is kept
+    until it has had time to register again. One that said, here or at another gateway, that it is
+    leaving is leaving whatever its row says.
 
     :ivar follower: reads the table of backend servers.
     :ivar host_count: number of gateways that follow the rows; set by the service ``view``.
@@ -173,24 +177,45 @@
     def _note_missing(self, member: BackendId) -> None:
         if member not in self._members or member in self._removal_timers:
             return
-        now, ended = self._clock.now(), self._rows.outage_ended
-        if ended is None or now >= ended + RETURN_GRACE:
+        now = self._clock.now()
+        if not self._keep_until_returned(member, now):
             self._set_member(member, None)
             return
-        delay = ended + RETURN_GRACE - now
-        self._removal_timers[member] = self._clock.call_later(delay, self._remove, member)
+        ended = self._find_trouble_end()
         log(
             "members:kept",
-            "members: row is missing after a store outage, backend server kept for now",
+            "members: row is missing after late or missing answers of the store, "
+            "backend server kept for now",
             member=member,
-            kept_ms=to_milliseconds(delay),
-            answering_ms=to_milliseconds(now - ended),
+            answering_ms=None if ended is None else to_milliseconds(now - ended),
+            is_store_late=self._rows.pace.is_late,
             row_version=self.follower.version,
         )
 
-    def _remove(self, member: BackendId) -> None:
+    def _find_trouble_end(self) -> datetime | None:
+        """Return when the store last began to answer, or to answer in time, again."""
+        ends = (self._rows.outage_ended, self._rows.pace.late_ended)
+        return max((end for end in ends if end is not None), default=None)
+
+    def _keep_until_returned(self, member: BackendId, missing_since: datetime) -> bool:
+        """Keep a server whose row is missing if the store's trouble may explain it."""
+        now, ended = self._clock.now(), self._find_trouble_end()
+        delay = ended + RETURN_GRACE - now if ended is not None else timedelta(0)
+        is_lost = self._rows.state is StoreState.LOST
+        is_late = self._rows.pace.is_late and now < missing_since + MAX_KEPT
+        if is_lost or is_late:
+            delay = RETURN_GRACE
+        if delay <= timedelta(0):
+            return False
+        self._removal_timers[member] = self._clock.call_later(
+            delay, self._remove, member, missing_since
+        )
+        return True
+
+    def _remove(self, member: BackendId, missing_since: datetime) -> None:
         self._removal_timers.pop(member, None)
-        self._set_member(member, None)
+        if not self._keep_until_returned(member, missing_since):
+            self._set_member(member, None)
 
     def _set_member(self, key: BackendId, member: Member | None) -> None:
         old = self._members.get(key)
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.defer import Deferred
 
+from lavenderrun.dispatch import AnswerPace
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import (
@@ -28,6 +29,8 @@
 """Longest wait for an answer, about sixty times the usual one."""
 
 
+NO_WAIT: Final = timedelta(0)
+
 MAX_END_DELAY: Final = timedelta(seconds=1)
 """Longest time after the last failed call was sent at which an outage counts as ended, however
 late the next call was sent."""
@@ -49,6 +52,7 @@
     :ivar state_changed: when the state last changed.
     :ivar outage_ended: when the last outage ended, ``None`` before the first. A single failed call
         is none: its connection may have broken.
+    :ivar pace: whether the store answers in time.
     :ivar last_success: when the last successful call was sent, ``None`` before the first; what it
         read is at least as new.
     """
@@ -65,6 +69,7 @@
         self.state_changed: datetime = kernel.clock.now()
         self.last_success: datetime | None = None
         self.outage_ended: datetime | None = None
+        self.pace = AnswerPace()
         self._is_outage = False
         self._failure_sent: datetime = kernel.clock.now()
         self._probing: object | None = None
@@ -104,7 +109,7 @@
         :raises StoreRefusal: when the store refuses the call.
         """
         call = self.dialect.encode_feed(table, after, wait)
-        return await self._call("feed", call, wait + ANSWER_TIMEOUT)
+        return await self._call("feed", call, wait + ANSWER_TIMEOUT, wait)
 
     async def write(
         self, table: str, writes: Collection[RowWrite], timeout: timedelta = ANSWER_TIMEOUT
@@ -150,7 +155,9 @@
         self._forget_waiting(done)
         done.callback(None)
 
-    async def _call(self, kind: str, call: HttpRequest, timeout: timedelta) -> RowPage:
+    async def _call(
+        self, kind: str, call: HttpRequest, timeout: timedelta, wait: timedelta = NO_WAIT
+    ) -> RowPage:
         sent = self._clock.now()
         answer = await self._pool.fetch(self._address, call, timeout)
         if answer is None:
@@ -168,6 +175,9 @@
         except ValueError as error:
             self._note_failure(kind, sent, "answer can not be read")
             raise StoreUnavailableError(str(error)) from error
+        # changes come at any time while the store waits for them
+        is_expected = not (wait and page.rows)
+        self.pace.note_answer(sent, wait, self._clock.now(), is_expected=is_expected)
         self.last_success = max(sent, self.last_success or sent)
         self._note_answer(kind, sent, "")
         return page
--- a/tests/gateway/store_fixture.py
+++ b/tests/gateway/store_fixture.py
@@ -93,12 +93,14 @@
 
     :ivar is_down: whether each call fails at once.
     :ivar is_silent: whether no call is answered.
+    :ivar late_by: how late each answer comes.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.is_down = False
         self.is_silent = False
+        self.late_by = timedelta(0)
         self.clock: Clock | None = None
         self._rows: dict[tuple[str, str], tuple[int, dict[str, Any] | None]] = {}
         self._version = 0
@@ -125,6 +127,12 @@
         self, _address: str, call: HttpRequest, timeout: timedelta
     ) -> tuple[int, bytes] | None:
         self.calls.append(call.target)
+        answer = await self._answer(call, timeout)
+        if self.late_by and self.clock is not None:
+            await sleep(self.clock, self.late_by)
+        return answer
+
+    async def _answer(self, call: HttpRequest, timeout: timedelta) -> tuple[int, bytes] | None:
         if self.is_silent and self.clock is not None:
             await sleep(self.clock, timeout)
             return None
@@ -138,9 +146,20 @@
         if query["wait-ms"] == "0" or self._list_rows(table, after, removed=True):
             return self._read(table, after, removed=True)
         answer: Deferred[tuple[int, bytes] | None] = Deferred()
-        self._pending.append((table, after, answer))
+        waiting = (table, after, answer)
+        self._pending.append(waiting)
+        if self.clock is not None:
+            wait = timedelta(milliseconds=int(query["wait-ms"]))
+            self.clock.call_later(wait, self._end_wait, waiting)
         return await answer
 
+    def _end_wait(self, waiting: tuple[str, int, Deferred[tuple[int, bytes] | None]]) -> None:
+        """Answer that there are no changes, as a table service does in the end."""
+        if waiting in self._pending:
+            self._pending.remove(waiting)
+            table, after, answer = waiting
+            answer.callback(self._read(table, after, removed=True))
+
     def _list_rows(self, table: str, after: int, *, removed: bool) -> list[dict[str, Any]]:
         return [
             make_row(key, version, value)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -163,6 +163,53 @@
     assert members.find(BackendId("back")) is not None
 
 
+def start_late_store(*keys: str) -> tuple[StoreFixture, BreakingStore, MembersService]:
+    """Return the rows of servers in a store that has begun to answer a second late."""
+    store = BreakingStore()
+    fixture = StoreFixture(store)
+    store.clock = fixture.kernel.clock
+    members = MembersService(fixture.kernel)
+    for key in keys:
+        store.put("servers", key, SERVER_ROW)
+    members.start()
+    store.late_by = timedelta(seconds=1)
+    fixture.pass_time(7)
+    return fixture, store, members
+
+
+# servers whose heartbeats reached a slow store late vanished, though no call to it had failed
+def test_a_row_that_expired_while_the_store_answered_late_may_return() -> None:
+    fixture, store, members = start_late_store("back", "gone")
+    seen = watch(members)
+    for key in ("back", "gone"):
+        store.put("servers", key, None)
+    fixture.pass_time(4)
+    assert seen == []
+    store.put("servers", "back", SERVER_ROW)
+    fixture.pass_time(2)
+    store.late_by = timedelta(0)
+    fixture.pass_time(15)
+    assert seen == [("gone", False)]
+
+
+def test_a_server_kept_for_late_answers_stays_in_an_outage_that_follows() -> None:
+    fixture, store, members = start_late_store("a")
+    store.put("servers", "a", None)
+    fixture.pass_time(1.5)
+    store.is_down = True
+    store.break_connections()
+    fixture.pass_time(30)
+    assert members.find(BackendId("a")) is not None
+
+
+# a store that is always slow must not keep servers that are gone
+def test_a_server_without_a_row_is_not_kept_for_ever_while_the_store_answers_late() -> None:
+    fixture, store, members = start_late_store("gone")
+    store.put("servers", "gone", None)
+    fixture.pass_time(14)
+    assert members.find(BackendId("gone")) is None
+
+
 def make_configuration_rows(version: int) -> list[RowChange]:
     return [RowChange("config", json.dumps({"version": version, **CONFIG}).encode(), version)]
 
