Keep held KV cache until a decode engine has answered

When a decode engine broke before it began to answer, the KV cache of the prompt was freed at once and the next engine computed the prompt again, which held up the streams there; callers saw the first token late by a prompt. The gateway cannot know whether the lost engine had imported the cache.

The cache is kept now until the head of an answer. After a failed answer the cache was offered as before a loss; it is doubtful there, too. A cache that is too old to be offered is freed rather than forgotten when the next engine computes the prompt.

--- a/src/lavenderrun/dispatch/_stream_decisions.py
+++ b/src/lavenderrun/dispatch/_stream_decisions.py
@@ -37,10 +37,14 @@
 
 
 class CacheState(Enum):
-    """State of the KV cache that a prefill engine holds for a stream."""
+    """State of the KV cache that a prefill engine holds for a stream.
+
+    ``DOUBTFUL`` is one that an engine which may have begun the stream may have taken.
+    """
 
     NONE = "none"
     OFFERED = "offered"
+    DOUBTFUL = "doubtful"
     EXPIRING = "expiring"
 
 
@@ -114,6 +118,6 @@
         return StreamDecision.REFUSE_NOT_RUN
     if situation.cache is CacheState.OFFERED and situation.may_move:
         return StreamDecision.SEND_TO_ANOTHER
-    if situation.has_pause_left:
+    if situation.cache is not CacheState.DOUBTFUL and situation.has_pause_left:
         return StreamDecision.OFFER_CACHE_LATER
     return StreamDecision.COMPUTE_PROMPT
--- a/src/lavenderrun/gateway/_engine_search.py
+++ b/src/lavenderrun/gateway/_engine_search.py
@@ -166,7 +166,7 @@
         self._connection = connection
         if not self._services.view.takes_calls(slot.member):
             self._search_again()
-        elif self._cache.state is CacheState.OFFERED:
+        elif self._cache.is_worth_offering:
             self._finish()
         elif self._prompt_tokens and not self._tried and not self._was_prefill_sent:
             self._prefill = PrefillStep(
--- a/src/lavenderrun/gateway/_prompt_cache.py
+++ b/src/lavenderrun/gateway/_prompt_cache.py
@@ -28,13 +28,15 @@
         self._service = service
         self._offered_until = arrived
         self._offered: HeldCache | None = None
+        self._is_doubtful = False
         self._late: PrefillStep | None = None
         self.held: HeldCache | None = None
 
     def hold(self, cache: HeldCache | None) -> None:
         """Keep what a prefill step returned."""
+        self._free()
         lifetime = self._services.view.find_export_lifetime(self._service)
-        self.held = cache
+        self.held, self._is_doubtful = cache, False
         self._offered_until = self._services.clock.now() + lifetime * CACHE_LIFETIME_SHARE
 
     @property
@@ -42,8 +44,14 @@
         """Whether there is a cache, and whether it may still be offered to another engine."""
         if self.held is None:
             return CacheState.NONE
-        is_offered = self._services.clock.now() < self._offered_until
-        return CacheState.OFFERED if is_offered else CacheState.EXPIRING
+        if self._services.clock.now() >= self._offered_until:
+            return CacheState.EXPIRING
+        return CacheState.DOUBTFUL if self._is_doubtful else CacheState.OFFERED
+
+    @property
+    def is_worth_offering(self) -> bool:
+        """Whether an engine may still import the cache."""
+        return self.state in {CacheState.OFFERED, CacheState.DOUBTFUL}
 
     @property
     def outlasts_pause(self) -> bool:
@@ -70,6 +78,10 @@
         self._offered = self.held
         return self.held
 
+    def note_lost(self) -> None:
+        """Record that the engine to which the cache was offered may have begun the stream."""
+        self._is_doubtful = self._is_doubtful or self.held is self._offered
+
     def note_answered(self) -> None:
         """Forget the cache, because an engine imported it or has computed the prompt itself."""
         self._end_late(is_taken=True)
@@ -78,8 +90,11 @@
         self.give_up()
 
     def give_up(self) -> None:
-        """Ask the holder to free the cache."""
+        """Ask the holder to free the cache, and drop a silent prefill."""
         self._end_late(is_taken=False)
+        self._free()
+
+    def _free(self) -> None:
         cache, self.held = self.held, None
         if cache is not None:
             self._services.free_cache(cache)
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -205,8 +205,7 @@
         if not situation.is_complete and attempt.outcome.may_have_run:
             self._is_outcome_unknown = True
             self.loss = "engine lost" if attempt.outcome.has_broken else "engine failed"
-            if attempt.outcome.has_broken:
-                self._cache.give_up()
+            self._cache.note_lost()
         if not situation.is_complete and self._silence.replace_ended():
             return
         self._silence.end()
--- a/tests/dispatch/test_stream_decisions.py
+++ b/tests/dispatch/test_stream_decisions.py
@@ -79,6 +79,8 @@
     )
     only = replace(held, has_other_engine=False)
     assert decide_after_stream_attempt(only) is StreamDecision.OFFER_CACHE_LATER
+    doubtful = replace(only, cache=CacheState.DOUBTFUL)
+    assert decide_after_stream_attempt(doubtful) is StreamDecision.COMPUTE_PROMPT
     others = replace(held, has_other_engine=True, has_attempts=True)
     assert decide_after_stream_attempt(others) is StreamDecision.SEND_TO_ANOTHER
 
--- a/tests/gateway/test_prompt_cache.py
+++ b/tests/gateway/test_prompt_cache.py
@@ -42,3 +42,20 @@
     late.on_late(HELD)
     cache.note_answered()
     services.free_cache.assert_called_once_with(HELD)
+
+
+# a cache that may be gone was offered again and again, each time for a resend
+def test_a_cache_is_doubtful_once_an_engine_to_which_it_was_offered_is_lost() -> None:
+    cache, services, _ = make_cache()
+    cache.hold(HELD)
+    states = []
+    for offer in (False, True):
+        if offer:
+            cache.offer()
+        cache.note_lost()
+        states.append(cache.state)
+    services.clock.now.return_value = NOW + timedelta(seconds=1)
+    states.append(cache.state)
+    assert states == [CacheState.OFFERED, CacheState.DOUBTFUL, CacheState.EXPIRING]
+    cache.hold(None)
+    services.free_cache.assert_called_once_with(HELD)
