Bound the move of a prompt to a decode engine in time

When a decode engine that took on a prompt of a silent prefill engine was lost without a sign, too, the move lasted until the end of that call, and the other prompts of the silent engine waited behind it at the certainty.

Only the move ends; the silent run and the attempt of the decode engine go on.

--- a/src/lavenderrun/gateway/_prefill.py
+++ b/src/lavenderrun/gateway/_prefill.py
@@ -9,10 +9,11 @@
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._move_result import MoveResult
-from lavenderrun.gateway._prefill_move import PrefillMove, record_move
+from lavenderrun.gateway._prefill_move import PrefillMove, find_move_time, record_move
 from lavenderrun.gateway._prefill_run import CallContextFactory, PrefillRun
 from lavenderrun.gateway._running_call import AdmittedCall
 from lavenderrun.gateway._silence_watch import SilenceWatch
+from lavenderrun.kernel import Timer
 from lavenderrun.types import BackendId, HeldCache, Member
 
 
@@ -58,6 +59,7 @@
             self._move_silent,
             may_move=True,
         )
+        self._leave_timer: Timer | None = None
         self.was_sent = False
         self.is_left = False
         self.on_late: Callable[[HeldCache | None], None] | None = None
@@ -96,7 +98,8 @@
         run = self._run
         if not self.is_left or run is None:
             return
-        self._end_leave(run, MoveResult.MOVED if is_taken else MoveResult.ENDED)
+        self.is_left = False
+        self._end_leave(MoveResult.MOVED if is_taken else MoveResult.ENDED)
         if is_taken:
             run.give_up_silent(is_engine_silent=self._watch.is_engine_silent())
         else:
@@ -122,7 +125,8 @@
         if run.has_head:
             self._watch.note_head()
         if self.is_left:
-            self._end_leave(run, MoveResult.SPOKE if run.cache else MoveResult.ENDED)
+            self.is_left = False
+            self._end_leave(MoveResult.SPOKE if run.cache else MoveResult.ENDED)
             self._end_run()
             if self.on_late is not None:
                 self.on_late(run.cache)
@@ -159,6 +163,10 @@
         elif self._may_compute():
             tracker.begin_move(run.member.id)
             self.is_left = True
+            # a decode engine that is lost, too, must not hold up the other prompts
+            self._leave_timer = self._services.clock.call_later(
+                find_move_time(run.expected), lambda: self._end_leave(MoveResult.NO_ANSWER)
+            )
             self._finish(None)
         else:
             self._watch.look_again(has_failed=False)
@@ -180,9 +188,13 @@
         if move is not None:
             move.abandon(result)
 
-    def _end_leave(self, run: PrefillRun, result: MoveResult) -> None:
-        self.is_left = False
-        record_move(self._services, self._admitted, self._call_log, run.member, None, result)
+    def _end_leave(self, result: MoveResult) -> None:
+        timer, self._leave_timer = self._leave_timer, None
+        if timer is None or self._run is None:
+            return
+        timer.cancel()
+        silent = self._run.member
+        record_move(self._services, self._admitted, self._call_log, silent, None, result)
 
     def _end_run(self) -> None:
         self._run = None
--- a/src/lavenderrun/gateway/_prefill_move.py
+++ b/src/lavenderrun/gateway/_prefill_move.py
@@ -16,6 +16,11 @@
 from lavenderrun.types import HeldCache, Member
 
 
+def find_move_time(expected: timedelta) -> timedelta:
+    """Return after which time without an answer the move of a prompt has failed."""
+    return max(MIN_SUSPICION, expected * EXPECTED_FACTOR)
+
+
 def record_move(
     services: CallServices,
     admitted: AdmittedCall,
@@ -77,7 +82,7 @@
         tracker = self._services.view.prefill_silence
         tracker.begin_move(self._silent.id)
         tracker.begin_stream(self._other.id, self._services.clock.now())
-        self._schedule_end(max(MIN_SUSPICION, self._run.expected * EXPECTED_FACTOR))
+        self._schedule_end(find_move_time(self._run.expected))
         self._run.send(make_context)
 
     def abandon(self, result: MoveResult) -> None:
--- a/tests/gateway/test_prefill_step.py
+++ b/tests/gateway/test_prefill_step.py
@@ -208,6 +208,19 @@
     assert not prompts.tracker.list_silent(timedelta(0), prompts.clock.now())
 
 
+# all prompts of a silent engine stayed there when the decode engine of one of them was lost, too
+def test_a_prompt_whose_decode_engine_does_not_answer_holds_up_no_other(prompts: Prompts) -> None:
+    prompts.may_compute = True
+    for _ in range(2):
+        prompts.send()
+    prompts.wait(CERTAINTY + SUSPICION)
+    assert [step.is_left for step in prompts.steps].count(True) == 2
+    for step in prompts.steps:
+        step.end_left(is_taken=True)
+    assert all(run.is_left_silent for run in prompts.runs)
+    assert not prompts.tracker.list_silent(timedelta(0), prompts.clock.now())
+
+
 def test_a_step_that_is_abandoned_cancels_both_runs(prompts: Prompts) -> None:
     prompts.engines.append(OTHER)
     step = prompts.send()
