Let a stop under way follow a change of the grace period

A review showed that a grace period made shorter just after SIGTERM, or in a file that was half written at SIGTERM and told by SIGHUP then, was not gone by: the process ended 7.3 s after the order to stop, its new grace period was 4 s, so its caller would have got no answer.

The stop and the router ask for the grace period that is in force each time they need it.

--- a/src/lavenderrun/gateway/_departure.py
+++ b/src/lavenderrun/gateway/_departure.py
@@ -38,7 +38,6 @@
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
         self._bounds = kernel.find("bounds", BoundsService)
-        self._grace = GracePeriod(self._bounds.current.grace)
         self._router = kernel.find("router", GatewayRouter)
         self._callers = kernel.find("callers", CallersService)
         self._suspension = kernel.find("wakes", SuspensionService)
@@ -50,8 +49,7 @@
     async def stop(self) -> None:
         """Report not ready, let running calls finish, and answer the others in time."""
         self._began = self._suspension.read_boot_time()
-        self._grace = GracePeriod(self._bounds.current.grace)
-        self._router.leave(self._grace, self._find_elapsed)
+        self._router.leave(self._find_grace, self._find_elapsed)
         log(
             "departure:leaving",
             "departure: not ready, finishing running calls",
@@ -71,7 +69,7 @@
                 self._callers.close_idle()
             if elapsed >= MIN_DURATION and not self._is_busy():
                 return
-            if elapsed >= self._grace.answers_at:
+            if elapsed >= self._find_grace().answers_at:
                 log(
                     "departure:cut",
                     "departure: grace period is over",
@@ -86,14 +84,18 @@
 
     async def _write_answers(self) -> None:
         self._callers.stop_listening()
-        left = max(timedelta(0), self._grace.exits_at - self._find_elapsed())
+        left = max(timedelta(0), self._find_grace().exits_at - self._find_elapsed())
         await sleep(self._clock, min(LAST_READ_TIME, left / 2))
         self._callers.refuse_unread()
         self._callers.close_idle()
-        until = max(self._grace.exits_at, self._find_elapsed() + MIN_WRITE_TIME)
+        until = max(self._find_grace().exits_at, self._find_elapsed() + MIN_WRITE_TIME)
         while self._callers.channels and self._find_elapsed() < until:
             await sleep(self._clock, CHECK_INTERVAL)
 
+    def _find_grace(self) -> GracePeriod:
+        # the bounds may change while the host stops
+        return GracePeriod(self._bounds.current.grace)
+
     def _find_elapsed(self) -> timedelta:
         # the clock of the timers stands still while the host is suspended, the grace period doesn't
         return timedelta(seconds=self._suspension.read_boot_time() - self._began)
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -61,7 +61,7 @@
 class _Departure:
     """A planned stop that has begun; see :meth:`GatewayRouter.leave` for the parameters."""
 
-    grace: GracePeriod
+    find_grace: Callable[[], GracePeriod]
     read_elapsed: Callable[[], timedelta]
 
 
@@ -178,18 +178,21 @@
         """Answer the calls that still run."""
         self.answer_remaining()
 
-    def leave(self, grace: GracePeriod, read_elapsed: Callable[[], timedelta]) -> None:
+    def leave(
+        self, find_grace: Callable[[], GracePeriod], read_elapsed: Callable[[], timedelta]
+    ) -> None:
         """Admit only calls that can end in the grace period; running calls continue.
 
+        :param find_grace: returns the grace period, which may change.
         :param read_elapsed: returns the time since the order to stop.
         """
-        self._departure = _Departure(grace, read_elapsed)
+        self._departure = _Departure(find_grace, read_elapsed)
 
     def refuse_late(self) -> None:
         """Refuse calls that wait and can't end in the grace period any more."""
         if self._departure is None:
             return
-        grace, elapsed = self._departure.grace, self._departure.read_elapsed()
+        grace, elapsed = self._departure.find_grace(), self._departure.read_elapsed()
         if not grace.can_end(elapsed, CONFIRMATION_TIME, CONFIRMATION_TIME):
             self._refuse_pending()
         self._for_each_call(lambda running: running.refuse_if_late(elapsed, grace))
@@ -282,7 +285,7 @@
         if self._departure is not None:
             elapsed = self._departure.read_elapsed()
             duration = self._services.durations.estimate(access.route, call.size)
-            if not self._departure.grace.may_admit(elapsed, duration, deadline - arrived):
+            if not self._departure.find_grace().may_admit(elapsed, duration, deadline - arrived):
                 return self._refuse_leaving(
                     call,
                     sink,
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -141,9 +141,9 @@
 
 
 # a gateway went by the grace period that was set when it started, and was killed before it answered
-@pytest.mark.parametrize("is_signalled", [True, False])
-def test_a_stop_goes_by_the_grace_period_that_is_set_then(
-    platform: StandinPlatform, is_signalled: bool
+@pytest.mark.parametrize("changed", ["signalled", "silently", "while it stops", "read too early"])
+def test_a_stop_goes_by_the_grace_period_that_is_set_now(
+    platform: StandinPlatform, changed: str
 ) -> None:
     platform.add(StandinServer("app-1", "apps", behave=delay(7.0)))
     gateway = start_gateway(platform, 20.0)
@@ -151,11 +151,19 @@
     wait_for(lambda: gateway.lines("call:send"), "call sent")
     settings = json.loads(gateway.settings.read_text())
     settings["bounds"]["grace-s"] = 4
-    gateway.settings.write_text(json.dumps(settings))
-    if is_signalled:
+    written = json.dumps(settings)
+    if changed in {"signalled", "silently"}:
+        gateway.settings.write_text(written)
+    if changed == "signalled":
         gateway.signal(signal.SIGHUP)
         wait_for(lambda: gateway.lines("daemon:reloaded"), "reload")
+    if changed == "read too early":
+        gateway.settings.write_text(written[: len(written) // 2])
     stop = Stop(gateway)
+    if changed in {"while it stops", "read too early"}:
+        stop.wait_until(0.3)
+        gateway.settings.write_text(written)
+        gateway.signal(signal.SIGHUP)
     assert stop.wait_exit() < 4.0
     check_refusal(call.wait(), 504, "unknown")
 
