Hold the orders of roles that gateways of an earlier release report

Found by a review: beside an earlier release, a gateway ignored the engines that its holder of the lease had ordered; streams were sent to engines on their way to prefill, and a takeover ordered a second one, the second cause of the incident. Such reports name engine and role only.

They count as an order without a number, once for each run of the engine, however often they are repeated. The new test failed before (the engine took calls at once).

--- a/src/lavenderrun/gateway/_fleet_reports.py
+++ b/src/lavenderrun/gateway/_fleet_reports.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import ClassVar, Final
 
-from lavenderrun.dispatch import PartReport, Reservations, RoleOrder
+from lavenderrun.dispatch import MAX_ROLE_CHANGE_TIME, PartReport, Reservations, RoleOrder
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._peers import PeerReport, PeersService
@@ -18,6 +18,9 @@
 MAX_REPORTED_REST: Final = timedelta(days=1)
 """Longest time that a peer report gives for a computation: what a caller declares has no bound."""
 
+NO_FENCING: Final = FencingNumber(0)
+"""Below the number of any lease: an order that is told with its number replaces one without."""
+
 
 class FleetReportsService:
     """Makes this host's peer reports and applies those of the others to the view."""
@@ -92,6 +95,19 @@
         for member, (incarnation, role, fencing, sequence, left) in report.ordered.items():
             order = RoleOrder(member, incarnation, role, FencingNumber(fencing), sequence)
             view.role_orders.record(order, timedelta(seconds=left), now)
+        if not report.ordered:
+            self._apply_unnumbered_orders(report)
+
+    def _apply_unnumbered_orders(self, report: PeerReport) -> None:
+        """Apply orders as a gateway of an earlier release reports them, once for each engine's run.
+
+        Such gateways report them for as long as they hear of them from each other.
+        """
+        for name, role in report.moving.items():
+            member = self._members.find(name)
+            if member is not None:
+                order = RoleOrder(name, member.incarnation, role, NO_FENCING, 0)
+                self._view.role_orders.record(order, MAX_ROLE_CHANGE_TIME, self._clock.now())
 
 
 @GATEWAY_SERVICES.register("reports")
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -138,3 +138,31 @@
     assert fixture.list_takers() == [False, False]
     fixture.advance(6)
     assert fixture.list_takers() == [True, True]
+
+
+def report_as_before(host: Host, other: Host) -> None:
+    """Send a report without the fields of this release."""
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(host.reports.make_report()))
+    report = decode_report(msgspec.msgpack.encode(fields[:11]))
+    assert report is not None
+    assert report.moving
+    assert not report.ordered
+    other.reports.apply_report(report)
+
+
+# gateways of this release did not hear of the orders of earlier ones
+def test_an_order_that_an_earlier_release_reports_holds_once() -> None:
+    fixture = Fixture()
+    first, second = fixture.hosts
+    for _ in range(8):
+        report_as_before(first, second)
+        assert not second.takes_engine()
+        fixture.reactor.advance(1)
+    # two of them go on telling each other
+    first.view.note_role_order(
+        RoleOrder(ENGINE.id, ENGINE.incarnation, BackendRole.PREFILL, FencingNumber(2), 0)
+    )
+    report_as_before(first, second)
+    fixture.reactor.advance(3)
+    report_as_before(first, second)
+    assert second.takes_engine()
