Bound the ages of strikes, and pass on acquittals with theirs

An age below zero prolonged a verdict. Ages of other hosts are limited where they enter, a time without a zone makes a row unreadable, and the next read is set in any case. - A release (or a run to the end) that an entry did not hear of, because its link was down, was undone when the link came up: that entry told its strikes again. Acquittals are known for as long as verdicts hold and passed on with their age; strikes from before one don't count. - A verdict was written once by each entry that heard of it; a row that was written since the last crash is left as it is. - A request with explained strikes only was not acquitted when it ran to its end.

Six new cases in tests/services/test_quarantine_rows.py; the reviewer saw the odd rows, the ages and the release fail on the code before.

--- a/src/lavenderrun/decisions/__init__.py
+++ b/src/lavenderrun/decisions/__init__.py
@@ -86,6 +86,7 @@
     ProbeLeases,
     Quarantine,
     find_probe_coordinator,
+    limit_age,
 )
 from lavenderrun.decisions._queue import QUEUE_POLICIES, FifoQueue, Job, JobKey, QueuePolicy
 from lavenderrun.decisions._queue_weights import compute_queue_weights
@@ -221,6 +222,7 @@
     "grant_key",
     "has_majority",
     "hash_blocks",
+    "limit_age",
     "make_rate_slice_ids",
     "may_dispatch",
     "trusts_not_started",
--- a/src/lavenderrun/decisions/_quarantine.py
+++ b/src/lavenderrun/decisions/_quarantine.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from datetime import datetime, timedelta
 from hashlib import blake2b
+from typing import Any
 
 import msgspec
 
@@ -30,10 +31,10 @@
 
 
 class _StrikeRecord:
-    """Strikes of one fingerprint, by request and attempt."""
+    """Strikes of one fingerprint, by request and attempt, and when each happened."""
 
     def __init__(self, last_strike_at: datetime) -> None:
-        self.strikes: dict[tuple[str, int], Strike] = {}
+        self.strikes: dict[tuple[str, int], tuple[Strike, datetime]] = {}
         self.last_strike_at = last_strike_at
 
     @property
@@ -44,7 +45,7 @@
     @property
     def is_suspect(self) -> bool:
         """Whether the fingerprint is the likely cause of any crash."""
-        return any(not strike.is_explained for strike in self.strikes.values())
+        return any(not strike.is_explained for strike, _ in self.strikes.values())
 
     def is_outdated(self, now: datetime) -> bool:
         """Tell whether the strikes no longer count at *now*."""
@@ -61,29 +62,52 @@
 
     def __init__(self) -> None:
         self._records: OrderedDict[Fingerprint, _StrikeRecord] = OrderedDict()
+        self._acquitted: OrderedDict[Fingerprint, datetime] = OrderedDict()
 
     def add_strike(self, strike: Strike, now: datetime) -> bool:
         """Record a strike; return whether it is new.
 
-        Strikes on which the record has become too old when this one happens no longer count.
+        Strikes on which the record has become too old when this one happens no longer count, nor
+        do those that happened before the fingerprint was acquitted.
         """
-        happened = now - strike.age
+        happened = now - limit_age(strike.age)
+        acquitted = self._acquitted.get(strike.fingerprint)
+        if acquitted is not None and happened <= acquitted:
+            return False
         record = self._records.get(strike.fingerprint)
         if record is None or record.is_outdated(happened):
             record = self._records[strike.fingerprint] = _StrikeRecord(happened)
         key = (strike.request, strike.attempt)
         new = key not in record.strikes
         if new:
-            record.strikes[key] = msgspec.structs.replace(strike, age=timedelta(0))
+            record.strikes[key] = strike, happened
             record.last_strike_at = max(record.last_strike_at, happened)
-        self._records.move_to_end(strike.fingerprint)
-        while len(self._records) > MAX_RECORDS:
-            self._records.popitem(last=False)
+        _drop_oldest(self._records, strike.fingerprint)
         return new
 
-    def drop_strikes(self, fingerprint: Fingerprint) -> bool:
-        """Drop the strikes of *fingerprint*; return whether there were any."""
-        return self._records.pop(fingerprint, None) is not None
+    def acquit(self, fingerprint: Fingerprint, age: timedelta, now: datetime) -> bool:
+        """Drop the strikes before a fingerprint was acquitted; return whether there were any.
+
+        :param age: time since then.
+        """
+        at = now - limit_age(age)
+        at = max(at, self._acquitted.get(fingerprint, at))
+        self._acquitted[fingerprint] = at
+        _drop_oldest(self._acquitted, fingerprint)
+        record = self._records.get(fingerprint)
+        if record is None:
+            return False
+        later = {key: found for key, found in record.strikes.items() if found[1] > at}
+        dropped = len(later) < len(record.strikes)
+        record.strikes = later
+        if not later:
+            del self._records[fingerprint]
+        return dropped
+
+    def list_acquitted(self, now: datetime) -> list[tuple[Fingerprint, timedelta]]:
+        """Return the fingerprints that were acquitted lately, with the time since then."""
+        found = [(name, now - at) for name, at in self._acquitted.items()]
+        return [(name, age) for name, age in found if age <= GUILTY_MEMORY]
 
     def find_verdict(self, fingerprint: Fingerprint, now: datetime) -> QuarantineVerdict:
         """Return the verdict on *fingerprint*; it is clear once its strikes are too old."""
@@ -110,10 +134,10 @@
     def find_strikes(self, fingerprint: Fingerprint) -> list[Strike]:
         """Return the strikes of *fingerprint*."""
         record = self._records.get(fingerprint)
-        return [] if record is None else list(record.strikes.values())
+        return [] if record is None else [strike for strike, _ in record.strikes.values()]
 
     def list_strikes(self, now: datetime) -> list[Strike]:
-        """Return the strikes of all fingerprints that count, with the age of the newest one."""
+        """Return the strikes of all fingerprints that count, each with its age."""
         return [
             strike
             for name, record in self._records.items()
@@ -122,12 +146,12 @@
         ]
 
     def list_aged_strikes(self, fingerprint: Fingerprint, now: datetime) -> list[Strike]:
-        """Return the strikes of *fingerprint*, each with the age of the newest one."""
+        """Return the strikes of *fingerprint*, each with its age."""
         record = self._records.get(fingerprint)
-        if record is None:
-            return []
-        age = now - record.last_strike_at
-        return [msgspec.structs.replace(strike, age=age) for strike in record.strikes.values()]
+        return [
+            msgspec.structs.replace(strike, age=now - at)
+            for strike, at in (record.strikes.values() if record is not None else ())
+        ]
 
     def list_suspects(self, now: datetime) -> list[Suspect]:
         """Return all fingerprints that are suspect or guilty."""
@@ -141,6 +165,17 @@
         return found
 
 
+def limit_age(age: timedelta) -> timedelta:
+    """Return the age that another host tells, at most just over what counts."""
+    return min(max(age, timedelta(0)), GUILTY_MEMORY + SUSPECT_MEMORY)
+
+
+def _drop_oldest(entries: OrderedDict[Fingerprint, Any], newest: Fingerprint) -> None:
+    entries.move_to_end(newest)
+    while len(entries) > MAX_RECORDS:
+        entries.popitem(last=False)
+
+
 class ProbeLeases:
     """Leases by which the probe coordinator of a suspect lets one request at a time run alone."""
 
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -395,7 +395,7 @@
         self._send_ack(end=1)
         self._router.events.emit(RequestFinished(self.request.request, self._answer.offset))
         quarantine = self._router.quarantine
-        if quarantine.find_verdict(self.admitted.fingerprint) is not QuarantineVerdict.CLEAR:
+        if quarantine.has_strikes(self.admitted.fingerprint):
             quarantine.clear_strikes(self.admitted.fingerprint)
         self._end()
         self._sink.finish(reason)
--- a/src/lavenderrun/services/_quarantine.py
+++ b/src/lavenderrun/services/_quarantine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any, ClassVar
 
 import msgspec
@@ -16,6 +16,7 @@
     ProbeLeases,
     Quarantine,
     find_probe_coordinator,
+    limit_age,
 )
 from lavenderrun.kernel import SERVICES, Kernel, Timer
 from lavenderrun.types import (
@@ -78,7 +79,7 @@
     def start(self) -> None:
         """Subscribe to the messages of other entries and read the stored rows."""
         self._links.subscribe(Strike, self._handle_strike)
-        self._links.subscribe(Acquitted, lambda _, note: self._drop_strikes(note.fingerprint))
+        self._links.subscribe(Acquitted, lambda _, note: self._acquit(note))
         self._links.subscribe(ProbeRequest, self._handle_probe_request)
         self._links.subscribe(ProbeAnswer, self._handle_probe_answer)
         self._links.subscribe(
@@ -100,6 +101,10 @@
         """Return whether *fingerprint* is clear, suspect or guilty."""
         return self._quarantine.find_verdict(fingerprint, self._clock.now())
 
+    def has_strikes(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a backend server crashed while it ran *fingerprint*."""
+        return bool(self._quarantine.find_strikes(fingerprint))
+
     def find_suspect_limit(self, fingerprint: Fingerprint) -> int:
         """Return how many suspects may share a backend server with it, 0 if it is not suspect."""
         return self._quarantine.find_suspect_limit(fingerprint, self._clock.now())
@@ -111,8 +116,9 @@
 
     def clear_strikes(self, fingerprint: Fingerprint) -> None:
         """Drop the strikes of a fingerprint that ran to its end, here and on the other entries."""
-        self._drop_strikes(fingerprint)
-        self._send_to_entries(Acquitted(fingerprint))
+        note = Acquitted(fingerprint)
+        self._acquit(note)
+        self._send_to_entries(note)
 
     def begin_probe(self, fingerprint: Fingerprint, request: RequestId) -> Deferred[None]:
         """Fire once *request* may run as the only one of its fingerprint; cancel it to give up."""
@@ -163,8 +169,9 @@
             ensureDeferred(self._store_verdict(strike.fingerprint))
         return True
 
-    def _drop_strikes(self, fingerprint: Fingerprint) -> None:
-        if self._quarantine.drop_strikes(fingerprint):
+    def _acquit(self, note: Acquitted) -> None:
+        fingerprint = note.fingerprint
+        if self._quarantine.acquit(fingerprint, note.age, self._clock.now()):
             log_message(
                 "quarantine:acquitted",
                 text="quarantine: strikes of a fingerprint dropped",
@@ -178,8 +185,11 @@
 
     def _send_known_strikes(self, link: Link) -> None:
         if link.peer.role is HostRole.ENTRY:
-            for strike in self._quarantine.list_strikes(self._clock.now()):
+            now = self._clock.now()
+            for strike in self._quarantine.list_strikes(now):
                 link.send(strike)
+            for fingerprint, age in self._quarantine.list_acquitted(now):
+                link.send(Acquitted(fingerprint, age))
 
     def _list_entry_links(self) -> list[Link]:
         return [link for link in self._links.list_live() if link.peer.role is HostRole.ENTRY]
@@ -234,13 +244,21 @@
             try:
                 await self._store.put(TABLE, fingerprint, value, expect=0)
             except StoreConflictError as conflict:
-                # an older verdict; if another entry is faster its row says the same
-                if conflict.current is not None:
-                    version = conflict.current.version
+                current, struck = conflict.current, now - min(each.age for each in strikes)
+                # a row written since the last crash, by another entry, says the same
+                if current is not None and not self._is_written_since(current, struck):
+                    version = current.version
                     await self._store.put(TABLE, fingerprint, value, expect=version)
         except STORE_ERRORS as error:
             self._log_store_error(error)
 
+    def _is_written_since(self, row: StoredRow, moment: datetime) -> bool:
+        try:
+            stored: QuarantineRow = self._codec.decode(row.key, row.value)
+        except RowError:
+            return False
+        return stored.written is not None and stored.written >= moment
+
     async def _release(self, fingerprint: Fingerprint) -> None:
         try:
             row = await self._store.get(TABLE, fingerprint)
@@ -255,30 +273,32 @@
 
     async def _read_rows(self) -> None:
         try:
-            rows = await self._store.scan(TABLE)
+            for row in await self._store.scan(TABLE):
+                await self._apply_row(row)
         except STORE_ERRORS as error:
             self._log_store_error(error)
-            rows = []
-        for row in rows:
-            try:
-                stored: QuarantineRow = self._codec.decode(row.key, row.value)
-            except RowError as error:
-                log_message(
-                    "quarantine:row", text="quarantine: unreadable row skipped", error=str(error)
-                )
-                continue
-            await self._apply_row(row, stored)
-        if not self._stopped:
-            pause = READ_INTERVAL * self._random.uniform(0.75, 1.25)
-            self._timer = self._clock.call_later(pause, self._begin_read)
-
-    async def _apply_row(self, row: StoredRow, stored: QuarantineRow) -> None:
+        finally:
+            if not self._stopped:
+                pause = READ_INTERVAL * self._random.uniform(0.75, 1.25)
+                self._timer = self._clock.call_later(pause, self._begin_read)
+
+    async def _apply_row(self, row: StoredRow) -> None:
         """Add the strikes of a row, with their age; delete it once they no longer count."""
+        try:
+            stored: QuarantineRow = self._codec.decode(row.key, row.value)
+        except RowError as error:
+            log_message(
+                "quarantine:row", text="quarantine: unreadable row skipped", error=str(error)
+            )
+            return
         now = self._clock.now()
         written = now if stored.written is None else stored.written
         # the clock of the entry that wrote it may be ahead
-        age = max(timedelta(0), now - written)
-        strikes = [msgspec.structs.replace(each, age=each.age + age) for each in stored.strikes]
+        since = limit_age(now - written)
+        strikes = [
+            msgspec.structs.replace(strike, age=limit_age(strike.age) + since)
+            for strike in stored.strikes
+        ]
         for strike in strikes:
             self._quarantine.add_strike(strike, now)
         try:
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -49,7 +49,7 @@
     """A backend server crashed while it ran an attempt; entries send this to one another.
 
     :param had_begun: the attempt had begun to be answered, so another one is more likely the cause.
-    :param age: time since the newest crash under the fingerprint, when the strike is passed on.
+    :param age: time since the crash, when the strike is passed on.
     :param others_unanswered: how many other attempts on the server had not begun to be answered.
     """
 
@@ -70,9 +70,13 @@
 
 @message("acquitted")
 class Acquitted(Message, tag="acquitted", frozen=True):
-    """The fingerprint ran to its end, or an operator released it; its strikes are deleted."""
+    """The fingerprint ran to its end, or an operator released it; its strikes are deleted.
+
+    :param age: time since then, when it is passed on.
+    """
 
     fingerprint: Fingerprint
+    age: timedelta = timedelta(0)
 
 
 @message("probe_ask")
@@ -143,6 +147,9 @@
     def find_verdict(self, fingerprint: Fingerprint) -> QuarantineVerdict:
         """Return the current verdict on *fingerprint*."""
 
+    def has_strikes(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether a backend server crashed while it ran *fingerprint*."""
+
     def find_suspect_limit(self, fingerprint: Fingerprint) -> int:
         """Return how many suspects may share a backend server with it, zero if it is no suspect."""
 
--- a/src/lavenderrun/types/_rows.py
+++ b/src/lavenderrun/types/_rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import datetime
+from typing import Annotated
 
 import msgspec
 
@@ -64,4 +65,4 @@
     """
 
     strikes: list[Strike]
-    written: datetime | None = None
+    written: Annotated[datetime, msgspec.Meta(tz=True)] | None = None
--- a/tests/services/test_quarantine_rows.py
+++ b/tests/services/test_quarantine_rows.py
@@ -160,6 +160,60 @@
     assert fixture.core.scan(TABLE) == []
 
 
+def make_strikes(name: Fingerprint, age: timedelta = timedelta(0)) -> list[Strike]:
+    return [
+        Strike(name, RequestId(f"r{n}"), AttemptId(1), AccountId("a"), RouteName("orders"), age=age)
+        for n in range(MAX_CRASHES)
+    ]
+
+
+# one row with a time of day without its zone, or an age without bounds, ended all reading of rows
+@pytest.mark.parametrize(
+    ("age", "written"),
+    [
+        (timedelta(0), START.replace(tzinfo=None)),
+        (timedelta(days=999_999_000), START),
+        (timedelta(days=-3_000_000), START),
+    ],
+)
+def test_an_odd_row_does_not_keep_others_from_being_read(age: timedelta, written: datetime) -> None:
+    fixture = Fixture()
+    codec = RowCodec(TABLE)
+    odd = QuarantineRow(make_strikes(Fingerprint("a"), age), written)
+    fixture.core.put(TABLE, "a", codec.encode(odd), expect=0)
+    row = codec.encode(QuarantineRow(make_strikes(PRINT), START))
+    fixture.core.put(TABLE, PRINT, row, expect=0)
+    fixture.start_entry()
+    fixture.advance(300)
+    assert fixture.list_guilty() == [True]
+
+
+@pytest.mark.parametrize("days", [-300, 999_999_000])
+def test_an_age_without_bounds_prolongs_no_verdict(days: int) -> None:
+    fixture = Fixture()
+    entry = fixture.start_entry()
+    for strike in make_strikes(PRINT, timedelta(days=days)):
+        fixture.links[0].handlers[Strike](None, strike)
+    fixture.advance(GUILTY_MEMORY.total_seconds() + 60)
+    assert entry.find_verdict(PRINT) is QuarantineVerdict.CLEAR
+
+
+# an entry whose link was down when an operator released a fingerprint brought the verdict back
+def test_a_released_verdict_does_not_come_back() -> None:
+    fixture = Fixture()
+    first = fixture.start_entry()
+    fixture.start_entry()
+    fixture.make_guilty(first)
+    fixture.link_up(0, 1)
+    assert fixture.list_guilty() == [True, True]
+    first.release(PRINT)
+    fixture.advance(200)
+    fixture.link_up(0, 1)
+    assert fixture.list_guilty() == [False, False]
+    fixture.make_guilty(first, first=10)
+    assert fixture.list_guilty() == [True, False]
+
+
 def test_a_suspect_counts_only_crashes_that_follow_each_other() -> None:
     fixture = Fixture()
     entry = fixture.start_entry()
