Spread waiting calls and refused callers over servers that return

Callers saw a storm at the end of a rest: after all servers of a service had asked for no calls, the first one that served again at a host got all calls that waited there, and refused callers came back within a short time after the first return.

Cause: two rules. Once a server had taken the one trial call, its rest was forgotten, so all that waited followed at once, while the host's other servers still rested. And a refused caller was told the time left and up to half of it more, so those that were refused last, with the least time left, all came within some 100 ms.

Now a plain server that serves again after a rest of all servers gets further calls of a host only as its answers report free slots: a third of those in three quarters of its slots, more with each answer, so a host alone fills it. Where the servers rested one after the other no calls stayed away, and there is no limit. Refused callers come back in the order in which they were refused and over as long a time, 5 s at most.

The test of the first server that returns fails when the limit is taken out (20 calls instead of 1).

--- a/src/lavenderrun/dispatch/_occupancy.py
+++ b/src/lavenderrun/dispatch/_occupancy.py
@@ -31,6 +31,19 @@
 NO_RESERVATIONS: Final = Reservations()
 
 
+@dataclass(frozen=True)
+class ObservedLoad:
+    """The load that a backend server reported in an answer.
+
+    :param calls: calls that ran or waited at the server, this host's among them.
+    :param own: calls of this host there when the answer came.
+    """
+
+    at: datetime
+    calls: int
+    own: int
+
+
 class FleetOccupancy:
     """Reservations of this host, reservations that peers report, and loads that servers report."""
 
@@ -39,7 +52,7 @@
         # in order of their last reports, so that stale ones come first
         self._peers: dict[HostId, tuple[datetime, Mapping[BackendId, Reservations]]] = {}
         self._peer_sums: dict[BackendId, Reservations] = {}
-        self._loads: dict[BackendId, tuple[datetime, BackendLoad, int]] = {}
+        self._loads: dict[BackendId, ObservedLoad] = {}
 
     @property
     def own_reservations(self) -> Mapping[BackendId, Reservations]:
@@ -90,16 +103,22 @@
 
     def observe_load(self, member: BackendId, load: BackendLoad, now: datetime) -> None:
         """Store the load that a backend server reports in an answer."""
-        self._loads[member] = (now, load, self._own.get(member, NO_RESERVATIONS).calls)
+        calls = load.running + load.waiting
+        self._loads[member] = ObservedLoad(now, calls, self.count_own_calls(member))
 
     def estimate_calls(self, member: BackendId, now: datetime) -> int:
         """Return the calls expected at *member*, by its last report and own sends since."""
-        own = self._own.get(member, NO_RESERVATIONS).calls
-        reported = self._loads.get(member)
-        if reported is None or now - reported[0] > LOAD_LIFETIME:
-            return own
-        _, load, own_when_reported = reported
-        return max(own, load.running + load.waiting + own - own_when_reported)
+        own, load = self.count_own_calls(member), self.find_load(member, now)
+        return own if load is None else max(own, load.calls + own - load.own)
+
+    def count_own_calls(self, member: BackendId) -> int:
+        """Return the calls of this host at *member*."""
+        return self._own.get(member, NO_RESERVATIONS).calls
+
+    def find_load(self, member: BackendId, now: datetime) -> ObservedLoad | None:
+        """Return the last load that *member* reported, ``None`` when it is out of date."""
+        load = self._loads.get(member)
+        return None if load is None or now - load.at > LOAD_LIFETIME else load
 
     def count_reserved_slots(self, member: BackendId) -> int:
         """Return the decode slots reserved at *member* by all hosts."""
--- a/src/lavenderrun/dispatch/_placement.py
+++ b/src/lavenderrun/dispatch/_placement.py
@@ -11,7 +11,7 @@
 from lavenderrun.dispatch._computations import PromptComputations
 from lavenderrun.dispatch._health import HealthTracker
 from lavenderrun.dispatch._occupancy import FleetOccupancy
-from lavenderrun.dispatch._rests import ServerRests
+from lavenderrun.dispatch._rests import ServerRests, limit_returning_calls
 from lavenderrun.dispatch._unreached import UnreachedAddresses
 from lavenderrun.kernel import Registry
 from lavenderrun.types import BackendId, BackendRole, DataCentre, Member, MemberState
@@ -180,12 +180,31 @@
     return _choose_cheapest(candidates, cost, context)
 
 
+def _list_full_after_rest(
+    members: Iterable[Member], context: PlacementContext
+) -> Collection[BackendId]:
+    """Return the servers that serve again after a rest of all and get no further call now."""
+    ready = [member for member in members if member.state is MemberState.READY]
+    occupancy, now = context.occupancy, context.now
+    return [
+        member.id
+        for member in context.rests.list_returning(ready, now)
+        if occupancy.count_own_calls(member.id)
+        >= limit_returning_calls(member.slots, occupancy.find_load(member.id, now))
+    ]
+
+
 @PLACEMENTS.register("plain")
 def place_plain(
     members: Sequence[Member], requirements: CallRequirements, context: PlacementContext
 ) -> Member | None:
     """Choose the plain server with the lowest load plus costs of distance and poor health."""
-    candidates = list_candidates(members, requirements, context)
+    full = _list_full_after_rest(members, context)
+    candidates = [
+        member
+        for member in list_candidates(members, requirements, context)
+        if member.id not in full
+    ]
     if requirements.may_wait:
         candidates = [
             member
--- a/src/lavenderrun/dispatch/_rests.py
+++ b/src/lavenderrun/dispatch/_rests.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Final
 
+from lavenderrun.dispatch._occupancy import ObservedLoad
 from lavenderrun.types import Incarnation, Member
 
 MAX_REST: Final = timedelta(minutes=10)
@@ -17,6 +18,20 @@
 """Bounds of the random time, as a share of the rest and in all, by which a host returns later than
 it may: other hosts got the same answer at the same time."""
 
+MAX_RETURN_TIME: Final = timedelta(seconds=5)
+"""Longest time over which callers that were refused in a rest are spread after it."""
+
+ORDER_SHARE: Final = 0.75
+"""Share of that time by which callers come back in the order in which they were refused; the rest
+is random, for those that were refused at once."""
+
+USABLE_SHARE: Final = 0.75
+"""Share of a returning server's slots that hosts fill: what they know of its load is late."""
+
+GROWTH_SHARE: Final = 1 / 3
+"""Share of the usable free slots that one host takes between two reports of a returning server's
+load: the other hosts see the same free slots."""
+
 MAX_RESTS: Final = 1024
 """Rests that are kept; the oldest are over."""
 
@@ -29,12 +44,26 @@
     :param ends: when the server may be called again.
     :param returns: when this host calls it again, at or after that.
     :param is_on_trial: the first call after the rest is under way.
+    :param is_taken: the server has taken a call after the rest.
     """
 
     asked: datetime
     ends: datetime
     returns: datetime
     is_on_trial: bool = False
+    is_taken: bool = False
+
+    @property
+    def return_time(self) -> timedelta:
+        """Time over which refused callers come back: as long as they stayed away.
+
+        So, with the new ones, about twice as many calls come as usual.
+        """
+        return min(self.ends - self.asked, MAX_RETURN_TIME)
+
+    def is_over(self, now: datetime) -> bool:
+        """Tell whether the server serves again and those that stayed away have come back."""
+        return self.is_taken and now >= self.returns + 2 * self.return_time
 
 
 class ServerRests:
@@ -69,12 +98,14 @@
     def is_resting(self, member: Member, now: datetime) -> bool:
         """Tell whether *member* is left out: it rests, or the call that tries it is under way."""
         rest = self._find(member)
-        return rest is not None and (rest.is_on_trial or now < rest.returns)
+        if rest is None or rest.is_taken:
+            return False
+        return rest.is_on_trial or now < rest.returns
 
     def start_trial(self, member: Member, now: datetime) -> bool:
         """Record that a call is sent; return whether it is the first one after a rest."""
         rest = self._find(member)
-        if rest is None or rest.is_on_trial or now < rest.returns:
+        if rest is None or rest.is_taken or rest.is_on_trial or now < rest.returns:
             return False
         rest.is_on_trial = True
         return True
@@ -87,20 +118,54 @@
         rest = self._find(member)
         if rest is None:
             return
-        if accepted:
+        rest.is_on_trial = False
+        rest.is_taken = accepted
+
+    def list_returning(self, members: Iterable[Member], now: datetime) -> list[Member]:
+        """Return those of *members* that serve again, if all of them rested at the same time.
+
+        Then calls waited and callers were refused. They come back, and those that find no room once
+        more, which takes as long again. Without such a time other servers took the calls.
+        """
+        rests = [(member, self._find(member)) for member in members]
+        known = [(member, rest) for member, rest in rests if rest is not None]
+        over = [member for member, rest in known if rest.is_over(now)]
+        for member in over:
             del self._rests[member.incarnation]
-        else:
-            rest.is_on_trial = False
+        if over or not known or len(known) < len(rests):
+            return []
+        if max(rest.asked for _, rest in known) >= min(rest.returns for _, rest in known):
+            return []
+        return [member for member, rest in known if rest.is_taken]
 
     def find_return(self, members: Iterable[Member], now: datetime) -> datetime | None:
         """Return when the first of *members* is called again, ``None`` unless all of them rest."""
-        returns: list[datetime] = []
-        for member in members:
-            rest = self._find(member)
-            if rest is None or now >= rest.returns:
-                return None
-            returns.append(rest.returns)
-        return min(returns, default=None)
+        rests = [self._find(member) for member in members]
+        if any(rest is None or now >= rest.returns for rest in rests):
+            return None
+        return min((rest.returns for rest in rests if rest is not None), default=None)
+
+    def spread_return(
+        self, members: Sequence[Member], now: datetime, spread: float
+    ) -> timedelta | None:
+        """Return how long after the first return a caller that is refused now should come.
+
+        While all servers rest, callers come back in the order in which they were refused, and over
+        as long a time. While some rest or have just served again, callers come within the time
+        that this still takes, by the share of these servers. ``None`` without such a server.
+
+        :param spread: a random number from 0 to 1, different for each caller.
+        """
+        rests = [rest for rest in map(self._find, members) if rest is not None]
+        if rests and len(rests) == len(members) and all(now < rest.returns for rest in rests):
+            began = max(rest.asked for rest in rests)
+            length = min(rest.returns for rest in rests) - began
+            share = ORDER_SHARE * ((now - began) / length) + (1 - ORDER_SHARE) * spread
+            return min(length, MAX_RETURN_TIME) * share
+        left = max((rest.returns + rest.return_time - now for rest in rests), default=timedelta(0))
+        if left <= timedelta(0):
+            return None
+        return min(left, MAX_RETURN_TIME) * (len(rests) / len(members)) * spread
 
     def find(self, member: Member, now: datetime) -> ServerRest | None:
         """Return the rest because of which *member* is left out now, ``None`` without one."""
@@ -109,3 +174,17 @@
     def _find(self, member: Member) -> ServerRest | None:
         # the digest in an incarnation is computed only when any server rests
         return self._rests.get(member.incarnation) if self._rests else None
+
+
+def limit_returning_calls(slots: int, load: ObservedLoad | None) -> int:
+    """Return how many calls of this host may run at a server that has just served again.
+
+    The number grows with each answer, as far as the server reports free slots.
+
+    :param slots: calls that the server runs at once.
+    :param load: its last report, ``None`` without a recent one.
+    """
+    if load is None:
+        return 1
+    free = max(0.0, slots * USABLE_SHARE - load.calls)
+    return max(1, load.own + int(free * GROWTH_SHARE))
--- a/src/lavenderrun/gateway/_view.py
+++ b/src/lavenderrun/gateway/_view.py
@@ -237,7 +237,9 @@
 
     def advise_return(self, service: ServiceGroup) -> timedelta:
         """Return when a refused caller may come back, zero when a server may be called now."""
-        return self.find_wait(service) * (1 + RETURN_SPREAD_SHARE * self.draw_spread())
+        wait, spread = self.find_wait(service), self.draw_spread()
+        late = self.rests.spread_return(self._list_serving(service), self._clock.now(), spread)
+        return wait + (wait * RETURN_SPREAD_SHARE * spread if late is None else late)
 
     def note_stall(self) -> None:
         """Record that this process did not run until now, so that it could hear nothing."""
--- a/tests/dispatch/test_rests.py
+++ b/tests/dispatch/test_rests.py
@@ -21,9 +21,17 @@
 )
 from lavenderrun.dispatch import FleetOccupancy as Occupancy
 from lavenderrun.dispatch import HealthTracker as Health
-from lavenderrun.dispatch._rests import MAX_REST, MAX_RESTS, MAX_SPREAD
+from lavenderrun.dispatch._occupancy import ObservedLoad
+from lavenderrun.dispatch._rests import (
+    MAX_REST,
+    MAX_RESTS,
+    MAX_RETURN_TIME,
+    MAX_SPREAD,
+    limit_returning_calls,
+)
 from lavenderrun.types import (
     BackendId,
+    BackendLoad,
     BackendRole,
     DataCentre,
     HostId,
@@ -56,8 +64,11 @@
     return START + timedelta(seconds=seconds)
 
 
-def place(rests: ServerRests, members: list[Member], now: datetime) -> Member | None:
-    context = PlacementContext(now, HERE, Health(), Occupancy(), Random(1), rests=rests)
+def place(
+    rests: ServerRests, members: list[Member], now: datetime, occupancy: Occupancy | None = None
+) -> Member | None:
+    occupancy = occupancy or Occupancy()
+    context = PlacementContext(now, HERE, Health(), occupancy, Random(1), rests=rests)
     return PLACEMENTS.find("plain")(members, CallRequirements(), context)
 
 
@@ -168,3 +179,80 @@
                     sent[step // 5] += 1
     assert sum(sent.values()) == hosts
     assert max(sent.values()) <= max(3, 0.3 * hosts)
+
+
+def return_from_rest(rests: ServerRests, server: Member, asked: datetime = START) -> None:
+    rests.begin(server, REST, asked, spread=0)
+    assert rests.start_trial(server, asked + REST)
+    rests.end_trial(server, accepted=True)
+
+
+# Guards against: all calls that wait at a host go to the first server that serves again.
+def test_the_first_server_that_serves_again_gets_few_of_the_calls_that_wait() -> None:
+    rests, occupancy, first, second = ServerRests(), Occupancy(), make_server(), make_server("b")
+    rests.begin(second, 4 * REST, START, spread=0)
+    return_from_rest(rests, first)
+    now = at(5.2)
+    occupancy.observe_load(first.id, BackendLoad(1, 0, 0), now)
+    sent = 0
+    while sent < 20 and place(rests, [first, second], now, occupancy) is not None:
+        occupancy.reserve(first.id, 0)
+        sent += 1
+    assert sent == 1
+    assert place(rests, [first, second], at(15.1), occupancy) == first
+
+
+# Guards against: calls are refused because servers serve again that rested one after the other.
+def test_servers_that_rested_one_after_the_other_get_all_calls() -> None:
+    rests, occupancy, first, second = ServerRests(), Occupancy(), make_server(), make_server("b")
+    return_from_rest(rests, first)
+    rests.begin(second, REST, at(5.1), spread=0)
+    for _ in range(20):
+        assert place(rests, [first, second], at(5.2), occupancy) == first
+        occupancy.reserve(first.id, 0)
+
+
+# Guards against: a limit that leaves a host alone before a returning server without its slots.
+def test_the_calls_at_a_returning_server_grow_with_its_answers_unless_other_hosts_fill_it() -> None:
+    alone = [limit_returning_calls(20, None)]
+    for _ in range(10):
+        alone.append(limit_returning_calls(20, ObservedLoad(START, alone[-1], alone[-1])))
+    assert alone[:4] == [1, 5, 8, 10]
+    assert alone[-1] >= 12
+    assert limit_returning_calls(20, ObservedLoad(START, 15, 3)) == 3
+    assert limit_returning_calls(20, ObservedLoad(START, 40, 0)) == 1
+
+
+# Guards against: refused callers come back faster than servers that were overloaded can bear.
+@pytest.mark.parametrize("hosts", [5, 68])
+def test_thundering_return_of_callers_that_were_refused_in_a_rest(hosts: int) -> None:
+    random_source, servers = Random(hosts), [make_server("a"), make_server("b")]
+    returns: list[float] = []
+    for _ in range(hosts):
+        rests = ServerRests()
+        for server in servers:
+            rests.begin(server, REST, START, spread=random_source.random())
+        for number in range(100):
+            now = at(number / 20)
+            first = rests.find_return(servers, now)
+            late = rests.spread_return(servers, now, random_source.random())
+            assert first is not None
+            assert late is not None
+            returns.append((first + late - START).total_seconds())
+    came = Counter(int(seconds) for seconds in returns)
+    assert min(returns) >= 5
+    assert max(returns) <= 11
+    # 20 a second at each host are as many as new ones; up to half more come at once
+    assert max(came.values()) <= hosts * 20 * 1.5
+    assert returns[0] < returns[99]
+
+
+def test_callers_refused_beside_other_servers_return_by_the_share_that_rests() -> None:
+    rests, servers = ServerRests(), [make_server(name) for name in "abcd"]
+    assert rests.spread_return(servers, START, 1) is None
+    rests.begin(servers[0], timedelta(seconds=1), START, spread=0)
+    # one second of rest and as long a return
+    assert rests.spread_return(servers, START, 1) == timedelta(seconds=2) / 4
+    rests.begin(servers[1], timedelta(minutes=10), START, spread=0)
+    assert rests.spread_return(servers, START, 1) == MAX_RETURN_TIME / 2
+    assert rests.spread_return(servers[:1], at(2), 1) is None
