--- a/src/lavenderrun/bench/_gateway_fleet.py
+++ b/src/lavenderrun/bench/_gateway_fleet.py
@@ -112,6 +112,13 @@
         return self.finished and self.ended is not None and self.ended - self.sent <= OBJECTIVE
 
 
+class SilentFollower:
+    """Follower of the rows of hosts, of which there are none."""
+
+    def restart(self) -> None:
+        """Do nothing: there are no rows to read again."""
+
+
 class SilentPeers:
     """Service ``peers`` of a host that hears of no other: each must keep to what it was told."""
 
@@ -120,7 +127,7 @@
     def __init__(self) -> None:
         self.boot = "bench"
         self.lost_after = timedelta(seconds=1)
-        self.follower = None
+        self.follower = SilentFollower()
         self.make_report: Any = None
         self.on_hosts_changed: Any = None
 
