Let suspects that are not alone run among other requests

Cause: a suspect took an engine on which only suspects ran, so it waited until the engine had run empty, and after 2 s no other request joined there. With one engine of three restarting, half of the rest stood still, for suspects of which most are sound: all that had not begun when their server crashed.

Change: a suspect with one strike joins other requests; at most four suspects without output are on an engine at a time, and the first token ends the suspicion there. Only one that was alone in not having begun, and so is most likely the cause, runs alone, as does one with two strikes. An agent that does not know the others says so (None), and the limit is four.

--- a/src/lavenderrun/decisions/_decode_scheduler.py
+++ b/src/lavenderrun/decisions/_decode_scheduler.py
@@ -13,6 +13,7 @@
 
 from lavenderrun.decisions._decode_slot_usage import DecodeSlotUsage
 from lavenderrun.decisions._decode_slots import (
+    ALONE,
     ZERO,
     CancelDecode,
     DecodeAction,
@@ -145,6 +146,9 @@
         if lease is not None and tokens > lease.tokens:
             self.lengths.note_progress(lease.request.route, lease.tokens, tokens)
             lease.tokens = tokens
+            if lease.cohort != ALONE:
+                # it crashes no server before its first token, of which it was suspected
+                lease.cohort = 0
 
     def end(self, key: JobKey, now: datetime, *, whole: bool) -> list[DecodeAction]:
         """Free the slot of a decode that has ended on the engine.
@@ -346,10 +350,10 @@
     def _allows_suspects(self, lease: DecodeSlotLease) -> bool:
         """Return whether an attempt may join under its own limit on suspects and the others'."""
         own = lease.request.cohort
-        others = [other.request.cohort for other in self._taken.values()]
-        if not own:
-            return not any(others)
-        return all(others) and len(others) < min([own, *others])
+        suspects = [other.cohort for other in self._taken.values() if other.cohort]
+        if own == ALONE:
+            return not self._taken
+        return ALONE not in suspects and (not own or len(suspects) < min([own, *suspects]))
 
     def _estimate_end_probabilities(self, seconds: float) -> Sequence[float]:
         more_tokens = seconds / self.step_seconds.value
--- a/src/lavenderrun/decisions/_decode_slots.py
+++ b/src/lavenderrun/decisions/_decode_slots.py
@@ -36,6 +36,10 @@
     STOPPING = "stopping"
 
 
+ALONE = 1
+"""Cohort of a suspect that runs without any other request."""
+
+
 @dataclass(frozen=True, slots=True)
 class DecodeSlotRequest:
     """Request of an entry for a decode slot.
@@ -44,8 +48,9 @@
     :param tokens: tokens of the prompt.
     :param max_tokens: most tokens of the answer.
     :param lead: time that prefill and transfer are expected to take.
-    :param cohort: most suspects, this one included, that may run on the engine together, and only
-        without other requests; zero for a request that is not a suspect.
+    :param cohort: most suspects without output, this one included, that may be on the engine
+        together, :data:`ALONE` for one that runs without any other request; zero for a request that
+        is not a suspect.
     :param holder: the entry.
     """
 
@@ -112,6 +117,7 @@
 class DecodeSlotLease:
     """Lease of a decode slot, or a request that waits for one.
 
+    :ivar cohort: that of the request while the attempt is a suspect on its engine, then zero.
     :ivar waits_since: when the request for the slot came.
     :ivar expires: when a lease that is not running ends, ``None`` while waiting or running.
     :ivar orphaned: when a running decode whose entry is lost is cancelled, ``None`` otherwise.
@@ -120,6 +126,7 @@
     """
 
     __slots__ = (
+        "cohort",
         "expires",
         "holder",
         "orphaned",
@@ -132,6 +139,7 @@
 
     def __init__(self, request: DecodeSlotRequest, now: datetime) -> None:
         self.request = request
+        self.cohort = request.cohort
         self.waits_since = now
         self.holder = request.holder
         self.state = DecodeState.WAITING
--- a/src/lavenderrun/decisions/_quarantine.py
+++ b/src/lavenderrun/decisions/_quarantine.py
@@ -12,16 +12,17 @@
 from datetime import datetime, timedelta
 from hashlib import blake2b
 
+from lavenderrun.decisions._decode_slots import ALONE
 from lavenderrun.types import Fingerprint, HostId, QuarantineVerdict, RequestId, Strike, Suspect
 
 MAX_CRASHES = 3
 MAX_EXPLAINED_CRASHES = 5
 """Crashes for which another request is the more likely cause that make a request guilty, too."""
-SUSPECT_LIMITS = {1: 4, 2: 1}
-"""Most suspects that share a backend server, by number of strikes.
+SUSPECT_LIMITS = {1: 4, 2: ALONE}
+"""Most suspects without an answer that share a backend server, by number of strikes.
 
 After one strike it is about the square root of an engine's decode slots, so that a second crash
-leaves few suspects. After two strikes a suspect runs alone.
+leaves few suspects. After two strikes a suspect runs alone, as does the only one of a crash.
 """
 SUSPECT_MEMORY = timedelta(minutes=10)
 GUILTY_MEMORY = timedelta(hours=24)
@@ -89,7 +90,9 @@
         if len(strikes) == 1 and strikes[0].had_begun:
             # most crash their server before they begin; a second crash limits this one too
             return 0
-        return SUSPECT_LIMITS.get(len(strikes), 1)
+        if all(strike.others_unanswered == 0 for strike in strikes):
+            return ALONE
+        return SUSPECT_LIMITS.get(len(strikes), ALONE)
 
     def find_strikes(self, fingerprint: Fingerprint) -> list[Strike]:
         """Return the strikes of *fingerprint*."""
--- a/src/lavenderrun/types/_messages.py
+++ b/src/lavenderrun/types/_messages.py
@@ -111,8 +111,8 @@
     :param lead: expected time for prefill and transfer.
     :param patience: how long the request may wait for a decode slot.
     :param urgency: target time for the first token; the shorter, the sooner it is served.
-    :param cohort: for a suspected request, maximum number of suspected requests that may share the
-        backend server, with nothing else on it; zero for other requests.
+    :param cohort: for a suspected request, maximum number of suspected requests without output that
+        may share the backend server, one if it runs alone; zero for other requests.
     """
 
     request: RequestId
@@ -259,7 +259,8 @@
 
     :param started: the backend server may have started it.
     :param crashed: the backend server crashed while it ran it.
-    :param others_unanswered: how many other attempts that it ran had not begun to be answered.
+    :param others_unanswered: how many other attempts that it ran had not begun to be answered,
+        ``None`` if the agent does not know.
     """
 
     request: RequestId
@@ -267,7 +268,7 @@
     refused: Refused
     started: bool
     crashed: bool = False
-    others_unanswered: int = 0
+    others_unanswered: int | None = None
 
 
 @message("call")
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -49,7 +49,8 @@
     """A backend server crashed while it ran an attempt; entries send this to one another.
 
     :param had_begun: the attempt had begun to be answered, so another one is more likely the cause.
-    :param others_unanswered: how many other attempts on the server had not begun to be answered.
+    :param others_unanswered: how many other attempts on the server had not begun to be answered,
+        ``None`` if it is not known.
     """
 
     fingerprint: Fingerprint
@@ -58,12 +59,12 @@
     account: AccountId | None
     route: RouteName
     had_begun: bool = False
-    others_unanswered: int = 0
+    others_unanswered: int | None = None
 
     @property
     def is_explained(self) -> bool:
         """Whether an attempt on the same server is a more likely cause of its crash."""
-        return self.had_begun and self.others_unanswered > 0
+        return self.had_begun and bool(self.others_unanswered)
 
 
 @message("acquitted")
@@ -142,7 +143,7 @@
         """Return the current verdict on *fingerprint*."""
 
     def find_suspect_limit(self, fingerprint: Fingerprint) -> int:
-        """Return how many suspects may share a backend server with it, zero if it is no suspect."""
+        """Return how many suspects without an answer may share a server, zero for no suspect."""
 
     def record_strike(self, strike: Strike) -> None:
         """Record a crash and tell the other entries."""
