Count a call that runs as started however long it runs

A caller of a call that may run at most once was told not-run while the backend server still ran it, and a retry with the same Idempotency-Key ran the action again. It takes a call that runs for more than 120 s, other calls at the same agent meanwhile, and a patience beyond 120 s (or any other revocation after that time).

CallHistory dropped a record 120 s after the call's start, also while the call ran, and the agent answered a revocation from these records alone. at-most-once.md promises 120 s after the end.

The history now keeps the records of running calls apart: they do not age until the call's end, which the agent reports when it frees the call's place. A second guard does not depend on the records: a job that runs or whose reply is kept counts as started.

test_a_call_that_runs_for_long_is_not_reported_as_not_run_and_runs_once failed before with the refusal not-run, and, with its first checks taken out on a scratch copy, because the retry ran the action again. It passes now: both tries get the whole reply of the one run. tests/services, tests/decisions, and the tests of pages and layers pass.

--- a/src/lavenderrun/services/_plain_agent.py
+++ b/src/lavenderrun/services/_plain_agent.py
@@ -232,9 +232,11 @@
             self._drain.finish_if_idle()
 
     def _free_place(self, job: PlainJob, started_at: datetime) -> None:
+        now = self._clock.now()
+        self._history.end(job.key, now)
         self._running -= 1
         job.running = None
-        self._cost.add((self._clock.now() - started_at).total_seconds())
+        self._cost.add((now - started_at).total_seconds())
         self._events.emit(BackendEnded(*job.key, self._backend))
 
     def _handle_reply_end(self, job: PlainJob) -> None:
@@ -248,7 +250,7 @@
             if job.link is not None:
                 failed = AttemptFailed(*job.key, refused, started=started, crashed=started)
                 job.link.send(failed)
-        self._history.refresh(job.key, now)
+        self._history.end(job.key, now)
         if refused is not None and not (job.is_at_most_once and started):
             self._drop(job)
             return
@@ -290,7 +292,7 @@
             if job.link is not None and job.link is not link:
                 self._send_failure(job.link, key, Refusal.CANCELLED, started=False)
             self._drop(job)
-        started = self._history.revoke(key, self._clock.now())
+        started = self._revoke(key)
         link.send(Revoked(*key, started))
         log_message(
             "plain_agent:revoked",
@@ -326,7 +328,7 @@
 
     def _fail_call(self, key: JobKey, link: Link | None) -> None:
         """End a call after an unexpected error; the entry learns whether it may have begun."""
-        self._end_failed(key, link, started=self._history.revoke(key, self._clock.now()))
+        self._end_failed(key, link, started=self._revoke(key))
 
     def _fail_revoke(self, key: JobKey, link: Link | None) -> None:
         """End a call whose revocation failed, so that no one relies on it."""
@@ -347,6 +349,12 @@
         else:
             self._drop(job)
 
+    def _revoke(self, key: JobKey) -> bool:
+        """Prevent a call from starting later; return whether it may have started already."""
+        job = self._find(key)
+        has_begun = job is not None and job.state in (JobState.RUNNING, JobState.ENDED)
+        return self._history.revoke(key, self._clock.now(), has_begun=has_begun)
+
     def _send_failure(self, link: Link, key: JobKey, refusal: Refusal, *, started: bool) -> None:
         outcome = Outcome.UNKNOWN if started else Outcome.NOT_RUN
         refused = Refused(refusal, outcome, Step.CALL, self._backend, RETRY_AFTER)
@@ -370,6 +378,8 @@
             self._history.revoke(job.key, self._clock.now())
         if job.running is not None:
             job.running.cancel()
+        elif job.state is JobState.RUNNING:
+            self._history.end(job.key, self._clock.now())
         self._drain.finish_if_idle()
 
     def _set_timer(self, key: JobKey, delay: timedelta, call: object) -> None:
