Remember a server's silence after its last call has left it

While two of three servers of a service were silent, a caller got a 504 although the third one answered: its call was sent from one silent server to the other, and the route allows no third attempt.

CallSilence forgot a server with its last call. Once a call had been sent on from a silent server and answered elsewhere, nothing told the next silent call that this server was silent, and it could be chosen as the second one.

A server that was found silent now counts as silent after that, for as long as its silence had lasted then, unless it sends something, restarts, or this process did not run meanwhile. The time is bounded by the duration of a call.

test_a_silent_server_that_its_last_call_has_left_counts_as_silent_for_as_long failed before (the server was missing from the silent ones) and passes. tests/dispatch, tests/gateway, the tests of pages and layers (1339) and test_silent_servers (23) pass.

A call that finds only one silent server, as the first one after the silence began, may still be sent to another silent server that had no calls.

--- a/src/lavenderrun/dispatch/_call_silence.py
+++ b/src/lavenderrun/dispatch/_call_silence.py
@@ -26,7 +26,8 @@
 class ServiceSilence:
     """What is known of the servers of one service.
 
-    :param silent: servers that are silent to all calls of this host.
+    :param silent: servers that are silent to all calls of this host, or were when the last call
+        left them.
     :param speaking: servers that sent something a moment ago, and not after a silence.
     :param trials: calls that were sent to a second server although the silence was shared.
     """
@@ -60,11 +61,17 @@
     heard: datetime | None = None
     resumed: datetime | None = None
     silence: timedelta = timedelta(0)
+    found_silent: datetime | None = None
+    found_silence: timedelta = timedelta(0)
 
     def is_resumed(self, quiet: timedelta, now: datetime) -> bool:
         """Tell whether a silence ended a moment ago, as that of others may end, too."""
         return self.resumed is not None and self.silence >= quiet and now - self.resumed < quiet
 
+    def was_silent(self, now: datetime) -> bool:
+        """Tell whether a silence was found as short a time ago as it had lasted."""
+        return self.found_silent is not None and now - self.found_silent < self.found_silence
+
 
 class CallSilence:
     """When the servers of one service last sent something of whole calls of this host."""
@@ -89,7 +96,7 @@
         """Record that a call is at *member* no more."""
         server = self._servers[member]
         server.running -= 1
-        if not server.running and server.heard is None:
+        if not server.running and server.heard is None and server.found_silent is None:
             del self._servers[member]
 
     def note_sign(self, member: BackendId, now: datetime) -> None:
@@ -102,18 +109,21 @@
         ):
             server.silence, server.resumed = silence, now
         server.since = server.heard = now
+        server.found_silent = None
 
     def forget(self, member: BackendId) -> None:
         """Drop what was heard of a server that is gone or was restarted."""
         server = self._servers.get(member)
         if server is not None and server.running:
-            server.heard = server.resumed = None
+            server.heard = server.resumed = server.found_silent = None
         elif server is not None:
             del self._servers[member]
 
     def note_stall(self, now: datetime) -> None:
         """Record that this process did not run until *now*, so that it could hear nothing."""
         self._stalled = now
+        for server in self._servers.values():
+            server.found_silent = None
 
     def measure_silence(self, since: datetime, now: datetime) -> timedelta:
         """Return how long this process could have heard something since *since*."""
@@ -136,7 +146,11 @@
         for member, server in list(self._servers.items()):
             least = max(quiet, server.expected * EXPECTED_FACTOR)
             is_heard = server.heard is not None and now - server.heard < quiet
-            if server.running and self.measure_silence(server.since, now) >= least:
+            silence = self.measure_silence(server.since, now)
+            if server.running and silence >= least:
+                silent.add(member)
+                server.found_silent, server.found_silence = now, silence
+            elif server.was_silent(now):
                 silent.add(member)
             elif is_heard and not server.is_resumed(quiet, now):
                 speaking.add(member)
--- a/tests/dispatch/test_call_silence.py
+++ b/tests/dispatch/test_call_silence.py
@@ -65,6 +65,22 @@
     assert decide(silence, 2.2) is HedgeVerdict.SHARED
 
 
+# the server was forgotten with the call that left it, and the next silent call was sent there
+def test_a_silent_server_that_its_last_call_has_left_counts_as_silent_for_as_long() -> None:
+    silence = CallSilence()
+    for member in (A, B):
+        silence.begin_call(member, NONE, at(0))
+    assert decide(silence, 0.3) is HedgeVerdict.SHARED
+    silence.end_call(A)
+    assert silence.gather(QUIET, at(0.5)).silent == {A, B}
+    assert silence.gather(QUIET, at(0.6)).silent == {B}
+    silence.begin_call(A, NONE, at(0.7))
+    assert silence.gather(QUIET, at(0.9)).silent == {A, B}
+    silence.note_sign(A, at(0.95))
+    silence.end_call(A)
+    assert silence.gather(QUIET, at(1)).silent == {B}
+
+
 # without it, calls at servers that died at once would wait until their deadline
 def test_one_call_tries_another_server_once_the_silence_is_certain() -> None:
     silence = CallSilence()
