Give back quota only after the process that was heard last

Client accounts could use more than their limit when a gateway ended, its next process ran without being heard, and a third one reported: what the second had used was given back as not used.

Cause: the first report of any new process settled what had been withheld since the end of the process that was heard last, as if no other had run between them.

A gateway now reads the table of gateways before it writes its own row for the first time, and so learns the boot id of the process whose row it replaces. Quota is given back only if the process named there is the one that is known to have ended. A process that never wrote a row is not seen this way; it cannot serve calls before it has read the store.

Evidence: with the check taken out both cases of test_nothing_is_given_back_after_a_process_that_was_never_heard fail; they pass now, and the cases that give quota back still do.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -55,7 +55,7 @@
     make_sort_key,
     misses_objective,
 )
-from lavenderrun.dispatch._quota import QuotaLedger
+from lavenderrun.dispatch._quota import NO_BOOT, QuotaLedger
 from lavenderrun.dispatch._resends import ASSUMED_HOSTS, ResendBudget
 from lavenderrun.dispatch._rests import ServerRests
 from lavenderrun.dispatch._role_orders import MAX_ROLE_CHANGE_TIME, RoleOrder, RoleOrders
@@ -101,6 +101,7 @@
     "MAX_SUSPENSIONS",
     "MIN_SERVICE_TIME",
     "MIN_SUSPICION",
+    "NO_BOOT",
     "PLACEMENTS",
     "QUIET_SHARE",
     "RESENDS",
--- a/src/lavenderrun/dispatch/_quota.py
+++ b/src/lavenderrun/dispatch/_quota.py
@@ -4,7 +4,8 @@
 and those of other hosts when their peer reports arrive. A host whose reports stop is assumed to
 use an equal share of the rate, so that both sides of a network partition together stay within it.
 What it did not use is given back with its next report. A new process of the host does not know what
-the one before used, so only what was withheld since that one is known to have ended is given back.
+the one before used, so only what was withheld since that one is known to have ended is given back,
+and only if no process ran between the two.
 """
 
 from __future__ import annotations
@@ -20,6 +21,9 @@
 PEER_TIMEOUT: Final = timedelta(seconds=1)
 """Default time without a peer report after which a host's use is estimated."""
 
+NO_BOOT: Final = BootId("")
+"""Stands for the id of a start that is not known."""
+
 MAX_DEBT: Final = timedelta(seconds=4)
 """Largest debt of a bucket, as refill time; a late peer report must not block an account longer."""
 
@@ -40,7 +44,7 @@
 class _PeerUsage:
     """What another host has used.
 
-    :param boot: id of its present start; empty before its first peer report.
+    :param boot: id of its present start; ``NO_BOOT`` before its first peer report.
     :param last_report: time of its last peer report.
     :param used: units charged by account, as of that report.
     :param estimated: units that it is assumed to have used since, by account.
@@ -100,7 +104,7 @@
         for host in [host for host in self._peers if host not in hosts]:
             del self._peers[host]
         for host, since in hosts.items():
-            self._peers.setdefault(host, _PeerUsage(BootId(""), since, {}))
+            self._peers.setdefault(host, _PeerUsage(NO_BOOT, since, {}))
         self._peers = dict(sorted(self._peers.items(), key=lambda item: item[1].last_report))
 
     def set_peer_timeout(self, timeout: timedelta) -> None:
@@ -108,11 +112,17 @@
         self._peer_timeout = timeout
 
     def apply_peer_report(
-        self, host: HostId, boot: BootId, used: Mapping[AccountId, float], now: datetime
+        self,
+        host: HostId,
+        boot: BootId,
+        used: Mapping[AccountId, float],
+        now: datetime,
+        previous: BootId = NO_BOOT,
     ) -> None:
         """Subtract what another host has charged since its last peer report.
 
         :param used: units charged by that host since its start, by account.
+        :param previous: id of the host's start before this one, ``NO_BOOT`` when unknown.
         """
         peer = self._peers.get(host)
         if peer is not None and now > peer.last_report + self._peer_timeout:
@@ -124,7 +134,8 @@
         if peer is None:
             return
         if peer.boot != boot:
-            if not peer.boot or peer.estimated_to_end is None:
+            is_next = peer.boot != NO_BOOT and peer.boot == previous
+            if not is_next or peer.estimated_to_end is None:
                 # its earlier use is unknown or already estimated
                 return
             peer.begin_process()
--- a/src/lavenderrun/gateway/_fleet_reports.py
+++ b/src/lavenderrun/gateway/_fleet_reports.py
@@ -74,13 +74,14 @@
                 )
                 for order, left in orders.items()
             },
+            self._peers.previous,
         )
 
     def apply_report(self, report: PeerReport) -> None:
         """Apply what another gateway tells."""
         now = self._clock.now()
         view = self._view
-        view.quotas.apply_peer_report(report.host, report.boot, report.used, now)
+        view.quotas.apply_peer_report(report.host, report.boot, report.used, now, report.previous)
         reserved = {member: Reservations(*row) for member, row in report.reserved.items()}
         view.occupancy.apply_peer_report(report.host, reserved, now)
         self._suspects.calls.apply_peer_report(report.host, report.broken, now)
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -24,7 +24,7 @@
     decode_msgpack,
     parse_address,
 )
-from lavenderrun.dispatch import SuspensionSeries
+from lavenderrun.dispatch import NO_BOOT, SuspensionSeries
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._peer_probe import PeerProbe
@@ -108,6 +108,7 @@
     :param answered: parts of prompts that were answered, with the seconds since then.
     :param ordered: engines that accepted a role change: their run, new role, fencing number and
         sequence of the order, and how much longer, in seconds, the change is expected.
+    :param previous: id of the run of the host's process before this one, empty when unknown.
     """
 
     host: HostId
@@ -122,6 +123,7 @@
     crashing: Mapping[PartId, Sequence[tuple[Incarnation, Seconds, Seconds]]] = {}
     answered: Mapping[PartId, Seconds] = {}
     ordered: Mapping[BackendId, tuple[Incarnation, BackendRole, Count, Count, Seconds]] = {}
+    previous: BootId = NO_BOOT
 
 
 class _GatewayRow(msgspec.Struct):
@@ -173,6 +175,7 @@
     """Keeps track of the other gateways and exchanges peer reports with them.
 
     :ivar boot: id of the current run of this host's process.
+    :ivar previous: id of the run before, ``NO_BOOT`` when the store had no row of it at the start.
     :ivar make_report: makes this host's peer report; set by the service ``reports``.
     :ivar on_hosts_changed: called when rows of gateways change, with all other hosts and since when
         each has been known or silent; set by the service ``reports``.
@@ -202,6 +205,8 @@
         self._suspensions = SuspensionSeries()
         self._silence_timer: Timer | None = None
         self.boot = BootId(uuid4().hex[:12])
+        self.previous = NO_BOOT
+        self._has_read_rows = False
         self.make_report: Callable[[], PeerReport] = lambda: PeerReport(
             self._host, self.boot, DocumentVersion(0), {}, {}
         )
@@ -220,7 +225,7 @@
         kernel.find("stats", Stats).register_reader(PEERS_HEARD, self._count_states)
 
     def start(self) -> None:
-        """Listen, write this host's row and start to report."""
+        """Listen, read the rows and start to report; the own row is written once they are read."""
         from twisted.internet import reactor  # imported late: the daemon installs its own reactor
 
         loop: Any = reactor
@@ -228,7 +233,6 @@
         self._probe = PeerProbe(loop, self._clock, self._note_process_end)
         self._port = loop.listenUDP(port, self._report_protocol, interface=host)
         self.follower.start()
-        self._announce()
         self._tick_due = self._clock.now()
         self._tick()
 
@@ -292,10 +296,21 @@
         for host in list(self._peers):
             if host not in present:
                 del self._peers[host]
-        if self._host not in present and self._row_version:
+        if not self._has_read_rows:
+            self._has_read_rows = True
+            self.previous = self._find_previous(rows)
+            self._announce()
+        elif self._host not in present and self._row_version:
             self._announce()
         self.change_rows(rows)
 
+    def _find_previous(self, rows: Sequence[RowChange]) -> BootId:
+        for row in rows:
+            own_row = decode_gateway_row(row.value) if row.key == self._host else None
+            if own_row is not None:
+                return BootId(own_row.boot)
+        return NO_BOOT
+
     def change_rows(self, rows: Sequence[RowChange]) -> None:
         """Apply changed and removed rows, as ``TableListener`` requires."""
         for row in rows:
--- a/tests/dispatch/test_quota.py
+++ b/tests/dispatch/test_quota.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lavenderrun.dispatch import QuotaLedger
+from lavenderrun.dispatch import NO_BOOT, QuotaLedger
 from lavenderrun.types import AccountId, AccountQuota, BootId, HostId, QuotaUnit
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
@@ -269,13 +269,14 @@
     assert ledger.charge(ACCOUNT, 200, START) is None
 
 
-def restart_silent_host(used: float, *, ends_at: float | None) -> float:
+def restart_silent_host(used: float, *, ends_at: float | None, previous: BootId = BOOT) -> float:
     """Return what remains when a host reports after a silence of 2.5 s, as a new process.
 
     The bucket is empty at 1 s, from when on 50 of 100 units a second are withheld.
 
     :param used: units that the new process has charged.
     :param ends_at: when the process before is known to have ended, ``None`` for never.
+    :param previous: the process before the new one, as that one tells.
     """
     ledger = make_ledger(others=1)
     ledger.apply_peer_report(HostId("h0"), BOOT, {ACCOUNT: 900.0}, START)
@@ -283,7 +284,7 @@
     ledger.charge(ACCOUNT, 100, at(1))
     if ends_at is not None:
         ledger.note_end(HostId("h0"), at(ends_at))
-    ledger.apply_peer_report(HostId("h0"), BootId("b2"), {ACCOUNT: used}, at(2.5))
+    ledger.apply_peer_report(HostId("h0"), BootId("b2"), {ACCOUNT: used}, at(2.5), previous)
     return ledger.list_remaining(at(2.5))[ACCOUNT]
 
 
@@ -304,6 +305,12 @@
     assert restart_silent_host(0, ends_at=2.5) == pytest.approx(75)
 
 
+# what a process used that ran unheard between the ended one and the new one was given back
+@pytest.mark.parametrize("previous", [BootId("unheard"), NO_BOOT])
+def test_nothing_is_given_back_after_a_process_that_was_never_heard(previous: BootId) -> None:
+    assert restart_silent_host(0, ends_at=1.0, previous=previous) == pytest.approx(75)
+
+
 @given(
     st.lists(st.tuples(st.integers(0, 80), st.integers(0, 900)), min_size=1, max_size=30),
     st.integers(1000, 4000),
@@ -326,7 +333,7 @@
         if silent.list_remaining(now)[ACCOUNT] >= cost:
             silent.charge(ACCOUNT, cost, now)
             told.charge(ACCOUNT, cost, now)
-    silent.apply_peer_report(HostId("h0"), BootId("b2"), {ACCOUNT: used}, now)
+    silent.apply_peer_report(HostId("h0"), BootId("b2"), {ACCOUNT: used}, now, BOOT)
     assert silent.list_remaining(now)[ACCOUNT] <= told.list_remaining(now)[ACCOUNT] + 1e-6
 
 
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -333,6 +333,24 @@
     assert reports.sent <= 12 * 67
 
 
+# a process that ran unheard before this one was taken for the last one that the others had heard
+def test_a_host_tells_which_process_wrote_its_row_before() -> None:
+    row = RowChange("h0", msgspec.json.encode({"address": "127.0.0.1:9", "boot": "before"}), 1)
+    for rows, previous in (([row], "before"), ([], "")):
+        fixture, peers, _ = start_peers(2)
+        written: list[RowWrite] = []
+
+        async def write(_table: str, rows: Sequence[RowWrite], into: Any = written) -> int:
+            into.extend(rows)
+            return 2
+
+        fixture.rows.write = write  # type: ignore[assignment]
+        peers.replace_rows(rows)
+        own = RowChange("h0", written[0].value, 2)
+        peers.replace_rows([own])
+        assert (peers.previous, len(written)) == (previous, 1)
+
+
 def test_a_host_goes_first_by_name_only_after_the_silence_that_is_asked_for() -> None:
     fixture, peers, _ = start_peers(2)
     peers._host = HostId("h2")
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -60,7 +60,7 @@
         pool = MagicMock()
         pool.unreached.find_next_try.return_value = None
         configuration = SimpleNamespace(watch=lambda _: None, current=None, version=1)
-        peers = MagicMock(boot=BootId(f"boot of {name}"))
+        peers = MagicMock(boot=BootId(f"boot of {name}"), previous=BootId(""))
         services: dict[str, Any] = {
             "bounds": SimpleNamespace(current=BOUNDS, watch=lambda _: None),
             "configuration": configuration,
