Send evidence on texts in a message that earlier entries know

An entry of an earlier release beside one of this release closed the link between them as soon as a server had crashed under a request, and again after each reconnection while texts were suspect.

Cause: the evidence went as a message of a new kind, text_evidence. A batch with a tag that a decoder does not know can't be decoded, and a link on which one comes is closed. Messages are arrays, of which a decoder ignores last fields that it does not know.

The texts are now the last two fields of the message part_evidence, empty when they are missing. An earlier entry reads the lines and ignores the texts; one that tells of texts only sends empty lines, which say nothing.

--- a/src/lavenderrun/services/_crashing_texts.py
+++ b/src/lavenderrun/services/_crashing_texts.py
@@ -5,6 +5,7 @@
 from datetime import datetime
 from typing import ClassVar
 
+import msgspec
 from eliot import log_message
 
 from lavenderrun.dispatch import (
@@ -25,7 +26,6 @@
     PartEvidence,
     PromptTexts,
     RequestId,
-    TextEvidence,
     TextId,
 )
 
@@ -51,8 +51,7 @@
 
     def start(self) -> None:
         """Subscribe to the evidence of other entries."""
-        self._links.subscribe(PartEvidence, self._handle_part_evidence)
-        self._links.subscribe(TextEvidence, self._handle_text_evidence)
+        self._links.subscribe(PartEvidence, self._handle_evidence)
         self._links.watch(self._send_evidence, lambda link: None)
 
     def stop(self) -> None:
@@ -89,7 +88,8 @@
             self._send_to_entries(self._make_part_evidence())
             self._log_crashing_parts()
         if self._texts.record_crash(prompt.texts, crash, now):
-            self._send_to_entries(_make_evidence(self._texts.make_crash_report(lost, now)))
+            report = self._texts.make_crash_report(lost, now)
+            self._send_to_entries(PartEvidence(text_crashes=report.crashes))
 
     def record_answer(self, prompt: PromptTexts) -> None:
         """Record that a request with *prompt* begins to be answered, and tell the others."""
@@ -100,34 +100,31 @@
             cleared = self._texts.record_answer(prompt.texts, now)
             self._refused_texts.difference_update(cleared)
             if cleared:
-                self._send_to_entries(TextEvidence([], dict.fromkeys(cleared, 0.0)))
+                self._send_to_entries(PartEvidence(text_answered=dict.fromkeys(cleared, 0.0)))
 
     def _send_evidence(self, link: Link) -> None:
         if link.peer.role is HostRole.ENTRY:
             evidence = self._make_part_evidence()
-            if evidence.crashes or evidence.answered:
-                link.send(evidence)
             now = self._clock.now()
-            if self._texts.has_suspects(now):
-                link.send(_make_evidence(self._texts.make_report(now)))
+            has_texts = self._texts.has_suspects(now)
+            texts = self._texts.make_report(now) if has_texts else TextReport()
+            if evidence.crashes or evidence.answered or texts.crashes:
+                link.send(msgspec.structs.replace(evidence, text_crashes=texts.crashes))
 
-    def _send_to_entries(self, message: PartEvidence | TextEvidence) -> None:
+    def _send_to_entries(self, evidence: PartEvidence) -> None:
         for link in self._links.list_live():
             if link.peer.role is HostRole.ENTRY:
-                link.send(message)
+                link.send(evidence)
 
     def _make_part_evidence(self) -> PartEvidence:
         report = self._parts.make_report(self._clock.now())
         return PartEvidence(report.crashes, report.answered)
 
-    def _handle_part_evidence(self, _link: Link, evidence: PartEvidence) -> None:
-        report = PartReport(evidence.crashes, evidence.answered)
-        if self._parts.apply_report(report, self._clock.now()):
+    def _handle_evidence(self, _link: Link, evidence: PartEvidence) -> None:
+        now = self._clock.now()
+        if self._parts.apply_report(PartReport(evidence.crashes, evidence.answered), now):
             self._log_crashing_parts()
-
-    def _handle_text_evidence(self, _link: Link, evidence: TextEvidence) -> None:
-        report = TextReport(evidence.crashes, evidence.answered)
-        self._texts.apply_report(report, self._clock.now())
+        self._texts.apply_report(TextReport(evidence.text_crashes, evidence.text_answered), now)
 
     def _log_crashing_parts(self) -> None:
         crashing = self._parts.list_crashing(self._clock.now())
@@ -140,10 +137,6 @@
             )
 
 
-def _make_evidence(report: TextReport) -> TextEvidence:
-    return TextEvidence(report.crashes, report.answered)
-
-
 @SERVICES.register("crashing_texts")
 def make_crashing_texts(kernel: Kernel) -> CrashingTextsService:
     """Make the service ``crashing_texts``."""
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -197,7 +197,6 @@
     QuarantineVerdict,
     Strike,
     Suspect,
-    TextEvidence,
 )
 from ._rate_slices import NO_BOOT, NO_HOST, RateSliceId, RateSliceRow
 from ._refusals import (
@@ -471,7 +470,6 @@
     "Submitted",
     "Suspect",
     "Targets",
-    "TextEvidence",
     "TextId",
     "TokenSink",
     "TokensGranted",
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -104,25 +104,20 @@
 class PartEvidence(Message, tag="part_evidence", frozen=True):
     """What an entry knows of parts of prompts that may crash backend servers; times in seconds ago.
 
+    The fields on texts are a part of this message, as earlier releases close a link on which a
+    message of an unknown kind comes.
+
     :param crashes: for each part the lost attempts, with when each was sent and when it was lost.
     :param answered: parts with which a request began to be answered.
+    :param text_crashes: the lost attempts, with when each was sent and when it was lost, and the
+        texts inside its prompt that may be the cause.
+    :param text_answered: texts inside prompts with which a request began to be answered.
     """
 
-    crashes: Mapping[PartId, Sequence[tuple[Incarnation, float, float]]]
-    answered: Mapping[PartId, float]
-
-
-@message("text_evidence")
-class TextEvidence(Message, tag="text_evidence", frozen=True):
-    """What an entry knows of texts inside prompts that may crash backend servers.
-
-    :param crashes: the lost attempts, each with the seconds since it was sent and since it was
-        lost, and the texts that may be the cause.
-    :param answered: texts with which a request began to be answered, with the seconds since.
-    """
-
-    crashes: Sequence[tuple[Incarnation, float, float, Sequence[TextId]]]
-    answered: Mapping[TextId, float]
+    crashes: Mapping[PartId, Sequence[tuple[Incarnation, float, float]]] = {}
+    answered: Mapping[PartId, float] = {}
+    text_crashes: Sequence[tuple[Incarnation, float, float, Sequence[TextId]]] = ()
+    text_answered: Mapping[TextId, float] = {}
 
 
 class PromptTexts(Protocol):
