--- a/src/lavenderrun/gateway/_fleet_reports.py
+++ b/src/lavenderrun/gateway/_fleet_reports.py
@@ -8,7 +8,8 @@
 from lavenderrun.dispatch import MAX_ROLE_CHANGE_TIME, PartReport, Reservations, RoleOrder
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.gateway._peers import PeerReport, PeersService
+from lavenderrun.gateway._peer_messages import PeerReport
+from lavenderrun.gateway._peers import PeersService
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._suspects import SuspectsService
 from lavenderrun.gateway._view import FleetView
--- a/src/lavenderrun/gateway/_peer_configuration.py
+++ b/src/lavenderrun/gateway/_peer_configuration.py
@@ -14,7 +14,8 @@
 from lavenderrun.decoding import decode_json
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import log
-from lavenderrun.gateway._peers import PeerReport, PeersService
+from lavenderrun.gateway._peer_messages import PeerReport
+from lavenderrun.gateway._peers import PeersService
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import HttpRequest
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 from uuid import uuid4
@@ -17,16 +17,17 @@
 from twisted.python.failure import Failure
 
 from lavenderrun.decoding import (
-    Amount,
-    Count,
-    Seconds,
-    decode_json,
-    decode_msgpack,
     parse_address,
 )
 from lavenderrun.dispatch import NO_BOOT, SuspensionSeries
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._log import log
+from lavenderrun.gateway._peer_messages import (
+    GatewayRow,
+    PeerReport,
+    decode_gateway_row,
+    decode_report,
+)
 from lavenderrun.gateway._peer_probe import PeerProbe
 from lavenderrun.gateway._ports import RowChange, RowWrite, StoreRefusal
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -34,15 +35,9 @@
 from lavenderrun.gateway._stats import PEERS_HEARD, Stats
 from lavenderrun.kernel import Clock, Kernel, Timer, sleep
 from lavenderrun.types import (
-    AccountId,
-    BackendId,
-    BackendRole,
     BootId,
     DocumentVersion,
-    Fingerprint,
     HostId,
-    Incarnation,
-    PartId,
     StoreUnavailableError,
 )
 
@@ -90,53 +85,6 @@
 """Pause before another attempt to write this host's row."""
 
 
-class PeerReport(msgspec.Struct, array_like=True):
-    """A peer report: what one gateway tells the others.
-
-    :param boot: id of the current run of the host's process.
-    :param version: version of the configuration in force.
-    :param used: units charged since the start, by account.
-    :param reserved: reserved calls and tokens, by backend server.
-    :param moving: engines that accepted a role change, with their new role; for gateways that don't
-        read ``ordered``.
-    :param broken: server incarnations that a call may have crashed, by the call's fingerprint.
-    :param computing: how much longer, in seconds, decode engines are busy with prompts that they
-        compute themselves.
-    :param leaving: backend servers that said they are leaving while their rows don't say so.
-    :param crashing: server incarnations that ended under parts of prompts, with the seconds since
-        a call with the part was sent there and since its connection closed.
-    :param answered: parts of prompts that were answered, with the seconds since then.
-    :param ordered: engines that accepted a role change: their run, new role, fencing number and
-        sequence of the order, and how much longer, in seconds, the change is expected.
-    :param previous: id of the run of the host's process before this one, empty when unknown.
-    """
-
-    host: HostId
-    boot: BootId
-    version: DocumentVersion
-    used: Mapping[AccountId, Amount]
-    reserved: Mapping[BackendId, tuple[Count, Count]]
-    moving: Mapping[BackendId, BackendRole] = {}
-    broken: Mapping[Fingerprint, Sequence[Incarnation]] = {}
-    computing: Mapping[BackendId, Seconds] = {}
-    leaving: Sequence[Incarnation] = ()
-    crashing: Mapping[PartId, Sequence[tuple[Incarnation, Seconds, Seconds]]] = {}
-    answered: Mapping[PartId, Seconds] = {}
-    ordered: Mapping[BackendId, tuple[Incarnation, BackendRole, Count, Count, Seconds]] = {}
-    previous: BootId = NO_BOOT
-
-
-class _GatewayRow(msgspec.Struct):
-    """Row of one gateway in the store; the key is its host.
-
-    :param address: IP number and port for peer reports and other gateways' requests.
-    :param boot: id of the current run of the host's process.
-    """
-
-    address: str
-    boot: str
-
-
 class _PeerState:
     """Another gateway as this host sees it.
 
@@ -347,7 +295,7 @@
             log("peers:not_entered", "peers: own row not written", error=repr(failure.value))
 
     async def _write_row(self) -> None:
-        value = msgspec.json.encode(_GatewayRow(self._address, self.boot))
+        value = msgspec.json.encode(GatewayRow(self._address, self.boot))
         while True:
             try:
                 version = await self._rows.write(self._table, [RowWrite(self._host, value)])
@@ -465,28 +413,6 @@
         return {("live",): float(live), ("silent",): float(len(self._peers) - live)}
 
 
-def decode_report(datagram: bytes) -> PeerReport | None:
-    """Return a peer report, ``None`` when anything in it is malformed or out of bounds."""
-    try:
-        return decode_msgpack(datagram, PeerReport)
-    except ValueError as error:
-        log("peers:unreadable", "peers: peer report is malformed", error=str(error))
-        return None
-
-
-def decode_gateway_row(value: bytes | None) -> _GatewayRow | None:
-    """Return the row of a gateway, ``None`` when it is removed or malformed."""
-    if value is None:
-        return None
-    try:
-        gateway_row = decode_json(value, _GatewayRow)
-        parse_address(gateway_row.address)
-    except ValueError as error:
-        log("peers:entry_unreadable", "peers: row of a gateway is malformed", error=str(error))
-        return None
-    return gateway_row
-
-
 @GATEWAY_SERVICES.register("peers")
 def make_peers(kernel: Kernel) -> PeersService:
     """Make the service ``peers``."""
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -14,7 +14,8 @@
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.gateway._peers import REMOVED_AFTER, PeerReport, PeersService
+from lavenderrun.gateway._peer_messages import PeerReport
+from lavenderrun.gateway._peers import REMOVED_AFTER, PeersService
 from lavenderrun.gateway._ports import RowChange, RowWrite
 from lavenderrun.gateway._rows import StoreState
 from lavenderrun.types import BackendId, BootId, DocumentVersion, HostId, Member
--- a/tests/gateway/test_peer_probe.py
+++ b/tests/gateway/test_peer_probe.py
@@ -13,7 +13,8 @@
 from twisted.python.failure import Failure
 
 from lavenderrun.gateway._peer_probe import PeerProbe
-from lavenderrun.gateway._peers import PeerReport, PeersService
+from lavenderrun.gateway._peer_messages import PeerReport
+from lavenderrun.gateway._peers import PeersService
 from lavenderrun.types import HostId
 
 
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -15,7 +15,7 @@
 
 from lavenderrun.dispatch import CallRequirements, RoleOrder
 from lavenderrun.gateway._fleet_reports import FleetReportsService
-from lavenderrun.gateway._peers import decode_report
+from lavenderrun.gateway._peer_messages import decode_report
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import (
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -18,7 +18,7 @@
 
 from lavenderrun.gateway import HistoryGoneError, RowChange, RowConflictError, StoreRefusal
 from lavenderrun.gateway._members import MembersService
-from lavenderrun.gateway._peers import PeerReport, decode_gateway_row, decode_report
+from lavenderrun.gateway._peer_messages import PeerReport, decode_gateway_row, decode_report
 from lavenderrun.gateway._roles import decode_lease
 from lavenderrun.platform._backends import PlatformBackends
 from lavenderrun.platform._callers import PlatformCallers
