Let single requests with a refused text through to clear it

After three crashes of other causes one after the other, with no answer in between, entries refused every request that shared all the lost ones had in common, such as a template's words. No request was sent any more that could have cleared the texts, so sound callers were refused for 10 minutes.

While a text is refused, a single request with it is now let through 60 s after the last crash, and after each further crash twice as long, 10 minutes at most. Its answer clears the text on all entries; its crash renews the refusal. Only the entry with the first name among those linked does so, one request at a time, as otherwise each entry could crash a server at the same moment. A request that matches several texts waits for the latest of them. A probe may be sent again after a failure that is no crash, and one without an end blocks others for 60 s at most.

Evidence: with no request let through, test_sound_requests_are_served_again_after_the_answer_of_a_single_one and one more fail; they pass now.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -90,6 +90,7 @@
     SERIES_END,
     SuspensionSeries,
 )
+from lavenderrun.dispatch._text_probes import TextProbes
 from lavenderrun.dispatch._unreached import UnreachedAddresses, find_return
 
 __all__ = [
@@ -160,6 +161,7 @@
     "StreamSituation",
     "SuspectTracker",
     "SuspensionSeries",
+    "TextProbes",
     "TextReport",
     "TimeLimitHistory",
     "UnreachedAddresses",
--- a/src/lavenderrun/dispatch/_crashing_texts.py
+++ b/src/lavenderrun/dispatch/_crashing_texts.py
@@ -25,6 +25,7 @@
     is_id,
     to_age,
 )
+from lavenderrun.dispatch._text_probes import find_probe_pause
 from lavenderrun.types import Incarnation, TextId
 
 MAX_TEXT_CRASHES: Final = 32
@@ -128,7 +129,7 @@
         """Return a text because of which a request with *texts* is refused, ``None`` without one.
 
         A request is refused if it has all that the separate crashes of a text have in common: what
-        it does not have may be the cause.
+        it does not have may be the cause. Of several, the one probed last is returned.
         """
         self._drop_old(now)
         found: dict[tuple[int, ...], TextId] = {}
@@ -143,12 +144,20 @@
             limit = MAX_CRASHES_ONCE_ANSWERED if is_unsure else MAX_PART_CRASHES
             if len(crashed) >= limit:
                 found.setdefault(tuple(crashed), text)
+        matching: list[TextId] = []
         for numbers, text in found.items():
             if now - groups[numbers[-1]].last_end < PART_QUARANTINE_TIME:
                 common = reduce(set.intersection, (groups[number].texts for number in numbers))
                 if common.issubset(texts):
-                    return text
-        return None
+                    matching.append(text)
+        return max(matching, key=self.find_next_probe, default=None)
+
+    def find_next_probe(self, text: TextId) -> datetime:
+        """Return from when on a single request with a refused text may be sent."""
+        crashed = [group for group in self._group_crashes() if text in group.texts]
+        if not crashed:
+            return datetime.min.replace(tzinfo=UTC)
+        return crashed[-1].last_end + find_probe_pause(len(crashed))
 
     def count_crashes(self, text: TextId) -> int:
         """Return how many lost requests a text may have been the cause of."""
--- a/src/lavenderrun/services/_crashing_texts.py
+++ b/src/lavenderrun/services/_crashing_texts.py
@@ -13,6 +13,7 @@
     CrashingTexts,
     PartReport,
     ServerCrash,
+    TextProbes,
     TextReport,
 )
 from lavenderrun.kernel import SERVICES, Kernel
@@ -47,6 +48,7 @@
         self._host: HostId = kernel.settings.hello().host
         self._parts = CrashingParts()
         self._texts = CrashingTexts()
+        self._probes = TextProbes()
         self._refused_texts: set[TextId] = set()
 
     def start(self) -> None:
@@ -57,15 +59,20 @@
     def stop(self) -> None:
         """Do nothing: no call of this service waits."""
 
-    def is_crashing(self, prompt: PromptTexts) -> bool:
-        """Tell whether a request is refused because of a line or text of its prompt."""
+    def is_crashing(self, prompt: PromptTexts, request: RequestId) -> bool:
+        """Tell whether a request is refused because of a line or text of its prompt.
+
+        From time to time a single request with a refused text is not, as a probe.
+        """
         now = self._clock.now()
         if self._parts.find_crashing(prompt.lines, now) is not None:
             return True
         if not self._texts.has_suspects(now):
             return False
         text = self._texts.find_crashing(prompt.texts, now)
-        if text is not None and text not in self._refused_texts:
+        if text is None or self._begin_probe(text, request, now):
+            return False
+        if text not in self._refused_texts:
             self._refused_texts.add(text)
             log_message(
                 "quarantine:text",
@@ -74,13 +81,30 @@
                 digest=f"{text:x}",
                 crashes=self._texts.count_crashes(text),
             )
-        return text is not None
+        return True
+
+    def _begin_probe(self, text: TextId, request: RequestId, now: datetime) -> bool:
+        # one entry alone, so that not each of many crashes a server
+        for link in self._links.list_live():
+            if link.peer.role is HostRole.ENTRY and link.peer.host < self._host:
+                return False
+        if not self._probes.begin(request, self._texts.find_next_probe(text), now):
+            return False
+        log_message(
+            "quarantine:text_probe",
+            text="quarantine: a single request with a refused text is let through",
+            host=self._host,
+            request=request,
+            digest=f"{text:x}",
+        )
+        return True
 
     def record_crash(
         self, prompt: PromptTexts, request: RequestId, attempt: AttemptId, sent: datetime
     ) -> None:
         """Record that a backend server crashed before it began to answer, and tell the others."""
         now = self._clock.now()
+        self._probes.end(request)
         # attempts that one crash ended ran at the same time, and so count once
         lost = Incarnation(f"{attempt}/{request}"[:MAX_LOST_LENGTH])
         crash = ServerCrash(lost, sent, now)
@@ -91,9 +115,10 @@
             report = self._texts.make_crash_report(lost, now)
             self._send_to_entries(PartEvidence(text_crashes=report.crashes))
 
-    def record_answer(self, prompt: PromptTexts) -> None:
+    def record_answer(self, prompt: PromptTexts, request: RequestId) -> None:
         """Record that a request with *prompt* begins to be answered, and tell the others."""
         now = self._clock.now()
+        self._probes.end(request)
         if self._parts.record_answer(prompt.lines, now):
             self._send_to_entries(self._make_part_evidence())
         if self._texts.needs_answer(now):
--- a/src/lavenderrun/services/_model_request.py
+++ b/src/lavenderrun/services/_model_request.py
@@ -244,8 +244,7 @@
         if not self._check_admission():
             return
         verdict = self._router.quarantine.find_verdict(self.admitted.fingerprint)
-        is_crashing = self._router.crashing_texts.is_crashing(self._texts)
-        if verdict is QuarantineVerdict.GUILTY or (is_crashing and not self._answer.offset):
+        if verdict is QuarantineVerdict.GUILTY or self._is_crashing():
             self._refuse(self._make_refusal(Refusal.QUARANTINED))
             return
         if verdict is QuarantineVerdict.SUSPECT and self._probe is None:
@@ -259,6 +258,11 @@
             return
         self._send_reserve(link, left)
 
+    def _is_crashing(self) -> bool:
+        if self._answer.offset:
+            return False
+        return self._router.crashing_texts.is_crashing(self._texts, self.request.request)
+
     def _send_reserve(self, link: Link, left: timedelta) -> None:
         demand = self._demand
         assert demand is not None
@@ -378,7 +382,7 @@
             self._record_transfer(frame.imported)
         if is_first and progress.tokens:
             self._router.events.emit(AnswerBegun(self.request.request))
-            self._router.crashing_texts.record_answer(self._texts)
+            self._router.crashing_texts.record_answer(self._texts, self.request.request)
         if progress.finish is not None:
             self._finish(progress.finish)
             return
--- a/src/lavenderrun/types/_quarantine.py
+++ b/src/lavenderrun/types/_quarantine.py
@@ -163,7 +163,7 @@
 class CrashingTextKeeper(Protocol):
     """Service ``crashing_texts``: lines and texts of prompts that crash backend servers."""
 
-    def is_crashing(self, prompt: PromptTexts) -> bool:
+    def is_crashing(self, prompt: PromptTexts, request: RequestId) -> bool:
         """Tell whether a request is refused because of a line or text of its prompt."""
 
     def record_crash(
@@ -174,5 +174,5 @@
         :param sent: when the attempt was sent to it.
         """
 
-    def record_answer(self, prompt: PromptTexts) -> None:
+    def record_answer(self, prompt: PromptTexts, request: RequestId) -> None:
         """Record that a request with *prompt* begins to be answered."""
--- a/tests/services/test_text_evidence.py
+++ b/tests/services/test_text_evidence.py
@@ -1,4 +1,4 @@
-"""What entries tell each other about texts of prompts that crash servers, on the wire."""
+"""What entries tell each other about texts that crash servers, and which requests they try."""
 
 from __future__ import annotations
 
@@ -49,6 +49,7 @@
     """
 
     def __init__(self, time: FakeTime, name: str) -> None:
+        self.name = name
         self.handlers: dict[type, Any] = {}
         self.live: list[Any] = []
         self.sent: list[bytes] = []
@@ -78,7 +79,7 @@
             for received in CODEC.decode(data).messages:
                 peer.handlers[type(received)](None, received)
 
-        link = SimpleNamespace(peer=SimpleNamespace(role=HostRole.ENTRY), send=send)
+        link = SimpleNamespace(peer=SimpleNamespace(role=HostRole.ENTRY, host=peer.name), send=send)
         self.live.append(link)
         self.on_up(link)
 
@@ -102,7 +103,7 @@
 
 
 def is_refused(entry: Entry) -> bool:
-    return entry.service.is_crashing(PROMPT)
+    return entry.service.is_crashing(PROMPT, RequestId("asked"))
 
 
 # entries of an earlier release closed the link on a message that they did not know, again and again
@@ -111,7 +112,7 @@
     fixture.first.link_to(fixture.second)
     for number in range(3):
         fixture.crash(fixture.first, number)
-    fixture.first.service.record_answer(PROMPT)
+    fixture.first.service.record_answer(PROMPT, RequestId("answered"))
     fixture.first.link_to(fixture.second)
     assert len(fixture.first.sent) >= 5
     for data in fixture.first.sent:
@@ -135,5 +136,59 @@
     late = Entry(fixture.time, "e3")
     fixture.second.link_to(late)
     assert [is_refused(e) for e in (fixture.first, fixture.second, late)] == [True] * 3
-    fixture.second.service.record_answer(PROMPT)
+    fixture.second.service.record_answer(PROMPT, RequestId("answered"))
     assert [is_refused(e) for e in (fixture.first, fixture.second, late)] == [True, False, False]
+
+
+def connect_entries() -> Fixture:
+    """Return two linked entries at which the text was found."""
+    fixture = Fixture()
+    fixture.first.link_to(fixture.second)
+    fixture.second.link_to(fixture.first)
+    for number in range(3):
+        fixture.crash(fixture.first, number)
+    return fixture
+
+
+def list_admitted(fixture: Fixture, entry: Entry, seconds: int) -> list[int]:
+    """Return when requests with the text are let through, of one a second."""
+    admitted = []
+    for second in range(seconds):
+        fixture.time.advance(1)
+        if not entry.service.is_crashing(PROMPT, RequestId(f"asked at {second}")):
+            admitted.append(second)
+    return admitted
+
+
+# after three crashes of other causes sound requests were refused for 10 minutes, cleared by nothing
+def test_sound_requests_are_served_again_after_the_answer_of_a_single_one() -> None:
+    fixture = connect_entries()
+    (admitted,) = list_admitted(fixture, fixture.first, 70)
+    assert not list_admitted(fixture, fixture.second, 70)
+    fixture.first.service.record_answer(PROMPT, RequestId(f"asked at {admitted}"))
+    assert not is_refused(fixture.first)
+    assert not is_refused(fixture.second)
+
+
+# each request let through crashes one more server
+def test_single_requests_with_a_crashing_text_crash_few_servers() -> None:
+    fixture, crashes = connect_entries(), 3
+    for second in range(1200):
+        for entry in (fixture.first, fixture.second):
+            request = RequestId(f"asked at {second}")
+            if not entry.service.is_crashing(PROMPT, request):
+                sent = START + timedelta(seconds=fixture.time.seconds())
+                fixture.time.advance(0.1)
+                entry.service.record_crash(PROMPT, request, AttemptId(1), sent)
+                crashes += 1
+                assert entry.service.is_crashing(PROMPT, request)
+        fixture.time.advance(1)
+    assert 4 <= crashes <= 8
+
+
+def test_a_probe_may_be_sent_again_and_blocks_others_no_longer_than_a_minute() -> None:
+    fixture = connect_entries()
+    fixture.time.advance(60)
+    for _ in range(2):
+        assert not fixture.first.service.is_crashing(PROMPT, RequestId("probe"))
+    assert list_admitted(fixture, fixture.first, 70) == [59]
