--- a/src/lavenderrun/dispatch/_crashing_texts.py
+++ b/src/lavenderrun/dispatch/_crashing_texts.py
@@ -24,6 +24,7 @@
     is_id,
     to_age,
 )
+from lavenderrun.dispatch._text_probes import find_probe_pause
 from lavenderrun.types import Incarnation, TextId
 
 MAX_TEXT_CRASHES: Final = 32
@@ -139,7 +140,7 @@
         """Return a text because of which a request with *texts* is refused, ``None`` without one.
 
         A request is refused if it has all that the separate crashes of a text have in common: what
-        it does not have may be the cause.
+        it does not have may be the cause. Of several, the one probed last is returned.
         """
         self._drop_old(now)
         suspects = [text for text in texts if self._counts.get(text, 0) >= MAX_PART_CRASHES]
@@ -159,12 +160,22 @@
             limit = MAX_CRASHES_ONCE_ANSWERED if is_unsure else MAX_PART_CRASHES
             if groups.bit_count() >= limit:
                 found.setdefault(groups, text)
+        matching: list[TextId] = []
         for groups, text in found.items():
             last_end = index.last_ends[groups.bit_length() - 1]
             has_all = not any(groups & others == groups for others in lacking)
             if has_all and now - last_end < PART_QUARANTINE_TIME:
-                return text
-        return None
+                matching.append(text)
+        return max(matching, key=self.find_next_probe, default=None)
+
+    def find_next_probe(self, text: TextId) -> datetime:
+        """Return from when on a single request with a refused text may be sent."""
+        index = self._index = self._index or _make_index(self._crashes)
+        groups = index.groups.get(text, 0)
+        if not groups:
+            return datetime.min.replace(tzinfo=UTC)
+        last_end = index.last_ends[groups.bit_length() - 1]
+        return last_end + find_probe_pause(groups.bit_count())
 
     def count_crashes(self, text: TextId) -> int:
         """Return how many lost requests a text may have been the cause of."""
--- a/tests/gateway/test_peer_probe.py
+++ b/tests/gateway/test_peer_probe.py
@@ -12,8 +12,8 @@
 from twisted.internet.testing import MemoryReactor, StringTransport
 from twisted.python.failure import Failure
 
-from lavenderrun.gateway._peer_probe import PeerProbe
 from lavenderrun.gateway._peer_messages import PeerReport
+from lavenderrun.gateway._peer_probe import PeerProbe
 from lavenderrun.gateway._peers import PeersService
 from lavenderrun.types import HostId
 
