Send waiting plain calls by account share and deadline

When no server of a plain service took calls, each waiting call looked for one itself at random intervals. Whichever came first was sent: a call that was due in 0.4 s behind ones due in 2 s, and one account's many calls before the others'. A new call overtook all that waited, and a slot that became free stayed unused until somebody looked.

Waiting calls of a service now stand in one order at a host: the client account with the fewest running calls first, then the earliest deadline, then the arrival. A call that ends has the next one look, each that was sent the one after it, and new calls queue behind those that wait. The interval remains for what is no event here, as the end of a rest. Accounts have equal shares: the configuration names no weight for them. A call at the end of its wait still looks once, after the one that is next.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -74,6 +74,7 @@
 )
 from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
 from lavenderrun.dispatch._unreached import UnreachedAddresses, find_return
+from lavenderrun.dispatch._waiting_order import WaitingCall, choose_next
 
 __all__ = [
     "ASSUMED_HOSTS",
@@ -130,8 +131,10 @@
     "SuspectTracker",
     "TimeLimitHistory",
     "UnreachedAddresses",
+    "WaitingCall",
     "authorize_call",
     "can_start",
+    "choose_next",
     "decide_after_attempt",
     "decide_after_stream_attempt",
     "decide_on_silence",
--- a/src/lavenderrun/gateway/_call_services.py
+++ b/src/lavenderrun/gateway/_call_services.py
@@ -17,6 +17,7 @@
 from lavenderrun.gateway._suspects import LostCall
 from lavenderrun.gateway._suspension import SuspensionService
 from lavenderrun.gateway._view import FleetView
+from lavenderrun.gateway._waiting_calls import WaitingPlainCalls
 from lavenderrun.kernel import Clock
 from lavenderrun.types import (
     BackendId,
@@ -109,6 +110,7 @@
     suspension: SuspensionService
     random_source: Random
     durations: CallDurations = field(default_factory=CallDurations)
+    waiting: WaitingPlainCalls = field(default_factory=WaitingPlainCalls)
 
     def free_cache(self, cache: HeldCache) -> None:
         """Ask the holder to free KV cache that no engine will take."""
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -10,7 +10,9 @@
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._log import to_milliseconds
 from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, MIN_SEND_TIME, RunningCallBase
-from lavenderrun.types import Member, Refusal, Step
+from lavenderrun.gateway._waiting_calls import QueuedPlainCall
+from lavenderrun.kernel import Timer
+from lavenderrun.types import AccountId, Member, Refusal, Step
 
 HEDGE_AFTER_SHARE: Final = 0.6
 """Share of the objective after which an unanswered idempotent call is sent to a second server."""
@@ -45,12 +47,18 @@
         self._failed_answer: tuple[Attempt, _CollectedAnswer] | None = None
         self._unreached_servers: list[Member] = []
         self._may_wait = False
+        self._queued: QueuedPlainCall | None = None
+        self._poll_timer: Timer | None = None
         self._is_outcome_unknown = False
         self._hedge_due = self._admitted.arrived
 
     def start(self) -> None:
-        """Send the call."""
-        self._send(first=True)
+        """Send the call, after those that wait already."""
+        if self._services.waiting.has_waiting(self._admitted.service):
+            self._wait_for_server()
+            self._services.waiting.wake_next(self._admitted.service)
+        else:
+            self._send(first=True)
 
     def pause(self) -> None:
         """Do nothing, because nothing is written before the answer is whole."""
@@ -72,7 +80,7 @@
     def attempt_ended(self, attempt: Attempt) -> None:
         """Pass the answer on, send the call again or refuse it."""
         answer = self._running_attempts.pop(attempt)
-        self._services.view.occupancy.free(attempt.member.id, 0)
+        self._free_server(attempt)
         if self._is_over:
             return
         if not attempt.sent:
@@ -125,6 +133,7 @@
         )
         self._running_attempts[attempt] = _CollectedAnswer()
         self._services.view.occupancy.reserve(member.id, 0)
+        self._services.waiting.begin(self._admitted.service, self._account)
         self._tried_servers.append(member)
         self._call_log.write(
             "send",
@@ -176,15 +185,44 @@
             self._refuse_without_capacity(f"no backend server {reason}")
             return
         self._unreached_servers.clear()
+        if self._queued is None:
+            arrived, deadline = self._admitted.arrived, self._admitted.deadline
+            self._queued = QueuedPlainCall(self._account, arrived, deadline, self._wake)
+            self._services.waiting.add(service, self._queued)
         spread = NO_SERVER_SPREAD_SHARE * self._services.view.draw_spread()
         pause = NO_SERVER_PAUSE * (1 + spread)
         # the last search takes a server even if it is busy
         self._may_wait = now + pause * 2 <= ends
-        self._schedule(pause, self._send_after_wait)
+        self._poll_timer = self._schedule(pause, self._poll_servers)
 
-    def _send_after_wait(self) -> None:
-        if not self._is_over:
-            self._send(first=True)
+    def _poll_servers(self) -> None:
+        if self._is_over or self._queued is None:
+            return
+        self._services.waiting.wake_next(self._admitted.service)
+        if self._queued.is_woken:
+            return
+        if self._may_wait:
+            self._wait_for_server()
+        else:
+            # the last search, after the call that is next
+            self._wake()
+
+    def _wake(self) -> None:
+        self._schedule(timedelta(0), self._search_after_wait)
+
+    def _search_after_wait(self) -> None:
+        if self._is_over or self._queued is None:
+            return
+        if self._poll_timer is not None:
+            self._poll_timer.cancel()
+        self._stop_waiting()
+        if self._send(first=True):
+            self._services.waiting.wake_next(self._admitted.service)
+
+    def _stop_waiting(self) -> None:
+        queued, self._queued = self._queued, None
+        if queued is not None:
+            self._services.waiting.remove(self._admitted.service, queued)
 
     def _pass_on(self, attempt: Attempt, answer: _CollectedAnswer) -> None:
         head = attempt.head
@@ -209,8 +247,18 @@
     def _may_have_run(self) -> bool:
         return self._is_outcome_unknown or any(attempt.sent for attempt in self._running_attempts)
 
+    @property
+    def _account(self) -> AccountId | None:
+        account = self._admitted.access.account
+        return None if account is None else account.id
+
+    def _free_server(self, attempt: Attempt) -> None:
+        self._services.view.occupancy.free(attempt.member.id, 0)
+        self._services.waiting.end(self._admitted.service, self._account)
+
     def _release(self) -> None:
-        for attempt in list(self._running_attempts):
+        self._stop_waiting()
+        while self._running_attempts:
+            attempt, _ = self._running_attempts.popitem()
             attempt.abandon()
-            self._services.view.occupancy.free(attempt.member.id, 0)
-        self._running_attempts.clear()
+            self._free_server(attempt)
