--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -92,6 +92,7 @@
 )
 from lavenderrun.dispatch._text_probes import TextProbes
 from lavenderrun.dispatch._unreached import UnreachedAddresses, find_return
+from lavenderrun.dispatch._waiting_order import WaitingCall, choose_next
 
 __all__ = [
     "ASSUMED_HOSTS",
@@ -165,8 +166,10 @@
     "TextReport",
     "TimeLimitHistory",
     "UnreachedAddresses",
+    "WaitingCall",
     "authorize_call",
     "can_start",
+    "choose_next",
     "decide_after_attempt",
     "decide_after_stream_attempt",
     "decide_on_hedge",
