Ask an idle server while the others of its service are silent

While two of three servers of a service were silent, calls at both waited for the certainty, 1.2 s or more, before the third one was asked, and calls with a deadline of 1000 ms ended with 504 although it was sound.

A silence now counts as shared only while no untried server is without calls and unheard. Otherwise one call asks such a server at once (PROBE); while that server has neither answered nor been silent for long, no other call is sent to one without calls. If it answers, the others follow; if it is silent, too, the next one may be asked. The certainty is 85% of the caller's patience or of the time to the deadline, whichever is less. For streams nothing changes.

Not mended: a call at the only server known to be silent may be sent on to another silent one that had no calls, and has no third attempt.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -15,6 +15,7 @@
     HedgeVerdict,
     ServiceSilence,
     decide_on_hedge,
+    find_certainty,
 )
 from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
 from lavenderrun.dispatch._crashing_parts import (
@@ -170,6 +171,7 @@
     "decide_on_silence",
     "digest_key",
     "estimate_computation",
+    "find_certainty",
     "find_patience",
     "find_retry_pause",
     "find_return",
--- a/src/lavenderrun/gateway/_call_hedge.py
+++ b/src/lavenderrun/gateway/_call_hedge.py
@@ -11,8 +11,8 @@
     REVIEW_PAUSE,
     HedgeVerdict,
     decide_on_hedge,
+    find_certainty,
     find_patience,
-    find_silence_limits,
 )
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
@@ -31,6 +31,7 @@
     """Weighs the silence of one whole call.
 
     :param is_unanswered: tells whether the call is silent and may be sent to another server.
+    :param has_server: tells whether there is a server other than the given ones.
     :param on_hedge: sends the call to a server other than the given ones if the budget allows it;
         returns whether there is such a server.
     """
@@ -41,12 +42,14 @@
         admitted: AdmittedCall,
         call_log: CallLog,
         is_unanswered: Callable[[], bool],
+        has_server: Callable[[Collection[BackendId]], bool],
         on_hedge: Callable[[Collection[BackendId]], bool],
     ) -> None:
         self._services = services
         self._admitted = admitted
         self._call_log = call_log
         self._is_unanswered = is_unanswered
+        self._has_server = has_server
         self._on_hedge = on_hedge
         self._silence = services.view.find_call_silence(admitted.service)
         self._server: BackendId | None = None
@@ -55,12 +58,14 @@
         self._timer: Timer | None = None
         self._is_kept = False
         self._is_trial = False
+        self._is_probe = False
 
     def begin(self, member: Member) -> None:
         """Record that the call is sent to *member* now."""
         self._server, self._sent = member.id, self._services.clock.now()
         mean = self._services.view.health.find(member.id).mean_seconds
-        self._silence.begin_call(member.id, timedelta(seconds=mean), self._sent)
+        expected = timedelta(seconds=mean)
+        self._silence.begin_call(member.id, expected, self._sent, is_probe=self._is_probe)
 
     def note_sign(self, member: Member) -> None:
         """Record that *member* sent something of the call."""
@@ -108,9 +113,15 @@
         known = self._silence.gather(self._wait * QUIET_SHARE, now)
         waited = self._silence.measure_silence(self._sent, now)
         patience = find_patience(self._admitted.access.route.objective, None)
-        limits = find_silence_limits(patience, self._admitted.deadline - (now - waited))
-        verdict = decide_on_hedge(known, server, waited, limits.certainty)
-        silent_others = known.silent - {server}
+        certainty = find_certainty(patience, self._admitted.deadline - (now - waited))
+        silent_others, asked = known.silent - {server}, self._silence.list_known()
+        has_idle = bool(silent_others) and self._has_server(asked)
+        verdict = decide_on_hedge(known, server, waited, certainty, has_idle=has_idle)
+        if verdict is HedgeVerdict.PROBE:
+            self._is_probe = True
+            self._on_hedge(asked)
+            self._is_probe = False
+            return
         if verdict is not HedgeVerdict.SHARED:
             if verdict is HedgeVerdict.TRIAL:
                 self._begin_trial()
@@ -126,7 +137,7 @@
                 member=server,
                 verdict=verdict.value,
                 silent_ms=to_milliseconds(waited),
-                certainty_ms=to_milliseconds(limits.certainty),
+                certainty_ms=to_milliseconds(certainty),
                 silent_others=len(silent_others),
                 speaking_others=len(known.speaking),
             )
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -50,6 +50,7 @@
             self._admitted,
             self._call_log,
             self._is_unanswered,
+            lambda others: self._find_server(others) is not None,
             self._send_to_second,
         )
 
--- a/tests/dispatch/test_call_silence.py
+++ b/tests/dispatch/test_call_silence.py
@@ -7,7 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lavenderrun.dispatch import CallSilence, HedgeVerdict, ServiceSilence, decide_on_hedge
+from lavenderrun.dispatch import (
+    CallSilence,
+    HedgeVerdict,
+    ServiceSilence,
+    decide_on_hedge,
+    find_certainty,
+)
 from lavenderrun.types import BackendId
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
@@ -81,6 +87,41 @@
     assert silence.gather(QUIET, at(1)).silent == {B}
 
 
+# a sound server without calls was not asked before the silence was certain
+def test_one_call_at_a_time_asks_a_server_without_calls() -> None:
+    silence = CallSilence()
+    for member in (A, B):
+        silence.begin_call(member, NONE, at(0))
+
+    def decide_with_idle(seconds: float) -> HedgeVerdict:
+        known = silence.gather(QUIET, at(seconds))
+        return decide_on_hedge(known, B, WAITED, CERTAINTY, has_idle=True)
+
+    assert decide_with_idle(0.3) is HedgeVerdict.PROBE
+    assert silence.list_known() == {A, B}
+    silence.begin_call(C, NONE, at(0.3), is_probe=True)
+    assert silence.list_known() == {A, B, C}
+    assert decide_with_idle(0.4) is HedgeVerdict.SHARED
+    # silent, too: the next one without calls may be asked
+    assert decide_with_idle(0.5) is HedgeVerdict.PROBE
+
+
+def test_calls_go_to_a_server_that_has_answered_the_one_call_that_asked_it() -> None:
+    silence = CallSilence()
+    for member in (A, B):
+        silence.begin_call(member, NONE, at(0))
+    silence.begin_call(C, NONE, at(0.3), is_probe=True)
+    silence.note_sign(C, at(0.4))
+    assert decide(silence, 0.45) is HedgeVerdict.HEDGE
+
+
+# with a deadline of 1000 ms the silence was never certain
+def test_a_silence_is_certain_before_the_deadline_of_its_call() -> None:
+    second = timedelta(seconds=1)
+    assert find_certainty(2 * second, 4 * second) == 1.7 * second
+    assert find_certainty(2 * second, second) == 0.85 * second
+
+
 # without it, calls at servers that died at once would wait until their deadline
 def test_one_call_tries_another_server_once_the_silence_is_certain() -> None:
     silence = CallSilence()
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -393,6 +393,31 @@
     assert sum(len(server.seen) for server in servers) == 4
 
 
+# both calls waited for the certainty, longer than their deadline, and ended with 504
+def test_calls_at_silent_servers_go_to_one_that_had_no_calls(platform: StandinPlatform) -> None:
+    servers = [platform.add(StandinServer(f"app-{n}", "apps")) for n in (1, 2, 3)]
+    silent: list[StandinServer] = []
+
+    def behave(server: StandinServer, _: BaseHTTPRequestHandler, __: SeenRequest) -> bool:
+        if len(silent) < 2:
+            silent.append(server)
+            server.fall_silent(SILENCE)
+            time.sleep(SILENCE)
+        return False
+
+    for server in servers:
+        server.behave = behave
+    gateway = platform.wait_known(platform.add_gateway())
+
+    def call(request: str) -> int:
+        headers = {"X-Deadline-Ms": "1000"}
+        return gateway.call(PLAIN + "x", request=request, headers=headers).status
+
+    with ThreadPoolExecutor(2) as pool:
+        assert list(pool.map(call, ["r1", "r2"])) == [200] * 2
+    assert [len(server.seen) for server in silent] == [1, 1]
+
+
 def test_a_call_at_the_only_silent_server_is_sent_to_a_second_one(
     platform: StandinPlatform,
 ) -> None:
