Release a lease again after a conflict with an own renewal

A host that stopped while the reply to a renewal of its lease was lost left the row as its own: other hosts waited until the lease had expired, 17 s with the default terms.

The release expected the row's version before the renewal. The store rejected it and returned the present row, still this host's, but a release was sent once only.

After each release the keeper is asked again. When the row is still this host's at another version than tried, the release is sent with that one; without a reply, or with another holder, it ends as before. Each further try needs one more write of this host that had taken effect, so the tries are few.

test_a_stop_after_a_renewal_whose_reply_is_lost_frees_the_lease failed before (the row still named the host) and passes. tests/services, test_fencing, and the tests of pages and layers pass.

--- a/src/lavenderrun/services/_leases.py
+++ b/src/lavenderrun/services/_leases.py
@@ -59,9 +59,18 @@
             releases.append(writing.addCallback(self._release, name, keeper))
         return DeferredList(releases, consumeErrors=True).addCallback(lambda _: None)
 
-    def _release(self, _: None, name: LeaseName, keeper: LeaseKeeper) -> Deferred[None] | None:
+    def _release(
+        self, _: None, name: LeaseName, keeper: LeaseKeeper, tried: int | None = None
+    ) -> Deferred[None] | None:
+        """Free the row; after a conflict with an own write whose reply was lost, do so again.
+
+        :param tried: version that the row should have had at the last try.
+        """
         write = keeper.plan_release(self._clock.now())
-        return None if write is None else self._send_write(name, keeper, write)
+        if write is None or write.expect == tried:
+            return None
+        releasing = self._send_write(name, keeper, write)
+        return releasing.addCallback(self._release, name, keeper, write.expect)
 
     def compete(self, name: LeaseName) -> None:
         """Try to acquire a lease, and to keep it, from now on."""
--- a/tests/services/test_leases.py
+++ b/tests/services/test_leases.py
@@ -28,7 +28,8 @@
         hello = SimpleNamespace(host=HostId("h1"), boot=BootId("b1"))
         kernel = Kernel(clock, SimpleNamespace(hello=lambda: hello), Random(1))
         kernel.provide("links", SimpleNamespace(list_live=list))
-        kernel.provide("store", MemoryStore(clock, self.core, TableFaults(latency=LATENCY)))
+        self.faults = TableFaults(latency=LATENCY)
+        kernel.provide("store", MemoryStore(clock, self.core, self.faults))
         self.leases = LeasesService(kernel, LeaseTerms())
         self.leases.compete(NAME)
         self.leases.start()
@@ -55,3 +56,17 @@
     assert stopped.called
     assert fixture.leases.find_fencing_number(NAME) is None
     assert fixture.find_holder() == NO_HOST
+
+
+# the release expected the version before the renewal, conflicted and was not tried again
+def test_a_stop_after_a_renewal_whose_reply_is_lost_frees_the_lease() -> None:
+    fixture = Fixture()
+    fixture.faults.lost_replies = 1
+    writes = fixture.core.writes
+    while fixture.core.writes == writes:
+        fixture.advance(0.05)
+    stopped = fixture.leases.stop()
+    fixture.advance(3)
+    assert stopped.called
+    assert not fixture.faults.lost_replies
+    assert fixture.find_holder() == NO_HOST
