Spread callers that are refused in a long rest over more time

Their order within 50 ms tells nothing, and the random share was a quarter of 5 s; ten draws lie within a second of each other in a third of all cases. Before the return was spread by order they lay within half the rest.

After a rest of more than 15 s the time over which callers come is a third of it, 10 s at most, so the random share is 2.5 s.

--- a/src/lavenderrun/dispatch/_rests.py
+++ b/src/lavenderrun/dispatch/_rests.py
@@ -19,7 +19,14 @@
 it may: other hosts got the same answer at the same time."""
 
 MAX_RETURN_TIME: Final = timedelta(seconds=5)
-"""Longest time over which callers that were refused in a rest are spread after it."""
+"""Longest time in which callers that were refused in a rest are taken to come back after it."""
+
+LONG_REST_SHARE: Final = 1 / 3
+"""Share of a long rest over which callers that are refused in it are spread after it: the longer
+they stay away, the more of them were refused at the same moment."""
+
+MAX_SPREAD_TIME: Final = timedelta(seconds=10)
+"""Longest such time."""
 
 ORDER_SHARE: Final = 0.75
 """Share of that time by which callers come back in the order in which they were refused; the rest
@@ -161,7 +168,8 @@
             began = max(rest.asked for rest in rests)
             length = min(rest.returns for rest in rests) - began
             share = ORDER_SHARE * ((now - began) / length) + (1 - ORDER_SHARE) * spread
-            return min(length, MAX_RETURN_TIME) * share
+            spread_time = min(length * LONG_REST_SHARE, MAX_SPREAD_TIME)
+            return max(min(length, MAX_RETURN_TIME), spread_time) * share
         left = max((rest.returns + rest.return_time - now for rest in rests), default=timedelta(0))
         if left <= timedelta(0):
             return None
