--- a/tests/platform/test_unexpected_errors.py
+++ b/tests/platform/test_unexpected_errors.py
@@ -123,7 +123,7 @@
 
 # a timer that failed left the call to its deadline
 def test_a_plain_call_whose_timer_fails_ends_soon(platform: StandinPlatform) -> None:
-    gateway = start_gateway(platform, PREFIX + "_whole_call:WholeCall._send_after_wait")
+    gateway = start_gateway(platform, PREFIX + "_whole_call:WholeCall._search_after_wait")
     platform.store.remove("servers", "app-1")
     time.sleep(0.3)
     assert fail_once(platform, gateway, PLAIN).status == 503
