Tell callers when to come back whose deadline passed while they waited

The one refusal of a call that did not run and has no such time is that of a deadline; a stream with 100 ms left takes that way if its time ends between the slot and the connection.

It has the time at which a server may be called, 0.3 s at least, as the others. The new test failed before.

--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -258,7 +258,9 @@
             self._observe_duration()
             self._refuse(Refusal.OUTCOME_UNKNOWN, Step.CALL, "deadline reached")
         else:
-            self._refuse(Refusal.DEADLINE, Step.SEAT, "deadline reached")
+            retry_after = self._services.view.advise_return(self._admitted.service)
+            retry_after = max(RETRY_AFTER_NO_SERVER, retry_after)
+            self._refuse(Refusal.DEADLINE, Step.SEAT, "deadline reached", retry_after)
 
     def _refuse(
         self, refusal: Refusal, step: Step, detail: str, retry_after: timedelta | None = None
