--- a/src/lavenderrun/gateway/_call_hedge.py
+++ b/src/lavenderrun/gateway/_call_hedge.py
@@ -17,10 +17,10 @@
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._log import to_milliseconds
-from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, AdmittedCall
+from lavenderrun.gateway._running_call import AdmittedCall
 from lavenderrun.gateway._silence_watch import JITTER_SHARE
 from lavenderrun.gateway._stats import SILENCES
-from lavenderrun.kernel import Timer
+from lavenderrun.gateway._watch_timer import WatchTimer
 from lavenderrun.types import BackendId, Member
 
 HEDGE_AFTER_SHARE: Final = 0.6
@@ -54,8 +54,8 @@
         self._silence = services.view.find_call_silence(admitted.service)
         self._server: BackendId | None = None
         self._wait = admitted.access.route.objective * HEDGE_AFTER_SHARE
-        self._sent = self._due = admitted.arrived
-        self._timer: Timer | None = None
+        self._sent = admitted.arrived
+        self._timer = WatchTimer(services.clock)
         self._is_kept = False
         self._is_trial = False
         self._is_probe = False
@@ -77,9 +77,7 @@
 
     def release(self) -> None:
         """Watch the call no more."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._timer.cancel()
         self._end_trial()
 
     def _begin_trial(self) -> None:
@@ -93,20 +91,15 @@
 
     def watch(self) -> None:
         """Weigh the silence of the call once an answer is late."""
-        if self._timer is None:
-            self._schedule(self._wait)
-
-    def _schedule(self, wait: timedelta) -> None:
-        self._due = self._services.clock.now() + wait
-        self._timer = self._services.clock.call_later(wait, self._weigh)
+        if not self._timer.is_running:
+            self._timer.start(self._wait, self._weigh)
 
     def _weigh(self) -> None:
-        self._timer = None
         now, server = self._services.clock.now(), self._server
-        if now - self._due > MAX_TIMER_DELAY:
+        if self._timer.is_late:
             # after a suspension of this process, what has come is read first
             self._silence.note_stall(now)
-            self._schedule(timedelta(0))
+            self._timer.start(timedelta(0), self._weigh)
             return
         if server is None or not self._is_unanswered():
             return
@@ -142,4 +135,4 @@
                 speaking_others=len(known.speaking),
             )
         spread = JITTER_SHARE * self._services.random_source.random()
-        self._schedule(REVIEW_PAUSE * (1 + spread))
+        self._timer.start(REVIEW_PAUSE * (1 + spread), self._weigh)
--- a/src/lavenderrun/gateway/_prefill_move.py
+++ b/src/lavenderrun/gateway/_prefill_move.py
@@ -10,9 +10,9 @@
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._move_result import LATE_READ_TIME, MoveResult
 from lavenderrun.gateway._prefill_run import CallContextFactory, PrefillRun
-from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, AdmittedCall
+from lavenderrun.gateway._running_call import AdmittedCall
 from lavenderrun.gateway._stats import STREAM_MOVES
-from lavenderrun.kernel import Timer
+from lavenderrun.gateway._watch_timer import WatchTimer
 from lavenderrun.types import HeldCache, Member
 
 
@@ -71,8 +71,7 @@
         self._other = other
         self._on_taken = on_taken
         self._on_failed = on_failed
-        self._timer: Timer | None = None
-        self._due = admitted.arrived
+        self._timer = WatchTimer(services.clock)
         self._is_over = False
         self._take_end: Callable[[PrefillRun], None] = self._take_result
         self._run = PrefillRun(services, admitted, call_log, other, lambda run: self._take_end(run))
@@ -82,7 +81,7 @@
         tracker = self._services.view.prefill_silence
         tracker.begin_move(self._silent.id)
         tracker.begin_stream(self._other.id, self._services.clock.now())
-        self._schedule_end(find_move_time(self._run.expected))
+        self._timer.start(find_move_time(self._run.expected), self._give_up)
         self._run.send(make_context)
 
     def abandon(self, result: MoveResult) -> None:
@@ -111,26 +110,19 @@
             self._end(MoveResult.MOVED)
             self._on_taken(run.cache)
 
-    def _schedule_end(self, wait: timedelta) -> None:
-        self._due = self._services.clock.now() + wait
-        self._timer = self._services.clock.call_later(wait, self._give_up)
-
     def _give_up(self) -> None:
         """End a move to an engine that is silent, too, so that others may follow."""
-        self._timer = None
-        now = self._services.clock.now()
-        if now - self._due > MAX_TIMER_DELAY:
+        if self._timer.is_late:
             # this process did not run, so what has come is read first
-            self._services.view.prefill_silence.note_stall(now)
-            self._schedule_end(LATE_READ_TIME)
+            self._services.view.prefill_silence.note_stall(self._services.clock.now())
+            self._timer.start(LATE_READ_TIME, self._give_up)
             return
         self.abandon(MoveResult.NO_ANSWER)
         self._on_failed()
 
     def _end(self, result: MoveResult) -> None:
         self._is_over = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         self._services.view.prefill_silence.end_stream(self._other.id)
         record_move(
             self._services, self._admitted, self._call_log, self._silent, self._other, result
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -47,9 +47,6 @@
 
 MIN_SEND_TIME: Final = MIN_SERVICE_TIME
 
-MAX_TIMER_DELAY: Final = timedelta(milliseconds=250)
-"""Delay of a timer above which this process did not run, and may not have read what has come."""
-
 
 @dataclass(frozen=True)
 class AdmittedCall:
--- a/src/lavenderrun/gateway/_silence_watch.py
+++ b/src/lavenderrun/gateway/_silence_watch.py
@@ -19,9 +19,9 @@
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._log import to_milliseconds
-from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, AdmittedCall
+from lavenderrun.gateway._running_call import AdmittedCall
 from lavenderrun.gateway._stats import SILENCES
-from lavenderrun.kernel import Timer
+from lavenderrun.gateway._watch_timer import WatchTimer
 from lavenderrun.types import Member
 
 JITTER_SHARE: Final = 0.5
@@ -64,8 +64,7 @@
         )
         self._member: Member | None = None
         self._last_event = admitted.arrived
-        self._timer: Timer | None = None
-        self._due = admitted.arrived
+        self._timer = WatchTimer(services.clock)
         self._verdict = SilenceVerdict.NOT_LONG
         self._was_shared = False
         self._failed_moves = 0
@@ -82,7 +81,7 @@
         self._member, self._last_event, self._paused = member, now, None
         self._tracker.begin_stream(member.id, now)
         if self._may_move:
-            self._schedule(self._find_limits(now).suspicion)
+            self._timer.start(self._find_limits(now).suspicion, self._weigh)
 
     def note_head(self) -> None:
         """Record that the engine began to answer."""
@@ -123,9 +122,7 @@
 
     def end(self) -> None:
         """Watch no attempt."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._timer.cancel()
         self._verdict = SilenceVerdict.NOT_LONG
         self._was_shared, self._failed_moves = False, 0
         self._paused = None
@@ -144,30 +141,23 @@
     def look_again(self, *, has_failed: bool = True) -> None:
         """Weigh the silence again after a pause, which is longer after each failed move."""
         if self._member is not None and self._may_move:
-            self._schedule(self._add_jitter(find_retry_pause(self._failed_moves)))
+            self._timer.start(self._add_jitter(find_retry_pause(self._failed_moves)), self._weigh)
             self._failed_moves += has_failed
 
     def _add_jitter(self, pause: timedelta) -> timedelta:
         return pause * (1 + JITTER_SHARE * self._services.random_source.random())
 
-    def _schedule(self, wait: timedelta) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._due = self._services.clock.now() + wait
-        self._timer = self._services.clock.call_later(wait, self._weigh)
-
     def _find_limits(self, now: datetime) -> SilenceLimits:
         began = now - self._tracker.measure_silence(self._last_event, now)
         return find_silence_limits(self._patience, self._admitted.deadline - began, self._expected)
 
     def _weigh(self) -> None:
-        self._timer = None
         member, now = self._member, self._services.clock.now()
         if member is None:
             return
         self._services.suspension.check()
         silence = self._tracker
-        if now - self._due > MAX_TIMER_DELAY:
+        if self._timer.is_late:
             silence.note_stall(now)
         limits = self._find_limits(now)
         evidence = SilenceEvidence(
@@ -188,9 +178,9 @@
         if decision.verdict is SilenceVerdict.MOVE:
             self._on_move(limits)
         elif decision.verdict is SilenceVerdict.NOT_LONG:
-            self._schedule(decision.review_after)
+            self._timer.start(decision.review_after, self._weigh)
         else:
-            self._schedule(self._add_jitter(decision.review_after))
+            self._timer.start(self._add_jitter(decision.review_after), self._weigh)
 
     def _log(self, member: Member, evidence: SilenceEvidence) -> None:
         if self._verdict is SilenceVerdict.NOT_LONG:
--- a/src/lavenderrun/gateway/_stream_move.py
+++ b/src/lavenderrun/gateway/_stream_move.py
@@ -15,10 +15,10 @@
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation
 from lavenderrun.gateway._engine_search import count_required_tokens
 from lavenderrun.gateway._move_result import LATE_READ_TIME, MoveResult
-from lavenderrun.gateway._running_call import MAX_TIMER_DELAY, AdmittedCall
+from lavenderrun.gateway._running_call import AdmittedCall
 from lavenderrun.gateway._stats import STREAM_MOVES
 from lavenderrun.gateway._stream_sender import StreamSender
-from lavenderrun.kernel import Timer
+from lavenderrun.gateway._watch_timer import WatchTimer
 from lavenderrun.types import AnswerKind, Member
 
 MAX_OVERLAP: Final = timedelta(milliseconds=300)
@@ -70,8 +70,7 @@
         self._slot: DecodeSlotReservation | None = None
         self._place: DecodePlace | None = None
         self._attempt: Attempt | None = None
-        self._timer: Timer | None = None
-        self._due = admitted.arrived
+        self._timer = WatchTimer(services.clock)
 
     @property
     def was_sent(self) -> bool:
@@ -132,7 +131,7 @@
 
     def _send(self, place: DecodePlace) -> None:
         self._attempt = self._sender.make_attempt(place, self)
-        self._schedule_end(MAX_OVERLAP)
+        self._timer.start(MAX_OVERLAP, self._end_overlap)
         self._new_engine = place.member
         self._services.view.silence.begin_stream(place.member.id, self._services.clock.now())
         self._sender.send(self._attempt, place, None)
@@ -159,20 +158,15 @@
         elif attempt.outcome.may_have_run:
             self._note_unknown()
 
-    def _schedule_end(self, wait: timedelta) -> None:
-        self._due = self._services.clock.now() + wait
-        self._timer = self._services.clock.call_later(wait, self._end_overlap)
-
     def _end_overlap(self) -> None:
-        self._timer = None
         if self._is_over or self._place is None:
             return
         now = self._services.clock.now()
-        if now - self._due > MAX_TIMER_DELAY:
+        if self._timer.is_late:
             # this process did not run, so what has come is read first
             self._services.view.silence.note_stall(now)
             self._silent_before = timedelta(0)
-            self._schedule_end(LATE_READ_TIME)
+            self._timer.start(LATE_READ_TIME, self._end_overlap)
             return
         if not self.was_sent:
             self._fail(MoveResult.NO_ANSWER)
@@ -194,8 +188,7 @@
         if self._is_over:
             return
         self._is_over = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         self._services.view.silence.end_move(self._silent.id, is_moved=result is MoveResult.MOVED)
         if self._new_engine is not None:
             self._services.view.silence.end_stream(self._new_engine.id)
