--- a/src/lavenderrun/dispatch/_crashing_texts.py
+++ b/src/lavenderrun/dispatch/_crashing_texts.py
@@ -66,6 +66,10 @@
     groups: Mapping[TextId, int]
     counts: Mapping[int, int]
 
+    def find_last_end(self, groups: int) -> datetime:
+        """Return the last end of a server in any of *groups*."""
+        return self.last_ends[groups.bit_length() - 1]
+
 
 @dataclass(frozen=True)
 class TextReport:
@@ -146,7 +150,7 @@
         suspects = [text for text in texts if self._counts.get(text, 0) >= MAX_PART_CRASHES]
         if not suspects:
             return None
-        index = self._index = self._index or _make_index(self._crashes)
+        index = self._find_index()
         covered = Counter(index.groups[text] for text in texts if text in index.groups)
         lacking = [
             groups for groups, count in index.counts.items() if covered.get(groups, 0) < count
@@ -162,20 +166,18 @@
                 found.setdefault(groups, text)
         matching: list[TextId] = []
         for groups, text in found.items():
-            last_end = index.last_ends[groups.bit_length() - 1]
             has_all = not any(groups & others == groups for others in lacking)
-            if has_all and now - last_end < PART_QUARANTINE_TIME:
+            if has_all and now - index.find_last_end(groups) < PART_QUARANTINE_TIME:
                 matching.append(text)
         return max(matching, key=self.find_next_probe, default=None)
 
     def find_next_probe(self, text: TextId) -> datetime:
         """Return from when on a single request with a refused text may be sent."""
-        index = self._index = self._index or _make_index(self._crashes)
+        index = self._find_index()
         groups = index.groups.get(text, 0)
         if not groups:
             return datetime.min.replace(tzinfo=UTC)
-        last_end = index.last_ends[groups.bit_length() - 1]
-        return last_end + find_probe_pause(groups.bit_count())
+        return index.find_last_end(groups) + find_probe_pause(groups.bit_count())
 
     def count_crashes(self, text: TextId) -> int:
         """Return how many lost requests a text may have been the cause of."""
@@ -211,6 +213,11 @@
         self._drop_old(now)
         return is_new
 
+    def _find_index(self) -> _CrashIndex:
+        if self._index is None:
+            self._index = _make_index(self._crashes)
+        return self._index
+
     def _describe(
         self, known: _TextCrash, now: datetime
     ) -> tuple[Incarnation, float, float, Sequence[TextId]]:
