Make the refusal of a leaving entry in one place

The same refusal was built field by field for a request that comes after the drain and for one that is half read at its end. Only the detail differs; it is the argument now. Tests of the front, of TLS, of half-read requests and the golden sessions pass.

--- a/src/lavenderrun/services/_front.py
+++ b/src/lavenderrun/services/_front.py
@@ -26,10 +26,10 @@
 from lavenderrun.http_server import CloseReason, RequestAccount, describe_error
 from lavenderrun.kernel import SERVICES, Kernel, Registry
 from lavenderrun.services._front_http import (
-    LEAVING_RETRY_AFTER,
     FrontChannel,
     FrontFactory,
     FrontRequest,
+    make_leaving_refusal,
 )
 from lavenderrun.services._front_sinks import (
     DRAIN_OVER,
@@ -154,13 +154,7 @@
             request.answer_refused(error.to_refused(), error.field)
 
     def _refuse_leaving(self, request: FrontRequest) -> None:
-        refused = Refused(
-            Refusal.LEAVING,
-            Outcome.NOT_RUN,
-            Step.ADMISSION,
-            retry_after=LEAVING_RETRY_AFTER,
-            detail=DRAIN_OVER,
-        )
+        refused = make_leaving_refusal(DRAIN_OVER)
         log_refusal(request.id, refused)
         request.answer_refused(refused)
 
--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -208,18 +208,24 @@
 
     def refuse_incomplete(self) -> None:
         """Refuse a request that was read in part, because this host leaves."""
-        detail = "the request was not complete when the drain of this host was over"
-        refused = Refused(
-            Refusal.LEAVING,
-            Outcome.NOT_RUN,
-            Step.ADMISSION,
-            retry_after=LEAVING_RETRY_AFTER,
-            detail=detail,
+        refused = make_leaving_refusal(
+            "the request was not complete when the drain of this host was over"
         )
         request_ids = [request.id for request in self.requests]
         self.refuse_unread(_encode_last_answer("503 Service Unavailable", refused, *request_ids))
 
 
+def make_leaving_refusal(detail: str) -> Refused:
+    """Return the refusal of a request that was not run because this host leaves."""
+    return Refused(
+        Refusal.LEAVING,
+        Outcome.NOT_RUN,
+        Step.ADMISSION,
+        retry_after=LEAVING_RETRY_AFTER,
+        detail=detail,
+    )
+
+
 def _encode_last_answer(status: str, refused: Refused, *request_ids: RequestId) -> bytes:
     """Return the bytes of a refusal after which the connection is closed."""
     body = encode_error(refused)
