Write the verdict on a crashing request without nested handlers

The write of a verdict stood in a try within a try, with a condition in the inner handler. The write and its conflict are one method, what the store refuses is logged by its caller. Tests of the quarantine, its rows and texts pass (33).

--- a/src/lavenderrun/services/_quarantine.py
+++ b/src/lavenderrun/services/_quarantine.py
@@ -237,20 +237,22 @@
     # store
 
     async def _store_verdict(self, fingerprint: Fingerprint) -> None:
+        try:
+            await self._put_verdict(fingerprint)
+        except STORE_ERRORS as error:
+            self._log_store_error(error)
+
+    async def _put_verdict(self, fingerprint: Fingerprint) -> None:
         now = self._clock.now()
         strikes = self._quarantine.list_aged_strikes(fingerprint, now)
         value = self._codec.encode(QuarantineRow(strikes, now))
         try:
-            try:
-                await self._store.put(TABLE, fingerprint, value, expect=0)
-            except StoreConflictError as conflict:
-                current, struck = conflict.current, now - min(each.age for each in strikes)
-                # a row written since the last crash, by another entry, says the same
-                if current is not None and not self._is_written_since(current, struck):
-                    version = current.version
-                    await self._store.put(TABLE, fingerprint, value, expect=version)
-        except STORE_ERRORS as error:
-            self._log_store_error(error)
+            await self._store.put(TABLE, fingerprint, value, expect=0)
+        except StoreConflictError as conflict:
+            current, struck = conflict.current, now - min(each.age for each in strikes)
+            # a row written since the last crash, by another entry, says the same
+            if current is not None and not self._is_written_since(current, struck):
+                await self._store.put(TABLE, fingerprint, value, expect=current.version)
 
     def _is_written_since(self, row: StoredRow, moment: datetime) -> bool:
         try:
