Share the links of entries between two tests

The tests of stored verdicts and of evidence on texts had the same stub of the service `links`. It stands in `tests/services/entry_links.py`; no assertion changes.

--- a/tests/services/test_quarantine_rows.py
+++ b/tests/services/test_quarantine_rows.py
@@ -5,9 +5,9 @@
 from datetime import UTC, datetime, timedelta
 from random import Random
 from types import SimpleNamespace
-from typing import Any
 
 import pytest
+from entry_links import EntryLinks
 from twisted.internet.task import Clock as FakeTime
 
 from lavenderrun.codecs import RowCodec
@@ -31,24 +31,6 @@
 PRINT = Fingerprint("f")
 
 
-class Links:
-    """Links between entries that deliver at once."""
-
-    def __init__(self) -> None:
-        self.handlers: dict[type, Any] = {}
-        self.live: list[Any] = []
-        self.on_up: Any = None
-
-    def subscribe(self, kind: type, handler: Any) -> None:
-        self.handlers[kind] = handler
-
-    def watch(self, on_up: Any, _on_down: Any) -> None:
-        self.on_up = on_up
-
-    def list_live(self) -> list[Any]:
-        return self.live
-
-
 class Fixture:
     """Entries that share a store."""
 
@@ -56,13 +38,13 @@
         self.time = FakeTime()
         self.core = TableCore()
         self.entries: list[QuarantineService] = []
-        self.links: list[Links] = []
+        self.links: list[EntryLinks] = []
 
     def start_entry(self) -> QuarantineService:
         clock = ReactorClock(self.time, START, zero=0.0)
         hello = SimpleNamespace(host=f"e{len(self.entries)}")
         kernel = Kernel(clock, SimpleNamespace(hello=lambda: hello), Random(1))
-        links = Links()
+        links = EntryLinks()
         kernel.provide("links", links)
         kernel.provide("store", MemoryStore(clock, self.core))
         entry = QuarantineService(kernel)
--- a/tests/services/test_text_evidence.py
+++ b/tests/services/test_text_evidence.py
@@ -6,9 +6,9 @@
 from datetime import UTC, datetime, timedelta
 from random import Random
 from types import SimpleNamespace
-from typing import Any
 
 import msgspec
+from entry_links import EntryLinks
 from twisted.internet.task import Clock as FakeTime
 
 from lavenderrun.codecs import WireCodec
@@ -42,18 +42,16 @@
     messages: list[EarlierEvidence | EarlierStrike]
 
 
-class Entry:
+class Entry(EntryLinks):
     """An entry whose links deliver at once; the service is the whole of it.
 
     :ivar sent: the batches sent on its links.
     """
 
     def __init__(self, time: FakeTime, name: str) -> None:
+        super().__init__()
         self.name = name
-        self.handlers: dict[type, Any] = {}
-        self.live: list[Any] = []
         self.sent: list[bytes] = []
-        self.on_up: Any = None
         kernel = Kernel(
             ReactorClock(time, START, zero=0.0),
             SimpleNamespace(hello=lambda: SimpleNamespace(host=name)),
@@ -63,15 +61,6 @@
         self.service = CrashingTextsService(kernel)
         self.service.start()
 
-    def subscribe(self, kind: type, handler: Any) -> None:
-        self.handlers[kind] = handler
-
-    def watch(self, on_up: Any, _on_down: Any) -> None:
-        self.on_up = on_up
-
-    def list_live(self) -> list[Any]:
-        return self.live
-
     def link_to(self, peer: Entry) -> None:
         def send(message: Message) -> None:
             data = CODEC.encode(DocumentVersion(1), [message])
