Share the row of an engine among three tests of roles

The same engine and the same moment stood in the tests of orders, of their reports and of the service.

--- a/tests/dispatch/test_role_orders.py
+++ b/tests/dispatch/test_role_orders.py
@@ -1,33 +1,17 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from datetime import UTC, datetime, timedelta
+from datetime import datetime, timedelta
 from random import Random
 
 import pytest
+from engine_row import ENGINE, START
 
 from lavenderrun.dispatch import MAX_ROLE_CHANGE_TIME, RoleOrder, RoleOrders
 from lavenderrun.types import (
-    BackendId,
     BackendRole,
-    DataCentre,
     FencingNumber,
     Member,
-    MemberState,
-    ServiceGroup,
-)
-
-START = datetime(2026, 1, 1, tzinfo=UTC)
-ENGINE = Member(
-    BackendId("e1"),
-    ServiceGroup("s"),
-    "127.0.0.1:1",
-    DataCentre("here"),
-    BackendRole.DECODE,
-    64,
-    MemberState.READY,
-    timedelta(0),
-    1,
 )
 
 
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from datetime import UTC, datetime, timedelta
 from random import Random
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import MagicMock
 
 import msgspec
+from engine_row import ENGINE, START
 from store_fixture import BOUNDS
 from twisted.internet.task import Clock as FakeReactor
 
@@ -19,29 +19,13 @@
 from lavenderrun.gateway._view import FleetView
 from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import (
-    BackendId,
     BackendRole,
     BootId,
     DataCentre,
     FencingNumber,
     HostId,
-    Member,
-    MemberState,
-    ServiceGroup,
 )
 
-START = datetime(2026, 1, 1, tzinfo=UTC)
-ENGINE = Member(
-    BackendId("e1"),
-    ServiceGroup("s"),
-    "127.0.0.1:1",
-    DataCentre("here"),
-    BackendRole.DECODE,
-    64,
-    MemberState.READY,
-    timedelta(0),
-    1,
-)
 REPORT_SECONDS = 0.25
 
 
--- a/tests/gateway/test_roles.py
+++ b/tests/gateway/test_roles.py
@@ -4,11 +4,12 @@
 
 import json
 from dataclasses import replace
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from random import Random
 from types import SimpleNamespace
 from typing import Any
 
+from engine_row import ENGINE, START
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as FakeTime
 
@@ -23,25 +24,9 @@
     BackendId,
     BackendRole,
     BootId,
-    DataCentre,
     FencingNumber,
-    Member,
-    MemberState,
-    ServiceGroup,
 )
 
-START = datetime(2026, 1, 1, tzinfo=UTC)
-ENGINE = Member(
-    BackendId("e1"),
-    ServiceGroup("s"),
-    "127.0.0.1:1",
-    DataCentre("here"),
-    BackendRole.DECODE,
-    64,
-    MemberState.READY,
-    timedelta(0),
-    1,
-)
 CHANGE = RoleChange(ENGINE, BackendRole.PREFILL)
 REPORT = {"stage": "decode", "busy": False, "seq": 3}
 
