Find out at once that the store answers in time again

Cause: one late answer makes the store count as late, and rows that vanish meanwhile are kept. That ended only with an answer in time to a call whose time is known, which is the next quiet call for changes, 5 s later.

Now each late answer starts a check: the service members asks for changes that the store already has until an answer is in time. The same check ends the lateness that a single late read or write began.

--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -6,16 +6,26 @@
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
+from twisted.internet.defer import CancelledError, Deferred
+
 from lavenderrun.dispatch import DepartureNotice, DepartureNotices
 from lavenderrun.gateway._bounds import BoundsService
-from lavenderrun.gateway._follower import TableFollower
+from lavenderrun.gateway._follower import MAX_OUTAGE_WAIT, TableFollower
 from lavenderrun.gateway._log import log, to_milliseconds
-from lavenderrun.gateway._ports import RowChange
+from lavenderrun.gateway._ports import RowChange, StoreRefusal
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore, StoreState
 from lavenderrun.gateway._stats import MEMBERS, Stats
-from lavenderrun.kernel import Kernel, Timer
-from lavenderrun.types import BackendId, HostId, Incarnation, Member, MemberState, ServiceGroup
+from lavenderrun.kernel import Kernel, Timer, sleep
+from lavenderrun.types import (
+    BackendId,
+    HostId,
+    Incarnation,
+    Member,
+    MemberState,
+    ServiceGroup,
+    StoreUnavailableError,
+)
 
 RETURN_GRACE: Final = timedelta(seconds=2)
 """How long a row that expired during a store outage may take to return after it."""
@@ -31,6 +41,9 @@
 MAX_PAUSE_SHARE: Final = 0.25
 """Longest such pause, as a share of the time within which leaving servers must be known."""
 
+PACE_CHECK_INTERVAL: Final = timedelta(milliseconds=100)
+"""Pause between the calls by which a host finds out that the store answers in time again."""
+
 MAX_UNREADABLE: Final = 1000
 """Unreadable rows that are remembered, so that each is logged once."""
 
@@ -59,6 +72,7 @@
         self._removal_timers: dict[BackendId, Timer] = {}
         self._watchers: list[MemberWatcher] = []
         self._unreadable: dict[str, None] = {}
+        self._pace_check: Deferred[None] | None = None
         self.host_count = 1
         self._bounds = kernel.find("bounds", BoundsService)
         table = self._rows.dialect.members_table
@@ -93,11 +107,14 @@
 
     def start(self) -> None:
         """Start to follow the rows of backend servers."""
+        self._rows.on_late = self._check_pace
         self.follower.start()
 
     def stop(self) -> None:
         """Stop following the rows of backend servers."""
         self.follower.stop()
+        if self._pace_check is not None:
+            self._pace_check.cancel()
         for timer in self._removal_timers.values():
             timer.cancel()
 
@@ -197,6 +214,31 @@
             row_version=self.follower.version,
         )
 
+    def _check_pace(self) -> None:
+        """Find out when the store answers in time again, as rows that vanish until then are kept.
+
+        The next answer to a quiet call for changes may be many seconds away.
+        """
+        if self._pace_check is None:
+            self._pace_check = Deferred.fromCoroutine(self._call_until_in_time())
+            self._pace_check.addBoth(self._end_pace_check)
+
+    async def _call_until_in_time(self) -> None:
+        while self._rows.pace.is_late:
+            try:
+                await self.follower.catch_up()
+            except (StoreUnavailableError, StoreRefusal):
+                # the followers find out when the store is back
+                if self._rows.state is StoreState.LOST:
+                    await self._rows.wait_until_reached(MAX_OUTAGE_WAIT)
+            await sleep(self._clock, PACE_CHECK_INTERVAL)
+
+    def _end_pace_check(self, result: object) -> None:
+        self._pace_check = None
+        error = getattr(result, "value", None)
+        if error is not None and not isinstance(error, CancelledError):
+            log("members:check_failed", "members: check of the store failed", error=repr(error))
+
     def _find_trouble_end(self) -> datetime | None:
         """Return when the store last began to answer, or to answer in time, again."""
         ends = (self._rows.outage_ended, self._rows.pace.late_ended)
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from datetime import datetime, timedelta
 from enum import Enum
 from typing import ClassVar, Final
@@ -53,6 +53,7 @@
     :ivar outage_ended: when the last outage ended, ``None`` before the first. A single failed call
         is none: its connection may have broken.
     :ivar pace: whether the store answers in time.
+    :ivar on_late: called after each late answer; set by the service ``members``.
     :ivar last_success: when the last successful call was sent, ``None`` before the first; what it
         read is at least as new.
     """
@@ -70,6 +71,7 @@
         self.last_success: datetime | None = None
         self.outage_ended: datetime | None = None
         self.pace = AnswerPace()
+        self.on_late: Callable[[], None] = lambda: None
         self._is_outage = False
         self._failure_sent: datetime = kernel.clock.now()
         self._probing: object | None = None
@@ -180,6 +182,8 @@
         self.pace.note_answer(sent, wait, self._clock.now(), is_expected=is_expected)
         self.last_success = max(sent, self.last_success or sent)
         self._note_answer(kind, sent, "")
+        if self.pace.is_late:
+            self.on_late()
         return page
 
     def _measure_age(self) -> dict[tuple[str, ...], float]:
--- a/tests/gateway/store_fixture.py
+++ b/tests/gateway/store_fixture.py
@@ -105,6 +105,7 @@
         self._rows: dict[tuple[str, str], tuple[int, dict[str, Any] | None]] = {}
         self._version = 0
         self._pending: list[tuple[str, int, Deferred[tuple[int, bytes] | None]]] = []
+        self._held: list[Deferred[None]] | None = None
 
     def put(self, table: str, key: str, value: dict[str, Any] | None) -> None:
         """Write a row, or remove it when *value* is ``None``."""
@@ -123,11 +124,25 @@
         for _, _, answer in pending:
             answer.callback(None)
 
+    def hold(self) -> None:
+        """Hold back all answers, as a link does that is cut for a moment."""
+        self._held = []
+
+    def release(self) -> None:
+        """Deliver the answers that were held back."""
+        held, self._held = self._held or [], None
+        for answer in held:
+            answer.callback(None)
+
     async def fetch(
         self, _address: str, call: HttpRequest, timeout: timedelta
     ) -> tuple[int, bytes] | None:
         self.calls.append(call.target)
         answer = await self._answer(call, timeout)
+        if self._held is not None:
+            held: Deferred[None] = Deferred()
+            self._held.append(held)
+            await held
         if self.late_by and self.clock is not None:
             await sleep(self.clock, self.late_by)
         return answer
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+from datetime import timedelta
 from random import Random
 
 import pytest
 from store_fixture import SERVER_ROW, BreakingStore, StoreFixture
+from twisted.internet.defer import Deferred
 
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._members import MembersService
@@ -90,6 +92,57 @@
     assert host.knows("a")
 
 
+# one late answer kept servers without a row until the next answer to a quiet call, 5 s later
+@pytest.mark.parametrize("seed", range(40))
+def test_a_server_that_leaves_after_a_short_cut_is_gone_two_seconds_later(seed: int) -> None:
+    host, random = Host(seed), Random(seed)
+    host.fixture.pass_time(random.uniform(0, 5))
+    host.store.hold()
+    host.fixture.pass_time(random.uniform(0.4, 2.4))
+    host.store.release()
+    since_cut = random.uniform(0, CONTACT_SECONDS)
+    host.fixture.pass_time(since_cut)
+    host.store.put(SERVERS, "a", None)
+    host.fixture.pass_time(max(DRAIN_SECONDS, CONTACT_SECONDS - since_cut))
+    assert not host.knows("a")
+    assert host.knows("b")
+
+
+# a late answer to another call than those for changes went unexamined until the next of these
+def test_a_late_answer_to_a_single_call_ends_the_trouble_with_an_answer_in_time() -> None:
+    host = Host()
+    rows = host.fixture.rows
+    host.store.late_by = timedelta(seconds=1)
+    Deferred.fromCoroutine(rows.read("other"))
+    host.fixture.pass_time(0.9)
+    host.store.late_by = timedelta(0)
+    host.fixture.pass_time(0.3)
+    assert not rows.pace.is_late
+
+
+# the check of a store that had answered late ended with the first call that failed
+def test_a_call_that_fails_does_not_end_the_check_of_a_store_that_answered_late() -> None:
+    host = Host()
+    rows = host.fixture.rows
+    host.store.late_by = timedelta(seconds=1)
+    Deferred.fromCoroutine(rows.read("other"))
+    host.fixture.pass_time(0.9)
+    host.store.late_by, host.store.is_down = timedelta(0), True
+    host.fixture.pass_time(0.3)
+    host.store.is_down = False
+    host.fixture.pass_time(1)
+    assert not rows.pace.is_late
+
+
+# each host examines a slow store by one call at a time
+def test_a_store_that_answers_late_for_long_gets_few_calls_more() -> None:
+    host = Host()
+    host.store.late_by = timedelta(seconds=0.5)
+    before = len(host.store.calls)
+    host.fixture.pass_time(10)
+    assert len(host.store.calls) - before <= 10 / 0.5 + 6
+
+
 # the pause in which changes collect grew with the hosts and had no bound
 def test_a_server_that_left_is_gone_within_two_seconds_in_a_large_fleet() -> None:
     host = Host()
