Keep the crashes of a call beyond the end of the gateway that saw them

Each crash also cost the sound calls of that server.

Cause: a host kept the crashes that it saw itself, and of others only what they report now; the first report of a new process erased what the one before had seen. Strikes also ran out after 60 s, so three further servers could crash every minute, and a crash with many calls under way pushed older strikes out of the report.

Crashes by call and by part of a prompt now are one kind of evidence (CrashEvidence): kept by each host that is told of them, with their age, cleared on all hosts by a call that ends well, and told to hosts that start. Quarantine and probation last ten minutes, as for parts. Silent servers, which may be out of reach, count for a minute at one host.

Reports of gateways of an earlier release carry no ages, and their crashes are left out.

--- a/src/lavenderrun/commands/_explain.py
+++ b/src/lavenderrun/commands/_explain.py
@@ -35,14 +35,16 @@
             yield {**found, "log": name}
 
 
-def find_evidence(parts: Collection[str], name: str, lines: Iterable[str]) -> Iterator[Any]:
-    """Yield the log lines about crashes under *parts* of prompts, as ``find_lines`` does.
+def find_evidence(suspects: Collection[str], name: str, lines: Iterable[str]) -> Iterator[Any]:
+    """Yield the log lines about crashes under equal calls or parts, as ``find_lines`` does.
 
+    :param suspects: fingerprints of calls, and parts of prompts.
     :param name: file name of the log.
     """
     for text in lines:
         found = _decode_line(text) if SUSPECTS_PREFIX in text else {}
-        if {found.get("part"), *found.get("parts", ())} & set(parts):
+        named = {found.get("crashing_call"), found.get("part"), *found.get("parts", ())}
+        if named & set(suspects):
             yield {**found, "log": name, "call": found.get("request")}
 
 
@@ -101,9 +103,12 @@
         """Print the call's lines; return 0, 1 if no log has any, 2 for an unreadable log."""
         try:
             found = _search(args.logs, lambda name, lines: find_lines(args.request, name, lines))
-            parts = {line["part"] for line in found if line.get("part")}
-            if parts:
-                found += _search(args.logs, lambda name, lines: find_evidence(parts, name, lines))
+            reasons = [line.get("part") or line.get("crashing_call") for line in found]
+            suspects = {reason for reason in reasons if reason}
+            if suspects:
+                found += _search(
+                    args.logs, lambda name, lines: find_evidence(suspects, name, lines)
+                )
         except OSError as error:
             sys.stderr.write(f"{error.filename}: can not be read: {error.strerror}\n")
             return 2
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -18,12 +18,8 @@
     find_certainty,
 )
 from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
-from lavenderrun.dispatch._crashing_parts import (
-    MAX_SHARED_PARTS,
-    CrashingParts,
-    PartReport,
-    ServerCrash,
-)
+from lavenderrun.dispatch._crash_evidence import ServerCrash
+from lavenderrun.dispatch._crashing_parts import MAX_SHARED_PARTS, CrashingParts, PartReport
 from lavenderrun.dispatch._crashing_texts import CrashingTexts, TextReport
 from lavenderrun.dispatch._departures import DepartureNotice, DepartureNotices
 from lavenderrun.dispatch._grace_period import GracePeriod
@@ -85,7 +81,7 @@
     StreamSituation,
     decide_after_stream_attempt,
 )
-from lavenderrun.dispatch._suspects import SuspectTracker, make_fingerprint
+from lavenderrun.dispatch._suspects import CallReport, SuspectTracker, make_fingerprint
 from lavenderrun.dispatch._suspension_series import (
     MAX_SUSPENSIONS,
     SERIES_END,
@@ -117,6 +113,7 @@
     "BackendHealth",
     "CacheState",
     "CallDurations",
+    "CallReport",
     "CallRequirements",
     "CallSilence",
     "CrashingParts",
--- a/src/lavenderrun/dispatch/_crashing_texts.py
+++ b/src/lavenderrun/dispatch/_crashing_texts.py
@@ -13,17 +13,17 @@
 from datetime import UTC, datetime, timedelta
 from typing import Final
 
-from lavenderrun.dispatch._crashing_parts import (
-    MAX_CRASHES_ONCE_ANSWERED,
+from lavenderrun.dispatch._crash_evidence import (
+    CRASH_LIMIT,
     MAX_EVIDENCE_AGE,
-    MAX_PART_CRASHES,
-    PART_QUARANTINE_TIME,
+    QUARANTINE_TIME,
     SINGLE_CRASH_LIFETIME,
     ServerCrash,
     is_age,
     is_id,
     to_age,
 )
+from lavenderrun.dispatch._crashing_parts import MAX_CRASHES_ONCE_ANSWERED
 from lavenderrun.dispatch._text_probes import find_probe_pause
 from lavenderrun.types import Incarnation, TextId
 
@@ -147,7 +147,7 @@
         it does not have may be the cause. Of several, the one probed last is returned.
         """
         self._drop_old(now)
-        suspects = [text for text in texts if self._counts.get(text, 0) >= MAX_PART_CRASHES]
+        suspects = [text for text in texts if self._counts.get(text, 0) >= CRASH_LIMIT]
         if not suspects:
             return None
         index = self._find_index()
@@ -161,13 +161,13 @@
             # servers that crash without the text, too, crash for another reason
             span = groups // (groups & -groups or 1)
             is_unsure = text in self._answered or span & (span + 1) != 0
-            limit = MAX_CRASHES_ONCE_ANSWERED if is_unsure else MAX_PART_CRASHES
+            limit = MAX_CRASHES_ONCE_ANSWERED if is_unsure else CRASH_LIMIT
             if groups.bit_count() >= limit:
                 found.setdefault(groups, text)
         matching: list[TextId] = []
         for groups, text in found.items():
             has_all = not any(groups & others == groups for others in lacking)
-            if has_all and now - index.find_last_end(groups) < PART_QUARANTINE_TIME:
+            if has_all and now - index.find_last_end(groups) < QUARANTINE_TIME:
                 matching.append(text)
         return max(matching, key=self.find_next_probe, default=None)
 
@@ -284,5 +284,5 @@
         bit = 1 << len(last_ends) - 1
         for text in known.texts:
             groups[text] = groups.get(text, 0) | bit
-    enough = {text: each for text, each in groups.items() if each.bit_count() >= MAX_PART_CRASHES}
+    enough = {text: each for text, each in groups.items() if each.bit_count() >= CRASH_LIMIT}
     return _CrashIndex(last_ends, enough, Counter(enough.values()))
--- a/src/lavenderrun/dispatch/_suspects.py
+++ b/src/lavenderrun/dispatch/_suspects.py
@@ -2,28 +2,37 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 from hashlib import sha256
-from typing import Any, Final
+from typing import Final
+
+from lavenderrun.dispatch._crash_evidence import (
+    CRASH_LIMIT,
+    SINGLE_CRASH_LIFETIME,
+    CrashEvidence,
+    CrashReport,
+    ServerCrash,
+    keep_newest,
+)
+from lavenderrun.types import AccountId, BootId, Fingerprint, GatewayCall, HostId, Incarnation
 
-from lavenderrun.types import AccountId, Fingerprint, GatewayCall, HostId, Incarnation
+MAX_FINGERPRINTS: Final = 2000
+"""Fingerprints with crashes that are kept."""
 
-MAX_STRIKES: Final = 3
-"""Crashed servers, as seen by all hosts, after which a call is refused."""
+MAX_REPORTED_FINGERPRINTS: Final = 20
+"""Number of fingerprints in a peer report."""
 
-STRIKE_LIFETIME: Final = timedelta(seconds=60)
-"""How long a strike counts; callers repeat such a call within seconds."""
+MAX_HEARD_HOSTS: Final = 1000
+"""Hosts kept whose reports came; those heard longest ago are dropped first."""
 
-MIN_RESTART_TIME: Final = timedelta(seconds=1)
-"""A server that answers within this time after a strike did not crash: a restart takes longer."""
+SILENT_AFTER: Final = timedelta(seconds=3)
+"""Time without a report after which a host may have missed what it was told."""
 
-MAX_FINGERPRINTS: Final = 2000
-"""Number of fingerprints kept; the oldest are dropped first."""
+HANDOVER_TIME: Final = timedelta(seconds=5)
+"""How long a host that starts or is heard again is told the evidence of all hosts."""
 
-MAX_REPORTED_FINGERPRINTS: Final = 20
-"""Number of fingerprints in a peer report, which must fit into one datagram."""
+CallReport = CrashReport[Fingerprint]
+"""What a host tells the others about calls."""
 
 
 def make_fingerprint(call: GatewayCall, account: AccountId | None) -> Fingerprint:
@@ -35,90 +44,89 @@
     return Fingerprint(digest.hexdigest()[:16])
 
 
-@dataclass(frozen=True)
-class _PeerStrikes:
-    """Strikes that another host reported, and when it did."""
-
-    received: datetime
-    crashed: Mapping[Fingerprint, Sequence[Incarnation]]
-
-
 class SuspectTracker:
-    """Counts the server crashes that each call may have caused, on this host and on others.
+    """Counts the server crashes that each call may have caused, as seen by all hosts.
 
-    A server incarnation crashes once, so any number of answers lost from one incarnation is one
-    strike against the call.
+    A host reports what it has seen itself. Others keep that, also beyond the end of the host's
+    process, and tell it to hosts that start.
     """
 
     def __init__(self) -> None:
-        self._strikes: dict[Fingerprint, dict[Incarnation, datetime]] = {}
-        self._last_strikes: dict[Incarnation, datetime] = {}
-        self._peer_strikes: dict[HostId, _PeerStrikes] = {}
-
-    def add_strike(self, fingerprint: Fingerprint, server: Incarnation, now: datetime) -> None:
-        """Count a strike: *server* dropped the connection while it ran the call."""
-        crashed = self._strikes.pop(fingerprint, {})
-        crashed[server] = now
-        self._strikes[fingerprint] = crashed
-        self._last_strikes.pop(server, None)
-        self._last_strikes[server] = now
-        _drop_oldest(self._strikes)
-        _drop_oldest(self._last_strikes)
+        self._evidence: CrashEvidence[Fingerprint] = CrashEvidence(
+            MAX_FINGERPRINTS, MAX_REPORTED_FINGERPRINTS
+        )
+        self._silences: CrashEvidence[Fingerprint] = CrashEvidence(MAX_FINGERPRINTS, 0)
+        self._own: dict[Fingerprint, datetime] = {}
+        self._heard: dict[HostId, tuple[BootId, datetime]] = {}
+        self._handover_ends: datetime | None = None
+
+    def record_crash(self, fingerprint: Fingerprint, crash: ServerCrash) -> bool:
+        """Count a strike: the server closed the connection while it ran the call.
+
+        :return: whether it says anything new.
+        """
+        keep_newest(self._own, fingerprint, crash.ended, MAX_FINGERPRINTS)
+        return self._evidence.record_crash([fingerprint], crash)
+
+    def record_silence(self, fingerprint: Fingerprint, silence: ServerCrash) -> None:
+        """Count a strike for a short time: the server fell silent while it ran the call.
+
+        It may as well be out of reach, so others are not told.
+        """
+        self._silences.record_crash([fingerprint], silence)
 
     def clear_server(self, server: Incarnation, sent: datetime) -> None:
         """Drop the strikes that *server* caused shortly before it proved to be alive.
 
         :param sent: when the connection or the request that it answered was begun.
         """
-        last_strike = self._last_strikes.get(server)
-        if last_strike is None or not last_strike < sent <= last_strike + MIN_RESTART_TIME:
-            return
-        del self._last_strikes[server]
-        for crashed in self._strikes.values():
-            at = crashed.get(server)
-            if at is not None and at < sent <= at + MIN_RESTART_TIME:
-                del crashed[server]
-
-    def clear_call(self, fingerprint: Fingerprint) -> None:
-        """Drop the strikes of a call that ran to its end."""
-        self._strikes.pop(fingerprint, None)
+        self._evidence.record_alive(server, sent)
+        self._silences.record_alive(server, sent)
+
+    def clear_call(self, fingerprint: Fingerprint, now: datetime) -> bool:
+        """Drop the strikes of a call that ran to its end; return whether there were any."""
+        self._silences.record_answer(fingerprint, now)
+        return self._evidence.record_answer(fingerprint, now)
 
     def is_quarantined(self, fingerprint: Fingerprint, now: datetime) -> bool:
         """Tell whether the call is refused because it may have crashed too many servers."""
-        crashed = set(self._list_recent(fingerprint, now))
-        for strikes in self._peer_strikes.values():
-            if now - strikes.received < STRIKE_LIFETIME:
-                crashed.update(strikes.crashed.get(fingerprint, ()))
-        return len(crashed) >= MAX_STRIKES
-
-    def apply_peer_report(
-        self, host: HostId, crashed: Mapping[Fingerprint, Sequence[Incarnation]], now: datetime
-    ) -> None:
-        """Replace the strikes that another host reported.
-
-        :param crashed: crashed server incarnations by the call's fingerprint.
+        strikes = list(self._evidence.list_crashes(fingerprint, now))
+        for silence in self._silences.list_crashes(fingerprint, now):
+            is_recent = now - silence.ended < SINGLE_CRASH_LIFETIME
+            if is_recent and not any(silence.is_same(strike) for strike in strikes):
+                strikes.append(silence)
+        return len(strikes) >= CRASH_LIMIT
+
+    def find_release(self, fingerprint: Fingerprint, now: datetime) -> timedelta:
+        """Return how much longer a quarantined call is refused if it crashes no other server."""
+        silences = self._silences.list_crashes(fingerprint, now)
+        if silences and len(self._evidence.list_crashes(fingerprint, now)) < CRASH_LIMIT:
+            return max(timedelta(0), silences[0].ended + SINGLE_CRASH_LIFETIME - now)
+        return self._evidence.find_release(fingerprint, now)
+
+    def list_crashed(self, fingerprint: Fingerprint, now: datetime) -> list[Incarnation]:
+        """Return the servers that count as crashed by a call."""
+        return [crash.server for crash in self._evidence.list_crashes(fingerprint, now)]
+
+    def is_handing_over(self, now: datetime) -> bool:
+        """Tell whether a host that starts or is heard again may lack evidence."""
+        return self._handover_ends is not None and now < self._handover_ends
+
+    def make_report(self, now: datetime) -> CallReport:
+        """Return what other hosts are told: the calls with the most crashes, then the newest.
+
+        These are the calls that crashed servers here, and all known ones while a host that starts
+        may lack them.
         """
-        if crashed:
-            self._peer_strikes[host] = _PeerStrikes(now, crashed)
-        else:
-            self._peer_strikes.pop(host, None)
-
-    def list_suspects(self, now: datetime) -> dict[Fingerprint, list[Incarnation]]:
-        """Return this host's newest suspects with the server incarnations they may have crashed."""
-        report: dict[Fingerprint, list[Incarnation]] = {}
-        for fingerprint in reversed(self._strikes):
-            if len(report) >= MAX_REPORTED_FINGERPRINTS:
-                break
-            recent = self._list_recent(fingerprint, now)
-            if recent:
-                report[fingerprint] = recent
-        return report
-
-    def _list_recent(self, fingerprint: Fingerprint, now: datetime) -> list[Incarnation]:
-        crashed = self._strikes.get(fingerprint, {})
-        return [server for server, at in crashed.items() if now - at < STRIKE_LIFETIME]
-
-
-def _drop_oldest(entries: dict[Any, Any]) -> None:
-    while len(entries) > MAX_FINGERPRINTS:
-        del entries[next(iter(entries))]
+        suspects = self._evidence.list_suspects()
+        if not self.is_handing_over(now):
+            suspects = [each for each in suspects if each in self._own]
+        return self._evidence.make_report(self._evidence.choose_reported(suspects, now), now)
+
+    def apply_report(self, host: HostId, boot: BootId, report: CallReport, now: datetime) -> bool:
+        """Take over another host's evidence; return whether it has a crash not known before."""
+        known = self._heard.get(host)
+        keep_newest(self._heard, host, (boot, now), MAX_HEARD_HOSTS)
+        if known is None or known[0] != boot or now - known[1] >= SILENT_AFTER:
+            self._handover_ends = now + HANDOVER_TIME
+        return self._evidence.apply_report(report, now)
--- a/src/lavenderrun/dispatch/_text_probes.py
+++ b/src/lavenderrun/dispatch/_text_probes.py
@@ -5,7 +5,7 @@
 from datetime import UTC, datetime, timedelta
 from typing import Final
 
-from lavenderrun.dispatch._crashing_parts import MAX_PART_CRASHES, PART_QUARANTINE_TIME
+from lavenderrun.dispatch._crash_evidence import CRASH_LIMIT, QUARANTINE_TIME
 from lavenderrun.types import RequestId
 
 FIRST_PROBE_PAUSE: Final = timedelta(seconds=60)
@@ -18,8 +18,8 @@
 def find_probe_pause(crashes: int) -> timedelta:
     """Return the time from the last of some separate crashes with a text to its next probe."""
     # an exponent beyond this one is cut off by the quarantine in any case
-    doublings = min(max(0, crashes - MAX_PART_CRASHES), 10)
-    return min(FIRST_PROBE_PAUSE * (1 << doublings), PART_QUARANTINE_TIME)
+    doublings = min(max(0, crashes - CRASH_LIMIT), 10)
+    return min(FIRST_PROBE_PAUSE * (1 << doublings), QUARANTINE_TIME)
 
 
 class TextProbes:
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -27,9 +27,6 @@
 CRASH_FAILURES: Final = frozenset({CallFailure.RESET, CallFailure.CLOSED, CallFailure.SILENT})
 """Failures of a sent call that a crash of its server may cause."""
 
-END_FAILURES: Final = frozenset({CallFailure.RESET, CallFailure.CLOSED})
-"""Failures that the end of a server's process causes; a silent server may be out of reach."""
-
 FRAMING: Final = frozenset({"content-length", "transfer-encoding"})
 """Headers without which a body ends with its connection."""
 
@@ -149,7 +146,7 @@
         self.failure = CallFailure.SILENT
         if self._exchange is not None:
             self._exchange.abandon()
-        self._services.suspects.record_lost_answer(self._fingerprint, self.member, None)
+        self._record_lost_answer(CallFailure.SILENT)
         health = self._services.view.health
         if is_server_silent:
             health.record_silence(self.member.id, self._services.clock.now())
@@ -268,7 +265,7 @@
         if answer_kind is AnswerKind.SERVED:
             if self._needs_signature:
                 self.note_progress()
-            self._services.suspects.calls.clear_call(self._fingerprint)
+            self._services.suspects.calls.clear_call(self._fingerprint, self._services.clock.now())
             health.record_success(self.member.id, self._services.clock.now() - self._began_at)
         elif answer_kind is AnswerKind.FAILED:
             health.record_failure(self.member.id)
@@ -286,11 +283,7 @@
         """Record the failure in the server's health and end the attempt."""
         self.failure = reason
         if self.sent and reason in CRASH_FAILURES:
-            lost = None
-            if reason in END_FAILURES and not self.has_progressed:
-                ended = self._services.clock.now()
-                lost = LostCall(self._call.id, self._suspect_parts, self._began_at, ended)
-            self._services.suspects.record_lost_answer(self._fingerprint, self.member, lost)
+            self._record_lost_answer(reason)
         health = self._services.view.health
         if reason is CallFailure.UNREACHABLE:
             health.pause_after_failure(self.member.id, self._services.clock.now())
@@ -303,6 +296,18 @@
             health.record_failure(self.member.id)
         self._end(reason.value)
 
+    def _record_lost_answer(self, reason: CallFailure) -> None:
+        lost = LostCall(
+            self._call.id,
+            self._fingerprint,
+            self._suspect_parts,
+            self._began_at,
+            self._services.clock.now(),
+            is_silent=reason is CallFailure.SILENT,
+            has_begun=self.has_progressed,
+        )
+        self._services.suspects.record_lost_answer(self.member, lost)
+
     def _end(self, result: str) -> None:
         listener, self._listener = self._listener, None
         self._record_result(result)
--- a/src/lavenderrun/gateway/_boundary.py
+++ b/src/lavenderrun/gateway/_boundary.py
@@ -23,7 +23,6 @@
     BackendId,
     CallFailure,
     CancelReason,
-    Fingerprint,
     Headers,
     Member,
     PartId,
@@ -157,10 +156,8 @@
     def find_crashing_part(self, parts: Sequence[PartId]) -> PartId | None:
         return self._suspects.find_crashing_part(parts)
 
-    def record_lost_answer(
-        self, fingerprint: Fingerprint, member: Member, lost: LostCall | None
-    ) -> None:
-        self._suspects.record_lost_answer(fingerprint, member, lost)
+    def record_lost_answer(self, member: Member, lost: LostCall) -> None:
+        self._suspects.record_lost_answer(member, lost)
 
     def call_when_tested(self, member: BackendId, call: Callable[[], None]) -> None:
         self._suspects.call_when_tested(member, self._boundary.guard(call))
--- a/src/lavenderrun/gateway/_call_services.py
+++ b/src/lavenderrun/gateway/_call_services.py
@@ -22,7 +22,6 @@
 from lavenderrun.types import (
     BackendId,
     CallFailure,
-    Fingerprint,
     Headers,
     HeldCache,
     Member,
@@ -81,9 +80,7 @@
     def find_crashing_part(self, parts: Sequence[PartId]) -> PartId | None:
         """Return the part because of which a call with *parts* is rejected."""
 
-    def record_lost_answer(
-        self, fingerprint: Fingerprint, member: Member, lost: LostCall | None
-    ) -> None:
+    def record_lost_answer(self, member: Member, lost: LostCall) -> None:
         """Count a strike for a call whose server dropped the connection."""
 
     def call_when_tested(self, member: BackendId, call: Callable[[], None]) -> None:
--- a/src/lavenderrun/gateway/_fleet_reports.py
+++ b/src/lavenderrun/gateway/_fleet_reports.py
@@ -48,7 +48,7 @@
     def make_report(self) -> PeerReport:
         """Return what the other gateways are told now."""
         now = self._clock.now()
-        parts = self._suspects.make_part_report()
+        calls, parts = self._suspects.calls.make_report(now), self._suspects.make_part_report()
         orders = self._view.list_role_orders()
         return PeerReport(
             self._host,
@@ -60,7 +60,7 @@
                 for member, row in self._view.occupancy.own_reservations.items()
             },
             {order.member: order.role for order in orders},
-            self._suspects.calls.list_suspects(now),
+            {call: [server for server, _, _ in crashes] for call, crashes in calls.crashes.items()},
             {
                 member: min(rest, MAX_REPORTED_REST).total_seconds()
                 for member, rest in self._view.computations.list_remaining(now).items()
@@ -79,6 +79,11 @@
                 for order, left in orders.items()
             },
             self._peers.previous,
+            {
+                call: [(sent, ended) for _, sent, ended in crashes]
+                for call, crashes in calls.crashes.items()
+            },
+            calls.answered,
         )
 
     def apply_report(self, report: PeerReport) -> None:
@@ -88,7 +93,7 @@
         view.quotas.apply_peer_report(report.host, report.boot, report.used, now, report.previous)
         reserved = {member: Reservations(*row) for member, row in report.reserved.items()}
         view.occupancy.apply_peer_report(report.host, reserved, now)
-        self._suspects.calls.apply_peer_report(report.host, report.broken, now)
+        self._suspects.apply_call_report(report.host, report.boot, report.calls)
         parts = PartReport(report.crashing, report.answered)
         self._suspects.apply_part_report(report.host, parts)
         rests = {m: timedelta(seconds=seconds) for m, seconds in report.computing.items()}
--- a/src/lavenderrun/gateway/_peer_messages.py
+++ b/src/lavenderrun/gateway/_peer_messages.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lavenderrun.decoding import Amount, Count, Seconds, decode_json, decode_msgpack, parse_address
-from lavenderrun.dispatch import NO_BOOT
+from lavenderrun.dispatch import NO_BOOT, CallReport
 from lavenderrun.gateway._log import log
 from lavenderrun.types import (
     AccountId,
@@ -31,7 +31,7 @@
     :param reserved: reserved calls and tokens, by backend server.
     :param moving: engines that accepted a role change, with their new role; for gateways that don't
         read ``ordered``.
-    :param broken: server incarnations that a call may have crashed, by the call's fingerprint.
+    :param broken: server incarnations that a call crashed, by the call's fingerprint.
     :param computing: how much longer, in seconds, decode engines are busy with prompts that they
         compute themselves.
     :param leaving: backend servers that said they are leaving while their rows don't say so.
@@ -41,6 +41,10 @@
     :param ordered: engines that accepted a role change: their run, new role, fencing number and
         sequence of the order, and how much longer, in seconds, the change is expected.
     :param previous: id of the run of the host's process before this one, empty when unknown.
+    :param broken_times: for each server in ``broken``, in its order, the seconds since the call was
+        sent there and since its connection closed; gateways of an earlier release send none.
+    :param served: calls that may be in ``broken`` of any host and ran to their end, with the
+        seconds since then.
     """
 
     host: HostId
@@ -56,6 +60,22 @@
     answered: Mapping[PartId, Seconds] = {}
     ordered: Mapping[BackendId, tuple[Incarnation, BackendRole, Count, Count, Seconds]] = {}
     previous: BootId = NO_BOOT
+    broken_times: Mapping[Fingerprint, Sequence[tuple[Seconds, Seconds]]] = {}
+    served: Mapping[Fingerprint, Seconds] = {}
+
+    @property
+    def calls(self) -> CallReport:
+        """Evidence about calls; crashes without times may be old, and are left out."""
+        return CallReport(
+            {
+                fingerprint: [
+                    (server, *times)
+                    for server, times in zip(self.broken.get(fingerprint, ()), each, strict=False)
+                ]
+                for fingerprint, each in self.broken_times.items()
+            },
+            self.served,
+        )
 
 
 class GatewayRow(msgspec.Struct):
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -50,9 +50,6 @@
 NOT_READY_RETRY_AFTER: Final = timedelta(milliseconds=300)
 """Wait advised to a caller while this host cannot tell whether its call is allowed."""
 
-QUARANTINE_RETRY_AFTER: Final = timedelta(seconds=4)
-"""Wait advised after a call has crashed several servers: they take some seconds to restart."""
-
 CONFIRMATION_TIME: Final = timedelta(seconds=1)
 """Time that a call is expected to take whose route the store has yet to confirm."""
 
@@ -295,8 +292,14 @@
         fingerprint = make_fingerprint(call, access.account.id if access.account else None)
         suspects = self._services.suspects
         if suspects.calls.is_quarantined(fingerprint, arrived):
+            release = suspects.calls.find_release(fingerprint, arrived)
             return self._refuse(
-                call, sink, Refusal.QUARANTINED, Step.ADMISSION, QUARANTINE_RETRY_AFTER
+                call,
+                sink,
+                Refusal.QUARANTINED,
+                Step.ADMISSION,
+                release,
+                crashing_call=fingerprint,
             )
         part = suspects.find_crashing_part(call.shared_parts)
         if part is not None:
--- a/src/lavenderrun/gateway/_suspects.py
+++ b/src/lavenderrun/gateway/_suspects.py
@@ -7,7 +7,13 @@
 from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
-from lavenderrun.dispatch import CrashingParts, PartReport, ServerCrash, SuspectTracker
+from lavenderrun.dispatch import (
+    CallReport,
+    CrashingParts,
+    PartReport,
+    ServerCrash,
+    SuspectTracker,
+)
 from lavenderrun.gateway._connection import Connection
 from lavenderrun.gateway._log import MAX_LOGGED_IDS, log, to_milliseconds
 from lavenderrun.gateway._members import MembersService
@@ -18,6 +24,7 @@
 from lavenderrun.kernel import Kernel, Timer
 from lavenderrun.types import (
     BackendId,
+    BootId,
     Fingerprint,
     HostId,
     Incarnation,
@@ -34,17 +41,22 @@
 
 @dataclass(frozen=True)
 class LostCall:
-    """A call whose server closed the connection before it began to answer.
+    """A call whose server closed the connection, or fell silent, before its answer was complete.
 
     :param parts: shared parts of its prompt.
     :param sent: when it was sent to the server.
     :param ended: when the connection closed.
+    :param is_silent: the server fell silent; it may be out of reach.
+    :param has_begun: the server had begun to answer.
     """
 
     request: RequestId
+    fingerprint: Fingerprint
     parts: Sequence[PartId]
     sent: datetime
     ended: datetime
+    is_silent: bool
+    has_begun: bool
 
 
 @dataclass
@@ -94,19 +106,28 @@
         """Return the part because of which a call with *parts* is rejected, if there is one."""
         return self.parts.find_crashing(parts, self._clock.now())
 
-    def record_lost_answer(
-        self, fingerprint: Fingerprint, member: Member, lost: LostCall | None
-    ) -> None:
-        """Count a strike for a call whose server dropped the connection; test that server soon.
-
-        :param lost: the call, when it had not begun to be answered.
-        """
-        self.calls.add_strike(fingerprint, member.incarnation, self._clock.now())
+    def record_lost_answer(self, member: Member, lost: LostCall) -> None:
+        """Count a strike for a call whose server dropped it; test that server soon."""
+        crash = ServerCrash(member.incarnation, lost.sent, lost.ended)
+        if lost.is_silent:
+            self.calls.record_silence(lost.fingerprint, crash)
+        elif self.calls.record_crash(lost.fingerprint, crash):
+            self._peers.report_soon()
+            log(
+                "suspects:dropped",
+                "suspects: a server closed the connection of a call under way",
+                request=lost.request,
+                member=member.id,
+                server=member.incarnation,
+                crashing_call=lost.fingerprint,
+            )
+            self._log_if_quarantined(lost.fingerprint, None)
         test = self._tests.get(member.id)
         if test is None:
             timer = self._clock.call_later(TEST_DELAY, self._connect, member.id)
             test = self._tests[member.id] = _ServerTest(member, timer)
-        if lost is not None and lost.parts and not self._is_leaving(member):
+        may_blame_parts = not lost.is_silent and not lost.has_begun
+        if may_blame_parts and lost.parts and not self._is_leaving(member):
             test.lost.append(lost)
 
     def call_when_tested(self, member: BackendId, call: Callable[[], None]) -> None:
@@ -135,6 +156,28 @@
         self.calls.clear_server(member.incarnation, sent)
         self.parts.record_alive(member.incarnation, sent)
 
+    def apply_call_report(self, host: HostId, boot: BootId, report: CallReport) -> None:
+        """Take over what another host tells about calls."""
+        now = self._clock.now()
+        was_handing_over = self.calls.is_handing_over(now)
+        if self.calls.apply_report(host, boot, report, now):
+            for fingerprint in report.crashes:
+                self._log_if_quarantined(fingerprint, host)
+        if self.calls.is_handing_over(now) and not was_handing_over:
+            self._peers.report_soon()
+
+    def _log_if_quarantined(self, fingerprint: Fingerprint, peer: HostId | None) -> None:
+        now = self._clock.now()
+        if self.calls.is_quarantined(fingerprint, now):
+            log(
+                "suspects:call_identified",
+                "suspects: a call crashes servers, equal calls are refused",
+                crashing_call=fingerprint,
+                servers=self.calls.list_crashed(fingerprint, now)[:MAX_LOGGED_IDS],
+                learned_from=peer,
+                release_ms=to_milliseconds(self.calls.find_release(fingerprint, now)),
+            )
+
     def make_part_report(self) -> PartReport:
         """Return what the other hosts are told about parts of prompts."""
         self._note_released()
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -39,8 +39,9 @@
         members.list_members = lambda _: [self.row]
         members.list_departures.return_value = ()
         suspects = MagicMock()
-        suspects.calls.list_suspects.return_value = {}
-        suspects.make_part_report.return_value = SimpleNamespace(crashes={}, answered={})
+        nothing = SimpleNamespace(crashes={}, answered={})
+        suspects.calls.make_report.return_value = nothing
+        suspects.make_part_report.return_value = nothing
         pool = MagicMock()
         pool.unreached.find_next_try.return_value = None
         configuration = SimpleNamespace(watch=lambda _: None, current=None, version=1)
