Bound the bytes that a gateway holds for all calls together

Here one answer was bounded and the sum of them was not; the memory that the settings allow was not read.

Now each request, answer and unfinished event over 64 KB asks an account for room, for the most that it may need. A body is held once: it was in the buffers of the request and of the transport too. Large blocks go back to the system when they are freed. The answer to the release of KV cache has a time limit, reports of engines a smaller bound.

--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+from lavenderrun.daemons._allocator import return_large_blocks
 from lavenderrun.daemons._signals import run_until_signal
 from lavenderrun.gateway import (
     GATEWAY_SERVICES,
@@ -24,6 +25,7 @@
 GATEWAY_SERVICE_NAMES: Final = (
     "stats",
     "bounds",
+    "memory",
     "store_dialect",
     "caller_dialect",
     "backend_dialect",
@@ -114,6 +116,7 @@
     def read_settings() -> GatewaySettings:
         return read_platform_settings(path.read_bytes(), metrics_port=metrics_port)
 
+    return_large_blocks()
     clock = ReactorClock.starting_now(loop)
     bounded_log = BoundedLog(clock, sys.stdout.fileno())
     bounded_log.open()
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -24,6 +24,7 @@
 from lavenderrun.dispatch._departures import DepartureNotice, DepartureNotices
 from lavenderrun.dispatch._grace_period import GracePeriod
 from lavenderrun.dispatch._health import BackendHealth, HealthTracker
+from lavenderrun.dispatch._held_bytes import SMALL_BYTES, ByteHolder, HeldBytes, HolderKind
 from lavenderrun.dispatch._leases import (
     FencingGuard,
     HostIncarnation,
@@ -106,11 +107,13 @@
     "RESENDS",
     "REVIEW_PAUSE",
     "SERIES_END",
+    "SMALL_BYTES",
     "Access",
     "AnswerPace",
     "AttemptDecision",
     "AttemptOutcome",
     "BackendHealth",
+    "ByteHolder",
     "CacheState",
     "CallDurations",
     "CallReport",
@@ -126,6 +129,8 @@
     "GracePeriod",
     "HealthTracker",
     "HedgeVerdict",
+    "HeldBytes",
+    "HolderKind",
     "HostIncarnation",
     "LeaseKeeper",
     "LeaseTerms",
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -83,6 +83,7 @@
         self._is_trial = False
         self.member = member
         self.head: AnswerHead | None = None
+        self.length: int | None = None
         self.failure: CallFailure | None = None
         self.has_progressed = False
 
@@ -199,6 +200,7 @@
         """Decode the head, record the server's load and idle timeout, and tell the listener."""
         head = self._services.backends.decode_head(self._call.id, status, headers)
         self._ends_with_connection = not FRAMING & {name.lower() for name, _ in headers}
+        self.length = _find_length(headers)
         if not head.names_call and self._exchange is not None and self._exchange.is_reused:
             # it may be an earlier answer, written once more
             self.reject_foreign()
@@ -319,3 +321,9 @@
         self._services.stats.count(ATTEMPTS, self.member.service, result)
         took = self._services.clock.now() - self._began_at
         self._call_log.log_attempt(self, result, took, **self._bound)
+
+
+def _find_length(headers: Headers) -> int | None:
+    """Return the length of the body, ``None`` when the head does not say."""
+    found = [value for name, value in headers if name.lower() == "content-length"]
+    return int(found[0]) if found and found[0].isdecimal() else None
--- a/src/lavenderrun/gateway/_call_services.py
+++ b/src/lavenderrun/gateway/_call_services.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 from lavenderrun.dispatch import CallDurations, CallRequirements, CrashingParts, SuspectTracker
 from lavenderrun.gateway._connection import Connection, Receiver
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotReservation, DecodeSlotWaiter
+from lavenderrun.gateway._memory import MemoryService
 from lavenderrun.gateway._pool import Exchange
 from lavenderrun.gateway._ports import BackendDialect
 from lavenderrun.gateway._stats import Stats
@@ -29,6 +30,9 @@
     ServiceGroup,
 )
 
+MAX_RELEASE_TIME: Final = timedelta(seconds=1)
+"""Longest time in which the answer to the release of KV cache is read."""
+
 
 class CallPool(Protocol):
     """The part of the service ``pool`` that calls use."""
@@ -106,15 +110,18 @@
     suspects: CallSuspects
     suspension: SuspensionService
     random_source: Random
+    memory: MemoryService
     durations: CallDurations = field(default_factory=CallDurations)
     waiting: WaitingPlainCalls = field(default_factory=WaitingPlainCalls)
 
     def free_cache(self, cache: HeldCache) -> None:
         """Ask the holder to free KV cache that no engine will take."""
         call = self.backends.encode_release(cache)
-        self.pool.call(
+        exchange = self.pool.call(
             cache.source, call.method, call.target, call.headers, call.body, _IgnoredAnswer()
         )
+        # its answer may never end
+        self.clock.call_later(MAX_RELEASE_TIME, exchange.abandon)
 
 
 class _IgnoredAnswer:
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -11,6 +11,7 @@
 from lavenderrun.gateway._caller_channel import CallerChannel, CallerFactory, encode_answer
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._log import log
+from lavenderrun.gateway._memory import MemoryService
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import CallerDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -35,7 +36,7 @@
 class CallersService:
     """Accepts connections of callers and submits their calls to the router."""
 
-    needs: ClassVar[tuple[str, ...]] = ("router", "configuration")
+    needs: ClassVar[tuple[str, ...]] = ("router", "configuration", "memory")
 
     def __init__(self, kernel: Kernel) -> None:
         self._listen: str = kernel.settings.callers
@@ -43,6 +44,7 @@
         self.router = kernel.find("router", GatewayRouter)
         self.dialect = kernel.find("caller_dialect", CallerDialect)
         self.account = RequestAccount(kernel.clock)
+        self.memory = kernel.find("memory", MemoryService)
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
         self._idle_timeouts = TimeLimitHistory(DEFAULT_IDLE_TIMEOUT)
         self._head_timeouts = TimeLimitHistory(DEFAULT_IDLE_TIMEOUT)
--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -15,6 +15,8 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from lavenderrun.dispatch import SMALL_BYTES
+from lavenderrun.gateway._body_sender import BodySender
 from lavenderrun.gateway._sockets import set_socket_options
 from lavenderrun.types import CallFailure, Headers
 
@@ -71,6 +73,7 @@
         self._body_bytes = 0
         self._open = False
         self._calls = 0
+        self._sender: BodySender | None = None
 
     @property
     def is_reused(self) -> bool:
@@ -100,15 +103,31 @@
             headers=[(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers],
         )
         data = self._http.send(event) or b""
+        if len(body) > SMALL_BYTES:
+            self.transport.write(data)
+            self._sender = BodySender(body, self._write_piece, self._end_call)
+            self.transport.registerProducer(self._sender, True)
+            self._sender.resumeProducing()
+            return
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self.transport.write(data)
 
+    def _write_piece(self, piece: bytes) -> None:
+        self.transport.write(self._http.send(h11.Data(data=piece)) or b"")
+
+    def _end_call(self) -> None:
+        self._sender = None
+        self.transport.unregisterProducer()
+        self.transport.write(self._http.send(h11.EndOfMessage()) or b"")
+
     def abort(self) -> None:
         """Close at once; the receiver gets no more events."""
         self._receiver = None
         self._open = False
+        if self._sender is not None:
+            self._sender.stopProducing()
         if self.transport is not None:
             self.transport.abortConnection()
 
--- a/src/lavenderrun/gateway/_event_relay.py
+++ b/src/lavenderrun/gateway/_event_relay.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Callable
 
+from lavenderrun.dispatch import SMALL_BYTES, HolderKind
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._event_split import MAX_EVENT_BYTES, EventSplitter
+from lavenderrun.gateway._memory import Holding, MemoryService
 from lavenderrun.gateway._stream_timing import StreamTiming
 from lavenderrun.kernel import Clock
 from lavenderrun.types import AnswerHead, CallSink
@@ -14,6 +16,7 @@
 class EventRelay:
     """Passes whole events on, each once.
 
+    :param memory: grants room for unfinished events that are large.
     :param on_progress: called when an event with data has arrived, before it is passed on.
     :ivar has_progressed: whether an event with data has arrived.
     :ivar is_begun: whether the answer to the caller has begun.
@@ -26,11 +29,14 @@
         timing: StreamTiming,
         resume_after: str | None,
         on_progress: Callable[[], None],
+        memory: MemoryService,
     ) -> None:
         self._clock = clock
         self._sink = sink
         self._timing = timing
         self._on_progress = on_progress
+        self._memory = memory
+        self._holding: Holding | None = None
         self._splitter = EventSplitter()
         self._splitter.last_id = resume_after
         self._content_type = ""
@@ -50,6 +56,7 @@
     def note_break(self) -> None:
         """Record that the events to come are those of another attempt."""
         self._splitter.note_break()
+        self.end_holding()
 
     def take_head(self, attempt: Attempt, head: AnswerHead) -> None:
         """Begin the answer, or reject an answer of another type than the one begun."""
@@ -75,8 +82,32 @@
         if whole:
             self._sink.write(whole)
         if self._splitter.is_oversized:
-            self._splitter.drop_partial_event()
-            attempt.reject_oversized("event", MAX_EVENT_BYTES)
+            self._reject_event(attempt, MAX_EVENT_BYTES)
+        elif self._splitter.partial_bytes > SMALL_BYTES or self._holding is not None:
+            self._hold_event(attempt)
+
+    def _hold_event(self, attempt: Attempt) -> None:
+        """Count a large unfinished event; without room its stream breaks off."""
+        if self._holding is None:
+            server = attempt.member.id
+            self._holding = self._memory.hold(HolderKind.EVENT, server, MAX_EVENT_BYTES)
+        size = self._splitter.partial_bytes
+        if size <= SMALL_BYTES:
+            self.end_holding()
+        elif not self._holding.add(size - self._holding.holder.held):
+            self._memory.log_refusal(self._holding, None)
+            self._reject_event(attempt, SMALL_BYTES)
+
+    def _reject_event(self, attempt: Attempt, limit: int) -> None:
+        self._splitter.drop_partial_event()
+        self.end_holding()
+        attempt.reject_oversized("event", limit)
+
+    def end_holding(self) -> None:
+        """Give back the room of an unfinished event."""
+        if self._holding is not None:
+            self._holding.end()
+            self._holding = None
 
 
 def _find_content_type(head: AnswerHead) -> str:
--- a/src/lavenderrun/gateway/_event_split.py
+++ b/src/lavenderrun/gateway/_event_split.py
@@ -40,6 +40,11 @@
         """Whether the unfinished event has more bytes or pieces than an event may have."""
         return len(self._partial) > MAX_EVENT_BYTES or self._pieces > MAX_EVENT_PIECES
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of the unfinished event."""
+        return len(self._partial)
+
     @property
     def is_between_events(self) -> bool:
         """Whether no part of an unfinished event is buffered."""
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -149,7 +149,8 @@
 class _AnswerCollector:
     """Collects the status and the body of one answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
         self.done: Deferred[tuple[int, bytes] | None] = Deferred()
         self._status = 0
         self._body = bytearray()
@@ -159,7 +160,7 @@
 
     def body_received(self, data: bytes) -> None:
         self._body += data
-        if len(self._body) > MAX_COLLECTED_BYTES:
+        if len(self._body) > self._max_bytes:
             self._body.clear()
             self._end(None)
 
@@ -249,10 +250,17 @@
         return exchange
 
     async def fetch(
-        self, address: str, call: HttpRequest, timeout: timedelta
+        self,
+        address: str,
+        call: HttpRequest,
+        timeout: timedelta,
+        max_bytes: int = MAX_COLLECTED_BYTES,
     ) -> tuple[int, bytes] | None:
-        """Send a call; return status and body of its answer, ``None`` without a complete one."""
-        answer = _AnswerCollector()
+        """Send a call; return status and body of its answer, ``None`` without a complete one.
+
+        :param max_bytes: largest body of an answer.
+        """
+        answer = _AnswerCollector(max_bytes)
         exchange = self.call(address, call.method, call.target, call.headers, call.body, answer)
         timer = self._clock.call_later(timeout, answer.answer_failed, CallFailure.SILENT)
         try:
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -63,6 +63,10 @@
 ANSWER_TIMEOUT: Final = timedelta(seconds=1)
 """Longest wait for an engine's answer."""
 
+MAX_REPORT_BYTES: Final = 256 << 10
+"""Largest answer of an engine to a call of this host; a report of a full engine has a few
+kilobytes."""
+
 UNCONFIRMED_ORDER_LIFETIME: Final = timedelta(seconds=15)
 """How long an order may still be executed by an engine that has not confirmed it."""
 
@@ -244,7 +248,7 @@
 
     async def _send_request(self, member: Member, call: HttpRequest) -> tuple[int, bytes] | None:
         """Return status and body of the engine's answer, ``None`` without one."""
-        return await self._pool.fetch(member.address, call, ANSWER_TIMEOUT)
+        return await self._pool.fetch(member.address, call, ANSWER_TIMEOUT, MAX_REPORT_BYTES)
 
     def _note_order_end(self, failure: object) -> None:
         self._order = None
--- a/src/lavenderrun/gateway/_router.py
+++ b/src/lavenderrun/gateway/_router.py
@@ -15,6 +15,7 @@
 from lavenderrun.gateway._decode_slot_queue import DecodeSlotQueueService
 from lavenderrun.gateway._log import MAX_LOGGED_IDS, to_milliseconds
 from lavenderrun.gateway._members import MembersService
+from lavenderrun.gateway._memory import MemoryService
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import BackendDialect
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -119,6 +120,7 @@
     needs: ClassVar[tuple[str, ...]] = (
         "configuration",
         "members",
+        "memory",
         "view",
         "seats",
         "suspects",
@@ -142,6 +144,7 @@
             self._suspects,
             kernel.find("wakes", SuspensionService),
             kernel.random_source,
+            kernel.find("memory", MemoryService),
         )
         # in order of their arrival, so that the same calls are cancelled in the same order
         self._running: dict[RunningCallBase, None] = {}
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -81,6 +81,18 @@
     "Steps in finding parts of prompts that crash backend servers, by step.",
     ("step",),
 )
+HELD_BYTES = define_gateway_metric(
+    "lavenderrun_gateway_held_bytes",
+    MetricKind.GAUGE,
+    "Bytes of requests and answers that are held, by kind, and their limit.",
+    ("kind",),
+)
+HELD_ENDS = define_gateway_metric(
+    "lavenderrun_gateway_held_ends_total",
+    MetricKind.COUNTER,
+    "What was refused or broken off because there was no room for its bytes, by kind.",
+    ("kind", "end"),
+)
 RESENDS = define_gateway_metric(
     "lavenderrun_gateway_resends_total",
     MetricKind.COUNTER,
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -5,10 +5,12 @@
 from datetime import timedelta
 from typing import Any, Final
 
+from lavenderrun.dispatch import SMALL_BYTES, HolderKind
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._decode_place import DecodePlace
 from lavenderrun.gateway._engine_search import EngineSearch, SearchFailure, count_required_tokens
 from lavenderrun.gateway._event_relay import EventRelay
+from lavenderrun.gateway._memory import Holding
 from lavenderrun.gateway._prompt_cache import PromptCache
 from lavenderrun.gateway._running_call import RETRY_AFTER_NO_SLOT, RunningCallBase
 from lavenderrun.gateway._silence_guard import SilenceGuard
@@ -48,6 +50,7 @@
             self._timing,
             admitted.call.resume_after,
             self._note_progress,
+            services.memory,
         )
         self._sender = StreamSender(
             services,
@@ -70,6 +73,7 @@
         self._place: DecodePlace | None = None
         self._attempt: Attempt | None = None
         self._error_body = bytearray()
+        self._error_holding: Holding | None = None
         self._is_outcome_unknown = False
         self.loss = ""
         self._left_silent: Member | None = None
@@ -148,7 +152,7 @@
 
     def _begin_attempt(self, place: DecodePlace) -> None:
         self._events.note_break()
-        self._error_body.clear()
+        self._drop_error()
         self._sent_at = self._services.clock.now()
         self._silence.begin(place.member)
 
@@ -187,9 +191,21 @@
             self._events.take_body(attempt, data)
             return
         self._error_body += data
-        if len(self._error_body) > MAX_ERROR_BYTES:
-            self._error_body.clear()
-            attempt.reject_oversized("error", MAX_ERROR_BYTES)
+        if self._error_holding is None:
+            server = attempt.member.id
+            self._error_holding = self._services.memory.hold(
+                HolderKind.ANSWER, server, MAX_ERROR_BYTES
+            )
+        has_room = self._error_holding.add(len(data))
+        if len(self._error_body) > MAX_ERROR_BYTES or not has_room:
+            self._drop_error()
+            attempt.reject_oversized("error", MAX_ERROR_BYTES if has_room else SMALL_BYTES)
+
+    def _drop_error(self) -> None:
+        self._error_body.clear()
+        if self._error_holding is not None:
+            self._error_holding.end()
+            self._error_holding = None
 
     def _note_progress(self) -> None:
         self._has_progressed = True
@@ -295,6 +311,8 @@
             self._silence.resume()
 
     def _release(self) -> None:
+        self._events.end_holding()
+        self._drop_error()
         self._silence.end()
         self._search.abandon()
         if self._attempt is not None:
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -7,10 +7,16 @@
 from datetime import timedelta
 from typing import Any, Final
 
-from lavenderrun.dispatch import AttemptDecision, CallRequirements, decide_after_attempt
+from lavenderrun.dispatch import (
+    AttemptDecision,
+    CallRequirements,
+    HolderKind,
+    decide_after_attempt,
+)
 from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._call_hedge import CallHedge
 from lavenderrun.gateway._log import to_milliseconds
+from lavenderrun.gateway._memory import Holding
 from lavenderrun.gateway._running_call import MIN_SEND_TIME, RunningCallBase
 from lavenderrun.gateway._waiting_calls import QueuedPlainCall
 from lavenderrun.kernel import Timer
@@ -34,8 +40,14 @@
 
 @dataclass
 class _CollectedAnswer:
+    holding: Holding
     body: bytearray = field(default_factory=bytearray)
 
+    def drop(self) -> None:
+        """Forget what was collected."""
+        self.body.clear()
+        self.holding.end()
+
 
 class WholeCall(RunningCallBase):
     """Runs a call at one server at a time, or at two while the first is silent."""
@@ -43,7 +55,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._running_attempts: dict[Attempt, _CollectedAnswer] = {}
-        self._failed_answer: tuple[Attempt, _CollectedAnswer] | None = None
+        self._whole_answer: tuple[Attempt, _CollectedAnswer] | None = None
         self._unreached_servers: list[Member] = []
         self._may_wait = False
         self._queued: QueuedPlainCall | None = None
@@ -75,20 +87,31 @@
     def head_received(self, attempt: Attempt) -> None:
         """Record a sign of the server; the head is passed on with the whole answer."""
         self._hedge.note_sign(attempt.member)
+        if attempt.length is None:
+            return
+        self._running_attempts[attempt].holding.expect(attempt.length)
+        if attempt.length > MAX_ANSWER_BYTES:
+            attempt.reject_oversized("answer", MAX_ANSWER_BYTES)
 
     def body_received(self, attempt: Attempt, data: bytes) -> None:
-        """Keep a part of the body."""
+        """Keep a part of the body; read on when there is room for all of it."""
         self._hedge.note_sign(attempt.member)
         answer = self._running_attempts[attempt]
         answer.body += data
         if len(answer.body) > MAX_ANSWER_BYTES:
-            answer.body.clear()
             attempt.reject_oversized("answer", MAX_ANSWER_BYTES)
+        elif not answer.holding.add(len(data)):
+            attempt.pause()
+            answer.holding.wait_for_room()
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Pass the answer on, send the call again or refuse it."""
         answer = self._running_attempts.pop(attempt)
         self._free_server(attempt)
+        if not self._is_over and attempt.failure is None and attempt.outcome.may_have_run:
+            self._keep_answer(attempt, answer)
+        else:
+            answer.drop()
         if self._is_over:
             return
         if not attempt.sent:
@@ -101,8 +124,6 @@
             attempt.outcome, idempotent=route.is_idempotent, may_resend=may_resend
         )
         self._is_outcome_unknown = self._is_outcome_unknown or attempt.outcome.may_have_run
-        if attempt.failure is None and attempt.outcome.may_have_run:
-            self._failed_answer = (attempt, answer)
         if decision is AttemptDecision.PASS_ON:
             self._pass_on(attempt, answer)
         elif decision is AttemptDecision.TRY_AGAIN and self._resend():
@@ -110,6 +131,11 @@
         elif not self._running_attempts:
             self._fail(decision)
 
+    def _keep_answer(self, attempt: Attempt, answer: _CollectedAnswer) -> None:
+        if self._whole_answer is not None:
+            self._whole_answer[1].drop()
+        self._whole_answer = (attempt, answer)
+
     def _handle_unreached(self, attempt: Attempt) -> None:
         self._unreached_servers.append(attempt.member)
         self._tried_servers.remove(attempt.member)
@@ -149,7 +175,9 @@
         attempt = Attempt(
             self._services, call, member, self, self._call_log, suspect_parts=call.shared_parts
         )
-        self._running_attempts[attempt] = _CollectedAnswer()
+        holding = self._services.memory.hold(HolderKind.ANSWER, member.id, MAX_ANSWER_BYTES)
+        holding.on_room = attempt.resume
+        self._running_attempts[attempt] = _CollectedAnswer(holding)
         self._services.view.occupancy.reserve(member.id, 0)
         self._hedge.begin(member)
         self._services.waiting.begin(self._admitted.service, self._account)
@@ -252,12 +280,15 @@
         self._call_log.write(
             "answered", "answer passed on", member=attempt.member.id, status=head.status
         )
-        self._sink.answer(head.status, head.headers, bytes(answer.body))
+        body = bytes(answer.body)
+        answer.body.clear()
+        # the sink holds the body before it is given back here
+        self._sink.answer(head.status, head.headers, body)
         self._finish("answered")
 
     def _fail(self, decision: AttemptDecision) -> None:
-        if self._failed_answer is not None:
-            self._pass_on(*self._failed_answer)
+        if self._whole_answer is not None:
+            self._pass_on(*self._whole_answer)
         elif decision is AttemptDecision.REFUSE_NOT_RUN or not self._may_have_run():
             self._refuse_without_capacity("backend servers rejected the call")
         else:
@@ -280,6 +311,9 @@
         self._hedge.release()
         self._stop_waiting()
         while self._running_attempts:
-            attempt, _ = self._running_attempts.popitem()
+            attempt, answer = self._running_attempts.popitem()
             attempt.abandon()
+            answer.drop()
             self._free_server(attempt)
+        if self._whole_answer is not None:
+            self._whole_answer[1].drop()
--- a/src/lavenderrun/platform/_settings.py
+++ b/src/lavenderrun/platform/_settings.py
@@ -3,11 +3,20 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from typing import Final
 
 import msgspec
 
 from lavenderrun.decoding import Amount, Milliseconds, Seconds, decode_json, parse_address
-from lavenderrun.types import DataCentre, GatewayBounds, GatewaySettings, HostId
+from lavenderrun.types import (
+    DEFAULT_MEMORY,
+    DataCentre,
+    GatewayBounds,
+    GatewaySettings,
+    HostId,
+)
+
+MEGABYTE: Final = 1 << 20
 
 
 class _ListenAddresses(msgspec.Struct):
@@ -23,6 +32,10 @@
     drain_ms: Milliseconds = 2000
 
 
+class _Limits(msgspec.Struct, rename="kebab"):
+    memory_mb: Amount | None = None
+
+
 class _Platform(msgspec.Struct):
     addr: str
 
@@ -35,6 +48,7 @@
     port_range: tuple[int, int]
     bounds: _Bounds
     platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class SettingsError(Exception):
@@ -62,7 +76,7 @@
         except ValueError as error:
             msg = f"{field}: {address!r} is not of the form IP:PORT"
             raise SettingsError(msg) from error
-    bounds = settings_file.bounds
+    bounds, memory_mb = settings_file.bounds, settings_file.limits.memory_mb
     return GatewaySettings(
         HostId(settings_file.node),
         DataCentre(settings_file.zone),
@@ -78,5 +92,6 @@
             timedelta(seconds=bounds.retry_window_s),
             # called slack by the platform: resends that are allowed in each window beyond the ratio
             bounds.retry_slack,
+            DEFAULT_MEMORY if memory_mb is None else int(memory_mb * MEGABYTE),
         ),
     )
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -71,6 +71,7 @@
     event,
 )
 from ._gateway_settings import (
+    DEFAULT_MEMORY,
     GatewayBounds,
     GatewaySettings,
 )
@@ -255,6 +256,7 @@
 from ._store_errors import StoreThrottledError, StoreUnavailableError
 
 __all__ = [
+    "DEFAULT_MEMORY",
     "EVENTS",
     "HOP_BY_HOP",
     "MESSAGES",
--- a/src/lavenderrun/types/_gateway_settings.py
+++ b/src/lavenderrun/types/_gateway_settings.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Final
 
 from lavenderrun.types._ids import DataCentre, HostId
 
+DEFAULT_MEMORY: Final = 256 << 20
+"""Memory in bytes that a process may have where the deployment does not say."""
+
 
 @dataclass(frozen=True)
 class GatewayBounds:
@@ -17,6 +21,7 @@
     :param retry_ratio: maximum resends as a share of the calls in one window, over all hosts.
     :param retry_window: length of the window in which calls and resends are counted.
     :param retry_reserve: resends allowed in a window beyond the share, over all hosts.
+    :param memory: bytes that the process may have in all; it is killed beyond them.
     """
 
     grace: timedelta
@@ -24,6 +29,7 @@
     retry_ratio: float
     retry_window: timedelta
     retry_reserve: float
+    memory: int = DEFAULT_MEMORY
 
 
 @dataclass(frozen=True)
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -67,6 +67,7 @@
             "caller_dialect": Dialect(),
             "stats": Stats(),
             "pool": SimpleNamespace(count_open=lambda: 0),
+            "memory": None,
         }
         kernel: Any = SimpleNamespace(
             settings=SimpleNamespace(callers=""),
--- a/tests/gateway/test_roles.py
+++ b/tests/gateway/test_roles.py
@@ -45,7 +45,7 @@
         """Keep no connections."""
 
     async def fetch(
-        self, _address: str, call: HttpRequest, _timeout: timedelta
+        self, _address: str, call: HttpRequest, _timeout: timedelta, _max_bytes: int
     ) -> tuple[int, bytes]:
         if call.method == "POST":
             self.orders.append(json.loads(call.body))
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -439,11 +439,13 @@
     assert 'lavenderrun_gateway_calls_total{delivery="whole",outcome="answered"' in page
     assert "lavenderrun_gateway_first_answer_seconds_bucket" in page
     missing = {name for name, _ in GATEWAY_METRICS if name not in page}
-    # these appear with the first event, refusal, resend, notice, silence or crash of a server, or
+    # these appear with the first event, refusal, resend, notice, silence, crash of a server, want
+    # of room or
     # planned stop
     assert missing <= {
         "lavenderrun_gateway_departure_ends_total",
         "lavenderrun_gateway_event_gap_seconds",
+        "lavenderrun_gateway_held_ends_total",
         "lavenderrun_gateway_loop_lag_seconds",
         "lavenderrun_gateway_quota_used_units",
         "lavenderrun_gateway_refusals_total",
