--- a/tests/gateway/test_event_split.py
+++ b/tests/gateway/test_event_split.py
@@ -2,6 +2,7 @@
 
 from itertools import pairwise
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -24,6 +25,24 @@
     assert splitter.last_id == "4"
 
 
+# ids were found after LF only, so a resumed stream repeated events of servers that end lines by CR
+@pytest.mark.parametrize("end", [b"\r", b"\n", b"\r\n"])
+@given(sizes=st.lists(st.integers(1, 30), min_size=1, max_size=12))
+def test_lines_may_end_by_any_of_the_three_ends_wherever_the_stream_is_cut(
+    end: bytes, sizes: list[int]
+) -> None:
+    events = [event.replace(b"\r\n", b"\n").replace(b"\n", end) for event in EVENTS]
+    stream, splitter, out, start = b"".join(events), EventSplitter(), b"", 0
+    for size in [*sizes, len(stream)]:
+        out += splitter.add(stream[start : start + size])
+        start += size
+        count = next(n for n in range(5) if out == b"".join(events[:n]))
+        # the third event has no id
+        assert splitter.last_id == [None, "1", "2", "2", "4"][count]
+    assert out == stream
+    assert splitter.is_between_events
+
+
 def test_a_partial_event_is_dropped_when_its_connection_is_lost() -> None:
     splitter = EventSplitter()
     assert splitter.add(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
