Refuse a call whose single-valued header comes twice

A doubled X-Token-Count was charged by its first value and passed on with both, so a server could go by the second (seen by the review). Such a call is refused as malformed now, before it is charged; so are those with two ids, deadlines, models, keys or hosts.

test_a_header_that_comes_twice_is_refused_before_it_is_charged failed before.

--- a/src/lavenderrun/platform/_callers.py
+++ b/src/lavenderrun/platform/_callers.py
@@ -66,6 +66,9 @@
             return "Host: is missing"
         if not TARGET_PATTERN.fullmatch(target):
             return "HTTP: the target has characters that are not allowed"
+        doubled = header_names.find_doubled(headers)
+        if doubled is not None:
+            return f"{doubled}: comes more than once"
         if any(UNSENDABLE_PATTERN.search(value) for _, value in headers):
             return "HTTP: a header has characters that are not allowed"
         deadline = header_names.find_value(headers, header_names.DEADLINE)
--- a/src/lavenderrun/platform/_headers.py
+++ b/src/lavenderrun/platform/_headers.py
@@ -15,6 +15,7 @@
 LEAVING: Final = "server-leaving"
 NOT_RUN: Final = "x-not-executed"
 SIGNATURE: Final = "x-server-stamp"
+MODEL: Final = "x-model"
 DECLARED_SIZE: Final = "x-token-count"
 PROMPT_PARTS: Final = "x-prefix-hash"
 LENGTH_ESTIMATE: Final = "x-length-hint"
@@ -49,6 +50,12 @@
 """Headers dropped from callers' calls, as only the gateway may set them."""
 
 
+SINGLE_HEADERS: Final = frozenset(
+    {REQUEST_ID, DEADLINE, DECLARED_SIZE, LENGTH_ESTIMATE, MODEL, AUTHORIZATION, HOST}
+)
+"""Headers of which a call has one: by the first a gateway would decide, by another a server."""
+
+
 def find_value(headers: Headers, name: str) -> str | None:
     """Return the first value of a header, ``None`` without one.
 
@@ -60,6 +67,17 @@
     return None
 
 
+def find_doubled(headers: Headers) -> str | None:
+    """Return the name of a header that may come once and comes again, ``None`` without one."""
+    seen: set[str] = set()
+    for name, _ in headers:
+        if name.lower() in seen:
+            return name
+        if name.lower() in SINGLE_HEADERS:
+            seen.add(name.lower())
+    return None
+
+
 def strip_hop_by_hop(headers: Headers) -> Headers:
     """Return *headers* without those that concern a single connection."""
     listed = {
@@ -69,5 +87,5 @@
         for token in value.split(",")
     }
     # these identify the call: a caller must not remove them by its connection header
-    listed -= {REQUEST_ID, DECLARED_SIZE, "x-model", PROMPT_PARTS, HOST}
+    listed -= {REQUEST_ID, DECLARED_SIZE, MODEL, PROMPT_PARTS, HOST}
     return [(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP and n.lower() not in listed]
--- a/tests/platform/test_odd_requests.py
+++ b/tests/platform/test_odd_requests.py
@@ -80,6 +80,19 @@
 
 
 # the connection was reset while the body was sent
+# a second one was passed on: the account was charged by the first
+@pytest.mark.parametrize("name", ["X-Token-Count", "X-Request-Id", "x-deadline-ms", "Host"])
+def test_a_header_that_comes_twice_is_refused_before_it_is_charged(
+    platform: StandinPlatform, gateway: Gateway, name: str
+) -> None:
+    line = f"{name}: 1,1\r\n{name}: 5,5\r\n".encode()
+    with open_caller(gateway) as caller:
+        caller.sendall(make_request(PLAIN + "x", line))
+        assert read_status(caller) == 400
+    assert not platform.servers["app-1"].seen
+    assert not gateway.lines("call:admitted")
+
+
 def test_a_body_far_over_the_limit_gets_an_answer(gateway: Gateway) -> None:
     body = b"x" * (3 << 20)
     with open_caller(gateway) as caller:
