Read on from a connection whose answer ended in a pause

Callers would see: a call over a kept connection gets no answer until its deadline, its outcome unknown. Cause: a reader that wants no more bytes pauses the connection; when the end of the answer is among the bytes already read, the connection goes idle and carries the next call without being read from.

test_a_connection_whose_answer_ended_in_a_pause_reads_the_next_one failed before.

--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -72,6 +72,7 @@
         self._pieces = 0
         self._body_bytes = 0
         self._open = False
+        self._is_paused = False
         self._calls = 0
         self._sender: BodySender | None = None
 
@@ -132,11 +133,13 @@
             self.transport.abortConnection()
 
     def pause(self) -> None:
-        """Stop reading, because the caller does not read."""
+        """Stop reading, because there is no room for more."""
+        self._is_paused = True
         self.transport.pauseProducing()
 
     def resume(self) -> None:
         """Resume reading."""
+        self._is_paused = False
         self.transport.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -201,6 +204,8 @@
         reusable = self._open and not trailing and self._http.our_state is h11.DONE
         if reusable and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
+            if self._is_paused:
+                self.resume()
         else:
             self.abort()
         if receiver is not None:
