Let a single large request take more than the share of requests

With a limit of 20 MiB a body over 10 MiB was refused for want of room, though nothing else was held, and its caller was told to come back. An answer to HEAD declares a length and has no body, so it needs no room either.

test_a_single_request_may_be_larger_than_the_share_of_requests failed before.

--- a/src/lavenderrun/dispatch/_held_bytes.py
+++ b/src/lavenderrun/dispatch/_held_bytes.py
@@ -16,7 +16,8 @@
 """Bytes that each holder may have without room; most requests and answers are smaller."""
 
 REQUEST_SHARE: Final = 0.5
-"""Share of the limit for requests, so that answers to those that are held find room."""
+"""Share of the limit for requests, so that answers to those that are held find room. A single
+request may take more."""
 
 STALL_TIME: Final = timedelta(seconds=2)
 """Time without progress after which a caller does not read the answer that is held for it."""
@@ -141,8 +142,10 @@
         more = max(0, holder.need - holder.held)
         if sum(self._reserved.values()) + more > self.limit:
             return False
-        requests = self._reserved[HolderKind.REQUEST] + more
-        return holder.kind is not HolderKind.REQUEST or requests <= self.limit * REQUEST_SHARE
+        others = self._reserved[HolderKind.REQUEST] - holder.reserved
+        if holder.kind is not HolderKind.REQUEST or not others:
+            return True
+        return others + holder.need <= self.limit * REQUEST_SHARE
 
     def _change(self, holder: ByteHolder, held: int, *, has_room: bool) -> None:
         before, held_before = holder.reserved, holder.held
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -87,7 +87,7 @@
     def head_received(self, attempt: Attempt) -> None:
         """Record a sign of the server; the head is passed on with the whole answer."""
         self._hedge.note_sign(attempt.member)
-        if attempt.length is None:
+        if attempt.length is None or self._admitted.call.method == "HEAD":
             return
         self._running_attempts[attempt].holding.expect(attempt.length)
         if attempt.length > MAX_ANSWER_BYTES:
--- a/tests/dispatch/test_held_bytes.py
+++ b/tests/dispatch/test_held_bytes.py
@@ -50,6 +50,12 @@
     assert held.request_room(begin(held, "server"))
 
 
+def test_a_single_request_may_be_larger_than_the_share_of_requests() -> None:
+    held = HeldBytes(LIMIT)
+    first, second = (held.begin(HolderKind.REQUEST, "c", 20 * MEGABYTE, NOW) for _ in range(2))
+    assert [held.request_room(first), held.request_room(second)] == [True, False]
+
+
 # callers that do not read took all room for good
 def test_an_answer_that_is_not_read_is_found_while_another_waits() -> None:
     held = HeldBytes(LIMIT)
