--- a/src/lavenderrun/bench/_gateway_fleet.py
+++ b/src/lavenderrun/bench/_gateway_fleet.py
@@ -80,6 +80,7 @@
 GATEWAY_NAMES: Final = (
     "stats",
     "bounds",
+    "memory",
     "rows",
     "configuration",
     "members",
