Find the fields of events as fast as before

Cause: the patterns that know a lone CR take three times as long: 0.49 s of processor time for 9 MB of large events and 6.3 us a small event, 0.16 s and 4.8 us before. Patterns that begin with a literal take 0.08 s and 4.4 us.

--- a/src/lavenderrun/gateway/_event_split.py
+++ b/src/lavenderrun/gateway/_event_split.py
@@ -5,7 +5,7 @@
 import re
 from typing import Final
 
-EVENT_END: Final = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r\n?")
+EVENT_END: Final = re.compile(rb"\n(?:\n|\r\n|\r(?=[^\n]))|\r\r\n?")
 """Two ends of lines: CR, LF or CRLF. A CR after an LF may still be half of a CRLF."""
 
 LONGEST_EVENT_END: Final = 4
@@ -16,8 +16,10 @@
 MAX_EVENT_PIECES: Final = 1 << 14
 """Largest number of pieces in which an event may arrive: each costs processor time."""
 
-DATA_LINE: Final = re.compile(rb"(?:^|[\r\n])data:")
-ID_LINE: Final = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+DATA_LINE: Final = re.compile(rb"data:(?<![^\r\n]data:)")
+ID_LINE: Final = re.compile(rb"id:(?<![^\r\n]id:)[ ]?([^\r\n]*)")
+"""Fields at the beginning of a line. A pattern that begins with its name is found several times as
+fast."""
 
 
 class EventSplitter:
