--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -430,5 +430,6 @@
                 for each in Path(name).iterdir():
                     Path(logs, each.name).write_bytes(each.read_bytes())
     record.write("rule broken" if is_broken else "rule held")
-    print("rule broken" if is_broken else "rule held")
-    return int(is_broken)
+    print("rule broken" if is_broken else "rule held", flush=True)
+    # all processes have ended; what the interpreter says of tasks that it drops is no result
+    os._exit(int(is_broken))
