Show a stream that crashes engines and is cleared by its own prefill

A prefill that is answered clears the crashes of its call at all gateways, so a stream on which each decode engine crashes is never refused.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run
+cd "$(dirname "$0")" && exec python3 case.py
