Bound the wait of a call for changes by the deployment's bounds

Cause: a call for changes that fell into 0.3 s of a silent store was given up only after its delay of 5 s and 1.5 s more. Nothing connected that constant with the time within which a change must be known.

Change: the delay follows from `contact` and `drain`, or `adoption` for the configuration, less the time for the answer and for one more call; 5 s at most. The settings give the two new bounds.

--- a/src/lavenderrun/gateway/_configuration.py
+++ b/src/lavenderrun/gateway/_configuration.py
@@ -9,7 +9,8 @@
 from twisted.internet.defer import Deferred
 
 from lavenderrun.dispatch import RouteIndex
-from lavenderrun.gateway._follower import TableFollower
+from lavenderrun.gateway._bounds import BoundsService
+from lavenderrun.gateway._follower import TableFollower, limit_changes_wait
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._ports import RowChange, StoreRefusal
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -28,7 +29,7 @@
     :ivar follower: reads the configuration table.
     """
 
-    needs: ClassVar[tuple[str, ...]] = ("rows",)
+    needs: ClassVar[tuple[str, ...]] = ("bounds", "rows")
 
     def __init__(self, kernel: Kernel) -> None:
         self._clock = kernel.clock
@@ -39,11 +40,23 @@
         self.current: Configuration | None = None
         self.routes = RouteIndex(())
         table = self._rows.dialect.configuration_table
-        self.follower = TableFollower(self._rows, table, self, kernel.clock, kernel.random_source)
+        self._bounds = kernel.find("bounds", BoundsService)
+        self.follower = TableFollower(
+            self._rows,
+            table,
+            self,
+            kernel.clock,
+            kernel.random_source,
+            find_wait=self._find_wait,
+        )
         kernel.find("stats", Stats).register_reader(
             DOCUMENT_VERSION, lambda: {(): float(self.version)}
         )
 
+    def _find_wait(self) -> timedelta:
+        bounds = self._bounds.current
+        return limit_changes_wait(bounds.contact, bounds.adoption)
+
     @property
     def version(self) -> DocumentVersion:
         """Version of the configuration in force, zero before the first."""
--- a/src/lavenderrun/gateway/_follower.py
+++ b/src/lavenderrun/gateway/_follower.py
@@ -11,13 +11,18 @@
 
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._ports import HistoryGoneError, RowChange, StoreRefusal
-from lavenderrun.gateway._rows import TOO_MANY_CALLS, RowStore, StoreState
+from lavenderrun.gateway._rows import ANSWER_TIMEOUT, TOO_MANY_CALLS, RowStore, StoreState
 from lavenderrun.kernel import Clock, sleep
 from lavenderrun.types import StoreUnavailableError
 
 CHANGES_WAIT: Final = timedelta(seconds=5)
-"""How long the store delays its answer while there are no changes. A dead connection that
-keep-alive probes miss is noticed after this time."""
+"""Longest time for which the store delays its answer while there are no changes."""
+
+MIN_CHANGES_WAIT: Final = timedelta(seconds=1)
+"""Shortest such time, as each answer costs the store a call."""
+
+REPEATED_CALL_TIME: Final = timedelta(milliseconds=500)
+"""Time from giving up a lost call to the answer of the one that repeats it."""
 
 FIRST_RETRY_PAUSE: Final = timedelta(milliseconds=100)
 MAX_RETRY_PAUSE: Final = timedelta(milliseconds=500)
@@ -35,6 +40,19 @@
 """Longest wait of a follower that leaves it to another one to find out when the store is back."""
 
 
+def limit_changes_wait(contact: timedelta, known_within: timedelta) -> timedelta:
+    """Return how long the store may delay its answer while there are no changes.
+
+    A call whose answer is lost is given up only when its wait and the time for the answer are over.
+    The changes missed by then must still be known in time.
+
+    :param contact: time after a disturbance from which changes must be known in time.
+    :param known_within: time within which a change must be known.
+    """
+    wait = contact + known_within - ANSWER_TIMEOUT - REPEATED_CALL_TIME
+    return min(max(wait, MIN_CHANGES_WAIT), CHANGES_WAIT)
+
+
 class TableListener(Protocol):
     """Receives the rows that a follower reads."""
 
@@ -51,6 +69,8 @@
     :param table: the table's name in the store.
     :param find_pause: returns the pause after an answer with changes, in which further changes
         collect; without one there is no pause.
+    :param find_wait: returns how long the store may delay its answer while there are no changes;
+        without one it is ``CHANGES_WAIT``.
     """
 
     def __init__(
@@ -61,8 +81,10 @@
         clock: Clock,
         random_source: Random,
         find_pause: Callable[[], timedelta] | None = None,
+        find_wait: Callable[[], timedelta] = lambda: CHANGES_WAIT,
     ) -> None:
         self._find_pause = find_pause
+        self._find_wait = find_wait
         self._rows = rows
         self._table = table
         self._listener = listener
@@ -189,7 +211,7 @@
 
     def _choose_wait(self) -> timedelta:
         # a store that is back must not delay the answer that tells so
-        return timedelta(0) if self._rows.state is StoreState.LOST else CHANGES_WAIT
+        return timedelta(0) if self._rows.state is StoreState.LOST else self._find_wait()
 
     async def _pause_before_whole_read(self) -> None:
         """Pause unless changes were read since the last whole read."""
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -10,7 +10,7 @@
 
 from lavenderrun.dispatch import DepartureNotice, DepartureNotices, EvacuationNotice, Evacuations
 from lavenderrun.gateway._bounds import BoundsService
-from lavenderrun.gateway._follower import MAX_OUTAGE_WAIT, TableFollower
+from lavenderrun.gateway._follower import MAX_OUTAGE_WAIT, TableFollower, limit_changes_wait
 from lavenderrun.gateway._log import log, to_milliseconds
 from lavenderrun.gateway._ports import RowChange, StoreRefusal
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
@@ -86,6 +86,7 @@
             kernel.clock,
             kernel.random_source,
             self._find_read_pause,
+            self._find_wait,
         )
         kernel.find("stats", Stats).register_reader(MEMBERS, self._count_states)
 
@@ -93,6 +94,10 @@
         longest = self._bounds.current.drain * MAX_PAUSE_SHARE
         return min(CHANGES_READ_PAUSE * self.host_count, longest)
 
+    def _find_wait(self) -> timedelta:
+        bounds = self._bounds.current
+        return limit_changes_wait(bounds.contact, bounds.drain)
+
     @property
     def is_known(self) -> bool:
         """Whether the rows of backend servers have been read since the start."""
--- a/src/lavenderrun/platform/_settings.py
+++ b/src/lavenderrun/platform/_settings.py
@@ -30,6 +30,8 @@
     retry_window_s: Seconds
     retry_slack: Amount
     drain_ms: Milliseconds = 2000
+    contact_ms: Milliseconds = 3000
+    config_ms: Milliseconds = 2000
     cold_over: Amount | None = None
     cold_slack: Amount | None = None
 
@@ -97,5 +99,7 @@
             DEFAULT_MEMORY if memory_mb is None else int(memory_mb * MEGABYTE),
             bounds.cold_over or 0,
             bounds.cold_slack or 0,
+            timedelta(milliseconds=bounds.contact_ms),
+            timedelta(milliseconds=bounds.config_ms),
         ),
     )
--- a/src/lavenderrun/types/_gateway_settings.py
+++ b/src/lavenderrun/types/_gateway_settings.py
@@ -25,6 +25,8 @@
     :param cold_excess: calls a second that a cold server must never exceed, over all hosts, as a
         multiple of those that it takes; without it and a reserve there is no bound.
     :param cold_reserve: calls that a cold server may get in a second beyond that multiple.
+    :param contact: time without a disturbance after which all bounds hold again.
+    :param adoption: time within which a configuration that the store has acknowledged is in force.
     """
 
     grace: timedelta
@@ -35,6 +37,8 @@
     memory: int = DEFAULT_MEMORY
     cold_excess: float = 0.0
     cold_reserve: float = 0.0
+    contact: timedelta = timedelta(seconds=3)
+    adoption: timedelta = timedelta(seconds=2)
 
 
 @dataclass(frozen=True)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -2,7 +2,8 @@
 
 import json
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -11,6 +12,7 @@
 from eliot import add_destinations, remove_destination
 from store_fixture import SERVER_ROW, STEP_SECONDS, BreakingStore, StoreFixture, make_row
 
+from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._configuration import ConfigurationService
 from lavenderrun.gateway._follower import TableFollower
 from lavenderrun.gateway._members import MembersService
@@ -18,11 +20,12 @@
 from lavenderrun.gateway._peers import REMOVED_AFTER, PeersService
 from lavenderrun.gateway._ports import RowChange, RowWrite
 from lavenderrun.gateway._rows import StoreState
-from lavenderrun.types import BackendId, BootId, DocumentVersion, HostId, Member
+from lavenderrun.types import BackendId, BootId, DocumentVersion, HostId, Member, MemberState
 
 LARGE_FLEET = 350
 BOOT = BootId("b")
 VERSION = DocumentVersion(1)
+SILENCE_SECONDS = 0.3
 CONFIG: dict[str, Any] = {"routes": [], "services": [], "limits": {}, "tenants": []}
 
 
@@ -440,6 +443,62 @@
     assert [table for table in tables if not any(f"table={table}" in call for call in called)] == []
 
 
+def start_members(fixture: StoreFixture, store: BreakingStore) -> Callable[[], bool]:
+    """Follow the rows of servers; return whether a server that leaves is known to leave."""
+    members = MembersService(fixture.kernel)
+    store.put("servers", "a", SERVER_ROW)
+    members.start()
+
+    def knows_change() -> bool:
+        member = members.find(BackendId("a"))
+        return member is not None and member.state is MemberState.LEAVING
+
+    return knows_change
+
+
+def start_configuration(fixture: StoreFixture, store: BreakingStore) -> Callable[[], bool]:
+    """Follow the configuration; return whether its second version is in force."""
+    configuration = ConfigurationService(fixture.kernel)
+    store.put("op", "config", {"version": 1, **CONFIG})
+    configuration.start()
+    return lambda: configuration.version == 2
+
+
+# a call for changes that fell into 0.3 s of a silent store was given up after 6.5 s, and calls
+# reached a server that had left for longer than the bound allows
+@pytest.mark.parametrize(("contact", "known_within"), [(3, 2), (4, 3), (5, 4), (2, 2)])
+@pytest.mark.parametrize("start", [start_members, start_configuration])
+@pytest.mark.parametrize("lost_after", [0.0, 0.25])
+def test_a_change_is_known_in_time_though_a_call_for_changes_was_lost(
+    lost_after: float,
+    start: Callable[[StoreFixture, BreakingStore], Callable[[], bool]],
+    contact: float,
+    known_within: float,
+) -> None:
+    store = BreakingStore()
+    fixture = StoreFixture(store)
+    bounds = fixture.kernel.find("bounds", BoundsService)
+    delay = timedelta(seconds=known_within)
+    bounds.apply(
+        replace(bounds.current, contact=timedelta(seconds=contact), drain=delay, adoption=delay)
+    )
+    store.clock = fixture.kernel.clock
+    knows_change = start(fixture, store)
+    fixture.pass_time(0.5)
+    store.is_silent = True
+    fixture.pass_time(lost_after)
+    # the followers get a change and call anew, which falls into the silence
+    for table in ("servers", "op"):
+        store.put(table, "other", None)
+    fixture.pass_time(SILENCE_SECONDS - lost_after)
+    store.is_silent = False
+    fixture.pass_time(contact)
+    store.put("servers", "a", SERVER_ROW | {"state": "draining"})
+    store.put("op", "config", {"version": 2, **CONFIG})
+    fixture.pass_time(known_within - 0.1)
+    assert knows_change()
+
+
 def test_changes_that_come_together_are_read_together() -> None:
     fixture = StoreFixture()
     listener = RecordingListener()
