Let no computed prompt clear the crashes of its call

Cause: each retry has its prompt computed by a prefill engine first, and the answer to that cleared the call at all gateways like an answer to the call.

Change: only an answer by which the call has run clears it. Parts of prompts were already told apart so, on the line before.

--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -274,10 +274,12 @@
             return
         health = self._services.view.health
         if answer_kind is AnswerKind.SERVED:
+            now = self._services.clock.now()
+            # a computed prompt has not run, so it says nothing about what runs after it
             if self._needs_signature:
                 self.note_progress()
-            self._services.suspects.calls.clear_call(self._fingerprint, self._services.clock.now())
-            took = self._services.clock.now() - self._began_at
+                self._services.suspects.calls.clear_call(self._fingerprint, now)
+            took = now - self._began_at
             health.record_success(self.member.id, took)
             self._observe_time(took)
         elif answer_kind is AnswerKind.FAILED:
--- a/tests/platform/test_crashing_calls.py
+++ b/tests/platform/test_crashing_calls.py
@@ -7,13 +7,21 @@
 
 import pytest
 from gateway_process import WAIT, Gateway, StandinPlatform, wait_for
-from platform_standin import ORDERS, StandinServer
+from platform_standin import ORDERS, RESUMED, StandinServer
 
 from lavenderrun.commands import main
 
 DOWN_SECONDS = 0.5
 CRASHES = 3
 DEADLY = b"an order that crashes servers"
+DEADLY_PART = "dead0"
+ENGINE_DOWN_SECONDS = 1.2
+"""An engine that answers sooner counts as one that did not crash."""
+
+ENGINES = 6
+TRIES = 6
+MAX_STREAM_CRASHES = 4
+"""The third crash comes in a call that has another attempt."""
 
 
 @pytest.fixture
@@ -81,3 +89,30 @@
     assert [f"call=deadly-{turn}" in line for turn, line in enumerate(dropped)] == [True] * CRASHES
     assert any("equal calls are refused" in line for line in lines)
     assert "reason=quarantined" in lines[-1]
+
+
+# each retry had its prompt computed first, and that cleared the call of all earlier crashes
+# (review/7)
+def test_a_stream_that_crashes_decode_engines_is_refused_though_its_prompt_is_computed(
+    platform: StandinPlatform,
+) -> None:
+    platform.add(StandinServer("pre-1", "llm", "prefill"))
+    for number in range(ENGINES):
+        engine = StandinServer(f"dec-{number}", "llm", "decode", deadly_parts={DEADLY_PART})
+        engine.on_crash = lambda crashed: platform.crash(crashed, ENGINE_DOWN_SECONDS)
+        platform.add(engine)
+    gateways = [platform.add_gateway(f"front-{number}") for number in (1, 2)]
+    for gateway in gateways:
+        platform.wait_known(gateway)
+    wait_for(lambda: all(gateway.lines("peers:heard") for gateway in gateways), "peers heard")
+    for turn in range(TRIES):
+        gateway = gateways[turn % 2]
+        answer = gateway.generate(
+            RESUMED + "x", ("ab", DEADLY_PART), DEADLY, request=f"deadly-{turn}"
+        )
+        sound = gateway.generate(RESUMED + "x", ("ab", "cd"), request=f"sound-{turn}")
+        assert sound.status == 200
+        assert sound.whole
+        time.sleep(ENGINE_DOWN_SECONDS)
+    assert CRASHES <= len(platform.crashes) <= MAX_STREAM_CRASHES
+    assert answer.status == 503
