Keep a server without a row no longer than calls may reach it

Cause: a gateway that had just had an outage keeps a server whose row is missing, as the row may have expired in it. A further outage before the end of that time began it anew, each time its timer ran out: one gateway kept a server for 11 s.

Change: while the store is in trouble a server without a row is kept for three quarters of `drain` at most, unless more than half of its service's servers have lost their rows: servers leave a few at a time, an outage takes all.

The new test fails in 9 of 9 cases before and passes.

--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -35,6 +35,14 @@
 """How long a server without a row is kept while the store answers, but late: a sound server writes
 its row again in that time."""
 
+MAX_KEPT_SHARE: Final = 0.75
+"""How long a server without a row is kept while the store is in trouble, as a share of the time
+within which leaving servers must be known: a call that is sent then arrives in that time."""
+
+EXPIRED_SHARE: Final = 0.5
+"""Share of the servers of a service beyond which missing rows have expired: servers leave a few at
+a time, a store that takes no heartbeats loses the rows of all."""
+
 CHANGES_READ_PAUSE: Final = timedelta(milliseconds=15)
 """Pause after changes of rows, for each gateway: servers that start change their rows with each
 heartbeat, and all gateways read all changes."""
@@ -55,8 +63,10 @@
     """Follows the rows of backend servers.
 
     A server whose row vanished around a store outage, or while the store answers late, is kept
-    until it has had time to register again. One that said, here or at another gateway, that it is
-    leaving is leaving whatever its row says. One whose data centre is evacuated takes no calls.
+    until it has had time to register again, but only for as long as calls may reach a server that
+    leaves, unless most servers of its service have lost their rows. One that said, here or at
+    another gateway, that it is leaving is leaving whatever its row says. One whose data centre is
+    evacuated takes no calls.
 
     :ivar follower: reads the table of backend servers.
     :ivar host_count: number of gateways that follow the rows; set by the service ``view``.
@@ -280,6 +290,10 @@
         is_late = self._rows.pace.is_late and now < missing_since + MAX_KEPT
         if is_lost or is_late:
             delay = RETURN_GRACE
+        has_new_trouble = is_lost or is_late or (ended is not None and ended > missing_since)
+        if has_new_trouble and not self._have_most_rows_expired(member):
+            kept_until = missing_since + self._bounds.current.drain * MAX_KEPT_SHARE
+            delay = min(delay, kept_until - now)
         if delay <= timedelta(0):
             return False
         self._removal_timers[member] = self._clock.call_later(
@@ -287,6 +301,12 @@
         )
         return True
 
+    def _have_most_rows_expired(self, member: BackendId) -> bool:
+        """Tell whether most servers of the service of *member* are without a row."""
+        others = self.list_members(self._members[member].service)
+        missing = sum(other.id == member or other.id in self._removal_timers for other in others)
+        return missing > EXPIRED_SHARE * len(others)
+
     def _remove(self, member: BackendId, missing_since: datetime) -> None:
         self._removal_timers.pop(member, None)
         if not self._keep_until_returned(member, missing_since):
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 from eliot import add_destinations, remove_destination
-from store_fixture import SERVER_ROW, STEP_SECONDS, BreakingStore, StoreFixture, make_row
+from store_fixture import BOUNDS, SERVER_ROW, STEP_SECONDS, BreakingStore, StoreFixture, make_row
 
 from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -20,7 +20,15 @@
 from lavenderrun.gateway._peers import REMOVED_AFTER, PeersService
 from lavenderrun.gateway._ports import RowChange, RowWrite
 from lavenderrun.gateway._rows import StoreState
-from lavenderrun.types import BackendId, BootId, DocumentVersion, HostId, Member, MemberState
+from lavenderrun.types import (
+    BackendId,
+    BootId,
+    DocumentVersion,
+    HostId,
+    Member,
+    MemberState,
+    ServiceGroup,
+)
 
 LARGE_FLEET = 350
 BOOT = BootId("b")
@@ -206,6 +214,53 @@
     assert members.find(BackendId("a")) is not None
 
 
+def start_short_outage(*keys: str) -> tuple[StoreFixture, BreakingStore, MembersService]:
+    """Return the rows of servers in a store that was out of reach and has just come back."""
+    store = BreakingStore()
+    fixture = StoreFixture(store)
+    members = MembersService(fixture.kernel)
+    for key in keys:
+        store.put("servers", key, SERVER_ROW)
+    members.start()
+    store.is_down = True
+    store.break_connections()
+    fixture.pass_time(1)
+    store.is_down = False
+    while fixture.rows.state is StoreState.LOST:
+        fixture.pass_time(STEP_SECONDS)
+    return fixture, store, members
+
+
+# a server that left just after an outage was kept for as long as the next one lasted
+@pytest.mark.parametrize("calm", [0.2, 0.5, 1.0])
+@pytest.mark.parametrize("down", [0.3, 0.6, 30])
+def test_a_server_that_left_between_outages_is_gone_in_time(down: float, calm: float) -> None:
+    fixture, store, members = start_short_outage("a", "b", "c", "leaves")
+    store.put("servers", "leaves", None)
+    fixture.pass_time(calm)
+    left = BOUNDS.drain.total_seconds() - calm
+    while left > STEP_SECONDS:
+        store.is_down = True
+        store.break_connections()
+        fixture.pass_time(min(down, left))
+        store.is_down = down > left
+        fixture.pass_time(min(0.2, max(0.0, left - down)))
+        left -= down + 0.2
+    assert members.find(BackendId("leaves")) is None
+    assert len(members.list_members(ServiceGroup("s"))) == 3
+
+
+def test_servers_whose_rows_all_expired_are_kept_in_the_next_outage() -> None:
+    fixture, store, members = start_short_outage("a", "b", "c", "d")
+    for key in ("a", "b", "c"):
+        store.put("servers", key, None)
+    fixture.pass_time(0.5)
+    store.is_down = True
+    store.break_connections()
+    fixture.pass_time(30)
+    assert len(members.list_members(ServiceGroup("s"))) == 4
+
+
 # a store that is always slow must not keep servers that are gone
 def test_a_server_without_a_row_is_not_kept_for_ever_while_the_store_answers_late() -> None:
     fixture, store, members = start_late_store("gone")
