Refuse answers whose status is none of HTTP

Cause: both paths left the status to their HTTP libraries. h11 takes three digits from 200 on, the client of Twisted any number.

Change: an answer with a status outside 200 to 599 is malformed: 502, outcome unknown, connection closed.

--- a/src/lavenderrun/decoding/__init__.py
+++ b/src/lavenderrun/decoding/__init__.py
@@ -9,6 +9,7 @@
     Seconds,
     decode_json,
     decode_msgpack,
+    is_final_status,
     is_token,
     parse_address,
 )
@@ -20,6 +21,7 @@
     "Seconds",
     "decode_json",
     "decode_msgpack",
+    "is_final_status",
     "is_token",
     "parse_address",
 ]
--- a/src/lavenderrun/decoding/_decoding.py
+++ b/src/lavenderrun/decoding/_decoding.py
@@ -64,6 +64,11 @@
     return str(IPv4Address(host)), int(port)
 
 
+def is_final_status(status: int) -> bool:
+    """Tell whether *status* is one that a final HTTP answer may have (RFC 9110, section 15)."""
+    return 200 <= status < 600
+
+
 def is_token(text: str) -> bool:
     """Tell whether *text* is an id that can stand in a header or a path."""
     return TOKEN.fullmatch(text) is not None
--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from lavenderrun.decoding import is_final_status
 from lavenderrun.dispatch import SMALL_BYTES
 from lavenderrun.gateway._body_sender import BodySender
 from lavenderrun.gateway._sockets import acknowledge_at_once, set_socket_options
@@ -188,9 +189,7 @@
                 if self._interim_answers > MAX_INTERIM_ANSWERS:
                     self._fail_answer(CallFailure.OVERSIZED)
             elif isinstance(event, h11.Response):
-                if self._was_kept:
-                    acknowledge_at_once(self.transport)
-                self._receiver.head_received(event.status_code, _decode_headers(event.headers))
+                self._process_head(self._receiver, event)
             elif isinstance(event, h11.Data):
                 self._process_piece(self._receiver, bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -198,6 +197,14 @@
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail_answer(CallFailure.CLOSED)
 
+    def _process_head(self, receiver: Receiver, head: h11.Response) -> None:
+        if not is_final_status(head.status_code):
+            self._fail_answer(CallFailure.MALFORMED)
+            return
+        if self._was_kept:
+            acknowledge_at_once(self.transport)
+        receiver.head_received(head.status_code, _decode_headers(head.headers))
+
     def _process_piece(self, receiver: Receiver, data: bytes) -> None:
         self._pieces += 1
         self._body_bytes += len(data)
--- a/src/lavenderrun/services/_plain_http.py
+++ b/src/lavenderrun/services/_plain_http.py
@@ -12,6 +12,7 @@
 from twisted.web.http_headers import Headers
 
 from lavenderrun.codecs import strip_headers
+from lavenderrun.decoding import is_final_status
 from lavenderrun.kernel import SERVICES, Clock, Kernel, Timer
 from lavenderrun.services._http_client import (
     BytesBody,
@@ -156,6 +157,10 @@
         if self._done.called:
             response.deliverBody(_BodyDiscarder())
             return
+        if not is_final_status(response.code):
+            self._refuse(Outcome.UNKNOWN, f"invalid status {response.code}")
+            response.deliverBody(_BodyDiscarder())
+            return
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, values in response.headers.getAllRawHeaders()
--- a/tests/services/test_plain_http.py
+++ b/tests/services/test_plain_http.py
@@ -8,6 +8,7 @@
 import pytest
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol
 from twisted.web.server import Site
 
 from lavenderrun.kernel import ReactorClock
@@ -55,6 +56,28 @@
         )
         self.plain = HttpPlainBackend(clock, settings, pooled, fresh)
 
+    def answer_raw(self, data: bytes, *, with_reset: bool) -> None:
+        """Answer each call with *data* and the end of its connection."""
+
+        class Answer(Protocol):
+            transport: Any
+
+            def dataReceived(self, _data: bytes) -> None:  # noqa: N802
+                self.transport.write(data)
+                # the answer is read before the connection ends
+                fixture.reactor.callLater(0.02, self.end)
+
+            def end(self) -> None:
+                if with_reset:
+                    self.transport.abortConnection()
+                else:
+                    self.transport.loseConnection()
+
+        fixture = self
+        raw = self.reactor.listenTCP(0, Factory.forProtocol(Answer), interface="127.0.0.1")
+        address = f"127.0.0.1:{raw.getHost().port}"
+        self.plain.settings = BackendSettings(address=address, silence=timedelta(milliseconds=200))
+
     def run(self, scenario: Callable[[], Coroutine[Deferred[Any], Any, Any]]) -> None:
         failures: list[Any] = []
 
@@ -141,3 +164,22 @@
 
     fixture.run(scenario)
     assert (reply.status, reply.ends) == (0, [])
+
+
+# a server's answer with the status 000 was passed on to the caller
+@pytest.mark.parametrize("status", ["000", "099", "600", "999", "20", "-20", "2000"])
+def test_an_answer_without_a_valid_status_is_lost(status: str) -> None:
+    fixture = HttpFixture()
+    answer = f"HTTP/1.1 {status} Odd\r\nContent-Length: 2\r\n\r\nok"
+    fixture.answer_raw(answer.encode(), with_reset=False)
+    replies: list[RecordedReply] = []
+
+    async def scenario() -> None:
+        replies.append(await fixture.call("POST", "/orders/7/confirm"))
+
+    fixture.run(scenario)
+    [reply] = replies
+    assert (reply.status, reply.body) == (0, b"")
+    [end] = reply.ends
+    assert isinstance(end, Refused)
+    assert end.outcome is Outcome.UNKNOWN
