Tell an answer that is cut during its upload from a whole one

The parser of Twisted gives one reason for a reset and an end in order. A server that ends with nothing unread closes in order first, and resets when more comes.

Change: the agent's connections tell readers of bodies why they ended; at a gateway an answer with success that ends while its call is still being written is cut off.

--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -2,7 +2,9 @@
 
 It differs from Twisted's own HTTP client in three ways that at-most-once calls need: it reports
 whether any byte of a call was written, it never treats bytes after an answer as part of the next
-answer, and it never treats a reset of the connection as the end of a body without length.
+answer, and it never treats a reset of the connection as the end of a body without length. Nor does
+it treat the end of a connection over which a call is still being written as that of an answer with
+success.
 """
 
 from __future__ import annotations
@@ -24,6 +26,8 @@
 MAX_HEAD_BYTES: Final = 65536
 """Largest head of an answer, line of a chunk's size or trailer."""
 
+FIRST_FAILURE_STATUS: Final = 300
+
 MAX_INTERIM_ANSWERS: Final = 16
 """Largest number of interim answers (1xx) before an answer."""
 
@@ -79,6 +83,7 @@
         self._is_paused = False
         self._calls = 0
         self._sender: BodySender | None = None
+        self._is_success = False
         self._was_kept = False
         self.is_kept = False
 
@@ -169,7 +174,9 @@
         self._owner.connection_closed(self)
 
     def _end_answer(self, *, clean: bool) -> None:
-        if clean:
+        # a server that ends its connection while it is being written to may have stopped midway
+        is_upload_cut = self._sender is not None and self._is_success
+        if clean and not is_upload_cut:
             try:
                 self._http.receive_data(b"")
                 self._process_events()
@@ -203,6 +210,7 @@
             return
         if self._was_kept:
             acknowledge_at_once(self.transport)
+        self._is_success = head.status_code < FIRST_FAILURE_STATUS
         receiver.head_received(head.status_code, _decode_headers(head.headers))
 
     def _process_piece(self, receiver: Receiver, data: bytes) -> None:
--- a/src/lavenderrun/services/_http_client.py
+++ b/src/lavenderrun/services/_http_client.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from contextvars import ContextVar
 from datetime import timedelta
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http import PotentialDataLoss
@@ -63,9 +67,47 @@
             self.done.errback(reason)
 
 
+_connection_end: ContextVar[Failure | None] = ContextVar("connection_end", default=None)
+"""Why a connection ended, while its protocol is told of that. The parser of Twisted gives the same
+reason for a body without length whether its connection was closed in order or reset."""
+
+
 def is_body_complete(reason: Failure) -> bool:
     """Return whether a response's body ended as its framing says."""
-    return isinstance(reason.value, ResponseDone | PotentialDataLoss)
+    if isinstance(reason.value, PotentialDataLoss):
+        end = _connection_end.get()
+        return end is None or end.check(ConnectionDone) is not None
+    return isinstance(reason.value, ResponseDone)
+
+
+class _WatchedConnection(ProtocolWrapper):
+    """Tells readers of bodies why their connection ended."""
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Pass the end on."""
+        token = _connection_end.set(reason)
+        try:
+            super().connectionLost(reason)
+        finally:
+            _connection_end.reset(token)
+
+
+class _WatchingFactory(WrappingFactory):
+    protocol = _WatchedConnection
+    noisy = False
+
+
+@implementer(IStreamClientEndpoint)
+class _WatchingEndpoint:
+    """An endpoint whose connections tell readers of bodies why they ended."""
+
+    def __init__(self, endpoint: Any) -> None:
+        self._endpoint = endpoint
+
+    def connect(self, factory: Any) -> Deferred[Any]:
+        """Connect; the result is the protocol that *factory* has built."""
+        connecting: Deferred[Any] = self._endpoint.connect(_WatchingFactory(factory))
+        return connecting.addCallback(lambda watched: watched.wrappedProtocol)
 
 
 def read_response_body(response: Any) -> Deferred[bytes]:
@@ -86,7 +128,8 @@
         """Return the endpoint of the IP address and port in *uri*."""
         host = uri.host.decode("ascii").strip("[]")
         endpoint_type = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return endpoint_type(self._reactor, host, uri.port, CONNECT_TIMEOUT.total_seconds())
+        seconds = CONNECT_TIMEOUT.total_seconds()
+        return _WatchingEndpoint(endpoint_type(self._reactor, host, uri.port, seconds))
 
 
 def make_pooled_http_agent(reactor: Any, connections: int) -> Any:
--- a/tests/services/test_plain_http.py
+++ b/tests/services/test_plain_http.py
@@ -166,6 +166,30 @@
     assert (reply.status, reply.ends) == (0, [])
 
 
+# a reset in the middle of a body without length was taken for its end
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("with_reset", [False, True], ids=["closed", "reset"])
+def test_a_body_without_length_is_complete_only_if_its_connection_is_closed_in_order(
+    method: str, with_reset: bool
+) -> None:
+    fixture = HttpFixture()
+    fixture.answer_raw(b"HTTP/1.1 200 OK\r\n\r\na part", with_reset=with_reset)
+    replies: list[RecordedReply] = []
+
+    async def scenario() -> None:
+        replies.append(await fixture.call(method, "/orders/7", b"x" * 100))
+
+    fixture.run(scenario)
+    [reply] = replies
+    assert reply.body == b"a part"
+    [end] = reply.ends
+    if with_reset:
+        assert isinstance(end, Refused)
+        assert end.outcome is Outcome.UNKNOWN
+    else:
+        assert end is None
+
+
 # a server's answer with the status 000 was passed on to the caller
 @pytest.mark.parametrize("status", ["000", "099", "600", "999", "20", "-20", "2000"])
 def test_an_answer_without_a_valid_status_is_lost(status: str) -> None:
