Give another gateway's configuration time to arrive over a full link

Cause: such a gateway asks others for the newer configuration, one at a time, and had 200 ms to connect, as for servers of which there are others. On its full link each connection took longer, 15 in a row failed.

Change: a request has 2 s in all, and after 300 ms a second gateway is asked, too.

--- a/src/lavenderrun/gateway/_peer_configuration.py
+++ b/src/lavenderrun/gateway/_peer_configuration.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import ClassVar, Final
 
 import msgspec
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from lavenderrun.decoding import decode_json
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -21,17 +21,24 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore, StoreState
 from lavenderrun.kernel import Kernel
-from lavenderrun.types import Configuration
+from lavenderrun.types import Configuration, HostId
 
 CONFIGURATION_TARGET: Final = "/configuration"
-ANSWER_TIMEOUT: Final = timedelta(milliseconds=800)
-"""Longest wait for another gateway's answer; its next peer report triggers another request."""
+ANSWER_TIMEOUT: Final = timedelta(seconds=2)
+"""Longest wait for another gateway's answer, the time to connect included: on a full link each
+round trip takes some hundred milliseconds."""
+
+MAX_REQUESTS: Final = 2
+"""Gateways that are asked at the same time, as the first one may be out of reach itself."""
+
+NEXT_REQUEST_DELAY: Final = timedelta(milliseconds=300)
+"""Time after which another gateway is asked, too."""
 
 OK: Final = 200
 
 
 class PeerConfigurationService:
-    """Fetches a newer configuration from a gateway that reports one while the store is lost."""
+    """Fetches a newer configuration from gateways that report one while the store is lost."""
 
     needs: ClassVar[tuple[str, ...]] = ("configuration", "peers", "pool", "rows")
 
@@ -40,16 +47,18 @@
         self._peers = kernel.find("peers", PeersService)
         self._pool = kernel.find("pool", ConnectionPool)
         self._rows = kernel.find("rows", RowStore)
-        self._request: Deferred[None] | None = None
+        self._clock = kernel.clock
+        self._requests: dict[HostId, Deferred[None]] = {}
+        self._last_began: datetime = kernel.clock.now()
 
     def start(self) -> None:
         """Start to watch peer reports."""
         self._peers.watch(self._check_report)
 
     def stop(self) -> None:
-        """Cancel a request that is in progress."""
-        if self._request is not None:
-            self._request.cancel()
+        """Cancel the requests that are in progress."""
+        for request in list(self._requests.values()):
+            request.cancel()
 
     def encode(self) -> bytes | None:
         """Return the configuration in force as JSON for another gateway, ``None`` without one."""
@@ -58,20 +67,27 @@
 
     def _check_report(self, report: PeerReport) -> None:
         is_lost = self._rows.state is StoreState.LOST
-        if (
-            not is_lost
-            or self._request is not None
-            or report.version <= self._configuration.version
-        ):
+        if not is_lost or report.version <= self._configuration.version:
             return
         address = self._peers.find_address(report.host)
-        if address is not None:
-            self._request = Deferred.fromCoroutine(self._fetch_configuration(report.host, address))
-            self._request.addBoth(self._note_request_end)
+        if address is None or not self._may_request(report.host):
+            return
+        self._last_began = self._clock.now()
+        request = Deferred.fromCoroutine(self._fetch_configuration(report.host, address))
+        self._requests[report.host] = request
+        request.addBoth(self._note_request_end, report.host)
+
+    def _may_request(self, host: HostId) -> bool:
+        if not self._requests:
+            return True
+        is_due = self._clock.now() - self._last_began >= NEXT_REQUEST_DELAY
+        return is_due and len(self._requests) < MAX_REQUESTS and host not in self._requests
 
     async def _fetch_configuration(self, peer: str, address: str) -> None:
         call = HttpRequest("GET", CONFIGURATION_TARGET, [("Host", address)])
-        answer = await self._pool.fetch(address, call, ANSWER_TIMEOUT)
+        answer = await self._pool.fetch(
+            address, call, ANSWER_TIMEOUT, connect_timeout=ANSWER_TIMEOUT
+        )
         if answer is None or answer[0] != OK:
             log("second_hand:no_answer", "second_hand: peer did not answer", peer=peer)
             return
@@ -84,15 +100,19 @@
                 error=str(error),
             )
             return
-        self._configuration.adopt(configuration, peer)
-
-    def _note_request_end(self, failure: object) -> None:
-        self._request = None
-        if failure is not None:
+        if self._configuration.adopt(configuration, peer):
+            for host, request in list(self._requests.items()):
+                if host != peer:
+                    request.cancel()
+
+    def _note_request_end(self, result: object, host: HostId) -> None:
+        self._requests.pop(host, None)
+        error = getattr(result, "value", None)
+        if error is not None and not isinstance(error, CancelledError):
             log(
                 "second_hand:failed",
                 "second_hand: request failed unexpectedly",
-                error=repr(failure),
+                error=repr(error),
             )
 
 
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -24,8 +24,8 @@
 from lavenderrun.types import CallFailure, Headers
 
 CONNECT_TIMEOUT: Final = timedelta(milliseconds=200)
-"""Longest time to connect: many round trips within a region, and less than the lifetime of
-exported KV cache."""
+"""Longest time to connect where another address would do: many round trips within a region, and
+less than the lifetime of exported KV cache."""
 
 DEFAULT_IDLE_TIMEOUT: Final = timedelta(seconds=1)
 """Idle timeout assumed for a server that does not say how long it keeps an idle connection."""
@@ -258,6 +258,7 @@
         unused_connection: Connection | None = None,
         may_send: Callable[[], bool] = lambda: True,
         on_error: Callable[[Exception], None] | None = None,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
     ) -> Exchange:
         """Send a call to *address*; *receiver* handles its answer.
 
@@ -267,6 +268,7 @@
         :param unused_connection: an unused connection by :meth:`open`; a closed one is replaced.
         :param may_send: tells, when the call is to be written, whether it is still to be sent.
         :param on_error: called with an unexpected error once a connection is open.
+        :param connect_timeout: longest time to open a connection.
         """
         exchange = Exchange(receiver, may_send, on_error)
 
@@ -288,7 +290,7 @@
             elif ready is not None:
                 exchange.send_over(ready, send)
             else:
-                self.open(address, self._send_after_reads, exchange, send)
+                self.open(address, self._send_after_reads, exchange, send, timeout=connect_timeout)
 
         if self._loop_watch.is_late():
             self._loop_watch.run_after_reads(exchange.run_guarded, start)
@@ -310,13 +312,23 @@
         call: HttpRequest,
         timeout: timedelta,
         max_bytes: int = MAX_COLLECTED_BYTES,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
     ) -> tuple[int, bytes] | None:
         """Send a call; return status and body of its answer, ``None`` without a complete one.
 
         :param max_bytes: largest body of an answer.
+        :param connect_timeout: longest time to open a connection.
         """
         answer = _AnswerCollector(max_bytes)
-        exchange = self.call(address, call.method, call.target, call.headers, call.body, answer)
+        exchange = self.call(
+            address,
+            call.method,
+            call.target,
+            call.headers,
+            call.body,
+            answer,
+            connect_timeout=connect_timeout,
+        )
         timer = self._clock.call_later(timeout, answer.answer_failed, CallFailure.SILENT)
         try:
             return await answer.done
@@ -386,11 +398,16 @@
             connection.abort()
         return None
 
-    def open(self, address: str, on_opened: Callable[..., None], *args: Any) -> None:
+    def open(
+        self,
+        address: str,
+        on_opened: Callable[..., None],
+        *args: Any,
+        timeout: timedelta = CONNECT_TIMEOUT,
+    ) -> None:
         """Open a connection; call *on_opened* with it, or ``None`` on failure, and with *args*."""
         host, port = parse_address(address)
-        seconds = CONNECT_TIMEOUT.total_seconds()
-        endpoint: Any = TCP4ClientEndpoint(self._reactor, host, port, seconds)
+        endpoint: Any = TCP4ClientEndpoint(self._reactor, host, port, timeout.total_seconds())
         self.unreached.begin_try(address, self._clock.now())
 
         def connected(connection: Any) -> None:
--- a/tests/gateway/store_fixture.py
+++ b/tests/gateway/store_fixture.py
@@ -52,7 +52,7 @@
         self.answers: deque[tuple[int, dict[str, Any]] | None] = deque()
 
     async def fetch(
-        self, _address: str, call: HttpRequest, _timeout: timedelta
+        self, _address: str, call: HttpRequest, timeout: timedelta, **_options: timedelta
     ) -> tuple[int, bytes] | None:
         self.calls.append(call.target)
         if not self.answers:
@@ -143,7 +143,7 @@
             answer.callback(None)
 
     async def fetch(
-        self, _address: str, call: HttpRequest, timeout: timedelta
+        self, _address: str, call: HttpRequest, timeout: timedelta, **_options: timedelta
     ) -> tuple[int, bytes] | None:
         self.calls.append(call.target)
         answer = await self._answer(call, timeout)
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -74,7 +74,7 @@
     reactor: Any = None
     pool = ConnectionPool(ReactorClock(FakeTime(), START, zero=0.0), reactor)
     opened: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
-    pool.open = lambda _, on_opened, *args: opened.append((on_opened, args))  # type: ignore[method-assign]
+    pool.open = lambda _, on_opened, *args, **_options: opened.append((on_opened, args))  # type: ignore[method-assign]
     asked: list[bool] = []
 
     def may_send() -> bool:
@@ -95,7 +95,9 @@
     opened: list[Callable[..., None]] = []
     arguments: list[Any] = []
 
-    def open_later(_address: str, on_opened: Callable[..., None], *args: Any) -> None:
+    def open_later(
+        _address: str, on_opened: Callable[..., None], *args: Any, **_options: Any
+    ) -> None:
         opened.append(on_opened)
         arguments.extend(args)
 
