Give connections to the store the time of an answer

Cause: a connection had 200 ms, as to a server of which there are others; with logs of each call its failures are all UNREACHABLE after 201 ms.

Change: a call to the store may take as long to connect as an answer, 1.5 s.

Measured on x86_64: the new test fails for connections of 0.7 and 1.2 s before, and passes.

--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -163,7 +163,10 @@
         self, kind: str, call: HttpRequest, timeout: timedelta, wait: timedelta = NO_WAIT
     ) -> RowPage:
         sent = self._clock.now()
-        answer = await self._pool.fetch(self._address, call, timeout)
+        # there is no other address to go to, and a full link holds up all connections alike
+        answer = await self._pool.fetch(
+            self._address, call, timeout, connect_timeout=ANSWER_TIMEOUT
+        )
         if answer is None:
             self._note_failure(kind, sent, "no answer")
             msg = f"store did not answer {kind}"
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -6,11 +6,22 @@
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any
+from unittest.mock import MagicMock
 
 import msgspec
 import pytest
 from eliot import add_destinations, remove_destination
-from store_fixture import BOUNDS, SERVER_ROW, STEP_SECONDS, BreakingStore, StoreFixture, make_row
+from store_fixture import (
+    BOUNDS,
+    SERVER_ROW,
+    START,
+    STEP_SECONDS,
+    BreakingStore,
+    StoreFixture,
+    make_row,
+)
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
 
 from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._configuration import ConfigurationService
@@ -18,8 +29,10 @@
 from lavenderrun.gateway._members import MembersService
 from lavenderrun.gateway._peer_messages import PeerReport
 from lavenderrun.gateway._peers import REMOVED_AFTER, PeersService
-from lavenderrun.gateway._ports import RowChange, RowWrite
+from lavenderrun.gateway._pool import ConnectionPool
+from lavenderrun.gateway._ports import RowChange, RowPage, RowWrite
 from lavenderrun.gateway._rows import StoreState
+from lavenderrun.kernel import ReactorClock
 from lavenderrun.types import (
     BackendId,
     BootId,
@@ -554,6 +567,26 @@
     assert knows_change()
 
 
+# on a full link each new connection took more than 200 ms, so the store counted as lost
+@pytest.mark.parametrize("connecting", [0.1, 0.7, 1.2])
+def test_a_store_that_is_slow_to_connect_to_is_reached(connecting: float) -> None:
+    fixture, reactor = StoreFixture(), MemoryReactorClock()
+    clock = ReactorClock(reactor, START, zero=0.0)
+    fixture.rows._pool = ConnectionPool(clock, reactor)
+    pages: list[RowPage] = []
+    Deferred.fromCoroutine(fixture.rows.read("t")).addCallback(pages.append)
+    [(_, _, factory, timeout, _)] = reactor.tcpClients
+    reactor.advance(connecting)
+    assert connecting < timeout
+    connection: Any = factory.buildProtocol(None)
+    connection.makeConnection(MagicMock())
+    body = json.dumps({"rows": [], "ver": 3, "truncated": False, "now-ms": 1})
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    connection.dataReceived(head.encode() + body.encode())
+    assert [page.version for page in pages] == [3]
+    assert fixture.rows.state is StoreState.REACHED
+
+
 def test_changes_that_come_together_are_read_together() -> None:
     fixture = StoreFixture()
     listener = RecordingListener()
