Begin anew with all tables when the store comes back from an older copy

Change: the client of the store reads the era in each answer. One of an earlier era, or the first of a new one, counts as none; in a new era all followers read their tables anew, hosts write their rows again, and the lease of roles is claimed only after its last holder has given up, with higher fencing numbers. An older copy takes back nothing that is newer: leaving and removed servers, later runs, configurations.

--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -138,6 +138,7 @@
     read_sums,
     subtract_sums,
 )
+from lavenderrun.dispatch._store_eras import EraVerdict, StoreEras
 from lavenderrun.dispatch._stream_decisions import (
     RESENDS,
     CacheState,
@@ -221,6 +222,7 @@
     "DepartureNotice",
     "DepartureNotices",
     "EngineEvidence",
+    "EraVerdict",
     "EvacuationNotice",
     "Evacuations",
     "ExpectedLoad",
@@ -279,6 +281,7 @@
     "SilenceTracker",
     "SilenceVerdict",
     "SoftState",
+    "StoreEras",
     "StoredLease",
     "StreamDecision",
     "StreamSituation",
--- a/src/lavenderrun/dispatch/_leases.py
+++ b/src/lavenderrun/dispatch/_leases.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
+from typing import Final
 
 import msgspec
 
 from lavenderrun.types import NO_BOOT, NO_HOST, BootId, FencingNumber, HostId, LeaseRow
 
+NO_FENCING: Final = FencingNumber(0)
+"""Below the number of any holder."""
+
 
 class HostIncarnation(msgspec.Struct, frozen=True):
     """One run of a host's daemon: the host and the id of its present start."""
@@ -56,10 +60,20 @@
     The holder must call :meth:`find_fencing_number` before each use, since the lease may have
     expired while its process was paused. Another host claims the lease only after the row stayed
     unchanged for the lease's duration plus a margin, and only by a conditional write.
+
+    :param is_row_old: the row may be an older copy, so that another host may hold the lease even if
+        it names this one.
     """
 
-    def __init__(self, own: HostIncarnation, terms: LeaseTerms) -> None:
+    def __init__(
+        self,
+        own: HostIncarnation,
+        terms: LeaseTerms,
+        *,
+        is_row_old: bool = False,
+    ) -> None:
         self.terms = terms
+        self._is_row_old = is_row_old
         self._own = own
         self._stored: StoredLease | None = None
         self._row_seen: datetime | None = None
@@ -100,11 +114,13 @@
         if known is None or stored.version > known.version:
             self._stored, self._row_seen = stored, now
 
-    def plan_write(self, now: datetime) -> LeaseWrite | None:
+    def plan_write(self, now: datetime, lowest: FencingNumber = NO_FENCING) -> LeaseWrite | None:
         """Return the write to send now, ``None`` without one.
 
         The caller must then report its result by :meth:`confirm`, :meth:`note_conflict` or
         :meth:`note_no_reply`; until then no other write is planned.
+
+        :param lowest: fencing numbers of new holders are higher.
         """
         stored = self._stored
         if self._is_writing or self._is_released or stored is None:
@@ -116,12 +132,14 @@
             return self._prepare_write(stored, self._fencing or FencingNumber(0), now)
         self._fencing = None
         row = stored.row
-        if row is not None and self._is_own(row):
+        if row is not None and self._is_own(row) and not self._is_row_old:
             # nobody has held the lease since this host wrote the row: its number stays valid
             return self._prepare_write(stored, row.fencing, now)
         if row is not None and row.holder != NO_HOST and not self._has_expired(now):
             return None
-        last = row.fencing if row is not None else 0
+        if self._is_row_old and not self._has_expired(now):
+            return None
+        last = max(lowest, row.fencing if row is not None else 0)
         return self._prepare_write(stored, FencingNumber(last + 1), now)
 
     def plan_release(self, now: datetime) -> LeaseWrite | None:
@@ -147,6 +165,7 @@
         self.observe(StoredLease(version, write.row), now)
         if self._is_own(write.row) and not self._is_released:
             self._fencing, self._valid_from = write.row.fencing, write.sent
+            self._is_row_old = False
 
     def note_conflict(self, current: StoredLease, now: datetime) -> None:
         """Record that the store rejected the write because the row has another version.
--- a/src/lavenderrun/gateway/_configuration.py
+++ b/src/lavenderrun/gateway/_configuration.py
@@ -110,6 +110,10 @@
         """Apply all rows of the table, as ``TableListener`` requires."""
         self._apply_rows(rows, is_whole=True)
 
+    def merge_copy(self, rows: Sequence[RowChange]) -> None:
+        """Apply the rows of an older copy, as ``TableListener`` requires."""
+        self._apply_rows(rows, is_whole=False)
+
     def change_rows(self, rows: Sequence[RowChange]) -> None:
         """Apply changed rows, as ``TableListener`` requires; skip an invalid configuration."""
         self._apply_rows(rows, is_whole=False)
--- a/src/lavenderrun/gateway/_follower.py
+++ b/src/lavenderrun/gateway/_follower.py
@@ -62,6 +62,9 @@
     def change_rows(self, rows: Sequence[RowChange]) -> None:
         """Apply changed and removed rows."""
 
+    def merge_copy(self, rows: Sequence[RowChange]) -> None:
+        """Apply all rows of an older copy of the table, which undo nothing that is newer."""
+
 
 class TableFollower:
     """Passes the rows of a table and their changes to a listener.
@@ -95,6 +98,8 @@
         self._retry_pause = FIRST_RETRY_PAUSE
         self._whole_read_pause = timedelta(0)
         self._reading: Deferred[None] | None = None
+        self._is_copy_next = False
+        rows.watch_era(self._begin_era)
 
     @property
     def version(self) -> int | None:
@@ -124,6 +129,12 @@
             self.stop()
             self.start()
 
+    def _begin_era(self) -> None:
+        """Read the table anew, as its versions mean something else now."""
+        self._is_copy_next = self._is_copy_next or self._version is not None
+        self._version = None
+        self.restart()
+
     async def catch_up(self) -> None:
         """Read all changes up to now.
 
@@ -173,7 +184,9 @@
     async def _read_all(self) -> None:
         page = await self._rows.read(self._table)
         self._version, self._answered = page.version, self._clock.now()
-        self._apply(page.rows, self._listener.replace_rows)
+        is_copy, self._is_copy_next = self._is_copy_next, False
+        apply = self._listener.merge_copy if is_copy else self._listener.replace_rows
+        self._apply(page.rows, apply)
 
     async def _read_changes(self, wait: timedelta) -> bool:
         """Read changes; return whether there were any."""
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -53,6 +53,9 @@
 PACE_CHECK_INTERVAL: Final = timedelta(milliseconds=100)
 """Pause between the calls by which a host finds out that the store answers in time again."""
 
+MAX_REMOVED: Final = 1024
+"""Servers that are gone and remembered: an older copy of the store does not bring them back."""
+
 MAX_UNREADABLE: Final = 1000
 """Unreadable rows that are remembered, so that each is logged once."""
 
@@ -82,6 +85,7 @@
         self._departures = DepartureNotices()
         self._evacuations = Evacuations()
         self._services: dict[ServiceGroup, list[Member]] = {}
+        self._removed: dict[BackendId, Incarnation] = {}
         self._removal_timers: dict[BackendId, Timer] = {}
         self._watchers: list[MemberWatcher] = []
         self._unreadable: dict[str, None] = {}
@@ -205,6 +209,32 @@
                 self._note_missing(member)
         self.change_rows(rows)
 
+    def merge_copy(self, rows: Sequence[RowChange]) -> None:
+        """Apply the rows of an older copy, as ``TableListener`` requires.
+
+        A server whose row is missing has time to write it again. A row takes back neither that its
+        server is leaving or gone nor a later start; once the server writes it again, it holds.
+        """
+        present = {row.key for row in rows}
+        for key in list(self._members):
+            if key not in present:
+                self._note_missing(key)
+        self.change_rows([row for row in rows if not self._is_undoing(row)])
+
+    def _is_undoing(self, row: RowChange) -> bool:
+        member = self._rows.dialect.decode_member(row) if row.value is not None else None
+        if member is None:
+            return False
+        known = self._registered.get(member.id)
+        if member.id in self._removal_timers:
+            # its row was removed, whatever the reason
+            return True
+        if known is None:
+            return self._removed.get(member.id) == member.incarnation
+        if known.incarnation != member.incarnation:
+            return member.started < known.started
+        return known.state is MemberState.LEAVING
+
     def change_rows(self, rows: Sequence[RowChange]) -> None:
         """Apply changed and removed rows, as ``TableListener`` requires."""
         for row in rows:
@@ -279,7 +309,7 @@
 
     def _find_trouble_end(self) -> datetime | None:
         """Return when the store last began to answer, or to answer in time, again."""
-        ends = (self._rows.outage_ended, self._rows.pace.late_ended)
+        ends = (self._rows.outage_ended, self._rows.pace.late_ended, self._rows.eras.began)
         return max((end for end in ends if end is not None), default=None)
 
     def _keep_until_returned(self, member: BackendId, missing_since: datetime) -> bool:
@@ -317,8 +347,12 @@
         if old == member:
             return
         if member is None:
-            del self._members[key]
+            removed = self._members.pop(key)
             self._registered.pop(key, None)
+            self._removed.pop(key, None)
+            self._removed[key] = removed.incarnation
+            if len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
             self._departures.forget_row(key)
         else:
             self._members[key] = member
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -43,6 +43,9 @@
     StoreUnavailableError,
 )
 
+RESTORE_INTERVAL: Final = timedelta(milliseconds=10)
+"""Mean time between two hosts that write their rows again after the store lost them."""
+
 REPORT_INTERVAL: Final = timedelta(milliseconds=250)
 """Interval between regular peer reports; charges and decode slots are reported sooner."""
 
@@ -296,6 +299,20 @@
             self._announce()
         self.change_rows(rows)
 
+    def merge_copy(self, rows: Sequence[RowChange]) -> None:
+        """Apply the rows of an older copy, as ``TableListener`` requires.
+
+        Hosts that report are kept, and each host writes its row again, one after the other.
+        """
+        reporting = set(self._list_reporting())
+        present = {row.key for row in rows}
+        for host in list(self._peers):
+            if host not in present and host not in reporting:
+                del self._peers[host]
+        self.change_rows(rows)
+        delay = RESTORE_INTERVAL * self.count_hosts() * self._random.random()
+        self._clock.call_later(delay, self._announce)
+
     def _find_previous(self, rows: Sequence[RowChange]) -> BootId:
         for row in rows:
             own_row = decode_gateway_row(row.value) if row.key == self._host else None
@@ -340,9 +357,12 @@
         if self._announcement is None:
             self._announcement = Deferred.fromCoroutine(self._write_row())
             self._announcement.addErrback(self._log_announce_failure)
+            self._announcement.addBoth(self._end_announcement)
 
-    def _log_announce_failure(self, failure: Failure) -> None:
+    def _end_announcement(self, _result: object) -> None:
         self._announcement = None
+
+    def _log_announce_failure(self, failure: Failure) -> None:
         if not failure.check(CancelledError):
             log("peers:not_entered", "peers: own row not written", error=repr(failure.value))
 
@@ -356,7 +376,6 @@
                 await sleep(self._clock, ANNOUNCE_RETRY_PAUSE * (0.5 + self._random.random()))
                 continue
             self._row_version = version
-            self._announcement = None
             return
 
     def report_soft_change(self, *, brief: bool = False) -> None:
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -18,7 +18,7 @@
 from lavenderrun.dispatch import ASSUMED_HOSTS, UnreachedAddresses
 from lavenderrun.gateway._connection import Connection, Receiver
 from lavenderrun.gateway._loop_watch import LoopWatch
-from lavenderrun.gateway._ports import HttpRequest
+from lavenderrun.gateway._ports import HttpAnswer, HttpRequest
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.kernel import Clock, Kernel
 from lavenderrun.types import CallFailure, Headers
@@ -175,12 +175,13 @@
 
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
-        self.done: Deferred[tuple[int, bytes] | None] = Deferred()
+        self.done: Deferred[HttpAnswer | None] = Deferred()
         self._status = 0
+        self._headers: Headers = []
         self._body = bytearray()
 
-    def head_received(self, status: int, _headers: Headers) -> None:
-        self._status = status
+    def head_received(self, status: int, headers: Headers) -> None:
+        self._status, self._headers = status, headers
 
     def body_received(self, data: bytes) -> None:
         self._body += data
@@ -189,12 +190,12 @@
             self._end(None)
 
     def answer_completed(self) -> None:
-        self._end((self._status, bytes(self._body)))
+        self._end(HttpAnswer(self._status, bytes(self._body), self._headers))
 
     def answer_failed(self, _reason: CallFailure) -> None:
         self._end(None)
 
-    def _end(self, result: tuple[int, bytes] | None) -> None:
+    def _end(self, result: HttpAnswer | None) -> None:
         if not self.done.called:
             self.done.callback(result)
 
@@ -313,8 +314,8 @@
         timeout: timedelta,
         max_bytes: int = MAX_COLLECTED_BYTES,
         connect_timeout: timedelta = CONNECT_TIMEOUT,
-    ) -> tuple[int, bytes] | None:
-        """Send a call; return status and body of its answer, ``None`` without a complete one.
+    ) -> HttpAnswer | None:
+        """Send a call; return its answer, ``None`` without a complete one.
 
         :param max_bytes: largest body of an answer.
         :param connect_timeout: longest time to open a connection.
--- a/src/lavenderrun/gateway/_ports.py
+++ b/src/lavenderrun/gateway/_ports.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from lavenderrun.types import (
     AnswerHead,
@@ -23,6 +23,7 @@
     Member,
     Refused,
     RequestId,
+    StoreEra,
 )
 
 
@@ -36,6 +37,14 @@
     body: bytes = b""
 
 
+class HttpAnswer(NamedTuple):
+    """A complete answer to a call of this host's own."""
+
+    status: int
+    body: bytes
+    headers: Headers
+
+
 @dataclass(frozen=True)
 class RowChange:
     """The current state of a table row.
@@ -157,6 +166,9 @@
     def encode_write(self, table: str, writes: Collection[RowWrite]) -> HttpRequest:
         """Return the call that writes rows of one table in one transaction."""
 
+    def decode_era(self, headers: Headers) -> StoreEra | None:
+        """Return the store's era in the headers of an answer, ``None`` when they do not say."""
+
     def decode_rows(self, status: int, body: bytes) -> RowPage:
         """Return the rows in an answer.
 
--- a/src/lavenderrun/gateway/_roles.py
+++ b/src/lavenderrun/gateway/_roles.py
@@ -27,6 +27,7 @@
 from lavenderrun.gateway._ports import (
     BackendDialect,
     EngineReport,
+    HttpAnswer,
     HttpRequest,
     OrderResult,
     RowConflictError,
@@ -85,6 +86,10 @@
 """Remaining time of the lease below which no order is sent, as it might arrive too late."""
 
 
+FENCING_PER_ERA: Final = 1_000_000
+"""Fencing numbers of one era of the store; each begins above all those of the one before."""
+
+
 class RolesService:
     """Checks the balance of roles in each model service; orders changes while it holds a lease."""
 
@@ -111,6 +116,7 @@
         """Start to check the balance of roles."""
         self._members.watch(self._note_member_change)
         self._suspension.watch(self._drop_lease)
+        self._rows.watch_era(self._begin_era)
         self._timer = self._clock.call_later(CHECK_INTERVAL, self._check_balance)
 
     def stop(self) -> None:
@@ -120,13 +126,19 @@
         if self._order is not None:
             self._order.cancel()
 
-    def _make_keeper(self) -> LeaseKeeper:
-        return LeaseKeeper(HostIncarnation(self._host, self._peers.boot), LEASE_TERMS)
+    def _make_keeper(self, *, is_row_old: bool = False) -> LeaseKeeper:
+        own = HostIncarnation(self._host, self._peers.boot)
+        return LeaseKeeper(own, LEASE_TERMS, is_row_old=is_row_old)
 
     def _drop_lease(self) -> None:
         """Forget the lease: another host may hold it by now."""
         self._keeper = self._make_keeper()
 
+    def _begin_era(self) -> None:
+        """Forget the lease, whose last holders the store may not know any more."""
+        log("roles:lease_lost", "roles: lease is from an earlier era of the store")
+        self._keeper = self._make_keeper(is_row_old=True)
+
     def _note_member_change(self, old: Member | None, new: Member | None) -> None:
         if old is None and new is not None and new.role is not BackendRole.PLAIN:
             # further engines may appear with their next heartbeats
@@ -236,7 +248,9 @@
             self._keeper.observe(stored, self._clock.now())
             if not self._peers.is_first_by_name(TAKEOVER_SILENCE):
                 return None
-            write = self._keeper.plan_write(self._clock.now())
+            # numbers given out in an era may be lost with it
+            lowest = FencingNumber((self._rows.eras.current or 0) * FENCING_PER_ERA)
+            write = self._keeper.plan_write(self._clock.now(), lowest)
             if write is not None:
                 await self._write_lease(write)
         except (StoreUnavailableError, StoreRefusal) as error:
@@ -259,10 +273,10 @@
 
     async def _read_report(self, member: Member) -> EngineReport | None:
         answer = await self._send_request(member, self._dialect.encode_report(member))
-        return None if answer is None else self._dialect.decode_report(*answer)
+        return None if answer is None else self._dialect.decode_report(answer.status, answer.body)
 
-    async def _send_request(self, member: Member, call: HttpRequest) -> tuple[int, bytes] | None:
-        """Return status and body of the engine's answer, ``None`` without one."""
+    async def _send_request(self, member: Member, call: HttpRequest) -> HttpAnswer | None:
+        """Return the engine's answer, ``None`` without one."""
         return await self._pool.fetch(member.address, call, ANSWER_TIMEOUT, MAX_REPORT_BYTES)
 
     def _note_order_end(self, failure: object) -> None:
--- a/src/lavenderrun/gateway/_rows.py
+++ b/src/lavenderrun/gateway/_rows.py
@@ -9,7 +9,7 @@
 
 from twisted.internet.defer import Deferred
 
-from lavenderrun.dispatch import AnswerPace
+from lavenderrun.dispatch import AnswerPace, EraVerdict, StoreEras
 from lavenderrun.gateway._log import log
 from lavenderrun.gateway._pool import ConnectionPool
 from lavenderrun.gateway._ports import (
@@ -23,7 +23,7 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._stats import STORE_AGE, STORE_CALLS, Stats
 from lavenderrun.kernel import Kernel, Timer
-from lavenderrun.types import StoreUnavailableError
+from lavenderrun.types import Headers, StoreUnavailableError
 
 ANSWER_TIMEOUT: Final = timedelta(seconds=1.5)
 """Longest wait for an answer, about sixty times the usual one."""
@@ -56,6 +56,8 @@
         is none: its connection may have broken.
     :ivar pace: whether the store answers in time.
     :ivar on_late: called after each late answer; set by the service ``members``.
+    :ivar eras: the era of the store. An answer of an earlier era, and the one by which a new era
+        shows, count as none: what was known when the call was made may not hold.
     :ivar last_success: when the last successful call was sent, ``None`` before the first; what it
         read is at least as new.
     """
@@ -73,6 +75,8 @@
         self.last_success: datetime | None = None
         self.outage_ended: datetime | None = None
         self.pace = AnswerPace()
+        self.eras = StoreEras()
+        self._era_watchers: list[Callable[[], None]] = []
         self.on_late: Callable[[], None] = lambda: None
         self._is_outage = False
         self._failure_sent: datetime = kernel.clock.now()
@@ -80,6 +84,10 @@
         self._waiting: dict[Deferred[None], Timer] = {}
         self._stats.register_reader(STORE_AGE, self._measure_age)
 
+    def watch_era(self, watcher: Callable[[], None]) -> None:
+        """Call *watcher* soon after the store has come back from an older copy."""
+        self._era_watchers.append(watcher)
+
     def start(self) -> None:
         """Do nothing; calls are made on request."""
 
@@ -171,8 +179,9 @@
             self._note_failure(kind, sent, "no answer")
             msg = f"store did not answer {kind}"
             raise StoreUnavailableError(msg)
+        self._check_era(kind, answer.headers)
         try:
-            page = self.dialect.decode_rows(*answer)
+            page = self.dialect.decode_rows(answer.status, answer.body)
         except StoreRefusal as refusal:
             if refusal.status == TOO_MANY_CALLS:
                 # the store answers; it neither begins nor ends an outage
@@ -194,6 +203,33 @@
             self.on_late()
         return page
 
+    def _check_era(self, kind: str, headers: Headers) -> None:
+        """Take the era of an answer into account.
+
+        :raises StoreUnavailableError: when the answer is not one of the era known before.
+        """
+        before = self.eras.current
+        verdict = self.eras.judge(self.dialect.decode_era(headers), self._clock.now())
+        if verdict is EraVerdict.CURRENT:
+            return
+        self._stats.count(STORE_CALLS, kind, f"{verdict.value} era")
+        if verdict is EraVerdict.FIRST_OF_NEW:
+            log(
+                "store:new_era",
+                "store: came back from an older copy, reading all tables",
+                call=kind,
+                era=self.eras.current,
+                era_before=before,
+            )
+            # the call whose answer this is may belong to a watcher
+            self._clock.call_later(NO_WAIT, self._begin_era)
+        msg = f"store answered {kind} in another era"
+        raise StoreUnavailableError(msg)
+
+    def _begin_era(self) -> None:
+        for watcher in self._era_watchers:
+            watcher()
+
     def _measure_age(self) -> dict[tuple[str, ...], float]:
         if self.last_success is None:
             return {}
--- a/src/lavenderrun/platform/_store.py
+++ b/src/lavenderrun/platform/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import re
 from collections.abc import Collection
 from datetime import timedelta
 from typing import Any, Final
@@ -24,7 +25,7 @@
 from lavenderrun.kernel import Kernel
 from lavenderrun.platform._configuration import decode_configuration
 from lavenderrun.platform._members import decode_member
-from lavenderrun.types import Configuration, DataCentre, Member
+from lavenderrun.types import Configuration, DataCentre, Headers, Member, StoreEra
 
 CONFIGURATION_KEY: Final = "config"
 EVACUATION_PREFIX: Final = "evacuate/"
@@ -36,6 +37,9 @@
 MAX_PAGE_ROWS: Final = 500
 """Largest number of rows that the platform allows in one answer."""
 
+ERA_HEADER: Final = "store-era"
+ERA: Final = re.compile("[0-9]{1,9}")
+
 OK: Final = 200
 CONFLICT: Final = 412
 HISTORY_GONE: Final = 410
@@ -110,6 +114,13 @@
         ]
         return HttpRequest("POST", "/api/rows-tx", headers, body)
 
+    def decode_era(self, headers: Headers) -> StoreEra | None:
+        """Return the store's era in the headers of an answer, ``None`` when they do not say."""
+        found = [value for name, value in headers if name.lower() == ERA_HEADER]
+        if len(found) != 1 or ERA.fullmatch(found[0]) is None:
+            return None
+        return StoreEra(int(found[0]))
+
     def decode_rows(self, status: int, body: bytes) -> RowPage:
         """Return the rows in an answer; malformed rows are skipped.
 
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -99,6 +99,7 @@
     RequestId,
     RouteName,
     ServiceGroup,
+    StoreEra,
     TextId,
 )
 from ._interfaces import (
@@ -472,6 +473,7 @@
     "StepError",
     "Store",
     "StoreConflictError",
+    "StoreEra",
     "StoreSettings",
     "StoreThrottledError",
     "StoreUnavailableError",
--- a/src/lavenderrun/types/_ids.py
+++ b/src/lavenderrun/types/_ids.py
@@ -12,6 +12,8 @@
 DocumentVersion = NewType("DocumentVersion", int)
 ExportHandle = NewType("ExportHandle", str)
 FencingNumber = NewType("FencingNumber", int)
+StoreEra = NewType("StoreEra", int)
+"""How often the store has come back from an older copy of itself."""
 Fingerprint = NewType("Fingerprint", str)
 GroupId = NewType("GroupId", str)
 HoldId = NewType("HoldId", str)
--- a/tests/gateway/store_fixture.py
+++ b/tests/gateway/store_fixture.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from collections import deque
 from datetime import UTC, datetime, timedelta
 from random import Random
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as FakeTime
 
-from lavenderrun.gateway import GATEWAY_SERVICES, HttpRequest
+from lavenderrun.gateway import GATEWAY_SERVICES, HttpAnswer, HttpRequest
 from lavenderrun.gateway._rows import RowStore
 from lavenderrun.kernel import Clock, Kernel, ReactorClock, sleep
 from lavenderrun.platform._store import TableDialect
@@ -45,21 +45,24 @@
     """Answers calls to the store from a list.
 
     ``None`` in the list stands for no answer; with an empty list the call waits.
+
+    :ivar headers: headers of all answers.
     """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
+        self.headers: list[tuple[str, str]] = []
         self.answers: deque[tuple[int, dict[str, Any]] | None] = deque()
 
     async def fetch(
         self, _address: str, call: HttpRequest, timeout: timedelta, **_options: timedelta
-    ) -> tuple[int, bytes] | None:
+    ) -> HttpAnswer | None:
         self.calls.append(call.target)
         if not self.answers:
             unanswered: Deferred[None] = Deferred()
             await unanswered
         found = self.answers.popleft()
-        return None if found is None else (found[0], json.dumps(found[1]).encode())
+        return found and HttpAnswer(found[0], json.dumps(found[1]).encode(), self.headers)
 
 
 class StoreFixture:
@@ -102,17 +105,19 @@
     :ivar is_down: whether each call fails at once.
     :ivar is_silent: whether no call is answered.
     :ivar late_by: how late each answer comes.
+    :ivar era: how often the store has come back from a copy.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.is_down = False
         self.is_silent = False
+        self.era = 0
         self.late_by = timedelta(0)
         self.clock: Clock | None = None
         self._rows: dict[tuple[str, str], tuple[int, dict[str, Any] | None]] = {}
         self._version = 0
-        self._pending: list[tuple[str, int, Deferred[tuple[int, bytes] | None]]] = []
+        self._pending: list[tuple[str, int, Deferred[HttpAnswer | None]]] = []
         self._held: list[Deferred[None]] | None = None
 
     def put(self, table: str, key: str, value: dict[str, Any] | None) -> None:
@@ -126,6 +131,19 @@
             else:
                 self._pending.append((called, after, answer))
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], tuple[int, dict[str, Any] | None]]]:
+        """Return a copy from which the store can come back."""
+        return self._version, dict(self._rows)
+
+    def go_back(
+        self, copy: tuple[int, dict[tuple[str, str], tuple[int, dict[str, Any] | None]]]
+    ) -> None:
+        """Come back from an older copy; versions after it are given out again."""
+        self._version, self._rows = copy[0], dict(copy[1])
+        self.era += 1
+        self.headers = [("Store-Era", str(self.era))]
+        self.break_connections()
+
     def break_connections(self) -> None:
         """Let all calls that wait for changes end without an answer."""
         pending, self._pending = self._pending, []
@@ -144,7 +162,7 @@
 
     async def fetch(
         self, _address: str, call: HttpRequest, timeout: timedelta, **_options: timedelta
-    ) -> tuple[int, bytes] | None:
+    ) -> HttpAnswer | None:
         self.calls.append(call.target)
         answer = await self._answer(call, timeout)
         if self._held is not None:
@@ -155,20 +173,24 @@
             await sleep(self.clock, self.late_by)
         return answer
 
-    async def _answer(self, call: HttpRequest, timeout: timedelta) -> tuple[int, bytes] | None:
+    async def _answer(self, call: HttpRequest, timeout: timedelta) -> HttpAnswer | None:
         if self.is_silent and self.clock is not None:
             await sleep(self.clock, timeout)
             return None
         if self.is_down:
             return None
         url = urlsplit(call.target)
+        if call.method == "POST":
+            return self._transact(json.loads(call.body))
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if "after" not in query:
             return self._read(query["table"], 0, removed=False)
         table, after = query["table"], int(query["after"])
+        if after > self._version:
+            return HttpAnswer(410, b"{}", list(self.headers))
         if query["wait-ms"] == "0" or self._list_rows(table, after, removed=True):
             return self._read(table, after, removed=True)
-        answer: Deferred[tuple[int, bytes] | None] = Deferred()
+        answer: Deferred[HttpAnswer | None] = Deferred()
         waiting = (table, after, answer)
         self._pending.append(waiting)
         if self.clock is not None:
@@ -176,7 +198,18 @@
             self.clock.call_later(wait, self._end_wait, waiting)
         return await answer
 
-    def _end_wait(self, waiting: tuple[str, int, Deferred[tuple[int, bytes] | None]]) -> None:
+    def _transact(self, wanted: dict[str, Any]) -> HttpAnswer:
+        for row in wanted["expected"]:
+            version, value = self._rows.get((row["table"], row["key"]), (0, None))
+            if row["ver"] != (version if value is not None else 0):
+                return HttpAnswer(412, b"{}", list(self.headers))
+        for row in wanted["writes"]:
+            self.put(row["table"], row["key"], json.loads(b64decode(row["value"])))
+        for row in wanted["deletes"]:
+            self.put(row["table"], row["key"], None)
+        return self._read("", 0, removed=False)
+
+    def _end_wait(self, waiting: tuple[str, int, Deferred[HttpAnswer | None]]) -> None:
         """Answer that there are no changes, as a table service does in the end."""
         if waiting in self._pending:
             self._pending.remove(waiting)
@@ -190,7 +223,7 @@
             if where == table and version > after and (removed or value is not None)
         ]
 
-    def _read(self, table: str, after: int, *, removed: bool) -> tuple[int, bytes]:
+    def _read(self, table: str, after: int, *, removed: bool) -> HttpAnswer:
         rows = self._list_rows(table, after, removed=removed)
         page = {"rows": rows, "ver": self._version, "truncated": False, "now-ms": 1}
-        return 200, json.dumps(page).encode()
+        return HttpAnswer(200, json.dumps(page).encode(), list(self.headers))
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -60,6 +60,9 @@
     def change_rows(self, rows: Sequence[RowChange]) -> None:
         self.received.append(("some", [found.key for found in rows]))
 
+    def merge_copy(self, rows: Sequence[RowChange]) -> None:
+        self.received.append(("copy", [found.key for found in rows]))
+
 
 def start_follower(
     fixture: StoreFixture, table: str = "t"
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -66,6 +66,9 @@
     def change_rows(self, rows: object) -> None:
         pass
 
+    def merge_copy(self, rows: object) -> None:
+        pass
+
 
 # a broken connection counted as an outage of the store, in which missing servers stay ready
 def test_a_server_that_left_is_gone_two_seconds_after_connections_of_the_host_broke() -> None:
--- a/tests/gateway/test_roles.py
+++ b/tests/gateway/test_roles.py
@@ -13,8 +13,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as FakeTime
 
-from lavenderrun.dispatch import RoleBacklog, RoleBalancer, RoleChange, RoleOrder
-from lavenderrun.gateway import HttpRequest
+from lavenderrun.dispatch import RoleBacklog, RoleBalancer, RoleChange, RoleOrder, StoreEras
+from lavenderrun.gateway import HttpAnswer, HttpRequest
 from lavenderrun.gateway._ports import RowPage
 from lavenderrun.gateway._roles import RolesService
 from lavenderrun.gateway._suspension import CHECK_INTERVAL, SuspensionService
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self.orders: list[dict[str, Any]] = []
-        self.pending: Deferred[tuple[int, bytes]] = Deferred()
+        self.pending: Deferred[HttpAnswer] = Deferred()
 
     def forget(self, _address: str) -> None:
         """Keep no connections."""
@@ -46,10 +46,10 @@
 
     async def fetch(
         self, _address: str, call: HttpRequest, _timeout: timedelta, _max_bytes: int
-    ) -> tuple[int, bytes]:
+    ) -> HttpAnswer:
         if call.method == "POST":
             self.orders.append(json.loads(call.body))
-            return 202, b""
+            return HttpAnswer(202, b"", [])
         return await self.pending
 
 
@@ -57,6 +57,10 @@
     """A table with one writer, whose transactions all succeed."""
 
     dialect = SimpleNamespace(leases_table="leases")
+    eras = StoreEras()
+
+    def watch_era(self, _watcher: object) -> None:
+        """Stay in one era."""
 
     async def read(self, _table: str) -> RowPage:
         return RowPage([], 1)
@@ -125,7 +129,7 @@
         self.boot_time += seconds
 
     def answer_report(self) -> None:
-        self.engine.pending.callback((200, json.dumps(REPORT).encode()))
+        self.engine.pending.callback(HttpAnswer(200, json.dumps(REPORT).encode(), []))
 
 
 def test_a_holder_orders_an_engine_after_reading_its_report() -> None:
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -60,6 +60,7 @@
                 with suppress(OSError):
                     self.send_response(status)
                     self.send_header("Content-Length", str(len(body)))
+                    self.send_header("Store-Era", str(store.era))
                     self.end_headers()
                     self.wfile.write(body)
 
@@ -79,12 +80,14 @@
     """The table service: rows with versions, delayed change requests and transactions.
 
     :ivar translate: changes what a client writes, by table, key and value.
+    :ivar era: how often the store has come back from a copy.
     """
 
     def __init__(self) -> None:
         self.translate: Callable[[str, str, bytes], bytes] = lambda _table, _key, raw: raw
         self.rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
         self.version = 0
+        self.era = 0
         self.history_from = 0
         self._changed = threading.Condition()
         self.endpoints = [StoreEndpoint(self)]
@@ -109,6 +112,18 @@
         with self._changed:
             self._write(table, key, None)
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], tuple[int, bytes | None]]]:
+        """Return a copy from which the store can come back."""
+        with self._changed:
+            return self.version, dict(self.rows)
+
+    def go_back(self, copy: tuple[int, dict[tuple[str, str], tuple[int, bytes | None]]]) -> None:
+        """Come back from an older copy; versions after it are given out again."""
+        with self._changed:
+            self.version, self.rows = copy[0], dict(copy[1])
+            self.era += 1
+            self._changed.notify_all()
+
     def forget_history(self) -> None:
         with self._changed:
             self.version += 1
@@ -149,11 +164,12 @@
         return 200, {"ver": self.version, "now-ms": 1}
 
     def _feed(self, endpoint: StoreEndpoint, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
-        until = time.monotonic() + int(query["wait-ms"]) / 1000
+        until, era = time.monotonic() + int(query["wait-ms"]) / 1000, self.era
         while True:
-            if endpoint.refusing:
+            # no call outlives the store that it waits in
+            if endpoint.refusing or era != self.era:
                 return 503, {}
-            if int(query["after"]) < self.history_from:
+            if not self.history_from <= int(query["after"]) <= self.version:
                 return 410, {}
             page = self._page(query["table"], after=int(query["after"]), removed=True)
             left = until - time.monotonic()
