Repeat evidence of crashing calls ever more rarely to other hosts

The reports filled the links of small hosts, others took them for silent.

Change: a crash is told at once, and repeated after 1, 2, 4 and at most 16 s; a host that starts is told at once as before.

--- a/src/lavenderrun/gateway/_fleet_reports.py
+++ b/src/lavenderrun/gateway/_fleet_reports.py
@@ -84,7 +84,7 @@
     def make_report(self) -> PeerReport:
         """Return what the other gateways are told now."""
         now = self._clock.now()
-        calls, parts = self._suspects.calls.make_report(now), self._suspects.make_part_report()
+        calls, parts = self._suspects.make_call_report(), self._suspects.make_part_report()
         is_aggregated = self._peers.plan.is_aggregated
         soft = SoftState() if is_aggregated else self.make_soft_state()
         orders = self._view.list_role_orders()
--- a/src/lavenderrun/gateway/_suspects.py
+++ b/src/lavenderrun/gateway/_suspects.py
@@ -38,6 +38,10 @@
 """Delay of the test connection to a server that dropped an answer. A crashed server is still down
 then, and the result is known before the call is repeated."""
 
+FIRST_REPEAT_AFTER: Final = timedelta(seconds=1)
+MAX_REPEAT_AFTER: Final = timedelta(seconds=16)
+"""Time after which what other hosts were told about calls is repeated; it doubles without news."""
+
 
 @dataclass(frozen=True)
 class LostCall:
@@ -88,6 +92,9 @@
         self.parts = CrashingParts()
         self._tests: dict[BackendId, _ServerTest] = {}
         self._crashing: set[PartId] = set()
+        self._has_call_news = False
+        self._call_report_due = kernel.clock.now()
+        self._call_report_pause = FIRST_REPEAT_AFTER
         self._watchers: list[Callable[[], None]] = []
 
     def start(self) -> None:
@@ -112,6 +119,7 @@
         if lost.is_silent:
             self.calls.record_silence(lost.fingerprint, crash)
         elif self.calls.record_crash(lost.fingerprint, crash):
+            self._has_call_news = True
             self._peers.report_soon()
             log(
                 "suspects:dropped",
@@ -164,6 +172,7 @@
             for fingerprint in report.crashes:
                 self._log_if_quarantined(fingerprint, host)
         if self.calls.is_handing_over(now) and not was_handing_over:
+            self._has_call_news = True
             self._peers.report_soon()
 
     def _log_if_quarantined(self, fingerprint: Fingerprint, peer: HostId | None) -> None:
@@ -178,6 +187,20 @@
                 release_ms=to_milliseconds(self.calls.find_release(fingerprint, now)),
             )
 
+    def make_call_report(self) -> CallReport:
+        """Return what the other hosts are told about calls now, which may be nothing.
+
+        What they were told before is repeated in few of the reports: datagrams may be lost, and
+        changes of decode slots make many reports a second.
+        """
+        now = self._clock.now()
+        if not self._has_call_news and now < self._call_report_due:
+            return CallReport()
+        pause = FIRST_REPEAT_AFTER if self._has_call_news else self._call_report_pause * 2
+        self._has_call_news, self._call_report_pause = False, min(pause, MAX_REPEAT_AFTER)
+        self._call_report_due = now + self._call_report_pause
+        return self.calls.make_report(now)
+
     def make_part_report(self) -> PartReport:
         """Return what the other hosts are told about parts of prompts."""
         self._note_released()
--- a/tests/gateway/fleet_host.py
+++ b/tests/gateway/fleet_host.py
@@ -63,7 +63,7 @@
         members.list_departures.return_value = ()
         suspects, evacuations = MagicMock(), MagicMock()
         nothing = SimpleNamespace(crashes={}, answered={})
-        suspects.calls.make_report.return_value = nothing
+        suspects.make_call_report.return_value = nothing
         suspects.make_part_report.return_value = nothing
         evacuations.list_notices.return_value = {}
         pool = MagicMock()
--- a/tests/gateway/test_role_reports.py
+++ b/tests/gateway/test_role_reports.py
@@ -41,7 +41,7 @@
         members.list_departures.return_value = ()
         suspects = MagicMock()
         nothing = SimpleNamespace(crashes={}, answered={})
-        suspects.calls.make_report.return_value = nothing
+        suspects.make_call_report.return_value = nothing
         suspects.make_part_report.return_value = nothing
         pool = MagicMock()
         pool.unreached.find_next_try.return_value = None
