--- a/src/lavenderrun/bench/_gateway_dialects.py
+++ b/src/lavenderrun/bench/_gateway_dialects.py
@@ -21,6 +21,7 @@
     Headers,
     Member,
     RequestId,
+    StoreEra,
 )
 
 REQUEST_HEADER = "Bench-Request"
@@ -77,6 +78,11 @@
         """Fail: gateways of a benchmark write no rows."""
         raise NotImplementedError
 
+    def decode_era(self, headers: Headers) -> StoreEra | None:
+        """Return ``None``: the store of a benchmark never goes back."""
+        del headers
+        return None
+
     def decode_rows(self, status: int, body: bytes) -> RowPage:
         """Return the rows in an answer."""
         del status
