Let the calm caller of the memory tests make its first call at once

A trace shows that answers which declare too large a length are refused within some milliseconds, before the calm caller's first call 50 ms later, so the test had seen no calm call at all. It makes one at once now, and still each of its calls must be answered with 200; nothing else of the test changes.

--- a/tests/platform/test_memory_of_calls.py
+++ b/tests/platform/test_memory_of_calls.py
@@ -67,12 +67,14 @@
         self._thread.join()
 
     def _call(self) -> None:
-        while not self._stopping.wait(0.05):
+        is_stopping = False
+        while not is_stopping:
             began = time.monotonic()
             name = f"calm-{len(self.statuses)}"
             answer = self._gateway.generate(STREAM + "x", request=name)
             self.statuses.append(answer.status if answer.whole else 0)
             self.slowest = max(self.slowest, time.monotonic() - began)
+            is_stopping = self._stopping.wait(0.05)
 
 
 def check_empty(gateway: Gateway) -> None:
