Measure breaks of soak paths from when a request leaves its caller

Cause: the check asked whether the path to the server broke between the caller's note that its request was sent and the end of the answer. A server that crashes in between breaks the answer before the note. In the same way the proxy recorded a crash or a reset as the moment of the order, while its own loop closes the connections later.

The gateway passes on what it got and closes the answer, as it must.

Change: the time in which a broken path explains a broken answer begins when the last part of the request is handed to the connection. For slow uploads that is the last part, not the first, so no other break is excused. A break lasts from its order until the connections are closed. All other checks use the moment that they used.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -61,7 +61,7 @@
             self._breaks.append((now, math.inf))
         self.mode = mode
         if mode is ProxyMode.RESET:
-            self._loop.call_soon_threadsafe(self._reset_all)
+            self._loop.call_soon_threadsafe(self._reset_all, now)
 
     def has_broken(self, first: float, last: float) -> bool:
         """Tell whether answers were lost within a time."""
@@ -69,17 +69,22 @@
 
     def crash(self) -> None:
         """Close the listening socket and all connections, as the end of the target would."""
-        self._breaks.insert(0, (time.monotonic(), time.monotonic()))
-        self._loop.call_soon_threadsafe(self._close_all)
+        self._loop.call_soon_threadsafe(self._close_all, time.monotonic())
 
     def start_again(self) -> None:
         """Listen again at the same address."""
         asyncio.run_coroutine_threadsafe(self._listen(self._port), self._loop).result(5)
 
-    def _close_all(self) -> None:
+    def _close_all(self, ordered: float) -> None:
         self._server.close()
         for writer in list(self._writers):
             writer.close()
+        self._note_break(ordered)
+
+    def _note_break(self, ordered: float) -> None:
+        """Record that the connections, which were to be closed at *ordered*, are closed now."""
+        # the last entry belongs to the present mode
+        self._breaks.insert(0, (ordered, time.monotonic()))
 
     async def _listen(self, port: int) -> None:
         self._server = await asyncio.start_server(self._forward, "127.0.0.1", port)
@@ -100,15 +105,16 @@
         self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
         self._loop.close()
 
-    def _reset_all(self) -> None:
+    def _reset_all(self, ordered: float) -> None:
         for writer in list(self._writers):
             _reset(writer)
+        self._note_break(ordered)
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
             if self.mode is ProxyMode.RESET:
-                self._reset_all()
+                self._reset_all(time.monotonic())
                 return
             far_reader, far_writer = await asyncio.open_connection(*self._target)
             self._writers.add(far_writer)
--- a/tests/soak/request_ends.py
+++ b/tests/soak/request_ends.py
@@ -34,7 +34,10 @@
 
     :param opened: when its connection was opened.
     :param rested: for how long its connection had been idle, 0 for a new one.
-    :ivar sent: when it was sent whole, ``None`` before.
+    :ivar handed_over: when its last part was handed to the connection. The caller's thread may go
+        on only after the server has the request, so that ``sent`` is too late for what happens
+        there.
+    :ivar sent: when the caller noted that it was sent whole, ``None`` before.
     :ivar ended: when the caller had its answer or an error.
     :ivar error: why there is no answer, empty when there is one.
     """
@@ -43,11 +46,19 @@
     began: float
     opened: float
     rested: float = 0.0
+    handed_over: float = field(init=False)
     sent: float | None = None
     ended: float = float("inf")
     answer: Answer | None = None
     error: str = ""
 
+    def __post_init__(self) -> None:
+        self.handed_over = self.began
+
+    def note_part(self) -> None:
+        """Record that a further part of a slow upload is handed to the connection."""
+        self.handed_over = time.monotonic()
+
     @property
     def idle_since(self) -> float:
         """When its caller had the answer before, or opened the connection."""
@@ -168,7 +179,7 @@
         self, request: SentRequest, first: StandinServer | None, paths: list[Proxy]
     ) -> bool:
         assert request.sent is not None
-        if any(path.has_broken(request.sent, request.ended) for path in paths):
+        if any(path.has_broken(request.handed_over, request.ended) for path in paths):
             return True
         if request.ended - request.sent >= _find_shortest(self.timeouts, request.sent):
             return first is not None and self._measure_speech(request, first) < self.stream_seconds
--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -62,12 +62,15 @@
         soak.platform.configure(**content)
 
 
-def send_slowly(body: bytes, seconds: float) -> Iterator[bytes]:
-    """Yield the parts of a body over some time."""
+def send_slowly(
+    body: bytes, seconds: float, note_part: Callable[[], None] = lambda: None
+) -> Iterator[bytes]:
+    """Yield the parts of a body over some time; call *note_part* before each."""
     size = max(1, len(body) // UPLOAD_PARTS)
     for start in range(0, len(body), size):
         if start:
             time.sleep(seconds * size / len(body))
+        note_part()
         yield body[start : start + size]
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -367,7 +367,7 @@
         body: bytes | Iterator[bytes] = request.encode()
         if upload and kind != PLAIN:
             # calls with equal bodies count as one call that is repeated
-            body = send_slowly(request.encode().ljust(UPLOAD_BYTES), upload)
+            body = send_slowly(request.encode().ljust(UPLOAD_BYTES), upload, sent.note_part)
             headers["Content-Length"] = str(UPLOAD_BYTES)
         if kind in (STREAM, RESUMED):
             part = request.rpartition("-")[2]
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
+from contextlib import suppress
 
 import pytest
 from proxy import Proxy, ProxyMode
@@ -59,3 +61,29 @@
         connection.target.shutdown(socket.SHUT_WR)
     with pytest.raises(ConnectionResetError):
         connection.client.recv(10)
+
+
+def _break_later(proxy: Proxy, break_path: Callable[[], None]) -> float:
+    """Break a path whose proxy acts late, as it does beside load; return when it was ordered."""
+    proxy._loop.call_soon_threadsafe(time.sleep, LOST / 2)
+    break_path()
+    return time.monotonic()
+
+
+# soak seed 608: an answer that began after the order to crash was broken off by it
+@pytest.mark.parametrize("modes", [(), (ProxyMode.RESET, ProxyMode.OPEN)])
+def test_a_path_counts_as_broken_until_its_connections_are_closed(
+    connection: Connection, modes: tuple[ProxyMode, ...]
+) -> None:
+    def break_path() -> None:
+        if not modes:
+            connection.proxy.crash()
+        for mode in modes:
+            connection.proxy.set(mode)
+
+    ordered = _break_later(connection.proxy, break_path)
+    with suppress(ConnectionResetError):
+        assert connection.client.recv(10) == b""
+    closed = time.monotonic()
+    assert connection.proxy.has_broken(ordered, closed)
+    assert not connection.proxy.has_broken(closed + LOST, closed + 2 * LOST)
