--- a/tests/platform/test_free_ports.py
+++ b/tests/platform/test_free_ports.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 import free_ports
 import pytest
@@ -37,3 +40,23 @@
     server = StandinServer("app-1", "apps")
     server.close()
     assert int(server.address.rpartition(":")[2]) in PORTS
+
+
+# two soak runs side by side drew the same port, and a gateway of one was not ready within 10 s
+def test_a_port_that_another_test_run_found_is_not_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    find = "from free_ports import find_ports; print(*find_ports(1), flush=True); input()"
+    with subprocess.Popen(
+        [sys.executable, "-c", find],
+        cwd=Path(free_ports.__file__).parent,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    ) as other:
+        assert other.stdin is not None
+        assert other.stdout is not None
+        taken, (free,) = int(other.stdout.readline()), find_ports(1)
+        monkeypatch.setattr(free_ports, "PORTS", [free, taken])
+        monkeypatch.setattr(free_ports, "_recent", [])
+        for _ in range(20):
+            assert find_ports(1) == [free]
+            free_ports._recent.clear()
+        other.stdin.write(b"\n")
