Fetch a newer configuration also while the store refuses this host alone

Cause: other gateways were asked for a newer version only while the store counted as lost. Calls that are refused with 429 neither begin nor end that state, so a gateway that gets nothing else asks nobody.

Change: a gateway asks as soon as it hears of a newer version while the store is lost, as before, and otherwise once the store has not told of any newer one for 300 to 600 ms, whatever the reason. Late and silent stores and gateways that start are served by the same rule.

Evidence: both cases of test_a_newer_configuration_is_fetched_while_the_store_refuses_calls failed before, and so did test_hosts_that_the_store_refuses_ask_at_different_times.

--- a/src/lavenderrun/gateway/_peer_configuration.py
+++ b/src/lavenderrun/gateway/_peer_configuration.py
@@ -1,4 +1,4 @@
-"""Service ``second_hand``: reads the configuration from a peer during a store outage.
+"""Service ``second_hand``: reads the configuration from a peer when the store does not tell it.
 
 The transferred configuration contains digests of API keys, never the keys.
 """
@@ -21,7 +21,7 @@
 from lavenderrun.gateway._registry import GATEWAY_SERVICES
 from lavenderrun.gateway._rows import RowStore, StoreState
 from lavenderrun.kernel import Kernel
-from lavenderrun.types import Configuration, HostId
+from lavenderrun.types import Configuration, DocumentVersion, HostId
 
 CONFIGURATION_TARGET: Final = "/configuration"
 ANSWER_TIMEOUT: Final = timedelta(seconds=2)
@@ -34,11 +34,22 @@
 NEXT_REQUEST_DELAY: Final = timedelta(milliseconds=300)
 """Time after which another gateway is asked, too."""
 
+MIN_OWN_READ_TIME: Final = timedelta(milliseconds=300)
+"""Shortest time that the store has to tell of a version once another gateway reports it. It may
+refuse each call of this host, or answer late, and still count as reached."""
+
+MAX_OWN_READ_TIME: Final = timedelta(milliseconds=600)
+"""Longest such time; hosts that the store refuses differ in it, so that they ask different ones."""
+
 OK: Final = 200
 
 
 class PeerConfigurationService:
-    """Fetches a newer configuration from gateways that report one while the store is lost."""
+    """Fetches a newer configuration from gateways that report one.
+
+    While the store is lost it does so at once, else when the store has had the time to tell of a
+    newer version itself.
+    """
 
     needs: ClassVar[tuple[str, ...]] = ("configuration", "peers", "pool", "rows")
 
@@ -50,6 +61,9 @@
         self._clock = kernel.clock
         self._requests: dict[HostId, Deferred[None]] = {}
         self._last_began: datetime = kernel.clock.now()
+        self._random = kernel.random_source
+        self._outdated: DocumentVersion | None = None
+        self._read_due: datetime = kernel.clock.now()
 
     def start(self) -> None:
         """Start to watch peer reports."""
@@ -66,8 +80,7 @@
         return None if current is None else msgspec.json.encode(current)
 
     def _check_report(self, report: PeerReport) -> None:
-        is_lost = self._rows.state is StoreState.LOST
-        if not is_lost or report.version <= self._configuration.version:
+        if report.version <= self._configuration.version or not self._is_store_late():
             return
         address = self._peers.find_address(report.host)
         if address is None or not self._may_request(report.host):
@@ -77,6 +90,17 @@
         self._requests[report.host] = request
         request.addBoth(self._note_request_end, report.host)
 
+    def _is_store_late(self) -> bool:
+        """Tell whether the store has had the time to tell of a version that is newer."""
+        if self._rows.state is StoreState.LOST:
+            return True
+        now = self._clock.now()
+        if self._outdated != self._configuration.version:
+            spread = (MAX_OWN_READ_TIME - MIN_OWN_READ_TIME) * self._random.random()
+            self._outdated = self._configuration.version
+            self._read_due = now + MIN_OWN_READ_TIME + spread
+        return now >= self._read_due
+
     def _may_request(self, host: HostId) -> bool:
         if not self._requests:
             return True
--- a/tests/gateway/test_peer_configuration.py
+++ b/tests/gateway/test_peer_configuration.py
@@ -76,8 +76,10 @@
             self._pending -= 1
 
 
-def start(connecting: dict[str, float | None]) -> tuple[StoreFixture, Peers, SlowPool, Any]:
-    fixture, peers = StoreFixture(), Peers()
+def start(
+    connecting: dict[str, float | None], seed: int = 1
+) -> tuple[StoreFixture, Peers, SlowPool, Any]:
+    fixture, peers = StoreFixture(seed=seed), Peers()
     configuration = ConfigurationService(fixture.kernel)
     configuration.change_rows(make_configuration_rows(2))
     answer = msgspec.json.encode(configuration.current)
@@ -134,3 +136,35 @@
     fixture.rows.state = StoreState.REACHED
     peers.report("h2", 2)
     assert pool.asked == []
+
+
+# the store answered each call of a gateway with 429, which is no outage: the gateway asked no other
+# one and served keys that had been taken away for as long as that lasted
+@pytest.mark.parametrize("state", [StoreState.REACHED, StoreState.UNKNOWN])
+def test_a_newer_configuration_is_fetched_while_the_store_refuses_calls(state: StoreState) -> None:
+    fixture, peers, _, configuration = start(dict.fromkeys(HOSTS, 0.1))
+    fixture.rows.state = state
+    took = find_adoption_time(fixture, peers, configuration)
+    assert took is not None
+    assert took < CONFIG_BOUND_SECONDS / 2
+
+
+# shows that changes in quick succession, each read a moment late, lead to no requests
+def test_no_gateway_is_asked_while_the_store_tells_of_changes() -> None:
+    fixture, peers, pool, configuration = start(dict.fromkeys(HOSTS, 0.1))
+    fixture.rows.state = StoreState.REACHED
+    for version in range(2, 12):
+        peers.report("h2", version + 1)
+        fixture.pass_time(0.2)
+        configuration.change_rows(make_configuration_rows(version))
+    assert pool.asked == []
+
+
+# shows that all hosts that the store refuses do not ask the first one that reports at once
+def test_hosts_that_the_store_refuses_ask_at_different_times() -> None:
+    times = set()
+    for seed in range(20):
+        fixture, peers, _, configuration = start(dict.fromkeys(HOSTS, 0.01), seed)
+        fixture.rows.state = StoreState.REACHED
+        times.add(find_adoption_time(fixture, peers, configuration))
+    assert len(times) >= 3
