End a gateway that is ordered to stop during its start, whatever is running

Cause: before the daemon has its own handlers, the one of deploy/gateway.py raised SystemExit wherever the main thread was. Code that catches all errors, or an extension that clears them, drops it.

Change: the handler ends the process itself. Nothing is open or written then.

test_a_stop_during_the_start_ends_the_process_whatever_is_running failed before (no exit in 10 s).

--- a/deploy/gateway.py
+++ b/deploy/gateway.py
@@ -9,7 +9,8 @@
 
 
 def _end_early(*_: object) -> None:
-    sys.exit(0)
+    # an exception would be lost in code that catches all of them, and the gateway would serve on
+    os._exit(0)
 
 
 # before the daemon has its own handlers a stop is no error and a reload needless
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from functools import partial
 from http.server import BaseHTTPRequestHandler
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -500,3 +501,14 @@
         Stop(gateway)
         connection.sendall(head.encode() + b"a part")
         assert read_to_end(connection).count(b"HTTP/1.1 ") == 1
+
+
+# soak seed 302: a gateway was ordered to stop while it loaded its modules, and served on
+def test_a_stop_during_the_start_ends_the_process_whatever_is_running(
+    platform: StandinPlatform,
+) -> None:
+    gateway = Gateway(platform.folder, platform.store.address)
+    gateway.program = Path(__file__).with_name("interrupted_gateway.py")
+    platform.gateways.append(gateway.start())
+    assert gateway.popen is not None
+    assert gateway.popen.wait(WAIT) == 0
