--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -26,7 +26,7 @@
 )
 from lavenderrun.dispatch._cold_servers import ColdServers, ColdSource, find_call_rate
 from lavenderrun.dispatch._computations import PromptComputations, estimate_computation
-from lavenderrun.dispatch._crash_evidence import ServerCrash
+from lavenderrun.dispatch._crash_evidence import ServerCrash, keep_newest
 from lavenderrun.dispatch._crashing_parts import MAX_SHARED_PARTS, CrashingParts, PartReport
 from lavenderrun.dispatch._crashing_texts import CrashingTexts, TextReport
 from lavenderrun.dispatch._decode_holds import (
@@ -62,6 +62,7 @@
     HostGroup,
 )
 from lavenderrun.dispatch._leases import (
+    NO_FENCING,
     FencingGuard,
     HostIncarnation,
     LeaseKeeper,
@@ -187,6 +188,7 @@
     "NO_BOOT",
     "NO_DATA_CENTRE",
     "NO_DEMAND",
+    "NO_FENCING",
     "NO_SUMS",
     "PLACEMENTS",
     "QUIET_SHARE",
@@ -325,6 +327,7 @@
     "has_capacity",
     "has_decode_engine",
     "has_lapsed",
+    "keep_newest",
     "keeps_silent_engine",
     "list_notices",
     "list_sums",
--- a/src/lavenderrun/gateway/_fleet_reports.py
+++ b/src/lavenderrun/gateway/_fleet_reports.py
@@ -8,6 +8,7 @@
 
 from lavenderrun.dispatch import (
     MAX_ROLE_CHANGE_TIME,
+    NO_FENCING,
     ComputedPrompt,
     Demand,
     PartReport,
@@ -35,10 +36,6 @@
 MAX_REPORTED_AGE: Final = 10.0
 """Longest time in seconds since a reported prompt was computed; older ones are not reported."""
 
-NO_FENCING: Final = FencingNumber(0)
-"""Below the number of any lease: an order that is told with its number replaces one without."""
-
-
 ALL_OTHERS: Final = HostId("")
 """Stands for all other hosts together: their sum is kept like the report of one host."""
 
@@ -222,6 +219,7 @@
         for name, role in report.moving.items():
             member = self._members.find(name)
             if member is not None:
+                # an order that is told with its number replaces one without
                 order = RoleOrder(name, member.incarnation, role, NO_FENCING, 0)
                 self._view.role_orders.record(order, MAX_ROLE_CHANGE_TIME, self._clock.now())
 
--- a/src/lavenderrun/gateway/_members.py
+++ b/src/lavenderrun/gateway/_members.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence, Set
 from datetime import datetime, timedelta
 from typing import Any, ClassVar, Final
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from lavenderrun.dispatch import DepartureNotice, DepartureNotices, EvacuationNotice, Evacuations
+from lavenderrun.dispatch import (
+    DepartureNotice,
+    DepartureNotices,
+    EvacuationNotice,
+    Evacuations,
+    keep_newest,
+)
 from lavenderrun.gateway._bounds import BoundsService
 from lavenderrun.gateway._follower import MAX_OUTAGE_WAIT, TableFollower, limit_changes_wait
 from lavenderrun.gateway._log import log, to_milliseconds
@@ -204,9 +210,7 @@
         """Apply all rows of the table, as ``TableListener`` requires."""
         present = {row.key for row in rows}
         self._unreadable = {key: None for key in self._unreadable if key in present}
-        for member in list(self._members):
-            if member not in present:
-                self._note_missing(member)
+        self._note_all_missing(present)
         self.change_rows(rows)
 
     def merge_copy(self, rows: Sequence[RowChange]) -> None:
@@ -215,20 +219,23 @@
         A server whose row is missing has time to write it again. A row takes back neither that its
         server is leaving or gone nor a later start; once the server writes it again, it holds.
         """
-        present = {row.key for row in rows}
-        for key in list(self._members):
-            if key not in present:
-                self._note_missing(key)
+        self._note_all_missing({row.key for row in rows})
         self.change_rows([row for row in rows if not self._is_undoing(row)])
 
+    def _note_all_missing(self, present: Set[str]) -> None:
+        """Note each server whose row is not among all those that are present."""
+        for member in list(self._members):
+            if member not in present:
+                self._note_missing(member)
+
     def _is_undoing(self, row: RowChange) -> bool:
         member = self._rows.dialect.decode_member(row) if row.value is not None else None
         if member is None:
             return False
-        known = self._registered.get(member.id)
         if member.id in self._removal_timers:
             # its row was removed, whatever the reason
             return True
+        known = self._registered.get(member.id)
         if known is None:
             return self._removed.get(member.id) == member.incarnation
         if known.incarnation != member.incarnation:
@@ -349,10 +356,7 @@
         if member is None:
             removed = self._members.pop(key)
             self._registered.pop(key, None)
-            self._removed.pop(key, None)
-            self._removed[key] = removed.incarnation
-            if len(self._removed) > MAX_REMOVED:
-                del self._removed[next(iter(self._removed))]
+            keep_newest(self._removed, key, removed.incarnation, MAX_REMOVED)
             self._departures.forget_row(key)
         else:
             self._members[key] = member
