Let a stopped host write its row no more after the store came back

Cause: after a return of the store each host writes its row again at a time of its own, up to 10 ms a host later. A host that was stopped before that removed its row, and then wrote it again; the others kept it for 10 s of silence.

Change: the timer is one of those that a stop cancels, and another return replaces it.

test_a_host_that_has_stopped_does_not_write_its_row_again failed before (1000 hosts, stopped 0.5 s after the return).

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -184,6 +184,7 @@
         self._report_protocol = _ReportProtocol(self._take_datagram)
         self._timer: Timer | None = None
         self._early_timer: Timer | None = None
+        self._restore_timer: Timer | None = None
         self._announcement: Deferred[None] | None = None
         self._row_version = 0
         self._last_sent: datetime = kernel.clock.now()
@@ -225,7 +226,8 @@
 
     async def stop(self) -> None:
         """Stop reporting and remove this host's row."""
-        for timer in (self._timer, self._early_timer, self._silence_timer):
+        timers = (self._timer, self._early_timer, self._silence_timer, self._restore_timer)
+        for timer in timers:
             if timer is not None:
                 timer.cancel()
         self.follower.stop()
@@ -310,8 +312,10 @@
             if host not in present and host not in reporting:
                 del self._peers[host]
         self.change_rows(rows)
+        if self._restore_timer is not None:
+            self._restore_timer.cancel()
         delay = RESTORE_INTERVAL * self.count_hosts() * self._random.random()
-        self._clock.call_later(delay, self._announce)
+        self._restore_timer = self._clock.call_later(delay, self._announce)
 
     def _find_previous(self, rows: Sequence[RowChange]) -> BootId:
         for row in rows:
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -8,6 +8,7 @@
 import pytest
 from eliot import add_destinations, remove_destination
 from store_fixture import BOUNDS, SERVER_ROW, START, BreakingStore, StoreFixture
+from twisted.internet.defer import Deferred
 
 from lavenderrun.dispatch import EraVerdict, HostIncarnation, LeaseKeeper, LeaseTerms, StoredLease
 from lavenderrun.dispatch._store_eras import MAX_RISE, StoreEras
@@ -175,6 +176,22 @@
         assert host.store.copy()[1][HOSTS, "h1"][0] > copy[0]
 
 
+# a host that was stopped just after a return wrote its row again after it had removed it
+def test_a_host_that_has_stopped_does_not_write_its_row_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    host = Host()
+    copy = host.store.copy()
+    # hosts write their rows again one after the other
+    monkeypatch.setattr(host.peers, "count_hosts", lambda: 1000)
+    host.store.go_back(copy)
+    host.fixture.pass_time(0.5)
+    stopped = Deferred.fromCoroutine(host.peers.stop())
+    host.fixture.pass_time(11)
+    assert stopped.called
+    assert host.store.copy()[1].get((HOSTS, "h1"), (0, None))[1] is None
+
+
 def test_a_return_is_logged_once_and_an_answer_of_the_earlier_era_is_none() -> None:
     host = Host()
     lines: list[dict[str, Any]] = []
