--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -34,10 +34,14 @@
 
 
 class StoreEndpoint:
-    """One address of the store, which can refuse all calls or answer none."""
+    """One address of the store, which can refuse all calls or answer none.
+
+    :ivar refusal: status with which it refuses them.
+    """
 
     def __init__(self, store: Store) -> None:
         self.refusing = False
+        self.refusal = 503
         self.silent = False
         endpoint = self
 
@@ -139,7 +143,7 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         with self._changed:
             if endpoint.refusing:
-                return 503, {}
+                return endpoint.refusal, {}
             if url.path == "/api/rows-tx":
                 return self._transact(json.loads(body))
             if url.path == "/api/rows-feed":
@@ -166,8 +170,10 @@
     def _feed(self, endpoint: StoreEndpoint, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         until, era = time.monotonic() + int(query["wait-ms"]) / 1000, self.era
         while True:
+            if endpoint.refusing:
+                return endpoint.refusal, {}
             # no call outlives the store that it waits in
-            if endpoint.refusing or era != self.era:
+            if era != self.era:
                 return 503, {}
             if not self.history_from <= int(query["after"]) <= self.version:
                 return 410, {}
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -413,10 +413,13 @@
     assert 9 <= served <= 11
 
 
+# 429 is no outage, and a gateway that got nothing else served keys that had been taken away
+@pytest.mark.parametrize("refusal", [503, 429])
 def test_a_gateway_that_the_store_refuses_gets_the_configuration_from_another(
-    platform: StandinPlatform, gateway: Gateway
+    platform: StandinPlatform, gateway: Gateway, refusal: int
 ) -> None:
     endpoint = platform.store.add_endpoint()
+    endpoint.refusal = refusal
     other = platform.wait_known(platform.add_gateway("front-2", endpoint))
     wait_for(lambda: other.lines("peers:heard") and gateway.lines("peers:heard"), "peers")
     endpoint.refusing = True
