--- a/tests/platform/test_store_returns.py
+++ b/tests/platform/test_store_returns.py
@@ -93,3 +93,23 @@
         "rows written again",
     )
     assert [gateway.call(PLAIN + "x").status for gateway in gateways] == [200, 200]
+
+
+# a host that started after a return knew the older copy alone, and served a key that was taken away
+def test_a_host_that_starts_after_a_return_has_the_newer_configuration(
+    platform: StandinPlatform, gateways: list[Gateway]
+) -> None:
+    copy = platform.store.copy()
+    accounts = make_config(1)["tenants"]
+    accounts[0]["api-keys"] = ["another-key"]
+    platform.configure(tenants=accounts)
+    wait_for(
+        lambda: all(len(gateway.lines("configuration:in_force")) == 2 for gateway in gateways),
+        "key is known",
+    )
+    return_from(platform, copy, lambda: None)
+    started = platform.wait_known(platform.add_gateway("front-3"))
+    wait_for(lambda: len(started.lines("configuration:in_force")) == 2, "key is known")
+    assert started.lines("configuration:in_force")[1]["source"] in {"front-1", "front-2"}
+    assert started.call(PLAIN + "x", key="another-key").status == 200
+    assert started.call(PLAIN + "x").status == 401
