--- a/src/lavenderrun/gateway/_peer_configuration.py
+++ b/src/lavenderrun/gateway/_peer_configuration.py
@@ -62,8 +62,9 @@
         self._requests: dict[HostId, Deferred[None]] = {}
         self._last_began: datetime = kernel.clock.now()
         self._random = kernel.random_source
-        self._outdated: DocumentVersion | None = None
-        self._read_due: datetime = kernel.clock.now()
+        # version in force when a newer one was first reported, and until when the store may tell it
+        self._outdated_version: DocumentVersion | None = None
+        self._own_read_due: datetime = kernel.clock.now()
 
     def start(self) -> None:
         """Start to watch peer reports."""
@@ -95,11 +96,11 @@
         if self._rows.state is StoreState.LOST:
             return True
         now = self._clock.now()
-        if self._outdated != self._configuration.version:
+        if self._outdated_version != self._configuration.version:
             spread = (MAX_OWN_READ_TIME - MIN_OWN_READ_TIME) * self._random.random()
-            self._outdated = self._configuration.version
-            self._read_due = now + MIN_OWN_READ_TIME + spread
-        return now >= self._read_due
+            self._outdated_version = self._configuration.version
+            self._own_read_due = now + MIN_OWN_READ_TIME + spread
+        return now >= self._own_read_due
 
     def _may_request(self, host: HostId) -> bool:
         if not self._requests:
