--- a/review/15/case.py
+++ b/review/15/case.py
@@ -27,7 +27,8 @@
 GATEWAYS = 3
 USUAL_PER_S, HOT_FACTOR = 3.6, 7.5
 PARTS, PART_TOKENS = 12, 80
-WARM_UP, REPEAT_EVERY, REPEATS = 5.0, 2.0, 12
+CALM, HOT_SECONDS, WARM_UP = 4.0, 11.0, 1.5
+REPEAT_EVERY, REPEATS = 1.1, 9
 DOWN_SECONDS, CONTACT, ALLOWED = 2.0, 3.0, 3
 TOKENS_PER_S = 33333
 """The speed at which engines read prompts, by the sheets."""
@@ -52,7 +53,7 @@
 
     def __init__(self, ports: list[int], per_second: float) -> None:
         super().__init__(daemon=True)
-        self._ports, self._pause = ports, 1 / per_second
+        self._ports, self.per_second = ports, per_second
         self._lock = threading.Lock()
         self.statuses: dict[int, int] = {}
         self.is_over = False
@@ -64,7 +65,7 @@
             port = self._ports[number % len(self._ports)]
             threading.Thread(target=self._send, args=(number, port), daemon=True).start()
             number += 1
-            due += self._pause
+            due += 1 / self.per_second
             time.sleep(max(0.0, due - time.monotonic()))
 
     def _send(self, number: int, port: int) -> None:
@@ -125,10 +126,13 @@
     gateways = [deployment.add_gateway(f"front-{n}") for n in range(1, GATEWAYS + 1)]
     deployment.wait_known()
     ports = [gateway.front for gateway in gateways]
-    per_second = USUAL_PER_S * (HOT_FACTOR if has_trouble() else 1)
-    traffic = Traffic(ports, per_second)
+    traffic = Traffic(ports, USUAL_PER_S)
     traffic.start()
-    record.write(f"tenant large sends {per_second:.1f} streams a second")
+    time.sleep(CALM)
+    hot_until = time.monotonic() + HOT_SECONDS
+    if has_trouble():
+        traffic.per_second = USUAL_PER_S * HOT_FACTOR
+        record.write(f"tenant large sends {traffic.per_second:.1f} streams a second")
     time.sleep(WARM_UP)
     for number in range(REPEATS):
         sent = time.monotonic()
@@ -146,6 +150,7 @@
             connection.close()
         record.write(f"d{number} at front-{number % GATEWAYS + 1}: answered {status}")
         time.sleep(max(0.0, sent + REPEAT_EVERY - time.monotonic()))
+    time.sleep(max(0.0, hot_until - time.monotonic()))
     traffic.is_over = True
     time.sleep(1)
     record.write(f"streams of tenant large by status: {traffic.statuses}")
