--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,168 +1,74 @@
-"""A tenant sends many prompts of many parts, while one request crashes the workers that run it."""
+"""The operator raises the limit of header bytes, and callers use it."""
 
 from __future__ import annotations
 
-import hashlib
-import http.client
-import json
+import socket
 import sys
-import threading
 import time
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib3"))
 
 from harness import Deployment, Record, has_trouble, run_case  # noqa: E402
-from platform_standin import (  # noqa: E402
-    HOST,
-    KEY,
-    ORDERS,
-    OTHER_KEY,
-    STREAM,
-    SeenRequest,
-    StandinServer,
-)
-
-GATEWAYS = 3
-USUAL_PER_S, HOT_FACTOR = 3.6, 7.5
-PARTS, PART_TOKENS = 12, 80
-CALM, HOT_SECONDS, WARM_UP = 4.0, 11.0, 1.5
-REPEAT_EVERY, REPEATS = 1.1, 9
-DOWN_SECONDS, CONTACT, ALLOWED = 2.0, 3.0, 3
-TOKENS_PER_S = 33333
-"""The speed at which engines read prompts, by the sheets."""
-
-DEADLY = b"the layout that crashes"
-
-SERVICES = [
-    {"name": "llm", "health-path": "/healthz", "max-conns": 370, "protocol": "h1", "tls": False,
-     "engine": {"slots": 64, "kv-tokens": 38202, "kv-token-bytes": 18432, "kv-hold-s": 0.5,
-                "swap-s": 6.0}},
-    {"name": "apps", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": False},
-]
-
-
-def make_tenant(name: str, key: str) -> dict[str, Any]:
-    return {"name": name, "api-keys": [key], "priority": 1, "unit": "tokens", "plain-tokens": 200,
-            "rate-per-s": 47000, "burst": 47000}
-
-
-class Traffic(threading.Thread):
-    """The streams of one tenant, each with a prompt of many parts."""
-
-    def __init__(self, ports: list[int], per_second: float) -> None:
-        super().__init__(daemon=True)
-        self._ports, self.per_second = ports, per_second
-        self._lock = threading.Lock()
-        self.statuses: dict[int, int] = {}
-        self.is_over = False
-
-    def run(self) -> None:
-        number = 0
-        due = time.monotonic()
-        while not self.is_over:
-            port = self._ports[number % len(self._ports)]
-            threading.Thread(target=self._send, args=(number, port), daemon=True).start()
-            number += 1
-            due += 1 / self.per_second
-            time.sleep(max(0.0, due - time.monotonic()))
-
-    def _send(self, number: int, port: int) -> None:
-        parts = [hashlib.sha256(f"{n // 8}-{number}".encode() + bytes([n])).hexdigest()
-                 for n in range(PARTS)]
-        headers = {
-            "Host": HOST, "X-Request-Id": f"t{number}", "X-Deadline-Ms": "14000",
-            "Authorization": f"Bearer {KEY}", "X-Model": "m",
-            "X-Token-Count": f"{PARTS * PART_TOKENS},40",
-            "X-Prefix-Hash": ",".join(f"{part}:{PART_TOKENS}" for part in parts),
-        }
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
-        try:
-            connection.request("POST", f"{STREAM}x", b"a sample text", headers)
-            response = connection.getresponse()
-            response.read()
-            status = response.status
-        except (OSError, http.client.HTTPException):
-            status = 0
-        finally:
-            connection.close()
-        with self._lock:
-            self.statuses[status] = self.statuses.get(status, 0) + 1
+from platform_standin import HOST, KEY, PLAIN, StandinServer  # noqa: E402
+
+OLD_LIMIT, NEW_LIMIT = 16384, 32768
+USUAL, LONG = 200, 20
+SMALL_LINE, LONG_LINE = 100, 9000
+CALM, IN_FORCE = 3.5, 3.0
+
+
+def make_limits(header_bytes: int) -> dict[str, int]:
+    return {
+        "header-bytes": header_bytes, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
+        "idle-timeout-ms": 15000,
+    }
+
+
+def call(port: int, request: str, line: int) -> tuple[int, int]:
+    """Send a request with two cookies of *line* bytes; return its header bytes and the status."""
+    head = (
+        f"GET {PLAIN}x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request}\r\n"
+        f"X-Deadline-Ms: 1500\r\nAuthorization: Bearer {KEY}\r\n"
+        f"X-Draft: {'a' * line}\r\nX-Layout: {'b' * line}\r\n\r\n"
+    ).encode()
+    with socket.create_connection(("127.0.0.1", port), 3) as connection:
+        connection.sendall(head)
+        answer = b""
+        while b"\r\n" not in answer:
+            piece = connection.recv(4096)
+            if not piece:
+                return len(head), 0
+            answer += piece
+    return len(head), int(answer.split()[1])
 
 
 def play(deployment: Deployment, record: Record) -> bool:
     platform = deployment.platform
-    platform.configure(
-        services=SERVICES, tenants=[make_tenant("large", KEY), make_tenant("small", OTHER_KEY)]
-    )
-    crashes: list[tuple[float, str]] = []
-
-    def run_order(server: StandinServer, handler: Any, seen: SeenRequest) -> bool:
-        if seen.body != DEADLY:
-            return False
-        crashes.append((time.monotonic(), server.id))
-        record.write(f"{seen.headers['x-request-id']} crashes {server.id}")
-        platform.crash(server, DOWN_SECONDS)
-        return True
-
-    locks = {f"i-e{number}": threading.Lock() for number in (1, 2)}
-
-    def compute(server: StandinServer, _handler: Any, seen: SeenRequest) -> bool:
-        """Take the time that an engine takes for a prompt, one prompt after the other."""
-        if server.id in locks:
-            tokens = int(seen.headers["x-token-count"].partition(",")[0])
-            with locks[server.id]:
-                time.sleep(tokens / TOKENS_PER_S)
-        return False
-
-    for number in range(1, 4):
-        platform.add(StandinServer(f"i-a{number}", "apps", behave=run_order))
-    for number in range(1, 7):
-        stage = "prefill" if number <= len(locks) else "decode"
-        server = StandinServer(f"i-e{number}", "llm", stage, events=4, behave=compute)
-        engine = platform.add(server)
-        platform.store.put("servers", engine.id, engine.entry(slots=64))
-    gateways = [deployment.add_gateway(f"front-{n}") for n in range(1, GATEWAYS + 1)]
+    platform.configure(limits=make_limits(OLD_LIMIT))
+    for name in ("i-a1", "i-a2", "i-a3"):
+        platform.add(StandinServer(name, "apps"))
+    gateways = [deployment.add_gateway(f"front-{n}") for n in (1, 2)]
     deployment.wait_known()
-    ports = [gateway.front for gateway in gateways]
-    traffic = Traffic(ports, USUAL_PER_S)
-    traffic.start()
     time.sleep(CALM)
-    hot_until = time.monotonic() + HOT_SECONDS
     if has_trouble():
-        traffic.per_second = USUAL_PER_S * HOT_FACTOR
-        record.write(f"tenant large sends {traffic.per_second:.1f} streams a second")
-    time.sleep(WARM_UP)
-    for number in range(REPEATS):
-        sent = time.monotonic()
-        connection = http.client.HTTPConnection("127.0.0.1", ports[number % GATEWAYS], timeout=3)
-        headers = {
-            "Host": HOST, "X-Request-Id": f"d{number}", "X-Deadline-Ms": "1500",
-            "Authorization": f"Bearer {OTHER_KEY}",
-        }
-        try:
-            connection.request("POST", f"{ORDERS}layout-7", DEADLY, headers)
-            status = connection.getresponse().status
-        except (OSError, http.client.HTTPException):
-            status = 0
-        finally:
-            connection.close()
-        record.write(f"d{number} at front-{number % GATEWAYS + 1}: answered {status}")
-        time.sleep(max(0.0, sent + REPEAT_EVERY - time.monotonic()))
-    time.sleep(max(0.0, hot_until - time.monotonic()))
-    traffic.is_over = True
-    time.sleep(1)
-    record.write(f"streams of tenant large by status: {traffic.statuses}")
-    for gateway in gateways:
-        unreadable = len(gateway.lines("peers:unreadable"))
-        record.write(f"{gateway.name} could not read {unreadable} reports of its peers")
-    record.write(f"crashes: {len(crashes)}")
-    if len(crashes) < 3:
-        return False
-    late = [server for at, server in crashes if at > crashes[2][0] + CONTACT]
-    record.write(f"workers reached {CONTACT} s after the third crash or later: {len(late)}")
-    return len(late) > ALLOWED
+        platform.configure(limits=make_limits(NEW_LIMIT))
+        record.write(f"configuration with header-bytes {NEW_LIMIT} acknowledged")
+    time.sleep(IN_FORCE)
+    denied, sent = 0, 0
+    long_line = LONG_LINE if has_trouble() else SMALL_LINE
+    for line, count in ((SMALL_LINE, USUAL), (long_line, LONG)):
+        statuses: dict[int, int] = {}
+        size = 0
+        for number in range(count):
+            size, status = call(gateways[number % 2].front, f"r{line}-{number}", line)
+            statuses[status] = statuses.get(status, 0) + 1
+            denied += 300 <= status < 500 and status not in {408, 421, 429}
+            sent += 1
+        record.write(f"{count} requests with {size} header bytes: statuses {statuses}")
+    ran = sum(len(server.runs) for server in platform.servers.values())
+    record.write(f"{sent} sent, {ran} run, {denied} denied; allowed {5 + sent / 500:.1f}")
+    return denied > 5 + sent / 500
 
 
 if __name__ == "__main__":
