--- a/review/12/case.py
+++ b/review/12/case.py
@@ -18,7 +18,7 @@
 CALLERS = 6
 EVENTS, EVENT_BYTES, STEP = 160, 550, 0.01
 READS_FIRST, PAUSE = 0.5, 4.5
-RECEIVE_BUFFER = 8192
+RECEIVE_BUFFER = 32768
 CALM = 4.5
 END = b"0\r\n\r\n"
 TIMES = {"contact-ms": 4000, "ack-ms": 6000, "catch-up-s": 6, "drain-ms": 3000}
