--- a/review/11/case.py
+++ b/review/11/case.py
@@ -14,7 +14,7 @@
 from harness import Deployment, Record, has_trouble, run_case  # noqa: E402
 from platform_standin import HOST, KEY, ORDERS, SeenRequest, StandinServer  # noqa: E402
 
-CLIENTS, ORDERS_EACH, PAUSE = 6, 20, 0.1
+CLIENTS, ORDERS_EACH, PAUSE = 6, 40, 0.1
 FAIL_SHARE = 0.4
 DEADLINE_MS = 1500
 CALM = 3.5
