Replace failures that deny a run that has begun

Cause: decide_after_attempt and decide_after_stream_attempt passed every whole failure on. Whether a call has run is read from X-Not-Executed, but what its caller reads is the status.

Change: the decoded head says whether its status denies the run (408, 421, 429, 503). Such a failure of a call that may run once only is replaced by a refusal with status 502 and outcome unknown, which promises nothing. Calls that may be repeated, and all other statuses, are passed on unchanged.

--- a/src/lavenderrun/dispatch/_attempt_decisions.py
+++ b/src/lavenderrun/dispatch/_attempt_decisions.py
@@ -24,11 +24,13 @@
     :param sent: a byte of the call may have reached the server.
     :param kind: what the answer's head says, ``None`` without one.
     :param failure: why the answer is incomplete or missing, ``None`` when it is complete.
+    :param denies_run: callers take the answer's status as a promise that the call has not run.
     """
 
     sent: bool
     kind: AnswerKind | None = None
     failure: CallFailure | None = None
+    denies_run: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -42,6 +44,13 @@
         """Whether the answer is neither complete nor a whole failure."""
         return self.failure is not None or self.kind is not AnswerKind.FAILED
 
+    def is_misleading(self, *, idempotent: bool) -> bool:
+        """Tell whether the answer would have a caller repeat a call that may run once only.
+
+        A server that has not begun a call says so apart from the status.
+        """
+        return self.denies_run and self.may_have_run and not idempotent
+
 
 def decide_after_attempt(
     outcome: AttemptOutcome, *, idempotent: bool, may_resend: bool
@@ -57,6 +66,6 @@
         return AttemptDecision.TRY_AGAIN if may_resend else AttemptDecision.REFUSE_NOT_RUN
     if idempotent and may_resend:
         return AttemptDecision.TRY_AGAIN
-    if outcome.failure is None and outcome.kind is AnswerKind.FAILED:
-        return AttemptDecision.PASS_ON
-    return AttemptDecision.FAIL_UNKNOWN
+    if outcome.has_broken or outcome.is_misleading(idempotent=idempotent):
+        return AttemptDecision.FAIL_UNKNOWN
+    return AttemptDecision.PASS_ON
--- a/src/lavenderrun/dispatch/_stream_decisions.py
+++ b/src/lavenderrun/dispatch/_stream_decisions.py
@@ -99,7 +99,11 @@
     if outcome.failure is None and outcome.kind is AnswerKind.FAILED:
         if may_repeat:
             return StreamDecision.SEND_TO_ANOTHER
-        return StreamDecision.CUT if situation.is_begun else StreamDecision.PASS_FAILURE_ON
+        if situation.is_begun:
+            return StreamDecision.CUT
+        if outcome.is_misleading(idempotent=situation.is_idempotent):
+            return StreamDecision.REFUSE_LOST
+        return StreamDecision.PASS_FAILURE_ON
     if may_repeat:
         return StreamDecision.RESUME
     return StreamDecision.CUT if situation.is_begun else StreamDecision.REFUSE_LOST
--- a/src/lavenderrun/gateway/_attempt.py
+++ b/src/lavenderrun/gateway/_attempt.py
@@ -100,7 +100,9 @@
     @property
     def outcome(self) -> AttemptOutcome:
         """How the attempt ended, for ``decide_after_attempt``."""
-        return AttemptOutcome(self.sent, self.head.kind if self.head else None, self.failure)
+        if self.head is None:
+            return AttemptOutcome(self.sent, None, self.failure)
+        return AttemptOutcome(self.sent, self.head.kind, self.failure, self.head.denies_run)
 
     def send(
         self, context: CallContext, *, force_new: bool, unused_connection: Connection | None = None
--- a/src/lavenderrun/gateway/_running_call.py
+++ b/src/lavenderrun/gateway/_running_call.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from lavenderrun.dispatch import MIN_SERVICE_TIME, Access, GracePeriod
+from lavenderrun.gateway._attempt import Attempt
 from lavenderrun.gateway._call_log import CallLog
 from lavenderrun.gateway._call_services import CallServices
 from lavenderrun.gateway._stats import (
@@ -324,6 +325,16 @@
         size, first_event = self._admitted.call.size, self._find_first_event()
         self._services.durations.observe(route, size, took, first_event)
 
+    def _log_misleading(self, attempt: Attempt) -> None:
+        """Log that an answer is replaced, because its status denies that the call has run."""
+        if attempt.head is not None:
+            self._call_log.write(
+                "replaced",
+                "failure replaced, its status denies that the call has run",
+                member=attempt.member.id,
+                status=attempt.head.status,
+            )
+
     def _find_first_event(self) -> timedelta | None:
         """Return the time to the first event, ``None`` without one."""
         return None
--- a/src/lavenderrun/gateway/_stream_call.py
+++ b/src/lavenderrun/gateway/_stream_call.py
@@ -237,6 +237,9 @@
             self._cache.note_lost()
         if not situation.is_complete and self._silence.replace_ended():
             return
+        is_misleading = attempt.outcome.is_misleading(idempotent=situation.is_idempotent)
+        if is_misleading and not situation.is_begun:
+            self._log_misleading(attempt)
         self._silence.end()
         self._resumption.continue_after(attempt, situation)
 
--- a/src/lavenderrun/gateway/_whole_call.py
+++ b/src/lavenderrun/gateway/_whole_call.py
@@ -61,6 +61,7 @@
         self._queued: QueuedPlainCall | None = None
         self._poll_timer: Timer | None = None
         self._is_outcome_unknown = False
+        self._loss = "answer lost or not whole"
         self._hedge = CallHedge(
             self._services,
             self._admitted,
@@ -108,7 +109,10 @@
         """Pass the answer on, send the call again or refuse it."""
         answer = self._running_attempts.pop(attempt)
         self._free_server(attempt)
-        if not self._is_over and attempt.failure is None and attempt.outcome.may_have_run:
+        route, outcome = self._admitted.access.route, attempt.outcome
+        is_misleading = outcome.is_misleading(idempotent=route.is_idempotent)
+        is_whole = outcome.failure is None and outcome.may_have_run
+        if not self._is_over and is_whole and not is_misleading:
             self._keep_answer(attempt, answer)
         else:
             answer.drop()
@@ -118,12 +122,14 @@
             # nothing was written, so it counts neither as an attempt nor as a resend
             self._handle_unreached(attempt)
             return
-        route = self._admitted.access.route
         may_resend = bool(self._attempts_left > 0 and self._time_left() > MIN_SEND_TIME)
         decision = decide_after_attempt(
-            attempt.outcome, idempotent=route.is_idempotent, may_resend=may_resend
+            outcome, idempotent=route.is_idempotent, may_resend=may_resend
         )
-        self._is_outcome_unknown = self._is_outcome_unknown or attempt.outcome.may_have_run
+        self._is_outcome_unknown = self._is_outcome_unknown or outcome.may_have_run
+        if is_misleading:
+            self._loss = "backend server failed"
+            self._log_misleading(attempt)
         if decision is AttemptDecision.PASS_ON:
             self._pass_on(attempt, answer)
         elif decision is AttemptDecision.TRY_AGAIN and self._resend():
@@ -294,7 +300,7 @@
         elif decision is AttemptDecision.REFUSE_NOT_RUN or not self._may_have_run():
             self._refuse_without_capacity("backend servers rejected the call")
         else:
-            self._refuse(Refusal.BACKEND_LOST, Step.CALL, "answer lost or not whole")
+            self._refuse(Refusal.BACKEND_LOST, Step.CALL, self._loss)
 
     def _may_have_run(self) -> bool:
         return self._is_outcome_unknown or any(attempt.sent for attempt in self._running_attempts)
--- a/src/lavenderrun/platform/_backends.py
+++ b/src/lavenderrun/platform/_backends.py
@@ -52,6 +52,9 @@
 UNAVAILABLE: Final = 503
 MISDIRECTED: Final = 421
 FIRST_SUCCESS, FIRST_REDIRECT = 200, 300
+DENYING_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its call has not run and never will."""
+
 GATEWAY_ONLY_HEADERS: Final = frozenset(
     {
         header_names.SERVER,
@@ -136,6 +139,7 @@
             names_call=header_names.find_value(headers, header_names.REQUEST_ID) == request,
             rest=_read_rest(status, header_names.find_value(headers, header_names.RETRY_AFTER)),
             cold=_read_cold(header_names.find_value(headers, header_names.COLD)),
+            denies_run=status in DENYING_STATUSES,
         )
 
     def decode_export(self, source: str, body: bytes) -> HeldCache | None:
--- a/src/lavenderrun/types/_calls.py
+++ b/src/lavenderrun/types/_calls.py
@@ -166,6 +166,7 @@
     :param rest: how long the backend server asks this host to send it nothing, ``None`` without.
     :param names_call: the answer carries the id of the call.
     :param cold: how long the backend server says it stays cold, ``None`` when it does not say.
+    :param denies_run: callers take the status as a promise that the call has not run.
     """
 
     status: int
@@ -178,6 +179,7 @@
     rest: timedelta | None = None
     names_call: bool = True
     cold: timedelta | None = None
+    denies_run: bool = False
 
 
 class CallFailure(Enum):
--- a/tests/dispatch/test_choices.py
+++ b/tests/dispatch/test_choices.py
@@ -183,14 +183,16 @@
 @pytest.mark.parametrize("sent", [True, False])
 @pytest.mark.parametrize("kind", [None, *AnswerKind])
 @pytest.mark.parametrize("failure", [None, *CallFailure])
+@pytest.mark.parametrize("denies_run", [True, False])
 def test_a_call_that_may_have_run_is_resent_only_when_idempotent_and_never_refused_as_not_run(
     idempotent: bool,
     may_resend: bool,
     sent: bool,
     kind: AnswerKind | None,
     failure: CallFailure | None,
+    denies_run: bool,
 ) -> None:
-    outcome = AttemptOutcome(sent, kind, failure)
+    outcome = AttemptOutcome(sent, kind, failure, denies_run and kind is not AnswerKind.SERVED)
     decision = decide_after_attempt(outcome, idempotent=idempotent, may_resend=may_resend)
     if outcome.may_have_run and not idempotent:
         assert decision in {AttemptDecision.PASS_ON, AttemptDecision.FAIL_UNKNOWN}
@@ -200,6 +202,9 @@
         assert decision is not AttemptDecision.TRY_AGAIN
     if failure is not None:
         assert decision is not AttemptDecision.PASS_ON
+    # an order that had run was answered as not run
+    if outcome.denies_run and outcome.may_have_run and not idempotent:
+        assert decision is AttemptDecision.FAIL_UNKNOWN
 
 
 def make_queued_call(ago: float, rank: int = 1) -> QueuedCall:
--- a/tests/dispatch/test_stream_decisions.py
+++ b/tests/dispatch/test_stream_decisions.py
@@ -22,6 +22,7 @@
     st.booleans(),
     st.sampled_from([None, *AnswerKind]),
     st.sampled_from([None, *CallFailure]),
+    st.booleans(),
 )
 SITUATIONS = st.builds(
     StreamSituation,
@@ -68,6 +69,17 @@
         assert decision is not StreamDecision.REFUSE_NOT_RUN
 
 
+# a stream that may run once and had run was answered as not run
+@given(SITUATIONS)
+def test_a_failure_that_denies_the_run_is_passed_on_only_if_the_stream_may_be_resumed(
+    situation: StreamSituation,
+) -> None:
+    outcome = situation.outcome
+    if outcome.denies_run and outcome.may_have_run and not situation.is_idempotent:
+        decision = decide_after_stream_attempt(situation)
+        assert decision is not StreamDecision.PASS_FAILURE_ON
+
+
 # a stream was refused at once, because there was no other engine to take its cache
 @given(SITUATIONS)
 def test_held_cache_is_offered_again_to_an_engine_that_rejects_it_and_is_the_only_one(
