Tell processes that pause reading from hosts that are gone

Cause: TCP_USER_TIMEOUT of 3 s on every connection. Linux counts the time for which a window stays closed, too, although the other kernel answers each probe; so the option can't tell a process that reads nothing from a host that is gone.

Change: the option is gone. A service connection_watch reads TCP_INFO of connections with a call under way and closes those whose host left two sends or two probes of a closed window unanswered, with 3 s of silence. A metric and a log line tell of each.

--- a/src/lavenderrun/daemons/_gateway.py
+++ b/src/lavenderrun/daemons/_gateway.py
@@ -47,6 +47,7 @@
     "roles",
     "router",
     "callers",
+    "connection_watch",
     "pages",
     "departure",
 )
--- a/src/lavenderrun/dispatch/__init__.py
+++ b/src/lavenderrun/dispatch/__init__.py
@@ -9,6 +9,7 @@
     authorize_call,
     digest_key,
 )
+from lavenderrun.dispatch._acknowledgements import AcknowledgementTracker, SendState
 from lavenderrun.dispatch._answer_pace import AnswerPace
 from lavenderrun.dispatch._attempt_decisions import (
     AttemptDecision,
@@ -202,6 +203,7 @@
     "TAKEOVER_AFTER",
     "VALUE_WIDTHS",
     "Access",
+    "AcknowledgementTracker",
     "AggregatorChoice",
     "AnswerPace",
     "ArrivalWindow",
@@ -272,6 +274,7 @@
     "RoleOrders",
     "RoleWork",
     "RouteIndex",
+    "SendState",
     "ServerCrash",
     "ServerNotice",
     "ServerRests",
--- a/src/lavenderrun/gateway/__init__.py
+++ b/src/lavenderrun/gateway/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lavenderrun.gateway import _callers as _callers
+from lavenderrun.gateway import _connection_watch as _connection_watch
 from lavenderrun.gateway import _departure as _departure
 from lavenderrun.gateway import _fleet_reports as _fleet_reports
 from lavenderrun.gateway import _pages as _pages
--- a/src/lavenderrun/gateway/_caller_channel.py
+++ b/src/lavenderrun/gateway/_caller_channel.py
@@ -13,7 +13,12 @@
 
 from lavenderrun.gateway._caller_request import CallerRequest
 from lavenderrun.gateway._sockets import set_socket_options
-from lavenderrun.http_server import AccountedChannel, AccountedFactory, RequestAccount
+from lavenderrun.http_server import (
+    AccountedChannel,
+    AccountedFactory,
+    CloseReason,
+    RequestAccount,
+)
 from lavenderrun.types import Headers
 
 MIN_BODY_TIME: Final = timedelta(seconds=3)
@@ -127,6 +132,16 @@
         self.factory.channels.pop(self, None)
         super().connectionLost(reason)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is under way."""
+        return bool(self.requests)
+
+    def close_lost(self) -> None:
+        """Close the connection at once, because the caller's host is gone."""
+        self.note_closing(CloseReason.CALLER)
+        self.transport.abortConnection()
+
     def extend_idle_timeout(self, limit: timedelta) -> None:
         """Begin a longer idle timeout if the connection is idle."""
         if not self._has_limits and not self._handlingRequest:
--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -97,6 +97,15 @@
         """Whether the connection can still be written to."""
         return self._open
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a call is under way."""
+        return self._open and self._receiver is not None
+
+    def close_lost(self) -> None:
+        """Close at once, because the server's host is gone; the call under way ends as reset."""
+        self.transport.abortConnection()
+
     def connectionMade(self) -> None:  # noqa: N802
         """Turn off send delays and turn on the detection of a silent peer."""
         self._open = True
--- a/src/lavenderrun/gateway/_pool.py
+++ b/src/lavenderrun/gateway/_pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
@@ -365,6 +365,11 @@
                 connection.abort()
             idle_connections.entries.clear()
 
+    @property
+    def connections(self) -> Collection[Connection]:
+        """The open connections."""
+        return self._addresses.keys()
+
     def count_open(self) -> int:
         """Return the number of open connections."""
         return len(self._addresses)
--- a/src/lavenderrun/gateway/_sockets.py
+++ b/src/lavenderrun/gateway/_sockets.py
@@ -1,4 +1,4 @@
-"""TCP options of every connection: no delay, keep-alive and a limit on unacknowledged data."""
+"""TCP options of every connection, and what the kernel knows of what was sent over it."""
 
 from __future__ import annotations
 
@@ -9,14 +9,13 @@
 from datetime import timedelta
 from typing import Any, Final
 
+from lavenderrun.dispatch import SendState
+
 KEEPALIVE_IDLE: Final = timedelta(seconds=1)
 KEEPALIVE_INTERVAL: Final = timedelta(seconds=1)
 KEEPALIVE_PROBES: Final = 2
 """Keep-alive probes; they detect a lost path within three seconds, the time allowed for that."""
 
-MAX_UNACKNOWLEDGED_TIME: Final = timedelta(seconds=3)
-"""Longest time that sent data may stay unacknowledged before the connection is closed."""
-
 MAX_ACCEPTS: Final = 1024
 """Connections that are accepted before a port is closed; more than its backlog."""
 
@@ -38,9 +37,13 @@
     ("TCP_KEEPIDLE", int(KEEPALIVE_IDLE.total_seconds())),
     ("TCP_KEEPINTVL", int(KEEPALIVE_INTERVAL.total_seconds())),
     ("TCP_KEEPCNT", KEEPALIVE_PROBES),
-    ("TCP_USER_TIMEOUT", int(MAX_UNACKNOWLEDGED_TIME.total_seconds() * 1000)),
 )
 
+TCP_INFO_FORMAT: Final = struct.Struct("8B24I")
+"""The part of Linux's ``struct tcp_info`` that all its versions have."""
+
+PROBES_FIELD, UNACKNOWLEDGED_FIELD, LAST_SENT_FIELD, LAST_ACKNOWLEDGED_FIELD = 3, 12, 17, 20
+
 
 def set_socket_options(transport: Any) -> None:
     """Set the TCP options on a connected transport."""
@@ -53,6 +56,27 @@
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def read_send_state(transport: Any) -> SendState | None:
+    """Return what became of what was sent over a connected transport.
+
+    :returns: ``None`` where the operating system does not tell.
+    """
+    option = getattr(socket, "TCP_INFO", None)
+    if option is None:
+        return None
+    try:
+        found = transport.getHandle().getsockopt(socket.IPPROTO_TCP, option, TCP_INFO_FORMAT.size)
+        fields = TCP_INFO_FORMAT.unpack(found)
+    except (OSError, struct.error):
+        return None
+    return SendState(
+        fields[UNACKNOWLEDGED_FIELD],
+        fields[PROBES_FIELD],
+        timedelta(milliseconds=fields[LAST_SENT_FIELD]),
+        timedelta(milliseconds=fields[LAST_ACKNOWLEDGED_FIELD]),
+    )
+
+
 def acknowledge_at_once(transport: Any) -> None:
     """Acknowledge what comes next without delay, as on a new connection.
 
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -117,6 +117,12 @@
     "Steps in finding parts of prompts that crash backend servers, by step.",
     ("step",),
 )
+LOST_CONNECTIONS = define_gateway_metric(
+    "lavenderrun_gateway_lost_connections_total",
+    MetricKind.COUNTER,
+    "Connections closed because their other host was gone without a word, by side.",
+    ("side",),
+)
 HELD_BYTES = define_gateway_metric(
     "lavenderrun_gateway_held_bytes",
     MetricKind.GAUGE,
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -15,6 +15,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from free_ports import find_ports
+from lost_hosts import drop_data
 
 STREAM, RESUMED, PLAIN, ORDERS = "/gen/", "/again/", "/look/", "/order/"
 HOST = "front.example"
@@ -226,6 +227,7 @@
     :param deadly_parts: parts of prompts on which it crashes when it begins to answer.
     :param on_crash: called then; lets the server crash.
     :param names_request: its events name the request that they answer.
+    :param reads_after: seconds for which it does not read the body of a request.
     """
 
     id: str
@@ -238,6 +240,7 @@
     deadly_parts: set[str] = field(default_factory=set)
     on_crash: Callable[[StandinServer], None] | None = None
     names_request: bool = False
+    reads_after: float = 0.0
     seen: list[SeenRequest] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
 
@@ -316,6 +319,10 @@
         """Accept no more connections, like a crashed server."""
         self._server.socket.close()
 
+    def lose_host(self) -> None:
+        """Acknowledge nothing that comes over new connections, as if the host were gone."""
+        drop_data(self._server.socket)
+
     def close(self) -> None:
         self._server.shutdown()
         self._server.server_close()
@@ -332,6 +339,7 @@
 
     def serve(self, handler: BaseHTTPRequestHandler) -> None:
         headers = {name.lower(): value for name, value in handler.headers.items()}
+        time.sleep(self.reads_after)
         seen = SeenRequest(handler.command, handler.path, headers, read_all(handler))
         self.seen.append(seen)
         self._wait_while_silent()
