Keep the configured limit on the size of heads

Cause: the configuration's decoder left header-bytes out, and connections kept the limits of the HTTP library: 16,384 bytes a head and a line, 500 headers. It closes without an answer when a line is too long.

Change: the limit is decoded; each request takes the one in force when its first byte is read. Only the bytes of the head count. A head over the limit is answered 431 head_too_large with the limit, and the rest is discarded, at gateways and entries.

--- a/src/lavenderrun/codecs/_api_errors.py
+++ b/src/lavenderrun/codecs/_api_errors.py
@@ -19,6 +19,7 @@
     Refusal.UNKNOWN_MODEL: "The model is not known.",
     Refusal.UNKNOWN_PATH: "No route has this path and method.",
     Refusal.TOO_LARGE: "The request is too large.",
+    Refusal.HEAD_TOO_LARGE: "The head of the request is too large.",
     Refusal.OVER_RATE: "The client account is over its rate.",
     Refusal.QUARANTINED: "Backend servers crashed on this request; it is held back.",
     Refusal.IDEMPOTENCY_CONFLICT: "The idempotency key was used for another request.",
--- a/src/lavenderrun/codecs/_statuses.py
+++ b/src/lavenderrun/codecs/_statuses.py
@@ -15,6 +15,7 @@
     Refusal.TOO_LARGE: 413,
     Refusal.QUARANTINED: 422,
     Refusal.OVER_RATE: 429,
+    Refusal.HEAD_TOO_LARGE: 431,
     Refusal.CANCELLED: 499,
     Refusal.OUTCOME_UNKNOWN: 502,
     Refusal.BACKEND_LOST: 503,
@@ -35,6 +36,7 @@
     413: "invalid_request_error",
     422: "invalid_request_error",
     429: "rate_limit_error",
+    431: "invalid_request_error",
 }
 
 
--- a/src/lavenderrun/gateway/_caller_channel.py
+++ b/src/lavenderrun/gateway/_caller_channel.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 from datetime import datetime, timedelta
+from http import HTTPStatus
 from typing import Any, Final, Protocol
 
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
-from twisted.web.http import RESPONSES
 
 from lavenderrun.gateway._caller_request import CallerRequest
 from lavenderrun.gateway._sockets import set_socket_options
@@ -37,6 +37,10 @@
 
     account: RequestAccount
     max_body_bytes: int
+    max_head_bytes: int
+
+    def encode_head_refusal(self, limit: int) -> bytes:
+        """Return the answer to a request whose head is larger than *limit* bytes."""
 
     def find_idle_timeout(self) -> timedelta:
         """Return how long a connection may stay idle from now on."""
@@ -48,7 +52,7 @@
 def encode_answer(status: int, headers: Headers, body: bytes) -> bytes:
     """Return the bytes of an answer after which the connection is closed."""
     lines = [
-        f"HTTP/1.1 {status} {RESPONSES[status].decode()}",
+        f"HTTP/1.1 {status} {HTTPStatus(status).phrase}",
         *(f"{name}: {value}" for name, value in headers),
         f"Content-Length: {len(body)}",
         "Connection: close",
@@ -75,6 +79,11 @@
         self._body_due: datetime | None = None
         self._body_bytes = 0
         self.max_body_bytes = service.max_body_bytes
+        self.limit_head(service.max_head_bytes)
+
+    def encode_head_refusal(self) -> bytes:
+        """Return the bytes of the answer to a request whose head is too large."""
+        return self._service.encode_head_refusal(self.totalHeadersSize)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read a part of a request; its first part begins the time limit of the head."""
@@ -84,6 +93,7 @@
             self._has_limits, self._is_last_read = True, False
             # a limit that is lowered later is for later requests
             self.max_body_bytes = self._service.max_body_bytes
+            self.limit_head(self._service.max_head_bytes)
             self.setTimeout(self._service.find_head_timeout().total_seconds())
         self._body_bytes += len(data)
         LineReceiver.dataReceived(self, data)
--- a/src/lavenderrun/gateway/_callers.py
+++ b/src/lavenderrun/gateway/_callers.py
@@ -21,7 +21,14 @@
 from lavenderrun.gateway._stats import OPEN_CONNECTIONS, PARTIAL, REQUESTS, UNANSWERED, Stats
 from lavenderrun.http_server import RequestAccount
 from lavenderrun.kernel import Kernel
-from lavenderrun.types import Configuration, Outcome, Refusal, Refused, Step
+from lavenderrun.types import (
+    DEFAULT_HEAD_BYTES,
+    Configuration,
+    Outcome,
+    Refusal,
+    Refused,
+    Step,
+)
 
 BACKLOG: Final = 512
 """Connections that may wait to be accepted when many callers connect at once."""
@@ -46,6 +53,7 @@
         self.account = RequestAccount(kernel.clock)
         self.memory = kernel.find("memory", MemoryService)
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
+        self.max_head_bytes = DEFAULT_HEAD_BYTES
         self._idle_timeouts = TimeLimitHistory(DEFAULT_IDLE_TIMEOUT)
         self._head_timeouts = TimeLimitHistory(DEFAULT_IDLE_TIMEOUT)
         self._port: Any = None
@@ -110,6 +118,16 @@
         for channel in list(self.channels):
             channel.refuse_unread(answer)
 
+    def encode_head_refusal(self, limit: int) -> bytes:
+        """Return the answer to a request whose head is larger than *limit* bytes."""
+        refused = Refused(
+            Refusal.HEAD_TOO_LARGE,
+            Outcome.NOT_RUN,
+            Step.ADMISSION,
+            detail=f"head: larger than {limit} bytes",
+        )
+        return encode_answer(*self.dialect.encode_refusal(None, refused))
+
     def close_idle(self) -> None:
         """Close each connection now, or after the answer that is under way."""
         for channel in list(self.channels):
@@ -126,6 +144,7 @@
     def _configure(self, configuration: Configuration) -> None:
         limits, now = configuration.limits, self.account.clock.now()
         self.max_body_bytes = limits.body_bytes
+        self.max_head_bytes = limits.head_bytes
         before = self.find_idle_timeout()
         self._idle_timeouts.change(limits.idle_timeout, now)
         self._head_timeouts.change(limits.head_timeout or limits.idle_timeout, now)
--- a/src/lavenderrun/http_server/_requests.py
+++ b/src/lavenderrun/http_server/_requests.py
@@ -17,6 +17,9 @@
 from lavenderrun.http_server._half_closed import HalfClosedWatch
 from lavenderrun.http_server._unread import has_unread_bytes
 
+MIN_HEADER_BYTES: Final = len(b"a:\r\n")
+"""Length of the shortest header; no head has more headers than it has room for."""
+
 OVERDUE_AFTER: Final = timedelta(milliseconds=500)
 """Time after the deadline of a request from which its caller has left for want of an answer."""
 
@@ -118,6 +121,41 @@
     _closes_after_answer = False
     _is_discarding = False
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.limit_head(HTTPChannel.totalHeadersSize)
+
+    def limit_head(self, limit: int) -> None:
+        """Refuse requests whose head is larger than *limit* bytes, however many lines it has."""
+        self.totalHeadersSize = self.MAX_LENGTH = limit
+        self.maxHeaders = limit // MIN_HEADER_BYTES
+
+    def encode_head_refusal(self) -> bytes:
+        """Return the bytes of the answer to a request whose head is too large."""
+        raise NotImplementedError
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Read a line of a head, unless it makes the head too large."""
+        if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
+            self._refuse_head()
+        else:
+            super().lineReceived(line)
+
+    def headerReceived(self, line: bytes) -> bool:  # noqa: N802
+        """Read a header, unless there are too many."""
+        if self._receivedHeaderCount >= self.maxHeaders:
+            self._refuse_head()
+            return False
+        return bool(super().headerReceived(line))
+
+    def lineLengthExceeded(self, _line: bytes) -> None:  # noqa: N802
+        """Refuse a request of which a single line is too large."""
+        self._refuse_head()
+
+    def _refuse_head(self) -> None:
+        self.note_closing(CloseReason.BAD_REQUEST)
+        self._answer_and_discard(self.encode_head_refusal())
+
     def note_closing(self, reason: CloseReason) -> None:
         """Note why this host closes the connection; the first reason stays."""
         if self._closing is None:
@@ -164,8 +202,13 @@
         """Answer a request that was read in part; the rest of it is discarded."""
         if not self.is_reading or self._is_discarding:
             return
-        self._is_discarding = True
         self.note_closing(CloseReason.DEPARTURE)
+        self._answer_and_discard(answer)
+
+    def _answer_and_discard(self, answer: bytes) -> None:
+        """Send a last answer and discard what still arrives."""
+        self._is_discarding = True
+        self.clearLineBuffer()
         if not any(request.startedWriting for request in self.requests):
             self.transport.write(answer)
         # a close while the caller still sends would reset the connection before it has read
--- a/src/lavenderrun/platform/_callers.py
+++ b/src/lavenderrun/platform/_callers.py
@@ -38,6 +38,7 @@
     Refusal.UNKNOWN_KEY: 401,
     Refusal.UNKNOWN_PATH: 404,
     Refusal.TOO_LARGE: 413,
+    Refusal.HEAD_TOO_LARGE: 431,
     Refusal.OVER_RATE: 429,
 }
 """HTTP status of refused calls that were not run; 503 for all other reasons."""
--- a/src/lavenderrun/platform/_configuration.py
+++ b/src/lavenderrun/platform/_configuration.py
@@ -10,6 +10,7 @@
 from lavenderrun.decoding import Amount, Count, Milliseconds, Seconds, decode_json
 from lavenderrun.dispatch import digest_key
 from lavenderrun.types import (
+    DEFAULT_HEAD_BYTES,
     AccountId,
     AccountQuota,
     CallerLimits,
@@ -76,6 +77,7 @@
 
 
 class _LimitsEntry(msgspec.Struct, rename="kebab"):
+    header_bytes: Count = DEFAULT_HEAD_BYTES
     max_body_bytes: Count = 4194304
     idle_timeout_ms: Milliseconds = 15000
     header_timeout_ms: Milliseconds | None = None
@@ -116,6 +118,7 @@
             None
             if document.limits.header_timeout_ms is None
             else timedelta(milliseconds=document.limits.header_timeout_ms),
+            document.limits.header_bytes,
         ),
     )
 
--- a/src/lavenderrun/services/_front_http.py
+++ b/src/lavenderrun/services/_front_http.py
@@ -206,6 +206,16 @@
         self.transport.write(_encode_last_answer("400 Bad Request", refused))
         self.loseConnection()
 
+    def encode_head_refusal(self) -> bytes:
+        """Return the bytes of the answer to a request whose head is too large."""
+        refused = Refused(
+            Refusal.HEAD_TOO_LARGE,
+            Outcome.NOT_RUN,
+            Step.ADMISSION,
+            detail=f"HTTP: the head is larger than {self.totalHeadersSize} bytes.",
+        )
+        return _encode_last_answer("431 Request Header Fields Too Large", refused)
+
     def refuse_incomplete(self) -> None:
         """Refuse a request that was read in part, because this host leaves."""
         refused = make_leaving_refusal(
--- a/src/lavenderrun/types/__init__.pyi
+++ b/src/lavenderrun/types/__init__.pyi
@@ -17,6 +17,7 @@
     RunningCall,
 )
 from ._configuration import (
+    DEFAULT_HEAD_BYTES,
     ROUTE_RANKS,
     AccountQuota,
     CallerLimits,
@@ -262,6 +263,7 @@
 from ._store_errors import StoreThrottledError, StoreUnavailableError
 
 __all__ = [
+    "DEFAULT_HEAD_BYTES",
     "DEFAULT_MEMORY",
     "EVENTS",
     "HOP_BY_HOP",
--- a/src/lavenderrun/types/_configuration.py
+++ b/src/lavenderrun/types/_configuration.py
@@ -128,6 +128,10 @@
     cold_rate: float = 0.0
 
 
+DEFAULT_HEAD_BYTES: Final = 16384
+"""Largest head of a request until a configuration sets another one."""
+
+
 @dataclass(frozen=True)
 class CallerLimits:
     """Limits on callers.
@@ -135,11 +139,13 @@
     :param body_bytes: maximum size of a body.
     :param idle_timeout: how long a connection may stay idle.
     :param head_timeout: how long the head of a request may take, ``None`` for the idle timeout.
+    :param head_bytes: maximum size of a head.
     """
 
     body_bytes: int
     idle_timeout: timedelta
     head_timeout: timedelta | None = None
+    head_bytes: int = DEFAULT_HEAD_BYTES
 
 
 @dataclass(frozen=True)
--- a/src/lavenderrun/types/_refusals.py
+++ b/src/lavenderrun/types/_refusals.py
@@ -20,6 +20,7 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_PATH = "unknown_path"
     TOO_LARGE = "too_large"
+    HEAD_TOO_LARGE = "head_too_large"
     OVER_RATE = "over_rate"
     QUARANTINED = "quarantined"
     IDEMPOTENCY_CONFLICT = "idempotency_conflict"
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -112,7 +112,7 @@
 
 
 TIMES = st.integers(50, 20000).map(lambda number: timedelta(milliseconds=number))
-LIMITS = st.builds(CallerLimits, st.integers(0, 30), TIMES, st.none() | TIMES)
+LIMITS = st.builds(CallerLimits, st.integers(0, 30), TIMES, st.none() | TIMES, st.integers(60, 120))
 STEPS = st.builds(
     Step,
     st.floats(0, SHARE),
--- a/tests/services/test_front.py
+++ b/tests/services/test_front.py
@@ -124,6 +124,7 @@
         self.transport = transport
         transport.getHandle = self.make_socket
         transport.abortConnection = self.abort
+        transport.loseWriteConnection = lambda: None
         self.aborted = False
         self.channel.makeConnection(self.transport)
 
@@ -330,6 +331,19 @@
     assert caller.transport.disconnecting
 
 
+# a long line ended its connection without any answer, more lines got a 400 that named no size
+@pytest.mark.parametrize(
+    "lines",
+    [b"X: " + b"x" * 20_000, b"X: xx\r\n" * 4000, b"X: " + b"x" * 9000 + b"\r\nY: " + b"y" * 9000],
+    ids=["one line", "many lines", "two lines"],
+)
+def test_a_head_that_is_too_large_is_refused_with_the_limit(lines: bytes) -> None:
+    caller = Caller()
+    status, error, _ = read_error(caller.send_raw(b"GET / HTTP/1.1\r\n" + lines + b"\r\n\r\n"))
+    assert (status, error["code"], error["outcome"]) == (431, "head_too_large", "not-run")
+    assert "16384" in error["message"]
+
+
 def test_unexpected_error_is_answered_as_unknown_without_a_traceback() -> None:
     caller = Caller()
 
