Probe callers of streams whose engine hangs

Cause: the end of a caller's data doesn't tell whether it still reads. It is probed by an interim answer before the answer begins, and by the next event after that; an engine that hangs sends none.

Change: a stream of events that has begun is probed by the head of a chunk of one byte, sent byte by byte. The body goes on with that byte, so nothing of it changes. The head begins with 1: after a leading 0 Python's client takes the end of the connection for the end of the answer.

--- a/src/lavenderrun/http_server/_requests.py
+++ b/src/lavenderrun/http_server/_requests.py
@@ -15,11 +15,16 @@
 from lavenderrun.http_server._account import CloseReason, RequestAccount, RequestEnd
 from lavenderrun.http_server._errors import describe_error
 from lavenderrun.http_server._half_closed import HalfClosedWatch
+from lavenderrun.http_server._open_chunk import OpenChunk
 from lavenderrun.http_server._unread import has_unread_bytes
 
 MIN_HEADER_BYTES: Final = len(b"a:\r\n")
 """Length of the shortest header; no head has more headers than it has room for."""
 
+EVENT_STREAM: Final = b"text/event-stream"
+BLANK_LINE: Final = b"\n"
+"""Ignored between two events and after the last one."""
+
 OVERDUE_AFTER: Final = timedelta(milliseconds=500)
 """Time after the deadline of a request from which its caller has left for want of an answer."""
 
@@ -40,6 +45,7 @@
         self._account: RequestAccount = channel.factory.account
         self._read_at: datetime | None = None
         self._is_recorded = False
+        self._open_chunk = OpenChunk()
 
     @property
     def id_for_log(self) -> str | None:
@@ -56,11 +62,35 @@
         self._read_at = self._account.clock.now()
         super().requestReceived(command, path, version)
 
+    def write(self, data: bytes) -> None:
+        """Send a part of the body, after what is left of a chunk that was begun as a probe."""
+        if data and self._open_chunk.is_open:
+            self.channel.write(self._open_chunk.complete(data))
+            data = data[1:]
+            if not data:
+                return
+        super().write(data)
+
     def finish(self) -> None:
         """Record the end of the request and finish its answer."""
         self.record_end(self.end_when_finished)
+        if self._open_chunk.is_open:
+            self.channel.write(self._open_chunk.complete(BLANK_LINE))
         super().finish()
 
+    def send_probe(self) -> None:
+        """Send bytes that change no answer, so that the host of a caller that is gone resets."""
+        if self.clientproto != b"HTTP/1.1":
+            return
+        if not self.startedWriting:
+            self.channel.send_interim_answer()
+        elif self.chunked and self._is_event_stream():
+            self.channel.write(self._open_chunk.take_probe())
+
+    def _is_event_stream(self) -> bool:
+        values = self.responseHeaders.getRawHeaders(b"content-type", [])
+        return any(value.partition(b";")[0].strip() == EVENT_STREAM for value in values)
+
     def close_after_answer(self) -> None:
         """Say in the head of this answer that the connection closes after it."""
         self.channel.persistent = 0
@@ -266,8 +296,11 @@
 
     def _send_probe(self) -> None:
         for request in self.requests[:1]:
-            if request.clientproto == b"HTTP/1.1" and not request.startedWriting:
-                self._send100Continue()
+            request.send_probe()
+
+    def send_interim_answer(self) -> None:
+        """Send an interim answer, which a caller ignores."""
+        self._send100Continue()
 
     def _note_gone(self) -> None:
         self.note_closing(CloseReason.CALLER)
--- a/tests/platform/test_half_closed_callers.py
+++ b/tests/platform/test_half_closed_callers.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import time
 from http.server import BaseHTTPRequestHandler
 
 import pytest
 from gateway_process import Answer, Gateway, StandinPlatform, wait_for
-from platform_standin import HOST, KEY, ORDERS, PLAIN, RESUMED, STREAM, SeenRequest, StandinServer
+from platform_standin import (
+    HOST,
+    KEY,
+    ORDERS,
+    PLAIN,
+    RESUMED,
+    STREAM,
+    Behaviour,
+    SeenRequest,
+    StandinServer,
+    reset,
+)
 from test_request_account import read_counter
 
 WORK_SECONDS = 0.7
@@ -58,6 +70,12 @@
     return f"{head}X-Request-Id: {name}\r\nX-Deadline-Ms: 6000\r\n\r\n".encode()
 
 
+def make_stream_request(name: str) -> bytes:
+    head = f"GET {STREAM}x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+    head += f"X-Request-Id: {name}\r\nX-Deadline-Ms: 6000\r\nX-Model: m\r\n"
+    return f"{head}X-Token-Count: 100,50\r\nX-Prefix-Hash: ab:100\r\n\r\n".encode()
+
+
 def send(gateway: Gateway, data: bytes) -> socket.socket:
     caller = socket.create_connection(("127.0.0.1", gateway.front), timeout=8)
     caller.sendall(data)
@@ -100,6 +118,76 @@
     assert received.count(b"HTTP/1.") == 1
 
 
+def hang_after(events: int, seconds: float, left: list[float]) -> Behaviour:
+    """Return a behaviour that sends nothing for some time after some events of a stream.
+
+    :param left: gets the time at which the engine's connection was closed meanwhile.
+    """
+
+    def behave(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        if seen.headers.get("x-stage") == "prefill":
+            return False
+        server.stream(handler, seen, events)
+        if select.select([handler.connection], [], [], seconds)[0]:
+            left.append(time.monotonic())
+            handler.close_connection = True
+            return True
+        server.write_events(handler, events + 1, server.events)
+        handler.wfile.write(b"0\r\n\r\n")
+        return True
+
+    return behave
+
+
+# the engine kept the stream until it went on: no probe was sent once the answer had begun
+@pytest.mark.parametrize("events", [0, 2])
+def test_a_caller_that_leaves_a_hanging_stream_is_noticed_soon(
+    platform: StandinPlatform, gateway: Gateway, events: int
+) -> None:
+    left: list[float] = []
+    platform.servers["dec-1"].behave = hang_after(events, LONG_WORK_SECONDS, left)
+    caller = send(gateway, make_stream_request("gone"))
+    received = b""
+    while received.count(b"data: ") < events or b"\r\n\r\n" not in received:
+        received += caller.recv(65536)
+    time.sleep(NOTICE_SECONDS)
+    began = time.monotonic()
+    caller.close()
+    wait_for(lambda: left, "stream closed at its engine")
+    assert left[0] - began < NOTICE_SECONDS
+    assert wait_for(lambda: read_counter(gateway, "requests")["caller_gone"] == 1, "counted")
+
+
+# guards against a probe that changes the answer of a caller which still reads
+@pytest.mark.parametrize("hang", [0.4, 1.5, 3.2])
+@pytest.mark.parametrize("events", [0, 2, 5, 6])
+def test_a_caller_that_still_reads_a_hanging_stream_gets_all_of_it(
+    platform: StandinPlatform, gateway: Gateway, hang: float, events: int
+) -> None:
+    engine = platform.servers["dec-1"]
+    engine.pause, engine.behave = 0.02, hang_after(events, hang, [])
+    answer = call_and_close_writing(gateway, STREAM)
+    assert (answer.status, answer.whole) == (200, True)
+    # a stream that ends after a probe ends with a blank line, which is no event
+    assert answer.body in ([EVENTS, EVENTS + b"\n"] if events == 6 else [EVENTS])
+
+
+# guards against a stream that is cut after a probe and looks complete
+def test_a_stream_that_is_cut_after_a_probe_does_not_look_complete(
+    platform: StandinPlatform, gateway: Gateway
+) -> None:
+    def cut(server: StandinServer, handler: BaseHTTPRequestHandler, seen: SeenRequest) -> bool:
+        server.stream(handler, seen, 2)
+        time.sleep(WORK_SECONDS)
+        reset(handler)
+        return True
+
+    platform.servers["dec-1"].behave = cut
+    answer = call_and_close_writing(gateway, STREAM)
+    assert not answer.whole
+    assert EVENTS.startswith(answer.body)
+
+
 # a caller that closes its connection sends the same as one that closes its writing side only
 def test_a_caller_that_is_gone_is_noticed_soon(platform: StandinPlatform, gateway: Gateway) -> None:
     platform.servers["app-1"].behave = work_long
