Read peer reports of any datagram's size

Cause: a report is one datagram that grows with what there is to tell, and its receiver read into the library's default buffer of 8,192 bytes.

Change: the buffer has the size of the largest datagram over IPv4.

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -105,6 +105,10 @@
 """Mean pause before another attempt to write this host's row."""
 
 
+MAX_DATAGRAM_BYTES: Final = 65507
+"""Largest datagram over IPv4; what is longer than the library's 8,192 bytes would be cut."""
+
+
 class _PeerState:
     """Another gateway as this host sees it.
 
@@ -219,7 +223,7 @@
         loop: Any = reactor
         host, port = parse_address(self._address)
         self._probe = PeerProbe(loop, self._clock, self._note_process_end)
-        self._port = loop.listenUDP(port, self._report_protocol, interface=host)
+        self._port = loop.listenUDP(port, self._report_protocol, host, MAX_DATAGRAM_BYTES)
         self.follower.start()
         self._tick_due = self._clock.now()
         self._tick()
