Go on reporting after a report that is too long

What callers saw: nothing at once; a gateway whose report grew over 65,507 bytes told its peers nothing more until it was restarted.

Cause: Twisted raises MessageLengthError, which is no OSError, in the function of the timer and before the timer is set again.

Change: the error is logged with the report's length like others, and the timer goes on.

Evidence: test_a_report_that_is_too_long_does_not_end_the_reports_after_it failed before with the error and passes now.

--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import MessageLengthError
 from twisted.internet.protocol import DatagramProtocol
 from twisted.python.failure import Failure
 
@@ -474,12 +475,13 @@
         transport: Any = self._report_protocol.transport
         try:
             transport.write(data, peer.address)
-        except OSError as error:
+        except (OSError, MessageLengthError) as error:
             log(
                 "peers:unsent",
                 "peers: peer report not sent",
                 peer=peer.address[0],
                 error=str(error),
+                length=len(data),
             )
 
     def _remove_row(self, host: HostId, peer: _PeerState, now: datetime) -> None:
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -21,6 +21,7 @@
     make_row,
 )
 from twisted.internet.defer import Deferred
+from twisted.internet.error import MessageLengthError
 from twisted.internet.testing import MemoryReactorClock
 
 from lavenderrun.gateway._bounds import BoundsService
@@ -371,6 +372,25 @@
         self.sent += 1
 
 
+class RefusingTransport:
+    """Takes no datagram, as a UDP transport does with one that is too long."""
+
+    def write(self, _data: bytes, _address: tuple[str, int]) -> None:
+        raise MessageLengthError
+
+
+# the error ended the timer: the host told nothing more until it was restarted
+def test_a_report_that_is_too_long_does_not_end_the_reports_after_it() -> None:
+    fixture, peers, sent = start_peers(3)
+    peers._report_protocol.transport = RefusingTransport()  # type: ignore[assignment]
+    peers._tick()
+    peers.report_soon()
+    fixture.time.advance(1.0)
+    peers._report_protocol.transport = sent  # type: ignore[assignment]
+    fixture.time.advance(1.0)
+    assert sent.sent
+
+
 def start_peers(hosts: int) -> tuple[StoreFixture, PeersService, SentReports]:
     fixture = StoreFixture()
     fixture.kernel.settings.host, fixture.kernel.settings.peers = "h0", "127.0.0.1:9"
