Soak callers that pause and servers that fail what ran

The soak has a new family of faults, readers: callers that stop reading long answers for 3 to 5 s, and servers that run calls and answer 429 or 503 without X-Not-Executed, beside planned stops, reloads and suspensions.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -32,11 +32,12 @@
 
 
 class Answer:
-    def __init__(self, response: http.client.HTTPResponse) -> None:
+    def __init__(self, response: http.client.HTTPResponse, read_after: float = 0.0) -> None:
         self.begun = time.monotonic()
         self.status = response.status
         self.headers = {name.lower(): value for name, value in response.getheaders()}
         self.whole = True
+        time.sleep(read_after)
         try:
             self.body = response.read()
         except http.client.IncompleteRead as cut:
@@ -120,11 +121,13 @@
         headers: dict[str, str] | None = None,
         connection: http.client.HTTPConnection | None = None,
         on_sent: Callable[[], None] = lambda: None,
+        read_after: float = 0.0,
     ) -> Answer:
         """Call the gateway.
 
         :param body: body, or its parts, each sent when it is due.
         :param on_sent: called when the whole request is sent.
+        :param read_after: seconds for which the body is not read once its head has arrived.
         """
         given = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "4000"}
         if key is not None:
@@ -133,7 +136,7 @@
         try:
             own.request(method, path, body or None, {**given, **(headers or {})})
             on_sent()
-            return Answer(own.getresponse())
+            return Answer(own.getresponse(), read_after)
         finally:
             if connection is None:
                 own.close()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,6 +43,7 @@
     make_event,
 )
 from proxy import Proxy, ProxyMode
+from readers import READERS, find_pause
 from request_ends import RequestEnds, SentRequest, tell
 from silences import (
     SILENCES,
@@ -118,6 +119,7 @@
     :ivar frozen: gateways that are suspended.
     :ivar draining: the engine that drains.
     :ivar long_work: how long plain servers work on a call, in seconds.
+    :ivar callers_pause: whether some callers stop reading answers of plain servers for a while.
     """
 
     def __init__(
@@ -147,6 +149,7 @@
         self.killed: set[Gateway] = set()
         self.frozen: set[Gateway] = set()
         self.long_work = 0.0
+        self.callers_pause = False
         self._opened: weakref.WeakKeyDictionary[http.client.HTTPConnection, float] = (
             weakref.WeakKeyDictionary()
         )
@@ -375,7 +378,8 @@
             return gateway.generate(kind + "x", parts, body, **given)
         if kind == ORDERS:
             return gateway.call(kind + "x", "POST", body=body, **given)
-        return gateway.call(kind + "x", **given)
+        pause = find_pause(request) if self.callers_pause else 0.0
+        return gateway.call(kind + "x", read_after=pause, **given)
 
     def _inject_faults(self, until: float) -> None:
         while time.monotonic() < until:
@@ -388,6 +392,7 @@
         for timer in self._pending:
             timer.join()
         self.deadly.end()
+        self.callers_pause = False
         self.operator = Operator(self.random_source)
         self.operator.write(self)
         for proxy in self.proxies.values():
@@ -637,6 +642,7 @@
     "weights": [change_weights, silence_plain_server],
     "peers": [silence_peers, silence_engine, change_routes],
     "lapses": LAPSES,
+    "readers": [*READERS, restart_gateway, reload_gateway, change_configuration, pause_gateway],
     "all": [*FAULTS, *SILENCES],
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -44,6 +44,7 @@
 # 2: plain calls and orders at a server got no answer at the end of the grace period
 # 11: calls of a route whose services all have weight 0 got no answer
 # 831: callers that closed their writing side after a request got no answer
+# 903: callers that stopped reading lost their answers, and calls that ran were refused as not run
 @pytest.mark.parametrize(
     ("faults", "seed"),
     [
@@ -53,6 +54,7 @@
         ("weights", 11),
         ("silences", 7),
         ("peers", 831),
+        ("readers", 903),
     ],
 )
 def test_every_request_is_answered(tmp_path: Path, faults: str, seed: int) -> None:
