Watch connections that still send before they close

A caller that is unreachable while the rest of its answer is sent before the close kept its connection until the end of a planned stop's grace period: no request was under way on it any more, so it was not checked.

--- a/src/lavenderrun/dispatch/_acknowledgements.py
+++ b/src/lavenderrun/dispatch/_acknowledgements.py
@@ -1,4 +1,4 @@
-"""Whether the host at the other end of a connection is lost, by what it acknowledges."""
+"""Detection of unreachable peers by what they acknowledge."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 """Time in which a lost path has to be detected."""
 
 MIN_UNANSWERED: Final = 2
-"""Sends or probes in a row that a lost host leaves unanswered. A single one may be lost on the way,
-and a host need not answer two probes that follow each other closely (RFC 5961, section 7)."""
+"""Sends or probes in a row that have to stay unanswered. A single one may be lost on the way, and a
+host need not answer two probes that follow each other closely (RFC 5961, section 7)."""
 
 SAME_SEND: Final = timedelta(milliseconds=50)
 """Difference below which two measurements of the last send are of the same one: more than the
@@ -49,7 +49,7 @@
         self._unanswered_probes = 0
 
     def is_lost(self, state: SendState, now: datetime) -> bool:
-        """Record the state at *now*; return whether the other host is lost.
+        """Record the state at *now*; return whether the peer is unreachable.
 
         What was sent since the previous call may still be answered and does not count yet.
         """
--- a/src/lavenderrun/gateway/_caller_channel.py
+++ b/src/lavenderrun/gateway/_caller_channel.py
@@ -144,11 +144,11 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is under way."""
-        return bool(self.requests)
+        """Whether a request is under way, or the rest of an answer is sent before the close."""
+        return bool(self.requests) or self.transport.disconnecting
 
     def close_lost(self) -> None:
-        """Close the connection at once, because the caller's host is gone."""
+        """Close the connection at once, because the caller is unreachable."""
         self.note_closing(CloseReason.CALLER)
         self.transport.abortConnection()
 
--- a/src/lavenderrun/gateway/_connection.py
+++ b/src/lavenderrun/gateway/_connection.py
@@ -103,7 +103,7 @@
         return self._open and self._receiver is not None
 
     def close_lost(self) -> None:
-        """Close at once, because the server's host is gone; the call under way ends as reset."""
+        """Close at once, because the server is unreachable; its call ends as reset."""
         self.transport.abortConnection()
 
     def connectionMade(self) -> None:  # noqa: N802
--- a/src/lavenderrun/gateway/_connection_watch.py
+++ b/src/lavenderrun/gateway/_connection_watch.py
@@ -1,8 +1,8 @@
-"""Service ``connection_watch``: closes connections whose other host is gone without a word.
+"""Service ``connection_watch``: closes connections whose peer has stopped acknowledging data.
 
-Keep-alive finds such a host only while nothing is on its way to it. The kernel's limit on
+Keep-alive detects an unreachable peer only while nothing is in flight to it. The kernel's limit on
 unacknowledged data, ``TCP_USER_TIMEOUT``, would also end the connection of a process that reads
-nothing for a while, although its host answers each probe.
+nothing for a while, although its host answers each probe of the closed window.
 """
 
 from __future__ import annotations
@@ -21,24 +21,24 @@
 from lavenderrun.kernel import Clock, Kernel, Timer
 
 CHECK_INTERVAL: Final = timedelta(milliseconds=500)
-"""Interval of the checks: the delay with which a lost host is found at most."""
+"""Interval of the checks: the largest delay that they add to the detection."""
 
 
 class WatchedConnection(Protocol):
-    """A connection whose other host may be lost."""
+    """A connection whose peer may become unreachable."""
 
     transport: Any
 
     @property
     def is_busy(self) -> bool:
-        """Whether a call is under way on it."""
+        """Whether data may be in flight on it."""
 
     def close_lost(self) -> None:
-        """Close it at once, because its other host is gone."""
+        """Close it at once, because its peer is unreachable."""
 
 
 class ConnectionWatch:
-    """Checks the connections with a call under way.
+    """Checks the connections on which data may be in flight.
 
     :param sides: reads the open connections of each side of this host, by its name.
     """
@@ -78,14 +78,14 @@
     def _check_one(
         self, side: str, connection: WatchedConnection, tracker: AcknowledgementTracker
     ) -> None:
-        # an earlier one that was closed may have ended the call on this one
+        # closing an earlier connection may have ended the call on this one
         state = read_send_state(connection.transport) if connection.is_busy else None
         if state is None or not tracker.is_lost(state, self._clock.now()):
             return
         self._stats.count(LOST_CONNECTIONS, side)
         log(
             "connections:lost",
-            "connections: host is gone without a word, connection closed",
+            "connections: peer acknowledges nothing, connection closed",
             side=side,
             peer=str(connection.transport.getPeer().host),
             unacknowledged=state.unacknowledged,
--- a/src/lavenderrun/gateway/_peers.py
+++ b/src/lavenderrun/gateway/_peers.py
@@ -105,7 +105,6 @@
 ANNOUNCE_RETRY_PAUSE: Final = timedelta(milliseconds=500)
 """Mean pause before another attempt to write this host's row."""
 
-
 MAX_DATAGRAM_BYTES: Final = 65507
 """Largest datagram over IPv4; what is longer than the library's 8,192 bytes would be cut."""
 
--- a/src/lavenderrun/gateway/_stats.py
+++ b/src/lavenderrun/gateway/_stats.py
@@ -120,7 +120,7 @@
 LOST_CONNECTIONS = define_gateway_metric(
     "lavenderrun_gateway_lost_connections_total",
     MetricKind.COUNTER,
-    "Connections closed because their other host was gone without a word, by side.",
+    "Connections closed because the peer acknowledged nothing, by side.",
     ("side",),
 )
 HELD_BYTES = define_gateway_metric(
--- a/src/lavenderrun/http_server/_requests.py
+++ b/src/lavenderrun/http_server/_requests.py
@@ -89,7 +89,7 @@
 
     def _is_event_stream(self) -> bool:
         values = self.responseHeaders.getRawHeaders(b"content-type", [])
-        return any(value.partition(b";")[0].strip() == EVENT_STREAM for value in values)
+        return any(value.partition(b";")[0].strip().lower() == EVENT_STREAM for value in values)
 
     def close_after_answer(self) -> None:
         """Say in the head of this answer that the connection closes after it."""
