--- a/src/lavenderrun/gateway/_connection_watch.py
+++ b/src/lavenderrun/gateway/_connection_watch.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Collection
 from datetime import timedelta
 from typing import Any, ClassVar, Final, Protocol
@@ -52,8 +53,9 @@
         sides: dict[str, Callable[[], Collection[WatchedConnection]]],
     ) -> None:
         self._clock = clock
-        self._stats = stats
         self._sides = sides
+        self._lost = Counter(dict.fromkeys(sides, 0))
+        stats.register_reader(LOST_CONNECTIONS, self._read_lost)
         self._trackers: dict[WatchedConnection, AcknowledgementTracker] = {}
         self._timer: Timer | None = None
 
@@ -82,7 +84,7 @@
         state = read_send_state(connection.transport) if connection.is_busy else None
         if state is None or not tracker.is_lost(state, self._clock.now()):
             return
-        self._stats.count(LOST_CONNECTIONS, side)
+        self._lost[side] += 1
         log(
             "connections:lost",
             "connections: peer acknowledges nothing, connection closed",
@@ -93,6 +95,9 @@
         )
         connection.close_lost()
 
+    def _read_lost(self) -> dict[tuple[str, ...], float]:
+        return {(side,): float(number) for side, number in self._lost.items()}
+
 
 @GATEWAY_SERVICES.register("connection_watch")
 def make_connection_watch(kernel: Kernel) -> ConnectionWatch:
