Let the soak tell paused callers from idle connections

The gateway had sent the answer before the stop, so the connection was idle for it; the check counted from the end of the caller's pause. It counts from the answer's head now when an answer is read late, and as before otherwise.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -32,6 +32,13 @@
 
 
 class Answer:
+    """An answer that was read to its end, or as far as it came.
+
+    :ivar begun: when its head arrived.
+    :ivar idle_since: from when the gateway may take its connection for idle; an answer that was not
+        read at once had been sent before that.
+    """
+
     def __init__(self, response: http.client.HTTPResponse, read_after: float = 0.0) -> None:
         self.begun = time.monotonic()
         self.status = response.status
@@ -44,6 +51,7 @@
             self.whole, self.body = False, cut.partial
         except ConnectionError:
             self.whole, self.body = False, b""
+        self.idle_since = self.begun if read_after else time.monotonic()
 
 
 class Gateway:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -305,7 +305,7 @@
             self.notices.note_answer(request, answer)
             may_keep = answer.headers.get("connection") != "close" and not half_closes
             if answer.whole and may_keep:
-                connections[index] = (connection, time.monotonic())
+                connections[index] = (connection, answer.idle_since)
             time.sleep(random_source.random() * 0.05)
 
     def _exchange(
